--- /dev/null
+++ b/libs/admission/src/celeryfork_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, permits, fair queueing, retry budgets and poison requests."""
--- /dev/null
+++ b/libs/base/src/celeryfork_base/identity.py
@@ -0,0 +1,50 @@
+"""Identifiers: instance incarnations and UUIDv7 keys that carry their birth time."""
+
+import os
+import uuid
+
+from attrs import frozen
+
+UUID7_VERSION = 7
+_VARIANT_BITS = 0b10
+
+
+@frozen
+class Incarnation:
+    """One run of one instance; a restart is a new incarnation.
+
+    Parameters
+    ----------
+    instance
+        The instance's name from its settings.
+    started_ms
+        Wall clock at start, in milliseconds since the Unix epoch.
+    """
+
+    instance: str
+    started_ms: int
+
+    def __str__(self) -> str:
+        """Return ``instance@started_ms``."""
+        return f"{self.instance}@{self.started_ms}"
+
+
+def make_uuid7(wall_ms: int) -> uuid.UUID:
+    """Return a new UUIDv7 born at ``wall_ms``.
+
+    Source: RFC 9562, section 5.7.
+    """
+    random_bits = int.from_bytes(os.urandom(10), "big")
+    high = (wall_ms & 0xFFFF_FFFF_FFFF) << 80
+    version = UUID7_VERSION << 76
+    random_a = (random_bits >> 68 & 0xFFF) << 64
+    variant = _VARIANT_BITS << 62
+    random_b = random_bits & ((1 << 62) - 1)
+    return uuid.UUID(int=high | version | random_a | variant | random_b)
+
+
+def birth_ms_of_uuid7(value: uuid.UUID) -> int | None:
+    """Return the birth time of a UUIDv7 in milliseconds, None for other versions."""
+    if value.version != UUID7_VERSION:
+        return None
+    return value.int >> 80
--- /dev/null
+++ b/libs/cmdline/src/celeryfork_cmdline/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the one binary."""
--- /dev/null
+++ b/libs/control/src/celeryfork_control/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, fenced orders to engines and rolling rollouts."""
--- /dev/null
+++ b/libs/daemon/src/celeryfork_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: HTTP for callers, state dump, logs, metrics, graceful stop."""
--- /dev/null
+++ b/libs/execution/src/celeryfork_execution/__init__.py
@@ -0,0 +1,1 @@
+"""Running calls: streams with recovery, plain calls, claims and tickets."""
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets and peers are live, from the list, observation and peers' news."""
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Chains of engines over layer ranges, and the choice among targets."""
--- /dev/null
+++ b/libs/wire/src/celeryfork_wire/__init__.py
@@ -0,0 +1,1 @@
+"""The thrift interface between entry instances, and the peer server and clients."""
--- /dev/null
+++ b/libs/wire/src/celeryfork_wire/gen/celeryfork/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/libs/wire/tests/test_peers.py
@@ -0,0 +1,68 @@
+"""Tests of celeryfork_wire.peers."""
+
+import pytest
+from celeryfork_base.errors import PeerUnavailableError
+from celeryfork_wire.gen.celeryfork import Peer
+from celeryfork_wire.gen.celeryfork.ttypes import PermitGrant, PermitRequest
+from celeryfork_wire.peers import PeerPool, PeerServer
+
+
+class PermitHandler(Peer.Iface):
+    def lease_permits(self, request: PermitRequest) -> PermitGrant:
+        if request.wanted < 0:
+            raise ValueError("negative")
+        return PermitGrant(granted=request.wanted, lease_ms=1000, retry_after_ms=0)
+
+
+def permit_request(wanted: int) -> PermitRequest:
+    return PermitRequest(
+        instance="a", incarnation=1, organisation="o", wanted=wanted, in_use=0
+    )
+
+
+def test_a_call_reaches_the_peer_and_the_connection_is_kept() -> None:
+    server = PeerServer("127.0.0.1", 0, PermitHandler())
+    server.start()
+    pool = PeerPool()
+    for wanted in (1, 2):
+        grant = pool.call(
+            server.address,
+            lambda peer, wanted=wanted: peer.lease_permits(permit_request(wanted)),
+            timeout_s=5,
+            fresh=False,
+        )
+        assert grant.granted == wanted
+    pool.close()
+    server.stop()
+
+
+def test_a_refused_connection_is_known_not_to_have_been_sent() -> None:
+    server = PeerServer("127.0.0.1", 0, PermitHandler())
+    address = server.address
+    server.start()
+    server.stop()
+    with pytest.raises(PeerUnavailableError) as caught:
+        PeerPool().call(address, lambda peer: None, timeout_s=1, fresh=True)
+    assert caught.value.sent is False
+
+
+def test_a_server_stop_cuts_kept_connections() -> None:
+    server = PeerServer("127.0.0.1", 0, PermitHandler())
+    server.start()
+    pool = PeerPool()
+    lease = permit_request(1)
+    pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
+    server.stop()
+    with pytest.raises(PeerUnavailableError) as caught:
+        pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
+    assert caught.value.sent is True
+
+
+def test_a_failing_handler_is_reported_as_sent() -> None:
+    server = PeerServer("127.0.0.1", 0, PermitHandler())
+    server.start()
+    lease = permit_request(-1)
+    with pytest.raises(PeerUnavailableError) as caught:
+        PeerPool().call(server.address, lambda p: p.lease_permits(lease), 5, fresh=True)
+    assert caught.value.sent is True
+    server.stop()
