Split execution into streams and calls

Cause: two parts with nothing in common but their place in the layers. Change: libraries streams (token streams with recovery) and calls (plain calls, claims, tickets), side by side. Conclusion: each can be built and read without the other.

--- a/libs/execution/src/celeryfork_execution/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Running calls: streams with recovery, plain calls, claims and tickets."""
--- /dev/null
+++ b/libs/streams/src/celeryfork_streams/__init__.py
@@ -0,0 +1,1 @@
+"""Token streams from chains of engines, with recovery partway."""
