Add stand-ins for the platform, engines and plain services

The whole path needs something to route to and to read configuration from. Small services on one event loop thread each, with the faults that the tests cause, and records of what ran.

--- /dev/null
+++ b/libs/standin/src/celeryfork_standin/background.py
@@ -0,0 +1,162 @@
+"""An event loop on a thread of its own, and HTTP listeners on it."""
+
+import asyncio
+import contextlib
+import os
+import socket
+import struct
+import threading
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
+
+from aiohttp import web
+from attrs import define, field
+
+from celeryfork_standin.errors import StandinStoppedError
+
+# libuv reads this once, when the first loop is made; io_uring is ruled out.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import uvloop  # noqa: E402
+
+CALL_TIMEOUT_S = 10.0
+LISTEN_BACKLOG = 1024
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+Result = TypeVar("Result")
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class LoopThread:
+    """Runs one event loop on one thread.
+
+    Parameters
+    ----------
+    name
+        The thread's name.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._loop: asyncio.AbstractEventLoop = uvloop.new_event_loop()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._stopped = False
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """The loop; only its thread-safe methods may be used from outside."""
+        return self._loop
+
+    def start(self) -> None:
+        """Begin to run."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the loop and wait for its thread; a second call does nothing."""
+        if self._stopped:
+            return
+        self._stopped = True
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(CALL_TIMEOUT_S)
+
+    def run(self, work: Coroutine[Any, Any, Result]) -> Result:
+        """Run a coroutine on the loop and return its result.
+
+        Raises
+        ------
+        StandinStoppedError
+            The stand-in isn't running.
+        """
+        if self._stopped or not self._thread.is_alive():
+            work.close()
+            raise StandinStoppedError("The stand-in is not running.", "call start()")
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(CALL_TIMEOUT_S)
+
+    def call(self, function: Callable[[], Result]) -> Result:
+        """Run a plain function on the loop and return its result."""
+        return self.run(_as_coroutine(function))
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        try:
+            self._loop.run_forever()
+        finally:
+            self._cancel_tasks()
+            self._loop.close()
+
+    def _cancel_tasks(self) -> None:
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
+            task.cancel()
+        gathered = asyncio.gather(*tasks, return_exceptions=True)
+        with contextlib.suppress(asyncio.TimeoutError):
+            self._loop.run_until_complete(asyncio.wait_for(gathered, 1.0))
+
+
+async def _as_coroutine(function: Callable[[], Result]) -> Result:
+    return function()
+
+
+@define(eq=False)
+class Listener:
+    """One HTTP server on one port, which can vanish and come back there.
+
+    Parameters
+    ----------
+    handler
+        Answers a request; it is cancelled when the client closes the connection.
+    host, port
+        Where to listen; port 0 takes a free one, and keeps it from then on.
+    """
+
+    handler: Handler
+    host: str
+    port: int = 0
+    _server: web.Server | None = field(default=None, init=False)
+    _socket: asyncio.Server | None = field(default=None, init=False)
+
+    @property
+    def address(self) -> str:
+        """The ``ip:port`` that clients connect to."""
+        return f"{self.host}:{self.port}"
+
+    @property
+    def is_open(self) -> bool:
+        """Whether connections are accepted."""
+        return self._socket is not None
+
+    async def open(self) -> None:
+        """Listen; does nothing when already listening."""
+        if self._socket is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._server = web.Server(self.handler, handler_cancellation=True)
+        self._socket = await loop.create_server(
+            self._server, self.host, self.port, backlog=LISTEN_BACKLOG
+        )
+        self.port = self._socket.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Stop listening and reset every open connection."""
+        if self._socket is None or self._server is None:
+            return
+        self._socket.close()
+        self._socket = None
+        for connection in self._server.connections:
+            reset(connection.transport)
+
+    def reset_connections(self) -> None:
+        """Reset every open connection, and go on listening."""
+        if self._server is not None:
+            for connection in self._server.connections:
+                reset(connection.transport)
+
+
+def reset(transport: asyncio.Transport | None) -> None:
+    """Abort a connection so that the other side sees a reset, not an end."""
+    if transport is None or transport.is_closing():
+        return
+    raw = transport.get_extra_info("socket")
+    if raw is not None:
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
--- /dev/null
+++ b/libs/standin/src/celeryfork_standin/engine_core.py
@@ -0,0 +1,315 @@
+"""One engine: continuous batching, caches, orders and faults.
+
+Everything here happens on the fleet's loop; `EngineFleet` is the thread-safe way in.
+"""
+
+import asyncio
+import random
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable, Mapping
+from heapq import heappop, heappush
+
+from attrs import define, field, frozen
+
+from celeryfork_standin.caches import KvCache, KvEntry, PrefixCache
+from celeryfork_standin.engine_data import EngineSpec, EventFaults
+from celeryfork_standin.links import LinkTable
+from celeryfork_standin.sequence import Sequence, Stage
+
+MOST_CATCH_UP_S = 0.05
+LOAD_SAMPLE_S = 0.02
+MOST_LOAD_SAMPLES = 256
+
+
+@frozen
+class LoadSample:
+    """The load at one moment; ``at_s`` is monotonic."""
+
+    at_s: float
+    at_ms: int
+    running: int
+    waiting: int
+
+
+@define(eq=False)
+class FleetContext:
+    """What the engines of one fleet share."""
+
+    links: LinkTable
+    engines_by_id: Mapping[str, "Engine"]
+    engines_by_address: dict[str, "Engine"]
+    poison_marker: str | None = None
+    crash: Callable[["Engine"], None] = field(default=lambda engine: None)
+
+
+class Engine:
+    """One engine of a fleet.
+
+    Parameters
+    ----------
+    spec
+        What it is.
+    context
+        What it shares with the others.
+    seed
+        Seed of its random choices.
+    """
+
+    def __init__(self, spec: EngineSpec, context: FleetContext, seed: int) -> None:
+        self.spec = spec
+        self.address = ""
+        self.incarnation = 1
+        self.alive = True
+        self.leaving = False
+        self.stalled = False
+        self.loading = False
+        self.standby = False
+        self.version = spec.version
+        self.adapters: list[str] = []
+        self.highest_fencing = 0
+        self.event_faults: EventFaults | None = None
+        self.link_factor = 1.0
+        self.speed_factor = 1.0
+        self.sequences: set[Sequence] = set()
+        self.tokens_until_kill: int | None = None
+        self.seen_orders: OrderedDict[str, None] = OrderedDict()
+        self.steps = 0
+        self._context = context
+        self._chance = random.Random(f"{seed}/{spec.id}")
+        self._arrivals = 0
+        self._busy = False
+        self._free_at = 0.0
+        self._reset()
+
+    def _reset(self) -> None:
+        spec = self.spec
+        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._batch: list[Sequence] = []
+        self.kv = KvCache(spec.most_kv_tokens, spec.kv_kept_s)
+        self.prefixes = PrefixCache(
+            spec.most_prefixes,
+            spec.cache_event_lag_s,
+            spec.cache_event_loss,
+            self._chance,
+        )
+        self._loads: deque[LoadSample] = deque(maxlen=MOST_LOAD_SAMPLES)
+
+    # -- what it is ----------------------------------------------------------
+
+    @property
+    def state(self) -> str:
+        """``live``, ``leaving`` or ``dead``."""
+        if not self.alive:
+            return "dead"
+        return "leaving" if self.leaving else "live"
+
+    @property
+    def refuses(self) -> bool:
+        """Whether it takes no new attempts."""
+        return self.leaving or self.loading or self.standby
+
+    @property
+    def waiting(self) -> int:
+        """How many sequences wait for a step."""
+        return len(self._waiting)
+
+    def holds(self, model: str, first: int, last: int) -> bool:
+        """Whether it holds the layers ``[first, last)`` of a model."""
+        spec = self.spec
+        return (
+            spec.model == model and spec.first_layer <= first < last <= spec.last_layer
+        )
+
+    def latency_to(self, other: "Engine") -> float:
+        """Return the one-way latency to another engine in seconds."""
+        base_s = self._context.links.latency_s(self.spec.domain, other.spec.domain)
+        return base_s * self.link_factor * other.link_factor
+
+    def load(self) -> LoadSample:
+        """Return the newest load report that is old enough to show."""
+        now = time.monotonic()
+        self._sample_load(now)
+        newest_s = now - self.spec.load_lag_s
+        for sample in reversed(self._loads):
+            if sample.at_s <= newest_s:
+                return sample
+        return self._loads[0]
+
+    # -- steps ---------------------------------------------------------------
+
+    def enqueue(self, sequence: Sequence) -> None:
+        """Let a sequence wait for the next step."""
+        if sequence.over:
+            return
+        stage = sequence.stages[sequence.index]
+        if stage.kv is None:
+            if not self.alive:
+                sequence.fail("stage_lost", self.spec.id)
+                return
+            import_s = self._open_kv(sequence, stage)
+            if import_s > 0:
+                loop = sequence.ended.get_loop()
+                loop.call_later(import_s, self.enqueue, sequence)
+                return
+        self._arrivals += 1
+        heappush(self._waiting, (-sequence.body.priority, self._arrivals, sequence))
+        if not self._busy:
+            # The step starts a turn later, so that sequences that arrive together
+            # share it.
+            self._busy = True
+            sequence.ended.get_loop().call_soon(self._start_step)
+
+    def _start_step(self) -> None:
+        if self.stalled or not self.alive:
+            return
+        batch = self._batch
+        waiting = self._waiting
+        shares, widest, prefill_s = 0.0, 0.0, 0.0
+        while waiting and len(batch) < self.spec.max_batch:
+            sequence = heappop(waiting)[2]
+            if sequence.over:
+                continue
+            stage = sequence.stages[sequence.index]
+            shares += stage.share
+            widest = max(widest, stage.share)
+            prefill_s += stage.prefill_s
+            stage.prefill_s = 0.0
+            batch.append(sequence)
+        if not batch:
+            self._busy = False
+            return
+        spec = self.spec
+        step_s = spec.base_s * widest + spec.per_sequence_s * shares
+        self._arm(step_s * self.speed_factor + prefill_s)
+
+    def _arm(self, duration_s: float) -> None:
+        """Set the step's timer, made up for the time that the last one was late."""
+        now = time.monotonic()
+        start = max(self._free_at, now - MOST_CATCH_UP_S)
+        self._free_at = start + duration_s
+        asyncio.get_running_loop().call_later(
+            max(0.0, self._free_at - now), self._end_step, self.incarnation
+        )
+
+    def _end_step(self, incarnation: int) -> None:
+        if self.stalled or not self.alive or incarnation != self.incarnation:
+            return
+        now = time.monotonic()
+        batch, self._batch = self._batch, []
+        self.steps += 1
+        if self._must_crash(batch):
+            self._context.crash(self)
+            return
+        for sequence in batch:
+            if not sequence.over:
+                sequence.advance(now)
+        if not self._waiting:
+            # An idle engine has no lateness to make up for.
+            self._free_at = 0.0
+        self._sample_load(now)
+        self._start_step()
+
+    def _must_crash(self, batch: list[Sequence]) -> bool:
+        marker = self._context.poison_marker
+        if marker is not None and any(marker in s.body.prompt for s in batch):
+            return True
+        if self.tokens_until_kill is None:
+            return False
+        self.tokens_until_kill -= len(batch)
+        return self.tokens_until_kill <= 0
+
+    def _sample_load(self, now: float) -> None:
+        if self._loads and now - self._loads[-1].at_s < LOAD_SAMPLE_S:
+            return
+        wall_ms = time.time_ns() // 1_000_000
+        self._loads.append(
+            LoadSample(now, wall_ms, len(self._batch), len(self._waiting))
+        )
+
+    # -- KV cache ------------------------------------------------------------
+
+    def _open_kv(self, sequence: Sequence, stage: Stage) -> float:
+        """Find, import or compute a stage's KV cache; return the import's seconds."""
+        body = sequence.body
+        needed = sequence.kv_tokens
+        kept = self.kv.find(body.stream_id, stage.first, stage.last)
+        have = min(needed, kept.tokens()) if kept else 0
+        import_s = 0.0
+        if have < needed:
+            imported = self._importable(body.stream_id, stage)
+            if imported > have:
+                have = min(needed, imported)
+                import_s = have / self.spec.kv_import_tokens_per_second
+        cached = self.prefixes.take(body.prompt)
+        missing = needed - max(have, cached)
+        speed = self.spec.prefill_tokens_per_second
+        stage.prefill_s = max(0, missing) * stage.share / speed
+        stage.kv = KvEntry(stage.first, stage.last, lambda: sequence.kv_tokens)
+        self.kv.hold(body.stream_id, stage.kv)
+        return import_s
+
+    def _importable(self, stream_id: str, stage: Stage) -> int:
+        """Return how many tokens the engine named in ``kv_from`` could hand over."""
+        if stage.kv_from is None:
+            return 0
+        source = self._context.engines_by_address.get(stage.kv_from)
+        if source is None or not source.alive or source.stalled:
+            return 0
+        entry = source.kv.find(stream_id, stage.first, stage.last)
+        return entry.tokens() if entry else 0
+
+    # -- attempts ------------------------------------------------------------
+
+    def forget(self, sequence: Sequence, stage: Stage) -> None:
+        """Let go of an attempt that is over."""
+        self.sequences.discard(sequence)
+        if stage.kv is not None:
+            self.kv.release(sequence.body.stream_id, stage.kv)
+
+    def cancel(self, stream_id: str) -> list[Sequence]:
+        """Drop a stream's KV cache and return its attempts that run here."""
+        self.kv.drop(stream_id)
+        return [s for s in self.sequences if s.body.stream_id == stream_id]
+
+    # -- faults --------------------------------------------------------------
+
+    def die(self) -> None:
+        """Lose everything; attempts that other engines started learn of it."""
+        self.alive = False
+        self.tokens_until_kill = None
+        for sequence in list(self.sequences):
+            if sequence.stages[0].engine is self:
+                sequence.end()
+            else:
+                sequence.fail("stage_lost", self.spec.id)
+        self.sequences.clear()
+        self._reset()
+
+    def revive(self) -> None:
+        """Begin a new incarnation as at first."""
+        self.incarnation += 1
+        self.alive = True
+        self.leaving = self.stalled = self.loading = self.standby = False
+        self.version = self.spec.version
+        self.adapters = []
+        self.highest_fencing = 0
+        self.seen_orders.clear()
+        self._busy = False
+        self._free_at = 0.0
+
+    def stall(self) -> None:
+        """Stop making steps, and keep every connection open."""
+        self.stalled = True
+
+    def resume(self) -> None:
+        """Go on after a stall, with the sequences that were there."""
+        if not self.stalled:
+            return
+        self.stalled = False
+        for sequence in self._batch:
+            self._arrivals += 1
+            heappush(self._waiting, (-sequence.body.priority, self._arrivals, sequence))
+        self._batch = []
+        self._busy = True
+        asyncio.get_running_loop().call_soon(self._start_step)
