--- a/libs/standin/src/celeryfork_standin/engine.py
+++ b/libs/standin/src/celeryfork_standin/engine.py
@@ -21,6 +21,7 @@
 from celeryfork_standin.links import LinkTable
 from celeryfork_standin.orders import OrderDesk
 from celeryfork_standin.sequence import TokenRecord
+from celeryfork_standin.step_timer import StepTimer
 from celeryfork_standin.weight_store import WeightStore
 
 DEFAULT_LATENCY_S = 0.00025
@@ -55,7 +56,7 @@
         self._members_by_id: dict[str, _Member] = {}
         self._engines_by_id: dict[str, Engine] = {}
         self._context = FleetContext(
-            links, self._engines_by_id, {}, poison_marker, self._crash
+            links, self._engines_by_id, {}, StepTimer(), poison_marker, self._crash
         )
         self._orders = OrderDesk(weights, self._announce)
         self._thread = LoopThread("standin-engines")
--- a/libs/standin/src/celeryfork_standin/engine_core.py
+++ b/libs/standin/src/celeryfork_standin/engine_core.py
@@ -16,6 +16,7 @@
 from celeryfork_standin.engine_data import EngineSpec, EventFaults
 from celeryfork_standin.links import LinkTable
 from celeryfork_standin.sequence import Sequence, Stage
+from celeryfork_standin.step_timer import StepTimer
 
 MOST_CATCH_UP_S = 0.05
 LOAD_SAMPLE_S = 0.02
@@ -39,6 +40,7 @@
     links: LinkTable
     engines_by_id: Mapping[str, "Engine"]
     engines_by_address: dict[str, "Engine"]
+    step_timer: StepTimer
     poison_marker: str | None = None
     crash: Callable[["Engine"], None] = field(default=lambda engine: None)
 
@@ -80,6 +82,7 @@
         self._arrivals = 0
         self._busy = False
         self._free_at = 0.0
+        self._load_due_s = 0.0
         self._reset()
 
     def _reset(self) -> None:
@@ -142,7 +145,7 @@
         """Let a sequence wait for the next step."""
         if sequence.over:
             return
-        stage = sequence.stages[sequence.index]
+        stage = sequence.stage
         if stage.kv is None:
             if not self.alive:
                 sequence.fail("stage_lost", self.spec.id)
@@ -160,45 +163,45 @@
             self._busy = True
             sequence.ended.get_loop().call_soon(self._start_step)
 
-    def _start_step(self) -> None:
+    def _start_step(self, now: float | None = None) -> None:
         if self.stalled or not self.alive:
             return
         batch = self._batch
         waiting = self._waiting
+        most = self.spec.max_batch
         shares, widest, prefill_s = 0.0, 0.0, 0.0
-        while waiting and len(batch) < self.spec.max_batch:
+        while waiting and len(batch) < most:
             sequence = heappop(waiting)[2]
             if sequence.over:
                 continue
-            stage = sequence.stages[sequence.index]
-            shares += stage.share
-            widest = max(widest, stage.share)
-            prefill_s += stage.prefill_s
-            stage.prefill_s = 0.0
+            stage = sequence.stage
+            share = stage.share
+            shares += share
+            if share > widest:
+                widest = share
+            if stage.prefill_s:
+                prefill_s += stage.prefill_s
+                stage.prefill_s = 0.0
             batch.append(sequence)
         if not batch:
             self._busy = False
             return
         spec = self.spec
         step_s = spec.base_s * widest + spec.per_sequence_s * shares
-        self._arm(step_s * self.speed_factor + prefill_s)
+        self._arm(now or time.monotonic(), step_s * self.speed_factor + prefill_s)
 
-    def _arm(self, duration_s: float) -> None:
+    def _arm(self, now: float, duration_s: float) -> None:
         """Set the step's timer, made up for the time that the last one was late."""
-        now = time.monotonic()
-        start = max(self._free_at, now - MOST_CATCH_UP_S)
-        self._free_at = start + duration_s
-        asyncio.get_running_loop().call_later(
-            max(0.0, self._free_at - now), self._end_step, self.incarnation
-        )
+        start = max(self._free_at, now - MOST_CATCH_UP_S) if self._free_at else now
+        self._free_at = due_s = start + duration_s
+        self._context.step_timer.at(due_s, now, self._end_step, self.incarnation)
 
-    def _end_step(self, incarnation: int) -> None:
+    def _end_step(self, incarnation: int, now: float) -> None:
         if self.stalled or not self.alive or incarnation != self.incarnation:
             return
-        now = time.monotonic()
         batch, self._batch = self._batch, []
         self.steps += 1
-        if self._must_crash(batch):
+        if self._watched and self._must_crash(batch):
             self._context.crash(self)
             return
         for sequence in batch:
@@ -207,8 +210,16 @@
         if not self._waiting:
             # An idle engine has no lateness to make up for.
             self._free_at = 0.0
-        self._sample_load(now)
-        self._start_step()
+        if now >= self._load_due_s:
+            self._sample_load(now)
+        self._start_step(now)
+
+    @property
+    def _watched(self) -> bool:
+        return (
+            self._context.poison_marker is not None
+            or self.tokens_until_kill is not None
+        )
 
     def _must_crash(self, batch: list[Sequence]) -> bool:
         marker = self._context.poison_marker
@@ -220,8 +231,7 @@
         return self.tokens_until_kill <= 0
 
     def _sample_load(self, now: float) -> None:
-        if self._loads and now - self._loads[-1].at_s < LOAD_SAMPLE_S:
-            return
+        self._load_due_s = now + LOAD_SAMPLE_S
         wall_ms = time.time_ns() // 1_000_000
         self._loads.append(
             LoadSample(now, wall_ms, len(self._batch), len(self._waiting))
--- a/libs/standin/src/celeryfork_standin/sequence.py
+++ b/libs/standin/src/celeryfork_standin/sequence.py
@@ -126,6 +126,7 @@
     ) -> None:
         self.body = body
         self.stages = stages
+        self.stage = stages[0]
         self.position = body.position
         self.index = 0
         self.over = False
@@ -162,14 +163,23 @@
     def advance(self, now: float) -> None:
         """Go on to the next stage, after the present one ran."""
         stages = self.stages
-        self._trail.append(stages[self.index])
-        self.index += 1
-        if self.index == len(stages):
-            self.index = 0
+        self._trail.append(self.stage)
+        index = self.index + 1
+        if index == len(stages):
+            index = 0
             self._end_token(now)
             if self.over:
                 return
-        self._send_on(stages[self.index])
+        self.index = index
+        self.stage = stage = stages[index]
+        if self._links.revision != self._links_revision:
+            self._measure_links()
+        self._owed_s += stage.latency_s
+        if self._owed_s < SHORTEST_TIMER_S:
+            # Timers cost more than such a delay is worth: it is owed instead.
+            stage.engine.enqueue(self)
+        else:
+            self._send_late(stage)
 
     def fail(self, error: str, engine: str | None = None) -> None:
         """End the attempt with an error event; does nothing once it is over."""
@@ -253,14 +263,7 @@
 
     # -- the way between engines ---------------------------------------------
 
-    def _send_on(self, stage: Stage) -> None:
-        if self._links.revision != self._links_revision:
-            self._measure_links()
-        self._owed_s += stage.latency_s
-        if self._owed_s < SHORTEST_TIMER_S:
-            # Timers cost more than such a delay is worth: it is owed instead.
-            stage.engine.enqueue(self)
-            return
+    def _send_late(self, stage: Stage) -> None:
         loop = self.ended.get_loop()
         owed_s, self._owed_s = self._owed_s, 0.0
         if owed_s != UNREACHABLE:
