--- /dev/null
+++ b/libs/admission/src/celeryfork_admission/admission.py
@@ -0,0 +1,433 @@
+"""Decides whether a request may start now, waits its turn, or is refused.
+
+Every refusal happens before a target was chosen, so its outcome is ``not_run``.
+"""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Protocol
+
+from attrs import define, field, frozen
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+
+from celeryfork_admission.fair_queue import FairQueue, Waiting
+
+LONGEST_SWEEP_WAIT_S = 0.25
+SHORTEST_RETRY_AFTER_S = 1.0
+MOST_SHARE_OF_ONE_ORGANISATION = 0.5
+RATE_MEMORY = 0.9
+
+
+class PermitPort(Protocol):
+    """What admission needs of the permit office."""
+
+    def take(self, organisation: str) -> "Future[None]":
+        """Take one permit; the future holds RequestRefusedError where there is none."""
+
+    def give_back(self, organisation: str) -> None:
+        """Note that a request with a permit has ended."""
+
+
+@frozen
+class QueueBounds:
+    """How much may wait.
+
+    Parameters
+    ----------
+    most_requests
+        Waiting requests per queue.
+    most_wait_s
+        Longest wait for a slot, in seconds.
+    """
+
+    most_requests: int
+    most_wait_s: float
+
+
+@frozen
+class AdmissionRequest:
+    """A request that wants to start.
+
+    Parameters
+    ----------
+    organisation, weight
+        Whose it is, and the organisation's share relative to others.
+    estimated_tokens
+        Prompt and answer tokens that it will probably cost.
+    priority
+        0 (least) to 9.
+    deadline_s
+        Monotonic time by which the caller wants the answer, in seconds.
+    queue
+        The queue it waits in: one for each model and each plain service.
+    """
+
+    organisation: str
+    weight: float
+    estimated_tokens: float
+    priority: int
+    deadline_s: float
+    queue: str
+
+
+@define(eq=False)
+class Admitted:
+    """A request that was let in; hand it to ``Admission.leave`` exactly once."""
+
+    request: AdmissionRequest
+    entered_s: float
+    waited_s: float = 0.0
+    left: bool = False
+
+
+@define(eq=False)
+class _Turn:
+    """A waiting request with the future that its caller holds."""
+
+    admitted: Admitted
+    future: "Future[Admitted]"
+
+
+@define(eq=False)
+class _Queue:
+    """One queue with its slots."""
+
+    slots: int
+    running: int = 0
+    tokens_per_s: float = 0.0
+    counted_tokens: float = 0.0
+    counted_from_s: float = 0.0
+    fair: FairQueue = field(factory=FairQueue)
+    turns_by_waiting: dict[int, _Turn] = field(factory=dict)
+
+
+class Admission:
+    """The gate in front of targets; safe to use from any thread.
+
+    Parameters
+    ----------
+    permits
+        Grants each organisation's rate and concurrency.
+    bounds
+        Returns the bounds in force.
+    clock, counters
+        Time and counts.
+    slots
+        Slots of a queue whose capacity is not known yet.
+    """
+
+    def __init__(
+        self,
+        permits: PermitPort,
+        bounds: Callable[[], QueueBounds],
+        clock: Clock,
+        counters: Counters,
+        slots: int,
+    ) -> None:
+        self._permits = permits
+        self._bounds = bounds
+        self._clock = clock
+        self._counters = counters
+        self._first_slots = slots
+        self._lock = threading.Lock()
+        self._queues_by_name: dict[str, _Queue] = {}
+        self._sweep_wanted = threading.Event()
+        self._stopped = False
+        self._thread = threading.Thread(
+            target=self._sweep, name="admission-sweep", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to give up requests whose time is up."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the background thread; requests that wait keep waiting for slots."""
+        self._stopped = True
+        self._sweep_wanted.set()
+        self._thread.join(timeout=2)
+
+    def enter(self, request: AdmissionRequest) -> "Future[Admitted]":
+        """Ask to start.
+
+        Returns
+        -------
+        Future
+            Holds ``Admitted`` once the request may start, or RequestRefusedError
+            (always ``not_run``). A caller that goes away cancels it.
+        """
+        future: Future[Admitted] = Future()
+        try:
+            self._refuse_if_hopeless(request)
+        except RequestRefusedError as refusal:
+            future.set_exception(refusal)
+            return future
+        permit = self._permits.take(request.organisation)
+        permit.add_done_callback(lambda done: self._on_permit(request, future, done))
+        return future
+
+    def leave(self, admitted: Admitted, tokens_used: float) -> None:
+        """Note that a request has ended, and let the next one start.
+
+        Parameters
+        ----------
+        admitted
+            What ``enter`` gave.
+        tokens_used
+            Tokens that it really cost.
+        """
+        with self._lock:
+            if admitted.left:
+                return
+            admitted.left = True
+            queue = self._queue(admitted.request.queue)
+            queue.running -= 1
+            self._count_tokens(queue, tokens_used)
+            started = self._start_next(queue)
+        self._permits.give_back(admitted.request.organisation)
+        self._tell(started)
+
+    def capacity_changed(self, queue: str, slots: int) -> None:
+        """Set how many requests of a queue may run at once."""
+        with self._lock:
+            found = self._queue(queue)
+            found.slots = max(1, slots)
+            started = self._start_next(found)
+        self._tell(started)
+
+    def running_count(self) -> int:
+        """Return how many requests run or wait."""
+        with self._lock:
+            return sum(
+                queue.running + queue.fair.waiting_count
+                for queue in self._queues_by_name.values()
+            )
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        with self._lock:
+            return {
+                name: {
+                    "slots": queue.slots,
+                    "running": queue.running,
+                    "waiting": queue.fair.waiting_count,
+                    "waiting_tokens": round(queue.fair.waiting_cost),
+                    "tokens_per_second": round(queue.tokens_per_s, 1),
+                    "waiting_by_organisation": queue.fair.waiting_by_organisation(),
+                }
+                for name, queue in sorted(self._queues_by_name.items())
+            }
+
+    def _on_permit(
+        self,
+        request: AdmissionRequest,
+        future: "Future[Admitted]",
+        permit: "Future[None]",
+    ) -> None:
+        error = permit.exception()
+        if error is not None:
+            self._counters.add("admission.refused_by_limit")
+            _set_exception(future, error)
+            return
+        admitted = Admitted(request=request, entered_s=self._clock.monotonic())
+        try:
+            self._refuse_if_hopeless(request)
+        except RequestRefusedError as refusal:
+            self._permits.give_back(request.organisation)
+            _set_exception(future, refusal)
+            return
+        with self._lock:
+            queue = self._queue(request.queue)
+            self._push(queue, _Turn(admitted, future))
+            started = self._start_next(queue)
+        if not started:
+            self._sweep_wanted.set()
+        self._tell(started)
+
+    def _refuse_if_hopeless(self, request: AdmissionRequest) -> None:
+        """Refuse at once what would only wait to be refused."""
+        bounds = self._bounds()
+        now_s = self._clock.monotonic()
+        with self._lock:
+            queue = self._queue(request.queue)
+            waiting = queue.fair.waiting_count
+            own_waiting = queue.fair.waiting_of(request.organisation)
+            wait_s = self._expected_wait_s(queue)
+        if request.deadline_s <= now_s:
+            raise _refusal(
+                "The deadline has passed before the request could start.",
+                "send a longer X-Deadline-Ms",
+                504,
+                "deadline",
+                None,
+            )
+        if waiting >= bounds.most_requests:
+            self._counters.add("admission.queue_full")
+            raise _refusal(
+                f"The queue of {request.queue} is full.",
+                "come back after Retry-After",
+                429,
+                "queue_full",
+                wait_s,
+            )
+        most_own = bounds.most_requests * MOST_SHARE_OF_ONE_ORGANISATION
+        if own_waiting >= most_own:
+            self._counters.add("admission.organisation_queue_full")
+            raise _refusal(
+                f"{request.organisation} has too many requests waiting.",
+                "send fewer at once, or come back after Retry-After",
+                429,
+                "queue_full",
+                wait_s,
+            )
+        if own_waiting and now_s + wait_s > request.deadline_s:
+            self._counters.add("admission.shed_by_deadline")
+            raise _refusal(
+                "The request could not start before its deadline.",
+                "come back after Retry-After, or send a longer X-Deadline-Ms",
+                503,
+                "overloaded",
+                wait_s,
+            )
+
+    def _push(self, queue: _Queue, turn: _Turn) -> None:
+        request = turn.admitted.request
+        waiting = Waiting(
+            organisation=request.organisation,
+            cost=max(1.0, request.estimated_tokens),
+            weight=request.weight * (1 + request.priority),
+            expires_s=min(
+                turn.admitted.entered_s + self._bounds().most_wait_s,
+                request.deadline_s,
+            ),
+        )
+        queue.fair.push(waiting)
+        queue.turns_by_waiting[id(waiting)] = turn
+
+    def _start_next(self, queue: _Queue) -> list[_Turn]:
+        """Give free slots to those whose turn it is; call with the lock held."""
+        started: list[_Turn] = []
+        while queue.running < queue.slots:
+            waiting = queue.fair.pop()
+            if waiting is None:
+                break
+            turn = queue.turns_by_waiting.pop(id(waiting))
+            if not turn.future.set_running_or_notify_cancel():
+                self._counters.add("admission.caller_gone")
+                started.append(turn)
+                continue
+            now_s = self._clock.monotonic()
+            turn.admitted.waited_s = now_s - turn.admitted.entered_s
+            queue.running += 1
+            started.append(turn)
+        return started
+
+    def _tell(self, started: list[_Turn]) -> None:
+        """Complete futures outside of the lock: their callbacks may call back."""
+        for turn in started:
+            if turn.future.cancelled():
+                self._permits.give_back(turn.admitted.request.organisation)
+            else:
+                self._counters.add("admission.started")
+                turn.future.set_result(turn.admitted)
+
+    def _expected_wait_s(self, queue: _Queue) -> float:
+        if queue.running < queue.slots or queue.tokens_per_s <= 0:
+            return 0.0
+        return queue.fair.waiting_cost / queue.tokens_per_s
+
+    def _count_tokens(self, queue: _Queue, tokens: float) -> None:
+        now_s = self._clock.monotonic()
+        queue.counted_tokens += tokens
+        elapsed_s = now_s - queue.counted_from_s
+        if elapsed_s < 1.0:
+            return
+        rate = queue.counted_tokens / elapsed_s
+        if queue.tokens_per_s:
+            rate = RATE_MEMORY * queue.tokens_per_s + (1 - RATE_MEMORY) * rate
+        queue.tokens_per_s = rate
+        queue.counted_tokens = 0.0
+        queue.counted_from_s = now_s
+
+    def _queue(self, name: str) -> _Queue:
+        queue = self._queues_by_name.get(name)
+        if queue is None:
+            queue = _Queue(
+                slots=self._first_slots, counted_from_s=self._clock.monotonic()
+            )
+            self._queues_by_name[name] = queue
+        return queue
+
+    def _sweep(self) -> None:
+        """Answer each request that waited too long, as soon as its time is up."""
+        while not self._stopped:
+            self._sweep_wanted.wait(timeout=self._next_sweep_in_s())
+            self._sweep_wanted.clear()
+            self.expire()
+
+    def _next_sweep_in_s(self) -> float | None:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            times_s = [
+                expiry_s
+                for queue in self._queues_by_name.values()
+                if (expiry_s := queue.fair.next_expiry_s()) is not None
+            ]
+        if not times_s:
+            return None
+        return min(LONGEST_SWEEP_WAIT_S, max(0.0, min(times_s) - now_s))
+
+    def expire(self) -> None:
+        """Refuse the waiting requests whose time is up."""
+        now_s = self._clock.monotonic()
+        expired: list[tuple[_Turn, float]] = []
+        with self._lock:
+            for queue in self._queues_by_name.values():
+                for waiting in queue.fair.pop_expired(now_s):
+                    turn = queue.turns_by_waiting.pop(id(waiting))
+                    expired.append((turn, self._expected_wait_s(queue)))
+        for turn, wait_s in expired:
+            self._counters.add("admission.waited_too_long")
+            self._permits.give_back(turn.admitted.request.organisation)
+            refusal = _refusal(
+                "No slot came free in time.",
+                "come back after Retry-After",
+                503,
+                "overloaded",
+                wait_s,
+            )
+            _set_exception(turn.future, refusal)
+
+
+def _refusal(
+    message: str, remedy: str, status: int, code: str, wait_s: float | None
+) -> RequestRefusedError:
+    retry_after_s = None if wait_s is None else max(SHORTEST_RETRY_AFTER_S, wait_s)
+    return RequestRefusedError(
+        message,
+        remedy,
+        outcome=Outcome.NOT_RUN,
+        status=status,
+        code=code,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _set_exception(future: "Future[Admitted]", error: BaseException) -> None:
+    if future.set_running_or_notify_cancel():
+        future.set_exception(error)
+
+
+def make_admission(
+    permits: PermitPort,
+    bounds: Callable[[], QueueBounds],
+    clock: Clock,
+    counters: Counters,
+    slots: int = 64,
+) -> Admission:
+    """Return an admission without any queue yet."""
+    return Admission(permits, bounds, clock, counters, slots)
--- /dev/null
+++ b/libs/admission/src/celeryfork_admission/buckets.py
@@ -0,0 +1,42 @@
+"""A token bucket, the measure of every rate here."""
+
+from attrs import define
+
+
+@define
+class Bucket:
+    """Tokens that come back at a rate, up to a most.
+
+    Parameters
+    ----------
+    level
+        Tokens in it now.
+    refilled_s
+        Monotonic time of that level, in seconds.
+    """
+
+    level: float
+    refilled_s: float
+
+    def refill(self, now_s: float, rate_per_s: float, most: float) -> None:
+        """Add what came back since the last call."""
+        elapsed_s = max(0.0, now_s - self.refilled_s)
+        self.level = min(most, self.level + elapsed_s * rate_per_s)
+        self.refilled_s = now_s
+
+    def take(self, wanted: int) -> int:
+        """Take up to ``wanted`` whole tokens and return how many."""
+        taken = max(0, min(wanted, int(self.level)))
+        self.level -= taken
+        return taken
+
+    def seconds_until_one(self, rate_per_s: float) -> float:
+        """Return how long until one whole token is in it."""
+        if self.level >= 1.0:
+            return 0.0
+        if rate_per_s <= 0:
+            return LONGEST_WAIT_S
+        return min(LONGEST_WAIT_S, (1.0 - self.level) / rate_per_s)
+
+
+LONGEST_WAIT_S = 3600.0
--- /dev/null
+++ b/libs/admission/src/celeryfork_admission/permits.py
@@ -0,0 +1,426 @@
+"""Permits to start a request, leased in small batches from an organisation's home.
+
+The home of an organisation is chosen by rendezvous hash over the instances that are
+serving. Organisations are put into shards first, so that an instance talks to a bounded
+number of homes and its asks travel together. An instance that can't reach the home
+falls back to its static share of the limit.
+"""
+
+import threading
+from collections.abc import Callable, Mapping
+from concurrent.futures import Future
+from typing import Protocol
+
+import xxhash
+from attrs import define, field, frozen
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import PeerUnavailableError, RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_wire.gen.celeryfork.ttypes import (
+    PermitBatch,
+    PermitGrant,
+    PermitRequest,
+)
+from celeryfork_wire.peers import PeerPool
+
+from celeryfork_admission.buckets import Bucket
+from celeryfork_admission.permit_home import Ask, Grant, Limit, PermitHome
+
+SHARDS = 16
+HOME_TIMEOUT_S = 0.25
+HOME_RETRY_S = 1.0
+REPORT_INTERVAL_S = 1.5
+MOST_WAITING_PER_ORGANISATION = 1000
+MOST_BATCH = 500
+RETRY_AFTER_UNKNOWN_S = 1.0
+WORKER_IDLE_S = 1.0
+
+
+@frozen
+class Home:
+    """Where a shard's accounts are kept.
+
+    Parameters
+    ----------
+    instance
+        Name of the instance.
+    peer_address
+        Its ``ip:port`` for peers; None if it is this instance.
+    """
+
+    instance: str
+    peer_address: str | None
+
+
+class PeersPort(Protocol):
+    """What the office needs to know of the other instances."""
+
+    def serving(self) -> Mapping[str, str]:
+        """Return peer addresses of all serving instances, this one too, by name."""
+
+    def domain_share(self) -> float:
+        """Return the visible share of the known failure domains, 0 to 1."""
+
+    def instance_share(self) -> float:
+        """Return this instance's static share of the whole deployment, 0 to 1."""
+
+
+@define(eq=False)
+class _Local:
+    """One organisation at an instance that is not its home."""
+
+    permits: int = 0
+    permits_end_s: float = 0.0
+    in_use: int = 0
+    reported_in_use: int = 0
+    reported_s: float = 0.0
+    refused_until_s: float = 0.0
+    refused_for_concurrency: bool = False
+    waiting: list["Future[None]"] = field(factory=list)
+    static: Bucket | None = None
+
+
+@define(eq=False)
+class _Shard:
+    """The organisations that share a home, and the thread that asks for them."""
+
+    number: int
+    wanted: threading.Event = field(factory=threading.Event)
+    locals_by_organisation: dict[str, _Local] = field(factory=dict)
+    home_unreachable_until_s: float = 0.0
+    thread: threading.Thread | None = None
+
+
+class PermitOffice:
+    """Takes permits for this instance's requests, and answers as a home for others.
+
+    Parameters
+    ----------
+    instance, incarnation
+        This instance.
+    limit_of
+        Returns an organisation's limit in force, None if it is unknown.
+    peers
+        The other instances.
+    pool
+        Connections to them.
+    lease_s
+        Returns how long a grant may be used, in seconds.
+    clock, counters
+        Time and counts.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        limit_of: Callable[[str], Limit | None],
+        peers: PeersPort,
+        pool: PeerPool,
+        lease_s: Callable[[], float],
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._limit_of = limit_of
+        self._peers = peers
+        self._pool = pool
+        self._clock = clock
+        self._counters = counters
+        self._home = PermitHome(limit_of, peers.domain_share, lease_s, clock, counters)
+        self._lock = threading.Lock()
+        self._shards = tuple(_Shard(number) for number in range(SHARDS))
+        self._stopped = False
+
+    def stop(self) -> None:
+        """End the background threads."""
+        self._stopped = True
+        for shard in self._shards:
+            shard.wanted.set()
+
+    def take(self, organisation: str) -> "Future[None]":
+        """Take one permit.
+
+        Returns
+        -------
+        Future
+            Done when the permit is there; RequestRefusedError (``not_run``) where the
+            organisation is over its rate or concurrency.
+        """
+        future: Future[None] = Future()
+        shard = self._shard_of(organisation)
+        if self._home_of(shard).peer_address is None:
+            self._take_at_home(shard, organisation, future)
+            return future
+        now_s = self._clock.monotonic()
+        with self._lock:
+            local = shard.locals_by_organisation.setdefault(organisation, _Local())
+            verdict = self._take_local(local, now_s)
+            if verdict is None:
+                local.waiting.append(future)
+                self._start_worker(shard)
+        match verdict:
+            case None:
+                shard.wanted.set()
+            case RequestRefusedError():
+                future.set_exception(verdict)
+            case _:
+                future.set_result(None)
+        return future
+
+    def give_back(self, organisation: str) -> None:
+        """Note that a request with a permit has ended."""
+        shard = self._shard_of(organisation)
+        with self._lock:
+            local = shard.locals_by_organisation.get(organisation)
+            if local is not None and local.in_use > 0:
+                local.in_use -= 1
+
+    def on_lease_request(self, batch: PermitBatch) -> list[PermitGrant]:
+        """Answer a peer's batch as the home of its organisations."""
+        asks = [Ask(r.organisation, r.wanted, r.in_use) for r in batch.requests]
+        grants = self._home.grant(batch.instance, asks)
+        return [
+            PermitGrant(
+                granted=grant.granted,
+                lease_ms=round(grant.lease_s * 1000),
+                retry_after_ms=round(grant.retry_after_s * 1000),
+                over_concurrency=grant.over_concurrency,
+            )
+            for grant in grants
+        ]
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            local = {
+                name: {"permits": entry.permits, "in_use": entry.in_use}
+                for shard in self._shards
+                for name, entry in shard.locals_by_organisation.items()
+            }
+            unreachable = [
+                shard.number
+                for shard in self._shards
+                if shard.home_unreachable_until_s > now_s
+            ]
+        return {
+            "by_organisation": local,
+            "home_of": self._home.dump(),
+            "shards_without_home": unreachable,
+        }
+
+    def _take_at_home(
+        self, shard: _Shard, organisation: str, future: "Future[None]"
+    ) -> None:
+        with self._lock:
+            local = shard.locals_by_organisation.setdefault(organisation, _Local())
+            in_use = local.in_use
+        grant = self._home.grant(self._instance, [Ask(organisation, 1, in_use)])[0]
+        if not grant.granted:
+            future.set_exception(_over(organisation, grant))
+            return
+        with self._lock:
+            local.in_use += 1
+        future.set_result(None)
+
+    def _take_local(
+        self, local: _Local, now_s: float
+    ) -> RequestRefusedError | bool | None:
+        """Return True for a permit, a refusal, or None to wait for the home."""
+        if local.permits and local.permits_end_s > now_s:
+            local.permits -= 1
+            local.in_use += 1
+            return True
+        local.permits = 0
+        if local.refused_until_s > now_s:
+            wait_s = local.refused_until_s - now_s
+            return _over("", Grant(0, 0.0, wait_s, local.refused_for_concurrency))
+        if len(local.waiting) >= MOST_WAITING_PER_ORGANISATION:
+            return _over("", Grant(0, 0.0, RETRY_AFTER_UNKNOWN_S, False))
+        return None
+
+    def _start_worker(self, shard: _Shard) -> None:
+        if shard.thread is None and not self._stopped:
+            shard.thread = threading.Thread(
+                target=self._ask_for_shard,
+                args=(shard,),
+                name=f"permits-{shard.number}",
+                daemon=True,
+            )
+            shard.thread.start()
+
+    def _ask_for_shard(self, shard: _Shard) -> None:
+        """Ask the shard's home for all waiting organisations in one batch."""
+        while not self._stopped:
+            shard.wanted.wait(timeout=WORKER_IDLE_S)
+            shard.wanted.clear()
+            asks = self._asks(shard)
+            if asks:
+                self._ask(shard, asks)
+
+    def _asks(self, shard: _Shard) -> list[Ask]:
+        """Return what to ask: for those who wait, and running counts to report."""
+        now_s = self._clock.monotonic()
+        asks: list[Ask] = []
+        with self._lock:
+            self._forget_idle(shard, now_s)
+            for name, local in shard.locals_by_organisation.items():
+                due = now_s - local.reported_s > REPORT_INTERVAL_S
+                stale = local.in_use or local.reported_in_use
+                if local.waiting or (due and stale):
+                    asks.append(Ask(name, len(local.waiting), local.in_use))
+                if len(asks) == MOST_BATCH:
+                    shard.wanted.set()
+                    break
+        return asks
+
+    def _forget_idle(self, shard: _Shard, now_s: float) -> None:
+        idle = [
+            name
+            for name, local in shard.locals_by_organisation.items()
+            if not local.waiting
+            and not local.in_use
+            and not local.reported_in_use
+            and local.permits_end_s < now_s
+            and local.refused_until_s < now_s
+            and local.static is None
+        ]
+        for name in idle:
+            del shard.locals_by_organisation[name]
+
+    def _ask(self, shard: _Shard, asks: list[Ask]) -> None:
+        grants = self._grants_from_home(shard, asks)
+        now_s = self._clock.monotonic()
+        for position, ask in enumerate(asks):
+            if grants is None:
+                self._grant_static(shard, ask, now_s)
+            else:
+                self._use_grant(shard, ask, grants[position], now_s)
+
+    def _grants_from_home(self, shard: _Shard, asks: list[Ask]) -> list[Grant] | None:
+        home = self._home_of(shard)
+        if home.peer_address is None:
+            return self._home.grant(self._instance, asks)
+        now_s = self._clock.monotonic()
+        if shard.home_unreachable_until_s > now_s:
+            return None
+        batch = PermitBatch(
+            instance=self._instance,
+            incarnation=self._incarnation,
+            requests=[
+                PermitRequest(
+                    organisation=ask.organisation, wanted=ask.wanted, in_use=ask.in_use
+                )
+                for ask in asks
+            ],
+        )
+        try:
+            replies = self._pool.call(
+                home.peer_address,
+                lambda peer: peer.lease_permits(batch),
+                HOME_TIMEOUT_S,
+                fresh=False,
+            )
+        except PeerUnavailableError:
+            self._counters.add("permits.home_unreachable")
+            shard.home_unreachable_until_s = now_s + HOME_RETRY_S
+            return None
+        self._counters.add("permits.batches")
+        return [
+            Grant(
+                reply.granted,
+                reply.lease_ms / 1000,
+                reply.retry_after_ms / 1000,
+                reply.over_concurrency,
+            )
+            for reply in replies
+        ]
+
+    def _use_grant(self, shard: _Shard, ask: Ask, grant: Grant, now_s: float) -> None:
+        with self._lock:
+            local = shard.locals_by_organisation[ask.organisation]
+            local.reported_in_use = ask.in_use
+            local.reported_s = now_s
+            served = local.waiting[: grant.granted]
+            left_over = grant.granted - len(served)
+            refused = local.waiting[len(served) : ask.wanted]
+            local.waiting = local.waiting[max(len(served), ask.wanted) :]
+            local.in_use += len(served)
+            if left_over > 0:
+                local.permits += left_over
+                local.permits_end_s = now_s + grant.lease_s
+            if refused:
+                local.refused_until_s = now_s + grant.retry_after_s
+                local.refused_for_concurrency = grant.over_concurrency
+        for future in served:
+            future.set_result(None)
+        for future in refused:
+            future.set_exception(_over(ask.organisation, grant))
+
+    def _grant_static(self, shard: _Shard, ask: Ask, now_s: float) -> None:
+        """Grant from this instance's own share while the home can't be reached."""
+        limit = self._limit_of(ask.organisation)
+        share = self._peers.instance_share()
+        if limit is None:
+            self._use_grant(shard, ask, Grant(0, 0.0, 1.0, False), now_s)
+            return
+        rate = limit.requests_per_second * share
+        most = max(1.0, limit.burst * share)
+        with self._lock:
+            local = shard.locals_by_organisation[ask.organisation]
+            if local.static is None:
+                local.static = Bucket(1.0, now_s)
+            local.static.refill(now_s, rate, most)
+            free = max(1, int(limit.concurrency * share)) - local.in_use
+            granted = local.static.take(min(ask.wanted, max(0, free)))
+            wait_s = local.static.seconds_until_one(rate)
+        self._counters.add("permits.static", granted)
+        self._use_grant(shard, ask, Grant(granted, 0.0, wait_s, free <= 0), now_s)
+
+    def _shard_of(self, organisation: str) -> _Shard:
+        return self._shards[xxhash.xxh3_64_intdigest(organisation.encode()) % SHARDS]
+
+    def _home_of(self, shard: _Shard) -> Home:
+        addresses_by_instance = self._peers.serving()
+        name = max(
+            addresses_by_instance,
+            key=lambda instance: xxhash.xxh3_64_intdigest(
+                f"{shard.number}/{instance}".encode()
+            ),
+            default=self._instance,
+        )
+        if name == self._instance:
+            return Home(name, None)
+        return Home(name, addresses_by_instance[name])
+
+
+def _over(organisation: str, grant: Grant) -> RequestRefusedError:
+    limit = "concurrency" if grant.over_concurrency else "rate"
+    who = organisation or "The organisation"
+    return RequestRefusedError(
+        f"{who} is over its {limit}.",
+        "come back after Retry-After, or ask the operator for a higher limit",
+        outcome=Outcome.NOT_RUN,
+        status=429,
+        code=f"over_{limit}",
+        retry_after_s=max(grant.retry_after_s, 0.1),
+    )
+
+
+def make_permit_office(
+    instance: str,
+    incarnation: int,
+    limit_of: Callable[[str], Limit | None],
+    peers: PeersPort,
+    pool: PeerPool,
+    lease_s: Callable[[], float],
+    clock: Clock,
+    counters: Counters,
+) -> PermitOffice:
+    """Return an office without permits; it asks when the first request comes."""
+    return PermitOffice(
+        instance, incarnation, limit_of, peers, pool, lease_s, clock, counters
+    )
--- /dev/null
+++ b/libs/admission/src/celeryfork_admission/poison.py
@@ -0,0 +1,252 @@
+"""Requests that crash each target that runs them.
+
+A crash is blamed on every request that ran on the target. So that the guilty one is
+told from the others, two suspects never run on the same target: an innocent request
+shares at most one crash with the guilty one, finishes elsewhere and is cleared.
+"""
+
+import threading
+import uuid
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+import xxhash
+from attrs import define, field
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+
+CRASH_NEWS = "crash"
+CLEARED_NEWS = "crash_cleared"
+SUSPECT_NEWS = "suspect_on"
+SUSPECT_NEWS_TTL_S = 5.0
+MOST_FINGERPRINTS = 10_000
+
+NewsCallback = Callable[[str, Mapping[str, object], str], None]
+
+
+class NewsPort(Protocol):
+    """What the register needs of the news board."""
+
+    def publish(
+        self, kind: str, subject: str, body: Mapping[str, object], ttl_s: float
+    ) -> None:
+        """Spread a fact to the peers."""
+
+    def subscribe(self, kind: str, callback: NewsCallback) -> None:
+        """Call back with (subject, body, origin) for each news of the kind."""
+
+
+def fingerprint(organisation: str, kind: str, body: bytes) -> str:
+    """Return what identifies a request that is sent again.
+
+    Parameters
+    ----------
+    organisation, kind
+        Who asks, and for what.
+    body
+        The body as received, without the request id.
+    """
+    digest = xxhash.xxh3_128()
+    for part in (organisation.encode(), kind.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+@define
+class _Suspect:
+    """What is known of one fingerprint."""
+
+    expires_s: float
+    crash_ids: set[str] = field(factory=set)
+
+
+class PoisonRegister:
+    """Counts crashes by fingerprint, here and at the peers.
+
+    Parameters
+    ----------
+    news
+        Spreads crashes to the peers.
+    clock, counters
+        Time and counts.
+    most_crashes
+        Crashes after which a fingerprint is refused.
+    ttl_s
+        How long a crash is remembered, in seconds.
+    """
+
+    def __init__(
+        self,
+        news: NewsPort,
+        clock: Clock,
+        counters: Counters,
+        most_crashes: int,
+        ttl_s: float,
+    ) -> None:
+        self._news = news
+        self._clock = clock
+        self._counters = counters
+        self._most_crashes = most_crashes
+        self._ttl_s = ttl_s
+        self._lock = threading.Lock()
+        self._suspects_by_fingerprint: dict[str, _Suspect] = {}
+        self._targets_by_running_suspect: dict[str, frozenset[str]] = {}
+        self._peer_suspect_until_s_by_target: dict[str, float] = {}
+        news.subscribe(CRASH_NEWS, self._on_crash_news)
+        news.subscribe(CLEARED_NEWS, self._on_cleared_news)
+        news.subscribe(SUSPECT_NEWS, self._on_suspect_news)
+
+    def crashed(self, fingerprint: str, target_id: str) -> int:
+        """Note that a target crashed while it ran the request.
+
+        Returns
+        -------
+        int
+            The number of crashes known for the fingerprint.
+        """
+        crash_id = uuid.uuid4().hex
+        self._counters.add("poison.crashes")
+        crashes = self._add(fingerprint, crash_id)
+        self._news.publish(
+            CRASH_NEWS, f"{fingerprint}/{crash_id}", {"target": target_id}, self._ttl_s
+        )
+        return crashes
+
+    def cleared(self, fingerprint: str) -> None:
+        """Note that the request ran to its end: it does not crash its targets."""
+        with self._lock:
+            known = self._suspects_by_fingerprint.pop(fingerprint, None)
+        if known is not None:
+            self._news.publish(CLEARED_NEWS, fingerprint, {}, self._ttl_s)
+
+    def crashes(self, fingerprint: str) -> int:
+        """Return the number of crashes known for the fingerprint."""
+        with self._lock:
+            suspect = self._suspects_by_fingerprint.get(fingerprint)
+            if suspect is None or suspect.expires_s < self._clock.monotonic():
+                return 0
+            return len(suspect.crash_ids)
+
+    def check(self, fingerprint: str) -> None:
+        """Refuse a request that crashed too many targets.
+
+        Raises
+        ------
+        RequestRefusedError
+            With outcome ``failed``: it ran, and brought its targets down.
+        """
+        if self.crashes(fingerprint) < self._most_crashes:
+            return
+        self._counters.add("poison.refused")
+        raise RequestRefusedError(
+            f"This request crashed {self._most_crashes} targets and is not run again.",
+            "change the request; report it to the operator if it should be valid",
+            outcome=Outcome.FAILED,
+            status=422,
+            code="poison",
+        )
+
+    def begin(self, fingerprint: str, target_ids: Iterable[str]) -> None:
+        """Note where a request starts to run; matters only for suspects."""
+        if self.crashes(fingerprint) == 0:
+            return
+        targets = frozenset(target_ids)
+        with self._lock:
+            self._targets_by_running_suspect[fingerprint] = targets
+        for target_id in targets:
+            self._news.publish(SUSPECT_NEWS, target_id, {}, SUSPECT_NEWS_TTL_S)
+
+    def end(self, fingerprint: str) -> None:
+        """Note that a request runs no more."""
+        with self._lock:
+            self._targets_by_running_suspect.pop(fingerprint, None)
+
+    def avoid_for(self, fingerprint: str) -> frozenset[str]:
+        """Return the targets that a suspect must not share with other suspects."""
+        if self.crashes(fingerprint) == 0:
+            return frozenset()
+        now_s = self._clock.monotonic()
+        with self._lock:
+            busy = {
+                target_id
+                for other, targets in self._targets_by_running_suspect.items()
+                if other != fingerprint
+                for target_id in targets
+            }
+            busy.update(
+                target_id
+                for target_id, until_s in self._peer_suspect_until_s_by_target.items()
+                if until_s > now_s
+            )
+        return frozenset(busy)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        with self._lock:
+            return {
+                "crashes_by_fingerprint": {
+                    name: len(suspect.crash_ids)
+                    for name, suspect in self._suspects_by_fingerprint.items()
+                },
+                "most_crashes": self._most_crashes,
+            }
+
+    def _add(self, fingerprint: str, crash_id: str) -> int:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            self._forget_old(now_s)
+            suspect = self._suspects_by_fingerprint.setdefault(
+                fingerprint, _Suspect(expires_s=0.0)
+            )
+            suspect.expires_s = now_s + self._ttl_s
+            suspect.crash_ids.add(crash_id)
+            return len(suspect.crash_ids)
+
+    def _forget_old(self, now_s: float) -> None:
+        old = [
+            name
+            for name, suspect in self._suspects_by_fingerprint.items()
+            if suspect.expires_s < now_s
+        ]
+        for name in old:
+            del self._suspects_by_fingerprint[name]
+        while len(self._suspects_by_fingerprint) >= MOST_FINGERPRINTS:
+            oldest = next(iter(self._suspects_by_fingerprint))
+            del self._suspects_by_fingerprint[oldest]
+
+    def _on_crash_news(
+        self, subject: str, body: Mapping[str, object], origin: str
+    ) -> None:
+        fingerprint, _, crash_id = subject.partition("/")
+        if crash_id:
+            self._add(fingerprint, crash_id)
+
+    def _on_cleared_news(
+        self, subject: str, body: Mapping[str, object], origin: str
+    ) -> None:
+        with self._lock:
+            self._suspects_by_fingerprint.pop(subject, None)
+
+    def _on_suspect_news(
+        self, subject: str, body: Mapping[str, object], origin: str
+    ) -> None:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            until_s_by_target = self._peer_suspect_until_s_by_target
+            until_s_by_target[subject] = now_s + SUSPECT_NEWS_TTL_S
+            for target_id in [t for t, u in until_s_by_target.items() if u <= now_s]:
+                del until_s_by_target[target_id]
+
+
+def make_poison_register(
+    news: NewsPort,
+    clock: Clock,
+    counters: Counters,
+    most_crashes: int,
+    ttl_s: float,
+) -> PoisonRegister:
+    """Return an empty register that hears its peers' news."""
+    return PoisonRegister(news, clock, counters, most_crashes, ttl_s)
--- /dev/null
+++ b/libs/admission/src/celeryfork_admission/retry_budget.py
@@ -0,0 +1,56 @@
+"""A budget that keeps retries from multiplying an overload."""
+
+import threading
+
+from celeryfork_base.clock import Clock
+
+FIRST_RETRIES = 10.0
+MOST_SAVED_RETRIES = 100.0
+RETRIES_REGAINED_PER_S = 0.5
+
+
+class RetryBudget:
+    """Retries are earned by successes, plus a trickle so that a quiet instance may try.
+
+    Parameters
+    ----------
+    ratio
+        Retries earned per success, such as 0.1.
+    clock
+        Source of time for the trickle.
+    """
+
+    def __init__(self, ratio: float, clock: Clock) -> None:
+        self._ratio = ratio
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._saved = FIRST_RETRIES
+        self._refilled_s = clock.monotonic()
+
+    def succeeded(self) -> None:
+        """Earn a share of a retry."""
+        with self._lock:
+            self._saved = min(MOST_SAVED_RETRIES, self._saved + self._ratio)
+
+    def may_retry(self) -> bool:
+        """Spend one retry; False if none is left, and the call must not be retried."""
+        with self._lock:
+            now_s = self._clock.monotonic()
+            trickle = (now_s - self._refilled_s) * RETRIES_REGAINED_PER_S
+            self._refilled_s = now_s
+            if self._saved < FIRST_RETRIES:
+                self._saved = min(FIRST_RETRIES, self._saved + trickle)
+            if self._saved < 1.0:
+                return False
+            self._saved -= 1.0
+            return True
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        with self._lock:
+            return {"retries_left": round(self._saved, 2), "ratio": self._ratio}
+
+
+def make_retry_budget(ratio: float, clock: Clock) -> RetryBudget:
+    """Return a budget that starts with a few retries."""
+    return RetryBudget(ratio, clock)
--- /dev/null
+++ b/libs/admission/tests/test_permits.py
@@ -0,0 +1,189 @@
+"""Tests of celeryfork_admission.permits and .permit_home."""
+
+import random
+from concurrent.futures import Future
+
+import pytest
+from attrs import define, field
+from celeryfork_admission.permit_home import Limit
+from celeryfork_admission.permits import PermitOffice, make_permit_office
+from celeryfork_base.clock import ManualClock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_wire.gen.celeryfork import Peer
+from celeryfork_wire.peers import PeerPool, PeerServer
+
+DOMAINS = 3
+INSTANCES = 9
+RATE = 30.0
+WAIT_S = 10
+
+
+@define(eq=False)
+class Fleet:
+    """What each instance sees of the others; a cut hides the other domains."""
+
+    addresses_by_instance: dict[str, str] = field(factory=dict)
+    cut: bool = False
+
+    def domain_of(self, instance: str) -> int:
+        return int(instance.removeprefix("i")) % DOMAINS
+
+
+@define(eq=False)
+class PeersView:
+    fleet: Fleet
+    instance: str
+
+    def serving(self) -> dict[str, str]:
+        own_domain = self.fleet.domain_of(self.instance)
+        return {
+            name: address
+            for name, address in self.fleet.addresses_by_instance.items()
+            if not self.fleet.cut or self.fleet.domain_of(name) == own_domain
+        }
+
+    def domain_share(self) -> float:
+        return 1 / DOMAINS if self.fleet.cut else 1.0
+
+    def instance_share(self) -> float:
+        return 1 / INSTANCES
+
+
+class Handler(Peer.Iface):
+    office: PermitOffice
+
+    def lease_permits(self, batch):
+        return self.office.on_lease_request(batch)
+
+
+class FleetMixin:
+    """Nine offices that talk over thrift, under one manual clock."""
+
+    limit = Limit(requests_per_second=RATE, burst=RATE, concurrency=1000)
+
+    def setup_method(self) -> None:
+        self.clock = ManualClock()
+        self.fleet = Fleet()
+        self.pool = PeerPool()
+        self.offices: list[PermitOffice] = []
+        self.servers: list[PeerServer] = []
+        for number in range(INSTANCES):
+            name = f"i{number}"
+            handler = Handler()
+            server = PeerServer("127.0.0.1", 0, handler)
+            server.start()
+            handler.office = make_permit_office(
+                name,
+                1,
+                lambda organisation: self.limit if organisation == "o" else None,
+                PeersView(self.fleet, name),
+                self.pool,
+                lambda: 2.0,
+                self.clock,
+                Counters(),
+            )
+            self.fleet.addresses_by_instance[name] = server.address
+            self.offices.append(handler.office)
+            self.servers.append(server)
+
+    def teardown_method(self) -> None:
+        for office in self.offices:
+            office.stop()
+        self.pool.close()
+        for server in self.servers:
+            server.stop()
+
+    def granted(self, future: "Future[None]") -> bool:
+        error = future.exception(timeout=WAIT_S)
+        if error is None:
+            return True
+        assert isinstance(error, RequestRefusedError)
+        assert error.outcome is Outcome.NOT_RUN
+        assert error.retry_after_s is not None
+        return False
+
+    def storm(self, seconds: float, per_second: int, seed: int) -> int:
+        """Send requests unevenly over the instances; return how many got permits."""
+        randoms = random.Random(seed)
+        weights = [2**-number for number in range(INSTANCES)]
+        granted = 0
+        for _ in range(round(seconds * per_second)):
+            self.clock.advance(1 / per_second)
+            office = randoms.choices(self.offices, weights)[0]
+            if self.granted(office.take("o")):
+                granted += 1
+                office.give_back("o")
+        return granted
+
+
+class TestPermits(FleetMixin):
+    def test_uneven_arrival_gets_the_whole_rate_and_no_more(self) -> None:
+        granted = self.storm(seconds=10, per_second=100, seed=1)
+        assert granted <= RATE * 10 + RATE
+        assert granted >= RATE * 10 * 0.9
+
+    def test_a_partition_never_multiplies_the_limit(self) -> None:
+        self.storm(seconds=4, per_second=100, seed=2)
+        self.fleet.cut = True
+        granted = self.storm(seconds=10, per_second=100, seed=3)
+        assert granted <= RATE * 10 + RATE
+        self.fleet.cut = False
+        granted = self.storm(seconds=5, per_second=100, seed=4)
+        assert granted <= RATE * 5 + RATE
+
+    def test_an_unreachable_home_leaves_the_static_share(self) -> None:
+        for server in self.servers:
+            server.stop()
+        offices = [office for office in self.offices if not self._is_home(office)]
+        granted = 0
+        for _ in range(100):
+            self.clock.advance(0.1)
+            granted += self.granted(offices[0].take("o"))
+            offices[0].give_back("o")
+        assert 1 <= granted <= RATE / INSTANCES * 10 + RATE / INSTANCES + 1
+
+    def test_an_unknown_organisation_gets_no_permit(self) -> None:
+        assert not self.granted(self.offices[0].take("nobody"))
+
+    def _is_home(self, office: PermitOffice) -> bool:
+        return office.dump()["home_of"] != {} or office is self._home()
+
+    def _home(self) -> PermitOffice:
+        for office in self.offices:
+            if self.granted(office.take("o")):
+                office.give_back("o")
+            if "o" in office.dump()["home_of"]:
+                return office
+        raise AssertionError("no instance is the home")
+
+
+class TestConcurrency(FleetMixin):
+    limit = Limit(requests_per_second=1000.0, burst=1000.0, concurrency=12)
+
+    def test_running_requests_are_bounded_over_all_instances(self) -> None:
+        futures = [office.take("o") for office in self.offices for _ in range(3)]
+        granted = sum(self.granted(future) for future in futures)
+        assert granted <= 12 + INSTANCES
+        assert granted >= 9
+
+    def test_giving_back_lets_others_start(self) -> None:
+        office = self.offices[0]
+        taken = 0
+        while self.granted(office.take("o")):
+            taken += 1
+        for _ in range(taken):
+            office.give_back("o")
+        self.clock.advance(6)
+        assert self.granted(office.take("o"))
+
+
+@pytest.mark.parametrize("seed", range(3))
+class TestRates(FleetMixin):
+    limit = Limit(requests_per_second=5.0, burst=5.0, concurrency=1000)
+
+    def test_the_limit_holds_for_any_arrival(self, seed: int) -> None:
+        granted = self.storm(seconds=8, per_second=60, seed=seed)
+        assert granted <= 5 * 8 + 5 + 1
+        assert granted >= 5 * 8 * 0.8
--- a/libs/calls/src/celeryfork_calls/__init__.py
+++ b/libs/calls/src/celeryfork_calls/__init__.py
@@ -1,1 +1,1 @@
-"""Plain calls: outcomes, retries, claims and tickets for calls that may not be repeated."""
+"""Plain calls: outcomes, retries, claims and tickets."""
--- a/libs/wire/celeryfork.thrift
+++ b/libs/wire/celeryfork.thrift
@@ -31,20 +31,26 @@
   9: required i64 sequence,
 }
 
+// How many requests of one organisation an instance wants to start, and how many it
+// runs now.
 struct PermitRequest {
+  1: required string organisation,
+  2: required i32 wanted,
+  3: required i32 in_use,
+}
+
+struct PermitBatch {
   1: required string instance,
   2: required i64 incarnation,
-  3: required string organisation,
-  4: required i32 wanted,
-  5: required i32 in_use,
-  6: optional i64 config_offset,
+  3: required list<PermitRequest> requests,
 }
 
+// One grant for each request of the batch, in order.
 struct PermitGrant {
   1: required i32 granted,
   2: required i32 lease_ms,
   3: required i32 retry_after_ms,
-  4: optional i32 concurrency,
+  4: required bool over_concurrency,
 }
 
 struct ConfigEntry {
@@ -90,7 +96,7 @@
 
 service Peer {
   Heartbeat exchange(1: Heartbeat mine),
-  PermitGrant lease_permits(1: PermitRequest request),
+  list<PermitGrant> lease_permits(1: PermitBatch batch),
   ConfigSlice read_configuration(1: i64 after_offset, 2: i32 limit),
   OutcomeReply forward_ticket(1: TicketCall call),
   OutcomeReply find_outcome(1: string organisation, 2: string key, 3: i32 wait_ms),
--- a/libs/wire/src/celeryfork_wire/gen/celeryfork/Peer.py
+++ b/libs/wire/src/celeryfork_wire/gen/celeryfork/Peer.py
@@ -27,10 +27,10 @@
         """
         pass
 
-    def lease_permits(self, request):
+    def lease_permits(self, batch):
         """
         Parameters:
-         - request
+         - batch
 
         """
         pass
@@ -110,19 +110,19 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "exchange failed: unknown result")
 
-    def lease_permits(self, request):
+    def lease_permits(self, batch):
         """
         Parameters:
-         - request
+         - batch
 
         """
-        self.send_lease_permits(request)
+        self.send_lease_permits(batch)
         return self.recv_lease_permits()
 
-    def send_lease_permits(self, request):
+    def send_lease_permits(self, batch):
         self._oprot.writeMessageBegin('lease_permits', TMessageType.CALL, self._seqid)
         args = lease_permits_args()
-        args.request = request
+        args.batch = batch
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -336,7 +336,7 @@
         iprot.readMessageEnd()
         result = lease_permits_result()
         try:
-            result.success = self._handler.lease_permits(args.request)
+            result.success = self._handler.lease_permits(args.batch)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -576,13 +576,13 @@
 class lease_permits_args(object):
     """
     Attributes:
-     - request
+     - batch
 
     """
 
 
-    def __init__(self, request=None,):
-        self.request = request
+    def __init__(self, batch=None,):
+        self.batch = batch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -595,8 +595,8 @@
                 break
             if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.request = PermitRequest()
-                    self.request.read(iprot)
+                    self.batch = PermitBatch()
+                    self.batch.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -609,9 +609,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('lease_permits_args')
-        if self.request is not None:
-            oprot.writeFieldBegin('request', TType.STRUCT, 1)
-            self.request.write(oprot)
+        if self.batch is not None:
+            oprot.writeFieldBegin('batch', TType.STRUCT, 1)
+            self.batch.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -632,7 +632,7 @@
 all_structs.append(lease_permits_args)
 lease_permits_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'request', [PermitRequest, None], None, ),  # 1
+    (1, TType.STRUCT, 'batch', [PermitBatch, None], None, ),  # 1
 )
 
 
@@ -657,9 +657,14 @@
             if ftype == TType.STOP:
                 break
             if fid == 0:
-                if ftype == TType.STRUCT:
-                    self.success = PermitGrant()
-                    self.success.read(iprot)
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = PermitGrant()
+                        _elem26.read(iprot)
+                        self.success.append(_elem26)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -673,8 +678,11 @@
             return
         oprot.writeStructBegin('lease_permits_result')
         if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter27 in self.success:
+                iter27.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -694,7 +702,7 @@
         return not (self == other)
 all_structs.append(lease_permits_result)
 lease_permits_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [PermitGrant, None], None, ),  # 0
+    (0, TType.LIST, 'success', (TType.STRUCT, [PermitGrant, None], False), None, ),  # 0
 )
 
 
@@ -1130,11 +1138,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.outcomes = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = KeptOutcome()
-                        _elem19.read(iprot)
-                        self.outcomes.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = KeptOutcome()
+                        _elem33.read(iprot)
+                        self.outcomes.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1151,8 +1159,8 @@
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter20 in self.outcomes:
-                iter20.write(oprot)
+            for iter34 in self.outcomes:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/libs/wire/src/celeryfork_wire/gen/celeryfork/ttypes.py
+++ b/libs/wire/src/celeryfork_wire/gen/celeryfork/ttypes.py
@@ -345,23 +345,17 @@
 class PermitRequest(object):
     """
     Attributes:
-     - instance
-     - incarnation
      - organisation
      - wanted
      - in_use
-     - config_offset
 
     """
 
 
-    def __init__(self, instance=None, incarnation=None, organisation=None, wanted=None, in_use=None, config_offset=None,):
-        self.instance = instance
-        self.incarnation = incarnation
+    def __init__(self, organisation=None, wanted=None, in_use=None,):
         self.organisation = organisation
         self.wanted = wanted
         self.in_use = in_use
-        self.config_offset = config_offset
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -373,35 +367,20 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.STRING:
                     self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 2:
                 if ftype == TType.I32:
                     self.wanted = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.in_use = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I64:
-                    self.config_offset = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -412,38 +391,22 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('PermitRequest')
-        if self.instance is not None:
-            oprot.writeFieldBegin('instance', TType.STRING, 1)
-            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
         if self.organisation is not None:
-            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
             oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
             oprot.writeFieldEnd()
         if self.wanted is not None:
-            oprot.writeFieldBegin('wanted', TType.I32, 4)
+            oprot.writeFieldBegin('wanted', TType.I32, 2)
             oprot.writeI32(self.wanted)
             oprot.writeFieldEnd()
         if self.in_use is not None:
-            oprot.writeFieldBegin('in_use', TType.I32, 5)
+            oprot.writeFieldBegin('in_use', TType.I32, 3)
             oprot.writeI32(self.in_use)
             oprot.writeFieldEnd()
-        if self.config_offset is not None:
-            oprot.writeFieldBegin('config_offset', TType.I64, 6)
-            oprot.writeI64(self.config_offset)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.instance is None:
-            raise TProtocolException(message='Required field instance is unset!')
-        if self.incarnation is None:
-            raise TProtocolException(message='Required field incarnation is unset!')
         if self.organisation is None:
             raise TProtocolException(message='Required field organisation is unset!')
         if self.wanted is None:
@@ -464,22 +427,116 @@
         return not (self == other)
 
 
+class PermitBatch(object):
+    """
+    Attributes:
+     - instance
+     - incarnation
+     - requests
+
+    """
+
+
+    def __init__(self, instance=None, incarnation=None, requests=None,):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = PermitRequest()
+                        _elem12.read(iprot)
+                        self.requests.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitBatch')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter13 in self.requests:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.requests is None:
+            raise TProtocolException(message='Required field requests is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PermitGrant(object):
     """
     Attributes:
      - granted
      - lease_ms
      - retry_after_ms
-     - concurrency
+     - over_concurrency
 
     """
 
 
-    def __init__(self, granted=None, lease_ms=None, retry_after_ms=None, concurrency=None,):
+    def __init__(self, granted=None, lease_ms=None, retry_after_ms=None, over_concurrency=None,):
         self.granted = granted
         self.lease_ms = lease_ms
         self.retry_after_ms = retry_after_ms
-        self.concurrency = concurrency
+        self.over_concurrency = over_concurrency
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -506,8 +563,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.concurrency = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.over_concurrency = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -532,9 +589,9 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 3)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
-        if self.concurrency is not None:
-            oprot.writeFieldBegin('concurrency', TType.I32, 4)
-            oprot.writeI32(self.concurrency)
+        if self.over_concurrency is not None:
+            oprot.writeFieldBegin('over_concurrency', TType.BOOL, 4)
+            oprot.writeBool(self.over_concurrency)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -546,6 +603,8 @@
             raise TProtocolException(message='Required field lease_ms is unset!')
         if self.retry_after_ms is None:
             raise TProtocolException(message='Required field retry_after_ms is unset!')
+        if self.over_concurrency is None:
+            raise TProtocolException(message='Required field over_concurrency is unset!')
         return
 
     def __repr__(self):
@@ -672,11 +731,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = ConfigEntry()
-                        _elem12.read(iprot)
-                        self.entries.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = ConfigEntry()
+                        _elem19.read(iprot)
+                        self.entries.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -703,8 +762,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter13 in self.entries:
-                iter13.write(oprot)
+            for iter20 in self.entries:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.next_offset is not None:
@@ -1141,13 +1200,17 @@
 )
 all_structs.append(PermitRequest)
 PermitRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'wanted', None, None, ),  # 2
+    (3, TType.I32, 'in_use', None, None, ),  # 3
+)
+all_structs.append(PermitBatch)
+PermitBatch.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
-    (4, TType.I32, 'wanted', None, None, ),  # 4
-    (5, TType.I32, 'in_use', None, None, ),  # 5
-    (6, TType.I64, 'config_offset', None, None, ),  # 6
+    (3, TType.LIST, 'requests', (TType.STRUCT, [PermitRequest, None], False), None, ),  # 3
 )
 all_structs.append(PermitGrant)
 PermitGrant.thrift_spec = (
@@ -1155,7 +1218,7 @@
     (1, TType.I32, 'granted', None, None, ),  # 1
     (2, TType.I32, 'lease_ms', None, None, ),  # 2
     (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
-    (4, TType.I32, 'concurrency', None, None, ),  # 4
+    (4, TType.BOOL, 'over_concurrency', None, None, ),  # 4
 )
 all_structs.append(ConfigEntry)
 ConfigEntry.thrift_spec = (
--- a/libs/wire/src/celeryfork_wire/peers.py
+++ b/libs/wire/src/celeryfork_wire/peers.py
@@ -40,7 +40,7 @@
     def __init__(self, host: str, port: int, handler: Peer.Iface) -> None:
         self._listener = socket.create_server((host, port), backlog=128)
         self.address = f"{host}:{self._listener.getsockname()[1]}"
-        self._processor: TProcessor = Peer.Processor(handler)  # type: ignore[no-untyped-call]
+        self._processor: TProcessor = Peer.Processor(handler)
         self._lock = threading.Lock()
         self._connections: set[socket.socket] = set()
         self._stopped = False
@@ -200,7 +200,7 @@
         self.set_timeout(timeout_s)
         self._transport = TFramedTransport(self._socket)
         protocol = _make_protocol(self._transport)
-        self.client = Peer.Client(protocol)  # type: ignore[no-untyped-call]
+        self.client = Peer.Client(protocol)
         self._transport.open()
 
     def set_timeout(self, timeout_s: float) -> None:
