--- a/libs/admission/src/celeryfork_admission/poison.py
+++ b/libs/admission/src/celeryfork_admission/poison.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 import xxhash
-from attrs import define, field
+from attrs import define, field, frozen
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
@@ -55,6 +55,22 @@
     return digest.hexdigest()
 
 
+@frozen
+class PoisonBounds:
+    """When a request is refused.
+
+    Parameters
+    ----------
+    most_crashes
+        Crashes after which a fingerprint is refused.
+    ttl_s
+        How long a crash is remembered, in seconds.
+    """
+
+    most_crashes: int
+    ttl_s: float
+
+
 @define
 class _Suspect:
     """What is known of one fingerprint."""
@@ -72,10 +88,8 @@
         Spreads crashes to the peers.
     clock, counters
         Time and counts.
-    most_crashes
-        Crashes after which a fingerprint is refused.
-    ttl_s
-        How long a crash is remembered, in seconds.
+    bounds
+        Returns the bounds in force.
     """
 
     def __init__(
@@ -83,14 +97,12 @@
         news: NewsPort,
         clock: Clock,
         counters: Counters,
-        most_crashes: int,
-        ttl_s: float,
+        bounds: Callable[[], PoisonBounds],
     ) -> None:
         self._news = news
         self._clock = clock
         self._counters = counters
-        self._most_crashes = most_crashes
-        self._ttl_s = ttl_s
+        self._bounds = bounds
         self._lock = threading.Lock()
         self._suspects_by_fingerprint: dict[str, _Suspect] = {}
         self._targets_by_running_suspect: dict[str, frozenset[str]] = {}
@@ -111,7 +123,10 @@
         self._counters.add("poison.crashes")
         crashes = self._add(fingerprint, crash_id)
         self._news.publish(
-            CRASH_NEWS, f"{fingerprint}/{crash_id}", {"target": target_id}, self._ttl_s
+            CRASH_NEWS,
+            f"{fingerprint}/{crash_id}",
+            {"target": target_id},
+            self._bounds().ttl_s,
         )
         return crashes
 
@@ -120,7 +135,7 @@
         with self._lock:
             known = self._suspects_by_fingerprint.pop(fingerprint, None)
         if known is not None:
-            self._news.publish(CLEARED_NEWS, fingerprint, {}, self._ttl_s)
+            self._news.publish(CLEARED_NEWS, fingerprint, {}, self._bounds().ttl_s)
 
     def crashes(self, fingerprint: str) -> int:
         """Return the number of crashes known for the fingerprint."""
@@ -138,11 +153,12 @@
         RequestRefusedError
             With outcome ``failed``: it ran, and brought its targets down.
         """
-        if self.crashes(fingerprint) < self._most_crashes:
+        most_crashes = self._bounds().most_crashes
+        if self.crashes(fingerprint) < most_crashes:
             return
         self._counters.add("poison.refused")
         raise RequestRefusedError(
-            f"This request crashed {self._most_crashes} targets and is not run again.",
+            f"This request crashed {most_crashes} targets and is not run again.",
             "change the request; report it to the operator if it should be valid",
             outcome=Outcome.FAILED,
             status=422,
@@ -191,7 +207,7 @@
                     name: len(suspect.crash_ids)
                     for name, suspect in self._suspects_by_fingerprint.items()
                 },
-                "most_crashes": self._most_crashes,
+                "most_crashes": self._bounds().most_crashes,
             }
 
     def _add(self, fingerprint: str, crash_id: str) -> int:
@@ -201,7 +217,7 @@
             suspect = self._suspects_by_fingerprint.setdefault(
                 fingerprint, _Suspect(expires_s=0.0)
             )
-            suspect.expires_s = now_s + self._ttl_s
+            suspect.expires_s = now_s + self._bounds().ttl_s
             suspect.crash_ids.add(crash_id)
             return len(suspect.crash_ids)
 
@@ -245,8 +261,7 @@
     news: NewsPort,
     clock: Clock,
     counters: Counters,
-    most_crashes: int,
-    ttl_s: float,
+    bounds: Callable[[], PoisonBounds],
 ) -> PoisonRegister:
     """Return an empty register that hears its peers' news."""
-    return PoisonRegister(news, clock, counters, most_crashes, ttl_s)
+    return PoisonRegister(news, clock, counters, bounds)
--- a/libs/admission/src/celeryfork_admission/retry_budget.py
+++ b/libs/admission/src/celeryfork_admission/retry_budget.py
@@ -1,6 +1,7 @@
 """A budget that keeps retries from multiplying an overload."""
 
 import threading
+from collections.abc import Callable
 
 from celeryfork_base.clock import Clock
 
@@ -15,12 +16,12 @@
     Parameters
     ----------
     ratio
-        Retries earned per success, such as 0.1.
+        Returns the retries earned per success, such as 0.1.
     clock
         Source of time for the trickle.
     """
 
-    def __init__(self, ratio: float, clock: Clock) -> None:
+    def __init__(self, ratio: Callable[[], float], clock: Clock) -> None:
         self._ratio = ratio
         self._clock = clock
         self._lock = threading.Lock()
@@ -30,7 +31,7 @@
     def succeeded(self) -> None:
         """Earn a share of a retry."""
         with self._lock:
-            self._saved = min(MOST_SAVED_RETRIES, self._saved + self._ratio)
+            self._saved = min(MOST_SAVED_RETRIES, self._saved + self._ratio())
 
     def may_retry(self) -> bool:
         """Spend one retry; False if none is left, and the call must not be retried."""
@@ -48,9 +49,9 @@
     def dump(self) -> dict[str, object]:
         """Return the state for the state dump."""
         with self._lock:
-            return {"retries_left": round(self._saved, 2), "ratio": self._ratio}
+            return {"retries_left": round(self._saved, 2), "ratio": self._ratio()}
 
 
-def make_retry_budget(ratio: float, clock: Clock) -> RetryBudget:
+def make_retry_budget(ratio: Callable[[], float], clock: Clock) -> RetryBudget:
     """Return a budget that starts with a few retries."""
     return RetryBudget(ratio, clock)
--- a/libs/admission/tests/test_poison.py
+++ b/libs/admission/tests/test_poison.py
@@ -2,7 +2,11 @@
 
 import pytest
 from attrs import define, field
-from celeryfork_admission.poison import fingerprint, make_poison_register
+from celeryfork_admission.poison import (
+    PoisonBounds,
+    fingerprint,
+    make_poison_register,
+)
 from celeryfork_base.clock import ManualClock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
@@ -38,7 +42,10 @@
         news = SharedNews()
         self.here, self.peer = (
             make_poison_register(
-                news.port(), self.clock, Counters(), most_crashes=2, ttl_s=600
+                news.port(),
+                self.clock,
+                Counters(),
+                lambda: PoisonBounds(most_crashes=2, ttl_s=600),
             )
             for _ in range(2)
         )
--- a/libs/admission/tests/test_retry_budget.py
+++ b/libs/admission/tests/test_retry_budget.py
@@ -5,7 +5,7 @@
 
 
 def test_retries_stay_a_share_of_successes() -> None:
-    budget = make_retry_budget(0.1, ManualClock())
+    budget = make_retry_budget(lambda: 0.1, ManualClock())
     for _ in range(1000):
         budget.succeeded()
     allowed = sum(budget.may_retry() for _ in range(1000))
@@ -14,7 +14,7 @@
 
 def test_a_quiet_instance_regains_a_few() -> None:
     clock = ManualClock()
-    budget = make_retry_budget(0.1, clock)
+    budget = make_retry_budget(lambda: 0.1, clock)
     while budget.may_retry():
         pass
     clock.advance(2.1)
