--- a/libs/daemon/src/celeryfork_daemon/fleet_view.py
+++ b/libs/daemon/src/celeryfork_daemon/fleet_view.py
@@ -94,6 +94,9 @@
         for name, peer in self._gossip.peers_by_instance.items():
             if peer.state == InstanceState.SERVING:
                 self._seen_s_by_instance[name] = (now_s, peer.domain)
+            else:
+                # It said itself that it is leaving, so it isn't out of sight.
+                self._seen_s_by_instance.pop(name, None)
         seen = self._seen_s_by_instance.copy()
         for name, (seen_s, _) in seen.items():
             if now_s - seen_s > REMEMBERED_S:
