--- /dev/null
+++ b/libs/platform/src/celeryfork_platform/instances.py
@@ -0,0 +1,83 @@
+"""Client of the platform's instance list."""
+
+from typing import Protocol
+
+from attrs import field, frozen
+from cattrs import Converter
+from cattrs.errors import BaseValidationError
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import PlatformUnavailableError
+
+from celeryfork_platform.http import NoAnswerError, PlatformHttp
+from celeryfork_platform.model import Instance, InstanceList
+
+_converter = Converter()
+
+
+class InstanceListClient(Protocol):
+    """Fetches the instance list; safe from any thread."""
+
+    def fetch(self, timeout_s: float) -> InstanceList:
+        """Return the list as the platform has it now.
+
+        Entries that can't be read are left out and counted.
+
+        Parameters
+        ----------
+        timeout_s
+            The longest that the call takes, in seconds.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            No readable answer came.
+        """
+
+
+def make_instance_list_client(
+    base_url: str, clock: Clock, counters: Counters
+) -> InstanceListClient:
+    """Return a client of the instance list at ``base_url``."""
+    return _HttpInstanceList(
+        PlatformHttp(base_url, "instances", clock, counters), counters
+    )
+
+
+@frozen
+class _RawList:
+    version: int
+    instances: list[dict[str, object]] = field(factory=list)
+
+
+class _HttpInstanceList:
+    def __init__(self, http: PlatformHttp, counters: Counters) -> None:
+        self._http = http
+        self._counters = counters
+
+    def fetch(self, timeout_s: float) -> InstanceList:
+        try:
+            answer = self._http.call("GET", "/v1/instances", timeout_s)
+        except NoAnswerError as error:
+            raise PlatformUnavailableError(error.message, "ask again") from error
+        if answer.status != 200:
+            raise PlatformUnavailableError(
+                f"The instance list answered {answer.status}.", "ask again later"
+            )
+        try:
+            raw = _converter.structure(answer.json(), _RawList)
+        except (BaseValidationError, ValueError, TypeError) as error:
+            self._counters.add("platform.instances.malformed_answers")
+            raise PlatformUnavailableError(
+                f"The instance list can't be read: {error}",
+                "check that instances_url is the instance list",
+            ) from error
+        instances = [self._instance(entry) for entry in raw.instances]
+        return InstanceList(raw.version, {i.id: i for i in instances if i})
+
+    def _instance(self, entry: dict[str, object]) -> Instance | None:
+        try:
+            return _converter.structure(entry, Instance)
+        except (BaseValidationError, ValueError, TypeError):
+            self._counters.add("platform.instances.malformed_entries")
+            return None
