--- /dev/null
+++ b/libs/streams/src/celeryfork_streams/gaps.py
@@ -0,0 +1,97 @@
+"""How long a chain may be silent, learned from how long it has been.
+
+Mean and deviation are kept as RFC 6298 keeps those of round trips.
+"""
+
+from collections import OrderedDict
+
+from attrs import define
+
+from celeryfork_streams.policy import StreamPolicy
+
+MOST_CHAINS = 4096
+MEAN_GAIN = 1 / 8
+DEVIATION_GAIN = 1 / 4
+DEVIATIONS = 4
+# Gives up exactness of short prompts for a bound that holds when there is no prompt.
+PROMPT_BASE_TOKENS = 100
+
+
+@define
+class _Learned:
+    """Mean and deviation of a duration, in seconds."""
+
+    mean_s: float
+    deviation_s: float
+
+    def add(self, seconds: float) -> None:
+        error = seconds - self.mean_s
+        self.deviation_s += DEVIATION_GAIN * (abs(error) - self.deviation_s)
+        self.mean_s += MEAN_GAIN * error
+
+    @property
+    def high_s(self) -> float:
+        return self.mean_s + DEVIATIONS * self.deviation_s
+
+
+class GapBook:
+    """The silences of chains; belongs to the event loop's thread."""
+
+    def __init__(self) -> None:
+        self._token_by_chain: OrderedDict[str, _Learned] = OrderedDict()
+        self._prefill_by_chain: OrderedDict[str, _Learned] = OrderedDict()
+
+    @property
+    def known_chains(self) -> int:
+        """How many chains' gaps are known."""
+        return len(self._token_by_chain)
+
+    def token_gap_s(self, chain_id: str, policy: StreamPolicy) -> float:
+        """Return the longest silence between tokens, in seconds."""
+        learned = self._token_by_chain.get(chain_id)
+        high_s = learned.high_s if learned else 0.0
+        return _bounded(policy.gap_factor * high_s, policy.token_gap_floor_s, policy)
+
+    def first_gap_s(
+        self, chain_id: str, prompt_tokens: int, load: float, policy: StreamPolicy
+    ) -> float:
+        """Return the longest silence before the first token, in seconds.
+
+        Parameters
+        ----------
+        prompt_tokens
+            What has to be computed first: the prompt and what was emitted.
+        load
+            Requests that wait at the first engine, in batches.
+        """
+        learned = self._prefill_by_chain.get(chain_id)
+        if learned is None:
+            expected_s = policy.prompt_token_s * prompt_tokens
+        else:
+            weight = PROMPT_BASE_TOKENS + prompt_tokens
+            expected_s = policy.gap_factor * learned.high_s * weight
+        expected_s = (policy.first_token_floor_s + expected_s) * (1 + load)
+        return _bounded(expected_s, policy.first_token_floor_s, policy)
+
+    def heard(self, chain_id: str, gap_s: float) -> None:
+        """Learn a silence between tokens."""
+        _learn(self._token_by_chain, chain_id, gap_s)
+
+    def heard_first(self, chain_id: str, prompt_tokens: int, gap_s: float) -> None:
+        """Learn the silence before a first token."""
+        per_token_s = gap_s / (PROMPT_BASE_TOKENS + prompt_tokens)
+        _learn(self._prefill_by_chain, chain_id, per_token_s)
+
+
+def _learn(by_chain: OrderedDict[str, _Learned], chain_id: str, seconds: float) -> None:
+    learned = by_chain.get(chain_id)
+    if learned is not None:
+        learned.add(seconds)
+        return
+    by_chain[chain_id] = _Learned(seconds, seconds / 2)
+    if len(by_chain) > MOST_CHAINS:
+        by_chain.popitem(last=False)
+
+
+def _bounded(seconds: float, floor_s: float, policy: StreamPolicy) -> float:
+    return min(max(seconds, floor_s), policy.gap_ceiling_s)
--- /dev/null
+++ b/libs/streams/src/celeryfork_streams/loop_thread.py
@@ -0,0 +1,64 @@
+"""The one thread whose uvloop event loop runs every stream."""
+
+import asyncio
+import os
+import threading
+from collections.abc import Coroutine
+from concurrent.futures import Future
+from typing import Any, TypeVar
+
+# libuv reads this when a loop is made; io_uring may not be used.
+os.environ["UV_USE_IO_URING"] = "0"
+
+from uvloop import new_event_loop  # noqa: E402
+
+STOP_TIMEOUT_S = 5.0
+
+Result = TypeVar("Result")
+
+
+class LoopThread:
+    """A thread with a uvloop event loop of its own."""
+
+    def __init__(self) -> None:
+        self.loop: asyncio.AbstractEventLoop = new_event_loop()
+        self._thread = threading.Thread(
+            target=self._run, name="stream-loop", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def submit(self, coroutine: Coroutine[Any, Any, Result]) -> Future[Result]:
+        """Run a coroutine as a task of the loop; from any thread."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+
+    def stop(self) -> None:
+        """Cancel every task, wait for them, and end the thread."""
+        if not self._thread.is_alive():
+            return
+        self.submit(_cancel_all()).result(timeout=STOP_TIMEOUT_S * 2)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(timeout=STOP_TIMEOUT_S)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_forever()
+        finally:
+            self.loop.close()
+
+
+async def _cancel_all() -> None:
+    """Cancel all other tasks of the running loop and wait for them."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks, timeout=STOP_TIMEOUT_S)
+
+
+def make_loop_thread() -> LoopThread:
+    """Return a loop thread that has yet to be started."""
+    return LoopThread()
