--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/claim_follower.py
@@ -0,0 +1,101 @@
+"""Reads the ``claims`` stream from its oldest record to its end, and on from there."""
+
+import threading
+from collections.abc import Callable
+
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import CeleryforkError
+
+from celeryfork_calls.claim_records import CLAIMS_STREAM
+from celeryfork_calls.ports import LogPort, LogSlicePort
+
+MOST_RECORDS_PER_READ = 100
+READ_WAIT_S = 2.0
+READ_TIMEOUT_S = 5.0
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 2.0
+
+SliceCallback = Callable[[LogSlicePort], None]
+GapCallback = Callable[[float], None]
+
+
+class ClaimFollower:
+    """The one thread that reads the stream.
+
+    Parameters
+    ----------
+    on_slice
+        Called with each read, in order.
+    on_gap
+        Called before a slice that does not continue the one before, with the
+        monotonic time after that read: older records may be gone unread.
+    """
+
+    def __init__(
+        self,
+        log: LogPort,
+        on_slice: SliceCallback,
+        on_gap: GapCallback,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._log = log
+        self._on_slice = on_slice
+        self._on_gap = on_gap
+        self._clock = clock
+        self._counters = counters
+        self._next_offset = 0
+        self._stopping = threading.Event()
+        self._caught_up = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="claims-follow", daemon=True
+        )
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the stream was once read to its end."""
+        return self._caught_up.is_set()
+
+    @property
+    def next_offset(self) -> int:
+        """Offset up to which the stream was read."""
+        return self._next_offset
+
+    def start(self) -> None:
+        """Begin to read in the background."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread, after the read that is in flight."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=READ_TIMEOUT_S)
+
+    def _run(self) -> None:
+        backoff_s = FIRST_BACKOFF_S
+        while not self._stopping.is_set():
+            try:
+                self._read()
+                backoff_s = FIRST_BACKOFF_S
+            except CeleryforkError:
+                self._counters.add("claims.reads_failed")
+                self._stopping.wait(backoff_s)
+                backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
+
+    def _read(self) -> None:
+        part = self._log.read(
+            CLAIMS_STREAM,
+            self._next_offset,
+            MOST_RECORDS_PER_READ,
+            READ_WAIT_S if self.caught_up else 0.0,
+            READ_TIMEOUT_S,
+        )
+        if part.first_offset > self._next_offset:
+            self._counters.add("claims.gaps")
+            self._on_gap(self._clock.monotonic())
+        self._on_slice(part)
+        last = part.records[-1].offset + 1 if part.records else part.next_offset
+        self._next_offset = max(self._next_offset, last)
+        if self._next_offset >= part.next_offset:
+            self._caught_up.set()
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/group_commit.py
@@ -0,0 +1,257 @@
+"""Appends many entries in one record, with one append in flight at a time.
+
+The log takes a few hundred appends a second from all instances together. Entries
+that arrive while an append is in flight, or before the next is due, share a record.
+"""
+
+import threading
+import uuid
+from collections import deque
+from collections.abc import Callable, Sequence
+from enum import Enum
+
+from attrs import field, frozen, mutable
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import CeleryforkError, PlatformUnavailableError
+
+from celeryfork_calls.claim_records import (
+    CLAIMS_STREAM,
+    Batch,
+    Entry,
+    encode_batch,
+    entry_size_bytes,
+)
+from celeryfork_calls.ports import LogPort
+
+LARGEST_RECORD_BYTES = 256 * 1024
+LONGEST_GAP_S = 2.0
+GAP_GROWTH = 2.0
+GAP_DECAY = 0.9
+APPEND_TIMEOUT_S = 2.0
+IDLE_WAIT_S = 0.5
+
+
+class AppendResult(Enum):
+    """What is known about an append."""
+
+    APPENDED = "appended"
+    NOT_APPENDED = "not_appended"
+    UNKNOWN = "unknown"
+
+
+@mutable(eq=False)
+class Queued:
+    """An entry on its way into the log.
+
+    Parameters
+    ----------
+    must_land
+        Append it again until the log confirms it; else report the first result.
+    first_sent_s
+        Monotonic time at which it was first sent.
+    maybe_in_log
+        Whether the log took it or may have; False is proof that it is not there.
+    """
+
+    entry: Entry
+    must_land: bool
+    first_sent_s: float | None = None
+    maybe_in_log: bool = False
+    size_bytes: int = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Work out the size once."""
+        self.size_bytes = entry_size_bytes(self.entry)
+
+
+ResultCallback = Callable[[Sequence[Queued], AppendResult], None]
+
+
+@frozen
+class CommitLimits:
+    """Bounds of the group commit.
+
+    Parameters
+    ----------
+    gap_s
+        Time from one append to the next while the log takes them, in seconds; the
+        longest that an entry waits for others.
+    most_queued, most_queued_bytes
+        Bounds of what waits to be appended.
+    """
+
+    gap_s: float
+    most_queued: int
+    most_queued_bytes: int
+
+
+class GroupCommit:
+    """The queue and the one thread that appends it.
+
+    Parameters
+    ----------
+    on_result
+        Called with the entries of one append that were not ``must_land`` and what
+        became of them; not under this object's lock.
+    """
+
+    def __init__(
+        self,
+        log: LogPort,
+        holder: str,
+        limits: CommitLimits,
+        on_result: ResultCallback,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._log = log
+        self._holder = holder
+        self._limits = limits
+        self._on_result = on_result
+        self._clock = clock
+        self._counters = counters
+        self._changed = threading.Condition()
+        self._queue: deque[Queued] = deque()
+        self._queued_bytes = 0
+        self._in_flight: Sequence[Queued] = ()
+        self._gap_s = limits.gap_s
+        self._next_append_s = clock.monotonic()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="claims-append", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to append in the background."""
+        self._thread.start()
+
+    def put(self, queued: Queued) -> bool:
+        """Queue an entry; False if there is no room, and then it was not queued."""
+        with self._changed:
+            if not self._has_room(queued):
+                self._counters.add("claims.queue_full")
+                return False
+            self._queue.append(queued)
+            self._queued_bytes += queued.size_bytes
+            self._changed.notify_all()
+            return True
+
+    def withdraw(self, queued: Queued) -> bool:
+        """Take an entry back; True proves that it is not in the log and won't be."""
+        with self._changed:
+            if queued not in self._queue:
+                return False
+            self._queue.remove(queued)
+            self._queued_bytes -= queued.size_bytes
+            return not queued.maybe_in_log
+
+    def flush(self, wait_s: float) -> list[Entry]:
+        """Wait until everything is in the log; return what isn't, in seconds' bound."""
+        ends_s = self._clock.monotonic() + wait_s
+        with self._changed:
+            while self._queue or self._in_flight:
+                left_s = ends_s - self._clock.monotonic()
+                if left_s <= 0:
+                    break
+                self._changed.wait(min(left_s, IDLE_WAIT_S))
+            return [q.entry for q in (*self._in_flight, *self._queue)]
+
+    def stop(self) -> None:
+        """End the thread, after the append that is in flight."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify_all()
+        if self._thread.is_alive():
+            self._thread.join(timeout=2 * APPEND_TIMEOUT_S)
+
+    def dump(self) -> dict[str, object]:
+        """Return the queue's state for the state dump."""
+        with self._changed:
+            return {
+                "queued": len(self._queue),
+                "queued_bytes": self._queued_bytes,
+                "gap_s": self._gap_s,
+            }
+
+    def _has_room(self, queued: Queued) -> bool:
+        if len(self._queue) >= self._limits.most_queued:
+            return False
+        most_bytes = self._limits.most_queued_bytes
+        return self._queued_bytes + queued.size_bytes <= most_bytes
+
+    def _run(self) -> None:
+        while True:
+            batch = self._next_batch()
+            if batch is None:
+                return
+            result = self._append(batch)
+            self._pace(result)
+            self._settle(batch, result)
+
+    def _next_batch(self) -> Sequence[Queued] | None:
+        """Wait until an append is due; None when stopping."""
+        with self._changed:
+            while not self._stopping:
+                left_s = self._next_append_s - self._clock.monotonic()
+                if self._queue and left_s <= 0:
+                    return self._take()
+                wait_s = max(left_s, 0.0) if self._queue else IDLE_WAIT_S
+                self._changed.wait(min(wait_s, IDLE_WAIT_S))
+        return None
+
+    def _take(self) -> Sequence[Queued]:
+        now_s = self._clock.monotonic()
+        batch: list[Queued] = []
+        size = 0
+        while self._queue:
+            if batch and size + self._queue[0].size_bytes > LARGEST_RECORD_BYTES:
+                break
+            queued = self._queue.popleft()
+            size += queued.size_bytes
+            if queued.first_sent_s is None:
+                queued.first_sent_s = now_s
+            batch.append(queued)
+        self._queued_bytes -= size
+        self._in_flight = batch
+        self._next_append_s = now_s + self._gap_s
+        return batch
+
+    def _append(self, batch: Sequence[Queued]) -> AppendResult:
+        data = encode_batch(Batch(self._holder, [q.entry for q in batch]))
+        self._counters.add("claims.appends")
+        self._counters.add("claims.appended_entries", len(batch))
+        try:
+            self._log.append(CLAIMS_STREAM, data, uuid.uuid4().hex, APPEND_TIMEOUT_S)
+        except PlatformUnavailableError:
+            self._counters.add("claims.appends_refused")
+            return AppendResult.NOT_APPENDED
+        except CeleryforkError:
+            self._counters.add("claims.appends_unknown")
+            return AppendResult.UNKNOWN
+        return AppendResult.APPENDED
+
+    def _pace(self, result: AppendResult) -> None:
+        """Append less often while the log refuses, since others share its rate."""
+        with self._changed:
+            if result is AppendResult.APPENDED:
+                self._gap_s = max(self._limits.gap_s, self._gap_s * GAP_DECAY)
+                return
+            grown = max(self._gap_s, self._limits.gap_s, 0.01) * GAP_GROWTH
+            self._gap_s = min(grown, LONGEST_GAP_S)
+            self._next_append_s = self._clock.monotonic() + self._gap_s
+
+    def _settle(self, batch: Sequence[Queued], result: AppendResult) -> None:
+        must_land = [q for q in batch if q.must_land]
+        reported = [q for q in batch if not q.must_land]
+        with self._changed:
+            self._in_flight = ()
+            if result is not AppendResult.NOT_APPENDED:
+                for queued in batch:
+                    queued.maybe_in_log = True
+            if result is not AppendResult.APPENDED:
+                self._queue.extendleft(reversed(must_land))
+                self._queued_bytes += sum(q.size_bytes for q in must_land)
+            self._changed.notify_all()
+        if reported:
+            self._on_result(reported, result)
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/peer_calls.py
@@ -0,0 +1,85 @@
+"""Calls to the instance that holds a key or minted a ticket."""
+
+from collections.abc import Sequence
+
+from celeryfork_base.errors import PeerUnavailableError
+from celeryfork_wire.gen.celeryfork import ttypes
+
+from celeryfork_calls.kept import KeptOutcome
+from celeryfork_calls.ports import GossipPort, PeerPoolPort, PeerViewPort
+
+LONGEST_PEER_WAIT_S = 2.0
+PEER_ANSWER_MARGIN_S = 0.5
+HAND_OVER_TIMEOUT_S = 2.0
+
+
+class PeerCalls:
+    """Finds instances by incarnation and calls them on connections of their own."""
+
+    def __init__(self, pool: PeerPoolPort, gossip: GossipPort) -> None:
+        self._pool = pool
+        self._gossip = gossip
+
+    def by_incarnation(self, incarnation: str) -> PeerViewPort | None:
+        """Return the peer that is this very run (``instance@started_ms``)."""
+        instance, _, _ = incarnation.rpartition("@")
+        peer = self._gossip.peers_by_instance.get(instance)
+        if peer is None or f"{peer.instance}@{peer.incarnation}" != incarnation:
+            return None
+        return peer
+
+    def in_domain(self, domain: str, except_instance: str) -> Sequence[PeerViewPort]:
+        """Return the peers known in a failure domain, in a stable order."""
+        peers = self._gossip.peers_by_instance.values()
+        found = [
+            p for p in peers if p.domain == domain and p.instance != except_instance
+        ]
+        return sorted(found, key=lambda p: p.instance)
+
+    def find_outcome(
+        self, peer: PeerViewPort, organisation: str, key: str, wait_s: float
+    ) -> ttypes.OutcomeReply | None:
+        """Ask a peer what became of a key; None if it doesn't answer."""
+        wait_s = max(0.0, min(wait_s, LONGEST_PEER_WAIT_S))
+        try:
+            return self._pool.call(
+                peer.peer_address,
+                lambda client: client.find_outcome(
+                    organisation, key, round(wait_s * 1000)
+                ),
+                wait_s + PEER_ANSWER_MARGIN_S,
+                fresh=True,
+            )
+        except PeerUnavailableError:
+            return None
+
+    def forward(
+        self, peer: PeerViewPort, call: ttypes.TicketCall, timeout_s: float
+    ) -> ttypes.OutcomeReply:
+        """Send a ticket's call to its owner.
+
+        Raises
+        ------
+        PeerUnavailableError
+            There is no whole answer.
+        """
+        return self._pool.call(
+            peer.peer_address,
+            lambda client: client.forward_ticket(call),
+            timeout_s,
+            fresh=True,
+        )
+
+    def hand_over(self, peer: PeerViewPort, outcomes: Sequence[KeptOutcome]) -> bool:
+        """Hand outcomes to a peer; True once it has taken them."""
+        wire = [kept.to_wire() for kept in outcomes]
+        try:
+            self._pool.call(
+                peer.peer_address,
+                lambda client: client.hand_over(wire),
+                HAND_OVER_TIMEOUT_S,
+                fresh=True,
+            )
+        except PeerUnavailableError:
+            return False
+        return True
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -0,0 +1,197 @@
+"""What this library needs of others, as narrow protocols."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol, TypeVar
+
+from celeryfork_wire.gen.celeryfork import Peer
+
+Reply = TypeVar("Reply")
+
+
+class LogRecordPort(Protocol):
+    """One record of a stream of the platform's log."""
+
+    @property
+    def offset(self) -> int:
+        """Position in the stream."""
+
+    @property
+    def appended_ms(self) -> int:
+        """When the log took it, by the log's clock, in milliseconds."""
+
+    @property
+    def data(self) -> str:
+        """The record's text."""
+
+
+class LogSlicePort(Protocol):
+    """Consecutive records, and the ends of what the stream keeps."""
+
+    @property
+    def records(self) -> Sequence[LogRecordPort]:
+        """Records in offset order."""
+
+    @property
+    def first_offset(self) -> int:
+        """Oldest offset kept."""
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the next append."""
+
+
+class LogPort(Protocol):
+    """The platform's log client."""
+
+    @property
+    def available(self) -> bool:
+        """Whether the log is thought to be up."""
+
+    def append(self, stream: str, data: str, nonce: str, timeout_s: float) -> int:
+        """Append; PlatformUnavailableError is proof that nothing was appended."""
+
+    def read(
+        self,
+        stream: str,
+        from_offset: int,
+        limit: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> LogSlicePort:
+        """Read, waiting up to ``wait_s`` for a record; PlatformUnavailableError."""
+
+
+class TargetPort(Protocol):
+    """A target that a call can be sent to."""
+
+    @property
+    def id(self) -> str:
+        """Name in the instance list."""
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` that it listens on."""
+
+
+class RouterPort(Protocol):
+    """The choice of targets for plain services."""
+
+    def choose_service(self, service: str, avoid: frozenset[str]) -> TargetPort:
+        """Return a target, counted in flight; RequestRefusedError if there is none."""
+
+    def release_service(self, target: TargetPort, ok: bool, seconds: float) -> None:
+        """Say that a chosen target was done with."""
+
+
+class RetryBudgetPort(Protocol):
+    """The share of requests that may be retries."""
+
+    def succeeded(self) -> None:
+        """Count a success."""
+
+    def may_retry(self) -> bool:
+        """Take one retry out of the budget, False if it is spent."""
+
+
+class PoisonPort(Protocol):
+    """Requests known to crash their targets."""
+
+    def crashed(self, fingerprint: str, target_id: str) -> None:
+        """Count a crash."""
+
+    def check(self, fingerprint: str) -> None:
+        """Raise RequestRefusedError for a request that crashed too often."""
+
+
+class ServiceKindPort(Protocol):
+    """Configuration of one kind of call."""
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may run twice."""
+
+    @property
+    def timeout_s(self) -> float:
+        """Longest run, in seconds."""
+
+    @property
+    def rejects_before_running(self) -> bool:
+        """Whether 429 and 503 prove that nothing ran."""
+
+    @property
+    def status_path(self) -> str | None:
+        """Path of the idempotent status call, with ``{key}``; None if there is none."""
+
+
+class ServicePort(Protocol):
+    """Configuration of one plain service."""
+
+    @property
+    def kinds_by_name(self) -> Mapping[str, ServiceKindPort]:
+        """Its kinds of call."""
+
+
+class ConfigurationPort(Protocol):
+    """The part of the configuration in force that plain calls read."""
+
+    @property
+    def services_by_name(self) -> Mapping[str, ServicePort]:
+        """Plain services."""
+
+
+class PeerPoolPort(Protocol):
+    """Connections to other instances."""
+
+    def call(
+        self,
+        address: str,
+        call: Callable[[Peer.Client], Reply],
+        timeout_s: float,
+        *,
+        fresh: bool,
+    ) -> Reply:
+        """Call a peer; PeerUnavailableError tells whether it was sent."""
+
+
+class PeerViewPort(Protocol):
+    """What is known of another instance."""
+
+    @property
+    def instance(self) -> str:
+        """Its name."""
+
+    @property
+    def incarnation(self) -> int:
+        """When this run of it started, in milliseconds."""
+
+    @property
+    def domain(self) -> str:
+        """Its failure domain."""
+
+    @property
+    def peer_address(self) -> str:
+        """``ip:port`` of its peer server."""
+
+
+class IdentityPort(Protocol):
+    """What this instance is called."""
+
+    @property
+    def instance(self) -> str:
+        """Its name."""
+
+    @property
+    def incarnation(self) -> int:
+        """When this run of it started, in milliseconds."""
+
+    @property
+    def domain(self) -> str:
+        """Its failure domain."""
+
+
+class GossipPort(Protocol):
+    """The membership's view of other instances."""
+
+    @property
+    def peers_by_instance(self) -> Mapping[str, PeerViewPort]:
+        """Peers that were heard of."""
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/ticket_text.py
@@ -0,0 +1,117 @@
+"""Tickets as text: what they are bound to, signed."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import orjson
+from attrs import frozen
+
+TICKET_PREFIX = "tk1."
+SIGNATURE_BYTES = 32
+LARGEST_TICKET_CHARACTERS = 1024
+
+
+class TicketFaultError(ValueError):
+    """The ticket is malformed, or was not signed with this fleet's secret."""
+
+
+@frozen
+class Ticket:
+    """The right to run one call, at the incarnation that minted it alone.
+
+    Parameters
+    ----------
+    owner
+        Incarnation that minted it, as text.
+    domain
+        The owner's failure domain.
+    expires_ms
+        Wall time until which it may be begun, in milliseconds.
+    serial
+        Tells the owner's tickets apart.
+    """
+
+    owner: str
+    domain: str
+    organisation: str
+    service: str
+    kind: str
+    expires_ms: int
+    serial: str
+
+
+def is_ticket(key: str) -> bool:
+    """Tell a ticket from a caller's own key."""
+    return key.startswith(TICKET_PREFIX)
+
+
+def sign_ticket(ticket: Ticket, secret: bytes) -> str:
+    """Return the ticket's text."""
+    payload = orjson.dumps(
+        [
+            ticket.owner,
+            ticket.domain,
+            ticket.organisation,
+            ticket.service,
+            ticket.kind,
+            ticket.expires_ms,
+            ticket.serial,
+        ]
+    )
+    return _spell(payload, secret)
+
+
+def read_ticket(text: str, secret: bytes) -> Ticket:
+    """Return a ticket whose signature is right.
+
+    Raises
+    ------
+    TicketFaultError
+        It is none of this fleet's.
+    """
+    if len(text) > LARGEST_TICKET_CHARACTERS:
+        raise TicketFaultError("it is too long")
+    parts = text.removeprefix(TICKET_PREFIX).split(".")
+    if not is_ticket(text) or len(parts) != 2:
+        raise TicketFaultError("it is malformed")
+    payload, signature = _bytes(parts[0]), _bytes(parts[1])
+    if not hmac.compare_digest(_sign(payload, secret), signature):
+        raise TicketFaultError("its signature is wrong")
+    if _spell(payload, secret) != text:
+        raise TicketFaultError("it is not written as it was minted")
+    match orjson.loads(payload):
+        case [
+            str(owner),
+            str(domain),
+            str(organisation),
+            str(service),
+            str(kind),
+            int(expires_ms),
+            str(serial),
+        ]:
+            return Ticket(
+                owner, domain, organisation, service, kind, expires_ms, serial
+            )
+    raise TicketFaultError("it has other fields")
+
+
+def _spell(payload: bytes, secret: bytes) -> str:
+    """Return the one spelling of a ticket with this payload; base64 allows several."""
+    return f"{TICKET_PREFIX}{_text(payload)}.{_text(_sign(payload, secret))}"
+
+
+def _sign(payload: bytes, secret: bytes) -> bytes:
+    return hmac.new(secret, payload, hashlib.sha256).digest()
+
+
+def _text(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _bytes(text: str) -> bytes:
+    try:
+        return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except (binascii.Error, ValueError) as error:
+        raise TicketFaultError("it is malformed") from error
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/tickets.py
@@ -0,0 +1,492 @@
+"""Tickets: keys minted by an instance, run by that very run of it, without the log.
+
+The owner alone may begin a ticket, and remembers each one that it began until the
+ticket has expired, so a repeat never runs. Other instances forward to it. With the
+owner gone the outcome is unknown, unless it handed over everything when it stopped.
+"""
+
+import secrets
+import threading
+from collections.abc import Callable, Sequence
+
+from attrs import define, field, frozen
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import PeerUnavailableError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_wire.gen.celeryfork import ttypes
+
+from celeryfork_calls import errors
+from celeryfork_calls.hand_over import (
+    CLOSED_PREFIX,
+    HandedOverOutcomes,
+    closing_marker,
+    in_chunks,
+)
+from celeryfork_calls.kept import KeptOutcome, kept_from_wire
+from celeryfork_calls.peer_calls import PEER_ANSWER_MARGIN_S, PeerCalls
+from celeryfork_calls.ports import GossipPort, IdentityPort, PeerPoolPort, PeerViewPort
+from celeryfork_calls.ticket_text import (
+    Ticket,
+    TicketFaultError,
+    is_ticket,
+    read_ticket,
+    sign_ticket,
+)
+
+DEFAULT_TICKET_LIFE_S = 600.0
+MOST_BEGUN = 50_000
+MOST_ANSWER_BYTES = 64 * 1024 * 1024
+MOST_PEERS_HANDED_TO = 3
+MOST_PEERS_ASKED = 5
+SHORTEST_SECRET_BYTES = 16
+HAND_OVER_CHUNK_BYTES = 4 * 1024 * 1024
+
+RunForwarded = Callable[[ttypes.TicketCall], KeptOutcome]
+
+
+@define(eq=False)
+class Begun:
+    """A ticket that this instance began to run.
+
+    Parameters
+    ----------
+    kept
+        The outcome, None while it runs.
+    answer_dropped
+        The answer was too much to keep; a repeat is told the outcome alone.
+    """
+
+    ticket: Ticket
+    text: str
+    body_hash: str
+    kept: KeptOutcome | None = None
+    answer_dropped: bool = False
+    ended: threading.Event = field(factory=threading.Event)
+
+
+@frozen
+class TicketReplay:
+    """The ticket's call ended before, with this outcome."""
+
+    kept: KeptOutcome
+
+
+@frozen
+class TicketRunning:
+    """The ticket's call is running here."""
+
+    begun: Begun
+
+
+@frozen
+class HandOverReport:
+    """What became of a planned stop's outcomes.
+
+    Parameters
+    ----------
+    peers
+        Instances that took them all.
+    logged
+        Whether they were queued for the log.
+    """
+
+    outcomes: int
+    peers: Sequence[str]
+    logged: bool
+
+
+class TicketOffice:
+    """Mints, runs and forwards tickets; for any thread.
+
+    Parameters
+    ----------
+    secret
+        Signs tickets; the same in the whole fleet.
+    life_s
+        How long a ticket may be begun after it was minted, in seconds.
+    """
+
+    def __init__(
+        self,
+        identity: IdentityPort,
+        secret: bytes,
+        peers: PeerCalls,
+        clock: Clock,
+        counters: Counters,
+        life_s: float,
+    ) -> None:
+        self.owner = f"{identity.instance}@{identity.incarnation}"
+        self.peers = peers
+        self._identity = identity
+        self._secret = secret
+        self._clock = clock
+        self._counters = counters
+        self._life_s = life_s
+        self._lock = threading.Lock()
+        self._begun_by_text: dict[str, Begun] = {}
+        self._answer_bytes = 0
+        self._closed = False
+        self._run_forwarded: RunForwarded | None = None
+        self.handed_over = HandedOverOutcomes(clock, 2 * life_s)
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of tickets that are running here."""
+        with self._lock:
+            return sum(b.kept is None for b in self._begun_by_text.values())
+
+    def run_forwarded_by(self, run: RunForwarded) -> None:
+        """Say what runs the calls that other instances forward."""
+        self._run_forwarded = run
+
+    def mint(self, organisation: str, service: str, kind: str) -> tuple[str, Ticket]:
+        """Return a new ticket, as text and as data.
+
+        Raises
+        ------
+        RequestRefusedError
+            This instance is stopping.
+        """
+        ticket = Ticket(
+            owner=self.owner,
+            domain=self._identity.domain,
+            organisation=organisation,
+            service=service,
+            kind=kind,
+            expires_ms=self._clock.wall_ms() + round(self._life_s * 1000),
+            serial=secrets.token_hex(8),
+        )
+        with self._lock:
+            if self._closed:
+                raise errors.stopping()
+        self._counters.add("tickets.minted")
+        return sign_ticket(ticket, self._secret), ticket
+
+    def read(self, text: str, organisation: str, service: str, kind: str) -> Ticket:
+        """Return a caller's ticket.
+
+        Raises
+        ------
+        RequestRefusedError
+            It is forged or for another call.
+        """
+        try:
+            ticket = read_ticket(text, self._secret)
+        except TicketFaultError as error:
+            self._counters.add("tickets.forged")
+            raise errors.key_malformed(f"the ticket was refused, {error}") from error
+        bound_to = (ticket.organisation, ticket.service, ticket.kind)
+        if bound_to != (organisation, service, kind):
+            self._counters.add("tickets.misused")
+            raise errors.key_malformed(
+                f"the ticket is for {ticket.service}/{ticket.kind} of one organisation"
+            )
+        return ticket
+
+    def is_mine(self, ticket: Ticket) -> bool:
+        """Tell whether this very run minted the ticket."""
+        return ticket.owner == self.owner
+
+    def begin(
+        self, ticket: Ticket, text: str, body_hash: str
+    ) -> Begun | TicketReplay | TicketRunning:
+        """Begin a ticket of this instance, at most once.
+
+        Raises
+        ------
+        RequestRefusedError
+            It expired, was used with another body, or this instance is stopping.
+        """
+        with self._lock:
+            begun = self._begun_by_text.get(text)
+            if begun is None:
+                return self._begin_new(ticket, text, body_hash)
+            if begun.body_hash != body_hash:
+                raise errors.key_reused()
+            if begun.kept is None:
+                return TicketRunning(begun)
+            if begun.answer_dropped:
+                raise errors.answer_not_kept(begun.kept.outcome)
+            return TicketReplay(begun.kept)
+
+    def finish(self, begun: Begun, kept: KeptOutcome) -> None:
+        """End a ticket that was begun; ``NOT_RUN`` lets it be begun again."""
+        with self._lock:
+            if kept.outcome is Outcome.NOT_RUN:
+                del self._begun_by_text[begun.text]
+            else:
+                begun.kept = kept
+                self._answer_bytes += len(kept.body)
+                self._drop_old_answers()
+        begun.ended.set()
+
+    def forward(
+        self, ticket: Ticket, call: ttypes.TicketCall, timeout_s: float
+    ) -> KeptOutcome:
+        """Have the owner run a ticket's call, or find out what became of it.
+
+        Raises
+        ------
+        RequestRefusedError
+            The outcome is unknown, or the ticket was never begun and can't be.
+        """
+        owner = self.peers.by_incarnation(ticket.owner)
+        if owner is not None:
+            try:
+                reply = self.peers.forward(
+                    owner, call, timeout_s + PEER_ANSWER_MARGIN_S
+                )
+            except PeerUnavailableError:
+                self._counters.add("tickets.forwards_failed")
+            else:
+                self._counters.add("tickets.forwarded")
+                if reply.known and reply.kept is not None:
+                    return kept_from_wire(reply.kept)
+                if reply.running:
+                    raise errors.in_progress(ticket.owner)
+        return self._find_handed_over(ticket, call)
+
+    def on_forward(self, call: ttypes.TicketCall) -> ttypes.OutcomeReply:
+        """Run a ticket's call for a peer, if it is this instance's."""
+        if self._run_forwarded is None:
+            return ttypes.OutcomeReply(known=False, running=False)
+        kept = self._run_forwarded(call)
+        return ttypes.OutcomeReply(known=True, running=False, kept=kept.to_wire())
+
+    def find(self, organisation: str, key: str, wait_s: float) -> ttypes.OutcomeReply:
+        """Answer a peer that asks what became of a ticket."""
+        with self._lock:
+            begun = self._begun_by_text.get(key)
+        if begun is not None and begun.ticket.organisation == organisation:
+            ended = begun.ended.wait(wait_s)
+            return _reply(begun.kept, running=not ended)
+        return _reply(self._known(organisation, key), running=False)
+
+    def close(self) -> None:
+        """Begin no ticket from now on; those begun are answered for as before."""
+        with self._lock:
+            self._closed = True
+
+    def hand_over(
+        self,
+        wait_s: float,
+        claims_unflushed: Sequence[KeptOutcome] = (),
+        to_log: Callable[[Sequence[KeptOutcome]], None] | None = None,
+    ) -> HandOverReport:
+        """Close, wait for what runs, and give peers and the log all outcomes.
+
+        Parameters
+        ----------
+        wait_s
+            Longest wait for calls that are running, in seconds; one that runs on is
+            handed over as unknown.
+        claims_unflushed
+            Outcomes of claims that the log did not take.
+        to_log
+            Writes to the log; None while it is down.
+        """
+        self.close()
+        outcomes = self._outcomes(wait_s)
+        marker = closing_marker(self.owner, len(outcomes), self._clock.wall_ms())
+        chunks = in_chunks([*outcomes, marker], HAND_OVER_CHUNK_BYTES)
+        chunks += in_chunks(claims_unflushed, HAND_OVER_CHUNK_BYTES)
+        peers: list[str] = []
+        for peer in self.peers.in_domain(
+            self._identity.domain, self._identity.instance
+        ):
+            if len(peers) >= MOST_PEERS_HANDED_TO:
+                break
+            if all(self.peers.hand_over(peer, chunk) for chunk in chunks if chunk):
+                peers.append(peer.instance)
+        if to_log is not None:
+            to_log([*outcomes, marker])
+        self._counters.add("tickets.handed_over", len(outcomes))
+        return HandOverReport(len(outcomes), peers, to_log is not None)
+
+    def on_hand_over(self, outcomes: Sequence[KeptOutcome]) -> Sequence[KeptOutcome]:
+        """Take tickets' outcomes from a peer; return those that are of claims."""
+        others: list[KeptOutcome] = []
+        for kept in outcomes:
+            owner = self._owner_of(kept.key)
+            if owner is None:
+                others.append(kept)
+            else:
+                self.handed_over.put(owner, kept)
+        return others
+
+    def dump(self) -> dict[str, object]:
+        """Return the office's state for the state dump."""
+        with self._lock:
+            state: dict[str, object] = {
+                "owner": self.owner,
+                "closed": self._closed,
+                "begun": len(self._begun_by_text),
+                "answer_bytes": self._answer_bytes,
+            }
+        state["handed_over"] = self.handed_over.dump()
+        return state
+
+    def _begin_new(self, ticket: Ticket, text: str, body_hash: str) -> Begun:
+        """Enter a ticket as begun, under the lock."""
+        if self._closed:
+            raise errors.ticket_void(self.owner)
+        now_ms = self._clock.wall_ms()
+        if ticket.expires_ms <= now_ms:
+            raise errors.ticket_expired()
+        if len(self._begun_by_text) >= MOST_BEGUN:
+            self._forget_expired(now_ms)
+        if len(self._begun_by_text) >= MOST_BEGUN:
+            raise errors.overloaded("Too many tickets were begun here.")
+        begun = Begun(ticket, text, body_hash)
+        self._begun_by_text[text] = begun
+        self._counters.add("tickets.begun")
+        return begun
+
+    def _forget_expired(self, now_ms: int) -> None:
+        """Forget tickets that are refused by their expiry, with a margin."""
+        kept_ms = round(self._life_s * 1000)
+        expired = [
+            b
+            for b in self._begun_by_text.values()
+            if b.kept is not None and b.ticket.expires_ms + kept_ms < now_ms
+        ]
+        for begun in expired:
+            del self._begun_by_text[begun.text]
+            if begun.kept is not None and not begun.answer_dropped:
+                self._answer_bytes -= len(begun.kept.body)
+
+    def _drop_old_answers(self) -> None:
+        """Keep the outcome but not the answer of the oldest, beyond the bound."""
+        if self._answer_bytes <= MOST_ANSWER_BYTES:
+            return
+        for begun in self._begun_by_text.values():
+            if begun.kept is None or begun.answer_dropped or not begun.kept.body:
+                continue
+            self._answer_bytes -= len(begun.kept.body)
+            begun.kept = begun.kept.without_body()
+            begun.answer_dropped = True
+            self._counters.add("tickets.answers_dropped")
+            if self._answer_bytes <= MOST_ANSWER_BYTES // 2:
+                return
+
+    def _outcomes(self, wait_s: float) -> list[KeptOutcome]:
+        """Return an outcome for each ticket begun, unknown for what still runs."""
+        ends_s = self._clock.monotonic() + wait_s
+        with self._lock:
+            begun = list(self._begun_by_text.values())
+        for one in begun:
+            one.ended.wait(max(0.0, ends_s - self._clock.monotonic()))
+        with self._lock:
+            return [self._outcome_of(b) for b in self._begun_by_text.values()]
+
+    def _outcome_of(self, begun: Begun) -> KeptOutcome:
+        kept = begun.kept
+        if kept is not None and not begun.answer_dropped:
+            return kept
+        return KeptOutcome(
+            organisation=begun.ticket.organisation,
+            key=begun.text,
+            outcome=Outcome.UNKNOWN,
+            status=0,
+            content_type="",
+            body=b"",
+            body_hash=begun.body_hash,
+            kept_ms=self._clock.wall_ms(),
+        )
+
+    def _known(self, organisation: str, key: str) -> KeptOutcome | None:
+        """Return what a stopped owner said of a ticket, not_run where it proved so."""
+        owner = self._owner_of(key)
+        if owner is None:
+            return None
+        kept = self.handed_over.get(owner, organisation, key)
+        if kept is None and self.handed_over.never_begun(owner, organisation, key):
+            return self._void(organisation, key)
+        return kept
+
+    def _find_handed_over(
+        self, ticket: Ticket, call: ttypes.TicketCall
+    ) -> KeptOutcome:
+        """Look for the outcome of a ticket whose owner does not answer."""
+        kept = self._known(ticket.organisation, call.ticket)
+        asked: Sequence[PeerViewPort] = ()
+        if kept is None:
+            asked = self.peers.in_domain(ticket.domain, self._identity.instance)
+        for peer in asked[:MOST_PEERS_ASKED]:
+            reply = self.peers.find_outcome(peer, ticket.organisation, call.ticket, 0)
+            if reply is not None and reply.known and reply.kept is not None:
+                kept = kept_from_wire(reply.kept)
+                break
+        if kept is None:
+            raise errors.outcome_unknown(f"its owner {ticket.owner} does not answer")
+        if kept.outcome is Outcome.NOT_RUN:
+            raise errors.ticket_void(ticket.owner)
+        if kept.body_hash and call.body_hash and kept.body_hash != call.body_hash:
+            raise errors.key_reused()
+        return kept
+
+    def _void(self, organisation: str, key: str) -> KeptOutcome:
+        return KeptOutcome(
+            organisation=organisation,
+            key=key,
+            outcome=Outcome.NOT_RUN,
+            status=0,
+            content_type="",
+            body=b"",
+            body_hash="",
+            kept_ms=self._clock.wall_ms(),
+        )
+
+    def _owner_of(self, key: str) -> str | None:
+        """Return the incarnation that a ticket or a closing marker belongs to."""
+        if key.startswith(CLOSED_PREFIX):
+            return key.removeprefix(CLOSED_PREFIX)
+        if not is_ticket(key):
+            return None
+        try:
+            return read_ticket(key, self._secret).owner
+        except TicketFaultError:
+            self._counters.add("tickets.handed_over_malformed")
+            return None
+
+
+def make_ticket_office(
+    identity: IdentityPort,
+    secret: bytes,
+    pool: PeerPoolPort,
+    gossip: GossipPort,
+    clock: Clock,
+    counters: Counters,
+    *,
+    life_s: float = DEFAULT_TICKET_LIFE_S,
+) -> TicketOffice:
+    """Return a ticket office.
+
+    Parameters
+    ----------
+    secret
+        Signs tickets; the same in the whole fleet.
+    life_s
+        How long a ticket may be begun after it was minted, in seconds.
+
+    Raises
+    ------
+    CallSettingsError
+        The secret is too short to keep tickets from being forged.
+    """
+    if len(secret) < SHORTEST_SECRET_BYTES:
+        raise errors.CallSettingsError(
+            f"The ticket secret is shorter than {SHORTEST_SECRET_BYTES} bytes.",
+            "set ticket_secret to at least that many random bytes.",
+        )
+    peers = PeerCalls(pool, gossip)
+    return TicketOffice(identity, secret, peers, clock, counters, life_s)
+
+
+def _reply(kept: KeptOutcome | None, running: bool) -> ttypes.OutcomeReply:
+    return ttypes.OutcomeReply(
+        known=kept is not None,
+        running=running,
+        kept=None if kept is None else kept.to_wire(),
+    )
