--- /dev/null
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -0,0 +1,352 @@
+"""Keeps the configuration in force up to date, from the log or from peers."""
+
+import random
+import threading
+from collections.abc import Callable, Mapping, Sequence
+
+from attrs import frozen
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import PlatformUnavailableError
+from celeryfork_platform.log import LogClient
+from celeryfork_platform.model import LogRecord, LogSlice
+from logbook import Logger
+
+from celeryfork_config.carrier import Carrier
+from celeryfork_config.entries import STREAM
+from celeryfork_config.fold import Fold
+from celeryfork_config.in_force import Configuration
+from celeryfork_config.records import PayloadReader, validate_record
+from celeryfork_config.rendezvous import rank_of
+
+ReadFromPeers = Callable[[int], Sequence[LogRecord] | None]
+Fleet = Callable[[], Mapping[str, str]]
+ConfigurationCallback = Callable[[Configuration], None]
+
+_logger = Logger(__name__)
+
+
+@frozen
+class FollowerOptions:
+    """How the log and the peers are read; all times in seconds.
+
+    Parameters
+    ----------
+    long_poll_s
+        How long the log may hold back the answer to a read at its end.
+    read_timeout_s
+        Limit of one read beyond ``long_poll_s``.
+    read_limit
+        Most records in one read.
+    peer_poll_s
+        Between two reads from peers, where they are read.
+    slow_poll_s
+        Between two reads of the log by an instance that isn't a tailer.
+    tailers_per_domain
+        How many instances of a failure domain long-poll the log.
+    most_direct_readers
+        A fleet up to this size long-polls altogether.
+    """
+
+    long_poll_s: float = 5.0
+    read_timeout_s: float = 5.0
+    read_limit: int = 1000
+    peer_poll_s: float = 1.0
+    slow_poll_s: float = 60.0
+    tailers_per_domain: int = 3
+    most_direct_readers: int = 30
+
+
+@frozen
+class ConfigurationSlice:
+    """What a peer is given to follow this instance.
+
+    Parameters
+    ----------
+    records
+        Entries as they stand in the log, without those that were replaced.
+    next_offset
+        From where to go on.
+    complete
+        Nothing was left out for the limit's sake.
+    """
+
+    records: tuple[LogRecord, ...]
+    next_offset: int
+    complete: bool
+
+
+class ConfigFollower:
+    """Follows the configuration stream on a thread of its own.
+
+    Read ``current`` at every use: it is replaced as a whole when something changes,
+    and its offset only grows.
+    """
+
+    def __init__(
+        self,
+        log: LogClient,
+        clock: Clock,
+        counters: Counters,
+        read_from_peers: ReadFromPeers | None,
+        *,
+        instance: str,
+        fleet: Fleet,
+        options: FollowerOptions,
+        read_payload: PayloadReader,
+        seed: int | None,
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._counters = counters
+        self.read_from_peers = read_from_peers
+        self._instance = instance
+        self._fleet = fleet
+        self._options = options
+        self._read_payload = read_payload
+        self._random = random.Random(seed)
+        self._fold = Fold(counters, read_payload)
+        self._changed = threading.Condition()
+        self._current = Configuration()
+        self._ready = False
+        self._source = "none"
+        self._callbacks: list[ConfigurationCallback] = []
+        self._stopped = threading.Event()
+        self._next_slow_poll_s = 0.0
+        self._thread = threading.Thread(
+            target=self._run, name="config-follower", daemon=True
+        )
+        self._carrier = Carrier(log, clock, counters, self, instance, fleet)
+
+    @property
+    def current(self) -> Configuration:
+        """What is in force now."""
+        return self._current
+
+    @property
+    def ready(self) -> bool:
+        """Whether the log's end, or the state of a peer, was reached once."""
+        return self._ready
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+        self._carrier.start()
+
+    def stop(self) -> None:
+        """Stop following; a read that is open ends by itself."""
+        self._stopped.set()
+        self._carrier.stop()
+        if self._thread.is_alive():
+            self._thread.join(timeout=STOP_WAIT_S)
+
+    def subscribe(self, callback: ConfigurationCallback) -> None:
+        """Call ``callback`` with every new configuration, on the follower's thread."""
+        with self._changed:
+            self._callbacks.append(callback)
+
+    def wait(self, offset: int, timeout_s: float) -> bool:
+        """Wait until ``offset`` has been applied; return whether it has.
+
+        Parameters
+        ----------
+        timeout_s
+            How long to wait at most, in seconds.
+        """
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._current.offset >= offset, timeout_s
+            )
+
+    def slice_after(self, offset: int, limit: int) -> ConfigurationSlice:
+        """Return what a peer that has applied ``offset`` lacks.
+
+        Nothing is given before this instance is ready.
+        """
+        with self._changed:
+            if not self._ready or not self._fold.settled:
+                return ConfigurationSlice((), 0, complete=True)
+            entries = self._fold.entries_after(offset)
+            next_offset = self._fold.next_offset
+        if len(entries) <= limit:
+            return ConfigurationSlice(entries, next_offset, complete=True)
+        cut = entries[:limit]
+        return ConfigurationSlice(cut, cut[-1].offset + 1, complete=False)
+
+    def with_fold(self, use: Callable[[Fold], object]) -> None:
+        """Let ``use`` look at the fold while it doesn't change."""
+        with self._changed:
+            use(self._fold)
+
+    def dump(self) -> dict[str, object]:
+        """Return what the state dump shows of the configuration."""
+        with self._changed:
+            fold = self._fold.dump()
+        return {
+            "offset": self._current.offset,
+            "ready": self._ready,
+            "source": self._source,
+            "tailer": self._is_tailer(),
+            "fold": fold,
+        }
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self._step()
+            except Exception as error:
+                # The thread must outlive any fault, or configuration would stand still.
+                self._counters.add("config.follower.faults")
+                _logger.error(f"following the configuration failed: {error!r}")
+                self._pause(self._options.peer_poll_s)
+
+    def _step(self) -> None:
+        if self._reads_log_now():
+            try:
+                self._read_log()
+                return
+            except PlatformUnavailableError:
+                self._counters.add("config.follower.log_unavailable")
+        self._read_peers()
+        self._pause(self._options.peer_poll_s)
+
+    def _reads_log_now(self) -> bool:
+        """Tailers always do; others until they are ready, and then now and then."""
+        if not self._ready or self._is_tailer():
+            return True
+        now_s = self._clock.monotonic()
+        if now_s < self._next_slow_poll_s:
+            return False
+        self._next_slow_poll_s = now_s + self._jittered(self._options.slow_poll_s)
+        return True
+
+    def _is_tailer(self) -> bool:
+        fleet = self._fleet()
+        if len(fleet) <= self._options.most_direct_readers:
+            return True
+        domain = fleet.get(self._instance)
+        neighbours = [name for name, where in fleet.items() if where == domain]
+        rank = rank_of(self._instance, neighbours, STREAM)
+        return rank < self._options.tailers_per_domain
+
+    def _read_log(self) -> None:
+        options = self._options
+        waits = self._ready and self._is_tailer()
+        wait_s = options.long_poll_s if waits else 0.0
+        part = self._log.read(
+            STREAM,
+            self._fold.next_offset,
+            options.read_limit,
+            wait_s,
+            wait_s + options.read_timeout_s,
+        )
+        if part.next_offset < self._fold.next_offset:
+            # What is in force never goes back, whatever the log says.
+            self._counters.add("config.follower.log_behind")
+            self._pause(options.peer_poll_s)
+            return
+        if part.first_offset > self._fold.next_offset:
+            self._read_peers()  # they may have what the log has dropped
+        self._apply(part)
+
+    def _apply(self, part: LogSlice) -> None:
+        with self._changed:
+            self._fold.apply_slice(part)
+            at_end = self._fold.next_offset >= part.next_offset
+            if at_end:
+                self._fold.settle()
+        if at_end:
+            self._publish("log")
+
+    def _read_peers(self) -> None:
+        if self.read_from_peers is None:
+            return
+        fold = self._fold
+        if not fold.settled:
+            # Records are held back for want of evidence: take a peer's whole state.
+            fold = Fold(self._counters, self._read_payload)
+        entries = self.read_from_peers(fold.next_offset - 1)
+        if entries is None:
+            self._counters.add("config.follower.peers_unavailable")
+            return
+        with self._changed:
+            fold.merge_peer_entries(tuple(entries))
+            if fold.next_offset < self._fold.next_offset:
+                return
+            self._fold = fold
+        self._publish("peers")
+
+    def _publish(self, source: str) -> None:
+        """Put the fold's configuration in force and tell the subscribers."""
+        with self._changed:
+            configuration = self._fold.configuration
+            is_new = configuration.offset > self._current.offset or not self._ready
+            if not is_new:
+                return
+            self._current = configuration
+            self._source = source
+            became_ready, self._ready = not self._ready, True
+            callbacks = list(self._callbacks)
+            self._changed.notify_all()
+        if became_ready:
+            _logger.notice(f"configuration ready at {configuration.offset} by {source}")
+        self._counters.gauge("config.offset", configuration.offset)
+        for callback in callbacks:
+            self._call(callback, configuration)
+
+    def _call(
+        self, callback: ConfigurationCallback, configuration: Configuration
+    ) -> None:
+        try:
+            callback(configuration)
+        except Exception as error:
+            self._counters.add("config.follower.callback_faults")
+            _logger.error(f"a subscriber of the configuration failed: {error!r}")
+
+    def _pause(self, seconds: float) -> None:
+        self._stopped.wait(self._jittered(seconds))
+
+    def _jittered(self, seconds: float) -> float:
+        return self._random.uniform(seconds / 2, seconds)
+
+
+STOP_WAIT_S = 1.0
+
+
+def make_follower(
+    log: LogClient,
+    clock: Clock,
+    counters: Counters,
+    read_from_peers: ReadFromPeers | None = None,
+    *,
+    instance: str = "",
+    fleet: Fleet = dict,
+    options: FollowerOptions | None = None,
+    read_payload: PayloadReader = validate_record,
+    seed: int | None = None,
+) -> ConfigFollower:
+    """Return a follower that is not started yet.
+
+    Parameters
+    ----------
+    read_from_peers
+        Returns all that the most advanced reachable peer has after an offset (-1:
+        from the beginning), or None where no peer that is ready can be reached.
+    instance
+        This instance's name.
+    fleet
+        Returns the failure domains of the live instances by name, this one too.
+    seed
+        Seed of the jitter; None takes one from the system.
+    """
+    return ConfigFollower(
+        log,
+        clock,
+        counters,
+        read_from_peers,
+        instance=instance,
+        fleet=fleet,
+        options=options or FollowerOptions(),
+        read_payload=read_payload,
+        seed=seed,
+    )
--- a/libs/platform/src/celeryfork_platform/outage.py
+++ b/libs/platform/src/celeryfork_platform/outage.py
@@ -15,7 +15,7 @@
 LONGEST_BACKOFF_S = 2.0
 FAILURES_TO_OUTAGE = 2
 
-log = Logger(__name__)
+_logger = Logger(__name__)
 
 
 @frozen
@@ -94,7 +94,7 @@
                 return
             self._state = _OutageState()
         if was_down:
-            log.notice("platform service {} is back", self._service)
+            _logger.notice(f"platform service {self._service} is back")
 
     def failed(self, leave: Pass, *, refused: bool) -> None:
         """Note that a call got no answer; ``refused`` if it could not connect."""
@@ -113,7 +113,7 @@
             state.next_probe_s = self._clock.monotonic() + self._backoff_s()
         if began:
             self._counters.add(f"platform.{self._service}.outages")
-            log.warning("platform service {} is down", self._service)
+            _logger.warning(f"platform service {self._service} is down")
 
     def abandoned(self, leave: Pass) -> None:
         """Note that a call ended without telling anything about the service."""
