--- a/libs/admission/tests/test_permits.py
+++ b/libs/admission/tests/test_permits.py
@@ -72,8 +72,8 @@
         for number in range(INSTANCES):
             name = f"i{number}"
             handler = Handler()
-            server = PeerServer("127.0.0.1", 0, handler)
-            server.start()
+            server = PeerServer("127.0.0.1", 0)
+            server.start(handler)
             handler.office = make_permit_office(
                 name,
                 1,
--- a/libs/daemon/src/celeryfork_daemon/metrics.py
+++ b/libs/daemon/src/celeryfork_daemon/metrics.py
@@ -5,12 +5,11 @@
 from celeryfork_base.counters import Counters
 from statsd import StatsClient
 
-FLUSH_INTERVAL_S = 1.0
 LARGEST_PACKET_BYTES = 1432
 
 
 class MetricsSender:
-    """Sends what changed since the last flush, once a second.
+    """Sends what changed since the last flush.
 
     Parameters
     ----------
@@ -20,9 +19,19 @@
         The statsd server.
     prefix
         Put before each name.
+    interval_s
+        Time between two flushes, in seconds.
     """
 
-    def __init__(self, counters: Counters, host: str, port: int, prefix: str) -> None:
+    def __init__(
+        self,
+        counters: Counters,
+        host: str,
+        port: int,
+        prefix: str,
+        interval_s: float,
+    ) -> None:
+        self._interval_s = interval_s
         self._counters = counters
         self._client = StatsClient(
             host=host, port=port, prefix=prefix, maxudpsize=LARGEST_PACKET_BYTES
@@ -55,14 +64,12 @@
                 pipe.timing(name, seconds * 1000)
 
     def _run(self) -> None:
-        while not self._stopping.wait(FLUSH_INTERVAL_S):
+        while not self._stopping.wait(self._interval_s):
             self.flush()
 
 
 def make_metrics_sender(
-    counters: Counters, host: str | None, port: int, prefix: str
-) -> MetricsSender | None:
-    """Return a sender, None where no statsd server is set."""
-    if host is None:
-        return None
-    return MetricsSender(counters, host, port, prefix)
+    counters: Counters, host: str, port: int, prefix: str, interval_s: float
+) -> MetricsSender:
+    """Return a sender that has yet to be started."""
+    return MetricsSender(counters, host, port, prefix, interval_s)
--- a/libs/wire/src/celeryfork_wire/peers.py
+++ b/libs/wire/src/celeryfork_wire/peers.py
@@ -33,14 +33,12 @@
     ----------
     host, port
         Where to listen; port 0 takes a free one.
-    handler
-        An object with the methods of ``Peer.Iface``.
     """
 
-    def __init__(self, host: str, port: int, handler: Peer.Iface) -> None:
+    def __init__(self, host: str, port: int) -> None:
         self._listener = socket.create_server((host, port), backlog=128)
         self.address = f"{host}:{self._listener.getsockname()[1]}"
-        self._processor: TProcessor = Peer.Processor(handler)
+        self._processor: TProcessor
         self._lock = threading.Lock()
         self._connections: set[socket.socket] = set()
         self._stopped = False
@@ -48,8 +46,15 @@
             target=self._accept, name="peer-server", daemon=True
         )
 
-    def start(self) -> None:
-        """Begin to serve in the background."""
+    def start(self, handler: Peer.Iface) -> None:
+        """Begin to serve in the background.
+
+        Parameters
+        ----------
+        handler
+            An object with the methods of ``Peer.Iface``.
+        """
+        self._processor = Peer.Processor(handler)
         self._thread.start()
 
     def stop(self) -> None:
--- a/libs/wire/tests/test_peers.py
+++ b/libs/wire/tests/test_peers.py
@@ -33,8 +33,8 @@
 
 
 def test_a_call_reaches_the_peer_and_the_connection_is_kept() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
-    server.start()
+    server = PeerServer("127.0.0.1", 0)
+    server.start(PermitHandler())
     pool = PeerPool()
     for wanted in (1, 2):
         grants = pool.call(
@@ -49,9 +49,9 @@
 
 
 def test_a_refused_connection_is_known_not_to_have_been_sent() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
+    server = PeerServer("127.0.0.1", 0)
     address = server.address
-    server.start()
+    server.start(PermitHandler())
     server.stop()
     with pytest.raises(PeerUnavailableError) as caught:
         PeerPool().call(address, lambda peer: None, timeout_s=1, fresh=True)
@@ -59,8 +59,8 @@
 
 
 def test_a_server_stop_cuts_kept_connections() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
-    server.start()
+    server = PeerServer("127.0.0.1", 0)
+    server.start(PermitHandler())
     pool = PeerPool()
     lease = permit_request(1)
     pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
@@ -71,8 +71,8 @@
 
 
 def test_a_failing_handler_is_reported_as_sent() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
-    server.start()
+    server = PeerServer("127.0.0.1", 0)
+    server.start(PermitHandler())
     lease = permit_request(-1)
     with pytest.raises(PeerUnavailableError) as caught:
         PeerPool().call(server.address, lambda p: p.lease_permits(lease), 5, fresh=True)
