--- a/libs/calls/src/celeryfork_calls/claim_fold.py
+++ b/libs/calls/src/celeryfork_calls/claim_fold.py
@@ -68,7 +68,7 @@
 
 @frozen
 class Ignored:
-    """This instance keeps no state for the claim's key, so it must not grant it."""
+    """The claim's key is outside what is kept here, so it must not be granted here."""
 
     nonce: str
 
--- a/libs/calls/src/celeryfork_calls/claim_records.py
+++ b/libs/calls/src/celeryfork_calls/claim_records.py
@@ -206,4 +206,3 @@
                 kept_ms=kept_ms,
             )
     raise ValueError("no kept outcome")
-
--- a/libs/calls/src/celeryfork_calls/claim_results.py
+++ b/libs/calls/src/celeryfork_calls/claim_results.py
@@ -89,7 +89,7 @@
 
 @frozen
 class Refused:
-    """This request ends here; the error says with which outcome."""
+    """The request ends here; the error says with which outcome."""
 
     error: RequestRefusedError
 
--- a/libs/calls/src/celeryfork_calls/claims.py
+++ b/libs/calls/src/celeryfork_calls/claims.py
@@ -113,6 +113,9 @@
     held: Held
 
 
+_Found = Replay | InProgress | Unresolved | Refused | _WaitFor | _Recorded
+
+
 class ClaimBook:
     """The claims of one instance and its view of everyone's; for any thread."""
 
@@ -208,9 +211,9 @@
         key = str(uuid.UUID(key))
         while True:
             with self._lock:
-                found = self._look(organisation, key, body_hash)
-                if found is None:
-                    found = self._begin(Claim(organisation, key, body_hash, _nonce()))
+                found = self._look(organisation, key, body_hash) or self._begin(
+                    Claim(organisation, key, body_hash, _nonce())
+                )
             match found:
                 case _Attempt():
                     result = self._await_decision(found, deadline_s)
@@ -278,15 +281,18 @@
             kept=None if kept is None else kept.to_wire(),
         )
 
-    def await_change(self, organisation: str, key: str, wait_s: float) -> None:
-        """Wait until the log says something new of a key, at most ``wait_s``."""
+    def await_change(self, organisation: str, key: str, wait_s: float) -> bool:
+        """Wait until something new is known of a key; False after ``wait_s``."""
         hashed = key_hash(organisation, key)
-        event = threading.Event()
         with self._lock:
-            self._waiters_by_hash.setdefault(hashed, []).append(event)
-        event.wait(wait_s)
+            held = self._fold.held(organisation, key)
+            if held is None or held.outcome or self._kept.get(organisation, key):
+                return True
+            event = self._waiter(hashed)
+        changed = event.wait(max(0.0, wait_s))
         with self._lock:
             self._drop_waiter(hashed, event)
+        return changed
 
     def dump(self) -> dict[str, object]:
         """Return the book's state for the state dump."""
@@ -312,9 +318,7 @@
             return errors.key_malformed(f"its time is {-age_s:.0f} s in the future")
         return None
 
-    def _look(
-        self, organisation: str, key: str, body_hash: str
-    ) -> Replay | InProgress | Unresolved | Refused | _WaitFor | _Recorded | None:
+    def _look(self, organisation: str, key: str, body_hash: str) -> _Found | None:
         """Return what is known of a key, None if nothing; under the lock."""
         kept = self._kept.get(organisation, key)
         if kept is not None:
@@ -330,6 +334,10 @@
             return None
         if held.body_hash_start != bytes.fromhex(body_hash)[:8]:
             return Refused(errors.key_reused())
+        return self._look_at_holder(hashed, held)
+
+    def _look_at_holder(self, hashed: bytes, held: Held) -> _Found:
+        """Return what is known of a key that the log says is held."""
         if held.outcome is Outcome.UNKNOWN:
             return Unresolved("its target gave no whole answer")
         if held.outcome is not None:
@@ -344,7 +352,7 @@
         """Queue a claim, under the lock."""
         if self._stopping:
             return Refused(errors.stopping())
-        if not self._log.available:
+        if self._log_is_down():
             return Refused(errors.log_unavailable("The log is down."))
         hashed = key_hash(claim.organisation, claim.key)
         attempt = _Attempt(claim, hashed, Queued(claim, must_land=False))
@@ -363,27 +371,37 @@
             if left_s <= 0 or attempt.decided.wait(min(left_s, REAPPEND_AFTER_S)):
                 break
             self._append_again(attempt)
-        claim = attempt.claim
         with self._lock:
-            match attempt.state:
-                case _State.GRANTED:
-                    return Claimed(
-                        claim.organisation, claim.key, claim.body_hash, claim.nonce
-                    )
-                case _State.LOST:
-                    return None
-                case _State.UNPROVEN:
-                    return Unresolved("what it did before has left the log")
-                case _State.REFUSED:
-                    return Refused(
-                        errors.log_unavailable("The log did not take the claim.")
-                    )
-                case _State.GIVEN_UP:
-                    return Refused(errors.stopping())
-            self._give_up(attempt)
-        if attempt.queued.maybe_in_log or not self._log.available:
-            return Refused(errors.log_unavailable("The log did not confirm the claim."))
-        return Refused(errors.deadline_passed(Outcome.NOT_RUN))
+            if attempt.state is _State.WAITING:
+                self._give_up(attempt)
+        return self._decision(attempt)
+
+    def _decision(self, attempt: _Attempt) -> ClaimResult | None:
+        """Return what a decided attempt means to its caller."""
+        claim = attempt.claim
+        match attempt.state:
+            case _State.GRANTED:
+                return Claimed(
+                    claim.organisation, claim.key, claim.body_hash, claim.nonce
+                )
+            case _State.LOST:
+                return None
+            case _State.UNPROVEN:
+                return Unresolved("what it did before has left the log")
+        return Refused(self._why_not(attempt))
+
+    def _why_not(self, attempt: _Attempt) -> RequestRefusedError:
+        """Return why a claim that was never granted ends; it did not run."""
+        if self._stopping:
+            return errors.stopping()
+        if attempt.state is _State.REFUSED:
+            return errors.log_unavailable("The log did not take the claim.")
+        if attempt.queued.maybe_in_log or self._log_is_down():
+            return errors.log_unavailable("The log did not confirm the claim.")
+        return errors.deadline_passed(Outcome.NOT_RUN)
+
+    def _log_is_down(self) -> bool:
+        return not self._log.available or self._commit.refused_long
 
     def _append_again(self, attempt: _Attempt) -> None:
         """Queue a claim anew whose append's answer was lost and which isn't seen."""
@@ -392,7 +410,7 @@
             if lost_s is None or attempt.state is not _State.WAITING:
                 return
             waited_s = self._clock.monotonic() - lost_s
-            if waited_s >= REAPPEND_AFTER_S and self._log.available:
+            if waited_s >= REAPPEND_AFTER_S and not self._log_is_down():
                 attempt.answer_lost_s = None
                 self._commit.put(attempt.queued)
 
@@ -436,7 +454,7 @@
         if result is AppendResult.APPENDED:
             return
         now_s = self._clock.monotonic()
-        up = self._log.available
+        down = self._log_is_down()
         with self._lock:
             for queued in batch:
                 attempt = self._attempts_by_nonce.get(_nonce_of(queued.entry))
@@ -444,7 +462,7 @@
                     continue
                 if result is AppendResult.UNKNOWN or queued.maybe_in_log:
                     attempt.answer_lost_s = now_s
-                elif not up or not self._commit.put(queued):
+                elif down or not self._commit.put(queued):
                     self._decide(attempt, _State.REFUSED)
                     self._forget(attempt)
 
--- a/libs/calls/src/celeryfork_calls/errors.py
+++ b/libs/calls/src/celeryfork_calls/errors.py
@@ -162,3 +162,37 @@
         status=400,
         code="key_expired",
     )
+
+
+def not_configured(what: str, name: str) -> RequestRefusedError:
+    """Return the refusal of a service or kind that no configuration names."""
+    return RequestRefusedError(
+        f"There is no {what} {name!r}.",
+        f"check the {what}'s name; operators publish services as service/NAME.",
+        outcome=Outcome.NOT_RUN,
+        status=404,
+        code=f"unknown_{what}",
+    )
+
+
+def target_failed(why: str) -> RequestRefusedError:
+    """Return the answer where a call may have run and there is no whole answer."""
+    return RequestRefusedError(
+        f"The call may have run, but there is no whole answer: {why}.",
+        "repeat an idempotent call; else look up at the service whether it ran.",
+        outcome=Outcome.UNKNOWN,
+        status=502,
+        code="target_failed",
+    )
+
+
+def targets_busy(why: str, retry_after_s: float | None) -> RequestRefusedError:
+    """Return the refusal where no target took the call."""
+    return RequestRefusedError(
+        f"No target took the call: {why}. This request did not run.",
+        "send the call again later, with the same key if it has one.",
+        outcome=Outcome.NOT_RUN,
+        status=503,
+        code="no_target",
+        retry_after_s=retry_after_s or RETRY_UNKNOWN_S,
+    )
--- a/libs/calls/src/celeryfork_calls/group_commit.py
+++ b/libs/calls/src/celeryfork_calls/group_commit.py
@@ -30,6 +30,7 @@
 GAP_DECAY = 0.9
 APPEND_TIMEOUT_S = 2.0
 IDLE_WAIT_S = 0.5
+REFUSED_IS_DOWN_S = 1.0
 
 
 class AppendResult(Enum):
@@ -117,11 +118,24 @@
         self._in_flight: Sequence[Queued] = ()
         self._gap_s = limits.gap_s
         self._next_append_s = clock.monotonic()
+        self._refused_since_s: float | None = None
+        self._last_refused_s = 0.0
         self._stopping = False
         self._thread = threading.Thread(
             target=self._run, name="claims-append", daemon=True
         )
 
+    @property
+    def refused_long(self) -> bool:
+        """Whether the log has refused appends for a while, just now still."""
+        with self._changed:
+            if self._refused_since_s is None:
+                return False
+            now_s = self._clock.monotonic()
+            long = now_s - self._refused_since_s >= REFUSED_IS_DOWN_S
+            # After a while without a refusal, one more append is worth the try.
+            return long and now_s - self._last_refused_s < REFUSED_IS_DOWN_S
+
     def start(self) -> None:
         """Begin to append in the background."""
         self._thread.start()
@@ -234,6 +248,7 @@
     def _pace(self, result: AppendResult) -> None:
         """Append less often while the log refuses, since others share its rate."""
         with self._changed:
+            self._note(result)
             if result is AppendResult.APPENDED:
                 self._gap_s = max(self._limits.gap_s, self._gap_s * GAP_DECAY)
                 return
@@ -241,6 +256,14 @@
             self._gap_s = min(grown, LONGEST_GAP_S)
             self._next_append_s = self._clock.monotonic() + self._gap_s
 
+    def _note(self, result: AppendResult) -> None:
+        if result is not AppendResult.NOT_APPENDED:
+            self._refused_since_s = None
+            return
+        self._last_refused_s = self._clock.monotonic()
+        if self._refused_since_s is None:
+            self._refused_since_s = self._last_refused_s
+
     def _settle(self, batch: Sequence[Queued], result: AppendResult) -> None:
         must_land = [q for q in batch if q.must_land]
         reported = [q for q in batch if not q.must_land]
--- a/libs/calls/src/celeryfork_calls/kept.py
+++ b/libs/calls/src/celeryfork_calls/kept.py
@@ -44,7 +44,7 @@
 
     def to_wire(self) -> ttypes.KeptOutcome:
         """Return it as peers send it."""
-        return ttypes.KeptOutcome(  # type: ignore[no-untyped-call]
+        return ttypes.KeptOutcome(
             organisation=self.organisation,
             key=self.key,
             outcome=self.outcome.value,
--- a/libs/calls/src/celeryfork_calls/peer_calls.py
+++ b/libs/calls/src/celeryfork_calls/peer_calls.py
@@ -42,7 +42,7 @@
         """Ask a peer what became of a key; None if it doesn't answer."""
         wait_s = max(0.0, min(wait_s, LONGEST_PEER_WAIT_S))
         try:
-            return self._pool.call(
+            reply: ttypes.OutcomeReply = self._pool.call(
                 peer.peer_address,
                 lambda client: client.find_outcome(
                     organisation, key, round(wait_s * 1000)
@@ -52,6 +52,7 @@
             )
         except PeerUnavailableError:
             return None
+        return reply
 
     def forward(
         self, peer: PeerViewPort, call: ttypes.TicketCall, timeout_s: float
@@ -63,12 +64,13 @@
         PeerUnavailableError
             There is no whole answer.
         """
-        return self._pool.call(
+        reply: ttypes.OutcomeReply = self._pool.call(
             peer.peer_address,
             lambda client: client.forward_ticket(call),
             timeout_s,
             fresh=True,
         )
+        return reply
 
     def hand_over(self, peer: PeerViewPort, outcomes: Sequence[KeptOutcome]) -> bool:
         """Hand outcomes to a peer; True once it has taken them."""
--- a/libs/calls/src/celeryfork_calls/ports.py
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -83,6 +83,10 @@
         """Say that a chosen target was done with."""
 
 
+class ViewPort(Protocol):
+    """The view of targets, which learns from what calls observe."""
+
+
 class RetryBudgetPort(Protocol):
     """The share of requests that may be retries."""
 
@@ -96,7 +100,7 @@
 class PoisonPort(Protocol):
     """Requests known to crash their targets."""
 
-    def crashed(self, fingerprint: str, target_id: str) -> None:
+    def crashed(self, fingerprint: str, target_id: str) -> object:
         """Count a crash."""
 
     def check(self, fingerprint: str) -> None:
--- a/libs/calls/src/celeryfork_calls/tickets.py
+++ b/libs/calls/src/celeryfork_calls/tickets.py
@@ -221,6 +221,17 @@
                 self._drop_old_answers()
         begun.ended.set()
 
+    def settle(self, text: str, kept: KeptOutcome) -> None:
+        """Keep what a status call found out about a ticket's unknown outcome."""
+        with self._lock:
+            begun = self._begun_by_text.get(text)
+            if begun is None or begun.kept is None:
+                return
+            if begun.kept.outcome is Outcome.UNKNOWN:
+                begun.kept = kept
+                self._answer_bytes += len(kept.body)
+                self._drop_old_answers()
+
     def forward(
         self, ticket: Ticket, call: ttypes.TicketCall, timeout_s: float
     ) -> KeptOutcome:
@@ -405,9 +416,7 @@
             return self._void(organisation, key)
         return kept
 
-    def _find_handed_over(
-        self, ticket: Ticket, call: ttypes.TicketCall
-    ) -> KeptOutcome:
+    def _find_handed_over(self, ticket: Ticket, call: ttypes.TicketCall) -> KeptOutcome:
         """Look for the outcome of a ticket whose owner does not answer."""
         kept = self._known(ticket.organisation, call.ticket)
         asked: Sequence[PeerViewPort] = ()
