Command line: serve, check, config, dump, targets, version

Cause: operators need to run and inspect instances. Change: one module for each command over the libraries' classes; faults all at once with exit code 2.

--- /dev/null
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -0,0 +1,42 @@
+"""The ``celeryfork`` command."""
+
+import sys
+
+from celeryfork_base.errors import CeleryforkError
+from typer import Typer
+
+from celeryfork_cmdline.check import check
+from celeryfork_cmdline.config import config_app
+from celeryfork_cmdline.inspect import dump, targets
+from celeryfork_cmdline.serve import serve
+from celeryfork_cmdline.version import version
+
+EXIT_FAULT = 1
+EXIT_INPUT_FAULT = 2
+
+
+def make_app() -> Typer:
+    """Return the command with all its subcommands."""
+    app = Typer(
+        help="Route requests to pipelines of model engines over mixed accelerators.",
+        no_args_is_help=True,
+        pretty_exceptions_enable=False,
+    )
+    for command in (serve, check, dump, targets, version):
+        app.command()(command)
+    app.add_typer(config_app, name="config")
+    return app
+
+
+def main() -> int:
+    """Run the command line and return its exit code."""
+    try:
+        make_app()()
+    except CeleryforkError as error:
+        print(f"celeryfork: {error}", file=sys.stderr)
+        return EXIT_FAULT
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            print(f"celeryfork: {error}", file=sys.stderr)
+        return EXIT_INPUT_FAULT
+    return 0
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
 
 from attrs import asdict, frozen
 from celeryfork_admission.admission import Admission
@@ -135,11 +136,12 @@
         self._http.stop()
         self._close()
 
-    def dump(self) -> dict[str, object]:
-        """Return the state of the whole process, JSON-able."""
+    def dump(self, part: str | None = None) -> dict[str, object]:
+        """Return the state of the whole process, or of one part, JSON-able."""
         parts, gate, membership = self.parts, self.parts.gate, self.parts.membership
         runner = self._serving.runner if self._serving else None
         return dump_of(
+            part,
             {
                 "process": self._dump_process,
                 "configuration": parts.follower.dump,
@@ -159,7 +161,7 @@
                 "in_flight": self.in_flight.dump,
                 "counters": parts.counters.counts,
                 "gauges": parts.counters.gauges,
-            }
+            },
         )
 
     def _starts(self) -> list[Callable[[], None]]:
@@ -294,7 +296,8 @@
 
     def _state_reply(self, callers: Callers, call: HttpCall) -> Reply:
         callers.check_administrator(call)
-        return json_reply(200, self.dump())
+        part = parse_qs(urlsplit(call.path).query).get("part", [None])[0]
+        return json_reply(200, self.dump(part))
 
     def _dump_process(self) -> dict[str, object]:
         return {
--- a/libs/daemon/src/celeryfork_daemon/state_dump.py
+++ b/libs/daemon/src/celeryfork_daemon/state_dump.py
@@ -5,14 +5,16 @@
 Dump = Callable[[], object]
 
 
-def dump_of(dumps_by_part: Mapping[str, Dump]) -> dict[str, object]:
-    """Return the state of every part.
+def dump_of(wanted: str | None, dumps_by_part: Mapping[str, Dump]) -> dict[str, object]:
+    """Return the state of every part, or of the one that is wanted.
 
     A part that fails to tell its state must not hide the others: the dump is read when
     something is wrong already.
     """
     state: dict[str, object] = {}
     for part, dump in dumps_by_part.items():
+        if wanted not in (None, part):
+            continue
         try:
             state[part] = dump()
         except Exception as error:
