--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/circuit.py
@@ -0,0 +1,103 @@
+"""A circuit breaker for one target: closed, open, half-open, on trial.
+
+After failures the target is left alone for a jittered, growing time; then one
+request at a time tries it, and its outcome closes or reopens the circuit.
+"""
+
+from enum import Enum
+from random import Random
+
+from attrs import define
+
+FAILURES_TO_OPEN = 2
+FAILURE_WINDOW_S = 10.0
+FIRST_BACKOFF_S = 0.5
+MOST_BACKOFF_S = 20.0
+BACKOFF_JITTER = 0.3
+TRIAL_LIMIT_S = 10.0
+
+
+class CircuitState(Enum):
+    """Where a circuit stands."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+    ON_TRIAL = "on_trial"
+
+
+@define
+class Circuit:
+    """What is remembered of one target's failures."""
+
+    state: CircuitState = CircuitState.CLOSED
+    failures: int = 0
+    openings: int = 0
+    failed_s: float = float("-inf")
+    succeeded_s: float = float("-inf")
+    due_s: float = float("inf")
+
+    def succeed(self, now_s: float) -> bool:
+        """Note a success; return whether the circuit changed."""
+        changed = self.state is not CircuitState.CLOSED
+        self.succeeded_s = now_s
+        self.failures = 0
+        if changed:
+            self.state = CircuitState.CLOSED
+            self.due_s = float("inf")
+        return changed
+
+    def fail(self, now_s: float, random: Random, *, certain: bool) -> bool:
+        """Note a failure; return whether the circuit opened by it.
+
+        Parameters
+        ----------
+        now_s
+            The monotonic time.
+        random
+            Source of the backoff's jitter.
+        certain
+            Whether a single failure is enough to open, as with a refused connection.
+        """
+        if now_s - self.failed_s > FAILURE_WINDOW_S:
+            self.failures = 0
+        self._settle(now_s)
+        self.failures += 1
+        self.failed_s = now_s
+        if self.state is CircuitState.OPEN:
+            return False  # late news of the same fault must not lengthen the backoff
+        trying = self.state in (CircuitState.HALF_OPEN, CircuitState.ON_TRIAL)
+        if not (certain or trying or self.failures >= FAILURES_TO_OPEN):
+            return False
+        self.open(now_s, random)
+        return True
+
+    def open(self, now_s: float, random: Random) -> None:
+        """Leave the target alone for the next backoff."""
+        backoff_s = min(FIRST_BACKOFF_S * 2**self.openings, MOST_BACKOFF_S)
+        jitter = 1 + random.uniform(-BACKOFF_JITTER, BACKOFF_JITTER)
+        self.openings = min(self.openings + 1, 10)
+        self.state = CircuitState.OPEN
+        self.due_s = now_s + backoff_s * jitter
+
+    def begin_trial(self, now_s: float) -> bool:
+        """Take the one trial of a half-open circuit; return whether it was free."""
+        if self.state is not CircuitState.HALF_OPEN:
+            return False
+        self.state = CircuitState.ON_TRIAL
+        self.due_s = now_s + TRIAL_LIMIT_S
+        return True
+
+    def advance(self, now_s: float) -> bool:
+        """Move on when the time has come; return whether the circuit changed."""
+        if now_s < self.due_s:
+            return False
+        self.state = CircuitState.HALF_OPEN
+        self.due_s = float("inf")
+        return True
+
+    def _settle(self, now_s: float) -> None:
+        """Forget earlier openings once the target has worked for a while."""
+        closed = self.state is CircuitState.CLOSED
+        if closed and now_s - self.failed_s > MOST_BACKOFF_S:
+            self.openings = 0
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/gossip.py
@@ -0,0 +1,447 @@
+"""Heartbeats with a few random peers a second, which carry news.
+
+The cost of a daemon does not depend on how many there are: it begins about one
+exchange a second, most of them inside its failure domain, and each heartbeat has a
+bounded size. Fresh news of targets is passed on at once to a few more peers, within a
+budget, so that it is everywhere after a few round trips. A peer that does not answer
+twice is suspected; if it does not contradict within `SUSPECT_S` it counts as dead.
+After SWIM (Das, Gupta, Motivala, DSN 2002), with push-pull exchanges over TCP.
+"""
+
+import threading
+from collections.abc import Iterable, Mapping
+from math import ceil, log2
+from random import Random
+from typing import Any, Protocol
+
+from attrs import evolve, frozen
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import PeerUnavailableError
+from celeryfork_wire.gen.celeryfork import Peer
+from celeryfork_wire.gen.celeryfork.ttypes import Heartbeat, InstanceState
+from celeryfork_wire.peers import PeerCall, Reply
+from logbook import Logger
+
+from celeryfork_membership.news import NewsBoard
+from celeryfork_membership.peers import (
+    PeerIdentity,
+    PeerTable,
+    PeerView,
+    body_of,
+    peer_of,
+)
+
+__all__ = ["Gossip", "GossipPace", "PeerIdentity", "PeerView", "make_gossip"]
+
+NEWS_PEER = "peer"
+MOST_NEWS_PER_HEARTBEAT = 8
+MOST_SEEDS = 2048
+LOST_PEER_SHARE = 0.1
+MOST_EAGER_WAITING = 3
+STOP_WAIT_S = 3.0
+
+_log = Logger("membership")
+
+
+class PeerCaller(Protocol):
+    """The part of `celeryfork_wire.peers.PeerPool` that gossip needs."""
+
+    def call(
+        self, address: str, call: PeerCall[Reply], timeout_s: float, *, fresh: bool
+    ) -> Reply:
+        """Make one call to a peer."""
+
+
+@frozen
+class GossipPace:
+    """How often an instance speaks to its peers.
+
+    Parameters
+    ----------
+    interval_s
+        Mean time between exchanges that this instance begins.
+    own_domain_share
+        Share of them that stays in its failure domain.
+    timeout_s
+        Limit for one exchange.
+    eager_exchanges
+        Exchanges begun at once when fresh news of targets comes in.
+    eager_per_s
+        Budget of those, a second.
+    announce_s_per_peer, least_announce_s
+        An instance announces itself anew each ``peers * announce_s_per_peer``
+        seconds, so that the announcements of all stay constant; never more often
+        than ``least_announce_s``.
+    """
+
+    interval_s: float = 1.0
+    own_domain_share: float = 0.75
+    timeout_s: float = 0.5
+    eager_exchanges: int = 2
+    eager_per_s: float = 1.0
+    announce_s_per_peer: float = 0.5
+    least_announce_s: float = 3.0
+
+
+class Gossip:
+    """Exchanges of an instance with its peers.
+
+    Use `make_gossip`. All methods may be called from any thread.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        news: NewsBoard,
+        pool: PeerCaller,
+        clock: Clock,
+        counters: Counters,
+        pace: GossipPace,
+        random: Random,
+    ) -> None:
+        self._identity = identity
+        self._news = news
+        self._pool = pool
+        self._clock = clock
+        self._counters = counters
+        self._pace = pace
+        self._random = random
+        self._table = PeerTable(identity.instance, clock)
+        self._wake = threading.Condition()
+        self._stopped = False
+        self._eager = 0
+        self._eager_budget = float(MOST_EAGER_WAITING)
+        self._budget_s = clock.monotonic()
+        self._seeds: dict[str, None] = {}
+        self._failures_by_instance: dict[str, int] = {}
+        self._sequence = 0
+        self._announced_s = float("-inf")
+        self._announced_offset = -1
+        self._state = int(InstanceState.STARTING)
+        self._config_offset = -1
+        self._thread = threading.Thread(target=self._run, name="gossip", daemon=True)
+        news.origin = identity.instance
+        news.subscribe(NEWS_PEER, self._on_peer_news)
+        news.on_fresh(self._on_fresh)
+
+    @property
+    def identity(self) -> PeerIdentity:
+        """What this instance tells of itself."""
+        return self._identity
+
+    @property
+    def peers_by_instance(self) -> Mapping[str, PeerView]:
+        """The peers that are believed to run, without this instance."""
+        return self._table.live()
+
+    def in_domain(self) -> list[PeerView]:
+        """Return the peers of this instance's failure domain."""
+        domain = self._identity.domain
+        return [p for p in self._table.live().values() if p.domain == domain]
+
+    def seed(self, addresses: Iterable[str]) -> None:
+        """Note addresses where peers may be found."""
+        for address in addresses:
+            if address == self._identity.peer_address:
+                continue
+            if address in self._seeds or len(self._seeds) < MOST_SEEDS:
+                self._seeds[address] = None
+
+    def set_state(self, state: int) -> None:
+        """Set this instance's `InstanceState` and announce it at once."""
+        self._state = int(state)
+        self._announce()
+        self._request_eager()
+
+    def set_config_offset(self, offset: int) -> None:
+        """Note up to where this instance has applied the configuration."""
+        self._config_offset = offset
+
+    def on_exchange(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Answer a peer's heartbeat (the serving side)."""
+        self._counters.add("gossip.served")
+        self._hear(heartbeat)
+        return self._heartbeat()
+
+    def start(self) -> None:
+        """Begin to exchange heartbeats in the background."""
+        self._announce()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop beginning exchanges."""
+        with self._wake:
+            self._stopped = True
+            self._wake.notify_all()
+        if self._thread.is_alive():
+            self._thread.join(timeout=STOP_WAIT_S)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "identity": str(self._identity.instance),
+            "incarnation": self._identity.incarnation,
+            "state": self._state,
+            "peers": {
+                peer.instance: {
+                    "domain": peer.domain,
+                    "incarnation": peer.incarnation,
+                    "config_offset": peer.config_offset,
+                    "suspected": peer.suspected_s is not None,
+                }
+                for peer in list(self._table.live().values())[:100]
+            },
+            "lost": [peer.instance for peer in self._table.lost()][:100],
+            "seeds": len(self._seeds),
+        }
+
+    def exchange_once(self) -> None:
+        """Do one exchange with a peer of the gossip's own choice."""
+        self._announce_if_due()
+        target = self._choose()
+        if target is not None:
+            self._exchange(*target)
+
+    def _run(self) -> None:
+        while self._wait():
+            try:
+                self.exchange_once()
+            except Exception:
+                self._counters.add("gossip.faults")
+                _log.exception("gossip goes on after a fault")
+
+    def _wait(self) -> bool:
+        """Wait for the next exchange; return False when stopped."""
+        jitter = self._random.uniform(0.7, 1.3)
+        with self._wake:
+            self._wake.wait_for(self._must_wake, self._pace.interval_s * jitter)
+            self._eager = max(self._eager - 1, 0)
+            return not self._stopped
+
+    def _must_wake(self) -> bool:
+        return self._stopped or self._eager > 0
+
+    def _on_fresh(self, kind: str) -> None:
+        if kind != NEWS_PEER:
+            self._request_eager()
+
+    def _request_eager(self) -> None:
+        """Ask for exchanges at once, as far as their budget goes."""
+        now_s = self._clock.monotonic()
+        with self._wake:
+            earned = (now_s - self._budget_s) * self._pace.eager_per_s
+            self._budget_s = now_s
+            self._eager_budget = min(
+                self._eager_budget + earned, float(MOST_EAGER_WAITING)
+            )
+            wanted = self._pace.eager_exchanges - self._eager
+            granted = max(min(wanted, int(self._eager_budget)), 0)
+            self._eager_budget -= granted
+            self._eager += granted
+            self._wake.notify_all()
+
+    def _choose(self) -> tuple[str, str | None] | None:
+        """Return the address to speak to and, where known, the instance there."""
+        suspects = [n for n, count in self._failures_by_instance.items() if count == 1]
+        for name in suspects:
+            peer = self._table.get(name)
+            if peer is not None and peer.suspected_s is None:
+                return peer.peer_address, name
+            self._failures_by_instance.pop(name, None)
+        live = list(self._table.live().values())
+        if not live or self._random.random() < LOST_PEER_SHARE:
+            stray = self._choose_stray()
+            if stray is not None:
+                return stray
+        return self._choose_live(live)
+
+    def _choose_live(self, live: list[PeerView]) -> tuple[str, str | None] | None:
+        if not live:
+            return None
+        domain = self._identity.domain
+        near = [peer for peer in live if peer.domain == domain]
+        far = [peer for peer in live if peer.domain != domain]
+        stay = self._random.random() < self._pace.own_domain_share
+        group = near if (stay and near) or not far else far
+        peer = self._random.choice(group)
+        return peer.peer_address, peer.instance
+
+    def _choose_stray(self) -> tuple[str, str | None] | None:
+        """Return a lost peer, or a seed at which no peer is known."""
+        lost = self._table.lost()
+        known = {peer.peer_address for peer in self._table.live().values()}
+        known.update(peer.peer_address for peer in lost)
+        strays: list[tuple[str, str | None]] = [
+            (peer.peer_address, peer.instance) for peer in lost
+        ]
+        strays += [(address, None) for address in self._seeds if address not in known]
+        return self._random.choice(strays) if strays else None
+
+    def _exchange(self, address: str, instance: str | None) -> None:
+        mine = self._heartbeat()
+        self._counters.add("gossip.begun")
+        try:
+            theirs = self._pool.call(
+                address,
+                lambda peer: _call_exchange(peer, mine),
+                self._pace.timeout_s,
+                fresh=False,
+            )
+        except PeerUnavailableError:
+            self._counters.add("gossip.failed")
+            if instance is not None:
+                self._fail(instance)
+            return
+        self._hear(theirs)
+
+    def _fail(self, instance: str) -> None:
+        failures = self._failures_by_instance.get(instance, 0) + 1
+        if failures < 2:
+            self._failures_by_instance[instance] = failures
+            return
+        self._failures_by_instance.pop(instance, None)
+        peer = self._table.suspect(instance)
+        if peer is None:
+            return
+        self._counters.add("gossip.suspected")
+        _log.warning("peer {} does not answer and is suspected", instance)
+        self._publish(peer)
+        self._request_eager()
+
+    def _hear(self, heartbeat: Heartbeat) -> None:
+        """Take in a heartbeat: a sign of life, and news."""
+        now_s = self._clock.monotonic()
+        peer = PeerView(
+            instance=heartbeat.instance,
+            incarnation=heartbeat.incarnation,
+            domain=heartbeat.domain,
+            peer_address=heartbeat.peer_address,
+            http_address=heartbeat.http_address,
+            config_offset=heartbeat.config_offset,
+            state=heartbeat.state,
+            heard_s=now_s,
+            sequence=heartbeat.sequence,
+        )
+        if peer.instance != self._identity.instance:
+            self._hear_peer(peer)
+        self._news.receive(heartbeat.news[: 4 * MOST_NEWS_PER_HEARTBEAT])
+
+    def _hear_peer(self, peer: PeerView) -> None:
+        self._failures_by_instance.pop(peer.instance, None)
+        known = self._table.get(peer.instance)
+        if known is not None and known.version > peer.version:
+            if known.incarnation > peer.incarnation:
+                self._counters.add("gossip.old_incarnation")
+                return
+            # It speaks, so it lives, whatever a newer suspicion says.
+            peer = evolve(peer, sequence=known.sequence)
+        self._table.put(peer)
+        if known is None or known.version < peer.version:
+            self._publish(peer)
+
+    def _publish(self, peer: PeerView) -> None:
+        self._news.publish(
+            NEWS_PEER, peer.instance, body_of(peer), self._peer_ttl_s(), peer.version
+        )
+
+    def _on_peer_news(self, subject: str, body: dict[str, Any], _: str) -> None:
+        peer = peer_of(subject, body, self._clock.monotonic())
+        if peer is None:
+            self._counters.add("news.malformed")
+            return
+        if subject == self._identity.instance:
+            self._contradict(peer)
+            return
+        self._table.put(peer)
+
+    def _contradict(self, rumour: PeerView) -> None:
+        """Announce this instance anew when peers suspect it."""
+        same = rumour.incarnation == self._identity.incarnation
+        if same and rumour.sequence >= self._sequence:
+            self._sequence = rumour.sequence
+            self._announce()
+            if rumour.suspected_s is not None:
+                self._counters.add("gossip.contradicted")
+                self._request_eager()
+
+    def _announce_if_due(self) -> None:
+        peers = len(self._table.live())
+        self._news.sends_per_item = ceil(1.5 * log2(peers + 2))
+        wait_s = max(
+            self._pace.least_announce_s, peers * self._pace.announce_s_per_peer
+        )
+        if self._clock.monotonic() - self._announced_s >= wait_s:
+            self._announce()
+
+    def _announce(self) -> None:
+        self._sequence += 1
+        self._announced_s = self._clock.monotonic()
+        self._publish(self._own_view())
+
+    def _own_view(self) -> PeerView:
+        mine = self._identity
+        return PeerView(
+            instance=mine.instance,
+            incarnation=mine.incarnation,
+            domain=mine.domain,
+            peer_address=mine.peer_address,
+            http_address=mine.http_address,
+            config_offset=self._config_offset,
+            state=self._state,
+            heard_s=self._clock.monotonic(),
+            sequence=self._sequence,
+        )
+
+    def _peer_ttl_s(self) -> float:
+        peers = len(self._table.live())
+        return max(60.0, 4 * peers * self._pace.announce_s_per_peer)
+
+    def _heartbeat(self) -> Heartbeat:
+        mine = self._identity
+        return Heartbeat(
+            instance=mine.instance,
+            incarnation=mine.incarnation,
+            domain=mine.domain,
+            peer_address=mine.peer_address,
+            http_address=mine.http_address,
+            config_offset=self._config_offset,
+            state=self._state,
+            news=self._news.to_send(MOST_NEWS_PER_HEARTBEAT),
+            sequence=self._sequence,
+        )
+
+
+def make_gossip(
+    identity: PeerIdentity,
+    news: NewsBoard,
+    pool: PeerCaller,
+    clock: Clock,
+    counters: Counters,
+    pace: GossipPace | None = None,
+    seed: int | None = None,
+) -> Gossip:
+    """Return a gossip that has not started.
+
+    Parameters
+    ----------
+    identity
+        What the instance tells of itself.
+    news
+        The board whose news the heartbeats carry.
+    pool
+        The client connections to peers.
+    clock, counters
+        Shared parts of the instance.
+    pace
+        How often to speak; the default keeps to the budget of docs/CAPACITY.md.
+    seed
+        Seed of the choice of peers.
+    """
+    chosen = pace if pace is not None else GossipPace()
+    return Gossip(identity, news, pool, clock, counters, chosen, Random(seed))
+
+
+def _call_exchange(peer: Peer.Client, mine: Heartbeat) -> Heartbeat:
+    reply: Heartbeat = peer.exchange(mine)
+    return reply
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/news.py
@@ -0,0 +1,323 @@
+"""Facts that spread from instance to instance inside heartbeats.
+
+The board keeps the newest version of every (kind, subject), forgets it after its
+time to live, and hands out a bounded selection for each heartbeat: the news sent
+least often first, then a few old pieces in rotation, which repairs what the first
+spreading missed.
+"""
+
+import heapq
+import threading
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import orjson
+from attrs import define
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_wire.gen.celeryfork.ttypes import News
+
+from celeryfork_membership.errors import NewsTooLargeError
+
+MOST_BODY_BYTES = 512
+MOST_NAME_CHARACTERS = 256
+MOST_ITEMS = 8192
+MOST_TTL_S = 3600.0
+MOST_NEWS_BYTES_PER_HEARTBEAT = 450
+MOST_OLD_ITEMS_PER_HEARTBEAT = 2
+NEWS_FRAME_BYTES = 60
+DEFAULT_SENDS_PER_ITEM = 6
+
+NewsCallback = Callable[[str, dict[str, Any], str], None]
+_Key = tuple[str, str]
+
+
+@define
+class _Item:
+    """The newest version of one fact."""
+
+    kind: str
+    subject: str
+    version: int
+    body: str
+    origin: str
+    born_s: float
+    ttl_s: float
+    sends: int = 0
+
+    @property
+    def key(self) -> _Key:
+        return self.kind, self.subject
+
+    @property
+    def size_bytes(self) -> int:
+        names = len(self.kind) + len(self.subject) + len(self.origin)
+        return NEWS_FRAME_BYTES + names + len(self.body)
+
+    def expired(self, now_s: float) -> bool:
+        return now_s - self.born_s >= self.ttl_s
+
+    def beats(self, other: "_Item | None") -> bool:
+        """Return whether this one replaces ``other``; ties go to the larger body."""
+        if other is None:
+            return True
+        return (self.version, self.body) > (other.version, other.body)
+
+
+class NewsBoard:
+    """The news that an instance knows; safe to use from any thread.
+
+    Use `make_news_board`.
+    """
+
+    def __init__(self, clock: Clock, counters: Counters, origin: str) -> None:
+        self.origin = origin
+        self.sends_per_item = DEFAULT_SENDS_PER_ITEM
+        self._clock = clock
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._items_by_key: dict[_Key, _Item] = {}
+        self._fresh_by_key: dict[_Key, _Item] = {}
+        self._old_keys: deque[_Key] = deque()
+        self._callbacks_by_kind: dict[str, list[NewsCallback]] = {}
+        self._on_fresh: list[Callable[[str], None]] = []
+
+    def publish(
+        self,
+        kind: str,
+        subject: str,
+        body: dict[str, Any],
+        ttl_s: float,
+        version: int | None = None,
+    ) -> None:
+        """Put a fact of this instance on the board.
+
+        Subscribers of this instance are not called: they hear only of peers' news.
+
+        Parameters
+        ----------
+        kind, subject
+            What the fact is about; the highest version of a pair wins.
+        body
+            JSON-able, at most `MOST_BODY_BYTES` when encoded.
+        ttl_s
+            How long anybody remembers it, in seconds.
+        version
+            Defaults to the wall clock in milliseconds, or one more than the version
+            on the board if that is higher.
+
+        Raises
+        ------
+        NewsTooLargeError
+            The body or a name is too long to fit into a heartbeat.
+        """
+        encoded = orjson.dumps(body).decode()
+        _check_size(kind, subject, encoded)
+        with self._lock:
+            known = self._items_by_key.get((kind, subject))
+            if version is None:
+                version = self._clock.wall_ms()
+                if known is not None:
+                    version = max(version, known.version + 1)
+            item = _Item(
+                kind=kind,
+                subject=subject,
+                version=version,
+                body=encoded,
+                origin=self.origin,
+                born_s=self._clock.monotonic(),
+                ttl_s=min(ttl_s, MOST_TTL_S),
+            )
+            if not item.beats(known):
+                return
+            self._store(item)
+        self._counters.add("news.published")
+        self._tell_fresh(kind)
+
+    def subscribe(self, kind: str, callback: NewsCallback) -> None:
+        """Call ``callback(subject, body, origin)`` for each newer fact from a peer."""
+        with self._lock:
+            self._callbacks_by_kind.setdefault(kind, []).append(callback)
+
+    def on_fresh(self, callback: Callable[[str], None]) -> None:
+        """Call ``callback(kind)`` whenever the board takes in something new."""
+        self._on_fresh.append(callback)
+
+    def to_send(self, limit: int) -> list[News]:
+        """Return at most ``limit`` pieces that fit into one heartbeat."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            chosen = self._choose_fresh(limit, now_s)
+            chosen += self._choose_old(limit - len(chosen), chosen, now_s)
+            return [_to_wire(item, now_s) for item in chosen]
+
+    def receive(self, news: Iterable[News]) -> None:
+        """Take in a peer's news; malformed pieces are counted and dropped."""
+        for piece in news:
+            item = self._from_wire(piece)
+            if item is None:
+                self._counters.add("news.malformed")
+                continue
+            body = _decode(item.body)
+            if body is None:
+                self._counters.add("news.malformed")
+                continue
+            self._take(item, body)
+
+    def current(self, kind: str) -> dict[str, dict[str, Any]]:
+        """Return the bodies of all unexpired facts of a kind, by subject."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            items = [i for i in self._items_by_key.values() if i.kind == kind]
+        return {
+            item.subject: orjson.loads(item.body)
+            for item in items
+            if not item.expired(now_s)
+        }
+
+    def dump(self) -> dict[str, object]:
+        """Return the number of facts by kind, for the state dump."""
+        with self._lock:
+            counts: dict[str, int] = {}
+            for kind, _ in self._items_by_key:
+                counts[kind] = counts.get(kind, 0) + 1
+            return {"items_by_kind": counts, "spreading": len(self._fresh_by_key)}
+
+    def _take(self, item: _Item, body: dict[str, Any]) -> None:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            if item.expired(now_s):
+                return
+            if not item.beats(self._items_by_key.get(item.key)):
+                self._counters.add("news.known_already")
+                return
+            self._store(item)
+            callbacks = list(self._callbacks_by_kind.get(item.kind, ()))
+        self._counters.add("news.received")
+        for callback in callbacks:
+            callback(item.subject, body, item.origin)
+        self._tell_fresh(item.kind)
+
+    def _tell_fresh(self, kind: str) -> None:
+        for callback in self._on_fresh:
+            callback(kind)
+
+    def _store(self, item: _Item) -> None:
+        if item.key not in self._items_by_key and len(self._items_by_key) >= MOST_ITEMS:
+            self._make_room()
+        self._items_by_key[item.key] = item
+        self._fresh_by_key[item.key] = item
+
+    def _make_room(self) -> None:
+        """Drop the expired, or else the pieces that would expire first."""
+        self._counters.add("news.evicted")
+        by_expiry = sorted(
+            self._items_by_key.values(), key=lambda item: item.born_s + item.ttl_s
+        )
+        for item in by_expiry[: MOST_ITEMS // 16]:
+            self._drop(item.key)
+
+    def _drop(self, key: _Key) -> None:
+        self._items_by_key.pop(key, None)
+        self._fresh_by_key.pop(key, None)
+
+    def _choose_fresh(self, limit: int, now_s: float) -> list[_Item]:
+        for key in [k for k, i in self._fresh_by_key.items() if i.expired(now_s)]:
+            self._drop(key)
+        chosen: list[_Item] = []
+        left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
+        ranked = heapq.nsmallest(
+            limit, self._fresh_by_key.values(), key=lambda i: (i.sends, -i.born_s)
+        )
+        for item in ranked:
+            if chosen and item.size_bytes > left_bytes:
+                break
+            left_bytes -= item.size_bytes
+            chosen.append(item)
+            item.sends += 1
+            if item.sends >= self.sends_per_item:
+                del self._fresh_by_key[item.key]
+                self._old_keys.append(item.key)
+        return chosen
+
+    def _choose_old(self, limit: int, chosen: list[_Item], now_s: float) -> list[_Item]:
+        left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
+        left_bytes -= sum(item.size_bytes for item in chosen)
+        picked: list[_Item] = []
+        for _ in range(min(limit, MOST_OLD_ITEMS_PER_HEARTBEAT)):
+            item = self._next_old(now_s)
+            if item is None or item.size_bytes > left_bytes:
+                break
+            if item not in chosen and item not in picked:
+                left_bytes -= item.size_bytes
+                picked.append(item)
+        return picked
+
+    def _next_old(self, now_s: float) -> _Item | None:
+        for _ in range(min(len(self._old_keys), 16)):
+            key = self._old_keys.popleft()
+            item = self._items_by_key.get(key)
+            if item is None or key in self._fresh_by_key:
+                continue
+            if item.expired(now_s):
+                self._drop(key)
+                continue
+            self._old_keys.append(key)
+            return item
+        return None
+
+    def _from_wire(self, news: News) -> _Item | None:
+        names = (news.kind, news.subject, news.origin or "")
+        if any(len(name) > MOST_NAME_CHARACTERS for name in names):
+            return None
+        if len(news.body) > MOST_BODY_BYTES or news.age_ms < 0:
+            return None
+        ttl_s = MOST_TTL_S if news.ttl_ms is None else news.ttl_ms / 1000
+        return _Item(
+            kind=news.kind,
+            subject=news.subject,
+            version=news.version,
+            body=news.body,
+            origin=news.origin or "",
+            born_s=self._clock.monotonic() - news.age_ms / 1000,
+            ttl_s=min(ttl_s, MOST_TTL_S),
+        )
+
+
+def make_news_board(clock: Clock, counters: Counters, origin: str = "") -> NewsBoard:
+    """Return an empty board; ``origin`` names the instance in what it publishes."""
+    return NewsBoard(clock, counters, origin)
+
+
+def _check_size(kind: str, subject: str, body: str) -> None:
+    if len(body) > MOST_BODY_BYTES:
+        raise NewsTooLargeError(
+            f"News {kind}/{subject} has a body of {len(body)} bytes.",
+            f"keep it within {MOST_BODY_BYTES}",
+        )
+    if max(len(kind), len(subject)) > MOST_NAME_CHARACTERS:
+        raise NewsTooLargeError(
+            f"News {kind[:40]}/{subject[:40]} has too long a name.",
+            f"keep names within {MOST_NAME_CHARACTERS} characters",
+        )
+
+
+def _decode(body: str) -> dict[str, Any] | None:
+    try:
+        decoded = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return None
+    return decoded if isinstance(decoded, dict) else None
+
+
+def _to_wire(item: _Item, now_s: float) -> News:
+    return News(
+        kind=item.kind,
+        subject=item.subject,
+        version=item.version,
+        body=item.body,
+        age_ms=round((now_s - item.born_s) * 1000),
+        origin=item.origin or None,
+        ttl_ms=round(item.ttl_s * 1000),
+    )
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/peers.py
@@ -0,0 +1,216 @@
+"""The table of peer instances, kept by heartbeats and by news of them."""
+
+import threading
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+from attrs import evolve, frozen
+from celeryfork_base.clock import Clock
+from celeryfork_wire.gen.celeryfork.ttypes import InstanceState
+
+SUSPECT_S = 3.0
+FORGET_S = 600.0
+MOST_PEERS = 4096
+SEQUENCE_BITS = 20
+
+
+@frozen
+class PeerIdentity:
+    """What an instance tells its peers of itself.
+
+    Parameters
+    ----------
+    instance
+        Its name.
+    incarnation
+        Wall clock at its start, in milliseconds: a restart is a newer incarnation.
+    domain
+        Its failure domain.
+    peer_address, http_address
+        ``ip:port`` where it serves peers and callers.
+    """
+
+    instance: str
+    incarnation: int
+    domain: str
+    peer_address: str
+    http_address: str
+
+
+@frozen
+class PeerView:
+    """What is known of one peer.
+
+    Parameters
+    ----------
+    instance, incarnation, domain, peer_address, http_address
+        As in `PeerIdentity`.
+    config_offset
+        Offset up to which it had applied the configuration when last heard of.
+    state
+        Its `InstanceState`.
+    heard_s
+        Monotonic time of the last sign of life, direct or by news.
+    sequence
+        Grows with each announcement of the incarnation.
+    suspected_s
+        When some instance began to fail to reach it; None while it is well.
+    """
+
+    instance: str
+    incarnation: int
+    domain: str
+    peer_address: str
+    http_address: str
+    config_offset: int
+    state: int
+    heard_s: float
+    sequence: int = 0
+    suspected_s: float | None = None
+
+    @property
+    def version(self) -> int:
+        """The version of the news of it: incarnation first, then sequence."""
+        return news_version(self.incarnation, self.sequence)
+
+
+def news_version(incarnation: int, sequence: int) -> int:
+    """Return the version of an announcement."""
+    return incarnation << SEQUENCE_BITS | min(sequence, (1 << SEQUENCE_BITS) - 1)
+
+
+class PeerTable:
+    """The peers known, by instance; safe to use from any thread."""
+
+    def __init__(self, own_instance: str, clock: Clock) -> None:
+        self._own_instance = own_instance
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._peers_by_instance: dict[str, PeerView] = {}
+        self._live: Mapping[str, PeerView] = MappingProxyType({})
+        self._live_until_s = float("-inf")
+
+    def live(self) -> Mapping[str, PeerView]:
+        """Return the peers that are believed to run, by instance."""
+        now_s = self._clock.monotonic()
+        if now_s < self._live_until_s:
+            return self._live
+        with self._lock:
+            self._forget(now_s)
+            live = {
+                name: peer
+                for name, peer in self._peers_by_instance.items()
+                if not _dead(peer, now_s)
+            }
+            self._live = MappingProxyType(live)
+            ends_s = (
+                peer.suspected_s + SUSPECT_S
+                for peer in live.values()
+                if peer.suspected_s is not None
+            )
+            self._live_until_s = min(ends_s, default=now_s + SUSPECT_S)
+            return self._live
+
+    def lost(self) -> list[PeerView]:
+        """Return the peers that seem dead and may come back."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            return [
+                peer
+                for peer in self._peers_by_instance.values()
+                if _dead(peer, now_s) and peer.state != InstanceState.STOPPED
+            ]
+
+    def get(self, instance: str) -> PeerView | None:
+        """Return a peer, dead or alive."""
+        return self._peers_by_instance.get(instance)
+
+    def by_address(self, address: str) -> PeerView | None:
+        """Return the peer that serves peers at ``address``."""
+        with self._lock:
+            peers = list(self._peers_by_instance.values())
+        return next((peer for peer in peers if peer.peer_address == address), None)
+
+    def put(self, peer: PeerView) -> None:
+        """Take in an announcement unless a newer one is known."""
+        if peer.instance == self._own_instance:
+            return
+        with self._lock:
+            known = self._peers_by_instance.get(peer.instance)
+            if known is not None and known.version > peer.version:
+                return
+            if known is None and len(self._peers_by_instance) >= MOST_PEERS:
+                return
+            self._peers_by_instance[peer.instance] = peer
+            self._live_until_s = float("-inf")
+
+    def suspect(self, instance: str) -> PeerView | None:
+        """Begin to suspect a peer; return it unless it was suspected already."""
+        with self._lock:
+            peer = self._peers_by_instance.get(instance)
+            if peer is None or peer.suspected_s is not None:
+                return None
+            peer = evolve(
+                peer,
+                suspected_s=self._clock.monotonic(),
+                sequence=peer.sequence + 1,
+            )
+            self._peers_by_instance[instance] = peer
+            self._live_until_s = float("-inf")
+            return peer
+
+    def _forget(self, now_s: float) -> None:
+        for name, peer in list(self._peers_by_instance.items()):
+            if _dead(peer, now_s) and now_s - peer.heard_s > FORGET_S:
+                del self._peers_by_instance[name]
+
+
+def body_of(peer: PeerView) -> dict[str, Any]:
+    """Return the body of the news of a peer, short because it goes everywhere."""
+    return {
+        "p": [
+            peer.incarnation,
+            peer.sequence,
+            peer.domain,
+            peer.peer_address,
+            peer.http_address,
+            peer.config_offset,
+            peer.state,
+            int(peer.suspected_s is not None),
+        ]
+    }
+
+
+def peer_of(instance: str, body: dict[str, Any], now_s: float) -> PeerView | None:
+    """Return the peer that a piece of news describes, None if it is malformed."""
+    match body.get("p"):
+        case [
+            int(incarnation),
+            int(sequence),
+            str(domain),
+            str(peer_address),
+            str(http_address),
+            int(config_offset),
+            int(state),
+            int(suspected),
+        ]:
+            return PeerView(
+                instance=instance,
+                incarnation=incarnation,
+                domain=domain,
+                peer_address=peer_address,
+                http_address=http_address,
+                config_offset=config_offset,
+                state=state,
+                heard_s=now_s,
+                sequence=sequence,
+                suspected_s=now_s if suspected else None,
+            )
+    return None
+
+
+def _dead(peer: PeerView, now_s: float) -> bool:
+    if peer.state == InstanceState.STOPPED:
+        return True
+    return peer.suspected_s is not None and now_s - peer.suspected_s >= SUSPECT_S
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/watch.py
@@ -0,0 +1,134 @@
+"""Polls the instance list and hands it to the view and to gossip."""
+
+import threading
+from random import Random
+from typing import TYPE_CHECKING, Protocol
+
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import CeleryforkError
+from logbook import Logger
+
+from celeryfork_membership.gossip import Gossip
+from celeryfork_membership.targets import TargetView
+
+if TYPE_CHECKING:
+    from celeryfork_platform.model import InstanceList
+
+FETCH_TIMEOUT_S = 2.0
+MOST_BACKOFF_FACTOR = 8.0
+STOP_WAIT_S = 3.0
+
+_log = Logger("membership")
+
+
+class InstanceListClient(Protocol):
+    """Fetches the instance list."""
+
+    def fetch(self, timeout_s: float) -> "InstanceList":
+        """Return the list as the platform shows it now."""
+
+
+class InstanceWatch:
+    """The thread that follows the instance list.
+
+    Use `make_instance_watch`.
+    """
+
+    def __init__(
+        self,
+        list_client: InstanceListClient,
+        view: TargetView,
+        gossip: Gossip,
+        clock: Clock,
+        counters: Counters,
+        poll_s: float,
+    ) -> None:
+        self._list_client = list_client
+        self._view = view
+        self._gossip = gossip
+        self._clock = clock
+        self._counters = counters
+        self._poll_s = poll_s
+        self._failures = 0
+        self._fetched_s: float | None = None
+        self._random = Random()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="watch", daemon=True)
+
+    @property
+    def fetched(self) -> bool:
+        """Whether the list has been fetched at least once."""
+        return self._fetched_s is not None
+
+    def start(self) -> None:
+        """Begin to poll in the background."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=STOP_WAIT_S)
+
+    def poll_once(self) -> bool:
+        """Fetch the list once; return whether it came."""
+        try:
+            instances = self._list_client.fetch(FETCH_TIMEOUT_S)
+        except CeleryforkError as error:
+            self._fail(error)
+            return False
+        self._counters.add("watch.fetched")
+        if self._failures:
+            _log.info("the instance list answers again")
+        self._failures = 0
+        self._fetched_s = self._clock.monotonic()
+        self._view.update_from_list(instances)
+        self._gossip.seed(_peer_addresses(instances))
+        return True
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        fetched_s = self._fetched_s
+        age_s = None if fetched_s is None else self._clock.monotonic() - fetched_s
+        return {"failures": self._failures, "age_s": age_s}
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self.poll_once()
+            except Exception as error:
+                self._fail(error)
+            self._stopping.wait(self._next_wait_s())
+
+    def _fail(self, error: Exception) -> None:
+        self._counters.add("watch.failed")
+        if not self._failures:
+            _log.warning("the instance list fails, its last answer stands: {}", error)
+        self._failures += 1
+
+    def _next_wait_s(self) -> float:
+        factor = min(2.0**self._failures, MOST_BACKOFF_FACTOR)
+        return self._poll_s * factor * self._random.uniform(0.8, 1.2)
+
+
+def make_instance_watch(
+    list_client: InstanceListClient,
+    view: TargetView,
+    gossip: Gossip,
+    clock: Clock,
+    counters: Counters,
+    poll_s: float,
+) -> InstanceWatch:
+    """Return a watch that has not started; ``poll_s`` is the time between polls."""
+    return InstanceWatch(list_client, view, gossip, clock, counters, poll_s)
+
+
+def _peer_addresses(instances: "InstanceList") -> list[str]:
+    """Return the peer addresses of the live entry instances in the list."""
+    addresses = (
+        instance.attributes.get("peer_address")
+        for instance in instances.by_id.values()
+        if instance.role == "entry" and instance.state == "live"
+    )
+    return [address for address in addresses if isinstance(address, str)]
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/baselines.py
@@ -0,0 +1,120 @@
+"""Simple routers to compare with: random, round robin, least in flight."""
+
+import threading
+from collections.abc import Sequence
+from itertools import count
+from random import Random
+
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_membership.targets import Target, TargetView
+
+from celeryfork_routing.chains import Chain, ChainRequest, ChainResult, Hop
+
+
+class RandomRouter:
+    """Goes through the layers and takes any engine that holds the next one.
+
+    Parameters
+    ----------
+    view
+        Which targets there are.
+    seed
+        Seed of the choices.
+    """
+
+    def __init__(self, view: TargetView, seed: int) -> None:
+        self._view = view
+        self._random = Random(seed)
+        self._lock = threading.Lock()
+        self._ids = count(1)
+        self._in_flight_by_id: dict[str, int] = {}
+
+    def choose(self, request: ChainRequest) -> Chain:
+        """Return a chain and count it in flight."""
+        targets = [
+            target
+            for target in self._view.in_choice(request.model)
+            if target.id not in request.avoid
+        ]
+        with self._lock:
+            hops: list[Hop] = []
+            reached = 0
+            while reached < request.layers:
+                holders = [
+                    t for t in targets if t.first_layer <= reached < t.last_layer
+                ]
+                if not holders:
+                    raise _refusal(request.model)
+                target = self._pick(holders, reached)
+                last = min(target.last_layer, request.layers)
+                hops.append(Hop(target, reached, last))
+                reached = last
+            for hop in hops:
+                self._count(hop.target, 1)
+            return Chain(tuple(hops), f"baseline-{next(self._ids)}")
+
+    def release(self, chain: Chain, result: ChainResult) -> None:
+        """Count a chain out again."""
+        with self._lock:
+            for hop in chain.hops:
+                self._count(hop.target, -1)
+
+    def choose_service(self, service: str, avoid: frozenset[str]) -> Target:
+        """Return a target of a plain service and count it in flight."""
+        targets = [t for t in self._view.in_choice(service) if t.id not in avoid]
+        if not targets:
+            raise _refusal(service)
+        with self._lock:
+            target = self._pick(targets, 0)
+            self._count(target, 1)
+            return target
+
+    def release_service(self, target: Target, ok: bool, seconds: float) -> None:
+        """Count a call to a plain service out again."""
+        with self._lock:
+            self._count(target, -1)
+
+    def dump(self) -> dict[str, object]:
+        """Return the work in flight by target."""
+        with self._lock:
+            return {"in_flight": dict(self._in_flight_by_id)}
+
+    def _pick(self, targets: Sequence[Target], layer: int) -> Target:
+        return self._random.choice(targets)
+
+    def _count(self, target: Target, change: int) -> None:
+        in_flight = self._in_flight_by_id.get(target.id, 0) + change
+        self._in_flight_by_id[target.id] = in_flight
+
+
+class RoundRobinRouter(RandomRouter):
+    """Takes the engines that hold the next layer in turn."""
+
+    def __init__(self, view: TargetView, seed: int) -> None:
+        super().__init__(view, seed)
+        self._turn_by_layer: dict[int, int] = {}
+
+    def _pick(self, targets: Sequence[Target], layer: int) -> Target:
+        turn = self._turn_by_layer.get(layer, self._random.randrange(1 << 16))
+        self._turn_by_layer[layer] = turn + 1
+        return targets[turn % len(targets)]
+
+
+class LeastInFlightRouter(RandomRouter):
+    """Takes the engine with the least of this instance's own work in flight."""
+
+    def _pick(self, targets: Sequence[Target], layer: int) -> Target:
+        least = min(self._in_flight_by_id.get(target.id, 0) for target in targets)
+        idle = [t for t in targets if self._in_flight_by_id.get(t.id, 0) == least]
+        return self._random.choice(idle)
+
+
+def _refusal(name: str) -> RequestRefusedError:
+    return RequestRefusedError(
+        f"No usable targets serve all of {name}.",
+        "try again later",
+        outcome=Outcome.NOT_RUN,
+        status=503,
+        code="no_target",
+    )
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/fleet.py
@@ -0,0 +1,133 @@
+"""The engines of one model and the plan over them, kept up to date off the path."""
+
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_membership.targets import Target
+
+from celeryfork_routing.engines import Engine, make_engine
+from celeryfork_routing.paths import LatencyOf
+from celeryfork_routing.plan import Plan, make_plan
+
+LEAST_REPLAN_S = 0.2
+REPLAN_FOR_SPEED_S = 5.0
+MOST_PLANNING_SHARE = 0.01
+
+RateOf = Callable[[Target, int], float]
+
+
+class Fleet:
+    """One model's engines, those usable now, and the present plan."""
+
+    def __init__(
+        self,
+        model: str,
+        layers: int,
+        clock: Clock,
+        counters: Counters,
+        executor: Executor,
+        rate_of: RateOf,
+        latency_s: LatencyOf,
+        origin: str,
+    ) -> None:
+        self.model = model
+        self.layers = layers
+        self.plan: Plan | None = None
+        self.engines_by_id: dict[str, Engine] = {}
+        self.usable_ids: frozenset[str] = frozenset()
+        self._clock = clock
+        self._counters = counters
+        self._executor = executor
+        self._rate_of = rate_of
+        self._latency_s = latency_s
+        self._origin = origin
+        self._in_choice: Sequence[Target] = ()
+        self._planned_for: Sequence[Target] | None = None
+        self._planned_s = float("-inf")
+        self._pause_s = LEAST_REPLAN_S
+        self._planning = threading.Lock()
+
+    def see(self, in_choice: Sequence[Target]) -> None:
+        """Take in who is in choice; plan anew in the background when it changed."""
+        if in_choice is not self._in_choice:
+            self._take_over(in_choice)
+        now_s = self._clock.monotonic()
+        if self.plan is None:
+            self._replan()
+            return
+        changed = self._planned_for is not in_choice
+        pause_s = self._pause_s if changed else max(REPLAN_FOR_SPEED_S, self._pause_s)
+        if now_s - self._planned_s < pause_s:
+            return
+        self._planned_s = now_s
+        if not self._planning.locked():
+            self._executor.submit(self._replan)
+
+    def usable_engines(self, avoid: frozenset[str]) -> list[Engine]:
+        """Return the engines that may be chosen now."""
+        return [
+            self.engines_by_id[target_id]
+            for target_id in self.usable_ids
+            if target_id not in avoid
+        ]
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        plan = self.plan
+        return {
+            "engines": len(self.engines_by_id),
+            "usable": len(self.usable_ids),
+            "bound_tokens_per_second": plan.bound.tokens_per_second if plan else 0.0,
+            "paths": len(plan.spread.paths) if plan and plan.spread else 0,
+            "slow_ids": sorted(
+                engine.target.id
+                for engine in list(self.engines_by_id.values())
+                if engine.capacity < engine.nominal
+            ),
+            "own_layers_in_flight": sum(
+                engine.own_layers for engine in list(self.engines_by_id.values())
+            ),
+        }
+
+    def _take_over(self, in_choice: Sequence[Target]) -> None:
+        """Make engines for new targets; forget idle ones that are gone."""
+        engines_by_id = dict(self.engines_by_id)
+        for target in in_choice:
+            known = engines_by_id.get(target.id)
+            if known is None or known.target != target:
+                engines_by_id[target.id] = self._renew(known, target)
+        usable_ids = frozenset(target.id for target in in_choice)
+        for target_id, engine in list(engines_by_id.items()):
+            if target_id not in usable_ids and engine.own_streams <= 0:
+                del engines_by_id[target_id]
+        self.engines_by_id = engines_by_id
+        self.usable_ids = usable_ids
+        self._in_choice = in_choice
+
+    def _renew(self, known: Engine | None, target: Target) -> Engine:
+        engine = make_engine(target, self._rate_of(target, self.layers))
+        same = known is not None and known.target.incarnation == target.incarnation
+        if known is not None and same:
+            engine.slowness, engine.samples = known.slowness, known.samples
+        return engine
+
+    def _replan(self) -> None:
+        with self._planning:
+            began_s = self._clock.monotonic()
+            in_choice = self._in_choice
+            engines_by_id = self.engines_by_id
+            engines = [engines_by_id[t.id] for t in in_choice if t.id in engines_by_id]
+            for engine in engines:
+                held = engine.target.last_layer - engine.target.first_layer
+                rate = self._rate_of(engine.target, self.layers)
+                engine.nominal = max(rate, 1e-3) * held
+            self.plan = make_plan(engines, self.layers, self._latency_s, self._origin)
+            self._planned_for = in_choice
+            took_s = self._clock.monotonic() - began_s
+            self._planned_s = began_s
+            self._pause_s = max(LEAST_REPLAN_S, took_s / MOST_PLANNING_SHARE)
+            self._counters.add("routing.plans")
+            self._counters.timing("routing.plan", took_s)
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/gaps.py
@@ -0,0 +1,35 @@
+"""Which hops of an earlier attempt can stay, and which layers that leaves open."""
+
+from collections.abc import Iterable, Sequence
+
+from celeryfork_routing.chains import Hop
+
+
+def kept_hops(
+    keep: Iterable[Hop], usable_ids: frozenset[str], layers: int
+) -> list[Hop]:
+    """Return the hops to use again: usable, within the model, not overlapping."""
+    kept: list[Hop] = []
+    reached = 0
+    for hop in sorted(keep, key=lambda hop: hop.first):
+        held = hop.target.first_layer <= hop.first < hop.last <= hop.target.last_layer
+        if not held or hop.target.id not in usable_ids:
+            continue
+        if hop.first < reached or hop.last > layers:
+            continue
+        kept.append(hop)
+        reached = hop.last
+    return kept
+
+
+def gaps_between(runs: Sequence[tuple[int, int]], layers: int) -> list[tuple[int, int]]:
+    """Return the layers of ``[0, layers)`` that ordered runs leave open."""
+    gaps = []
+    reached = 0
+    for first, last in runs:
+        if first > reached:
+            gaps.append((reached, first))
+        reached = last
+    if reached < layers:
+        gaps.append((reached, layers))
+    return gaps
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/router.py
@@ -0,0 +1,305 @@
+"""Chooses chains of engines and targets of services, and learns from what comes."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Executor, ThreadPoolExecutor
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_membership.probe import LoadProbe
+from celeryfork_membership.targets import Target, TargetView
+
+from celeryfork_routing.chains import Chain, ChainRequest, ChainResult, Hop
+from celeryfork_routing.engines import DEFAULT_TOKENS_PER_S, Engine
+from celeryfork_routing.fleet import Fleet
+from celeryfork_routing.gaps import gaps_between, kept_hops
+from celeryfork_routing.picker import Picker
+from celeryfork_routing.search import Leg, cheapest_legs
+from celeryfork_routing.services import ServiceChoice
+
+if TYPE_CHECKING:
+    from celeryfork_config.in_force import Configuration
+
+__all__ = ["Chain", "ChainRequest", "ChainResult", "Hop", "Router", "make_router"]
+
+SAME_DOMAIN_LATENCY_S = 0.0001
+DEFAULT_LATENCY_S = 0.001
+RETRY_AFTER_S = 1.0
+LEAST_TOKENS_TO_LEARN = 4
+
+
+@frozen(eq=False)
+class _Flight:
+    """A chain in flight: the engines to count out, and the time expected."""
+
+    legs: tuple[Leg, ...]
+    expected_s: float
+
+
+class Router:
+    """Chooses for one instance; safe to use from any thread.
+
+    Use `make_router`.
+    """
+
+    def __init__(
+        self,
+        view: TargetView,
+        probe: LoadProbe,
+        configuration: "Callable[[], Configuration]",
+        domain: str,
+        clock: Clock,
+        counters: Counters,
+        seed: int,
+        executor: Executor,
+    ) -> None:
+        self._view = view
+        self._probe = probe
+        self._configuration = configuration
+        self._domain = domain
+        self._clock = clock
+        self._counters = counters
+        self._executor = executor
+        self._random = Random(seed)
+        self._picker = Picker(probe, clock, self._random)
+        self._services = ServiceChoice(domain, self._random)
+        self._lock = threading.Lock()
+        self._fleets_by_model: dict[tuple[str, int], Fleet] = {}
+        self._flights_by_chain_id: dict[str, _Flight] = {}
+        self._ids = count(1)
+        self._id_prefix = f"{self._random.getrandbits(32):08x}"
+
+    def choose(self, request: ChainRequest) -> Chain:
+        """Return a chain for the request and count it in flight.
+
+        Raises
+        ------
+        RequestRefusedError
+            ``no_target``: some layer is held by no target that may be used.
+        """
+        in_choice = self._view.in_choice(request.model)
+        with self._lock:
+            fleet = self._fleet(request)
+            plan = fleet.plan
+            fleet.see(in_choice)
+            if fleet.plan is not plan:
+                self._picker.forget()
+            legs = self._legs(fleet, request)
+            chain = self._begin(fleet, legs) if legs else None
+        if chain is None:
+            self._counters.add("routing.no_target")
+            raise _no_target(request.model)
+        self._counters.add("routing.chosen")
+        self._begin_trials([hop.target for hop in chain.hops])
+        return chain
+
+    def release(self, chain: Chain, result: ChainResult) -> None:
+        """Count a chain out again, and learn from its speed."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            flight = self._flights_by_chain_id.pop(chain.id, None)
+            if flight is None:
+                self._counters.add("routing.released_twice")
+                return
+            for leg in flight.legs:
+                leg.engine.end(leg.last - leg.first, now_s)
+            if result.failed_target is None:
+                _learn(flight, result)
+
+    def choose_service(self, service: str, avoid: frozenset[str]) -> Target:
+        """Return a target of a plain service and count it in flight.
+
+        Raises
+        ------
+        RequestRefusedError
+            ``no_target``: there is none that may be used.
+        """
+        in_choice = self._view.in_choice(service)
+        targets = [target for target in in_choice if target.id not in avoid]
+        if not targets:
+            self._counters.add("routing.no_target")
+            raise _no_target(service)
+        with self._lock:
+            target = self._services.choose(targets)
+        self._begin_trials([target])
+        return target
+
+    def release_service(self, target: Target, ok: bool, seconds: float) -> None:
+        """Count a call to a plain service out again."""
+        with self._lock:
+            self._services.release(target.id)
+        self._counters.timing("routing.service", seconds)
+        if not ok:
+            self._counters.add("routing.service_failed")
+
+    def stop(self) -> None:
+        """Stop planning in the background."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        with self._lock:
+            return {
+                "models": {
+                    fleet.model: fleet.dump()
+                    for fleet in self._fleets_by_model.values()
+                },
+                "chains_in_flight": len(self._flights_by_chain_id),
+                "service_calls_in_flight": self._services.dump(),
+            }
+
+    def _fleet(self, request: ChainRequest) -> Fleet:
+        key = (request.model, request.layers)
+        fleet = self._fleets_by_model.get(key)
+        if fleet is None:
+            fleet = Fleet(
+                request.model,
+                request.layers,
+                self._clock,
+                self._counters,
+                self._executor,
+                self._rate_of,
+                self._latency_s,
+                self._domain,
+            )
+            self._fleets_by_model[key] = fleet
+        return fleet
+
+    def _legs(self, fleet: Fleet, request: ChainRequest) -> tuple[Leg, ...] | None:
+        if not request.keep:
+            candidate = self._picker.pick(fleet, request)
+            if candidate is not None:
+                return candidate.legs
+        return self._legs_around_kept(fleet, request)
+
+    def _legs_around_kept(
+        self, fleet: Fleet, request: ChainRequest
+    ) -> tuple[Leg, ...] | None:
+        """Fill the gaps between the kept hops with the cheapest engines."""
+        self._counters.add("routing.searched")
+        engines = fleet.usable_engines(request.avoid)
+        engines_by_id = {engine.target.id: engine for engine in engines}
+        kept = [
+            Leg(engines_by_id[hop.target.id], hop.first, hop.last)
+            for hop in kept_hops(request.keep, frozenset(engines_by_id), request.layers)
+        ]
+        legs = list(kept)
+        for gap in gaps_between([(k.first, k.last) for k in kept], request.layers):
+            origin = _domain_before(kept, gap[0], self._domain)
+            found = cheapest_legs(engines, gap, self._latency_s, origin, self._random)
+            if found is None:
+                return None
+            legs += found
+        legs.sort(key=lambda leg: leg.first)
+        return tuple(legs)
+
+    def _begin(self, fleet: Fleet, legs: tuple[Leg, ...]) -> Chain:
+        now_s = self._clock.monotonic()
+        for leg in legs:
+            leg.engine.begin(leg.last - leg.first, now_s)
+        expected_s = sum(_nominal_s(leg) for leg in legs)
+        chain = Chain(
+            tuple(Hop(leg.engine.target, leg.first, leg.last) for leg in legs),
+            f"{self._id_prefix}-{next(self._ids)}",
+        )
+        self._flights_by_chain_id[chain.id] = _Flight(legs, expected_s)
+        return chain
+
+    def _begin_trials(self, targets: list[Target]) -> None:
+        for target in targets:
+            if self._view.half_open(target.id):
+                self._view.begin_trial(target.id)
+
+    def _rate_of(self, target: Target, layers: int) -> float:
+        """Return tokens a second over all held layers: as told, or by its kind."""
+        info = self._probe.engine_info(target.id)
+        if info is not None and info.tokens_per_second > 0:
+            return info.tokens_per_second
+        kinds = self._configuration().accelerators_by_kind
+        accelerator = kinds.get(target.accelerator)
+        if accelerator is not None and accelerator.tokens_per_second > 0:
+            held = target.last_layer - target.first_layer
+            return float(accelerator.tokens_per_second) * layers / held
+        return DEFAULT_TOKENS_PER_S
+
+    def _latency_s(self, here: str, there: str) -> float:
+        if here == there:
+            return SAME_DOMAIN_LATENCY_S
+        links = self._configuration().links_by_pair
+        link = links.get((here, there)) or links.get((there, here))
+        return DEFAULT_LATENCY_S if link is None else float(link.latency_ms) / 1000
+
+
+def make_router(
+    view: TargetView,
+    probe: LoadProbe,
+    configuration: "Callable[[], Configuration]",
+    domain: str,
+    clock: Clock,
+    counters: Counters,
+    seed: int,
+    executor: Executor | None = None,
+) -> Router:
+    """Return a router.
+
+    Parameters
+    ----------
+    view, probe
+        Which targets there are, and what they said of their load.
+    configuration
+        Gives the configuration in force (links and kinds of accelerators).
+    domain
+        The instance's failure domain.
+    clock, counters
+        Shared parts of the instance.
+    seed
+        Seed of the random choices.
+    executor
+        Where plans are made; by default one thread of its own.
+    """
+    if executor is None:
+        executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="planner")
+    return Router(view, probe, configuration, domain, clock, counters, seed, executor)
+
+
+def _no_target(name: str) -> RequestRefusedError:
+    return RequestRefusedError(
+        f"No usable targets serve all of {name}.",
+        "try again later; operators see in the state dump which targets are out",
+        outcome=Outcome.NOT_RUN,
+        status=503,
+        code="no_target",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _nominal_s(leg: Leg) -> float:
+    """Return a token's time on a leg if the engine is as fast as it says."""
+    engine: Engine = leg.engine
+    return (engine.own_layers + engine.others_layers) / engine.nominal
+
+
+def _learn(flight: _Flight, result: ChainResult) -> None:
+    """Compare the time that tokens took with the time expected."""
+    if result.tokens < LEAST_TOKENS_TO_LEARN or flight.expected_s <= 0:
+        return
+    now_expected_s = sum(_nominal_s(leg) for leg in flight.legs)
+    expected_s = (flight.expected_s + now_expected_s) / 2
+    decoding_s = result.seconds_total - result.seconds_to_first
+    ratio = decoding_s / (result.tokens - 1) / max(expected_s, 1e-9)
+    for leg in flight.legs:
+        leg.engine.learn(ratio)
+
+
+def _domain_before(kept: list[Leg], layer: int, origin: str) -> str:
+    """Return the domain that activations at ``layer`` come from."""
+    for leg in kept:
+        if leg.last == layer:
+            return leg.engine.target.domain
+    return origin
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/search.py
@@ -0,0 +1,117 @@
+"""The cheapest chain over a gap of layers, where no planned path fits.
+
+For recoveries, and while the plan lags behind a change: a shortest path over layer
+boundaries with a few engines of each group drawn at random, so that instances that
+recover at once don't all choose the same engine.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from attrs import frozen
+
+from celeryfork_routing.engines import Engine
+from celeryfork_routing.paths import LatencyOf
+
+ENGINES_DRAWN_PER_GROUP = 3
+
+
+@frozen
+class Leg:
+    """A run of layers ``[first, last)`` on one engine."""
+
+    engine: Engine
+    first: int
+    last: int
+
+
+@frozen
+class _Reached:
+    """The cheapest way found to some boundary."""
+
+    cost_s: float
+    legs: tuple[Leg, ...]
+    domain: str
+
+
+def cheapest_legs(
+    engines: Sequence[Engine],
+    gap: tuple[int, int],
+    latency_s: LatencyOf,
+    origin: str,
+    random: Random,
+) -> tuple[Leg, ...] | None:
+    """Return legs that cover the gap once and in order, None if there are none.
+
+    Parameters
+    ----------
+    engines
+        Those that may be used.
+    gap
+        The layers ``[first, last)`` to cover.
+    latency_s
+        One-way latency between two failure domains, in seconds.
+    origin
+        Failure domain that the activations come from.
+    random
+        Source of the draw among engines that are alike.
+    """
+    first, last = gap
+    drawn = _draw(engines, gap, random)
+    cuts = {first, last}
+    for engine in drawn:
+        held = (engine.target.first_layer, engine.target.last_layer)
+        cuts.update(cut for cut in held if first < cut < last)
+    boundaries = sorted(cuts)
+    best: dict[int, _Reached] = {first: _Reached(0.0, (), origin)}
+    for here in boundaries[:-1]:
+        reached = best.get(here)
+        if reached is None:
+            continue
+        for engine in drawn:
+            if engine.target.first_layer <= here < engine.target.last_layer:
+                _extend(best, reached, engine, here, boundaries, latency_s)
+    found = best.get(last)
+    return None if found is None else found.legs
+
+
+def _extend(
+    best: dict[int, _Reached],
+    reached: _Reached,
+    engine: Engine,
+    here: int,
+    boundaries: Sequence[int],
+    latency_s: LatencyOf,
+) -> None:
+    """Try an engine from ``here`` to each boundary up to its last layer."""
+    target = engine.target
+    link_s = latency_s(reached.domain, target.domain)
+    for there in boundaries:
+        if not here < there <= target.last_layer:
+            continue
+        cost_s = reached.cost_s + link_s + engine.seconds_per_token(there - here)
+        known = best.get(there)
+        if known is None or cost_s < known.cost_s:
+            legs = (*reached.legs, Leg(engine, here, there))
+            best[there] = _Reached(cost_s, legs, target.domain)
+
+
+def _draw(
+    engines: Sequence[Engine], gap: tuple[int, int], random: Random
+) -> list[Engine]:
+    by_kind: dict[tuple[int, int, str, str], list[Engine]] = {}
+    for engine in engines:
+        target = engine.target
+        if target.first_layer >= gap[1] or target.last_layer <= gap[0]:
+            continue
+        kind = (
+            target.first_layer,
+            target.last_layer,
+            target.accelerator,
+            target.domain,
+        )
+        by_kind.setdefault(kind, []).append(engine)
+    drawn: list[Engine] = []
+    for group in by_kind.values():
+        drawn += random.sample(group, min(len(group), ENGINES_DRAWN_PER_GROUP))
+    return drawn
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/services.py
@@ -0,0 +1,60 @@
+"""The choice among a plain service's targets."""
+
+from collections.abc import Sequence
+from random import Random
+
+from celeryfork_membership.targets import Target
+
+NEAR_LOAD_LIMIT = 1.25
+
+
+class ServiceChoice:
+    """Two choices by own work in flight, the own failure domain first.
+
+    Not safe to use from several threads at once; the router holds its lock.
+
+    Parameters
+    ----------
+    domain
+        Failure domain whose targets go first unless they are overloaded.
+    random
+        Source of the choices.
+    """
+
+    def __init__(self, domain: str, random: Random) -> None:
+        self._domain = domain
+        self._random = random
+        self._in_flight_by_id: dict[str, int] = {}
+
+    def choose(self, targets: Sequence[Target]) -> Target:
+        """Return one of ``targets`` and count it in flight."""
+        chosen = self._less_busy(targets)
+        near = [target for target in targets if target.domain == self._domain]
+        if near and len(near) < len(targets):
+            candidate = self._less_busy(near)
+            mean = sum(self._busy(target) for target in targets) / len(targets)
+            if self._busy(candidate) <= NEAR_LOAD_LIMIT * mean + 1:
+                chosen = candidate
+        self._in_flight_by_id[chosen.id] = self._busy(chosen) + 1
+        return chosen
+
+    def release(self, target_id: str) -> None:
+        """Count a call out again."""
+        left = self._in_flight_by_id.get(target_id, 0) - 1
+        if left > 0:
+            self._in_flight_by_id[target_id] = left
+        else:
+            self._in_flight_by_id.pop(target_id, None)
+
+    def dump(self) -> dict[str, int]:
+        """Return the calls in flight by target."""
+        return dict(self._in_flight_by_id)
+
+    def _busy(self, target: Target) -> int:
+        return self._in_flight_by_id.get(target.id, 0)
+
+    def _less_busy(self, targets: Sequence[Target]) -> Target:
+        if len(targets) == 1:
+            return targets[0]
+        one, other = self._random.sample(targets, 2)
+        return one if self._busy(one) <= self._busy(other) else other
--- /dev/null
+++ b/libs/routing/tests/test_router.py
@@ -0,0 +1,229 @@
+"""Tests of celeryfork_routing.router."""
+
+from concurrent.futures import Executor, Future
+from itertools import pairwise
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from celeryfork_base.clock import ManualClock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_membership.news import make_news_board
+from celeryfork_membership.probe import make_load_probe
+from celeryfork_membership.targets import Draining, Refused, make_target_view
+from celeryfork_platform.model import Instance, InstanceList
+from celeryfork_routing.chains import Chain, ChainRequest, ChainResult
+from celeryfork_routing.router import Router, make_router
+
+CONFIGURATION = SimpleNamespace(accelerators_by_kind={}, links_by_pair={})
+DONE = ChainResult(tokens=10, seconds_to_first=0.1, seconds_total=1.0)
+
+
+class InlineExecutor(Executor):
+    """Plans at once, so that tests see the outcome."""
+
+    def submit(self, fn: Any, /, *args: Any, **kwargs: Any) -> Future:
+        future: Future = Future()
+        future.set_result(fn(*args, **kwargs))
+        return future
+
+
+class Node:
+    """A router over a view that a test fills."""
+
+    def __init__(self, *instances: Instance, domain: str = "d0") -> None:
+        self.clock = ManualClock()
+        self.counters = Counters()
+        news = make_news_board(self.clock, self.counters)
+        self.view = make_target_view(self.clock, self.counters, news, domain)
+        self.probe = make_load_probe(self.view, self.clock, self.counters)
+        self.router: Router = make_router(
+            self.view,
+            self.probe,
+            lambda: CONFIGURATION,
+            domain,
+            self.clock,
+            self.counters,
+            seed=1,
+            executor=InlineExecutor(),
+        )
+        self.version = 0
+        self.see(*instances)
+
+    def see(self, *instances: Instance) -> None:
+        self.version += 1
+        by_id = {instance.id: instance for instance in instances}
+        self.view.update_from_list(InstanceList(self.version, by_id))
+        self.clock.advance(1)
+
+    def choose(self, **changes: Any) -> Chain:
+        fields = {"model": "m", "layers": 24} | changes
+        return self.router.choose(ChainRequest(**fields))
+
+
+def engine(name: str, first: int, last: int, **changes: Any) -> Instance:
+    attributes = {"first_layer": first, "last_layer": last, "accelerator": "k1"}
+    fields: dict[str, Any] = {
+        "id": name,
+        "role": "engine",
+        "target": "m",
+        "domain": "d0",
+        "address": "127.0.0.1:1",
+        "state": "live",
+        "incarnation": 1,
+        "attributes": attributes,
+    }
+    return Instance(**(fields | changes))
+
+
+def two_stages(count: int = 3) -> list[Instance]:
+    front = [engine(f"a{n}", 0, 12) for n in range(count)]
+    return front + [engine(f"b{n}", 12, 24) for n in range(count)]
+
+
+def assert_covers(chain: Chain, layers: int = 24) -> None:
+    assert chain.hops[0].first == 0
+    assert chain.hops[-1].last == layers
+    assert all(a.last == b.first for a, b in pairwise(chain.hops))
+    for hop in chain.hops:
+        assert hop.target.first_layer <= hop.first < hop.last <= hop.target.last_layer
+
+
+def ids(chain: Chain) -> list[str]:
+    return [hop.target.id for hop in chain.hops]
+
+
+def test_chains_cover_each_layer_once_with_overlapping_ranges() -> None:
+    node = Node(
+        engine("a", 0, 12), engine("b", 6, 18), engine("c", 12, 24), engine("d", 0, 24)
+    )
+    chains = [node.choose() for _ in range(200)]
+    for chain in chains:
+        assert_covers(chain)
+    assert {target_id for chain in chains for target_id in ids(chain)} == set("abcd")
+
+
+def test_load_is_spread_evenly_over_like_engines() -> None:
+    node = Node(*two_stages(5))
+    taken: dict[str, int] = {}
+    for _ in range(500):
+        for target_id in ids(node.choose()):
+            taken[target_id] = taken.get(target_id, 0) + 1
+    assert max(taken.values()) <= 1.1 * min(taken.values())
+
+
+def test_release_counts_out_and_a_second_one_is_harmless() -> None:
+    node = Node(*two_stages())
+    chain = node.choose()
+    node.router.release(chain, DONE)
+    node.router.release(chain, DONE)
+    assert node.counters.count("routing.released_twice") == 1
+    assert node.router.dump()["models"]["m"]["own_layers_in_flight"] == 0
+
+
+def test_avoided_targets_are_not_used() -> None:
+    node = Node(*two_stages())
+    for _ in range(50):
+        chain = node.choose(avoid=frozenset({"a0", "b1"}))
+        assert not {"a0", "b1"} & set(ids(chain))
+
+
+def test_a_leaving_target_is_out_before_the_next_plan() -> None:
+    node = Node(*two_stages())
+    node.choose()
+    node.view.observe("a0", Draining())
+    for _ in range(50):
+        assert "a0" not in ids(node.choose())
+
+
+def test_a_joined_engine_is_used_after_the_next_plan() -> None:
+    node = Node(*two_stages())
+    node.choose()
+    node.see(*two_stages(4))
+    node.choose()
+    assert any("a3" in ids(node.choose()) for _ in range(50))
+
+
+def test_no_engine_for_some_layer_is_refused_as_not_run() -> None:
+    node = Node(engine("a", 0, 12), engine("c", 13, 24))
+    with pytest.raises(RequestRefusedError) as caught:
+        node.choose()
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert caught.value.code == "no_target"
+    assert caught.value.retry_after_s is not None
+
+
+def test_recovery_keeps_live_hops_and_replaces_the_failed_one() -> None:
+    node = Node(*two_stages())
+    chain = node.choose()
+    failed, kept = chain.hops[0], chain.hops[1]
+    again = node.choose(avoid=frozenset({failed.target.id}), keep=(kept,))
+    assert_covers(again)
+    assert again.hops[-1] == kept
+    assert again.hops[0].target.id != failed.target.id
+
+
+def test_recovery_drops_kept_hops_that_are_gone_overlap_or_never_fitted() -> None:
+    node = Node(*two_stages(), engine("w", 0, 24))
+    chain = node.choose(avoid=frozenset({"w"}))
+    whole = node.choose(avoid=frozenset(f"{s}{n}" for s in "ab" for n in range(3)))
+    node.view.observe(chain.hops[0].target.id, Draining())
+    again = node.choose(keep=(*chain.hops, *whole.hops))
+    assert_covers(again)
+    assert chain.hops[0].target.id not in ids(again)
+
+
+def test_prompts_with_a_common_beginning_meet_until_the_load_is_too_uneven() -> None:
+    node = Node(*two_stages(8))
+    chains = []
+    for _ in range(20):
+        chain = node.choose(prompt_key="chalk")
+        node.router.release(chain, DONE)
+        chains.append(tuple(ids(chain)))
+    assert len(set(chains)) == 1
+    held = [tuple(ids(node.choose(prompt_key="chalk"))) for _ in range(80)]
+    assert held.count(chains[0]) < 40
+
+
+def test_a_slow_engine_is_learned_and_gets_less() -> None:
+    node = Node(*two_stages(4))
+    for _ in range(400):
+        chain = node.choose()
+        node.clock.advance(0.05)
+        slow = "a0" in ids(chain)
+        seconds = 0.16 if slow else 0.02
+        node.router.release(chain, ChainResult(11, 0.0, seconds))
+    node.clock.advance(10)
+    node.choose()
+    assert node.router.dump()["models"]["m"]["slow_ids"] == ["a0"]
+    taken = [t for _ in range(200) for t in ids(node.choose())]
+    assert taken.count("a0") < 0.5 * taken.count("a1")
+
+
+def test_a_half_open_engine_gets_one_trial() -> None:
+    node = Node(*two_stages())
+    node.choose()
+    node.view.observe("a0", Refused())
+    node.clock.advance(1)
+    taken = [t for _ in range(60) for t in ids(node.choose())]
+    assert taken.count("a0") == 1
+
+
+def test_service_calls_stay_near_unless_overloaded_and_keep_to_avoid() -> None:
+    services = [
+        engine(f"s{n}", 0, 0, role="service", target="s", domain=f"d{n % 3}")
+        for n in range(6)
+    ]
+    node = Node(*services)
+    first = node.router.choose_service("s", frozenset())
+    assert first.domain == "d0"
+    taken = [node.router.choose_service("s", frozenset()).domain for _ in range(60)]
+    assert taken.count("d0") > taken.count("d1") > 5
+    assert {
+        node.router.choose_service("s", frozenset({"s0", "s1", "s2", "s3"})).id
+        for _ in range(20)
+    } == {"s4", "s5"}
+    with pytest.raises(RequestRefusedError):
+        node.router.choose_service("s", frozenset(f"s{n}" for n in range(6)))
