--- a/libs/standin/src/celeryfork_standin/engine.py
+++ b/libs/standin/src/celeryfork_standin/engine.py
@@ -181,8 +181,11 @@
         self.engine(engine_id).speed_factor = factor
 
     def partition(self, *groups: Iterable[str]) -> None:
-        """Cut failure domains of different groups off from one another."""
-        self.links.partition(groups)
+        """Cut failure domains of different groups off from one another.
+
+        Domains in no group still reach everyone.
+        """
+        self.links.partition([list(group) for group in groups])
 
     def heal(self) -> None:
         """End every partition."""
--- a/libs/standin/src/celeryfork_standin/links.py
+++ b/libs/standin/src/celeryfork_standin/links.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 
 from attrs import frozen
 
@@ -59,7 +59,7 @@
         self._factor_by_pair[to_domain, from_domain] = factor
         self.revision += 1
 
-    def partition(self, groups: Iterable[Iterable[str]]) -> None:
+    def partition(self, groups: Sequence[Sequence[str]]) -> None:
         """Cut domains of different groups off from one another.
 
         Domains in no group still reach everyone.
--- a/libs/standin/src/celeryfork_standin/reading.py
+++ b/libs/standin/src/celeryfork_standin/reading.py
@@ -1,5 +1,7 @@
 """Reading JSON into attrs classes without turning one type into another."""
 
+from enum import StrEnum
+
 import cattrs
 
 
@@ -10,6 +12,8 @@
     converter.register_structure_hook(bool, _strict_bool)
     converter.register_structure_hook(int, _strict_int)
     converter.register_structure_hook(float, _strict_float)
+    # The hook for text would also take in the text enumerations.
+    converter.register_structure_hook(StrEnum, _member)
     return converter
 
 
@@ -35,3 +39,7 @@
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{value!r} is no number")
     return float(value)
+
+
+def _member(value: object, shape: type[StrEnum]) -> StrEnum:
+    return shape(_strict_str(value, str))
--- a/libs/standin/src/celeryfork_standin/service.py
+++ b/libs/standin/src/celeryfork_standin/service.py
@@ -217,9 +217,10 @@
         target.crash_point = point
         target.crash_share = share
 
-    def poison(self, target_id: str, marker: bytes | None) -> None:
+    def poison(self, target_id: str, marker: str | None) -> None:
         """Die at a call whose body contains the marker, before running it."""
-        self.target(target_id).poison_marker = marker
+        encoded = marker.encode() if marker is not None else None
+        self.target(target_id).poison_marker = encoded
 
     # -- for the sites -------------------------------------------------------
 
--- a/libs/standin/tests/test_service.py
+++ b/libs/standin/tests/test_service.py
@@ -76,7 +76,7 @@
 
 
 def test_poison_kills_the_target(services, helpers):
-    services.poison("d1", b'"at"')
+    services.poison("d1", '"at"')
     with pytest.raises(LOST):
         book(services, helpers)
     with pytest.raises(ConnectionRefusedError):
