Let partitions cut clients off from targets and the platform

A partition cut only the hops between engines. Targets and the platform now have an address for the clients of each failure domain; a cut holds back what is on the way, as a network does, and delivers it once healed.

--- a/libs/standin/src/celeryfork_standin/control.py
+++ b/libs/standin/src/celeryfork_standin/control.py
@@ -34,6 +34,7 @@
         {"kill", "kill_after", "restart", "remove", "stall", "resume", "leave"}
         | {"degrade", "slow_down", "spoil_events", "poison"}
     ),
+    "platform": frozenset({"cut_off"}),
     "links": frozenset({"degrade", "partition", "heal"}),
     "services": frozenset(
         {"kill", "restart", "drain", "stall", "resume", "slow", "reject", "fail"}
@@ -108,6 +109,8 @@
                 return standins.engines.links
             case "services":
                 return standins.services
+            case "platform":
+                return standins.platform
         return getattr(standins.platform, part)
 
 
@@ -196,6 +199,10 @@
     """Return where everything listens, by name."""
     return {
         "platform": standins.platform.url,
+        "platform_by_domain": {
+            domain: standins.platform.url_for(domain)
+            for domain in standins.deployment.domains
+        },
         "engines": {one.spec.id: one.address for one in standins.engines.engines},
         "services": {one.spec.id: one.address for one in standins.services.targets},
     }
--- a/libs/standin/src/celeryfork_standin/engine_core.py
+++ b/libs/standin/src/celeryfork_standin/engine_core.py
@@ -61,6 +61,7 @@
     def __init__(self, spec: EngineSpec, context: FleetContext, seed: int) -> None:
         self.spec = spec
         self.address = ""
+        self.address_by_domain: Mapping[str, str] = {}
         self.incarnation = 1
         self.alive = True
         self.leaving = False
@@ -157,7 +158,9 @@
                 return
         self._arrivals += 1
         heappush(self._waiting, (-sequence.body.priority, self._arrivals, sequence))
-        if not self._busy:
+        if self.stalled:
+            self._report_later(sequence)
+        elif not self._busy:
             # The step starts a turn later, so that sequences that arrive together
             # share it.
             self._busy = True
@@ -311,12 +314,38 @@
     def stall(self) -> None:
         """Stop making steps, and keep every connection open."""
         self.stalled = True
+        self.mute_events()
+        for sequence in [*self._batch, *(entry[2] for entry in self._waiting)]:
+            self._report_later(sequence)
+
+    def mute_events(self) -> None:
+        """Hold back the events that can't leave, and let go of the others."""
+        for sequence in list(self.sequences):
+            if sequence.stages[0].engine is self:
+                domain = sequence.client_domain
+                sequence.events.mute(self.stalled or self.is_cut_off(domain))
+
+    def is_cut_off(self, client_domain: str | None) -> bool:
+        """Whether a partition stands between it and clients of a domain."""
+        return self._context.links.is_cut(client_domain, self.spec.domain)
+
+    def _report_later(self, sequence: Sequence) -> None:
+        """Let the first engine notice, after a while, that this one stalls."""
+        timeout_s = self._context.links.timeout_s
+        if timeout_s is not None and sequence.stages[0].engine is not self:
+            loop = sequence.ended.get_loop()
+            loop.call_later(timeout_s, self._report_stall, sequence)
+
+    def _report_stall(self, sequence: Sequence) -> None:
+        if self.stalled and sequence.stage.engine is self:
+            sequence.fail("stage_lost", self.spec.id)
 
     def resume(self) -> None:
         """Go on after a stall, with the sequences that were there."""
         if not self.stalled:
             return
         self.stalled = False
+        self.mute_events()
         for sequence in self._batch:
             self._arrivals += 1
             heappush(self._waiting, (-sequence.body.priority, self._arrivals, sequence))
--- a/libs/standin/src/celeryfork_standin/standins.py
+++ b/libs/standin/src/celeryfork_standin/standins.py
@@ -56,6 +56,7 @@
         retention_s=bounds.retention_s,
         appends_per_second=bounds.appends_per_second,
         weight_bytes_per_second=bounds.weight_bytes_per_second,
+        client_domains=deployment.domains,
     )
     engines = make_engine_fleet(
         chosen,
@@ -63,6 +64,12 @@
         instances=platform.instances,
         weights=platform.weights,
         poison_marker=deployment.poison_marker,
+        client_domains=deployment.domains,
+    )
+    services = make_service_fleet(
+        chosen,
+        instances=platform.instances,
+        links=engines.links,
+        client_domains=deployment.domains,
     )
-    services = make_service_fleet(chosen, instances=platform.instances)
     return Standins(deployment, platform, engines, services)
