--- a/libs/standin/src/celeryfork_standin/engine_core.py
+++ b/libs/standin/src/celeryfork_standin/engine_core.py
@@ -142,7 +142,7 @@
 
     # -- steps ---------------------------------------------------------------
 
-    def enqueue(self, sequence: Sequence) -> None:
+    def enqueue(self, sequence: Sequence, now: float) -> None:
         """Let a sequence wait for the next step."""
         if sequence.over:
             return
@@ -153,8 +153,8 @@
                 return
             import_s = self._open_kv(sequence, stage)
             if import_s > 0:
-                loop = sequence.ended.get_loop()
-                loop.call_later(import_s, self.enqueue, sequence)
+                timer = self._context.step_timer
+                timer.at(now + import_s, now, self.enqueue, sequence)
                 return
         self._arrivals += 1
         heappush(self._waiting, (-sequence.body.priority, self._arrivals, sequence))
--- a/libs/standin/src/celeryfork_standin/engine_http.py
+++ b/libs/standin/src/celeryfork_standin/engine_http.py
@@ -15,6 +15,7 @@
 from celeryfork_standin.sequence import (
     GenerateBody,
     Sequence,
+    Stage,
     TokenRecord,
     make_stages,
 )
@@ -100,13 +101,28 @@
         if isinstance(stages, str):
             events.failed("stage_lost", stages)
         else:
-            links = self.context.links
-            await self._run(
-                Sequence(body, stages, links, self.record, events, client_domain)
-            )
+            await self._run(self._make_sequence(body, stages, events, client_domain))
         await self._wait_until_reachable(client_domain)
         return response
 
+    def _make_sequence(
+        self,
+        body: GenerateBody,
+        stages: list[Stage],
+        events: EventStream,
+        client_domain: str | None,
+    ) -> Sequence:
+        context = self.context
+        return Sequence(
+            body,
+            stages,
+            context.links,
+            context.step_timer,
+            self.record,
+            events,
+            client_domain,
+        )
+
     async def _run(self, sequence: Sequence) -> None:
         for stage in sequence.stages:
             stage.engine.sequences.add(sequence)
--- a/libs/standin/src/celeryfork_standin/event_stream.py
+++ b/libs/standin/src/celeryfork_standin/event_stream.py
@@ -10,6 +10,7 @@
 from celeryfork_standin.engine_data import EventFault, EventFaults
 
 MOST_UNREAD_BYTES = 1024 * 1024
+READER_CHECK_TOKENS = 64
 LATE_TEXT = b'" late"'
 
 
@@ -70,6 +71,11 @@
         while self._held and not self.muted:
             self._write(self._held.popleft())
 
+    def _check_reader(self) -> None:
+        """Give a client up that doesn't read what it asked for."""
+        if self.transport.get_write_buffer_size() > MOST_UNREAD_BYTES:
+            self.transport.abort()
+
     def _write(self, line: bytes) -> None:
         if self.muted:
             self._held.append(line)
@@ -78,8 +84,6 @@
         if transport.is_closing():
             return
         transport.write(b"%x\r\n%b\r\n" % (len(line), line))
-        if transport.get_write_buffer_size() > MOST_UNREAD_BYTES:
-            transport.abort()
 
     def _write_spoilt(
         self, line: bytes, position: int, literal: bytes, kind: EventFault
--- a/libs/standin/src/celeryfork_standin/sequence.py
+++ b/libs/standin/src/celeryfork_standin/sequence.py
@@ -12,6 +12,7 @@
 from celeryfork_standin.engine_data import RanStage, RanToken
 from celeryfork_standin.event_stream import EventStream
 from celeryfork_standin.links import UNREACHABLE, LinkTable
+from celeryfork_standin.step_timer import StepTimer
 from celeryfork_standin.text import Answer, make_answer
 
 if TYPE_CHECKING:
@@ -118,6 +119,7 @@
         body: GenerateBody,
         stages: list[Stage],
         links: LinkTable,
+        timer: StepTimer,
         record: TokenRecord,
         events: EventStream,
         client_domain: str | None,
@@ -137,6 +139,7 @@
         )
         self._links = links
         self._links_revision = -1
+        self._timer = timer
         self._record = record
         self._owed_s = 0.0
         self._trail: list[Stage] = []
@@ -153,7 +156,7 @@
         if self.position >= self._answer.length:
             self._finish()
             return
-        self.stages[0].engine.enqueue(self)
+        self.stages[0].engine.enqueue(self, self.arrived_s)
 
     def advance(self, now: float) -> None:
         """Go on to the next stage, after the present one ran."""
@@ -175,9 +178,9 @@
         self._owed_s += stage.latency_s
         if self._owed_s < SHORTEST_TIMER_S:
             # Timers cost more than such a delay is worth: it is owed instead.
-            stage.engine.enqueue(self)
+            stage.engine.enqueue(self, now)
         else:
-            self._send_late(stage)
+            self._send_late(stage, now)
 
     def fail(self, error: str, engine: str | None = None) -> None:
         """End the attempt with an error event; does nothing once it is over."""
@@ -214,13 +217,12 @@
         self.events.finished(self.position, self._answer.reason)
         self.end()
 
-    def _send_late(self, stage: Stage) -> None:
-        loop = self.ended.get_loop()
+    def _send_late(self, stage: Stage, now: float) -> None:
         owed_s, self._owed_s = self._owed_s, 0.0
         if owed_s == UNREACHABLE:
             self._lose(stage.engine)
         else:
-            loop.call_later(owed_s, stage.engine.enqueue, self)
+            self._timer.at(now + owed_s, now, stage.engine.enqueue, self)
 
     def _lose(self, engine: "Engine") -> None:
         """Never arrive; the first engine notices after a while."""
--- a/libs/standin/src/celeryfork_standin/step_timer.py
+++ b/libs/standin/src/celeryfork_standin/step_timer.py
@@ -1,33 +1,34 @@
-"""One timer for the steps of a whole fleet.
+"""One timer for the steps and the slow hops of a whole fleet.
 
-Waking the event loop costs more than ending a step, so steps that end within the
-same millisecond (the resolution of libuv's timers) share one wake-up.
+Waking the event loop costs more than ending a step, so whatever is due within the
+same millisecond (the resolution of libuv's timers) shares one wake-up.
 """
 
 import asyncio
 import time
 from collections.abc import Callable
 from heapq import heappop, heappush
+from typing import Any
 
 RESOLUTION_S = 0.001
 
-StepEnd = Callable[[int, float], None]
+Due = Callable[[Any, float], None]
 
 
 class StepTimer:
-    """Calls back at the ends of steps; only for use on its loop."""
+    """Calls back at the times given; only for use on its loop."""
 
     def __init__(self) -> None:
-        self._due: list[tuple[float, int, StepEnd, int]] = []
+        self._due: list[tuple[float, int, Due, Any]] = []
         self._armed_for = 0.0
         self._firing = False
         self._handle: asyncio.TimerHandle | None = None
         self._count = 0
 
-    def at(self, due_s: float, now: float, end: StepEnd, incarnation: int) -> None:
-        """Call ``end(incarnation, now)`` at the monotonic time ``due_s``."""
+    def at(self, due_s: float, now: float, callback: Due, argument: Any) -> None:
+        """Call ``callback(argument, now)`` at the monotonic time ``due_s``."""
         self._count += 1
-        heappush(self._due, (due_s, self._count, end, incarnation))
+        heappush(self._due, (due_s, self._count, callback, argument))
         if self._firing:
             return
         if self._handle is None or due_s < self._armed_for - RESOLUTION_S:
@@ -45,12 +46,14 @@
         self._firing = True
         now = time.monotonic()
         until = now + RESOLUTION_S / 2
-        ended = []
         due = self._due
+        ripe = []
         while due and due[0][0] <= until:
-            ended.append(heappop(due))
-        for _, _, end, incarnation in ended:
-            end(incarnation, now)
-        self._firing = False
-        if due:
-            self._arm(due[0][0], time.monotonic())
+            ripe.append(heappop(due))
+        try:
+            for _, _, callback, argument in ripe:
+                callback(argument, now)
+        finally:
+            self._firing = False
+            if due:
+                self._arm(due[0][0], time.monotonic())
--- a/libs/standin/src/celeryfork_standin/text.py
+++ b/libs/standin/src/celeryfork_standin/text.py
@@ -8,7 +8,7 @@
 
 import orjson
 from attrs import frozen
-from xxhash import xxh3_64_intdigest
+from xxhash import xxh32_intdigest
 
 _WORDS = [
     "chai",
@@ -80,7 +80,7 @@
 _MASK = 63
 _WORDS_BY_INDEX = tuple(" " + word for word in _WORDS[: _MASK + 1])
 _LITERALS_BY_INDEX = tuple(orjson.dumps(word) for word in _WORDS_BY_INDEX)
-_ODD_MULTIPLIER = 0x9E3779B97F4A7C15
+_ODD_MULTIPLIER = 0x9E3779B1
 _STOP_MARKER = re.compile(r"\[stop:(\d{1,6})\]")
 
 
@@ -104,14 +104,13 @@
 
     def token(self, position: int) -> str:
         """Return the token at ``position``."""
-        return _WORDS_BY_INDEX[self._index(position)]
+        mixed = (self.base + position) * _ODD_MULTIPLIER
+        return _WORDS_BY_INDEX[mixed >> 16 & _MASK]
 
     def literal(self, position: int) -> bytes:
         """Return the token at ``position`` as a JSON string."""
-        return _LITERALS_BY_INDEX[self._index(position)]
-
-    def _index(self, position: int) -> int:
-        return ((self.base + position) * _ODD_MULTIPLIER >> 40) & _MASK
+        mixed = (self.base + position) * _ODD_MULTIPLIER
+        return _LITERALS_BY_INDEX[mixed >> 16 & _MASK]
 
 
 def make_answer(model: str, prompt: str, seed: int, most_tokens: int) -> Answer:
@@ -119,7 +118,7 @@
 
     A prompt that contains ``[stop:N]`` is answered in full with N tokens.
     """
-    base = xxh3_64_intdigest(f"{model}\0{seed}\0{prompt}".encode())
+    base = xxh32_intdigest(f"{model}\0{seed}\0{prompt}".encode())
     marker = _STOP_MARKER.search(prompt)
     natural = int(marker[1]) if marker else most_tokens
     if marker and natural <= most_tokens:
