--- a/libs/standin/src/celeryfork_standin/engine_http.py
+++ b/libs/standin/src/celeryfork_standin/engine_http.py
@@ -103,6 +103,7 @@
         else:
             await self._run(self._make_sequence(body, stages, events, client_domain))
         await self._wait_until_reachable(client_domain)
+        events.mute(False)
         return response
 
     def _make_sequence(
--- a/libs/standin/tests/conftest.py
+++ b/libs/standin/tests/conftest.py
@@ -93,6 +93,10 @@
         }
         return standard | fields
 
+    @staticmethod
+    def stream(address: str, body: dict[str, object]) -> Stream:
+        return Stream(address, body)
+
     @staticmethod
     def open(fleet: EngineFleet, *names: str, **fields: object) -> Stream:
         address = fleet.engine(names[0]).address
