Join the libraries: real data classes at the ports, one place for the peer handler

Cause: libraries written side by side met for the first time. Change: streams and calls use routing's and membership's data classes; the peer server takes its handler when it starts; an attempt without a token has no time to the first.

--- a/libs/admission/src/celeryfork_admission/poison.py
+++ b/libs/admission/src/celeryfork_admission/poison.py
@@ -7,8 +7,8 @@
 
 import threading
 import uuid
-from collections.abc import Callable, Iterable, Mapping
-from typing import Protocol
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
 
 import xxhash
 from attrs import define, field, frozen
@@ -23,14 +23,14 @@
 SUSPECT_NEWS_TTL_S = 5.0
 MOST_FINGERPRINTS = 10_000
 
-NewsCallback = Callable[[str, Mapping[str, object], str], None]
+NewsCallback = Callable[[str, dict[str, Any], str], None]
 
 
 class NewsPort(Protocol):
     """What the register needs of the news board."""
 
     def publish(
-        self, kind: str, subject: str, body: Mapping[str, object], ttl_s: float
+        self, kind: str, subject: str, body: dict[str, Any], ttl_s: float
     ) -> None:
         """Spread a fact to the peers."""
 
@@ -233,22 +233,16 @@
             oldest = next(iter(self._suspects_by_fingerprint))
             del self._suspects_by_fingerprint[oldest]
 
-    def _on_crash_news(
-        self, subject: str, body: Mapping[str, object], origin: str
-    ) -> None:
+    def _on_crash_news(self, subject: str, body: dict[str, Any], origin: str) -> None:
         fingerprint, _, crash_id = subject.partition("/")
         if crash_id:
             self._add(fingerprint, crash_id)
 
-    def _on_cleared_news(
-        self, subject: str, body: Mapping[str, object], origin: str
-    ) -> None:
+    def _on_cleared_news(self, subject: str, body: dict[str, Any], origin: str) -> None:
         with self._lock:
             self._suspects_by_fingerprint.pop(subject, None)
 
-    def _on_suspect_news(
-        self, subject: str, body: Mapping[str, object], origin: str
-    ) -> None:
+    def _on_suspect_news(self, subject: str, body: dict[str, Any], origin: str) -> None:
         now_s = self._clock.monotonic()
         with self._lock:
             until_s_by_target = self._peer_suspect_until_s_by_target
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -482,8 +482,8 @@
         instance = FakeInstance(
             identity, book, tickets, caller, router, budget, poison, counters, None
         )
-        instance.server = PeerServer("127.0.0.1", 0, _PeerHandler(instance))
-        instance.server.start()
+        instance.server = PeerServer("127.0.0.1", 0)
+        instance.server.start(_PeerHandler(instance))
         instance.identity = FakePeer(name, number, domain, instance.server.address)
         gossip.peers_by_instance[name] = instance.identity
         book.start()
--- a/libs/cmdline/src/celeryfork_cmdline/config.py
+++ b/libs/cmdline/src/celeryfork_cmdline/config.py
@@ -3,7 +3,7 @@
 import time
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 from attrs import asdict
 from celeryfork_base.errors import InputFaultError
@@ -142,7 +142,7 @@
     return behind
 
 
-def _read_records(path: Path) -> list[dict[str, object]]:
+def _read_records(path: Path) -> list[dict[str, Any]]:
     try:
         content = loads(path.read_bytes())
     except (OSError, JSONDecodeError) as error:
--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -36,7 +36,7 @@
         print(f"celeryfork: {error}", file=sys.stderr)
         return EXIT_FAULT
     except ExceptionGroup as group:
-        for error in group.exceptions:
-            print(f"celeryfork: {error}", file=sys.stderr)
+        for fault in group.exceptions:
+            print(f"celeryfork: {fault}", file=sys.stderr)
         return EXIT_INPUT_FAULT
     return 0
--- a/libs/daemon/src/celeryfork_daemon/config_peers.py
+++ b/libs/daemon/src/celeryfork_daemon/config_peers.py
@@ -73,12 +73,13 @@
         return None
 
     def _read_slice(self, address: str, after_offset: int) -> ConfigSlice:
-        return self._pool.call(
+        part: ConfigSlice = self._pool.call(
             address,
             lambda peer: peer.read_configuration(after_offset, SLICE_LIMIT),
             READ_TIMEOUT_S,
             fresh=False,
         )
+        return part
 
 
 def slice_for_peer(
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -21,7 +21,12 @@
 from celeryfork_wire.peers import PeerServer
 from cheroot.server import HTTPServer
 
-from celeryfork_daemon.assembly import Parts, make_parts, make_runner
+from celeryfork_daemon.assembly import (
+    Parts,
+    make_parts,
+    make_runner,
+    stream_policy,
+)
 from celeryfork_daemon.callers import Callers
 from celeryfork_daemon.config_peers import slice_for_peer
 from celeryfork_daemon.gateway import GatewayPort, make_http_server
@@ -223,6 +228,7 @@
             ModelCallParts(
                 callers=callers,
                 configuration=lambda: parts.follower.current,
+                stream_policy=lambda: stream_policy(parts.follower.current.policy),
                 admission=gate.admission,
                 poison=gate.poison,
                 runner=runner,
--- a/libs/daemon/src/celeryfork_daemon/model_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/model_calls.py
@@ -17,6 +17,7 @@
 from celeryfork_streams.errors import CallerGoneError
 from celeryfork_streams.formats import Shape
 from celeryfork_streams.loop_thread import LoopThread
+from celeryfork_streams.policy import StreamPolicy
 from celeryfork_streams.requests import GenerateRequest, StreamResult
 from celeryfork_streams.serve import answer_error, serve_generate
 from celeryfork_streams.streams import StreamRunner
@@ -34,8 +35,6 @@
 )
 from celeryfork_daemon.refusals import malformed, not_found
 
-SLOW_CALLER_TIMEOUT_S = 10.0
-
 
 @frozen
 class ModelCallParts:
@@ -43,6 +42,7 @@
 
     callers: Callers
     configuration: Callable[[], Configuration]
+    stream_policy: Callable[[], StreamPolicy]
     admission: Admission
     poison: PoisonRegister
     runner: StreamRunner
@@ -135,12 +135,8 @@
         prepared: _Prepared,
         entered: "Future[Admitted]",
     ) -> None:
-        policy = self._parts.configuration().policy
         caller = await take_over(
-            connection,
-            policy.stream_buffer_bytes,
-            SLOW_CALLER_TIMEOUT_S,
-            self._parts.counters,
+            connection, self._parts.stream_policy(), self._parts.counters
         )
         admitted = await self._wait_for_turn(caller, prepared, entered)
         if admitted is None:
--- a/libs/daemon/src/celeryfork_daemon/peer_handler.py
+++ b/libs/daemon/src/celeryfork_daemon/peer_handler.py
@@ -27,7 +27,7 @@
     hand_over: Callable[[list[KeptOutcome]], None]
 
 
-class PeerHandler(Peer.Iface):  # type: ignore[misc]
+class PeerHandler(Peer.Iface):
     """The peer interface of one instance.
 
     Heartbeats are the pulse of the fleet, and are answered before the other parts are
--- a/libs/routing/src/celeryfork_routing/chains.py
+++ b/libs/routing/src/celeryfork_routing/chains.py
@@ -65,12 +65,12 @@
     tokens
         Tokens that came.
     seconds_to_first, seconds_total
-        From the start of the attempt.
+        From the start of the attempt; the first is None if no token came.
     failed_target
         Id of the target that failed, None if none did.
     """
 
     tokens: int
-    seconds_to_first: float
+    seconds_to_first: float | None
     seconds_total: float
     failed_target: str | None = None
--- a/libs/routing/src/celeryfork_routing/router.py
+++ b/libs/routing/src/celeryfork_routing/router.py
@@ -289,6 +289,8 @@
     """Compare the time that tokens took with the time expected."""
     if result.tokens < LEAST_TOKENS_TO_LEARN or flight.expected_s <= 0:
         return
+    if result.seconds_to_first is None:
+        return
     now_expected_s = sum(_nominal_s(leg) for leg in flight.legs)
     expected_s = (flight.expected_s + now_expected_s) / 2
     decoding_s = result.seconds_total - result.seconds_to_first
--- a/libs/streams/src/celeryfork_streams/ports.py
+++ b/libs/streams/src/celeryfork_streams/ports.py
@@ -1,59 +1,38 @@
-"""What streams need from other libraries, and no more."""
+"""What streams need of other libraries, narrowed to what is used here."""
 
 from collections.abc import Callable
 from typing import Protocol
 
-from attrs import frozen
-
-
-@frozen
-class Target:
-    """An engine, as far as streams look at it."""
-
-    id: str
-    address: str
-    version: str = ""
-
-
-@frozen
-class Hop:
-    """One stage of a chain: the layers ``[first, last)`` on one engine."""
-
-    target: Target
-    first: int
-    last: int
-
-
-@frozen
-class Chain:
-    """Engines that together hold every layer, in order."""
-
-    hops: tuple[Hop, ...]
-    id: str
-
-
-@frozen
-class ChainRequest:
-    """What a chain is chosen for."""
-
-    model: str
-    layers: int
-    prompt_key: str
-    prompt_tokens: int
-    expected_tokens: int
-    domain: str
-    avoid: frozenset[str]
-    keep: tuple[Hop, ...]
-
-
-@frozen
-class ChainResult:
-    """How a chain did, for the router to learn from."""
-
-    tokens: int
-    seconds_to_first: float | None
-    seconds_total: float
-    failed_target: str | None
+from celeryfork_membership.observations import (
+    Draining,
+    Observation,
+    Refused,
+    Reset,
+    Stalled,
+    Succeeded,
+)
+from celeryfork_membership.targets import Target
+from celeryfork_routing.chains import Chain, ChainRequest, ChainResult, Hop
+
+__all__ = [
+    "Chain",
+    "ChainRequest",
+    "ChainResult",
+    "Draining",
+    "Hop",
+    "LayersOf",
+    "LoadOf",
+    "Observation",
+    "PoisonPort",
+    "Refused",
+    "Reset",
+    "RetryBudgetPort",
+    "RouterPort",
+    "Stalled",
+    "Succeeded",
+    "Target",
+    "ViewPort",
+]
 
 
 class RouterPort(Protocol):
@@ -66,34 +45,6 @@
         """Count the chain out of flight."""
 
 
-@frozen
-class Refused:
-    """The target's address refused the connection."""
-
-
-@frozen
-class Reset:
-    """The connection broke while a request ran."""
-
-
-@frozen
-class Draining:
-    """The target said that it is leaving."""
-
-
-@frozen
-class Stalled:
-    """The target kept the connection and sent nothing."""
-
-
-@frozen
-class Succeeded:
-    """The target carried a request to its end."""
-
-
-Observation = Refused | Reset | Draining | Stalled | Succeeded
-
-
 class ViewPort(Protocol):
     """Knows the targets and takes what was seen of them."""
 
@@ -117,7 +68,7 @@
 class PoisonPort(Protocol):
     """Knows the requests that crash their targets."""
 
-    def crashed(self, fingerprint: str, target_id: str) -> None:
+    def crashed(self, fingerprint: str, target_id: str) -> object:
         """Count a crash of a target that ran the request."""
 
     def crashes(self, fingerprint: str) -> int:
--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -231,7 +231,7 @@
         hops = []
         for index, name in enumerate(names):
             engine = self.engines_by_name.get(name) or self.engine(name)
-            target = Target(name, engine.address)
+            target = Target(name, "engine", "m", "d", engine.address, 1)
             hops.append(Hop(target, index * share, (index + 1) * share))
         self.router.chains.append(Chain(tuple(hops), "+".join(names)))
         return [self.engines_by_name[name] for name in names]
