The thin whole path: a request through separate entry instances, engines and services

Cause: the parts had never run together. Found on the way: (1) every answer of the instance list was refused, because cattrs has no hook for 'object' (payloads are typed Any now); (2) a streamed answer never ended for its caller, because a duplicated descriptor of the connection stayed open in the HTTP server (the socket is detached now). Before: instances never became ready.

--- /dev/null
+++ b/libs/bench/src/celeryfork_bench/rig.py
@@ -0,0 +1,240 @@
+"""A whole deployment in one process: stand-ins around real entry instances."""
+
+import threading
+import time
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from hashlib import sha256
+from typing import Any
+
+from attrs import define, field, frozen
+from celeryfork_base.clock import SystemClock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import CeleryforkError
+from celeryfork_config.publisher import make_publisher
+from celeryfork_config.settings import PlatformSettings, Settings, StopSettings
+from celeryfork_daemon.entry import Daemon, make_daemon
+from celeryfork_platform.log import make_log_client
+from celeryfork_standin.engine import EngineFleet, make_engine_fleet
+from celeryfork_standin.engine_data import EngineSpec
+from celeryfork_standin.instance_list import ListedInstance
+from celeryfork_standin.platform import PlatformStandin, make_platform
+from celeryfork_standin.service import ServiceFleet, ServiceSpec, make_service_fleet
+
+HOST = "127.0.0.1"
+ADMINISTRATOR_KEY = "administrator-of-the-rig"
+TICKET_SECRET = "a ticket secret for stand-ins only"
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+class RigNotReadyError(CeleryforkError):
+    """Something in the rig did not get ready in time."""
+
+
+@frozen
+class EntrySpec:
+    """One entry instance."""
+
+    name: str
+    domain: str
+
+
+@frozen
+class RigSpec:
+    """What a rig consists of.
+
+    Parameters
+    ----------
+    records
+        Configuration records with ``name``, ``schema`` and ``payload``.
+    latency_s_by_domains
+        One-way latency by (from, to), in seconds.
+    http_threads
+        Threads of each entry instance's HTTP server.
+    notice_s
+        How long a stopping instance serves on, in seconds.
+    appends_per_second
+        The log's rate cap; None sets none.
+    """
+
+    entries: Sequence[EntrySpec]
+    engines: Sequence[EngineSpec]
+    services: Sequence[ServiceSpec]
+    records: Sequence[Mapping[str, Any]]
+    latency_s_by_domains: Mapping[tuple[str, str], float] = field(factory=dict)
+    seed: int = 1
+    http_threads: int = 12
+    notice_s: float = 0.5
+    appends_per_second: float | None = 400.0
+    poison_marker: str | None = None
+
+
+def wait_until(what: str, condition: Callable[[], bool], timeout_s: float) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    RigNotReadyError
+        It did not hold in time.
+    """
+    ends_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > ends_s:
+            raise RigNotReadyError(
+                f"{what} was not so after {timeout_s} s.", "see the state dump"
+            )
+        time.sleep(POLL_S)
+
+
+@define(eq=False)
+class Rig:
+    """Stand-ins and entry instances; create it with ``make_rig``."""
+
+    spec: RigSpec
+    platform: PlatformStandin
+    engines: EngineFleet
+    services: ServiceFleet
+    daemons_by_name: dict[str, Daemon] = field(factory=dict)
+    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def start(self) -> None:
+        """Start everything and wait until every entry instance is ready."""
+        self.platform.start()
+        self.engines.start()
+        self.services.start()
+        for engine in self.spec.engines:
+            self.engines.add(engine)
+        for service in self.spec.services:
+            self.services.add(service)
+        self.publish(self.spec.records)
+        for entry in self.spec.entries:
+            self.start_entry(entry)
+        self.wait_ready()
+
+    def stop(self) -> None:
+        """Stop everything; entry instances are ended without notice."""
+        with self._lock:
+            daemons = list(self.daemons_by_name.values())
+            self.daemons_by_name.clear()
+        with ThreadPoolExecutor(max_workers=max(1, len(daemons))) as executor:
+            list(executor.map(lambda daemon: daemon.kill(), daemons))
+        self.engines.stop()
+        self.services.stop()
+        self.platform.stop()
+
+    def publish(self, records: Sequence[Mapping[str, Any]]) -> int:
+        """Publish configuration records and return the last offset."""
+        clock = SystemClock()
+        log = make_log_client(self.platform.url, clock, Counters())
+        publisher = make_publisher(log, clock)
+        offset = -1
+        for record in records:
+            offset = publisher.publish(
+                record["name"], record.get("schema", 1), record["payload"]
+            )
+        return offset
+
+    def start_entry(self, entry: EntrySpec) -> Daemon:
+        """Start one entry instance and put it into the instance list."""
+        daemon = make_daemon(self._settings_of(entry))
+        daemon.start()
+        with self._lock:
+            self.daemons_by_name[entry.name] = daemon
+        self.platform.instances.put(
+            ListedInstance(
+                id=entry.name,
+                role="entry",
+                target="celeryfork",
+                domain=entry.domain,
+                address=daemon.http_address,
+                incarnation=daemon.parts.incarnation.started_ms,
+                attributes={"peer_address": daemon.peer_address},
+            )
+        )
+        return daemon
+
+    def stop_entry(self, name: str) -> int:
+        """Stop one entry instance gracefully and return its exit code."""
+        self.platform.instances.leave(name)
+        exit_code = self.daemons_by_name[name].drain_and_stop()
+        with self._lock:
+            del self.daemons_by_name[name]
+        self.platform.instances.remove(name)
+        return exit_code
+
+    def kill_entry(self, name: str) -> None:
+        """End one entry instance without notice."""
+        with self._lock:
+            daemon = self.daemons_by_name.pop(name)
+        daemon.kill()
+        self.platform.instances.remove(name)
+
+    def daemons(self) -> list[Daemon]:
+        """Return the entry instances that run."""
+        with self._lock:
+            return list(self.daemons_by_name.values())
+
+    def wait_ready(self) -> None:
+        """Wait until each entry instance is ready and knows all of its peers."""
+        daemons = self.daemons()
+        wait_until(
+            "every entry instance ready",
+            lambda: all(daemon.ready for daemon in daemons),
+            READY_TIMEOUT_S,
+        )
+        wait_until(
+            "every entry instance in touch with its peers",
+            lambda: all(
+                len(daemon.parts.membership.fleet.serving()) >= len(daemons)
+                for daemon in daemons
+            ),
+            READY_TIMEOUT_S,
+        )
+
+    def wait_in_force(self, offset: int, timeout_s: float) -> float:
+        """Wait until an offset is in force everywhere; return how long it took."""
+        began_s = time.monotonic()
+        wait_until(
+            f"offset {offset} in force",
+            lambda: all(
+                daemon.parts.follower.current.offset >= offset
+                for daemon in self.daemons()
+            ),
+            timeout_s,
+        )
+        return time.monotonic() - began_s
+
+    def _settings_of(self, entry: EntrySpec) -> Settings:
+        url = self.platform.url
+        return Settings(
+            instance=entry.name,
+            domain=entry.domain,
+            platform=PlatformSettings(log_url=url, instances_url=url, weights_url=url),
+            http_host=HOST,
+            http_port=0,
+            peer_host=HOST,
+            peer_port=0,
+            peers=tuple(daemon.peer_address for daemon in self.daemons()[:2]),
+            administrator_key_sha256=sha256(ADMINISTRATOR_KEY.encode()).hexdigest(),
+            ticket_secret=TICKET_SECRET,
+            http_threads=self.spec.http_threads,
+            stop=StopSettings(notice_s=self.spec.notice_s, most_stop_s=30.0),
+            instance_poll_s=0.5,
+        )
+
+
+def make_rig(spec: RigSpec) -> Rig:
+    """Return a rig that has yet to be started."""
+    platform = make_platform(
+        HOST, spec.seed, appends_per_second=spec.appends_per_second
+    )
+    engines = make_engine_fleet(
+        spec.seed,
+        spec.latency_s_by_domains,
+        instances=platform.instances,
+        weights=platform.weights,
+        poison_marker=spec.poison_marker,
+    )
+    services = make_service_fleet(spec.seed, instances=platform.instances)
+    return Rig(spec, platform, engines, services)
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -137,7 +137,7 @@
     def kill(self) -> None:
         """End at once, as a crash would, as far as one process can show it."""
         self._state = InstanceState.STOPPED
-        self.parts.loop_thread.stop()
+        self._stop_loop()
         self._http.stop()
         self._close()
 
@@ -189,8 +189,6 @@
         """End the background parts, those that others need last."""
         parts, gate, membership = self.parts, self.parts.gate, self.parts.membership
         self._set_state(InstanceState.STOPPED)
-        if self._serving is not None:
-            parts.loop_thread.submit(self._serving.session.close()).result(timeout=5)
         for stop in (
             gate.capacity.stop,
             gate.admission.stop,
@@ -199,7 +197,7 @@
             membership.watch.stop,
             parts.follower.stop,
             membership.gossip.stop,
-            parts.loop_thread.stop,
+            self._stop_loop,
             self._peer_server.stop,
             membership.pool.close,
         ):
@@ -207,6 +205,10 @@
         if self._metrics is not None:
             self._metrics.stop()
 
+    def _stop_loop(self) -> None:
+        session = self._serving.session if self._serving else None
+        self.parts.loop_thread.stop(session.close if session else None)
+
     def _answer(self, call: HttpCall) -> Answer:
         if self._serving is None:
             raise stopping()
--- a/libs/daemon/src/celeryfork_daemon/gateway.py
+++ b/libs/daemon/src/celeryfork_daemon/gateway.py
@@ -114,9 +114,10 @@
 
     def _hand_over(self, result: TakesConnection) -> None:
         connection = self.req.conn
-        own_socket = connection.socket.dup()
-        # The server must neither answer nor shut the connection down; its own file
-        # descriptor closes when the connection object goes.
+        # Detached, not duplicated: a second descriptor would keep the connection open
+        # after the event loop has closed it.
+        own_socket = socket(fileno=connection.socket.detach())
+        # The server must neither answer nor shut the connection down.
         connection.linger = True
         self.req.close_connection = True
         self.req.sent_headers = True
--- a/libs/platform/src/celeryfork_platform/instances.py
+++ b/libs/platform/src/celeryfork_platform/instances.py
@@ -1,6 +1,6 @@
 """Client of the platform's instance list."""
 
-from typing import Protocol
+from typing import Any, Protocol
 
 from attrs import field, frozen
 from cattrs import Converter
@@ -47,7 +47,7 @@
 @frozen
 class _RawList:
     version: int
-    instances: list[dict[str, object]] = field(factory=list)
+    instances: list[dict[str, Any]] = field(factory=list)
 
 
 class _HttpInstanceList:
@@ -75,7 +75,7 @@
         instances = [self._instance(entry) for entry in raw.instances]
         return InstanceList(raw.version, {i.id: i for i in instances if i})
 
-    def _instance(self, entry: dict[str, object]) -> Instance | None:
+    def _instance(self, entry: dict[str, Any]) -> Instance | None:
         try:
             return _converter.structure(entry, Instance)
         except (BaseValidationError, ValueError, TypeError):
--- a/libs/platform/src/celeryfork_platform/model.py
+++ b/libs/platform/src/celeryfork_platform/model.py
@@ -1,6 +1,7 @@
 """What the platform's services tell: log records, instances and budgets."""
 
 from collections.abc import Mapping
+from typing import Any
 
 from attrs import field, frozen
 
@@ -57,7 +58,7 @@
     address: str
     state: str
     incarnation: int
-    attributes: Mapping[str, object] = field(factory=dict)
+    attributes: Mapping[str, Any] = field(factory=dict)
 
 
 @frozen
--- a/libs/streams/src/celeryfork_streams/loop_thread.py
+++ b/libs/streams/src/celeryfork_streams/loop_thread.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import threading
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
@@ -34,11 +34,15 @@
         """Run a coroutine as a task of the loop; from any thread."""
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
 
-    def stop(self) -> None:
-        """Cancel every task, wait for them, and end the thread."""
+    def stop(
+        self, last: Callable[[], Coroutine[Any, Any, object]] | None = None
+    ) -> None:
+        """Cancel every task, wait for them, run ``last``, and end the thread."""
         if not self._thread.is_alive():
             return
         self.submit(_cancel_all()).result(timeout=STOP_TIMEOUT_S * 2)
+        if last is not None:
+            self.submit(last()).result(timeout=STOP_TIMEOUT_S)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join(timeout=STOP_TIMEOUT_S)
 
--- a/libs/wire/src/celeryfork_wire/peers.py
+++ b/libs/wire/src/celeryfork_wire/peers.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from logging import NullHandler, getLogger
 from typing import TypeVar
 
 from celeryfork_base.errors import PeerUnavailableError
@@ -19,6 +20,11 @@
 
 from celeryfork_wire.gen.celeryfork import Peer
 
+# An unreachable peer is told by PeerUnavailableError; thrift's own log lines say it
+# again at every attempt.
+getLogger("thrift").addHandler(NullHandler())
+getLogger("thrift").propagate = False
+
 MOST_IDLE_CONNECTIONS_PER_PEER = 2
 LARGEST_FRAME_BYTES = 16 * 1024 * 1024
 
