Config: evidence of every key in the log, however often it changes; state machine over the fold

Cause: the machine found that a reader that starts after retention refused every record of a key that is republished before its record is due to be carried, since no carry of it ever stood in the log; that it forgot the newest readable record below an unreadable one; and that a peer's superseded record was dropped where it came first. Change: carries are due by the age of the log's last evidence of a key, not of its newest record; a reader looks for the readable record along based_on; superseded records of peers are placed last.

--- a/libs/config/src/celeryfork_config/carrier.py
+++ b/libs/config/src/celeryfork_config/carrier.py
@@ -52,11 +52,11 @@
 class Carrier:
     """Looks for records that the log is about to drop, and appends carries of them.
 
-    Each record is due at an age between a quarter and a third of the log's retention,
-    by a hash of its key, so that records published together aren't carried together.
-    The instance that comes first for the key by rendezvous hash carries it at that
-    age; the next one only if the log still lacks the carry a sixtieth of the retention
-    later, and so on. Carries that stand twice in the log do no harm.
+    Each key is due when the log's last evidence of it is between a quarter and a third
+    of the retention old, by a hash, so that records published together aren't carried
+    together. The instance that comes first for the key by rendezvous hash carries it
+    then; the next one only if the log still lacks the carry a sixtieth of the
+    retention later, and so on. Carries that stand twice in the log do no harm.
     """
 
     def __init__(
@@ -95,12 +95,12 @@
             return 0
         retention_s = self._holder.current.policy.log_retention_s
         now_ms = self._clock.wall_ms()
-        due: list[tuple[KeptRecord, str]] = []
+        due: list[str] = []
         self._holder.with_fold(
             lambda fold: due.extend(self._collect(fold, now_ms, retention_s))
         )
         carried = 0
-        for _, data in due:
+        for data in due:
             if self._stopped.is_set() or not self._append(data):
                 break
             carried += 1
@@ -117,27 +117,29 @@
             check_s = retention_s / CHECKS_PER_RETENTION
             self._stopped.wait(min(max(check_s, SHORTEST_CHECK_S), LONGEST_CHECK_S))
 
-    def _collect(
-        self, fold: Fold, now_ms: int, retention_s: float
-    ) -> list[tuple[KeptRecord, str]]:
+    def _collect(self, fold: Fold, now_ms: int, retention_s: float) -> list[str]:
         retention_ms = retention_s * 1000
         fold.forget_retracted(int(now_ms - RETRACTED_KEPT_RETENTIONS * retention_ms))
         if not fold.settled:
             return []
         instances = list(self._fleet())
-        found: list[tuple[KeptRecord, str]] = []
-        for kept in fold.kept_before(int(now_ms - EARLIEST_SHARE * retention_ms)):
-            age_share = (now_ms - kept.seen_ms) / retention_ms
-            if age_share < self._due_share(kept, instances):
+        found: list[str] = []
+        earliest_ms = int(now_ms - EARLIEST_SHARE * retention_ms)
+        for kept, evidence_ms in fold.due_before(earliest_ms):
+            age_share = (now_ms - evidence_ms) / retention_ms
+            if age_share < self._due_share(kept, evidence_ms, instances):
                 continue
-            found.append((kept, encode_entry(kept.to_carry(fold.next_offset))))
+            carry = kept.to_carry(fold.next_offset, now_ms)
+            found.append(encode_entry(carry))
             if len(found) >= MOST_CARRIES_PER_CHECK:
                 break
         return found
 
-    def _due_share(self, kept: KeptRecord, instances: list[str]) -> float:
+    def _due_share(
+        self, kept: KeptRecord, evidence_ms: int, instances: list[str]
+    ) -> float:
         """Return the age at which this instance carries, as a share of retention."""
-        key = f"{kept.key[0]}#{kept.key[1]}#{kept.offset}"
+        key = f"{kept.key[0]}#{kept.key[1]}#{evidence_ms}"
         jitter = xxh3_64_intdigest(key.encode()) / 2**64 * JITTER_SHARE
         rank = min(rank_of(self._instance, instances, key), HIGHEST_RANK)
         return EARLIEST_SHARE + jitter + rank * RANK_STEP_SHARE
--- a/libs/config/src/celeryfork_config/entries.py
+++ b/libs/config/src/celeryfork_config/entries.py
@@ -66,6 +66,8 @@
     as_of
         The carrier had applied every offset below this one, and the record was the
         last accepted one then.
+    made_ms
+        The carrier's clock then: a carry may stand in the log much later.
     superseded
         The record is not the last accepted one, but the newest that some instances
         can read.
@@ -74,6 +76,7 @@
     original_offset: int
     original_ms: int
     as_of: int
+    made_ms: int
     superseded: bool
     record: Record
 
@@ -83,6 +86,7 @@
             "original_offset": self.original_offset,
             "original_ms": self.original_ms,
             "as_of": self.as_of,
+            "made_ms": self.made_ms,
             "record": self.record.to_json(),
         }
         if self.superseded:
@@ -146,6 +150,7 @@
         original_offset=offset,
         original_ms=_whole(value.get("original_ms"), "$.carry.original_ms"),
         as_of=as_of,
+        made_ms=_whole(value.get("made_ms"), "$.carry.made_ms"),
         superseded=value.get("superseded") is True,
         record=_parse_record(value["record"], "$.carry.record"),
     )
--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -15,7 +15,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import orjson
@@ -32,7 +32,13 @@
     parse_entry,
 )
 from celeryfork_config.in_force import Configuration, ForceTable
-from celeryfork_config.kept import KeptIndex, KeptRecord, KeyState, PendingRecord
+from celeryfork_config.kept import (
+    EvidenceQueue,
+    KeptIndex,
+    KeptRecord,
+    KeyState,
+    PendingRecord,
+)
 from celeryfork_config.records import Payload, PayloadReader, validate_record
 
 MOST_FAULTS_SHOWN = 20
@@ -74,6 +80,8 @@
         self._in_force_by_name: dict[str, KeptRecord] = {}
         self._table = ForceTable()
         self._index = KeptIndex()
+        self._evidence = EvidenceQueue()
+        self._states_with_fallback: dict[RecordKey, KeyState] = {}
         self._faults: deque[dict[str, Any]] = deque(maxlen=MOST_FAULTS_SHOWN)
         self._snapshot = Configuration()
         self._oldest_as_of = 0
@@ -127,42 +135,52 @@
                 del self._states_by_key[key]
         return changes
 
-    def merge_peer_entries(self, entries: tuple[LogRecord, ...]) -> list[Change]:
+    def merge_peer_entries(self, entries: Sequence[LogRecord]) -> list[Change]:
         """Take over all that a peer has from ``next_offset`` on, in order.
 
         They are what is left of the stream when every record that was replaced is
         left out, so their ``based_on`` can't be checked again; the peer has done it.
         Only for a fold that is settled.
         """
-        changes: list[Change] = []
+        found: list[tuple[LogRecord, Carry]] = []
         for entry in entries:
-            if entry.offset < self.next_offset:
+            parsed = self._parse(entry)
+            if entry.offset < self.next_offset or not isinstance(parsed, Carry):
+                self._counters.add("config.fold.peer_entries_skipped")
                 continue
-            match self._parse(entry):
-                case Record() as record:
-                    kept = self._keep(entry, record, entry.offset, entry.appended_ms)
-                    changes += self._adopt(record, kept, superseded=False)
-                case Carry() as carry:
-                    kept = self._keep_carry(entry, carry)
-                    changes += self._adopt(carry.record, kept, carry.superseded)
-            self.next_offset = entry.offset + 1
+            found.append((entry, parsed))
+        # A superseded record can only be placed once the one after it is known.
+        found.sort(key=lambda pair: pair[1].superseded)
+        changes = [c for entry, carry in found for c in self._adopt(entry, carry)]
+        for entry, _ in found:
+            self.next_offset = max(self.next_offset, entry.offset + 1)
         # What the peer saw and left out can't be seen here any more.
         self._oldest_as_of = max(self._oldest_as_of, self.next_offset)
         return changes
 
     def entries_after(self, offset: int) -> tuple[LogRecord, ...]:
-        """Return the entries after ``offset`` that the state consists of, in order."""
-        return tuple(_entry_of(kept) for kept in self._index.after(offset))
+        """Return what the state consists of and the log held last after ``offset``.
+
+        Each is given as a carry at the log's offset, so that a peer learns the
+        original's offset, and how old the log's evidence of the key is.
+        """
+        return tuple(self._entry_of(kept) for kept in self._index.after(offset))
 
-    def kept_before(self, seen_ms: int) -> Iterator[KeptRecord]:
-        """Yield what the log last held before ``seen_ms``, its oldest first.
+    def due_before(self, evidence_ms: int) -> Iterator[tuple[KeptRecord, int]]:
+        """Yield what the log lacks evidence of since a time, and since when.
 
         Keys that this fold isn't certain of are left out: whoever carries them could
         bring a retracted record back.
         """
-        for kept in self._index.seen_before(seen_ms):
-            if self._states_by_key[kept.key].certain:
-                yield kept
+        for state in self._evidence.before(evidence_ms):
+            if state.certain and state.head is not None:
+                yield state.head, state.evidence_ms
+        for state in list(self._states_with_fallback.values()):
+            fallback = state.fallback
+            if fallback is None or not state.certain:
+                continue
+            if fallback.seen_ms < evidence_ms:
+                yield fallback, fallback.seen_ms
 
     def forget_retracted(self, before_ms: int) -> None:
         """Drop the records that were retracted before ``before_ms``.
@@ -176,6 +194,7 @@
                 continue
             self._oldest_as_of = max(self._oldest_as_of, head.offset + 1)
             self._index.remove(head)
+            self._evidence.remove(state)
             del self._states_by_key[key]
 
     def live(self, name: str) -> dict[int, KeptRecord]:
@@ -227,7 +246,7 @@
     def _parse(self, entry: LogRecord) -> Record | Carry | None:
         try:
             parsed = parse_entry(entry.data)
-            if isinstance(parsed, Carry) and parsed.as_of > entry.offset:
+            if isinstance(parsed, Carry) and parsed.as_of > entry.offset + 1:
                 raise InputFaultError(
                     "$.carry.as_of",
                     "It is in the future.",
@@ -260,9 +279,10 @@
             )
             return []
         state.certain = True
-        kept = self._keep(entry, record, entry.offset, entry.appended_ms)
+        if state.head is None:
+            self._evidence.note(state, entry.appended_ms)
         self._counters.add("config.fold.accepted")
-        return [self._set_head(state, kept)]
+        return [self._set_head(state, self._keep_record(entry, record))]
 
     def _apply_carry(self, entry: LogRecord, carry: Carry) -> list[Change]:
         if carry.as_of < self._oldest_as_of:
@@ -270,15 +290,33 @@
             self._counters.add("config.fold.carries_too_old")
             return []
         self._counters.add("config.fold.carries")
-        kept = self._keep_carry(entry, carry)
-        changes = self._adopt(carry.record, kept, carry.superseded)
+        changes = self._adopt(entry, carry)
         if carry.superseded:
             return changes
         state = self._states_by_key[carry.record.key]
         pending = state.take_pending()
+        if pending:
+            self._find_fallback(state, carry.record, pending)
         later = [p for p in pending if p.entry.offset >= carry.as_of]
         return changes + self._judge_pending(state, later)
 
+    def _find_fallback(
+        self, state: KeyState, head: Record, pending: list[PendingRecord]
+    ) -> None:
+        """Look for a readable record among those that ``head`` goes back to.
+
+        A record was accepted only if the one that it is based on had been.
+        """
+        pending_by_offset = {p.entry.offset: p for p in pending}
+        based_on = head.based_on
+        while based_on is not None and based_on in pending_by_offset:
+            found = pending_by_offset.pop(based_on)
+            kept = self._keep_record(found.entry, found.record)
+            if kept.value is not None:
+                self._adopt_fallback(state, kept)
+                return
+            based_on = found.record.based_on
+
     def _judge_pending(
         self, state: KeyState, pending: list[PendingRecord]
     ) -> list[Change]:
@@ -286,16 +324,19 @@
             change for p in pending for change in self._judge(state, p.entry, p.record)
         ]
 
-    def _adopt(
-        self, record: Record, kept: KeptRecord, superseded: bool
-    ) -> list[Change]:
+    def _adopt(self, entry: LogRecord, carry: Carry) -> list[Change]:
         """Take over what an instance had accepted; the highest offset wins."""
-        state = self._states_by_key.setdefault(
-            record.key, KeyState(record.key, certain=self.settled)
-        )
-        if superseded:
-            return self._adopt_fallback(state, kept)
+        key = carry.record.key
+        state = self._states_by_key.get(key)
+        if state is None:
+            state = KeyState(key, certain=self.settled)
+            self._states_by_key[key] = state
+        kept = self._keep_carry(entry, carry)
+        if carry.superseded:
+            self._adopt_fallback(state, kept)
+            return []
         state.certain = True
+        self._evidence.note(state, kept.seen_ms)
         head = state.head
         if head is not None and head.offset > kept.offset:
             self._counters.add("config.fold.carries_outdated")
@@ -306,23 +347,22 @@
         self._counters.add("config.fold.adopted")
         return [self._set_head(state, kept)]
 
-    def _adopt_fallback(self, state: KeyState, kept: KeptRecord) -> list[Change]:
+    def _adopt_fallback(self, state: KeyState, kept: KeptRecord) -> None:
         head, known = state.head, state.fallback
         if known is not None and known.offset == kept.offset:
             self._index.move(known, kept.seen_offset, kept.seen_ms)
-            return []
-        wanted = head is None or (head.value is None and not head.retracted)
+            return
+        wanted = head is None or (head.fault is not None and head.offset > kept.offset)
         newer = known is None or known.offset < kept.offset
-        older_than_head = head is None or kept.offset < head.offset
-        if kept.value is None or not (wanted and newer and older_than_head):
-            return []
+        if kept.value is None or not (wanted and newer):
+            return
         if known is not None:
             self._index.remove(known)
         kept.superseded = True
         state.fallback = kept
+        self._states_with_fallback[state.key] = state
         self._index.add(kept)
         self._update_in_force(state.key[0])
-        return []
 
     def _set_head(self, state: KeyState, kept: KeptRecord) -> Change:
         name, schema = state.key
@@ -333,6 +373,10 @@
         for dropped in state.replace_head(kept):
             self._index.remove(dropped)
         self._index.add(kept)
+        if state.fallback is not None:
+            self._states_with_fallback[state.key] = state
+        else:
+            self._states_with_fallback.pop(state.key, None)
         if kept.fault is not None:
             self._counters.add("config.fold.unreadable")
         self._update_in_force(name)
@@ -360,8 +404,14 @@
                 return readable
         return None
 
+    def _keep_record(self, entry: LogRecord, record: Record) -> KeptRecord:
+        return self._keep(entry, record, entry.offset, entry.appended_ms)
+
     def _keep_carry(self, entry: LogRecord, carry: Carry) -> KeptRecord:
-        return self._keep(entry, carry.record, carry.original_offset, carry.original_ms)
+        kept = self._keep(entry, carry.record, carry.original_offset, carry.original_ms)
+        # What a late carry tells is as old as its carrier's knowledge.
+        kept.seen_ms = min(carry.made_ms, entry.appended_ms)
+        return kept
 
     def _keep(
         self, entry: LogRecord, record: Record, offset: int, original_ms: int
@@ -379,6 +429,12 @@
             seen_ms=entry.appended_ms,
         )
 
+    def _entry_of(self, kept: KeptRecord) -> LogRecord:
+        state = self._states_by_key[kept.key]
+        evidence_ms = kept.seen_ms if kept.superseded else state.evidence_ms
+        carry = kept.to_carry(as_of=kept.seen_offset + 1, made_ms=evidence_ms)
+        return LogRecord(kept.seen_offset, kept.seen_ms, "", encode_entry(carry))
+
     def _read(self, record: Record) -> tuple[Payload | None, str | None]:
         if record.payload is None:
             return None, None
@@ -393,11 +449,3 @@
     def _skip(self, kind: str, offset: int, reason: str) -> None:
         self._counters.add(f"config.fold.{kind}")
         self._faults.append({"offset": offset, "kind": kind, "reason": reason})
-
-
-def _entry_of(kept: KeptRecord) -> LogRecord:
-    """Return the entry as it stands in the log, or an equal carry of it."""
-    data = kept.data.decode()
-    if kept.seen_offset != kept.offset:
-        data = encode_entry(kept.to_carry(as_of=kept.seen_offset))
-    return LogRecord(kept.seen_offset, kept.seen_ms, "", data)
--- a/libs/config/src/celeryfork_config/kept.py
+++ b/libs/config/src/celeryfork_config/kept.py
@@ -41,13 +41,20 @@
     seen_ms: int
     superseded: bool = False
 
-    def to_carry(self, as_of: int) -> Carry:
+    def to_carry(self, as_of: int, made_ms: int) -> Carry:
         """Return a carry by an instance that has applied all before ``as_of``."""
         value = orjson.loads(self.data)
         record = Record(
             value["name"], value["schema"], value["based_on"], value["payload"]
         )
-        return Carry(self.offset, self.original_ms, as_of, self.superseded, record)
+        return Carry(
+            original_offset=self.offset,
+            original_ms=self.original_ms,
+            as_of=as_of,
+            made_ms=made_ms,
+            superseded=self.superseded,
+            record=record,
+        )
 
 
 @frozen
@@ -68,12 +75,16 @@
         Nothing of this key can have been missed.
     head
         The last accepted record, retracted or not.
+    evidence_ms
+        When the log last got what tells a new reader of this key's state: its first
+        record, or a carry. Later records tell nothing without one.
     fallback
         The newest accepted record that can be read, where ``head`` can't.
     """
 
     key: RecordKey
     certain: bool
+    evidence_ms: int = 0
     head: KeptRecord | None = None
     fallback: KeptRecord | None = None
     pending: list[PendingRecord] = field(factory=list)
@@ -159,15 +170,44 @@
         found.reverse()
         return found
 
-    def seen_before(self, seen_ms: int) -> Iterator[KeptRecord]:
-        """Yield the records that the log last held before a time, oldest first."""
-        self._sort()
-        for kept in list(self._by_seen_offset.values()):
-            if kept.seen_ms >= seen_ms:
-                return
-            yield kept
-
     def _sort(self) -> None:
         if not self._sorted:
             self._by_seen_offset = dict(sorted(self._by_seen_offset.items()))
             self._sorted = True
+
+
+class EvidenceQueue:
+    """Keys in the order in which the log last got evidence of them."""
+
+    def __init__(self) -> None:
+        self._states_by_key: dict[RecordKey, KeyState] = {}
+        self._last_ms = 0
+        self._sorted = True
+
+    def note(self, state: KeyState, evidence_ms: int) -> None:
+        """Note evidence of a key; older evidence than known changes nothing."""
+        if state.key in self._states_by_key and evidence_ms <= state.evidence_ms:
+            return
+        state.evidence_ms = evidence_ms
+        if evidence_ms < self._last_ms:
+            self._sorted = False
+        self._last_ms = max(self._last_ms, evidence_ms)
+        self._states_by_key.pop(state.key, None)
+        self._states_by_key[state.key] = state
+
+    def remove(self, state: KeyState) -> None:
+        """Remove a key."""
+        self._states_by_key.pop(state.key, None)
+
+    def before(self, evidence_ms: int) -> Iterator[KeyState]:
+        """Yield the keys that lack evidence since a time, the longest first."""
+        if not self._sorted:
+            items = sorted(
+                self._states_by_key.items(), key=lambda item: item[1].evidence_ms
+            )
+            self._states_by_key = dict(items)
+            self._sorted = True
+        for state in list(self._states_by_key.values()):
+            if state.evidence_ms >= evidence_ms:
+                return
+            yield state
