Membership: weighty news first, newcomers get everything at once

Cause: routine announcements crowded out news of change; a newcomer needed minutes to learn all peers. Change: announcements rank behind other news, refreshes are rare, a newcomer's first answer carries the whole board within a budget, seeds not yet known are tried more often.

--- a/libs/membership/src/celeryfork_membership/gossip.py
+++ b/libs/membership/src/celeryfork_membership/gossip.py
@@ -3,7 +3,8 @@
 The cost of a daemon does not depend on how many there are: it begins about one
 exchange a second, most of them inside its failure domain, and each heartbeat has a
 bounded size. Fresh news of targets is passed on at once to a few more peers, within a
-budget, so that it is everywhere after a few round trips. A peer that does not answer
+budget, so that it is everywhere after a few round trips. A newcomer gets everything in
+the first answer. A peer that does not answer
 twice is suspected; if it does not contradict within `SUSPECT_S` it counts as dead.
 After SWIM (Das, Gupta, Motivala, DSN 2002), with push-pull exchanges over TCP.
 """
@@ -19,7 +20,7 @@
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PeerUnavailableError
 from celeryfork_wire.gen.celeryfork import Peer
-from celeryfork_wire.gen.celeryfork.ttypes import Heartbeat, InstanceState
+from celeryfork_wire.gen.celeryfork.ttypes import Heartbeat, InstanceState, News
 from celeryfork_wire.peers import PeerCall, Reply
 from logbook import Logger
 
@@ -36,8 +37,12 @@
 
 NEWS_PEER = "peer"
 MOST_NEWS_PER_HEARTBEAT = 8
+MOST_NEWS_TO_NEWCOMER = 2048
+MOST_WELCOME_NEWS = 4096.0
+WELCOME_NEWS_PER_S = 2.0
 MOST_SEEDS = 2048
 LOST_PEER_SHARE = 0.1
+MOST_STRAY_SHARE = 0.5
 MOST_EAGER_WAITING = 3
 STOP_WAIT_S = 3.0
 
@@ -69,10 +74,12 @@
         Exchanges begun at once when fresh news of targets comes in.
     eager_per_s
         Budget of those, a second.
-    announce_s_per_peer, least_announce_s
-        An instance announces itself anew each ``peers * announce_s_per_peer``
-        seconds, so that the announcements of all stay constant; never more often
-        than ``least_announce_s``.
+    announce_s_per_peer
+        An instance announces a new configuration offset at most each ``peers *
+        announce_s_per_peer`` seconds, so that the announcements of all together
+        stay constant. Heartbeats carry it to those spoken to in any case.
+    refresh_s
+        Least time between announcements that say nothing new.
     """
 
     interval_s: float = 1.0
@@ -81,7 +88,7 @@
     eager_exchanges: int = 2
     eager_per_s: float = 1.0
     announce_s_per_peer: float = 0.5
-    least_announce_s: float = 3.0
+    refresh_s: float = 60.0
 
 
 class Gossip:
@@ -113,8 +120,11 @@
         self._eager = 0
         self._eager_budget = float(MOST_EAGER_WAITING)
         self._budget_s = clock.monotonic()
+        self._welcome_budget = MOST_WELCOME_NEWS
+        self._welcomed_s = clock.monotonic()
         self._seeds: dict[str, None] = {}
         self._failures_by_instance: dict[str, int] = {}
+        self._own_news = (NEWS_PEER, identity.instance)
         self._sequence = 0
         self._announced_s = float("-inf")
         self._announced_offset = -1
@@ -122,6 +132,7 @@
         self._config_offset = -1
         self._thread = threading.Thread(target=self._run, name="gossip", daemon=True)
         news.origin = identity.instance
+        news.background_kinds.add(NEWS_PEER)
         news.subscribe(NEWS_PEER, self._on_peer_news)
         news.on_fresh(self._on_fresh)
 
@@ -135,6 +146,11 @@
         """The peers that are believed to run, without this instance."""
         return self._table.live()
 
+    @property
+    def eager_waiting(self) -> int:
+        """Exchanges that should begin at once, without waiting for the interval."""
+        return self._eager
+
     def in_domain(self) -> list[PeerView]:
         """Return the peers of this instance's failure domain."""
         domain = self._identity.domain
@@ -161,8 +177,13 @@
     def on_exchange(self, heartbeat: Heartbeat) -> Heartbeat:
         """Answer a peer's heartbeat (the serving side)."""
         self._counters.add("gossip.served")
+        newcomer = self._is_newcomer(heartbeat)
         self._hear(heartbeat)
-        return self._heartbeat()
+        reply = self._heartbeat()
+        welcome = self._welcome_news() if newcomer else None
+        if welcome is not None:
+            reply.news = welcome
+        return reply
 
     def start(self) -> None:
         """Begin to exchange heartbeats in the background."""
@@ -198,6 +219,8 @@
 
     def exchange_once(self) -> None:
         """Do one exchange with a peer of the gossip's own choice."""
+        with self._wake:
+            self._eager = max(self._eager - 1, 0)
         self._announce_if_due()
         target = self._choose()
         if target is not None:
@@ -216,7 +239,6 @@
         jitter = self._random.uniform(0.7, 1.3)
         with self._wake:
             self._wake.wait_for(self._must_wake, self._pace.interval_s * jitter)
-            self._eager = max(self._eager - 1, 0)
             return not self._stopped
 
     def _must_wake(self) -> bool:
@@ -241,6 +263,25 @@
             self._eager += granted
             self._wake.notify_all()
 
+    def _is_newcomer(self, heartbeat: Heartbeat) -> bool:
+        known = self._table.get(heartbeat.instance)
+        return known is None or known.incarnation < heartbeat.incarnation
+
+    def _welcome_news(self) -> list[News] | None:
+        """Return everything for a newcomer, None where that goes beyond the budget."""
+        now_s = self._clock.monotonic()
+        news = self._news.everything(MOST_NEWS_TO_NEWCOMER)
+        with self._wake:
+            earned = (now_s - self._welcomed_s) * WELCOME_NEWS_PER_S
+            budget = min(self._welcome_budget + earned, MOST_WELCOME_NEWS)
+            self._welcomed_s = now_s
+            self._welcome_budget = budget
+            if budget < len(news):
+                return None
+            self._welcome_budget -= len(news)
+        self._counters.add("gossip.welcomed")
+        return news
+
     def _choose(self) -> tuple[str, str | None] | None:
         """Return the address to speak to and, where known, the instance there."""
         suspects = [n for n, count in self._failures_by_instance.items() if count == 1]
@@ -250,7 +291,10 @@
                 return peer.peer_address, name
             self._failures_by_instance.pop(name, None)
         live = list(self._table.live().values())
-        if not live or self._random.random() < LOST_PEER_SHARE:
+        unknown = max(len(self._seeds) - len(live), 0)
+        share = unknown / (unknown + len(live)) if unknown else 0.0
+        share = min(max(share, LOST_PEER_SHARE), MOST_STRAY_SHARE)
+        if not live or self._random.random() < share:
             stray = self._choose_stray()
             if stray is not None:
                 return stray
@@ -325,7 +369,7 @@
         )
         if peer.instance != self._identity.instance:
             self._hear_peer(peer)
-        self._news.receive(heartbeat.news[: 4 * MOST_NEWS_PER_HEARTBEAT])
+        self._news.receive(heartbeat.news[:MOST_NEWS_TO_NEWCOMER])
 
     def _hear_peer(self, peer: PeerView) -> None:
         self._failures_by_instance.pop(peer.instance, None)
@@ -353,7 +397,10 @@
         if subject == self._identity.instance:
             self._contradict(peer)
             return
+        known = self._table.get(subject)
         self._table.put(peer)
+        if known is None or _weighty_change(known, peer):
+            self._request_eager()
 
     def _contradict(self, rumour: PeerView) -> None:
         """Announce this instance anew when peers suspect it."""
@@ -368,15 +415,17 @@
     def _announce_if_due(self) -> None:
         peers = len(self._table.live())
         self._news.sends_per_item = ceil(1.5 * log2(peers + 2))
-        wait_s = max(
-            self._pace.least_announce_s, peers * self._pace.announce_s_per_peer
-        )
+        per_peer_s = self._pace.announce_s_per_peer
+        wait_s = max(self._pace.refresh_s, 4 * peers * per_peer_s)
+        if self._config_offset != self._announced_offset:
+            wait_s = max(self._pace.interval_s, peers * per_peer_s)
         if self._clock.monotonic() - self._announced_s >= wait_s:
             self._announce()
 
     def _announce(self) -> None:
         self._sequence += 1
         self._announced_s = self._clock.monotonic()
+        self._announced_offset = self._config_offset
         self._publish(self._own_view())
 
     def _own_view(self) -> PeerView:
@@ -395,7 +444,10 @@
 
     def _peer_ttl_s(self) -> float:
         peers = len(self._table.live())
-        return max(60.0, 4 * peers * self._pace.announce_s_per_peer)
+        refresh_s = max(
+            self._pace.refresh_s, 4 * peers * self._pace.announce_s_per_peer
+        )
+        return 3 * refresh_s
 
     def _heartbeat(self) -> Heartbeat:
         mine = self._identity
@@ -407,7 +459,7 @@
             http_address=mine.http_address,
             config_offset=self._config_offset,
             state=self._state,
-            news=self._news.to_send(MOST_NEWS_PER_HEARTBEAT),
+            news=self._news.to_send(MOST_NEWS_PER_HEARTBEAT, self._own_news),
             sequence=self._sequence,
         )
 
@@ -445,3 +497,9 @@
 def _call_exchange(peer: Peer.Client, mine: Heartbeat) -> Heartbeat:
     reply: Heartbeat = peer.exchange(mine)
     return reply
+
+
+def _weighty_change(known: PeerView, peer: PeerView) -> bool:
+    """Return whether a change is worth passing on at once."""
+    suspicion = (known.suspected_s is None) != (peer.suspected_s is None)
+    return suspicion or known.state != peer.state
--- a/libs/membership/src/celeryfork_membership/news.py
+++ b/libs/membership/src/celeryfork_membership/news.py
@@ -74,6 +74,7 @@
     def __init__(self, clock: Clock, counters: Counters, origin: str) -> None:
         self.origin = origin
         self.sends_per_item = DEFAULT_SENDS_PER_ITEM
+        self.background_kinds: set[str] = set()
         self._clock = clock
         self._counters = counters
         self._lock = threading.Lock()
@@ -144,14 +145,31 @@
         """Call ``callback(kind)`` whenever the board takes in something new."""
         self._on_fresh.append(callback)
 
-    def to_send(self, limit: int) -> list[News]:
-        """Return at most ``limit`` pieces that fit into one heartbeat."""
+    def to_send(self, limit: int, leave_out: _Key | None = None) -> list[News]:
+        """Return pieces that fit into one heartbeat.
+
+        Parameters
+        ----------
+        limit
+            The most pieces.
+        leave_out
+            (kind, subject) of a piece that the heartbeat says anyway.
+        """
         now_s = self._clock.monotonic()
         with self._lock:
+            if leave_out is not None:
+                self._fresh_by_key.pop(leave_out, None)
             chosen = self._choose_fresh(limit, now_s)
             chosen += self._choose_old(limit - len(chosen), chosen, now_s)
             return [_to_wire(item, now_s) for item in chosen]
 
+    def everything(self, limit: int) -> list[News]:
+        """Return up to ``limit`` unexpired pieces, for a newcomer."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            items = [i for i in self._items_by_key.values() if not i.expired(now_s)]
+            return [_to_wire(item, now_s) for item in items[:limit]]
+
     def receive(self, news: Iterable[News]) -> None:
         """Take in a peer's news; malformed pieces are counted and dropped."""
         for piece in news:
@@ -227,9 +245,7 @@
             self._drop(key)
         chosen: list[_Item] = []
         left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
-        ranked = heapq.nsmallest(
-            limit, self._fresh_by_key.values(), key=lambda i: (i.sends, -i.born_s)
-        )
+        ranked = heapq.nsmallest(limit, self._fresh_by_key.values(), key=self._rank)
         for item in ranked:
             if chosen and item.size_bytes > left_bytes:
                 break
@@ -241,6 +257,10 @@
                 self._old_keys.append(item.key)
         return chosen
 
+    def _rank(self, item: _Item) -> tuple[bool, int, float]:
+        """Order news for sending: weighty kinds, then the least sent, the newest."""
+        return item.kind in self.background_kinds, item.sends, -item.born_s
+
     def _choose_old(self, limit: int, chosen: list[_Item], now_s: float) -> list[_Item]:
         left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
         left_bytes -= sum(item.size_bytes for item in chosen)
--- a/libs/membership/src/celeryfork_membership/peers.py
+++ b/libs/membership/src/celeryfork_membership/peers.py
@@ -9,7 +9,7 @@
 from celeryfork_base.clock import Clock
 from celeryfork_wire.gen.celeryfork.ttypes import InstanceState
 
-SUSPECT_S = 3.0
+SUSPECT_S = 4.0
 FORGET_S = 600.0
 MOST_PEERS = 4096
 SEQUENCE_BITS = 20
