--- a/libs/calls/src/celeryfork_calls/claim_follower.py
+++ b/libs/calls/src/celeryfork_calls/claim_follower.py
@@ -76,14 +76,21 @@
         backoff_s = FIRST_BACKOFF_S
         while not self._stopping.is_set():
             try:
-                self._read()
+                self.read_next()
                 backoff_s = FIRST_BACKOFF_S
             except CeleryforkError:
                 self._counters.add("claims.reads_failed")
                 self._stopping.wait(backoff_s)
                 backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
 
-    def _read(self) -> None:
+    def read_next(self) -> None:
+        """Read once and hand on what came.
+
+        Raises
+        ------
+        CeleryforkError
+            The log gave no answer.
+        """
         part = self._log.read(
             CLAIMS_STREAM,
             self._next_offset,
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -0,0 +1,473 @@
+"""This instance's claims beside everyone's: what is granted, given up and kept.
+
+Nothing here waits; `celeryfork_calls.claims` does. The rules that keep a key from
+running twice:
+
+- A claim is granted here only while its caller still waits for an answer. A caller
+  told ``not_run`` had its claim given up in the same step, under the same lock.
+- A claim given up is never granted, whenever it turns up; its Abandon then frees the
+  key for the next claim. Nobody takes over from a holder that is paused or gone.
+- A claim is granted only if no earlier one can have left the log unread: the key is
+  younger than what had left the log when this instance began to read.
+"""
+
+import secrets
+import threading
+from collections.abc import Callable, Sequence
+from enum import Enum
+
+from attrs import field, frozen, mutable
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.outcomes import Outcome
+
+from celeryfork_calls import errors
+from celeryfork_calls.claim_fold import (
+    ClaimFold,
+    Ended,
+    Held,
+    Ignored,
+    LostTo,
+    Won,
+    birth_ms_of_key,
+    key_hash,
+)
+from celeryfork_calls.claim_records import (
+    NONCE_BYTES,
+    Abandon,
+    Batch,
+    Claim,
+    Entry,
+    HandedOver,
+    MalformedRecordError,
+    NewerRecordError,
+    decode_batch,
+    settled_for_log,
+)
+from celeryfork_calls.claim_results import (
+    Claimed,
+    ClaimLimits,
+    InProgress,
+    Refused,
+    Replay,
+    Unresolved,
+)
+from celeryfork_calls.group_commit import (
+    AppendResult,
+    CommitLimits,
+    GroupCommit,
+    Queued,
+)
+from celeryfork_calls.kept import KeptOutcome, KeptStore
+from celeryfork_calls.ports import LogPort, LogRecordPort, LogSlicePort
+
+MOST_GIVEN_UP = 100_000
+
+HandedOverCallback = Callable[[KeptOutcome], None]
+
+
+class AttemptState(Enum):
+    """How far one claim of this instance has come."""
+
+    WAITING = "waiting"
+    GRANTED = "granted"
+    LOST = "lost"
+    UNPROVEN = "unproven"
+    REFUSED = "refused"
+    GIVEN_UP = "given_up"
+
+
+@mutable(eq=False)
+class Attempt:
+    """One claim of this instance, from its append to its outcome.
+
+    Parameters
+    ----------
+    answer_lost_s
+        Monotonic time at which an append of it went unanswered.
+    decided
+        Set once the state is no longer ``WAITING``.
+    ended
+        Set once the key is this instance's no more, or its outcome is kept.
+    """
+
+    claim: Claim
+    hashed: bytes
+    queued: Queued
+    state: AttemptState = AttemptState.WAITING
+    answer_lost_s: float | None = None
+    decided: threading.Event = field(factory=threading.Event)
+    ended: threading.Event = field(factory=threading.Event)
+
+
+@frozen
+class WaitFor:
+    """This instance's own claim of the key has to end or be freed first."""
+
+    event: threading.Event
+
+
+@frozen
+class Recorded:
+    """The key's outcome stands in the log."""
+
+    held: Held
+
+
+Found = Replay | InProgress | Unresolved | Refused | WaitFor | Recorded
+
+
+class ClaimTable:
+    """The claims of one instance and its fold of the stream; for any thread."""
+
+    def __init__(
+        self,
+        log: LogPort,
+        holder: str,
+        clock: Clock,
+        counters: Counters,
+        limits: ClaimLimits,
+    ) -> None:
+        self.holder = holder
+        self._log = log
+        self._clock = clock
+        self._counters = counters
+        self._limits = limits
+        self._lock = threading.Lock()
+        kept_s = limits.window_s + 2 * limits.skew_s
+        self._fold = ClaimFold(round(kept_s * 1000))
+        self._coverage_began_s: float | None = None
+        self._unread_ms: int | None = None
+        self._attempts_by_nonce: dict[str, Attempt] = {}
+        self._attempts_by_hash: dict[bytes, Attempt] = {}
+        self._given_up: dict[str, Abandon | None] = {}
+        self._waiters_by_hash: dict[bytes, list[threading.Event]] = {}
+        self._on_handed_over: HandedOverCallback | None = None
+        self.stopping = False
+        self.kept = KeptStore(
+            clock, counters, limits.most_kept, limits.most_kept_bytes, kept_s
+        )
+        commit_limits = CommitLimits(
+            limits.commit_wait_s, limits.most_queued, limits.most_queued_bytes
+        )
+        self.commit = GroupCommit(
+            log, holder, commit_limits, self._on_append, clock, counters
+        )
+
+    @property
+    def log_is_down(self) -> bool:
+        """Whether the log takes no appends at present."""
+        return not self._log.available or self.commit.refused_long
+
+    # Callers
+
+    def look_or_begin(
+        self, organisation: str, key: str, body_hash: str
+    ) -> Found | Attempt:
+        """Return what is known of a key, or queue a claim for it."""
+        with self._lock:
+            found = self._look(organisation, key, body_hash)
+            if found is not None:
+                return found
+            nonce = secrets.token_hex(NONCE_BYTES)
+            return self._begin(Claim(organisation, key, body_hash, nonce))
+
+    def end_wait(self, attempt: Attempt) -> None:
+        """Give a claim up that is still undecided: its caller waits no more."""
+        with self._lock:
+            if attempt.state is AttemptState.WAITING:
+                self._give_up(attempt)
+
+    def append_again(self, attempt: Attempt, after_s: float) -> None:
+        """Queue a claim anew whose append's answer was lost and which isn't seen."""
+        with self._lock:
+            lost_s = attempt.answer_lost_s
+            if lost_s is None or attempt.state is not AttemptState.WAITING:
+                return
+            waited_s = self._clock.monotonic() - lost_s
+            if waited_s >= after_s and not self.log_is_down:
+                attempt.answer_lost_s = None
+                self.commit.put(attempt.queued)
+
+    def finish(self, claimed: Claimed, kept: KeptOutcome) -> None:
+        """End a granted claim; ``NOT_RUN`` frees the key for another claim."""
+        with self._lock:
+            attempt = self._attempts_by_nonce.get(claimed.nonce)
+            if attempt is None or attempt.state is not AttemptState.GRANTED:
+                raise ValueError("finish is for claims that were granted, once")
+            if kept.outcome is Outcome.NOT_RUN:
+                self._give_up(attempt)
+                return
+            self.kept.put(kept)
+            self._forget(attempt)
+            self._log_outcome(claimed.nonce, kept)
+            self._wake(attempt.hashed)
+
+    def settle_unknown(self, kept: KeptOutcome) -> None:
+        """Keep what a status call found out about a key whose outcome was unknown."""
+        with self._lock:
+            self.kept.put(kept)
+            held = self._fold.held(kept.organisation, kept.key)
+            if held is not None and held.outcome is not kept.outcome:
+                self._log_outcome(held.nonce, kept)
+
+    def adopt(self, kept: KeptOutcome) -> None:
+        """Keep an outcome that its holder handed over."""
+        with self._lock:
+            self.kept.put(kept)
+            self._wake(key_hash(kept.organisation, kept.key))
+
+    def give_up_all(self) -> None:
+        """Take no more claims, and give up those that are undecided."""
+        with self._lock:
+            self.stopping = True
+            for attempt in list(self._attempts_by_nonce.values()):
+                if attempt.state is AttemptState.WAITING:
+                    self._give_up(attempt)
+
+    def attempt_of(self, organisation: str, key: str) -> Attempt | None:
+        """Return this instance's own unfinished claim of a key."""
+        with self._lock:
+            return self._attempts_by_hash.get(key_hash(organisation, key))
+
+    def change_of(self, organisation: str, key: str) -> threading.Event | None:
+        """Return an event for what is new of a held key, None if there is news now."""
+        with self._lock:
+            held = self._fold.held(organisation, key)
+            if held is None or held.outcome or self.kept.get(organisation, key):
+                return None
+            return self._waiter(key_hash(organisation, key))
+
+    def drop_waiter(self, organisation: str, key: str, event: threading.Event) -> None:
+        """Forget an event that nobody waits for any more."""
+        hashed = key_hash(organisation, key)
+        with self._lock:
+            waiters = self._waiters_by_hash.get(hashed, [])
+            if event in waiters:
+                waiters.remove(event)
+            if not waiters:
+                self._waiters_by_hash.pop(hashed, None)
+
+    def handed_over_to(self, callback: HandedOverCallback) -> None:
+        """Say who takes tickets' outcomes from the log."""
+        self._on_handed_over = callback
+
+    def dump(self) -> dict[str, object]:
+        """Return the sizes for the state dump."""
+        with self._lock:
+            return {
+                "keys_held": self._fold.size(),
+                "attempts": len(self._attempts_by_nonce),
+                "given_up": len(self._given_up),
+                "kept": self.kept.dump(),
+                "commit": self.commit.dump(),
+            }
+
+    def _look(self, organisation: str, key: str, body_hash: str) -> Found | None:
+        kept = self.kept.get(organisation, key)
+        if kept is not None:
+            return replay(kept, body_hash)
+        hashed = key_hash(organisation, key)
+        attempt = self._attempts_by_hash.get(hashed)
+        if attempt is not None:
+            if attempt.claim.body_hash != body_hash:
+                return Refused(errors.key_reused())
+            return WaitFor(attempt.ended)
+        held = self._fold.held(organisation, key)
+        if held is None:
+            return None
+        if held.body_hash_start != bytes.fromhex(body_hash)[:8]:
+            return Refused(errors.key_reused())
+        return self._look_at_holder(hashed, held)
+
+    def _look_at_holder(self, hashed: bytes, held: Held) -> Found:
+        """Return what is known of a key that the log says is held."""
+        if held.outcome is Outcome.UNKNOWN:
+            return Unresolved("its target gave no whole answer")
+        if held.outcome is not None:
+            return Recorded(held)
+        if held.holder != self.holder:
+            return InProgress(held.holder)
+        if held.nonce in self._given_up:
+            return WaitFor(self._waiter(hashed))
+        return Unresolved("its outcome is not kept any more")
+
+    def _begin(self, claim: Claim) -> Attempt | Refused:
+        if self.stopping:
+            return Refused(errors.stopping())
+        if self.log_is_down:
+            return Refused(errors.log_unavailable("The log is down."))
+        hashed = key_hash(claim.organisation, claim.key)
+        attempt = Attempt(claim, hashed, Queued(claim, must_land=False))
+        if not self.commit.put(attempt.queued):
+            return Refused(errors.overloaded("Too many claims wait for the log."))
+        self._attempts_by_nonce[claim.nonce] = attempt
+        self._attempts_by_hash[hashed] = attempt
+        return attempt
+
+    def _log_outcome(self, nonce: str, kept: KeptOutcome) -> None:
+        entry = settled_for_log(nonce, kept)
+        if not self.commit.put(Queued(entry, must_land=True)):
+            self._counters.add("claims.outcomes_not_logged")
+
+    def _give_up(
+        self, attempt: Attempt, state: AttemptState = AttemptState.GIVEN_UP
+    ) -> None:
+        """Make sure that a claim is never granted from now on, and free its key."""
+        self._decide(attempt, state)
+        self._forget(attempt)
+        if self.commit.withdraw(attempt.queued):
+            return
+        if len(self._given_up) >= MOST_GIVEN_UP:
+            self._given_up.pop(next(iter(self._given_up)))
+        claim = attempt.claim
+        abandon = Abandon(claim.organisation, claim.key, claim.nonce)
+        queued = self.commit.put(Queued(abandon, must_land=True))
+        self._given_up[claim.nonce] = None if queued else abandon
+
+    def _decide(self, attempt: Attempt, state: AttemptState) -> None:
+        attempt.state = state
+        attempt.decided.set()
+
+    def _forget(self, attempt: Attempt) -> None:
+        self._attempts_by_nonce.pop(attempt.claim.nonce, None)
+        if self._attempts_by_hash.get(attempt.hashed) is attempt:
+            del self._attempts_by_hash[attempt.hashed]
+        attempt.ended.set()
+
+    def _waiter(self, hashed: bytes) -> threading.Event:
+        event = threading.Event()
+        self._waiters_by_hash.setdefault(hashed, []).append(event)
+        return event
+
+    def _wake(self, hashed: bytes) -> None:
+        for event in self._waiters_by_hash.pop(hashed, []):
+            event.set()
+
+    # The log
+
+    def _on_append(self, batch: Sequence[Queued], result: AppendResult) -> None:
+        """Note what became of an append of claims."""
+        if result is AppendResult.APPENDED:
+            return
+        now_s = self._clock.monotonic()
+        down = self.log_is_down
+        with self._lock:
+            for queued in batch:
+                attempt = self._attempts_by_nonce.get(_nonce_of(queued.entry))
+                if attempt is None or attempt.state is not AttemptState.WAITING:
+                    continue
+                if result is AppendResult.UNKNOWN or queued.maybe_in_log:
+                    attempt.answer_lost_s = now_s
+                elif down or self._is_refused(queued, result):
+                    self._decide(attempt, AttemptState.REFUSED)
+                    self._forget(attempt)
+
+    def _is_refused(self, queued: Queued, result: AppendResult) -> bool:
+        """Tell whether a claim is refused for good, else queue it again."""
+        return result is AppendResult.REJECTED or not self.commit.put(queued)
+
+    def on_gap(self, read_ended_s: float) -> None:
+        """Note that records may have left the log unread before a read's end."""
+        with self._lock:
+            self._coverage_began_s = read_ended_s
+
+    def take_in(self, part: LogSlicePort) -> None:
+        """Fold what was read; records that can't be read are counted and skipped."""
+        for record in part.records:
+            try:
+                batch = decode_batch(record.data)
+            except NewerRecordError:
+                # It may hold claims, so older keys can't be proven free any more.
+                self._counters.add("claims.records_newer")
+                with self._lock:
+                    self._unread_ms = record.appended_ms
+            except MalformedRecordError:
+                self._counters.add("claims.records_malformed")
+            else:
+                self._counters.add("claims.entries_malformed", batch.faults)
+                with self._lock:
+                    self._apply(record, batch)
+
+    def _apply(self, record: LogRecordPort, batch: Batch) -> None:
+        for effect in self._fold.apply(record.offset, record.appended_ms, batch):
+            match effect:
+                case Won(nonce):
+                    self._on_won(nonce, record.appended_ms)
+                case LostTo(nonce):
+                    self._on_lost(nonce, AttemptState.LOST)
+                case Ignored(nonce):
+                    self._on_lost(nonce, AttemptState.UNPROVEN)
+                case Ended(hashed):
+                    self._wake(hashed)
+        for entry in batch.entries:
+            match entry:
+                case Abandon(nonce=nonce):
+                    self._given_up.pop(nonce, None)
+                case HandedOver(kept):
+                    if self._on_handed_over is not None:
+                        self._on_handed_over(kept)
+
+    def _on_won(self, nonce: str, appended_ms: int) -> None:
+        attempt = self._attempts_by_nonce.get(nonce)
+        if attempt is None:
+            self._on_surfaced(nonce)
+            return
+        if attempt.state is not AttemptState.WAITING:
+            return
+        if self._is_proven(attempt, appended_ms):
+            self._decide(attempt, AttemptState.GRANTED)
+        else:
+            self._give_up(attempt, AttemptState.UNPROVEN)
+
+    def _on_surfaced(self, nonce: str) -> None:
+        """Abandon a claim that turned up after it was given up, if that's still due."""
+        if nonce not in self._given_up:
+            return
+        self._counters.add("claims.surfaced_late")
+        abandon = self._given_up[nonce]
+        if abandon and self.commit.put(Queued(abandon, must_land=True)):
+            self._given_up[nonce] = None
+
+    def _on_lost(self, nonce: str, state: AttemptState) -> None:
+        attempt = self._attempts_by_nonce.get(nonce)
+        if attempt is None or attempt.state is not AttemptState.WAITING:
+            return
+        if state is AttemptState.UNPROVEN:
+            self._give_up(attempt, state)
+            return
+        self._decide(attempt, state)
+        self._forget(attempt)
+
+    def _is_proven(self, attempt: Attempt, appended_ms: int) -> bool:
+        """Tell whether no earlier claim of the key can have left the log unread.
+
+        Whatever was gone at a read's end was older than the retention then. By the
+        log's clock that was at most ``late_ms`` after this claim's append.
+        """
+        birth_ms = birth_ms_of_key(attempt.claim.key) or 0
+        skew_ms = self._limits.skew_s * 1000
+        age_ms = appended_ms - birth_ms
+        if not -skew_ms <= age_ms <= self._limits.window_s * 1000 + skew_ms:
+            return False
+        if self._unread_ms is not None and birth_ms - skew_ms <= self._unread_ms:
+            return False
+        if self._coverage_began_s is None:
+            return True
+        sent_s = attempt.queued.first_sent_s or 0.0
+        late_ms = max(0.0, self._coverage_began_s - sent_s) * 1000
+        gone_before_ms = appended_ms + late_ms - self._limits.retention_s * 1000
+        return birth_ms - skew_ms > gone_before_ms
+
+
+def replay(kept: KeptOutcome, body_hash: str) -> Replay | Unresolved | Refused:
+    """Return what a kept outcome means to a repeat of the call."""
+    if kept.body_hash and kept.body_hash != body_hash:
+        return Refused(errors.key_reused())
+    if kept.outcome is Outcome.UNKNOWN:
+        return Unresolved("its target gave no whole answer")
+    return Replay(kept)
+
+
+def _nonce_of(entry: Entry) -> str:
+    return entry.nonce if isinstance(entry, Claim) else ""
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/dispatch.py
@@ -0,0 +1,176 @@
+"""Sends a call to targets until one answers or it may not be sent again."""
+
+from urllib.parse import quote
+
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+
+from celeryfork_calls import errors
+from celeryfork_calls.kept import KeptOutcome
+from celeryfork_calls.plain_call import (
+    PlainCall,
+    PlainResult,
+    fingerprint_of,
+    kept_of,
+    target_headers,
+)
+from celeryfork_calls.ports import (
+    PoisonPort,
+    RetryBudgetPort,
+    RouterPort,
+    ServiceKindPort,
+    TargetPort,
+    ViewPort,
+)
+from celeryfork_calls.service_client import Lost, SendResult, Sent, ServiceClient
+from celeryfork_calls.verdicts import Answer, Elsewhere, Useless, Verdict, judge
+
+MOST_ATTEMPTS = 3
+STATUS_CALL_TIMEOUT_S = 2.0
+
+
+class Dispatcher:
+    """Sends calls, with retries only where they are safe; for any thread."""
+
+    def __init__(
+        self,
+        router: RouterPort,
+        view: ViewPort,
+        client: ServiceClient,
+        retry_budget: RetryBudgetPort,
+        poison: PoisonPort,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._router = router
+        self._view = view
+        self._client = client
+        self._retry_budget = retry_budget
+        self._poison = poison
+        self._clock = clock
+        self._counters = counters
+
+    def run(self, call: PlainCall, kind: ServiceKindPort) -> PlainResult:
+        """Send a call until a target answers or it may not be sent again."""
+        ends_s = min(call.deadline_s, self._clock.monotonic() + kind.timeout_s)
+        avoid: frozenset[str] = frozenset()
+        may_have_run = False
+        verdict = Elsewhere("no attempt was made", may_have_run=False)
+        for attempt in range(MOST_ATTEMPTS):
+            if attempt and not self._may_retry(kind, may_have_run, ends_s):
+                break
+            target = self._choose(call, avoid, may_have_run)
+            match self._send(call, kind, target, ends_s):
+                case Answer(sent, outcome):
+                    self._retry_budget.succeeded()
+                    return PlainResult(
+                        outcome, sent.status, sent.content_type, sent.body
+                    )
+                case Useless(reason):
+                    raise errors.target_failed(reason)
+                case Elsewhere() as verdict:
+                    may_have_run = may_have_run or verdict.may_have_run
+                    avoid |= {target.id}
+        raise self._no_answer(verdict, may_have_run, ends_s)
+
+    def _may_retry(
+        self, kind: ServiceKindPort, may_have_run: bool, ends_s: float
+    ) -> bool:
+        if may_have_run and not kind.idempotent:
+            return False
+        if self._clock.monotonic() >= ends_s:
+            return False
+        if not self._retry_budget.may_retry():
+            self._counters.add("calls.retry_budget_spent")
+            return False
+        self._counters.add("calls.retries")
+        return True
+
+    def _choose(
+        self, call: PlainCall, avoid: frozenset[str], may_have_run: bool
+    ) -> TargetPort:
+        try:
+            return self._router.choose_service(call.service, avoid)
+        except RequestRefusedError as error:
+            if not may_have_run:
+                raise
+            raise errors.target_failed("no other target is left") from error
+
+    def _send(
+        self,
+        call: PlainCall,
+        kind: ServiceKindPort,
+        target: TargetPort,
+        ends_s: float,
+    ) -> Verdict:
+        began_s = self._clock.monotonic()
+        result: SendResult = Lost("the call was broken off")
+        try:
+            result = self._client.send(
+                target.address,
+                call.kind,
+                target_headers(call),
+                call.body,
+                ends_s - began_s,
+                fresh=not kind.idempotent,
+            )
+        finally:
+            seconds = self._clock.monotonic() - began_s
+            self._router.release_service(target, isinstance(result, Sent), seconds)
+        self._counters.add(f"calls.send_{type(result).__name__.lower()}")
+        self._observe(call, target, result)
+        return judge(result, kind.rejects_before_running)
+
+    def _observe(self, call: PlainCall, target: TargetPort, result: SendResult) -> None:
+        """Tell the view and the poison register what happened at the target."""
+        match result:
+            case Lost(timed_out=False, answer_too_large=False):
+                self._poison.crashed(fingerprint_of(call), target.id)
+
+    def _no_answer(
+        self, verdict: Elsewhere, may_have_run: bool, ends_s: float
+    ) -> RequestRefusedError:
+        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
+        if self._clock.monotonic() >= ends_s:
+            return errors.deadline_passed(outcome)
+        if may_have_run:
+            return errors.target_failed(verdict.reason)
+        return errors.targets_busy(verdict.reason, verdict.retry_after_s)
+
+    def ask_status(
+        self, call: PlainCall, key: str, kind: ServiceKindPort
+    ) -> KeptOutcome | None:
+        """Ask the service what became of a key.
+
+        Only a kept result settles it. That the service has none proves nothing: the
+        call may still be on its way there.
+        """
+        left_s = call.deadline_s - self._clock.monotonic()
+        if kind.status_path is None or left_s <= 0:
+            return None
+        path = kind.status_path.replace("{key}", quote(key, safe=""))
+        began_s = self._clock.monotonic()
+        try:
+            target = self._router.choose_service(call.service, frozenset())
+        except RequestRefusedError:
+            return None
+        answer: SendResult = Lost("the call was broken off")
+        try:
+            answer = self._client.get(
+                target.address,
+                path,
+                target_headers(call),
+                min(left_s, STATUS_CALL_TIMEOUT_S),
+            )
+        finally:
+            seconds = self._clock.monotonic() - began_s
+            self._router.release_service(target, isinstance(answer, Sent), seconds)
+        if not isinstance(answer, Sent) or answer.status != 200:
+            return None
+        self._counters.add("calls.settled_by_status")
+        result = PlainResult(
+            Outcome.DONE, answer.status, answer.content_type, answer.body
+        )
+        return kept_of(call, key, Outcome.DONE, self._clock.wall_ms(), result)
--- a/libs/calls/src/celeryfork_calls/group_commit.py
+++ b/libs/calls/src/celeryfork_calls/group_commit.py
@@ -13,7 +13,11 @@
 from attrs import field, frozen, mutable
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
-from celeryfork_base.errors import CeleryforkError, PlatformUnavailableError
+from celeryfork_base.errors import (
+    CeleryforkError,
+    InputFaultError,
+    PlatformUnavailableError,
+)
 
 from celeryfork_calls.claim_records import (
     CLAIMS_STREAM,
@@ -39,6 +43,7 @@
     APPENDED = "appended"
     NOT_APPENDED = "not_appended"
     UNKNOWN = "unknown"
+    REJECTED = "rejected"  # it is not in the log, and would be refused again
 
 
 @mutable(eq=False)
@@ -194,25 +199,31 @@
         most_bytes = self._limits.most_queued_bytes
         return self._queued_bytes + queued.size_bytes <= most_bytes
 
+    def append_next(self) -> bool:
+        """Append what is queued, if an append is due; False if none was made."""
+        with self._changed:
+            left_s = self._next_append_s - self._clock.monotonic()
+            if not self._queue or left_s > 0:
+                return False
+            batch = self._take()
+        result = self._append(batch)
+        self._pace(result)
+        self._settle(batch, result)
+        return True
+
     def _run(self) -> None:
-        while True:
-            batch = self._next_batch()
-            if batch is None:
-                return
-            result = self._append(batch)
-            self._pace(result)
-            self._settle(batch, result)
+        while not self._stopping:
+            if not self.append_next():
+                self._await_due()
 
-    def _next_batch(self) -> Sequence[Queued] | None:
-        """Wait until an append is due; None when stopping."""
+    def _await_due(self) -> None:
+        """Wait until an append may be due, at most ``IDLE_WAIT_S``."""
         with self._changed:
-            while not self._stopping:
-                left_s = self._next_append_s - self._clock.monotonic()
-                if self._queue and left_s <= 0:
-                    return self._take()
-                wait_s = max(left_s, 0.0) if self._queue else IDLE_WAIT_S
+            wait_s = IDLE_WAIT_S
+            if self._queue:
+                wait_s = self._next_append_s - self._clock.monotonic()
+            if wait_s > 0 and not self._stopping:
                 self._changed.wait(min(wait_s, IDLE_WAIT_S))
-        return None
 
     def _take(self) -> Sequence[Queued]:
         now_s = self._clock.monotonic()
@@ -240,6 +251,9 @@
         except PlatformUnavailableError:
             self._counters.add("claims.appends_refused")
             return AppendResult.NOT_APPENDED
+        except InputFaultError:
+            self._counters.add("claims.appends_rejected")
+            return AppendResult.REJECTED
         except CeleryforkError:
             self._counters.add("claims.appends_unknown")
             return AppendResult.UNKNOWN
@@ -269,10 +283,10 @@
         reported = [q for q in batch if not q.must_land]
         with self._changed:
             self._in_flight = ()
-            if result is not AppendResult.NOT_APPENDED:
+            if result in (AppendResult.APPENDED, AppendResult.UNKNOWN):
                 for queued in batch:
                     queued.maybe_in_log = True
-            if result is not AppendResult.APPENDED:
+            if result in (AppendResult.NOT_APPENDED, AppendResult.UNKNOWN):
                 self._queue.extendleft(reversed(must_land))
                 self._queued_bytes += sum(q.size_bytes for q in must_land)
             self._changed.notify_all()
--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -60,45 +60,6 @@
 FORWARDED_CONTENT_TYPE = "application/json"
 
 
-@frozen
-class PlainCall:
-    """One call of a plain service.
-
-    Parameters
-    ----------
-    key
-        The caller's ``Idempotency-Key``: a UUIDv7 or a ticket.
-    deadline_s
-        Monotonic time until which the caller waits, in seconds.
-    """
-
-    request_id: str
-    organisation: str
-    service: str
-    kind: str
-    body: bytes = field(repr=False)
-    content_type: str
-    key: str | None
-    deadline_s: float
-
-
-@frozen
-class PlainResult:
-    """A target's whole answer.
-
-    Parameters
-    ----------
-    replayed
-        It was kept from an earlier send of the same key.
-    """
-
-    outcome: Outcome
-    status: int
-    content_type: str
-    body: bytes = field(repr=False)
-    replayed: bool = False
-
-
 class PlainCaller:
     """Calls plain services; for any thread."""
 
@@ -137,10 +98,10 @@
             There is no target's answer; ``outcome`` says what is known.
         """
         kind = self._kind(call)
-        self._poison.check(_fingerprint(call))
+        self._poison.check(fingerprint_of(call))
         try:
             if kind.idempotent:
-                result = self._dispatch(call, kind)
+                result = self._dispatcher.run(call, kind)
             elif call.key is None:
                 raise errors.key_needed()
             elif is_ticket(call.key):
@@ -177,95 +138,6 @@
             raise errors.not_configured("kind", f"{call.service}/{call.kind}")
         return kind
 
-    # Sending
-
-    def _dispatch(self, call: PlainCall, kind: ServiceKindPort) -> PlainResult:
-        """Send a call until a target answers or it may not be sent again."""
-        ends_s = min(call.deadline_s, self._clock.monotonic() + kind.timeout_s)
-        avoid: frozenset[str] = frozenset()
-        may_have_run = False
-        verdict = Elsewhere("no attempt was made", may_have_run=False)
-        for attempt in range(MOST_ATTEMPTS):
-            if attempt and not self._may_retry(kind, may_have_run, ends_s):
-                break
-            target = self._choose(call, avoid, may_have_run)
-            match self._send(call, kind, target, ends_s):
-                case Answer(sent, outcome):
-                    self._retry_budget.succeeded()
-                    return PlainResult(
-                        outcome, sent.status, sent.content_type, sent.body
-                    )
-                case Useless(reason):
-                    raise errors.target_failed(reason)
-                case Elsewhere() as verdict:
-                    may_have_run = may_have_run or verdict.may_have_run
-                    avoid |= {target.id}
-        raise self._no_answer(verdict, may_have_run, ends_s)
-
-    def _may_retry(
-        self, kind: ServiceKindPort, may_have_run: bool, ends_s: float
-    ) -> bool:
-        if may_have_run and not kind.idempotent:
-            return False
-        if self._clock.monotonic() >= ends_s:
-            return False
-        if not self._retry_budget.may_retry():
-            self._counters.add("calls.retry_budget_spent")
-            return False
-        self._counters.add("calls.retries")
-        return True
-
-    def _choose(
-        self, call: PlainCall, avoid: frozenset[str], may_have_run: bool
-    ) -> TargetPort:
-        try:
-            return self._router.choose_service(call.service, avoid)
-        except RequestRefusedError as error:
-            if not may_have_run:
-                raise
-            raise errors.target_failed("no other target is left") from error
-
-    def _send(
-        self,
-        call: PlainCall,
-        kind: ServiceKindPort,
-        target: TargetPort,
-        ends_s: float,
-    ) -> Answer | Elsewhere | Useless:
-        began_s = self._clock.monotonic()
-        result: SendResult = Lost("the call was broken off")
-        try:
-            result = self._client.send(
-                target.address,
-                call.kind,
-                _headers(call),
-                call.body,
-                ends_s - began_s,
-                fresh=not kind.idempotent,
-            )
-        finally:
-            seconds = self._clock.monotonic() - began_s
-            self._router.release_service(target, isinstance(result, Sent), seconds)
-        self._counters.add(f"calls.send_{type(result).__name__.lower()}")
-        self._observe(call, target, result)
-        return judge(result, kind.rejects_before_running)
-
-    def _observe(self, call: PlainCall, target: TargetPort, result: SendResult) -> None:
-        """Tell the view and the poison register what happened at the target."""
-        match result:
-            case Lost(timed_out=False, answer_too_large=False):
-                self._poison.crashed(_fingerprint(call), target.id)
-
-    def _no_answer(
-        self, verdict: Elsewhere, may_have_run: bool, ends_s: float
-    ) -> RequestRefusedError:
-        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
-        if self._clock.monotonic() >= ends_s:
-            return errors.deadline_passed(outcome)
-        if may_have_run:
-            return errors.target_failed(verdict.reason)
-        return errors.targets_busy(verdict.reason, verdict.retry_after_s)
-
     # Claims
 
     def _call_with_claim(
@@ -279,7 +151,7 @@
                 case Claimed() as claimed:
                     return self._run_claimed(call, kind, claimed)
                 case Replay(kept):
-                    return _replayed(kept)
+                    return replayed(kept)
                 case Refused(error):
                     raise error
                 case Unresolved(reason, outcome):
@@ -293,12 +165,12 @@
         self, call: PlainCall, kind: ServiceKindPort, claimed: Claimed
     ) -> PlainResult:
         now_ms = self._clock.wall_ms()
-        kept = _kept(call, claimed.key, Outcome.UNKNOWN, now_ms)
+        kept = kept_of(call, claimed.key, Outcome.UNKNOWN, now_ms)
         try:
-            result = self._dispatch(call, kind)
-            kept = _kept(call, claimed.key, result.outcome, now_ms, result)
+            result = self._dispatcher.run(call, kind)
+            kept = kept_of(call, claimed.key, result.outcome, now_ms, result)
         except RequestRefusedError as error:
-            kept = _kept(call, claimed.key, error.outcome, now_ms)
+            kept = kept_of(call, claimed.key, error.outcome, now_ms)
             raise
         finally:
             self._claims.finish(claimed, kept)
@@ -331,7 +203,7 @@
         # The holder is gone, paused, or gave its claim up; then an Abandon follows.
         wait_s = min(HOLDER_GONE_WAIT_S, call.deadline_s - self._clock.monotonic())
         if not self._claims.await_change(call.organisation, key, wait_s):
-            found = self._ask_status(call, key, kind)
+            found = self._dispatcher.ask_status(call, key, kind)
             if found is None:
                 raise errors.outcome_unknown(f"its holder {holder} does not answer")
             self._claims.settle_unknown(found)
@@ -344,47 +216,11 @@
         unknown: RequestRefusedError,
     ) -> PlainResult:
         """Answer from the kind's status call, or say that the outcome is unknown."""
-        found = self._ask_status(call, key, kind)
+        found = self._dispatcher.ask_status(call, key, kind)
         if found is None:
             raise unknown
         self._claims.settle_unknown(found)
-        return _replayed(found)
-
-    def _ask_status(
-        self, call: PlainCall, key: str, kind: ServiceKindPort
-    ) -> KeptOutcome | None:
-        """Ask the service what became of a key.
-
-        Only a kept result settles it. That the service has none proves nothing: the
-        call may still be on its way there.
-        """
-        left_s = call.deadline_s - self._clock.monotonic()
-        if kind.status_path is None or left_s <= 0:
-            return None
-        path = kind.status_path.replace("{key}", quote(key, safe=""))
-        began_s = self._clock.monotonic()
-        try:
-            target = self._router.choose_service(call.service, frozenset())
-        except RequestRefusedError:
-            return None
-        answer: SendResult = Lost("the call was broken off")
-        try:
-            answer = self._client.get(
-                target.address,
-                path,
-                _headers(call),
-                min(left_s, STATUS_CALL_TIMEOUT_S),
-            )
-        finally:
-            seconds = self._clock.monotonic() - began_s
-            self._router.release_service(target, isinstance(answer, Sent), seconds)
-        if not isinstance(answer, Sent) or answer.status != 200:
-            return None
-        self._counters.add("calls.settled_by_status")
-        result = PlainResult(
-            Outcome.DONE, answer.status, answer.content_type, answer.body
-        )
-        return _kept(call, key, Outcome.DONE, self._clock.wall_ms(), result)
+        return replayed(found)
 
     # Tickets
 
@@ -410,23 +246,23 @@
         self, call: PlainCall, text: str, kind: ServiceKindPort, kept: KeptOutcome
     ) -> PlainResult:
         if kept.outcome is not Outcome.UNKNOWN:
-            return _replayed(kept)
-        found = self._ask_status(call, text, kind)
+            return replayed(kept)
+        found = self._dispatcher.ask_status(call, text, kind)
         if found is None:
             raise errors.outcome_unknown("its target gave no whole answer")
         self._tickets.settle(text, found)
-        return _replayed(found)
+        return replayed(found)
 
     def _run_begun(
         self, call: PlainCall, kind: ServiceKindPort, begun: Begun
     ) -> PlainResult:
         now_ms = self._clock.wall_ms()
-        kept = _kept(call, begun.text, Outcome.UNKNOWN, now_ms)
+        kept = kept_of(call, begun.text, Outcome.UNKNOWN, now_ms)
         try:
-            result = self._dispatch(call, kind)
-            kept = _kept(call, begun.text, result.outcome, now_ms, result)
+            result = self._dispatcher.run(call, kind)
+            kept = kept_of(call, begun.text, result.outcome, now_ms, result)
         except RequestRefusedError as error:
-            kept = _kept(call, begun.text, error.outcome, now_ms)
+            kept = kept_of(call, begun.text, error.outcome, now_ms)
             raise
         finally:
             self._tickets.finish(begun, kept)
@@ -452,7 +288,7 @@
             raise refusal
         if kept.outcome is Outcome.UNKNOWN:
             raise errors.outcome_unknown("there is no whole answer")
-        return _replayed(kept)
+        return replayed(kept)
 
     def _run_forwarded(self, forwarded: ttypes.TicketCall) -> KeptOutcome:
         """Run a ticket's call that a peer forwarded, as if its caller had come here."""
@@ -471,7 +307,7 @@
             result = self.call(call)
         except RequestRefusedError as error:
             return refusal_to_kept(error, call.organisation, forwarded.ticket, now_ms)
-        return _kept(call, forwarded.ticket, result.outcome, now_ms, result)
+        return kept_of(call, forwarded.ticket, result.outcome, now_ms, result)
 
 
 def make_plain_caller(
@@ -499,43 +335,3 @@
         counters,
         client or make_service_client(),
     )
-
-
-def _headers(call: PlainCall) -> Mapping[str, str]:
-    headers = {
-        "Content-Type": call.content_type or DEFAULT_CONTENT_TYPE,
-        REQUEST_ID_HEADER: call.request_id,
-        "X-Organisation": call.organisation,
-    }
-    if call.key is not None:
-        headers["Idempotency-Key"] = call.key
-    return headers
-
-
-def _fingerprint(call: PlainCall) -> str:
-    return fingerprint(call.organisation, f"{call.service}/{call.kind}", call.body)
-
-
-def _kept(
-    call: PlainCall,
-    key: str,
-    outcome: Outcome,
-    kept_ms: int,
-    result: PlainResult | None = None,
-) -> KeptOutcome:
-    return KeptOutcome(
-        organisation=call.organisation,
-        key=key,
-        outcome=outcome,
-        status=0 if result is None else result.status,
-        content_type="" if result is None else result.content_type,
-        body=b"" if result is None else result.body,
-        body_hash=hash_body(call.body),
-        kept_ms=kept_ms,
-    )
-
-
-def _replayed(kept: KeptOutcome) -> PlainResult:
-    return PlainResult(
-        kept.outcome, kept.status, kept.content_type, kept.body, replayed=True
-    )
--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/plain_call.py
@@ -0,0 +1,94 @@
+"""A call of a plain service and its answer."""
+
+from collections.abc import Mapping
+
+from attrs import field, frozen
+from celeryfork_admission.poison import fingerprint
+from celeryfork_base.outcomes import REQUEST_ID_HEADER, Outcome
+
+from celeryfork_calls.claim_fold import hash_body
+from celeryfork_calls.kept import KeptOutcome
+from celeryfork_calls.service_client import DEFAULT_CONTENT_TYPE
+
+
+@frozen
+class PlainCall:
+    """One call of a plain service.
+
+    Parameters
+    ----------
+    key
+        The caller's ``Idempotency-Key``: a UUIDv7 or a ticket.
+    deadline_s
+        Monotonic time until which the caller waits, in seconds.
+    """
+
+    request_id: str
+    organisation: str
+    service: str
+    kind: str
+    body: bytes = field(repr=False)
+    content_type: str
+    key: str | None
+    deadline_s: float
+
+
+@frozen
+class PlainResult:
+    """A target's whole answer.
+
+    Parameters
+    ----------
+    replayed
+        It was kept from an earlier send of the same key.
+    """
+
+    outcome: Outcome
+    status: int
+    content_type: str
+    body: bytes = field(repr=False)
+    replayed: bool = False
+
+
+def target_headers(call: PlainCall) -> Mapping[str, str]:
+    """Return the headers that go to the target."""
+    headers = {
+        "Content-Type": call.content_type or DEFAULT_CONTENT_TYPE,
+        REQUEST_ID_HEADER: call.request_id,
+        "X-Organisation": call.organisation,
+    }
+    if call.key is not None:
+        headers["Idempotency-Key"] = call.key
+    return headers
+
+
+def fingerprint_of(call: PlainCall) -> str:
+    """Return what repeats of the call share, whatever key they come with."""
+    return fingerprint(call.organisation, f"{call.service}/{call.kind}", call.body)
+
+
+def kept_of(
+    call: PlainCall,
+    key: str,
+    outcome: Outcome,
+    kept_ms: int,
+    result: PlainResult | None = None,
+) -> KeptOutcome:
+    """Return a call's outcome to keep under its key, with the answer if there is one."""
+    return KeptOutcome(
+        organisation=call.organisation,
+        key=key,
+        outcome=outcome,
+        status=0 if result is None else result.status,
+        content_type="" if result is None else result.content_type,
+        body=b"" if result is None else result.body,
+        body_hash=hash_body(call.body),
+        kept_ms=kept_ms,
+    )
+
+
+def replayed(kept: KeptOutcome) -> PlainResult:
+    """Return a kept answer for a repeat."""
+    return PlainResult(
+        kept.outcome, kept.status, kept.content_type, kept.body, replayed=True
+    )
