--- a/libs/calls/src/celeryfork_calls/claim_fold.py
+++ b/libs/calls/src/celeryfork_calls/claim_fold.py
@@ -118,6 +118,10 @@
         self._latest_ms = 0
         self.pruned_before_ms = 0
 
+    def set_kept(self, kept_ms: int) -> None:
+        """Keep state for another time after a key's birth, in milliseconds."""
+        self._kept_ms = kept_ms
+
     def apply(self, offset: int, appended_ms: int, batch: Batch) -> Iterator[Effect]:
         """Take in one record and tell what it changed."""
         self._advance(appended_ms)
--- a/libs/calls/src/celeryfork_calls/claim_results.py
+++ b/libs/calls/src/celeryfork_calls/claim_results.py
@@ -44,6 +44,11 @@
     most_kept: int = 20_000
     most_kept_bytes: int = 32 * 1024 * 1024
 
+    @property
+    def kept_ms(self) -> int:
+        """How long after its birth a key's state is needed, in milliseconds."""
+        return round((self.window_s + 2 * self.skew_s) * 1000)
+
     def __attrs_post_init__(self) -> None:
         """Refuse times under which a claim could outlive its record."""
         if self.window_s + 2 * self.skew_s >= self.retention_s:
--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -1,4 +1,4 @@
-"""This instance's claims beside everyone's: what is granted, given up and kept.
+"""The instance's own claims beside everyone's: what is granted, given up and kept.
 
 Nothing here waits; `celeryfork_calls.claims` does. The rules that keep a key from
 running twice:
@@ -22,6 +22,7 @@
 from celeryfork_base.outcomes import Outcome
 
 from celeryfork_calls import errors
+from celeryfork_calls.claim_coverage import Coverage
 from celeryfork_calls.claim_fold import (
     ClaimFold,
     Ended,
@@ -102,7 +103,7 @@
 
 @frozen
 class WaitFor:
-    """This instance's own claim of the key has to end or be freed first."""
+    """The instance's own claim of the key has to end or be freed first."""
 
     event: threading.Event
 
@@ -132,12 +133,9 @@
         self._log = log
         self._clock = clock
         self._counters = counters
-        self._limits = limits
         self._lock = threading.Lock()
-        kept_s = limits.window_s + 2 * limits.skew_s
-        self._fold = ClaimFold(round(kept_s * 1000))
-        self._coverage_began_s: float | None = None
-        self._unread_ms: int | None = None
+        self._fold = ClaimFold(limits.kept_ms)
+        self._coverage = Coverage(limits)
         self._attempts_by_nonce: dict[str, Attempt] = {}
         self._attempts_by_hash: dict[bytes, Attempt] = {}
         self._given_up: dict[str, Abandon | None] = {}
@@ -145,7 +143,11 @@
         self._on_handed_over: HandedOverCallback | None = None
         self.stopping = False
         self.kept = KeptStore(
-            clock, counters, limits.most_kept, limits.most_kept_bytes, kept_s
+            clock,
+            counters,
+            limits.most_kept,
+            limits.most_kept_bytes,
+            limits.kept_ms / 1000,
         )
         commit_limits = CommitLimits(
             limits.commit_wait_s, limits.most_queued, limits.most_queued_bytes
@@ -159,6 +161,17 @@
         """Whether the log takes no appends at present."""
         return not self._log.available or self.commit.refused_long
 
+    def set_limits(self, limits: ClaimLimits) -> None:
+        """Follow a new window, retention or commit wait.
+
+        A wider window is safe at once: keys whose state was dropped under the old
+        one are not granted.
+        """
+        with self._lock:
+            self._coverage.set_limits(limits)
+            self._fold.set_kept(limits.kept_ms)
+            self.commit.set_gap(limits.commit_wait_s)
+
     # Callers
 
     def look_or_begin(
@@ -370,7 +383,7 @@
     def on_gap(self, read_ended_s: float) -> None:
         """Note that records may have left the log unread before a read's end."""
         with self._lock:
-            self._coverage_began_s = read_ended_s
+            self._coverage.gap(read_ended_s)
 
     def take_in(self, part: LogSlicePort) -> None:
         """Fold what was read; records that can't be read are counted and skipped."""
@@ -381,7 +394,7 @@
                 # It may hold claims, so older keys can't be proven free any more.
                 self._counters.add("claims.records_newer")
                 with self._lock:
-                    self._unread_ms = record.appended_ms
+                    self._coverage.skipped(record.appended_ms)
             except MalformedRecordError:
                 self._counters.add("claims.records_malformed")
             else:
@@ -415,7 +428,9 @@
             return
         if attempt.state is not AttemptState.WAITING:
             return
-        if self._is_proven(attempt, appended_ms):
+        birth_ms = birth_ms_of_key(attempt.claim.key) or 0
+        sent_s = attempt.queued.first_sent_s or 0.0
+        if self._coverage.proves(birth_ms, appended_ms, sent_s):
             self._decide(attempt, AttemptState.GRANTED)
         else:
             self._give_up(attempt, AttemptState.UNPROVEN)
@@ -439,26 +454,6 @@
         self._decide(attempt, state)
         self._forget(attempt)
 
-    def _is_proven(self, attempt: Attempt, appended_ms: int) -> bool:
-        """Tell whether no earlier claim of the key can have left the log unread.
-
-        Whatever was gone at a read's end was older than the retention then. By the
-        log's clock that was at most ``late_ms`` after this claim's append.
-        """
-        birth_ms = birth_ms_of_key(attempt.claim.key) or 0
-        skew_ms = self._limits.skew_s * 1000
-        age_ms = appended_ms - birth_ms
-        if not -skew_ms <= age_ms <= self._limits.window_s * 1000 + skew_ms:
-            return False
-        if self._unread_ms is not None and birth_ms - skew_ms <= self._unread_ms:
-            return False
-        if self._coverage_began_s is None:
-            return True
-        sent_s = attempt.queued.first_sent_s or 0.0
-        late_ms = max(0.0, self._coverage_began_s - sent_s) * 1000
-        gone_before_ms = appended_ms + late_ms - self._limits.retention_s * 1000
-        return birth_ms - skew_ms > gone_before_ms
-
 
 def replay(kept: KeptOutcome, body_hash: str) -> Replay | Unresolved | Refused:
     """Return what a kept outcome means to a repeat of the call."""
--- a/libs/calls/src/celeryfork_calls/claims.py
+++ b/libs/calls/src/celeryfork_calls/claims.py
@@ -83,6 +83,11 @@
         """Say who takes tickets' outcomes from the log; before ``start``."""
         self.table.handed_over_to(callback)
 
+    def set_limits(self, limits: ClaimLimits) -> None:
+        """Follow a new window, retention or commit wait from the configuration."""
+        self._limits = limits
+        self.table.set_limits(limits)
+
     def start(self) -> None:
         """Begin to read and to append in the background."""
         self.follower.start()
--- a/libs/calls/src/celeryfork_calls/dispatch.py
+++ b/libs/calls/src/celeryfork_calls/dispatch.py
@@ -1,11 +1,19 @@
 """Sends a call to targets until one answers or it may not be sent again."""
 
+from collections.abc import Callable
 from urllib.parse import quote
 
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
+from celeryfork_membership.observations import (
+    Draining,
+    Refused,
+    Reset,
+    Stalled,
+    Succeeded,
+)
 
 from celeryfork_calls import errors
 from celeryfork_calls.kept import KeptOutcome
@@ -17,6 +25,7 @@
     target_headers,
 )
 from celeryfork_calls.ports import (
+    ConfigurationPort,
     PoisonPort,
     RetryBudgetPort,
     RouterPort,
@@ -24,10 +33,15 @@
     TargetPort,
     ViewPort,
 )
-from celeryfork_calls.service_client import Lost, SendResult, Sent, ServiceClient
+from celeryfork_calls.service_client import (
+    Lost,
+    NotSent,
+    SendResult,
+    Sent,
+    ServiceClient,
+)
 from celeryfork_calls.verdicts import Answer, Elsewhere, Useless, Verdict, judge
 
-MOST_ATTEMPTS = 3
 STATUS_CALL_TIMEOUT_S = 2.0
 
 
@@ -41,6 +55,7 @@
         client: ServiceClient,
         retry_budget: RetryBudgetPort,
         poison: PoisonPort,
+        configuration: Callable[[], ConfigurationPort],
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -49,6 +64,7 @@
         self._client = client
         self._retry_budget = retry_budget
         self._poison = poison
+        self._configuration = configuration
         self._clock = clock
         self._counters = counters
 
@@ -58,7 +74,7 @@
         avoid: frozenset[str] = frozenset()
         may_have_run = False
         verdict = Elsewhere("no attempt was made", may_have_run=False)
-        for attempt in range(MOST_ATTEMPTS):
+        for attempt in range(self._configuration().policy.most_attempts):
             if attempt and not self._may_retry(kind, may_have_run, ends_s):
                 break
             target = self._choose(call, avoid, may_have_run)
@@ -120,13 +136,31 @@
             seconds = self._clock.monotonic() - began_s
             self._router.release_service(target, isinstance(result, Sent), seconds)
         self._counters.add(f"calls.send_{type(result).__name__.lower()}")
-        self._observe(call, target, result)
+        # A caller's short deadline says nothing about the target.
+        took_its_time = seconds >= kind.timeout_s
+        self._observe(call, target, result, took_its_time)
         return judge(result, kind.rejects_before_running)
 
-    def _observe(self, call: PlainCall, target: TargetPort, result: SendResult) -> None:
+    def _observe(
+        self,
+        call: PlainCall,
+        target: TargetPort,
+        result: SendResult,
+        took_its_time: bool,
+    ) -> None:
         """Tell the view and the poison register what happened at the target."""
         match result:
-            case Lost(timed_out=False, answer_too_large=False):
+            case Sent(draining=True):
+                self._view.observe(target.id, Draining())
+            case Sent():
+                self._view.observe(target.id, Succeeded())
+            case NotSent(unreachable=True):
+                self._view.observe(target.id, Refused())
+            case Lost(timed_out=True):
+                if took_its_time:
+                    self._view.observe(target.id, Stalled())
+            case Lost(answer_too_large=False):
+                self._view.observe(target.id, Reset())
                 self._poison.crashed(fingerprint_of(call), target.id)
 
     def _no_answer(
--- a/libs/calls/src/celeryfork_calls/group_commit.py
+++ b/libs/calls/src/celeryfork_calls/group_commit.py
@@ -121,6 +121,7 @@
         self._queue: deque[Queued] = deque()
         self._queued_bytes = 0
         self._in_flight: Sequence[Queued] = ()
+        self._least_gap_s = limits.gap_s
         self._gap_s = limits.gap_s
         self._next_append_s = clock.monotonic()
         self._refused_since_s: float | None = None
@@ -145,6 +146,12 @@
         """Begin to append in the background."""
         self._thread.start()
 
+    def set_gap(self, gap_s: float) -> None:
+        """Append at most once in ``gap_s`` seconds."""
+        with self._changed:
+            self._least_gap_s = gap_s
+            self._gap_s = max(self._gap_s, gap_s)
+
     def put(self, queued: Queued) -> bool:
         """Queue an entry; False if there is no room, and then it was not queued."""
         with self._changed:
@@ -264,9 +271,9 @@
         with self._changed:
             self._note(result)
             if result is AppendResult.APPENDED:
-                self._gap_s = max(self._limits.gap_s, self._gap_s * GAP_DECAY)
+                self._gap_s = max(self._least_gap_s, self._gap_s * GAP_DECAY)
                 return
-            grown = max(self._gap_s, self._limits.gap_s, 0.01) * GAP_GROWTH
+            grown = max(self._gap_s, self._least_gap_s, 0.01) * GAP_GROWTH
             self._gap_s = min(grown, LONGEST_GAP_S)
             self._next_append_s = self._clock.monotonic() + self._gap_s
 
--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -5,15 +5,12 @@
 no byte of them reached a target.
 """
 
-from collections.abc import Callable, Mapping, Sequence
-from urllib.parse import quote
+from collections.abc import Callable, Sequence
 
-from attrs import field, frozen
-from celeryfork_admission.poison import fingerprint
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
-from celeryfork_base.outcomes import REQUEST_ID_HEADER, Outcome
+from celeryfork_base.outcomes import Outcome
 from celeryfork_wire.gen.celeryfork import ttypes
 
 from celeryfork_calls import errors
@@ -26,25 +23,25 @@
     Unresolved,
 )
 from celeryfork_calls.claims import ClaimBook
+from celeryfork_calls.dispatch import Dispatcher
 from celeryfork_calls.kept import KeptOutcome, kept_from_wire
+from celeryfork_calls.plain_call import (
+    PlainCall,
+    PlainResult,
+    fingerprint_of,
+    kept_of,
+    replayed,
+)
 from celeryfork_calls.ports import (
     ConfigurationPort,
     PoisonPort,
     RetryBudgetPort,
     RouterPort,
     ServiceKindPort,
-    TargetPort,
     ViewPort,
 )
 from celeryfork_calls.refusals import refusal_from_kept, refusal_to_kept
-from celeryfork_calls.service_client import (
-    DEFAULT_CONTENT_TYPE,
-    Lost,
-    SendResult,
-    Sent,
-    ServiceClient,
-    make_service_client,
-)
+from celeryfork_calls.service_client import ServiceClient, make_service_client
 from celeryfork_calls.ticket_text import Ticket, is_ticket
 from celeryfork_calls.tickets import (
     Begun,
@@ -52,11 +49,10 @@
     TicketReplay,
     TicketRunning,
 )
-from celeryfork_calls.verdicts import Answer, Elsewhere, Useless, judge
 
-MOST_ATTEMPTS = 3
+__all__ = ["PlainCall", "PlainCaller", "PlainResult", "make_plain_caller"]
+
 HOLDER_GONE_WAIT_S = 0.5
-STATUS_CALL_TIMEOUT_S = 2.0
 FORWARDED_CONTENT_TYPE = "application/json"
 
 
@@ -65,27 +61,21 @@
 
     def __init__(
         self,
-        router: RouterPort,
-        view: ViewPort,
+        dispatcher: Dispatcher,
         claims: ClaimBook,
         tickets: TicketOffice,
-        retry_budget: RetryBudgetPort,
         poison: PoisonPort,
         configuration: Callable[[], ConfigurationPort],
         clock: Clock,
         counters: Counters,
-        client: ServiceClient,
     ) -> None:
-        self._router = router
-        self._view = view
+        self._dispatcher = dispatcher
         self._claims = claims
         self._tickets = tickets
-        self._retry_budget = retry_budget
         self._poison = poison
         self._configuration = configuration
         self._clock = clock
         self._counters = counters
-        self._client = client
         tickets.run_forwarded_by(self._run_forwarded)
         claims.handed_over_to(lambda kept: self.take_over([kept]))
 
@@ -323,15 +313,16 @@
     client: ServiceClient | None = None,
 ) -> PlainCaller:
     """Return a caller of plain services; make it before ``claims`` is started."""
-    return PlainCaller(
+    dispatcher = Dispatcher(
         router,
         view,
-        claims,
-        tickets,
+        client or make_service_client(),
         retry_budget,
         poison,
         configuration,
         clock,
         counters,
-        client or make_service_client(),
+    )
+    return PlainCaller(
+        dispatcher, claims, tickets, poison, configuration, clock, counters
     )
--- a/libs/calls/src/celeryfork_calls/plain_call.py
+++ b/libs/calls/src/celeryfork_calls/plain_call.py
@@ -74,7 +74,7 @@
     kept_ms: int,
     result: PlainResult | None = None,
 ) -> KeptOutcome:
-    """Return a call's outcome to keep under its key, with the answer if there is one."""
+    """Return a call's outcome to keep under its key, with any answer."""
     return KeptOutcome(
         organisation=call.organisation,
         key=key,
--- a/libs/calls/src/celeryfork_calls/ports.py
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol, TypeVar
 
+from celeryfork_membership.observations import Observation
 from celeryfork_wire.gen.celeryfork import Peer
 
 Reply = TypeVar("Reply")
@@ -86,6 +87,9 @@
 class ViewPort(Protocol):
     """The view of targets, which learns from what calls observe."""
 
+    def observe(self, target_id: str, observation: Observation) -> None:
+        """Note what became of an attempt on a target."""
+
 
 class RetryBudgetPort(Protocol):
     """The share of requests that may be retries."""
@@ -135,9 +139,21 @@
         """Its kinds of call."""
 
 
+class PolicyPort(Protocol):
+    """Bounds that hold for the whole fleet."""
+
+    @property
+    def most_attempts(self) -> int:
+        """Most sends of one call."""
+
+
 class ConfigurationPort(Protocol):
     """The part of the configuration in force that plain calls read."""
 
+    @property
+    def policy(self) -> PolicyPort:
+        """Bounds that hold for the whole fleet."""
+
     @property
     def services_by_name(self) -> Mapping[str, ServicePort]:
         """Plain services."""
--- a/libs/calls/src/celeryfork_calls/service_client.py
+++ b/libs/calls/src/celeryfork_calls/service_client.py
@@ -43,9 +43,16 @@
 
 @frozen
 class NotSent:
-    """Proof that no byte of the request left for the target."""
+    """Proof that no byte of the request left for the target.
+
+    Parameters
+    ----------
+    unreachable
+        The target took no connection; otherwise the deadline passed before.
+    """
 
     reason: str
+    unreachable: bool = False
 
 
 @frozen
@@ -165,7 +172,7 @@
             )
             connection.connect()
         except (HTTPError, OSError, ValueError) as error:
-            return NotSent(f"no connection to {address}: {error}")
+            return NotSent(f"no connection to {address}: {error}", unreachable=True)
         with contextlib.closing(connection):
             left_s = ends_s - time.monotonic()
             if left_s <= 0:
@@ -205,7 +212,7 @@
                 preload_content=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
-            return NotSent(f"no connection to {address}: {error}")
+            return NotSent(f"no connection to {address}: {error}", unreachable=True)
         except (HTTPError, OSError, ValueError) as error:
             return _lost(address, error)
         try:
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -360,9 +360,15 @@
     kinds_by_name: dict[str, FakeKind]
 
 
+@define
+class FakePolicy:
+    most_attempts: int = 3
+
+
 @define
 class FakeConfiguration:
     services_by_name: dict[str, FakeServiceConfiguration]
+    policy: FakePolicy = field(factory=FakePolicy)
 
 
 @frozen
@@ -482,8 +488,8 @@
         instance = FakeInstance(
             identity, book, tickets, caller, router, budget, poison, counters, None
         )
-        instance.server = PeerServer("127.0.0.1", 0, _PeerHandler(instance))
-        instance.server.start()
+        instance.server = PeerServer("127.0.0.1", 0)
+        instance.server.start(_PeerHandler(instance))
         instance.identity = FakePeer(name, number, domain, instance.server.address)
         gossip.peers_by_instance[name] = instance.identity
         book.start()
