--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -360,9 +360,15 @@
     kinds_by_name: dict[str, FakeKind]
 
 
+@define
+class FakePolicy:
+    most_attempts: int = 3
+
+
 @define
 class FakeConfiguration:
     services_by_name: dict[str, FakeServiceConfiguration]
+    policy: FakePolicy = field(factory=FakePolicy)
 
 
 @frozen
