--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -141,6 +141,7 @@
         except EngineStalledError as error:
             return Lost(RecoveryKind.STALLED, first, error.message)
         except EngineAnswerError as error:
+            self._parts.counters.add(f"streams.{error.kind}_events")
             return Lost(RecoveryKind.MALFORMED, first, error.message)
 
     async def _converse(self) -> Ended | Lost:
--- a/libs/streams/src/celeryfork_streams/engine_client.py
+++ b/libs/streams/src/celeryfork_streams/engine_client.py
@@ -11,7 +11,6 @@
     ClientTimeout,
     TCPConnector,
 )
-from celeryfork_base.counters import Counters
 from orjson import dumps
 
 from celeryfork_streams.errors import (
@@ -72,12 +71,12 @@
         self._rest = b""
 
     async def lines(self) -> list[bytes]:
-        """Return the whole lines that have come, at least one; none at the end.
+        """Return the whole lines that have come, at least one.
 
         Raises
         ------
         EngineCutError
-            The connection broke, or the body ended within a line.
+            The connection broke, or the body ended.
         EngineAnswerError
             A line is longer than ``LARGEST_LINE_BYTES``.
         """
@@ -87,19 +86,13 @@
             except (ClientError, OSError) as error:
                 raise self._cut(f"the connection broke: {error}") from error
             if not data:
-                if self._rest:
-                    raise self._cut("the body ended within a line")
-                return []
+                raise self._cut("the body ended before the answer did")
             lines = data.split(b"\n")
-            if self._rest:
-                lines[0] = self._rest + lines[0]
+            lines[0] = self._rest + lines[0]
+            longest = max(map(len, lines))
+            if longest > LARGEST_LINE_BYTES:
+                raise self._too_long()
             self._rest = lines.pop()
-            if len(self._rest) > LARGEST_LINE_BYTES:
-                raise EngineAnswerError(
-                    self._address,
-                    f"an event is longer than {LARGEST_LINE_BYTES} bytes",
-                    "read the engine's log; it breaks the interface",
-                )
             if lines:
                 return lines
 
@@ -107,6 +100,12 @@
         """Close the connection, which cancels the attempt."""
         self._response.close()
 
+    def _too_long(self) -> EngineAnswerError:
+        return EngineAnswerError(
+            self._address,
+            f"an event is longer than {LARGEST_LINE_BYTES} bytes",
+        )
+
     def _cut(self, message: str) -> EngineCutError:
         return EngineCutError(self._address, message, "resume on another chain")
 
@@ -114,8 +113,7 @@
 class EngineSession:
     """Opens attempts; belongs to one event loop."""
 
-    def __init__(self, connect_timeout_s: float, counters: Counters) -> None:
-        self._counters = counters
+    def __init__(self, connect_timeout_s: float) -> None:
         self._session = ClientSession(
             connector=TCPConnector(limit=0, force_close=True, use_dns_cache=False),
             timeout=ClientTimeout(total=None, sock_connect=connect_timeout_s),
@@ -175,7 +173,6 @@
         raise EngineAnswerError(
             address,
             f"answered {response.status}, which the interface does not have",
-            "read the engine's log",
         )
     raise EngineRejectedError(
         address,
@@ -192,9 +189,7 @@
     return float(text)
 
 
-async def make_engine_session(
-    connect_timeout_s: float, counters: Counters
-) -> EngineSession:
+async def make_engine_session(connect_timeout_s: float) -> EngineSession:
     """Return a session of the running event loop.
 
     Parameters
@@ -202,4 +197,4 @@
     connect_timeout_s
         Limit for connecting to an engine, in seconds.
     """
-    return EngineSession(connect_timeout_s, counters)
+    return EngineSession(connect_timeout_s)
--- a/libs/streams/src/celeryfork_streams/errors.py
+++ b/libs/streams/src/celeryfork_streams/errors.py
@@ -51,7 +51,19 @@
 
 
 class EngineAnswerError(EngineError):
-    """The engine sent what the interface does not allow."""
+    """The engine sent what the interface does not allow.
+
+    Parameters
+    ----------
+    kind
+        ``malformed``, ``gap`` (in the positions) or ``coverage`` (of the layers).
+    """
+
+    def __init__(self, address: str, message: str, kind: str = "malformed") -> None:
+        super().__init__(
+            address, message, "read the engine's log; it breaks the interface"
+        )
+        self.kind = kind
 
 
 class EngineStalledError(EngineError):
--- a/libs/streams/src/celeryfork_streams/events.py
+++ b/libs/streams/src/celeryfork_streams/events.py
@@ -141,10 +141,7 @@
         return Faulted(fault, engine if isinstance(engine, str) else None)
 
     def _wrong(self, kind: str, message: str) -> EngineAnswerError:
-        self._counters.add(f"streams.{kind}_events")
-        return EngineAnswerError(
-            self._address, message, "read the engine's log; it breaks the interface"
-        )
+        return EngineAnswerError(self._address, message, kind)
 
 
 def covers(spans: object, layers: int) -> bool:
--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -83,8 +83,10 @@
         """
         left_s = self._request.deadline_s - self._parts.clock.monotonic()
         try:
+            if left_s <= 0:
+                raise TimeoutError
             self._parts.poison.check(self._request.fingerprint)
-            async with asyncio.timeout(max(left_s, 0.0)):
+            async with asyncio.timeout(left_s):
                 return await self._run()
         except TimeoutError:
             raise StreamRefusedError(
--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -133,10 +133,11 @@
     asked: list = field(factory=list)
     released: list = field(factory=list)
     in_flight: int = 0
+    refuse_calls: range = range(0)
 
     def choose(self, request):
         self.asked.append(request)
-        for chain in self.chains:
+        for chain in [] if len(self.asked) in self.refuse_calls else self.chains:
             if not any(hop.target.id in request.avoid for hop in chain.hops):
                 self.in_flight += 1
                 return chain
@@ -206,7 +207,7 @@
         self.thread = make_loop_thread()
         self.thread.start()
         self.engines_by_name = {}
-        self.session = self.do(make_engine_session(1.0, self.counters))
+        self.session = self.do(make_engine_session(1.0))
         self.runner = make_stream_runner(
             self.router, self.view, self.budget, self.poison, SystemClock(),
             self.counters, self.session, layers_of=lambda model: LAYERS,
@@ -244,6 +245,9 @@
         }  # fmt: skip
         return GenerateRequest(**{**fields, **changes})
 
+    def make_sink(self):
+        return ListSink()
+
     def run(self, request=None, sink=None):
         sink = sink or ListSink()
         result = self.do(self.runner.run(request or self.request(), sink))
