--- a/libs/streams/src/celeryfork_streams/caller.py
+++ b/libs/streams/src/celeryfork_streams/caller.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterator
 from http import HTTPStatus
 from socket import IPPROTO_TCP, TCP_NODELAY, socket
-from typing import cast
 
 from celeryfork_base.counters import Counters
 
@@ -33,7 +32,7 @@
     ) -> None:
         self._buffer_bytes = buffer_bytes
         self._slow_timeout_s = slow_timeout_s
-        self._counters = counters
+        self.counters = counters
         self._transport: asyncio.Transport
         self._closed = asyncio.get_running_loop().create_future()
         self._resumed: asyncio.Future[None] | None = None
@@ -43,9 +42,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the bound of the buffer."""
-        # uvloop's transports derive from no class of asyncio's.
-        self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=self._buffer_bytes)
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=self._buffer_bytes)
 
     def data_received(self, data: bytes) -> None:
         """Drop it: the connection closes after this answer."""
@@ -107,12 +106,12 @@
         resumed = self._resumed
         if resumed is None:
             return
-        self._counters.add("streams.caller_waits")
+        self.counters.add("streams.caller_waits")
         try:
             async with asyncio.timeout(self._slow_timeout_s):
                 await resumed
         except TimeoutError:
-            self._counters.add("streams.slow_callers_cut")
+            self.counters.add("streams.slow_callers_cut")
             self.abort()
             raise CallerGoneError(
                 f"The caller read nothing for {self._slow_timeout_s} s.",
--- a/libs/streams/src/celeryfork_streams/loop_thread.py
+++ b/libs/streams/src/celeryfork_streams/loop_thread.py
@@ -1,27 +1,25 @@
-"""The one thread whose uvloop event loop runs every stream."""
+"""The one thread whose event loop runs every stream.
+
+The loop is asyncio's own, on epoll. uvloop 0.23 (libuv 1.52) opens an io_uring for each
+loop whatever ``UV_USE_IO_URING`` says, and io_uring may not be used.
+"""
 
 import asyncio
-import os
 import threading
 from collections.abc import Coroutine
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
-# libuv reads this when a loop is made; io_uring may not be used.
-os.environ["UV_USE_IO_URING"] = "0"
-
-from uvloop import new_event_loop  # noqa: E402
-
 STOP_TIMEOUT_S = 5.0
 
 Result = TypeVar("Result")
 
 
 class LoopThread:
-    """A thread with a uvloop event loop of its own."""
+    """A thread with an event loop of its own."""
 
     def __init__(self) -> None:
-        self.loop: asyncio.AbstractEventLoop = new_event_loop()
+        self.loop: asyncio.AbstractEventLoop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._run, name="stream-loop", daemon=True
         )
--- a/libs/streams/src/celeryfork_streams/serve.py
+++ b/libs/streams/src/celeryfork_streams/serve.py
@@ -5,6 +5,7 @@
 
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import OUTCOME_HEADER, REQUEST_ID_HEADER, Outcome
+from logbook import Logger
 from orjson import dumps
 
 from celeryfork_streams.caller import CallerConnection
@@ -17,6 +18,8 @@
     StreamResult,
 )
 
+_log = Logger("streams")
+
 
 class Runner(Protocol):
     """What runs a stream: ``StreamRunner``."""
@@ -117,7 +120,14 @@
         answer_error(caller, error, request.request_id, form)
         result = _result_of(error, sink.tokens)
     except CallerGoneError:
+        caller.counters.add("streams.callers_gone")
         result = StreamResult(Outcome.UNKNOWN, sink.tokens, 0, code="caller_gone")
+    except Exception as error:
+        # Whatever it is, the caller is answered and other streams go on.
+        caller.counters.add("streams.internal_errors")
+        _log.exception("Request {} failed: {!r}", request.request_id, error)
+        answer_error(caller, _internal(), request.request_id, form)
+        result = StreamResult(Outcome.UNKNOWN, sink.tokens, 0, code="internal")
     finally:
         await caller.close()
     return result
@@ -145,6 +155,16 @@
     caller.send_answer(error.status, headers, dumps(error_body(error, request_id)))
 
 
+def _internal() -> RequestRefusedError:
+    return RequestRefusedError(
+        "The request broke off inside celeryfork.",
+        "send it again, and report the request id to the operators",
+        outcome=Outcome.UNKNOWN,
+        status=502,
+        code="internal",
+    )
+
+
 def _result_of(error: RequestRefusedError, tokens: int) -> StreamResult:
     if isinstance(error, StreamRefusedError):
         return error.result
--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -114,11 +114,11 @@
             run = asyncio.ensure_future(script(talk))
             gone = asyncio.ensure_future(reader.read())
             await asyncio.wait({run, gone}, return_when=asyncio.FIRST_COMPLETED)
-            if not run.done():
-                self.cancelled.set()
-                run.cancel()
+            run.cancel()
             gone.cancel()
-            await asyncio.gather(run, gone, return_exceptions=True)
+            ended, _ = await asyncio.gather(run, gone, return_exceptions=True)
+            if isinstance(ended, BaseException):
+                self.cancelled.set()
         except (OSError, asyncio.IncompleteReadError):
             self.cancelled.set()
         finally:
