--- a/libs/streams/src/celeryfork_streams/gaps.py
+++ b/libs/streams/src/celeryfork_streams/gaps.py
@@ -29,9 +29,8 @@
         self.deviation_s += DEVIATION_GAIN * (abs(error) - self.deviation_s)
         self.mean_s += MEAN_GAIN * error
 
-    @property
-    def high_s(self) -> float:
-        return self.mean_s + DEVIATIONS * self.deviation_s
+    def longest_s(self, factor: float) -> float:
+        return factor * self.mean_s + DEVIATIONS * self.deviation_s
 
 
 class GapBook:
@@ -49,8 +48,8 @@
     def token_gap_s(self, chain_id: str, policy: StreamPolicy) -> float:
         """Return the longest silence between tokens, in seconds."""
         learned = self._token_by_chain.get(chain_id)
-        high_s = learned.high_s if learned else 0.0
-        return _bounded(policy.gap_factor * high_s, policy.token_gap_floor_s, policy)
+        longest_s = learned.longest_s(policy.gap_factor) if learned else 0.0
+        return _bounded(longest_s, policy.token_gap_floor_s, policy)
 
     def first_gap_s(
         self, chain_id: str, prompt_tokens: int, load: float, policy: StreamPolicy
@@ -69,7 +68,7 @@
             expected_s = policy.prompt_token_s * prompt_tokens
         else:
             weight = PROMPT_BASE_TOKENS + prompt_tokens
-            expected_s = policy.gap_factor * learned.high_s * weight
+            expected_s = weight * learned.longest_s(policy.gap_factor)
         expected_s = (policy.first_token_floor_s + expected_s) * (1 + load)
         return _bounded(expected_s, policy.first_token_floor_s, policy)
 
--- a/libs/streams/src/celeryfork_streams/policy.py
+++ b/libs/streams/src/celeryfork_streams/policy.py
@@ -16,7 +16,7 @@
     first_token_floor_s, token_gap_floor_s
         Shortest silence taken for a stall before and after the first token.
     gap_factor
-        How many times the learned gap a silence must be to count as a stall.
+        How many times the usual gap a silence must be to count as a stall.
     gap_ceiling_s
         Longest silence that is ever waited out, in seconds.
     prompt_token_s
@@ -34,8 +34,8 @@
     most_attempts: int = 6
     connect_timeout_s: float = 0.5
     first_token_floor_s: float = 0.6
-    token_gap_floor_s: float = 0.3
-    gap_factor: float = 6.0
+    token_gap_floor_s: float = 0.25
+    gap_factor: float = 8.0
     gap_ceiling_s: float = 10.0
     prompt_token_s: float = 0.001
     stream_buffer_bytes: int = 64 * 1024
--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -232,7 +232,7 @@
         hops = []
         for index, name in enumerate(names):
             engine = self.engines_by_name.get(name) or self.engine(name)
-            target = Target(name, "engine", "m", "d", engine.address, 1)
+            target = make_target(name, engine.address)
             hops.append(Hop(target, index * share, (index + 1) * share))
         self.router.chains.append(Chain(tuple(hops), "+".join(names)))
         return [self.engines_by_name[name] for name in names]
@@ -245,6 +245,9 @@
         }  # fmt: skip
         return GenerateRequest(**{**fields, **changes})
 
+    def make_target(self, name, address):
+        return make_target(name, address)
+
     def make_sink(self):
         return ListSink()
 
@@ -276,6 +279,10 @@
         self.thread.stop()
 
 
+def make_target(name, address):
+    return Target(name, "engine", "reminder-writer", "westlands", address, 1)
+
+
 @define
 class ListSink:
     """Keeps what it is given."""
--- a/libs/streams/tests/test_streams.py
+++ b/libs/streams/tests/test_streams.py
@@ -6,7 +6,7 @@
 
 import pytest
 from celeryfork_base.outcomes import Outcome
-from celeryfork_streams.ports import Chain, Hop, Target
+from celeryfork_streams.ports import Chain, Hop
 from celeryfork_streams.requests import RecoveryKind, StreamRefusedError
 from celeryfork_streams.stages import plan_stages
 
@@ -400,12 +400,15 @@
 
 
 def test_engines_that_keep_kv_cache_are_named_for_the_layers_they_hold(world):
-    old = [Hop(Target("a", "a:1"), 0, 12), Hop(Target("b", "b:1"), 12, 24)]
+    def make(name):
+        return world.make_target(name, f"{name}:1")
+
+    old = [Hop(make("a"), 0, 12), Hop(make("b"), 12, 24)]
     chain = Chain(
         (
-            Hop(Target("c", "c:1"), 0, 8),
-            Hop(Target("d", "d:1"), 8, 16),
-            Hop(Target("b", "b:1"), 16, 24),
+            Hop(make("c"), 0, 8),
+            Hop(make("d"), 8, 16),
+            Hop(make("b"), 16, 24),
         ),
         "c+d+b",
     )
@@ -419,7 +422,7 @@
     for filler in fillers:
         filler.setblocking(False)
         filler.connect_ex((host, port))
-    hop = Hop(Target("full", f"{host}:{port}"), 0, 24)
+    hop = Hop(world.make_target("full", f"{host}:{port}"), 0, 24)
     world.router.chains.append(Chain((hop,), "full"))
     world.chain("e2")
     world.set_policy(first_token_floor_s=5.0)
