--- a/libs/streams/src/celeryfork_streams/engine_client.py
+++ b/libs/streams/src/celeryfork_streams/engine_client.py
@@ -3,16 +3,12 @@
 Every attempt has a connection of its own; closing it cancels the attempt.
 """
 
-from aiohttp import (
-    ClientConnectorError,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    TCPConnector,
-)
+import asyncio
+from http import HTTPStatus
+
 from orjson import dumps
 
+from celeryfork_streams.engine_connection import RECEIVE_BYTES, EngineConnection
 from celeryfork_streams.errors import (
     EngineAnswerError,
     EngineCutError,
@@ -22,8 +18,6 @@
 from celeryfork_streams.requests import GenerateRequest
 from celeryfork_streams.stages import Stage
 
-LARGEST_LINE_BYTES = 16 * 1024
-LARGEST_ERROR_BYTES = 4 * 1024
 REJECTED_STATUSES = frozenset({400, 404, 409, 429})
 
 
@@ -62,13 +56,11 @@
 
 
 class EngineStream:
-    """The events of one attempt, line by line."""
+    """The events of one attempt that an engine has accepted."""
 
-    def __init__(self, address: str, response: ClientResponse) -> None:
+    def __init__(self, address: str, connection: EngineConnection) -> None:
         self._address = address
-        self._response = response
-        self._content = response.content
-        self._rest = b""
+        self._connection = connection
 
     async def lines(self) -> list[bytes]:
         """Return the whole lines that have come, at least one.
@@ -78,49 +70,38 @@
         EngineCutError
             The connection broke, or the body ended.
         EngineAnswerError
-            A line is longer than ``LARGEST_LINE_BYTES``.
+            What came is no HTTP.
         """
-        while True:
-            try:
-                data = await self._content.readany()
-            except (ClientError, OSError) as error:
-                raise self._cut(f"the connection broke: {error}") from error
-            if not data:
-                raise self._cut("the body ended before the answer did")
-            lines = data.split(b"\n")
-            lines[0] = self._rest + lines[0]
-            longest = max(map(len, lines))
-            if longest > LARGEST_LINE_BYTES:
-                raise self._too_long()
-            self._rest = lines.pop()
-            if lines:
-                return lines
+        lines = await self._connection.lines()
+        if lines:
+            return lines
+        _raise_fault(self._address, self._connection)
+        raise EngineCutError(
+            self._address,
+            "the body ended before the answer did",
+            "resume on another chain",
+        )
 
     def close(self) -> None:
         """Close the connection, which cancels the attempt."""
-        self._response.close()
+        self._connection.close()
 
-    def _too_long(self) -> EngineAnswerError:
-        return EngineAnswerError(
-            self._address,
-            f"an event is longer than {LARGEST_LINE_BYTES} bytes",
-        )
 
-    def _cut(self, message: str) -> EngineCutError:
-        return EngineCutError(self._address, message, "resume on another chain")
+class EngineSession:
+    """Opens attempts on one event loop, and closes them at the end.
 
+    Parameters
+    ----------
+    connect_timeout_s
+        Limit for connecting to an engine, in seconds.
+    """
 
-class EngineSession:
-    """Opens attempts; belongs to one event loop."""
-
-    def __init__(self, connect_timeout_s: float) -> None:
-        self._session = ClientSession(
-            connector=TCPConnector(limit=0, force_close=True, use_dns_cache=False),
-            timeout=ClientTimeout(total=None, sock_connect=connect_timeout_s),
-            auto_decompress=False,
-            headers={"Content-Type": "application/json"},
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        )
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, connect_timeout_s: float
+    ) -> None:
+        self._loop = loop
+        self._connect_timeout_s = connect_timeout_s
+        self._buffer = memoryview(bytearray(RECEIVE_BYTES))
 
     async def open(self, address: str, body: bytes) -> EngineStream:
         """Send one attempt and return its events once the engine has accepted it.
@@ -136,50 +117,64 @@
         EngineAnswerError
             An answer that the interface does not have.
         """
+        connection = await self._connect(address)
         try:
-            response = await self._session.post(
-                f"http://{address}/v1/generate", data=body
-            )
-        except (ClientConnectorError, TimeoutError) as error:
-            raise EngineNotReachedError(
-                address, f"not reached: {error}", "send the request elsewhere"
-            ) from error
-        except (ClientError, OSError) as error:
-            raise EngineCutError(
-                address, f"no answer: {error}", "resume on another chain"
-            ) from error
-        if response.status == 200:
-            return EngineStream(address, response)
-        try:
-            await _raise_for(address, response)
-        finally:
-            response.close()
-        raise AssertionError("unreachable")
+            connection.send(_head(address, len(body)) + body)
+            await self._check_accepted(address, connection)
+        except BaseException:
+            connection.close()
+            raise
+        return EngineStream(address, connection)
 
     async def close(self) -> None:
-        """Close every connection."""
-        await self._session.close()
+        """Do nothing: the connections are their attempts'."""
 
+    async def _connect(self, address: str) -> EngineConnection:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await self._loop.create_connection(
+                    lambda: EngineConnection(self._loop, self._buffer), host, int(port)
+                )
+        except (OSError, ValueError) as error:  # TimeoutError is an OSError
+            raise EngineNotReachedError(
+                address, f"not reached: {error}", "send the request elsewhere"
+            ) from error
+        return connection
 
-async def _raise_for(address: str, response: ClientResponse) -> None:
-    """Raise the error that a status other than 200 stands for."""
-    try:
-        text = (await response.content.read(LARGEST_ERROR_BYTES)).decode(
-            errors="replace"
-        )
-    except (ClientError, OSError):
-        text = ""
-    if response.status not in REJECTED_STATUSES:
-        raise EngineAnswerError(
-            address,
-            f"answered {response.status}, which the interface does not have",
-        )
-    raise EngineRejectedError(
-        address,
-        response.status,
-        text,
-        _seconds(response.headers.get("Retry-After")),
-    )
+    async def _check_accepted(self, address: str, connection: EngineConnection) -> None:
+        """Wait for the engine's answer, and raise unless it is 200."""
+        if not await connection.answered():
+            _raise_fault(address, connection)
+            raise EngineCutError(
+                address, "closed without an answer", "resume on another chain"
+            )
+        head = connection.head
+        assert head is not None
+        if head.code == HTTPStatus.OK:
+            return
+        if head.code not in REJECTED_STATUSES:
+            message = f"answered {head.code}, which the interface does not have"
+            raise EngineAnswerError(address, message)
+        text = (await connection.body()).decode(errors="replace")
+        retry_after_s = _seconds(head.headers.get("Retry-After"))
+        raise EngineRejectedError(address, head.code, text, retry_after_s)
+
+
+def _head(address: str, length: int) -> bytes:
+    """Return the head of the request."""
+    return (
+        f"POST /v1/generate HTTP/1.1\r\nHost: {address}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {length}\r\n"
+        "Connection: close\r\n\r\n"
+    ).encode("ascii")
+
+
+def _raise_fault(address: str, connection: EngineConnection) -> None:
+    """Raise if what came was no HTTP."""
+    if connection.fault is not None:
+        message = f"sent what is no HTTP: {connection.fault.message}"
+        raise EngineAnswerError(address, message)
 
 
 def _seconds(text: str | None) -> float | None:
@@ -197,4 +192,4 @@
     connect_timeout_s
         Limit for connecting to an engine, in seconds.
     """
-    return EngineSession(connect_timeout_s)
+    return EngineSession(asyncio.get_running_loop(), connect_timeout_s)
--- a/libs/streams/src/celeryfork_streams/events.py
+++ b/libs/streams/src/celeryfork_streams/events.py
@@ -7,6 +7,7 @@
 from celeryfork_streams.errors import EngineAnswerError
 from celeryfork_streams.ports import Chain
 
+LARGEST_EVENT_BYTES = 16 * 1024
 END_REASONS = frozenset({"stop", "length"})
 FAULTS = frozenset({"stage_lost", "overloaded", "leaving"})
 
@@ -79,6 +80,8 @@
         EngineAnswerError
             Malformed, a gap in the positions, or layers left out or run twice.
         """
+        if len(line) > LARGEST_EVENT_BYTES:
+            raise self._wrong("malformed", f"an event of {len(line)} bytes")
         try:
             event = loads(line)
         except JSONDecodeError:
