--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -23,6 +23,8 @@
 from celeryfork_streams.stages import Stage
 
 CHARACTERS_PER_TOKEN = 4
+# Counters and learned gaps cost more than the relay of a token; see relay_cost.
+TOKENS_PER_NOTE = 8
 
 _KIND_BY_FAULT = {
     "stage_lost": RecoveryKind.STAGE_LOST,
@@ -109,9 +111,10 @@
         load = parts.load_of(first.id)
         gap_s = parts.gaps.first_gap_s(chain.id, self._to_compute, load, self._policy)
         self._watch = GapWatch(first.address, gap_s, may_give_up)
-        self.started_s = self.heard_s = parts.clock.monotonic()
+        self._first_position = len(progress.emitted)
+        self._noted_tokens = 0
+        self.started_s = parts.clock.monotonic()
         self.first_s: float | None = None
-        self.tokens = 0
 
     async def run(self) -> Ended | Lost:
         """Run the attempt.
@@ -143,6 +146,13 @@
         except EngineAnswerError as error:
             self._parts.counters.add(f"streams.{error.kind}_events")
             return Lost(RecoveryKind.MALFORMED, first, error.message)
+        finally:
+            self._count()
+
+    @property
+    def silent_s(self) -> float:
+        """How long nothing has come, in seconds."""
+        return self._watch.silent_s
 
     async def _converse(self) -> Ended | Lost:
         progress = self._progress
@@ -160,47 +170,56 @@
             stream.close()
 
     async def _relay(self, stream: EngineStream) -> Ended | Lost:
-        progress, watch = self._progress, self._watch
+        progress, watch, sink = self._progress, self._watch, self._sink
+        emitted = progress.emitted
         reader = EventReader(
             progress.attempts,
             self._chain,
             progress.layers,
-            len(progress.emitted),
+            len(emitted),
             progress.request.max_tokens,
             self._parts.counters,
         )
         while True:
             watch.listen()
             lines = await stream.lines()
-            watch.hold()
-            passed = 0
+            gap_s = watch.hold()
             for line in lines:
                 event = reader.read(line)
                 if isinstance(event, str):
-                    passed += 1
-                    progress.emitted.append(event)
-                    await self._sink.token(event)
+                    emitted.append(event)
+                    await sink.token(event)
+                    if self.first_s is None:
+                        self._note_first()
                 elif event is not None:
-                    self._passed(passed)
                     return await self._end(event)
-            self._passed(passed)
-
-    def _passed(self, count: int) -> None:
-        """Note that tokens came together and have passed."""
-        if not count:
-            return
-        now_s = self._parts.clock.monotonic()
-        gap_s, self.heard_s = now_s - self.heard_s, now_s
-        self.tokens += count
-        self._parts.counters.add("streams.tokens", count)
+            if self.tokens >= self._noted_tokens + TOKENS_PER_NOTE:
+                self._note(gap_s)
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that this attempt has passed on."""
+        return len(self._progress.emitted) - self._first_position
+
+    def _note_first(self) -> None:
+        """Learn the silence before the first token."""
+        self.first_s = self._parts.clock.monotonic()
+        gaps, gap_s = self._parts.gaps, self.first_s - self.started_s
+        gaps.heard_first(self._chain.id, self._to_compute, gap_s)
+        self._watch.allow(gaps.token_gap_s(self._chain.id, self._policy))
+        self._on_passed(1)
+
+    def _note(self, gap_s: float) -> None:
+        """Count the tokens that have passed, and learn one silence of theirs."""
         gaps = self._parts.gaps
-        if self.first_s is None:
-            self.first_s = now_s
-            gaps.heard_first(self._chain.id, self._to_compute, gap_s)
-            self._watch.allow(gaps.token_gap_s(self._chain.id, self._policy))
-        else:
-            gaps.heard(self._chain.id, gap_s)
-        self._on_passed(self.tokens)
+        gaps.heard(self._chain.id, gap_s)
+        self._watch.allow(gaps.token_gap_s(self._chain.id, self._policy))
+        self._count()
+        self._on_passed(self._noted_tokens)
+
+    def _count(self) -> None:
+        self._parts.counters.add("streams.tokens", self.tokens - self._noted_tokens)
+        self._noted_tokens = self.tokens
 
     async def _end(self, event: Ended | Faulted) -> Ended | Lost:
         match event:
--- a/libs/streams/src/celeryfork_streams/caller.py
+++ b/libs/streams/src/celeryfork_streams/caller.py
@@ -70,6 +70,11 @@
         if resumed is not None and not resumed.done():
             resumed.set_result(None)
 
+    @property
+    def full(self) -> bool:
+        """Whether the buffer is full, so that ``drained`` must be awaited."""
+        return self._resumed is not None
+
     def send_head(self, status: int, headers: dict[str, str]) -> None:
         """Write the response's status line and headers."""
         lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
@@ -84,7 +89,7 @@
         self._transport.write(body)
 
     def write(self, data: bytes) -> None:
-        """Write a part of the body; ``drained`` must follow before the next one.
+        """Write a part of the body; where it leaves the buffer full, await ``drained``.
 
         Raises
         ------
--- a/libs/streams/src/celeryfork_streams/engine_connection.py
+++ b/libs/streams/src/celeryfork_streams/engine_connection.py
@@ -97,7 +97,8 @@
     async def lines(self) -> list[bytes]:
         """Return the lines that have come, at least one; none at the end."""
         while not self._lines and not self._ended:
-            await self._wait()
+            self._waiter = self._loop.create_future()
+            await self._waiter
         lines, self._lines = self._lines, []
         if self._waiting_bytes > MOST_WAITING_BYTES and self._transport is not None:
             self._transport.resume_reading()
@@ -136,14 +137,12 @@
 
     async def _wait(self) -> None:
         self._waiter = self._loop.create_future()
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
+        await self._waiter
 
     def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
 
     def _end(self) -> None:
         self._ended = True
--- a/libs/streams/src/celeryfork_streams/gap_watch.py
+++ b/libs/streams/src/celeryfork_streams/gap_watch.py
@@ -35,16 +35,25 @@
         self._listening = True
         self._fired = False
         self.allowed_s = allowed_s
-        self.heard_s = self._loop.time()
+        self._heard_s = self._loop.time()
+
+    @property
+    def silent_s(self) -> float:
+        """How long nothing has come, in seconds."""
+        return self._loop.time() - self._heard_s
 
     def listen(self) -> None:
         """Begin to wait on the engine."""
-        self.heard_s = self._loop.time()
+        self._heard_s = self._loop.time()
         self._listening = True
 
-    def hold(self) -> None:
-        """Stop waiting on the engine: the caller's time is not the engine's."""
+    def hold(self) -> float:
+        """Stop waiting on the engine, and return how long it was silent, in seconds.
+
+        Time that the caller takes is not the engine's.
+        """
         self._listening = False
+        return self._loop.time() - self._heard_s
 
     def allow(self, allowed_s: float) -> None:
         """Change the longest silence, in seconds."""
@@ -55,7 +64,7 @@
     def __enter__(self) -> Self:
         """Start to watch the current task."""
         self._task = asyncio.current_task()
-        self.heard_s = self._loop.time()
+        self._heard_s = self._loop.time()
         self._reschedule(self.allowed_s)
         return self
 
@@ -86,7 +95,7 @@
         if not self._listening:
             self._reschedule(self.allowed_s)
             return
-        left_s = self.heard_s + self.allowed_s - self._loop.time()
+        left_s = self._heard_s + self.allowed_s - self._loop.time()
         if left_s > 0:
             self._reschedule(left_s)
         elif self._may_give_up():
--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -193,8 +193,7 @@
     def _note_lost(self, attempt: Attempt, lost: Lost) -> None:
         """Count a lost attempt, tell the view, and count a crash."""
         now_s = self._parts.clock.monotonic()
-        silent_s = now_s - attempt.heard_s
-        self._recoveries.append(Recovery(lost.kind, now_s, None, silent_s))
+        self._recoveries.append(Recovery(lost.kind, now_s, None, attempt.silent_s))
         self._parts.counters.add(f"streams.lost.{lost.kind}")
         observation = _OBSERVATION_BY_KIND.get(lost.kind)
         if observation is not None:
--- a/libs/streams/src/celeryfork_streams/serve.py
+++ b/libs/streams/src/celeryfork_streams/serve.py
@@ -45,7 +45,8 @@
             self._begin()
         self.tokens += 1
         self._caller.write(self._form.token(text))
-        await self._caller.drained()
+        if self._caller.full:
+            await self._caller.drained()
 
     async def finished(self, reason: str, tokens: int) -> None:
         """Write the last events."""
