--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -114,11 +114,11 @@
             run = asyncio.ensure_future(script(talk))
             gone = asyncio.ensure_future(reader.read())
             await asyncio.wait({run, gone}, return_when=asyncio.FIRST_COMPLETED)
-            if not run.done():
-                self.cancelled.set()
-                run.cancel()
+            run.cancel()
             gone.cancel()
-            await asyncio.gather(run, gone, return_exceptions=True)
+            ended, _ = await asyncio.gather(run, gone, return_exceptions=True)
+            if isinstance(ended, BaseException):
+                self.cancelled.set()
         except (OSError, asyncio.IncompleteReadError):
             self.cancelled.set()
         finally:
@@ -133,10 +133,11 @@
     asked: list = field(factory=list)
     released: list = field(factory=list)
     in_flight: int = 0
+    refuse_calls: range = range(0)
 
     def choose(self, request):
         self.asked.append(request)
-        for chain in self.chains:
+        for chain in [] if len(self.asked) in self.refuse_calls else self.chains:
             if not any(hop.target.id in request.avoid for hop in chain.hops):
                 self.in_flight += 1
                 return chain
@@ -206,7 +207,7 @@
         self.thread = make_loop_thread()
         self.thread.start()
         self.engines_by_name = {}
-        self.session = self.do(make_engine_session(1.0, self.counters))
+        self.session = self.do(make_engine_session(1.0))
         self.runner = make_stream_runner(
             self.router, self.view, self.budget, self.poison, SystemClock(),
             self.counters, self.session, layers_of=lambda model: LAYERS,
@@ -231,7 +232,7 @@
         hops = []
         for index, name in enumerate(names):
             engine = self.engines_by_name.get(name) or self.engine(name)
-            target = Target(name, "engine", "m", "d", engine.address, 1)
+            target = make_target(name, engine.address)
             hops.append(Hop(target, index * share, (index + 1) * share))
         self.router.chains.append(Chain(tuple(hops), "+".join(names)))
         return [self.engines_by_name[name] for name in names]
@@ -244,6 +245,12 @@
         }  # fmt: skip
         return GenerateRequest(**{**fields, **changes})
 
+    def make_target(self, name, address):
+        return make_target(name, address)
+
+    def make_sink(self):
+        return ListSink()
+
     def run(self, request=None, sink=None):
         sink = sink or ListSink()
         result = self.do(self.runner.run(request or self.request(), sink))
@@ -272,6 +279,10 @@
         self.thread.stop()
 
 
+def make_target(name, address):
+    return Target(name, "engine", "reminder-writer", "westlands", address, 1)
+
+
 @define
 class ListSink:
     """Keeps what it is given."""
