--- a/libs/calls/src/celeryfork_calls/tickets.py
+++ b/libs/calls/src/celeryfork_calls/tickets.py
@@ -283,7 +283,7 @@
         self,
         wait_s: float,
         claims_unflushed: Sequence[KeptOutcome] = (),
-        to_log: Callable[[Sequence[KeptOutcome]], None] | None = None,
+        to_log: Callable[[Sequence[KeptOutcome]], object] | None = None,
     ) -> HandOverReport:
         """Close, wait for what runs, and give peers and the log all outcomes.
 
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -99,7 +99,7 @@
         parts = self.parts
         parts.loop_thread.start()
         session = parts.loop_thread.submit(
-            make_engine_session(CONNECT_TIMEOUT_S, parts.counters)
+            make_engine_session(CONNECT_TIMEOUT_S)
         ).result(timeout=LOOP_START_TIMEOUT_S)
         runner = make_runner(parts, session)
         self._serving = Serving(session, runner, self._make_handlers(runner))
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -205,13 +205,13 @@
     nodes = []
     for name in ("a", "b"):
         handler = Peer.Iface()
-        server = PeerServer("127.0.0.1", 0, handler)
+        server = PeerServer("127.0.0.1", 0)
         counters, clock = Counters(), SystemClock()
         identity = PeerIdentity(name, 1, "d0", server.address, "127.0.0.1:1")
         board = make_news_board(clock, counters)
         gossip = make_gossip(identity, board, PeerPool(), clock, counters)
         handler.exchange = gossip.on_exchange  # type: ignore[method-assign]
-        server.start()
+        server.start(handler)
         nodes.append((gossip, server))
     (one, _), (other, server) = nodes
     one.seed([server.address])
