Routing: stages by layer range, engines chosen by load and link latency

Cause: groups by accelerator and domain hold one to three engines each, so two choices within a group choose little. Change: the flow is over layer ranges (same bound), who of a range gets a request is decided by present load and latency; plans are drafted without the router's lock.

--- a/libs/routing/src/celeryfork_routing/engines.py
+++ b/libs/routing/src/celeryfork_routing/engines.py
@@ -1,34 +1,49 @@
-"""What a router knows of each engine: its work in flight, its load, its speed."""
+"""What a router knows of each engine: its work in flight, its queue, its speed."""
 
+from itertools import accumulate
 from math import exp
 
-from attrs import define
+from attrs import define, field
 from celeryfork_membership.probe import LoadReport
 from celeryfork_membership.targets import Target
 
-from celeryfork_routing.bound import GroupKey
-
 LOAD_MEMORY_S = 5.0
-OWN_AVERAGE_S = 1.0
-SPEED_GAIN = 0.1
+LEARNING_GAIN = 0.1
 MOST_RATIO = 1000.0
 LEAST_RATIO = 0.001
 DEFAULT_TOKENS_PER_S = 1000.0
 
 
 @define(eq=False)
-class Group:
-    """The engines of one group with their sums, for the bounded load."""
+class Stage:
+    """The engines that hold the same layers ``[first, last)``.
 
-    key: GroupKey
+    Parameters
+    ----------
+    engines
+        All of them; ``close`` are those near this instance, or all if none are.
+    capacity
+        Sum of the engines' capacities.
+    own_layers
+        Layers of this instance's streams in flight on them.
+    queue
+        Sum of the engines' queues as last reported, aged.
+    """
+
+    first: int
+    last: int
     engines: list["Engine"]
+    close: list["Engine"]
+    far: list["Engine"]
+    close_cumulative: list[float] = field(factory=list)
+    far_cumulative: list[float] = field(factory=list)
     capacity: float = 0.0
     own_layers: float = 0.0
-    others_layers: float = 0.0
+    queue: float = 0.0
 
-    def load(self) -> float:
-        """Return the group's mean load relative to its capacity."""
-        return (self.own_layers + self.others_layers) / self.capacity
+    def own_load_s(self) -> float:
+        """Return this instance's mean load relative to capacity."""
+        return self.own_layers / self.capacity
 
 
 @define(eq=False)
@@ -45,43 +60,52 @@
         The same after what was learned of its speed.
     own_layers
         Layers of this instance's streams in flight on it.
-    others_layers
-        Layers of other instances' streams, from its last report, aged.
+    excess
+        Streams queued on it beyond its part of the stage's queue, by its last
+        report, aged.
+    slowness
+        How much longer tokens took over it than its load explains.
     """
 
     target: Target
     nominal: float
     capacity: float
-    group: Group | None = None
+    stage: Stage | None = None
     own_layers: float = 0.0
     own_streams: int = 0
-    others_layers: float = 0.0
+    excess: float = 0.0
     slowness: float = 1.0
     samples: int = 0
     layers_per_stream: float = 0.0
-    _own_average: float = 0.0
-    _own_changed_s: float = 0.0
-    _reported_layers: float = 0.0
-    _report: LoadReport | None = None
-
-    def seconds_per_token(self, layers: int) -> float:
-        """Return the expected time for a token through ``layers`` more layers."""
-        return (self.own_layers + self.others_layers + layers) / self.capacity
-
-    def load(self) -> float:
-        """Return the load relative to capacity."""
-        return (self.own_layers + self.others_layers) / self.capacity
+    refreshed_s: float = float("-inf")
+    _queue: float = 0.0
+
+    def own_load_s(self) -> float:
+        """Return this instance's load on it relative to its capacity."""
+        return self.own_layers / self.capacity
+
+    def load_s(self, instances: float, layers: int) -> float:
+        """Return everybody's load relative to capacity, with ``layers`` more.
+
+        Parameters
+        ----------
+        instances
+            How many times this instance's work all instances' work is.
+        layers
+            Layers that would be added.
+        """
+        everybody = (self.own_layers + layers) * instances
+        excess = self.excess * self.layers_per_stream
+        return max(everybody + excess, layers) / self.capacity
 
-    def begin(self, layers: int, now_s: float) -> None:
+    def begin(self, layers: int) -> None:
         """Count a stream in flight."""
-        self._average_own(now_s)
         self.own_streams += 1
         self._add_own(layers)
-        self.layers_per_stream += (layers - self.layers_per_stream) * SPEED_GAIN
+        self.layers_per_stream += (layers - self.layers_per_stream) * LEARNING_GAIN
 
-    def end(self, layers: int, now_s: float) -> None:
+    def end(self, layers: int) -> None:
         """Count a stream out again."""
-        self._average_own(now_s)
         self.own_streams -= 1
         self._add_own(-layers)
 
@@ -91,40 +115,37 @@
         The mean is geometric, so that a few very late answers don't decide it.
         """
         ratio = min(max(ratio, LEAST_RATIO), MOST_RATIO)
-        gain = max(SPEED_GAIN, 1 / (self.samples + 1))
+        gain = max(LEARNING_GAIN, 1 / (self.samples + 1))
         self.samples += 1
         self.slowness *= (ratio / self.slowness) ** gain
 
     def refresh(self, report: LoadReport | None, now_s: float) -> None:
-        """Work out others' load from the newest report, aged.
+        """Take in the newest report, aged.
 
-        A report says little about now once it is old: its difference from the mean
-        of the group fades, so that instances that saw the same report don't all run
-        after it.
+        Only the difference from the engine's part of the stage's queue counts, and
+        it fades with the report's age: instances that saw the same old report must
+        not all run after it.
         """
-        if report is None or self.group is None:
+        self.refreshed_s = now_s
+        if report is None or self.stage is None:
             return
-        if report is not self._report:
-            self._report = report
-            streams = report.running + report.waiting - self._own_average
-            self._reported_layers = max(streams, 0.0) * self.layers_per_stream
-        mean = self.group.others_layers / self.group.capacity * self.capacity
-        faded = exp(-report.age_s(now_s) / LOAD_MEMORY_S)
-        others_layers = mean + (self._reported_layers - mean) * faded
-        self.group.others_layers += others_layers - self.others_layers
-        self.others_layers = others_layers
+        queue = report.running + report.waiting
+        self.stage.queue += queue - self._queue
+        self._queue = queue
+        part = self.stage.queue * self.capacity / self.stage.capacity
+        self.excess = (queue - part) * exp(-report.age_s(now_s) / LOAD_MEMORY_S)
+
+    def join(self, stage: Stage) -> None:
+        """Become a member of a stage."""
+        self.stage = stage
+        stage.capacity += self.capacity
+        stage.own_layers += self.own_layers
+        stage.queue += self._queue
 
     def _add_own(self, layers: int) -> None:
         self.own_layers += layers
-        if self.group is not None:
-            self.group.own_layers += layers
-
-    def _average_own(self, now_s: float) -> None:
-        kept = exp(-(now_s - self._own_changed_s) / OWN_AVERAGE_S)
-        self._own_average = self.own_streams + (
-            (self._own_average - self.own_streams) * kept
-        )
-        self._own_changed_s = now_s
+        if self.stage is not None:
+            self.stage.own_layers += layers
 
 
 def make_engine(target: Target, tokens_per_second: float) -> Engine:
@@ -134,12 +155,15 @@
     return Engine(target, capacity, capacity, layers_per_stream=layers)
 
 
-def make_group(key: GroupKey, engines: list[Engine]) -> Group:
-    """Return a group of engines and make it theirs."""
-    group = Group(key, engines)
-    group.capacity = sum(engine.capacity for engine in engines)
-    group.own_layers = sum(engine.own_layers for engine in engines)
-    group.others_layers = sum(engine.others_layers for engine in engines)
+def make_stage(
+    first: int, last: int, engines: list[Engine], close_domains: frozenset[str]
+) -> Stage:
+    """Return a stage of engines and make them its members."""
+    close = [e for e in engines if e.target.domain in close_domains] or engines
+    far = [engine for engine in engines if engine not in close]
+    stage = Stage(first, last, engines, close, far)
     for engine in engines:
-        engine.group = group
-    return group
+        engine.join(stage)
+    stage.close_cumulative = list(accumulate(engine.capacity for engine in close))
+    stage.far_cumulative = list(accumulate(engine.capacity for engine in far))
+    return stage
--- a/libs/routing/src/celeryfork_routing/fleet.py
+++ b/libs/routing/src/celeryfork_routing/fleet.py
@@ -9,18 +9,23 @@
 from celeryfork_membership.targets import Target
 
 from celeryfork_routing.engines import Engine, make_engine
-from celeryfork_routing.paths import LatencyOf
-from celeryfork_routing.plan import Plan, make_plan
+from celeryfork_routing.plan import LatencyOf, Plan, draft_plan, finish_plan
 
 LEAST_REPLAN_S = 0.2
 REPLAN_FOR_SPEED_S = 5.0
 MOST_PLANNING_SHARE = 0.01
+LEAST_CHAINS_TO_WEIGH = 4
+MOST_INSTANCES = 1000.0
+WEIGHING_GAIN = 0.05
 
 RateOf = Callable[[Target, int], float]
 
 
 class Fleet:
-    """One model's engines, those usable now, and the present plan."""
+    """One model's engines, those usable now, and the present plan.
+
+    The router's lock is held for all calls; plans are drafted without it.
+    """
 
     def __init__(
         self,
@@ -32,12 +37,15 @@
         rate_of: RateOf,
         latency_s: LatencyOf,
         origin: str,
+        lock: threading.RLock,
     ) -> None:
         self.model = model
         self.layers = layers
         self.plan: Plan | None = None
         self.engines_by_id: dict[str, Engine] = {}
         self.usable_ids: frozenset[str] = frozenset()
+        self.instances = 1.0
+        self.own_chains = 0
         self._clock = clock
         self._counters = counters
         self._executor = executor
@@ -48,6 +56,7 @@
         self._planned_for: Sequence[Target] | None = None
         self._planned_s = float("-inf")
         self._pause_s = LEAST_REPLAN_S
+        self._lock = lock
         self._planning = threading.Lock()
 
     def see(self, in_choice: Sequence[Target]) -> None:
@@ -66,6 +75,19 @@
         if not self._planning.locked():
             self._executor.submit(self._replan)
 
+    def weigh_instances(self) -> None:
+        """Estimate how many times this instance's work all instances' work is.
+
+        Each stream is in one engine's queue at a time, so that all queues together
+        count all streams.
+        """
+        plan = self.plan
+        if plan is None or self.own_chains < LEAST_CHAINS_TO_WEIGH:
+            return
+        queued = sum(stage.queue for stage in plan.stages_by_range.values())
+        ratio = min(max(queued / self.own_chains, 1.0), MOST_INSTANCES)
+        self.instances += (ratio - self.instances) * WEIGHING_GAIN
+
     def usable_engines(self, avoid: frozenset[str]) -> list[Engine]:
         """Return the engines that may be chosen now."""
         return [
@@ -81,7 +103,8 @@
             "engines": len(self.engines_by_id),
             "usable": len(self.usable_ids),
             "bound_tokens_per_second": plan.bound.tokens_per_second if plan else 0.0,
-            "paths": len(plan.spread.paths) if plan and plan.spread else 0,
+            "paths": len(plan.table.paths) if plan and plan.table else 0,
+            "instances_like_this": self.instances,
             "slow_ids": sorted(
                 engine.target.id
                 for engine in list(self.engines_by_id.values())
@@ -118,16 +141,23 @@
         with self._planning:
             began_s = self._clock.monotonic()
             in_choice = self._in_choice
-            engines_by_id = self.engines_by_id
-            engines = [engines_by_id[t.id] for t in in_choice if t.id in engines_by_id]
-            for engine in engines:
-                held = engine.target.last_layer - engine.target.first_layer
-                rate = self._rate_of(engine.target, self.layers)
-                engine.nominal = max(rate, 1e-3) * held
-            self.plan = make_plan(engines, self.layers, self._latency_s, self._origin)
-            self._planned_for = in_choice
+            engines = self._engines_of(in_choice)
+            draft = draft_plan(engines, self.layers)
+            with self._lock:
+                self.plan = finish_plan(draft, engines, self._latency_s, self._origin)
+                self._planned_for = in_choice
             took_s = self._clock.monotonic() - began_s
             self._planned_s = began_s
             self._pause_s = max(LEAST_REPLAN_S, took_s / MOST_PLANNING_SHARE)
             self._counters.add("routing.plans")
             self._counters.timing("routing.plan", took_s)
+
+    def _engines_of(self, in_choice: Sequence[Target]) -> list[Engine]:
+        """Return the engines in choice with the rates that they have now."""
+        engines_by_id = self.engines_by_id
+        engines = [engines_by_id[t.id] for t in in_choice if t.id in engines_by_id]
+        for engine in engines:
+            held = engine.target.last_layer - engine.target.first_layer
+            rate = self._rate_of(engine.target, self.layers)
+            engine.nominal = max(rate, 1e-3) * held
+        return engines
--- a/libs/routing/src/celeryfork_routing/paths.py
+++ b/libs/routing/src/celeryfork_routing/paths.py
@@ -1,13 +1,12 @@
-"""Turns each group's share of each segment into weighted paths with few hops."""
+"""Turns each range's share of each segment into weighted paths with few hops."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from attrs import define, frozen
 
 from celeryfork_routing.bound import GroupKey, Segment
 
 LEAST_WEIGHT = 1e-9
-LatencyOf = Callable[[str, str], float]
 
 
 @frozen
@@ -36,34 +35,20 @@
     weight: float
 
 
-def make_paths(
-    segments: Sequence[Segment], latency_s: LatencyOf, origin: str
-) -> tuple[Path, ...]:
+def make_paths(segments: Sequence[Segment]) -> tuple[Path, ...]:
     """Return paths whose weights give every group its share of every segment.
 
-    At each boundary the shares of both sides are joined greedily, cheapest first:
-    staying in a group costs nothing, then comes the link between the domains.
-
-    Parameters
-    ----------
-    segments
-        The layers in order with each group's share.
-    latency_s
-        One-way latency between two failure domains, in seconds.
-    origin
-        Failure domain of the instance, which sends the request and gets the tokens.
+    At each boundary the shares of both sides are joined so that as much as possible
+    stays in its group, which saves hops.
     """
     if not segments:
         return ()
     links = [
-        _join(before, after, latency_s)
+        _join(before, after)
         for before, after in zip(segments, segments[1:], strict=False)
     ]
-    starts = sorted(
-        segments[0].shares.items(), key=lambda item: latency_s(origin, item[0].domain)
-    )
     paths: list[Path] = []
-    for group, share in starts:
+    for group, share in segments[0].shares.items():
         left = share
         while left > LEAST_WEIGHT:
             path = _peel(group, left, links, segments)
@@ -74,18 +59,14 @@
     return tuple(paths)
 
 
-def _join(before: Segment, after: Segment, latency_s: LatencyOf) -> list[_Link]:
-    """Join the shares of two neighbouring segments, the cheapest pairs first."""
-    pairs = [
-        (_step_cost(source, to, latency_s), source, to)
-        for source in before.shares
-        for to in after.shares
-    ]
-    pairs.sort(key=lambda pair: pair[0])
+def _join(before: Segment, after: Segment) -> list[_Link]:
+    """Join the shares of two neighbouring segments, those of one group first."""
     left_before = dict(before.shares)
     left_after = dict(after.shares)
+    pairs = [(group, group) for group in before.shares if group in after.shares]
+    pairs += [(source, to) for source in before.shares for to in after.shares]
     links = []
-    for _, source, to in pairs:
+    for source, to in pairs:
         weight = min(left_before[source], left_after[to])
         if weight <= LEAST_WEIGHT / 10:
             continue
@@ -95,12 +76,6 @@
     return links
 
 
-def _step_cost(source: GroupKey, to: GroupKey, latency_s: LatencyOf) -> float:
-    if source == to:
-        return -1.0
-    return latency_s(source.domain, to.domain)
-
-
 def _peel(
     start: GroupKey,
     most: float,
--- a/libs/routing/src/celeryfork_routing/picker.py
+++ b/libs/routing/src/celeryfork_routing/picker.py
@@ -1,13 +1,15 @@
 """The choice of a chain among a plan's paths and engines.
 
-Three paths are weighed: one that the prompt's key points to, so that prompts with a
-common beginning meet their cache again; one drawn at random by the max-flow's
-weights; and one over the nearest domains. In each group of the path two engines are
-weighed by present load, after the one that the key points to. Randomness and two
-choices keep instances that saw the same old report from running after it together
-(Mitzenmacher, "How useful is old information?", 2000).
+Two paths are weighed: one drawn at random by the max-flow's weights, and one that the
+prompt's key points to, so that prompts with a common beginning meet their cache again
+(without a key, a second random one). For each hop, engines drawn by capacity are
+weighed by load and link latency, after the one that the key points to. Randomness and
+few choices keep instances that saw the same old report from running after it together
+(Mitzenmacher, "How useful is old information?", IEEE TPDS 2000).
 """
 
+from bisect import bisect
+from math import log
 from random import Random
 from typing import Protocol
 
@@ -17,9 +19,9 @@
 from xxhash import xxh3_64_intdigest
 
 from celeryfork_routing.chains import ChainRequest
-from celeryfork_routing.engines import Engine, Group
+from celeryfork_routing.engines import Engine, Stage
 from celeryfork_routing.fleet import Fleet
-from celeryfork_routing.plan import PathTable, RoutePath
+from celeryfork_routing.plan import LatencyOf, RoutePath
 from celeryfork_routing.search import Leg
 
 AFFINITY_LOAD_LIMIT = 1.25
@@ -27,6 +29,7 @@
 PREFILL_SPEEDUP = 10.0
 REFRESH_S = 0.5
 MOST_PREFERENCES = 4096
+MOST_DRAWS = 4
 HASH_RANGE = float(1 << 64)
 
 
@@ -54,136 +57,149 @@
     Not safe to use from several threads at once; the router holds its lock.
     """
 
-    def __init__(self, probe: Probe, clock: Clock, random: Random) -> None:
+    def __init__(
+        self, probe: Probe, clock: Clock, random: Random, latency_s: LatencyOf
+    ) -> None:
         self._probe = probe
         self._clock = clock
         self._random = random
-        self._refreshed_s_by_id: dict[str, float] = {}
-        self._preferred: dict[tuple[Group, str], Engine] = {}
+        self._latency_s = latency_s
+        self._preferred: dict[tuple[Stage, str], Engine] = {}
 
-    def pick(self, fleet: Fleet, request: ChainRequest) -> Candidate | None:
+    def pick(
+        self, fleet: Fleet, request: ChainRequest, origin: str
+    ) -> Candidate | None:
         """Return the better of the paths weighed, None if none can be used."""
         plan = fleet.plan
-        if plan is None or plan.spread is None:
+        if plan is None or plan.table is None:
             return None
-        best: Candidate | None = None
-        for path in self._paths(plan.spread, plan.near, request):
-            candidate = self._weigh(path, fleet, request)
-            if candidate is None:
-                continue
-            if best is None or candidate.cost_s < best.cost_s:
-                best = candidate
-        return best
+        point = self._random.random()
+        if request.prompt_key:
+            point = xxh3_64_intdigest(request.prompt_key.encode()) / HASH_RANGE
+        keyed = plan.table.draw(point)
+        drawn = plan.table.draw(self._random.random())
+        best = self._weigh(keyed, fleet, request, origin)
+        if drawn is keyed and best is not None:
+            return best
+        other = self._weigh(drawn, fleet, request, origin)
+        if best is None or other is None:
+            return best or other
+        return best if best.cost_s <= other.cost_s else other
 
     def forget(self) -> None:
-        """Drop remembered preferences, after a change of the groups."""
+        """Drop remembered preferences, after a change of the stages."""
         self._preferred.clear()
-        self._refreshed_s_by_id.clear()
-
-    def refresh(self, engine: Engine) -> None:
-        """Bring an engine's load by others up to date, at most twice a second."""
-        now_s = self._clock.monotonic()
-        target_id = engine.target.id
-        if now_s - self._refreshed_s_by_id.get(target_id, float("-inf")) < REFRESH_S:
-            return
-        self._refreshed_s_by_id[target_id] = now_s
-        engine.refresh(self._probe.load_of(target_id), now_s)
-
-    def _paths(
-        self, spread: PathTable, near: PathTable | None, request: ChainRequest
-    ) -> list[RoutePath]:
-        random = self._random.random
-        paths = [spread.draw(random())]
-        if request.prompt_key:
-            point = xxh3_64_intdigest(request.prompt_key.encode()) / HASH_RANGE
-            paths.append(spread.draw(point))
-            if near is not None:
-                paths.append(near.draw(point))
-        elif near is not None:
-            paths += [spread.draw(random()), near.draw(random())]
-        return paths
 
     def _weigh(
-        self, path: RoutePath, fleet: Fleet, request: ChainRequest
+        self, path: RoutePath, fleet: Fleet, request: ChainRequest, origin: str
     ) -> Candidate | None:
         legs = []
-        cost_s = path.latency_s
-        for group, first, last in path.hops:
-            engine = self._engine(group, fleet, request)
+        total_s = 0.0
+        domain = origin
+        for stage, first, last in path.hops:
+            choice = _Choice(stage, last - first, len(path.hops), domain)
+            engine = self._engine(choice, fleet, request)
             if engine is None:
                 return None
             legs.append(Leg(engine, first, last))
-            cost_s += engine.seconds_per_token(last - first)
-            cost_s += self._prefill_s(engine, last - first, request)
-        return Candidate(tuple(legs), cost_s)
+            total_s += self._cost_s(engine, choice, fleet, request)
+            domain = engine.target.domain
+        total_s += self._latency_s(domain, origin)
+        return Candidate(tuple(legs), total_s)
+
+    def _engine(
+        self, choice: "_Choice", fleet: Fleet, request: ChainRequest
+    ) -> Engine | None:
+        """Return the engine that the key points to, or the better of those drawn."""
+        stage = choice.stage
+        if request.prompt_key and len(stage.close) > 1:
+            preferred = self._preferred_of(stage, request.prompt_key)
+            usable = self._usable(preferred, fleet, request)
+            if usable and self._within_bound(preferred, stage):
+                return preferred
+        drawn = self._draw(stage.close, stage.close_cumulative, fleet, request)
+        if len(stage.close) > 1:
+            drawn += self._draw(stage.close, stage.close_cumulative, fleet, request)
+        if stage.far:
+            drawn += self._draw(stage.far, stage.far_cumulative, fleet, request)
+        if len(drawn) <= 1:
+            return drawn[0] if drawn else None
+        return min(drawn, key=lambda e: self._cost_s(e, choice, fleet, request))
+
+    def _cost_s(
+        self, engine: Engine, choice: "_Choice", fleet: Fleet, request: ChainRequest
+    ) -> float:
+        """Return the expected time that a token spends on the way to and in it."""
+        load_s = engine.load_s(fleet.instances, choice.layers) / choice.hops
+        cost_s = load_s + self._latency_s(choice.domain, engine.target.domain)
+        if request.prompt_tokens:
+            cost_s += self._prefill_s(engine, choice.layers, request)
+        return cost_s
 
     def _prefill_s(self, engine: Engine, layers: int, request: ChainRequest) -> float:
         """Return the prompt's cost, spread over the answer's expected tokens."""
-        if not request.prompt_tokens:
-            return 0.0
         if self._probe.has_prefix(engine.target.id, request.prompt_key):
             return 0.0
         prefill_s = request.prompt_tokens * layers / engine.capacity / PREFILL_SPEEDUP
         return prefill_s / max(request.expected_tokens, 1)
 
-    def _engine(
-        self, group: Group, fleet: Fleet, request: ChainRequest
-    ) -> Engine | None:
-        engines = group.engines
-        if len(engines) == 1:
-            return self._usable(engines[0], fleet, request)
-        if request.prompt_key:
-            preferred = self._usable(
-                self._preferred_of(group, request.prompt_key), fleet, request
-            )
-            if preferred is not None and self._within_bound(preferred, group):
-                return preferred
-        one = self._draw(engines, fleet, request)
-        other = self._draw(engines, fleet, request)
-        if one is None or other is None:
-            return one or other
-        return one if one.load() <= other.load() else other
-
     def _draw(
-        self, engines: list[Engine], fleet: Fleet, request: ChainRequest
-    ) -> Engine | None:
-        """Return a usable engine drawn at random."""
-        count = len(engines)
-        for _ in range(4):
-            engine = engines[int(self._random.random() * count)]
-            if self._usable(engine, fleet, request) is not None:
-                return engine
-        usable = [e for e in engines if self._usable(e, fleet, request) is not None]
-        return self._random.choice(usable) if usable else None
-
-    def _usable(
-        self, engine: Engine, fleet: Fleet, request: ChainRequest
-    ) -> Engine | None:
+        self,
+        engines: list[Engine],
+        cumulative: list[float],
+        fleet: Fleet,
+        request: ChainRequest,
+    ) -> list[Engine]:
+        """Return one usable engine drawn by capacity, or none."""
+        total = cumulative[-1]
+        for _ in range(MOST_DRAWS):
+            index = bisect(cumulative, self._random.random() * total)
+            engine = engines[min(index, len(engines) - 1)]
+            if self._usable(engine, fleet, request):
+                return [engine]
+        usable = [e for e in engines if self._usable(e, fleet, request)]
+        return [self._random.choice(usable)] if usable else []
+
+    def _usable(self, engine: Engine, fleet: Fleet, request: ChainRequest) -> bool:
+        """Return whether an engine may be taken, with its load brought up to date."""
         target_id = engine.target.id
         if target_id not in fleet.usable_ids or target_id in request.avoid:
-            return None
-        self.refresh(engine)
-        return engine
+            return False
+        now_s = self._clock.monotonic()
+        if now_s - engine.refreshed_s >= REFRESH_S:
+            engine.refresh(self._probe.load_of(target_id), now_s)
+        return True
 
-    def _preferred_of(self, group: Group, prompt_key: str) -> Engine:
-        """Return the engine that the key points to (rendezvous hashing)."""
-        key = (group, prompt_key)
+    def _preferred_of(self, stage: Stage, prompt_key: str) -> Engine:
+        """Return the engine that the key points to.
+
+        Weighted rendezvous hashing (Schindelhauer and Schomaker, SPAA 2005).
+        """
+        key = (stage, prompt_key)
         engine = self._preferred.get(key)
         if engine is None:
             if len(self._preferred) >= MOST_PREFERENCES:
                 self._preferred.clear()
-            engine = max(
-                group.engines,
-                key=lambda e: _rank(prompt_key, e),
-            )
+            engine = max(stage.close, key=lambda e: _rank(prompt_key, e))
             self._preferred[key] = engine
         return engine
 
-    def _within_bound(self, engine: Engine, group: Group) -> bool:
+    def _within_bound(self, engine: Engine, stage: Stage) -> bool:
         """Return whether the preferred engine's load is near enough to the mean."""
-        slack = AFFINITY_SLACK_STREAMS * engine.layers_per_stream / engine.capacity
-        return engine.load() <= AFFINITY_LOAD_LIMIT * group.load() + slack
+        slack_s = AFFINITY_SLACK_STREAMS * engine.layers_per_stream / engine.capacity
+        return engine.own_load_s() <= AFFINITY_LOAD_LIMIT * stage.own_load_s() + slack_s
+
+
+@frozen
+class _Choice:
+    """A hop to be filled: who, how many layers, how many hops, coming from where."""
+
+    stage: Stage
+    layers: int
+    hops: int
+    domain: str
 
 
-def _rank(prompt_key: str, engine: Engine) -> int:
-    return xxh3_64_intdigest(f"{prompt_key}/{engine.target.id}".encode())
+def _rank(prompt_key: str, engine: Engine) -> float:
+    digest = xxh3_64_intdigest(f"{prompt_key}/{engine.target.id}".encode())
+    return -engine.capacity / log((digest + 1) / (HASH_RANGE + 2))
--- a/libs/routing/src/celeryfork_routing/plan.py
+++ b/libs/routing/src/celeryfork_routing/plan.py
@@ -1,4 +1,4 @@
-"""The plan of one model: its engines in groups, and weighted paths over the groups."""
+"""The plan of one model: stages of engines, and weighted paths over the stages."""
 
 from bisect import bisect_left
 from collections.abc import Callable, Mapping, Sequence
@@ -7,35 +7,24 @@
 
 from attrs import frozen
 
-from celeryfork_routing.bound import (
-    BoundResult,
-    EngineCapacity,
-    GroupKey,
-    Segment,
-    throughput_bound,
-)
-from celeryfork_routing.engines import Engine, Group, make_group
-from celeryfork_routing.paths import LatencyOf, Path, make_paths
+from celeryfork_routing.bound import BoundResult, EngineCapacity, throughput_bound
+from celeryfork_routing.engines import Engine, Stage, make_stage
+from celeryfork_routing.paths import Path, make_paths
 
 SLOW_FROM = 1.5
 MOST_SLOWNESS = 10.0
 LEAST_SAMPLES = 8
+CLOSE_LATENCY_S = 0.002
+
+LatencyOf = Callable[[str, str], float]
+Range = tuple[int, int]
 
 
 @frozen
 class RoutePath:
-    """A path with its groups at hand.
+    """A path: stage, first layer and last layer of each hop."""
 
-    Parameters
-    ----------
-    hops
-        Group, first layer and last layer of each hop.
-    latency_s
-        Sum of the one-way latencies of its links, in seconds.
-    """
-
-    hops: tuple[tuple[Group, int, int], ...]
-    latency_s: float
+    hops: tuple[tuple[Stage, int, int], ...]
 
 
 @frozen
@@ -59,102 +48,102 @@
     ----------
     bound
         The most tokens a second, from capacities as learned so far.
-    groups_by_key
-        The groups of engines.
-    spread
+    stages_by_range
+        The engines by the layers they hold.
+    table
         Paths by the weights of the max-flow; None if some layer is not held.
-    near
-        Paths over the nearest domains that hold each layer.
     """
 
     bound: BoundResult
-    groups_by_key: Mapping[GroupKey, Group]
-    spread: PathTable | None
-    near: PathTable | None
+    stages_by_range: Mapping[Range, Stage]
+    table: PathTable | None
+
 
+@frozen
+class Draft:
+    """The slow part of a plan: the bound and paths for learned capacities."""
 
-def make_plan(
-    engines: Sequence[Engine], layers: int, latency_s: LatencyOf, origin: str
+    capacities_by_id: Mapping[str, float]
+    bound: BoundResult
+    paths: tuple[Path, ...]
+
+
+def draft_plan(engines: Sequence[Engine], layers: int) -> Draft:
+    """Return the bound and paths for a model; changes nothing.
+
+    Engines of one range differ only in speed and place, so that the flow over ranges
+    has the same bound as that over groups by accelerator and domain; who of a range
+    gets a request is then decided by its present cost.
+    """
+    capacities_by_id = _learned_capacities(engines)
+    capacity_by_range: dict[Range, float] = {}
+    for engine in engines:
+        held = (engine.target.first_layer, engine.target.last_layer)
+        capacity = capacities_by_id[engine.target.id]
+        capacity_by_range[held] = capacity_by_range.get(held, 0.0) + capacity
+    bound = throughput_bound(
+        [
+            EngineCapacity("", first, last, "", "", capacity / (last - first))
+            for (first, last), capacity in capacity_by_range.items()
+        ],
+        layers,
+    )
+    return Draft(capacities_by_id, bound, make_paths(bound.segments))
+
+
+def finish_plan(
+    draft: Draft, engines: Sequence[Engine], latency_s: LatencyOf, origin: str
 ) -> Plan:
-    """Return the plan for a model; learned speeds go into the engines' capacities."""
-    _apply_learned_speed(engines)
-    capacities = [_capacity_of(engine) for engine in engines]
-    bound = throughput_bound(capacities, layers)
-    groups_by_key = _make_groups(engines)
-    if not bound.segments:
-        return Plan(bound, groups_by_key, None, None)
-    spread = make_paths(bound.segments, latency_s, origin)
-    near_segments = _near_segments(bound.segments, latency_s, origin)
-    near = make_paths(near_segments, latency_s, origin)
-    to_table = _table_maker(groups_by_key, latency_s, origin)
-    return Plan(bound, groups_by_key, to_table(spread), to_table(near))
-
-
-def _apply_learned_speed(engines: Sequence[Engine]) -> None:
-    """Lower the capacity of engines that are much slower than the others."""
+    """Put learned capacities into the engines and the engines into stages.
+
+    Nothing may be counted in or out of the engines meanwhile.
+    """
+    for engine in engines:
+        engine.capacity = draft.capacities_by_id[engine.target.id]
+    stages_by_range = _make_stages(engines, latency_s, origin)
+    table = _make_table(draft.paths, stages_by_range) if draft.paths else None
+    return Plan(draft.bound, stages_by_range, table)
+
+
+def _learned_capacities(engines: Sequence[Engine]) -> dict[str, float]:
+    """Return capacities by id, lower for engines much slower than the others."""
     known = [e.slowness for e in engines if e.samples >= LEAST_SAMPLES]
     usual = median(known) if known else 1.0
+    capacities_by_id = {}
     for engine in engines:
         relative = engine.slowness / usual
         learned = engine.samples >= LEAST_SAMPLES and relative >= SLOW_FROM
         slower = min(relative, MOST_SLOWNESS) if learned else 1.0
-        engine.capacity = engine.nominal / slower
-
-
-def _capacity_of(engine: Engine) -> EngineCapacity:
-    target = engine.target
-    held = target.last_layer - target.first_layer
-    return EngineCapacity(
-        id=target.id,
-        first=target.first_layer,
-        last=target.last_layer,
-        accelerator=target.accelerator,
-        domain=target.domain,
-        tokens_per_second=engine.capacity / held,
-    )
+        capacities_by_id[engine.target.id] = engine.nominal / slower
+    return capacities_by_id
 
 
-def _make_groups(engines: Sequence[Engine]) -> dict[GroupKey, Group]:
-    members: dict[GroupKey, list[Engine]] = {}
+def _make_stages(
+    engines: Sequence[Engine], latency_s: LatencyOf, origin: str
+) -> dict[Range, Stage]:
+    members: dict[Range, list[Engine]] = {}
+    domains: set[str] = set()
     for engine in engines:
-        members.setdefault(_capacity_of(engine).group, []).append(engine)
-    return {key: make_group(key, group) for key, group in members.items()}
-
-
-def _near_segments(
-    segments: Sequence[Segment], latency_s: LatencyOf, origin: str
-) -> list[Segment]:
-    """Keep of each segment's groups only those in the nearest domain."""
-    near = []
-    for segment in segments:
-        distances = {g: latency_s(origin, g.domain) for g in segment.shares}
-        least = min(distances.values())
-        kept = {g: s for g, s in segment.shares.items() if distances[g] <= least}
-        total = sum(kept.values())
-        shares = {group: share / total for group, share in kept.items()}
-        near.append(Segment(segment.first, segment.last, shares))
-    return near
-
-
-def _table_maker(
-    groups_by_key: Mapping[GroupKey, Group], latency_s: LatencyOf, origin: str
-) -> Callable[[Sequence[Path]], PathTable]:
-    def to_table(paths: Sequence[Path]) -> PathTable:
-        routes = tuple(
-            RoutePath(
-                tuple((groups_by_key[h.group], h.first, h.last) for h in path.hops),
-                path_latency_s([h.group.domain for h in path.hops], latency_s, origin),
+        held = (engine.target.first_layer, engine.target.last_layer)
+        members.setdefault(held, []).append(engine)
+        domains.add(engine.target.domain)
+    close = frozenset(d for d in domains if latency_s(origin, d) <= CLOSE_LATENCY_S)
+    return {
+        (first, last): make_stage(first, last, held, close)
+        for (first, last), held in members.items()
+    }
+
+
+def _make_table(
+    paths: Sequence[Path], stages_by_range: Mapping[Range, Stage]
+) -> PathTable:
+    routes = tuple(
+        RoutePath(
+            tuple(
+                (stages_by_range[hop.group.first, hop.group.last], hop.first, hop.last)
+                for hop in path.hops
             )
-            for path in paths
         )
-        return PathTable(routes, tuple(accumulate(path.weight for path in paths)))
-
-    return to_table
-
-
-def path_latency_s(domains: Sequence[str], latency_s: LatencyOf, origin: str) -> float:
-    """Return the latency of a token's way around, from the origin and back."""
-    stops = [origin, *domains, origin]
-    return sum(
-        latency_s(here, there) for here, there in zip(stops, stops[1:], strict=False)
+        for path in paths
     )
+    return PathTable(routes, tuple(accumulate(path.weight for path in paths)))
--- a/libs/routing/src/celeryfork_routing/router.py
+++ b/libs/routing/src/celeryfork_routing/router.py
@@ -38,6 +38,7 @@
 class _Flight:
     """A chain in flight: the engines to count out, and the time expected."""
 
+    fleet: Fleet
     legs: tuple[Leg, ...]
     expected_s: float
 
@@ -67,9 +68,9 @@
         self._counters = counters
         self._executor = executor
         self._random = Random(seed)
-        self._picker = Picker(probe, clock, self._random)
+        self._picker = Picker(probe, clock, self._random, self._latency_s)
         self._services = ServiceChoice(domain, self._random)
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._fleets_by_model: dict[tuple[str, int], Fleet] = {}
         self._flights_by_chain_id: dict[str, _Flight] = {}
         self._ids = count(1)
@@ -101,14 +102,14 @@
 
     def release(self, chain: Chain, result: ChainResult) -> None:
         """Count a chain out again, and learn from its speed."""
-        now_s = self._clock.monotonic()
         with self._lock:
             flight = self._flights_by_chain_id.pop(chain.id, None)
             if flight is None:
                 self._counters.add("routing.released_twice")
                 return
             for leg in flight.legs:
-                leg.engine.end(leg.last - leg.first, now_s)
+                leg.engine.end(leg.last - leg.first)
+            flight.fleet.own_chains -= 1
             if result.failed_target is None:
                 _learn(flight, result)
 
@@ -167,13 +168,15 @@
                 self._rate_of,
                 self._latency_s,
                 self._domain,
+                self._lock,
             )
             self._fleets_by_model[key] = fleet
         return fleet
 
     def _legs(self, fleet: Fleet, request: ChainRequest) -> tuple[Leg, ...] | None:
         if not request.keep:
-            candidate = self._picker.pick(fleet, request)
+            origin = request.domain or self._domain
+            candidate = self._picker.pick(fleet, request, origin)
             if candidate is not None:
                 return candidate.legs
         return self._legs_around_kept(fleet, request)
@@ -200,15 +203,16 @@
         return tuple(legs)
 
     def _begin(self, fleet: Fleet, legs: tuple[Leg, ...]) -> Chain:
-        now_s = self._clock.monotonic()
         for leg in legs:
-            leg.engine.begin(leg.last - leg.first, now_s)
-        expected_s = sum(_nominal_s(leg) for leg in legs)
+            leg.engine.begin(leg.last - leg.first)
+        fleet.own_chains += 1
+        fleet.weigh_instances()
+        expected_s = sum(_nominal_s(leg, fleet.instances) for leg in legs)
         chain = Chain(
             tuple(Hop(leg.engine.target, leg.first, leg.last) for leg in legs),
             f"{self._id_prefix}-{next(self._ids)}",
         )
-        self._flights_by_chain_id[chain.id] = _Flight(legs, expected_s)
+        self._flights_by_chain_id[chain.id] = _Flight(fleet, legs, expected_s)
         return chain
 
     def _begin_trials(self, targets: list[Target]) -> None:
@@ -279,17 +283,21 @@
     )
 
 
-def _nominal_s(leg: Leg) -> float:
+def _nominal_s(leg: Leg, instances: float) -> float:
     """Return a token's time on a leg if the engine is as fast as it says."""
     engine: Engine = leg.engine
-    return (engine.own_layers + engine.others_layers) / engine.nominal
+    return (
+        engine.load_s(instances, leg.last - leg.first)
+        * engine.capacity
+        / engine.nominal
+    )
 
 
 def _learn(flight: _Flight, result: ChainResult) -> None:
     """Compare the time that tokens took with the time expected."""
     if result.tokens < LEAST_TOKENS_TO_LEARN or flight.expected_s <= 0:
         return
-    now_expected_s = sum(_nominal_s(leg) for leg in flight.legs)
+    now_expected_s = sum(_nominal_s(leg, flight.fleet.instances) for leg in flight.legs)
     expected_s = (flight.expected_s + now_expected_s) / 2
     decoding_s = result.seconds_total - result.seconds_to_first
     ratio = decoding_s / (result.tokens - 1) / max(expected_s, 1e-9)
--- a/libs/routing/src/celeryfork_routing/search.py
+++ b/libs/routing/src/celeryfork_routing/search.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from celeryfork_routing.engines import Engine
-from celeryfork_routing.paths import LatencyOf
+from celeryfork_routing.plan import LatencyOf
 
 ENGINES_DRAWN_PER_GROUP = 3
 
@@ -89,7 +89,7 @@
     for there in boundaries:
         if not here < there <= target.last_layer:
             continue
-        cost_s = reached.cost_s + link_s + engine.seconds_per_token(there - here)
+        cost_s = reached.cost_s + link_s + engine.load_s(1.0, there - here)
         known = best.get(there)
         if known is None or cost_s < known.cost_s:
             legs = (*reached.legs, Leg(engine, here, there))
--- a/libs/routing/tests/test_bound.py
+++ b/libs/routing/tests/test_bound.py
@@ -15,10 +15,6 @@
     return EngineCapacity(f"e{number}", first, last, f"k{number % 2}", domain, rate)
 
 
-def latency_s(here: str, there: str) -> float:
-    return 0.0 if here == there else 0.001
-
-
 @st.composite
 def fleets(draw: st.DrawFn) -> list[EngineCapacity]:
     cuts = sorted(draw(st.sets(st.integers(1, 23), max_size=4)) | {0, 24})
@@ -61,7 +57,7 @@
     engines: list[EngineCapacity],
 ) -> None:
     result = throughput_bound(engines, 24)
-    paths = make_paths(result.segments, latency_s, "d0")
+    paths = make_paths(result.segments)
     if not result.segments:
         assert paths == ()
         return
