--- a/libs/calls/src/celeryfork_calls/group_commit.py
+++ b/libs/calls/src/celeryfork_calls/group_commit.py
@@ -13,7 +13,11 @@
 from attrs import field, frozen, mutable
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
-from celeryfork_base.errors import CeleryforkError, PlatformUnavailableError
+from celeryfork_base.errors import (
+    CeleryforkError,
+    InputFaultError,
+    PlatformUnavailableError,
+)
 
 from celeryfork_calls.claim_records import (
     CLAIMS_STREAM,
@@ -39,6 +43,7 @@
     APPENDED = "appended"
     NOT_APPENDED = "not_appended"
     UNKNOWN = "unknown"
+    REJECTED = "rejected"  # it is not in the log, and would be refused again
 
 
 @mutable(eq=False)
@@ -116,6 +121,7 @@
         self._queue: deque[Queued] = deque()
         self._queued_bytes = 0
         self._in_flight: Sequence[Queued] = ()
+        self._least_gap_s = limits.gap_s
         self._gap_s = limits.gap_s
         self._next_append_s = clock.monotonic()
         self._refused_since_s: float | None = None
@@ -140,6 +146,12 @@
         """Begin to append in the background."""
         self._thread.start()
 
+    def set_gap(self, gap_s: float) -> None:
+        """Append at most once in ``gap_s`` seconds."""
+        with self._changed:
+            self._least_gap_s = gap_s
+            self._gap_s = max(self._gap_s, gap_s)
+
     def put(self, queued: Queued) -> bool:
         """Queue an entry; False if there is no room, and then it was not queued."""
         with self._changed:
@@ -194,25 +206,31 @@
         most_bytes = self._limits.most_queued_bytes
         return self._queued_bytes + queued.size_bytes <= most_bytes
 
+    def append_next(self) -> bool:
+        """Append what is queued, if an append is due; False if none was made."""
+        with self._changed:
+            left_s = self._next_append_s - self._clock.monotonic()
+            if not self._queue or left_s > 0:
+                return False
+            batch = self._take()
+        result = self._append(batch)
+        self._pace(result)
+        self._settle(batch, result)
+        return True
+
     def _run(self) -> None:
-        while True:
-            batch = self._next_batch()
-            if batch is None:
-                return
-            result = self._append(batch)
-            self._pace(result)
-            self._settle(batch, result)
+        while not self._stopping:
+            if not self.append_next():
+                self._await_due()
 
-    def _next_batch(self) -> Sequence[Queued] | None:
-        """Wait until an append is due; None when stopping."""
+    def _await_due(self) -> None:
+        """Wait until an append may be due, at most ``IDLE_WAIT_S``."""
         with self._changed:
-            while not self._stopping:
-                left_s = self._next_append_s - self._clock.monotonic()
-                if self._queue and left_s <= 0:
-                    return self._take()
-                wait_s = max(left_s, 0.0) if self._queue else IDLE_WAIT_S
+            wait_s = IDLE_WAIT_S
+            if self._queue:
+                wait_s = self._next_append_s - self._clock.monotonic()
+            if wait_s > 0 and not self._stopping:
                 self._changed.wait(min(wait_s, IDLE_WAIT_S))
-        return None
 
     def _take(self) -> Sequence[Queued]:
         now_s = self._clock.monotonic()
@@ -240,6 +258,9 @@
         except PlatformUnavailableError:
             self._counters.add("claims.appends_refused")
             return AppendResult.NOT_APPENDED
+        except InputFaultError:
+            self._counters.add("claims.appends_rejected")
+            return AppendResult.REJECTED
         except CeleryforkError:
             self._counters.add("claims.appends_unknown")
             return AppendResult.UNKNOWN
@@ -250,9 +271,9 @@
         with self._changed:
             self._note(result)
             if result is AppendResult.APPENDED:
-                self._gap_s = max(self._limits.gap_s, self._gap_s * GAP_DECAY)
+                self._gap_s = max(self._least_gap_s, self._gap_s * GAP_DECAY)
                 return
-            grown = max(self._gap_s, self._limits.gap_s, 0.01) * GAP_GROWTH
+            grown = max(self._gap_s, self._least_gap_s, 0.01) * GAP_GROWTH
             self._gap_s = min(grown, LONGEST_GAP_S)
             self._next_append_s = self._clock.monotonic() + self._gap_s
 
@@ -269,10 +290,10 @@
         reported = [q for q in batch if not q.must_land]
         with self._changed:
             self._in_flight = ()
-            if result is not AppendResult.NOT_APPENDED:
+            if result in (AppendResult.APPENDED, AppendResult.UNKNOWN):
                 for queued in batch:
                     queued.maybe_in_log = True
-            if result is not AppendResult.APPENDED:
+            if result in (AppendResult.NOT_APPENDED, AppendResult.UNKNOWN):
                 self._queue.extendleft(reversed(must_land))
                 self._queued_bytes += sum(q.size_bytes for q in must_land)
             self._changed.notify_all()
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -21,7 +21,12 @@
 from celeryfork_wire.peers import PeerServer
 from cheroot.server import HTTPServer
 
-from celeryfork_daemon.assembly import Parts, make_parts, make_runner
+from celeryfork_daemon.assembly import (
+    Parts,
+    make_parts,
+    make_runner,
+    stream_policy,
+)
 from celeryfork_daemon.callers import Callers
 from celeryfork_daemon.config_peers import slice_for_peer
 from celeryfork_daemon.gateway import GatewayPort, make_http_server
@@ -94,7 +99,7 @@
         parts = self.parts
         parts.loop_thread.start()
         session = parts.loop_thread.submit(
-            make_engine_session(CONNECT_TIMEOUT_S, parts.counters)
+            make_engine_session(CONNECT_TIMEOUT_S)
         ).result(timeout=LOOP_START_TIMEOUT_S)
         runner = make_runner(parts, session)
         self._serving = Serving(session, runner, self._make_handlers(runner))
@@ -132,7 +137,7 @@
     def kill(self) -> None:
         """End at once, as a crash would, as far as one process can show it."""
         self._state = InstanceState.STOPPED
-        self.parts.loop_thread.stop()
+        self._stop_loop()
         self._http.stop()
         self._close()
 
@@ -184,8 +189,6 @@
         """End the background parts, those that others need last."""
         parts, gate, membership = self.parts, self.parts.gate, self.parts.membership
         self._set_state(InstanceState.STOPPED)
-        if self._serving is not None:
-            parts.loop_thread.submit(self._serving.session.close()).result(timeout=5)
         for stop in (
             gate.capacity.stop,
             gate.admission.stop,
@@ -194,7 +197,7 @@
             membership.watch.stop,
             parts.follower.stop,
             membership.gossip.stop,
-            parts.loop_thread.stop,
+            self._stop_loop,
             self._peer_server.stop,
             membership.pool.close,
         ):
@@ -202,6 +205,10 @@
         if self._metrics is not None:
             self._metrics.stop()
 
+    def _stop_loop(self) -> None:
+        session = self._serving.session if self._serving else None
+        self.parts.loop_thread.stop(session.close if session else None)
+
     def _answer(self, call: HttpCall) -> Answer:
         if self._serving is None:
             raise stopping()
@@ -223,6 +230,7 @@
             ModelCallParts(
                 callers=callers,
                 configuration=lambda: parts.follower.current,
+                stream_policy=lambda: stream_policy(parts.follower.current.policy),
                 admission=gate.admission,
                 poison=gate.poison,
                 runner=runner,
