Charge an engine's step by the layers that it runs

A batch of sequences with different parts of the layers paid the step's base for the widest of them, so that no router could reach the max-flow bound, which counts an engine's layer-tokens a second alike for every part.

--- a/libs/standin/src/celeryfork_standin/engine_core.py
+++ b/libs/standin/src/celeryfork_standin/engine_core.py
@@ -172,16 +172,13 @@
         batch = self._batch
         waiting = self._waiting
         most = self.spec.max_batch
-        shares, widest, prefill_s = 0.0, 0.0, 0.0
+        shares, prefill_s = 0.0, 0.0
         while waiting and len(batch) < most:
             sequence = heappop(waiting)[2]
             if sequence.over:
                 continue
             stage = sequence.stage
-            share = stage.share
-            shares += share
-            if share > widest:
-                widest = share
+            shares += stage.share
             if stage.prefill_s:
                 prefill_s += stage.prefill_s
                 stage.prefill_s = 0.0
@@ -190,7 +187,9 @@
             self._busy = False
             return
         spec = self.spec
-        step_s = spec.base_s * widest + spec.per_sequence_s * shares
+        # In proportion to the layers run, so that a full batch always yields the
+        # engine's layer-tokens a second, whatever parts its sequences need.
+        step_s = (spec.base_s / len(batch) + spec.per_sequence_s) * shares
         self._arm(now or time.monotonic(), step_s * self.speed_factor + prefill_s)
 
     def _arm(self, now: float, duration_s: float) -> None:
