--- a/libs/standin/src/celeryfork_standin/engine_http.py
+++ b/libs/standin/src/celeryfork_standin/engine_http.py
@@ -90,7 +90,10 @@
         response = web.StreamResponse()
         response.content_type = "application/x-ndjson"
         response.enable_chunked_encoding()
-        await response.prepare(request)
+        try:
+            await response.prepare(request)
+        except ConnectionResetError:
+            return response
         if request.transport is None:
             return response
         layers = [(stage.first, stage.last) for stage in body.chain]
