Mend stalls and kills of the stand-ins, and split their modules

A stall shorter than a step left two steps running at once (named test); a killed plain service still ran what it had begun (named test).

--- a/libs/standin/src/celeryfork_standin/control.py
+++ b/libs/standin/src/celeryfork_standin/control.py
@@ -37,7 +37,17 @@
     "platform": frozenset({"cut_off"}),
     "links": frozenset({"degrade", "partition", "heal"}),
     "services": frozenset(
-        {"kill", "restart", "drain", "stall", "resume", "slow", "reject", "fail"}
+        {
+            "kill",
+            "restart",
+            "remove",
+            "drain",
+            "stall",
+            "resume",
+            "slow",
+            "reject",
+            "fail",
+        }
         | {"lose_answers", "crash", "poison"}
     ),
 }
--- a/libs/standin/src/celeryfork_standin/engine_http.py
+++ b/libs/standin/src/celeryfork_standin/engine_http.py
@@ -16,9 +16,9 @@
     GenerateBody,
     Sequence,
     Stage,
-    TokenRecord,
     make_stages,
 )
+from celeryfork_standin.token_record import TokenRecord
 
 RETRY_AFTER_S = "1"
 REACH_POLL_S = 0.02
--- a/libs/standin/tests/test_partition.py
+++ b/libs/standin/tests/test_partition.py
@@ -1,6 +1,7 @@
 """Faults of the network between failure domains, and of engines over time."""
 
 import threading
+import time
 
 import pytest
 from celeryfork_standin.engine import EngineSpec, make_engine_fleet
@@ -142,3 +143,17 @@
 def test_a_removed_engine_is_off_the_list(platform, fleet):
     fleet.remove("a1")
     assert [one.id for one in platform.instances.present()] == ["b1"]
+
+
+def test_a_short_stall_does_not_speed_the_engine_up(fleet, helpers):
+    stream = helpers.open(fleet, "a1", max_tokens=100_000)
+    stream.event()
+    for _ in range(5):
+        fleet.stall("a1")
+        fleet.resume("a1")
+    first, ran_first = time.monotonic(), fleet.ran_count
+    helpers.wait_until(lambda: fleet.ran_count >= ran_first + 40)
+    spent_s = time.monotonic() - first
+    stream.close()
+    spec = fleet.engine("a1").spec
+    assert spent_s > 40 * (spec.base_s + spec.per_sequence_s) * 0.7
--- a/libs/standin/tests/test_service.py
+++ b/libs/standin/tests/test_service.py
@@ -1,4 +1,5 @@
 import http.client
+import threading
 from collections.abc import Iterator
 
 import pytest
@@ -82,3 +83,23 @@
     with pytest.raises(ConnectionRefusedError):
         book(services, helpers)
     assert services.ran == []
+
+
+def test_a_killed_target_runs_nothing_that_it_had_begun(services, helpers):
+    services.slow("d1", 0.1)
+    lost = []
+
+    def call():
+        try:
+            book(services, helpers)
+        except LOST:
+            lost.append(True)
+
+    caller = threading.Thread(target=call)
+    caller.start()
+    helpers.wait_until(lambda: services.target("d1").calls == 1)
+    services.kill("d1")
+    caller.join(10)
+    services.slow("d2", 0.1)
+    book(services, helpers, key="k2", target="d2")  # begun later, as long
+    assert (lost, list(services.ran_by_key)) == ([True], ["k2"])
