--- a/libs/calls/src/celeryfork_calls/dispatch.py
+++ b/libs/calls/src/celeryfork_calls/dispatch.py
@@ -14,6 +14,7 @@
     Stalled,
     Succeeded,
 )
+from celeryfork_membership.targets import Target
 
 from celeryfork_calls import errors
 from celeryfork_calls.kept import KeptOutcome
@@ -30,7 +31,6 @@
     RetryBudgetPort,
     RouterPort,
     ServiceKindPort,
-    TargetPort,
     ViewPort,
 )
 from celeryfork_calls.service_client import (
@@ -106,7 +106,7 @@
 
     def _choose(
         self, call: PlainCall, avoid: frozenset[str], may_have_run: bool
-    ) -> TargetPort:
+    ) -> Target:
         try:
             return self._router.choose_service(call.service, avoid)
         except RequestRefusedError as error:
@@ -118,7 +118,7 @@
         self,
         call: PlainCall,
         kind: ServiceKindPort,
-        target: TargetPort,
+        target: Target,
         ends_s: float,
     ) -> Verdict:
         began_s = self._clock.monotonic()
@@ -144,7 +144,7 @@
     def _observe(
         self,
         call: PlainCall,
-        target: TargetPort,
+        target: Target,
         result: SendResult,
         took_its_time: bool,
     ) -> None:
--- a/libs/calls/src/celeryfork_calls/ports.py
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -4,6 +4,7 @@
 from typing import Protocol, TypeVar
 
 from celeryfork_membership.observations import Observation
+from celeryfork_membership.targets import Target
 from celeryfork_wire.gen.celeryfork import Peer
 
 Reply = TypeVar("Reply")
@@ -62,25 +63,13 @@
         """Read, waiting up to ``wait_s`` for a record; PlatformUnavailableError."""
 
 
-class TargetPort(Protocol):
-    """A target that a call can be sent to."""
-
-    @property
-    def id(self) -> str:
-        """Name in the instance list."""
-
-    @property
-    def address(self) -> str:
-        """``ip:port`` that it listens on."""
-
-
 class RouterPort(Protocol):
     """The choice of targets for plain services."""
 
-    def choose_service(self, service: str, avoid: frozenset[str]) -> TargetPort:
+    def choose_service(self, service: str, avoid: frozenset[str]) -> Target:
         """Return a target, counted in flight; RequestRefusedError if there is none."""
 
-    def release_service(self, target: TargetPort, ok: bool, seconds: float) -> None:
+    def release_service(self, target: Target, ok: bool, seconds: float) -> None:
         """Say that a chosen target was done with."""
 
 
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -56,6 +56,7 @@
         self.held = threading.Event()  # cleared: appends stand still
         self.held.set()
         self.append_s = 0.0
+        self.poll_s = 0.05
         self.append_count = 0
         self.refused_count = 0
         self._rate = appends_per_second
@@ -91,7 +92,7 @@
         with self._changed:
             if wait_s > 0:
                 self._changed.wait_for(
-                    lambda: self.down or self.next_offset > from_offset, 0.05
+                    lambda: self.down or self.next_offset > from_offset, self.poll_s
                 )
             if self.down:
                 raise PlatformUnavailableError("down", "try again")
--- /dev/null
+++ b/libs/calls/tests/test_claim_table.py
@@ -0,0 +1,255 @@
+"""Tests of celeryfork_calls.claim_table: several books over one faulty log."""
+
+import random
+from collections import Counter
+
+import hypothesis.strategies as st
+import pytest
+from celeryfork_base.clock import ManualClock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import CeleryforkError
+from celeryfork_base.identity import Incarnation, make_uuid7
+from celeryfork_base.outcomes import Outcome
+from celeryfork_calls.claim_fold import hash_body
+from celeryfork_calls.claim_results import Claimed, Refused, Replay
+from celeryfork_calls.claim_table import Attempt, AttemptState
+from celeryfork_calls.claims import make_claim_book
+from celeryfork_calls.kept import KeptOutcome
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+ORGANISATION = "troskgille"
+BODY_HASH = hash_body(b"milk")
+RETENTION_S = 130.0
+WINDOW_S = 100.0
+SKEW_S = 5.0
+MOST_BOOKS = 4
+FAULTS = ["", "", "", "refuse", "lose", "late", "vanish"]
+# How often each step is taken, of the sum.
+WEIGHTS_BY_STEP = {
+    "call": 10,
+    "append": 10,
+    "read": 10,
+    "take_grant": 6,
+    "send": 6,
+    "fail_to_send": 2,
+    "answer": 3,
+    "deadline": 3,
+    "append_again": 2,
+    "release_late": 2,
+    "new_key": 2,
+    "advance": 3,
+    "kill": 1,
+    "join": 1,
+    "outage": 1,
+}
+STEPS = [name for name, weight in WEIGHTS_BY_STEP.items() for _ in range(weight)]
+
+
+class SkewedClock:
+    """One instance's clock, off from the log's by less than the skew."""
+
+    def __init__(self, base: ManualClock, off_ms: int) -> None:
+        self._base = base
+        self._off_ms = off_ms
+
+    def monotonic(self) -> float:
+        return self._base.monotonic()
+
+    def wall_ms(self) -> int:
+        return self._base.wall_ms() + self._off_ms
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Calls, faults, restarts and pauses in any order, one step at a time."""
+
+    def __init__(self, fake_log_class) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.log = fake_log_class(self.clock)
+        self.log.poll_s = 0.0
+        self.books = []
+        self.started = 0
+        self.keys = []
+        self.open = []  # (book, attempt): the caller waits
+        self.granted = []  # (book, attempt): granted, not sent yet, perhaps paused
+        self.sent = []  # (book, attempt): sent, no outcome yet
+        self.told_not_run = []
+        self.ran = Counter()
+        self.outcome_by_key = {}
+        for _ in range(2):
+            self.join(0)
+
+    @rule(name=st.sampled_from(STEPS), number=st.integers(0, 15))
+    def step(self, name, number):
+        getattr(self, name)(number)
+
+    @staticmethod
+    def skew_ms(number):
+        return (number - 8) * 200
+
+    def book(self, number):
+        return self.books[number % len(self.books)]
+
+    def join(self, number):
+        """Start an instance that knows nothing."""
+        if len(self.books) < MOST_BOOKS:
+            self.started += 1
+            book = make_claim_book(
+                self.log,
+                Incarnation("i", self.started),
+                SkewedClock(self.clock, self.skew_ms(number)),
+                Counters(),
+                RETENTION_S,
+                window_s=WINDOW_S,
+                skew_s=SKEW_S,
+                commit_wait_s=0.0,
+            )
+            self.books.append(book)
+
+    def kill(self, number):
+        """End an instance in the midst of whatever it does; another takes its place."""
+        gone = self.book(number)
+        self.books.remove(gone)
+        self.open = [c for c in self.open if c[0] is not gone]
+        self.granted = [c for c in self.granted if c[0] is not gone]
+        self.sent = [c for c in self.sent if c[0] is not gone]
+        self.join(number)
+
+    def new_key(self, number):
+        birth_ms = self.clock.wall_ms() + self.skew_ms(number)
+        self.keys.append(str(make_uuid7(birth_ms)))
+
+    def call(self, number):
+        if not self.keys:
+            self.new_key(0)
+        key = self.keys[-1 - (number // 4) % min(2, len(self.keys))]
+        book = self.book(number)
+        if book._key_fault(key) is not None:
+            return
+        match book.table.look_or_begin(ORGANISATION, key, BODY_HASH):
+            case Attempt() as attempt:
+                self.open.append((book, attempt))
+            case Replay(kept):
+                assert kept == self.outcome_by_key[key]
+            case Refused(error):
+                assert error.outcome is Outcome.NOT_RUN
+
+    def append(self, number):
+        self.log.faults = [FAULTS[number // 2 % len(FAULTS)]]
+        for _ in range(30):
+            if self.book(number).table.commit.append_next():
+                break
+            self.clock.advance(0.1)
+        self.log.faults = []
+
+    def read(self, number):
+        try:
+            self.book(number).follower.read_next()
+        except CeleryforkError:
+            assert self.log.down
+
+    def release_late(self, number):
+        self.log.release_late()
+
+    def outage(self, number):
+        self.log.outage(number % 4 == 0)
+
+    def advance(self, number):
+        self.clock.advance([0.1, 1.0, 10.0, 40.0][number % 4])
+        self.log.expire(RETENTION_S)
+
+    def append_again(self, number):
+        if self.open:
+            book, attempt = self.open[number % len(self.open)]
+            book.table.append_again(attempt, 0.0)
+
+    def deadline(self, number):
+        """A caller's wait ends; either its claim is granted or it was given up."""
+        if self.open:
+            book, attempt = self.open.pop(number % len(self.open))
+            book.table.end_wait(attempt)
+            assert attempt.state is not AttemptState.WAITING
+            if attempt.state is AttemptState.GRANTED:
+                self.granted.append((book, attempt))
+            elif attempt.state is not AttemptState.LOST:
+                self.told_not_run.append(attempt)
+
+    def take_grant(self, number):
+        granted = [c for c in self.open if c[1].state is AttemptState.GRANTED]
+        if granted:
+            call = granted[number % len(granted)]
+            self.open.remove(call)
+            self.granted.append(call)
+
+    def send(self, number):
+        if self.granted:
+            book, attempt = self.granted.pop(number % len(self.granted))
+            self.ran[attempt.claim.key] += 1
+            self.sent.append((book, attempt))
+
+    def fail_to_send(self, number):
+        if self.granted:
+            book, attempt = self.granted.pop(number % len(self.granted))
+            self.finish(book, attempt, Outcome.NOT_RUN)
+            self.told_not_run.append(attempt)
+
+    def answer(self, number):
+        if self.sent:
+            outcome = [Outcome.DONE, Outcome.FAILED, Outcome.UNKNOWN][number % 3]
+            self.finish(*self.sent.pop(number % len(self.sent)), outcome)
+
+    def finish(self, book, attempt, outcome):
+        claim = attempt.claim
+        kept = KeptOutcome(
+            organisation=claim.organisation,
+            key=claim.key,
+            outcome=outcome,
+            status=200,
+            content_type="text/plain",
+            body=claim.nonce.encode(),
+            body_hash=claim.body_hash,
+            kept_ms=0,
+        )
+        self.outcome_by_key[claim.key] = kept
+        claimed = Claimed(ORGANISATION, claim.key, claim.body_hash, claim.nonce)
+        book.table.finish(claimed, kept)
+
+    @invariant()
+    def each_key_runs_at_most_once(self):
+        assert all(count == 1 for count in self.ran.values())
+
+    @invariant()
+    def told_not_run_is_never_granted(self):
+        assert all(a.state is not AttemptState.GRANTED for a in self.told_not_run)
+
+
+def test_a_key_runs_at_most_once_whatever_fails(fake_log_class):
+    run_state_machine_as_test(
+        lambda: ClaimMachine(fake_log_class),
+        settings=settings(
+            max_examples=60,
+            stateful_step_count=80,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_key_runs_at_most_once_on_long_walks(fake_log_class, seed):
+    chosen = random.Random(seed)
+    machines = [ClaimMachine(fake_log_class) for _ in range(40)]
+    for machine in machines:
+        for _ in range(400):
+            machine.step(chosen.choice(STEPS), chosen.randrange(16))
+            machine.each_key_runs_at_most_once()
+            machine.told_not_run_is_never_granted()
+    assert sum(sum(m.ran.values()) for m in machines) > 100
