Give each stream an identifier of its own at the engines

Cause: engines knew a stream by the caller's request id. A caller may use one id twice, so two streams could have shared KV cache and one caller could have got the other's continuation. Before: stream_id was the request id.

--- a/libs/bench/src/celeryfork_bench/rig.py
+++ b/libs/bench/src/celeryfork_bench/rig.py
@@ -15,11 +15,12 @@
 from celeryfork_config.settings import PlatformSettings, Settings, StopSettings
 from celeryfork_daemon.entry import Daemon, make_daemon
 from celeryfork_platform.log import make_log_client
-from celeryfork_standin.engine import EngineFleet, make_engine_fleet
-from celeryfork_standin.engine_data import EngineSpec
+from celeryfork_standin.deployment import Deployment, EntrySpec
+from celeryfork_standin.engine import EngineFleet
 from celeryfork_standin.instance_list import ListedInstance
-from celeryfork_standin.platform import PlatformStandin, make_platform
-from celeryfork_standin.service import ServiceFleet, ServiceSpec, make_service_fleet
+from celeryfork_standin.platform import PlatformStandin
+from celeryfork_standin.service import ServiceFleet
+from celeryfork_standin.standins import Standins, make_standins
 
 HOST = "127.0.0.1"
 ADMINISTRATOR_KEY = "administrator-of-the-rig"
@@ -33,41 +34,19 @@
 
 
 @frozen
-class EntrySpec:
-    """One entry instance."""
-
-    name: str
-    domain: str
-
-
-@frozen
-class RigSpec:
-    """What a rig consists of.
+class RigOptions:
+    """How the entry instances of a rig are run.
 
     Parameters
     ----------
-    records
-        Configuration records with ``name``, ``schema`` and ``payload``.
-    latency_s_by_domains
-        One-way latency by (from, to), in seconds.
     http_threads
         Threads of each entry instance's HTTP server.
     notice_s
         How long a stopping instance serves on, in seconds.
-    appends_per_second
-        The log's rate cap; None sets none.
     """
 
-    entries: Sequence[EntrySpec]
-    engines: Sequence[EngineSpec]
-    services: Sequence[ServiceSpec]
-    records: Sequence[Mapping[str, Any]]
-    latency_s_by_domains: Mapping[tuple[str, str], float] = field(factory=dict)
-    seed: int = 1
     http_threads: int = 12
     notice_s: float = 0.5
-    appends_per_second: float | None = 400.0
-    poison_marker: str | None = None
 
 
 def wait_until(what: str, condition: Callable[[], bool], timeout_s: float) -> None:
@@ -91,24 +70,31 @@
 class Rig:
     """Stand-ins and entry instances; create it with ``make_rig``."""
 
-    spec: RigSpec
-    platform: PlatformStandin
-    engines: EngineFleet
-    services: ServiceFleet
+    deployment: Deployment
+    standins: Standins
+    options: RigOptions
     daemons_by_name: dict[str, Daemon] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
+    @property
+    def platform(self) -> PlatformStandin:
+        """The platform stand-in."""
+        return self.standins.platform
+
+    @property
+    def engines(self) -> EngineFleet:
+        """The engine stand-ins."""
+        return self.standins.engines
+
+    @property
+    def services(self) -> ServiceFleet:
+        """The stand-ins of plain services."""
+        return self.standins.services
+
     def start(self) -> None:
         """Start everything and wait until every entry instance is ready."""
-        self.platform.start()
-        self.engines.start()
-        self.services.start()
-        for engine in self.spec.engines:
-            self.engines.add(engine)
-        for service in self.spec.services:
-            self.services.add(service)
-        self.publish(self.spec.records)
-        for entry in self.spec.entries:
+        self.standins.start()
+        for entry in self.deployment.entries:
             self.start_entry(entry)
         self.wait_ready()
 
@@ -119,9 +105,7 @@
             self.daemons_by_name.clear()
         with ThreadPoolExecutor(max_workers=max(1, len(daemons))) as executor:
             list(executor.map(lambda daemon: daemon.kill(), daemons))
-        self.engines.stop()
-        self.services.stop()
-        self.platform.stop()
+        self.standins.stop()
 
     def publish(self, records: Sequence[Mapping[str, Any]]) -> int:
         """Publish configuration records and return the last offset."""
@@ -140,10 +124,10 @@
         daemon = make_daemon(self._settings_of(entry))
         daemon.start()
         with self._lock:
-            self.daemons_by_name[entry.name] = daemon
+            self.daemons_by_name[entry.id] = daemon
         self.platform.instances.put(
             ListedInstance(
-                id=entry.name,
+                id=entry.id,
                 role="entry",
                 target="celeryfork",
                 domain=entry.domain,
@@ -208,7 +192,7 @@
     def _settings_of(self, entry: EntrySpec) -> Settings:
         url = self.platform.url
         return Settings(
-            instance=entry.name,
+            instance=entry.id,
             domain=entry.domain,
             platform=PlatformSettings(log_url=url, instances_url=url, weights_url=url),
             http_host=HOST,
@@ -218,23 +202,21 @@
             peers=tuple(daemon.peer_address for daemon in self.daemons()[:2]),
             administrator_key_sha256=sha256(ADMINISTRATOR_KEY.encode()).hexdigest(),
             ticket_secret=TICKET_SECRET,
-            http_threads=self.spec.http_threads,
-            stop=StopSettings(notice_s=self.spec.notice_s, most_stop_s=30.0),
+            http_threads=self.options.http_threads,
+            stop=StopSettings(notice_s=self.options.notice_s, most_stop_s=30.0),
             instance_poll_s=0.5,
         )
 
 
-def make_rig(spec: RigSpec) -> Rig:
-    """Return a rig that has yet to be started."""
-    platform = make_platform(
-        HOST, spec.seed, appends_per_second=spec.appends_per_second
-    )
-    engines = make_engine_fleet(
-        spec.seed,
-        spec.latency_s_by_domains,
-        instances=platform.instances,
-        weights=platform.weights,
-        poison_marker=spec.poison_marker,
-    )
-    services = make_service_fleet(spec.seed, instances=platform.instances)
-    return Rig(spec, platform, engines, services)
+def make_rig(
+    deployment: Deployment, options: RigOptions | None = None, seed: int | None = None
+) -> Rig:
+    """Return a rig that has yet to be started.
+
+    Parameters
+    ----------
+    seed
+        Seed of the stand-ins; None takes the deployment's.
+    """
+    standins = make_standins(deployment, seed=seed)
+    return Rig(deployment, standins, options or RigOptions())
--- a/libs/daemon/src/celeryfork_daemon/model_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/model_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import Future
+from secrets import token_hex
 from socket import socket
 
 from attrs import frozen
@@ -35,6 +36,8 @@
 )
 from celeryfork_daemon.refusals import malformed, not_found
 
+STREAM_ID_BYTES = 8
+
 
 @frozen
 class ModelCallParts:
@@ -97,6 +100,7 @@
         priority = priority_of(call, organisation.priority)
         request = GenerateRequest(
             request_id=call.request_id,
+            stream_id=f"{call.request_id}.{token_hex(STREAM_ID_BYTES)}",
             organisation=organisation.name,
             model=model.name,
             prompt=asked.prompt,
--- a/libs/streams/src/celeryfork_streams/engine_client.py
+++ b/libs/streams/src/celeryfork_streams/engine_client.py
@@ -30,7 +30,7 @@
     """Return the body of ``POST /v1/generate``."""
     return dumps(
         {
-            "stream_id": request.request_id,
+            "stream_id": request.stream_id,
             "attempt": attempt,
             "model": request.model,
             "version": stages[0].hop.target.version,
--- a/libs/streams/src/celeryfork_streams/requests.py
+++ b/libs/streams/src/celeryfork_streams/requests.py
@@ -14,6 +14,10 @@
 
     Parameters
     ----------
+    request_id
+        What the caller knows the request by; a caller may use one twice.
+    stream_id
+        What engines know the request by; no other request has it.
     deadline_s
         When the caller stops waiting, on the monotonic clock, in seconds.
     fingerprint
@@ -21,6 +25,7 @@
     """
 
     request_id: str
+    stream_id: str
     organisation: str
     model: str
     prompt: str
--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -239,7 +239,7 @@
 
     def request(self, **changes):
         fields = {
-            "request_id": "r1", "organisation": "kiosk", "model": "reminder-writer",
+            "request_id": "r1", "stream_id": "r1.1", "organisation": "kiosk", "model": "reminder-writer",
             "prompt": "Hard water in Nairobi", "max_tokens": 12, "priority": 5,
             "seed": 0, "deadline_s": time.monotonic() + WAIT_S, "fingerprint": "f1",
         }  # fmt: skip
