Config: a record never falls back on one from before a retraction

Cause: the state machine found that a peer which had missed a retraction kept the older record as what it falls back on.

--- a/libs/config/src/celeryfork_config/entries.py
+++ b/libs/config/src/celeryfork_config/entries.py
@@ -63,6 +63,8 @@
     ----------
     original_offset, original_ms
         Where and when the record was accepted.
+    born_offset
+        Where the first record since the last retraction was accepted.
     as_of
         The carrier had applied every offset below this one, and the record was the
         last accepted one then.
@@ -75,6 +77,7 @@
 
     original_offset: int
     original_ms: int
+    born_offset: int
     as_of: int
     made_ms: int
     superseded: bool
@@ -85,6 +88,7 @@
         body: dict[str, Any] = {
             "original_offset": self.original_offset,
             "original_ms": self.original_ms,
+            "born_offset": self.born_offset,
             "as_of": self.as_of,
             "made_ms": self.made_ms,
             "record": self.record.to_json(),
@@ -149,6 +153,7 @@
     return Carry(
         original_offset=offset,
         original_ms=_whole(value.get("original_ms"), "$.carry.original_ms"),
+        born_offset=_whole(value.get("born_offset"), "$.carry.born_offset"),
         as_of=as_of,
         made_ms=_whole(value.get("made_ms"), "$.carry.made_ms"),
         superseded=value.get("superseded") is True,
--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -282,7 +282,9 @@
         if state.head is None:
             self._evidence.note(state, entry.appended_ms)
         self._counters.add("config.fold.accepted")
-        return [self._set_head(state, self._keep_record(entry, record))]
+        born_offset = live.born_offset if live is not None else entry.offset
+        kept = self._keep_record(entry, record, born_offset)
+        return [self._set_head(state, kept)]
 
     def _apply_carry(self, entry: LogRecord, carry: Carry) -> list[Change]:
         if carry.as_of < self._oldest_as_of:
@@ -296,22 +298,22 @@
         state = self._states_by_key[carry.record.key]
         pending = state.take_pending()
         if pending:
-            self._find_fallback(state, carry.record, pending)
+            self._find_fallback(state, carry, pending)
         later = [p for p in pending if p.entry.offset >= carry.as_of]
         return changes + self._judge_pending(state, later)
 
     def _find_fallback(
-        self, state: KeyState, head: Record, pending: list[PendingRecord]
+        self, state: KeyState, carry: Carry, pending: list[PendingRecord]
     ) -> None:
-        """Look for a readable record among those that ``head`` goes back to.
+        """Look for a readable record among those that the carried one goes back to.
 
         A record was accepted only if the one that it is based on had been.
         """
         pending_by_offset = {p.entry.offset: p for p in pending}
-        based_on = head.based_on
+        based_on = carry.record.based_on
         while based_on is not None and based_on in pending_by_offset:
             found = pending_by_offset.pop(based_on)
-            kept = self._keep_record(found.entry, found.record)
+            kept = self._keep_record(found.entry, found.record, carry.born_offset)
             if kept.value is not None:
                 self._adopt_fallback(state, kept)
                 return
@@ -348,13 +350,11 @@
         return [self._set_head(state, kept)]
 
     def _adopt_fallback(self, state: KeyState, kept: KeptRecord) -> None:
-        head, known = state.head, state.fallback
+        known = state.fallback
         if known is not None and known.offset == kept.offset:
             self._index.move(known, kept.seen_offset, kept.seen_ms)
             return
-        wanted = head is None or (head.fault is not None and head.offset > kept.offset)
-        newer = known is None or known.offset < kept.offset
-        if kept.value is None or not (wanted and newer):
+        if not state.accepts_fallback(kept):
             return
         if known is not None:
             self._index.remove(known)
@@ -404,23 +404,37 @@
                 return readable
         return None
 
-    def _keep_record(self, entry: LogRecord, record: Record) -> KeptRecord:
-        return self._keep(entry, record, entry.offset, entry.appended_ms)
+    def _keep_record(
+        self, entry: LogRecord, record: Record, born_offset: int
+    ) -> KeptRecord:
+        return self._keep(entry, record, entry.offset, entry.appended_ms, born_offset)
 
     def _keep_carry(self, entry: LogRecord, carry: Carry) -> KeptRecord:
-        kept = self._keep(entry, carry.record, carry.original_offset, carry.original_ms)
+        kept = self._keep(
+            entry,
+            carry.record,
+            carry.original_offset,
+            carry.original_ms,
+            carry.born_offset,
+        )
         # What a late carry tells is as old as its carrier's knowledge.
         kept.seen_ms = min(carry.made_ms, entry.appended_ms)
         return kept
 
     def _keep(
-        self, entry: LogRecord, record: Record, offset: int, original_ms: int
+        self,
+        entry: LogRecord,
+        record: Record,
+        offset: int,
+        original_ms: int,
+        born_offset: int,
     ) -> KeptRecord:
         value, fault = self._read(record)
         return KeptRecord(
             key=record.key,
             offset=offset,
             original_ms=original_ms,
+            born_offset=born_offset,
             data=orjson.dumps(record.to_json()),
             retracted=record.payload is None,
             value=value,
--- a/libs/config/src/celeryfork_config/kept.py
+++ b/libs/config/src/celeryfork_config/kept.py
@@ -18,6 +18,8 @@
     ----------
     offset, original_ms
         Where and when the record itself was appended.
+    born_offset
+        Where the first record since the last retraction was accepted.
     data
         The record as JSON.
     value
@@ -33,6 +35,7 @@
     key: RecordKey
     offset: int
     original_ms: int
+    born_offset: int
     data: bytes
     retracted: bool
     value: Payload | None
@@ -50,6 +53,7 @@
         return Carry(
             original_offset=self.offset,
             original_ms=self.original_ms,
+            born_offset=self.born_offset,
             as_of=as_of,
             made_ms=made_ms,
             superseded=self.superseded,
@@ -113,6 +117,14 @@
         """Name and schema version, for people."""
         return f"{self.key[0]}#{self.key[1]}"
 
+    def accepts_fallback(self, kept: KeptRecord) -> bool:
+        """Whether ``kept`` is the newest known record to fall back on."""
+        if kept.value is None:
+            return False
+        if self.fallback is not None and self.fallback.offset >= kept.offset:
+            return False
+        return self.head is None or self._may_fall_back(kept)
+
     def take_pending(self) -> list[PendingRecord]:
         """Return what was held back, and hold it back no more."""
         taken, self.pending = self.pending, []
@@ -121,17 +133,23 @@
     def replace_head(self, kept: KeptRecord) -> list[KeptRecord]:
         """Make ``kept`` the last accepted record; return what is kept no longer."""
         old, self.head = self.head, kept
-        dropped = [old] if old is not None else []
-        if kept.retracted or kept.value is not None:
-            if self.fallback is not None:
-                dropped.append(self.fallback)
-            self.fallback = None
-        elif old is not None and old.value is not None:
+        if old is not None and old.value is not None and self._may_fall_back(old):
             old.superseded = True
             self.fallback = old
-            dropped = []
+            return []
+        dropped = [old] if old is not None else []
+        if self.fallback is not None and not self._may_fall_back(self.fallback):
+            dropped.append(self.fallback)
+            self.fallback = None
         return dropped
 
+    def _may_fall_back(self, kept: KeptRecord) -> bool:
+        """Whether ``kept`` came before a head that can't be read, unretracted since."""
+        head = self.head
+        if head is None or head.fault is None:
+            return False
+        return head.born_offset <= kept.offset < head.offset
+
 
 class KeptIndex:
     """Kept records in the order in which the log last held them."""
