--- /dev/null
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -0,0 +1,328 @@
+"""Plain calls: one answer from a service, with retries only where they are safe.
+
+Idempotent kinds are retried elsewhere, bounded by attempts, deadline and the retry
+budget. Others run under a claim or a ticket, and are sent again only after proof that
+no byte of them reached a target.
+"""
+
+from collections.abc import Callable, Sequence
+
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_wire.gen.celeryfork import ttypes
+
+from celeryfork_calls import errors
+from celeryfork_calls.claim_fold import hash_body
+from celeryfork_calls.claim_results import (
+    Claimed,
+    InProgress,
+    Refused,
+    Replay,
+    Unresolved,
+)
+from celeryfork_calls.claims import ClaimBook
+from celeryfork_calls.dispatch import Dispatcher
+from celeryfork_calls.kept import KeptOutcome, kept_from_wire
+from celeryfork_calls.plain_call import (
+    PlainCall,
+    PlainResult,
+    fingerprint_of,
+    kept_of,
+    replayed,
+)
+from celeryfork_calls.ports import (
+    ConfigurationPort,
+    PoisonPort,
+    RetryBudgetPort,
+    RouterPort,
+    ServiceKindPort,
+    ViewPort,
+)
+from celeryfork_calls.refusals import refusal_from_kept, refusal_to_kept
+from celeryfork_calls.service_client import ServiceClient, make_service_client
+from celeryfork_calls.ticket_text import Ticket, is_ticket
+from celeryfork_calls.tickets import (
+    Begun,
+    TicketOffice,
+    TicketReplay,
+    TicketRunning,
+)
+
+__all__ = ["PlainCall", "PlainCaller", "PlainResult", "make_plain_caller"]
+
+HOLDER_GONE_WAIT_S = 0.5
+FORWARDED_CONTENT_TYPE = "application/json"
+
+
+class PlainCaller:
+    """Calls plain services; for any thread."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        claims: ClaimBook,
+        tickets: TicketOffice,
+        poison: PoisonPort,
+        configuration: Callable[[], ConfigurationPort],
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._tickets = tickets
+        self._poison = poison
+        self._configuration = configuration
+        self._clock = clock
+        self._counters = counters
+        tickets.run_forwarded_by(self._run_forwarded)
+        claims.handed_over_to(lambda kept: self.take_over([kept]))
+
+    def call(self, call: PlainCall) -> PlainResult:
+        """Make a call.
+
+        Raises
+        ------
+        RequestRefusedError
+            There is no target's answer; ``outcome`` says what is known.
+        """
+        kind = self._kind(call)
+        self._poison.check(fingerprint_of(call))
+        try:
+            if kind.idempotent:
+                result = self._dispatcher.run(call, kind)
+            elif call.key is None:
+                raise errors.key_needed()
+            elif is_ticket(call.key):
+                result = self._call_with_ticket(call, call.key, kind)
+            else:
+                result = self._call_with_claim(call, call.key, kind)
+        except RequestRefusedError as error:
+            self._counters.add(f"calls.{error.outcome}")
+            raise
+        self._counters.add(f"calls.{result.outcome}")
+        return result
+
+    def find(self, organisation: str, key: str, wait_s: float) -> ttypes.OutcomeReply:
+        """Answer a peer that asks what became of a key or a ticket."""
+        if is_ticket(key):
+            return self._tickets.find(organisation, key, wait_s)
+        return self._claims.find(organisation, key, wait_s)
+
+    def take_over_wire(self, outcomes: Sequence[ttypes.KeptOutcome]) -> None:
+        """Take outcomes as a peer sends them."""
+        self.take_over([kept_from_wire(kept) for kept in outcomes])
+
+    def take_over(self, outcomes: Sequence[KeptOutcome]) -> None:
+        """Take outcomes that a stopping peer hands over."""
+        for kept in self._tickets.on_hand_over(outcomes):
+            self._claims.adopt(kept)
+
+    def _kind(self, call: PlainCall) -> ServiceKindPort:
+        service = self._configuration().services_by_name.get(call.service)
+        if service is None:
+            raise errors.not_configured("service", call.service)
+        kind = service.kinds_by_name.get(call.kind)
+        if kind is None:
+            raise errors.not_configured("kind", f"{call.service}/{call.kind}")
+        return kind
+
+    # Claims
+
+    def _call_with_claim(
+        self, call: PlainCall, key: str, kind: ServiceKindPort
+    ) -> PlainResult:
+        body_hash = hash_body(call.body)
+        while True:
+            match self._claims.claim(
+                call.organisation, key, body_hash, call.deadline_s
+            ):
+                case Claimed() as claimed:
+                    return self._run_claimed(call, kind, claimed)
+                case Replay(kept):
+                    return replayed(kept)
+                case Refused(error):
+                    raise error
+                case Unresolved(reason, outcome):
+                    if outcome is not Outcome.UNKNOWN:
+                        raise errors.answer_not_kept(outcome)
+                    return self._settle(call, key, kind, errors.outcome_unknown(reason))
+                case InProgress(holder):
+                    self._wait_for_holder(call, key, kind, holder)
+
+    def _run_claimed(
+        self, call: PlainCall, kind: ServiceKindPort, claimed: Claimed
+    ) -> PlainResult:
+        now_ms = self._clock.wall_ms()
+        kept = kept_of(call, claimed.key, Outcome.UNKNOWN, now_ms)
+        try:
+            result = self._dispatcher.run(call, kind)
+            kept = kept_of(call, claimed.key, result.outcome, now_ms, result)
+        except RequestRefusedError as error:
+            kept = kept_of(call, claimed.key, error.outcome, now_ms)
+            raise
+        finally:
+            self._claims.finish(claimed, kept)
+        return result
+
+    def _wait_for_holder(
+        self, call: PlainCall, key: str, kind: ServiceKindPort, holder: str
+    ) -> None:
+        """Wait on the claim that holds the key; return when to look again.
+
+        Raises
+        ------
+        RequestRefusedError
+            Its holder can't say, or the deadline passed.
+        """
+        left_s = call.deadline_s - self._clock.monotonic()
+        if left_s <= 0:
+            raise errors.in_progress(holder)
+        peer = self._tickets.peers.by_incarnation(holder)
+        reply = None
+        if peer is not None:
+            reply = self._tickets.peers.find_outcome(
+                peer, call.organisation, key, left_s
+            )
+        if reply is not None and reply.known and reply.kept is not None:
+            self._claims.adopt(kept_from_wire(reply.kept))
+            return
+        if reply is not None and reply.running:
+            return
+        # The holder is gone, paused, or gave its claim up; then an Abandon follows.
+        wait_s = min(HOLDER_GONE_WAIT_S, call.deadline_s - self._clock.monotonic())
+        if not self._claims.await_change(call.organisation, key, wait_s):
+            found = self._dispatcher.ask_status(call, key, kind)
+            if found is None:
+                raise errors.outcome_unknown(f"its holder {holder} does not answer")
+            self._claims.settle_unknown(found)
+
+    def _settle(
+        self,
+        call: PlainCall,
+        key: str,
+        kind: ServiceKindPort,
+        unknown: RequestRefusedError,
+    ) -> PlainResult:
+        """Answer from the kind's status call, or say that the outcome is unknown."""
+        found = self._dispatcher.ask_status(call, key, kind)
+        if found is None:
+            raise unknown
+        self._claims.settle_unknown(found)
+        return replayed(found)
+
+    # Tickets
+
+    def _call_with_ticket(
+        self, call: PlainCall, text: str, kind: ServiceKindPort
+    ) -> PlainResult:
+        ticket = self._tickets.read(text, call.organisation, call.service, call.kind)
+        if not self._tickets.is_mine(ticket):
+            return self._forward(call, text, ticket)
+        body_hash = hash_body(call.body)
+        while True:
+            match self._tickets.begin(ticket, text, body_hash):
+                case Begun() as begun:
+                    return self._run_begun(call, kind, begun)
+                case TicketReplay(kept):
+                    return self._replay_ticket(call, text, kind, kept)
+                case TicketRunning(begun):
+                    left_s = call.deadline_s - self._clock.monotonic()
+                    if left_s <= 0 or not begun.ended.wait(left_s):
+                        raise errors.in_progress(ticket.owner)
+
+    def _replay_ticket(
+        self, call: PlainCall, text: str, kind: ServiceKindPort, kept: KeptOutcome
+    ) -> PlainResult:
+        if kept.outcome is not Outcome.UNKNOWN:
+            return replayed(kept)
+        found = self._dispatcher.ask_status(call, text, kind)
+        if found is None:
+            raise errors.outcome_unknown("its target gave no whole answer")
+        self._tickets.settle(text, found)
+        return replayed(found)
+
+    def _run_begun(
+        self, call: PlainCall, kind: ServiceKindPort, begun: Begun
+    ) -> PlainResult:
+        now_ms = self._clock.wall_ms()
+        kept = kept_of(call, begun.text, Outcome.UNKNOWN, now_ms)
+        try:
+            result = self._dispatcher.run(call, kind)
+            kept = kept_of(call, begun.text, result.outcome, now_ms, result)
+        except RequestRefusedError as error:
+            kept = kept_of(call, begun.text, error.outcome, now_ms)
+            raise
+        finally:
+            self._tickets.finish(begun, kept)
+        return result
+
+    def _forward(self, call: PlainCall, text: str, ticket: Ticket) -> PlainResult:
+        left_s = call.deadline_s - self._clock.monotonic()
+        if left_s <= 0:
+            raise errors.deadline_passed(Outcome.NOT_RUN)
+        forwarded = ttypes.TicketCall(
+            ticket=text,
+            organisation=call.organisation,
+            service_name=call.service,
+            kind=call.kind,
+            body=call.body,
+            deadline_ms=round(left_s * 1000),
+            body_hash=hash_body(call.body),
+            request_id=call.request_id,
+        )
+        kept = self._tickets.forward(ticket, forwarded, left_s)
+        refusal = refusal_from_kept(kept)
+        if refusal is not None:
+            raise refusal
+        if kept.outcome is Outcome.UNKNOWN:
+            raise errors.outcome_unknown("there is no whole answer")
+        return replayed(kept)
+
+    def _run_forwarded(self, forwarded: ttypes.TicketCall) -> KeptOutcome:
+        """Run a ticket's call that a peer forwarded, as if its caller had come here."""
+        call = PlainCall(
+            request_id=forwarded.request_id or "",
+            organisation=forwarded.organisation,
+            service=forwarded.service_name,
+            kind=forwarded.kind,
+            body=bytes(forwarded.body),
+            content_type=FORWARDED_CONTENT_TYPE,
+            key=forwarded.ticket,
+            deadline_s=self._clock.monotonic() + forwarded.deadline_ms / 1000,
+        )
+        now_ms = self._clock.wall_ms()
+        try:
+            result = self.call(call)
+        except RequestRefusedError as error:
+            return refusal_to_kept(error, call.organisation, forwarded.ticket, now_ms)
+        return kept_of(call, forwarded.ticket, result.outcome, now_ms, result)
+
+
+def make_plain_caller(
+    router: RouterPort,
+    view: ViewPort,
+    claims: ClaimBook,
+    tickets: TicketOffice,
+    retry_budget: RetryBudgetPort,
+    poison: PoisonPort,
+    configuration: Callable[[], ConfigurationPort],
+    clock: Clock,
+    counters: Counters,
+    client: ServiceClient | None = None,
+) -> PlainCaller:
+    """Return a caller of plain services; make it before ``claims`` is started."""
+    dispatcher = Dispatcher(
+        router,
+        view,
+        client or make_service_client(),
+        retry_budget,
+        poison,
+        configuration,
+        clock,
+        counters,
+    )
+    return PlainCaller(
+        dispatcher, claims, tickets, poison, configuration, clock, counters
+    )
--- a/libs/wire/tests/test_peers.py
+++ b/libs/wire/tests/test_peers.py
@@ -3,43 +3,55 @@
 import pytest
 from celeryfork_base.errors import PeerUnavailableError
 from celeryfork_wire.gen.celeryfork import Peer
-from celeryfork_wire.gen.celeryfork.ttypes import PermitGrant, PermitRequest
+from celeryfork_wire.gen.celeryfork.ttypes import (
+    PermitBatch,
+    PermitGrant,
+    PermitRequest,
+)
 from celeryfork_wire.peers import PeerPool, PeerServer
 
 
 class PermitHandler(Peer.Iface):
-    def lease_permits(self, request: PermitRequest) -> PermitGrant:
-        if request.wanted < 0:
+    def lease_permits(self, batch: PermitBatch) -> list[PermitGrant]:
+        if any(request.wanted < 0 for request in batch.requests):
             raise ValueError("negative")
-        return PermitGrant(granted=request.wanted, lease_ms=1000, retry_after_ms=0)
+        return [grant_of(request) for request in batch.requests]
 
 
-def permit_request(wanted: int) -> PermitRequest:
-    return PermitRequest(
-        instance="a", incarnation=1, organisation="o", wanted=wanted, in_use=0
+def grant_of(request: PermitRequest) -> PermitGrant:
+    return PermitGrant(
+        granted=request.wanted,
+        lease_ms=1000,
+        retry_after_ms=0,
+        over_concurrency=False,
     )
 
 
+def permit_request(wanted: int) -> PermitBatch:
+    request = PermitRequest(organisation="o", wanted=wanted, in_use=0)
+    return PermitBatch(instance="a", incarnation=1, requests=[request])
+
+
 def test_a_call_reaches_the_peer_and_the_connection_is_kept() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
-    server.start()
+    server = PeerServer("127.0.0.1", 0)
+    server.start(PermitHandler())
     pool = PeerPool()
     for wanted in (1, 2):
-        grant = pool.call(
+        grants = pool.call(
             server.address,
             lambda peer, wanted=wanted: peer.lease_permits(permit_request(wanted)),
             timeout_s=5,
             fresh=False,
         )
-        assert grant.granted == wanted
+        assert [grant.granted for grant in grants] == [wanted]
     pool.close()
     server.stop()
 
 
 def test_a_refused_connection_is_known_not_to_have_been_sent() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
+    server = PeerServer("127.0.0.1", 0)
     address = server.address
-    server.start()
+    server.start(PermitHandler())
     server.stop()
     with pytest.raises(PeerUnavailableError) as caught:
         PeerPool().call(address, lambda peer: None, timeout_s=1, fresh=True)
@@ -47,8 +59,8 @@
 
 
 def test_a_server_stop_cuts_kept_connections() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
-    server.start()
+    server = PeerServer("127.0.0.1", 0)
+    server.start(PermitHandler())
     pool = PeerPool()
     lease = permit_request(1)
     pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
@@ -59,8 +71,8 @@
 
 
 def test_a_failing_handler_is_reported_as_sent() -> None:
-    server = PeerServer("127.0.0.1", 0, PermitHandler())
-    server.start()
+    server = PeerServer("127.0.0.1", 0)
+    server.start(PermitHandler())
     lease = permit_request(-1)
     with pytest.raises(PeerUnavailableError) as caught:
         PeerPool().call(server.address, lambda p: p.lease_permits(lease), 5, fresh=True)
