--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -162,9 +162,14 @@
         """Return what the state consists of and the log held last after ``offset``.
 
         Each is given as a carry at the log's offset, so that a peer learns the
-        original's offset, and how old the log's evidence of the key is.
+        original's offset, and how old the log's evidence of the key is. Keys that this
+        fold isn't certain of are left out.
         """
-        return tuple(self._entry_of(kept) for kept in self._index.after(offset))
+        return tuple(
+            self._entry_of(kept)
+            for kept in self._index.after(offset)
+            if self._states_by_key[kept.key].certain
+        )
 
     def due_before(self, evidence_ms: int) -> Iterator[tuple[KeptRecord, int]]:
         """Yield what the log lacks evidence of since a time, and since when.
--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -9,7 +9,7 @@
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PlatformUnavailableError
 from celeryfork_platform.log import LogClient
-from celeryfork_platform.model import LogRecord, LogSlice
+from celeryfork_platform.model import LogRecord
 from logbook import Logger
 
 from celeryfork_config.carrier import Carrier
@@ -42,6 +42,10 @@
         Between two reads from peers, where they are read.
     slow_poll_s
         Between two reads of the log by an instance that isn't a tailer.
+    lone_poll_s
+        The same, where no peer can be reached either.
+    most_records_at_start
+        Where the log has more than this, a peer's state is taken first.
     tailers_per_domain
         How many instances of a failure domain long-poll the log.
     most_direct_readers
@@ -53,6 +57,8 @@
     read_limit: int = 1000
     peer_poll_s: float = 1.0
     slow_poll_s: float = 60.0
+    lone_poll_s: float = 5.0
+    most_records_at_start: int = 5000
     tailers_per_domain: int = 3
     most_direct_readers: int = 30
 
@@ -112,7 +118,8 @@
         self._source = "none"
         self._callbacks: list[ConfigurationCallback] = []
         self._stopped = threading.Event()
-        self._next_slow_poll_s = 0.0
+        self._next_log_read_s = 0.0
+        self._synced_s = clock.monotonic()
         self._thread = threading.Thread(
             target=self._run, name="config-follower", daemon=True
         )
@@ -207,7 +214,9 @@
                 return
             except PlatformUnavailableError:
                 self._counters.add("config.follower.log_unavailable")
-        self._read_peers()
+        if not self._read_peers() and self._ready and not self._is_tailer():
+            soon_s = self._clock.monotonic() + self._jittered(self._options.lone_poll_s)
+            self._next_log_read_s = min(self._next_log_read_s, soon_s)
         self._pause(self._options.peer_poll_s)
 
     def _reads_log_now(self) -> bool:
@@ -215,9 +224,9 @@
         if not self._ready or self._is_tailer():
             return True
         now_s = self._clock.monotonic()
-        if now_s < self._next_slow_poll_s:
+        if now_s < self._next_log_read_s:
             return False
-        self._next_slow_poll_s = now_s + self._jittered(self._options.slow_poll_s)
+        self._next_log_read_s = now_s + self._jittered(self._options.slow_poll_s)
         return True
 
     def _is_tailer(self) -> bool:
@@ -245,11 +254,10 @@
             self._counters.add("config.follower.log_behind")
             self._pause(options.peer_poll_s)
             return
-        if part.first_offset > self._fold.next_offset:
-            self._read_peers()  # they may have what the log has dropped
-        self._apply(part)
-
-    def _apply(self, part: LogSlice) -> None:
+        missed = part.first_offset > self._fold.next_offset
+        long = part.next_offset - part.first_offset > options.most_records_at_start
+        if missed and (self._ready or long) and self._merge_peers(whole=True):
+            return  # and go on in the log from there
         with self._changed:
             self._fold.apply_slice(part)
             at_end = self._fold.next_offset >= part.next_offset
@@ -258,27 +266,38 @@
         if at_end:
             self._publish("log")
 
-    def _read_peers(self) -> None:
+    def _read_peers(self) -> bool:
+        """Take what peers have and put it in force; return whether a peer answered."""
+        absent_s = self._clock.monotonic() - self._synced_s
+        # Peers forget retractions in time, so their news may not suffice any more.
+        whole = absent_s > self._current.policy.log_retention_s
+        if not self._merge_peers(whole=whole or not self._fold.settled):
+            return False
+        self._publish("peers")
+        return True
+
+    def _merge_peers(self, *, whole: bool) -> bool:
+        """Merge a peer's news, or all of its state; return whether that worked."""
         if self.read_from_peers is None:
-            return
-        fold = self._fold
-        if not fold.settled:
-            # Records are held back for want of evidence: take a peer's whole state.
-            fold = Fold(self._counters, self._read_payload)
+            return False
+        fold = Fold(self._counters, self._read_payload) if whole else self._fold
         entries = self.read_from_peers(fold.next_offset - 1)
         if entries is None:
             self._counters.add("config.follower.peers_unavailable")
-            return
+            return False
         with self._changed:
-            fold.merge_peer_entries(tuple(entries))
+            fold.merge_peer_entries(entries)
             if fold.next_offset < self._fold.next_offset:
-                return
+                return False
+            if whole and fold.next_offset == 0 and not self._fold.settled:
+                return False
             self._fold = fold
-        self._publish("peers")
+        return True
 
     def _publish(self, source: str) -> None:
         """Put the fold's configuration in force and tell the subscribers."""
         with self._changed:
+            self._synced_s = self._clock.monotonic()
             configuration = self._fold.configuration
             is_new = configuration.offset > self._current.offset or not self._ready
             if not is_new:
