Platform: the whole answer ends by the caller's deadline

Cause: urllib3 limits each wait, so a log that sent a header every 50 ms held a read with a timeout of 0.4 s for 5.1 s.

--- a/libs/platform/src/celeryfork_platform/http.py
+++ b/libs/platform/src/celeryfork_platform/http.py
@@ -1,6 +1,5 @@
 """One bounded HTTP exchange with a platform service, by urllib3."""
 
-import socket
 from collections.abc import Mapping
 from typing import cast
 
@@ -12,6 +11,7 @@
 from celeryfork_base.errors import CeleryforkError, PlatformUnavailableError
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from celeryfork_platform.deadline import make_connections
 from celeryfork_platform.outage import Outage, Pass, Slots
 
 MOST_CONCURRENT_CALLS = 16
@@ -61,9 +61,7 @@
         self._counters = counters
         self.outage = Outage(service, clock, counters)
         self._slots = Slots(service, MOST_CONCURRENT_CALLS)
-        self._pool = urllib3.PoolManager(
-            num_pools=1, maxsize=MOST_CONCURRENT_CALLS, retries=False
-        )
+        self._pool = make_connections(MOST_CONCURRENT_CALLS)
 
     def call(
         self,
@@ -153,18 +151,8 @@
         while chunk := response.read1(_READ_BYTES):
             chunks.append(chunk)
             size += len(chunk)
-            left_s = deadline_s - self._clock.monotonic()
-            if left_s <= 0:
+            if self._clock.monotonic() >= deadline_s:
                 raise TimeoutError("the answer came too slowly")
             if size > LARGEST_ANSWER_BYTES:
                 raise ValueError("the answer is too large")
-            _limit_wait(response, left_s)
         return b"".join(chunks)
-
-
-def _limit_wait(response: urllib3.HTTPResponse, left_s: float) -> None:
-    """Shorten the socket's timeout: each byte received starts it anew."""
-    connection = response.connection
-    sock = getattr(connection, "sock", None)
-    if isinstance(sock, socket.socket):
-        sock.settimeout(left_s)
