--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -5,10 +5,8 @@
 no byte of them reached a target.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 
-from attrs import field, frozen
-from celeryfork_admission.poison import fingerprint
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
@@ -25,77 +23,37 @@
     Unresolved,
 )
 from celeryfork_calls.claims import ClaimBook
+from celeryfork_calls.dispatch import Dispatcher
 from celeryfork_calls.kept import KeptOutcome, kept_from_wire
+from celeryfork_calls.plain_call import (
+    PlainCall,
+    PlainResult,
+    fingerprint_of,
+    kept_of,
+    replayed,
+)
 from celeryfork_calls.ports import (
     ConfigurationPort,
     PoisonPort,
     RetryBudgetPort,
     RouterPort,
     ServiceKindPort,
-    TargetPort,
     ViewPort,
 )
 from celeryfork_calls.refusals import refusal_from_kept, refusal_to_kept
-from celeryfork_calls.service_client import (
-    DEFAULT_CONTENT_TYPE,
-    Lost,
-    NotSent,
-    SendResult,
-    Sent,
-    ServiceClient,
-    make_service_client,
-)
-from celeryfork_calls.ticket_text import is_ticket
+from celeryfork_calls.service_client import ServiceClient, make_service_client
+from celeryfork_calls.ticket_text import Ticket, is_ticket
 from celeryfork_calls.tickets import (
     Begun,
     TicketOffice,
     TicketReplay,
     TicketRunning,
 )
-from celeryfork_calls.verdicts import Answer, Elsewhere, Useless, judge
-
-MOST_ATTEMPTS = 3
-ASK_AGAIN_S = 0.2
-STATUS_CALL_TIMEOUT_S = 2.0
-
-
-@frozen
-class PlainCall:
-    """One call of a plain service.
-
-    Parameters
-    ----------
-    key
-        The caller's ``Idempotency-Key``: a UUIDv7 or a ticket.
-    deadline_s
-        Monotonic time until which the caller waits, in seconds.
-    """
-
-    request_id: str
-    organisation: str
-    service: str
-    kind: str
-    body: bytes = field(repr=False)
-    content_type: str
-    key: str | None
-    deadline_s: float
-
 
-@frozen
-class PlainResult:
-    """A target's whole answer.
+__all__ = ["PlainCall", "PlainCaller", "PlainResult", "make_plain_caller"]
 
-    Parameters
-    ----------
-    replayed
-        It was kept from an earlier send of the same key.
-    """
-
-    outcome: Outcome
-    status: int
-    content_type: str
-    body: bytes = field(repr=False)
-    replayed: bool = False
+HOLDER_GONE_WAIT_S = 0.5
+FORWARDED_CONTENT_TYPE = "application/json"
 
 
 class PlainCaller:
@@ -103,27 +61,21 @@
 
     def __init__(
         self,
-        router: RouterPort,
-        view: ViewPort,
+        dispatcher: Dispatcher,
         claims: ClaimBook,
         tickets: TicketOffice,
-        retry_budget: RetryBudgetPort,
         poison: PoisonPort,
         configuration: Callable[[], ConfigurationPort],
         clock: Clock,
         counters: Counters,
-        client: ServiceClient,
     ) -> None:
-        self._router = router
-        self._view = view
+        self._dispatcher = dispatcher
         self._claims = claims
         self._tickets = tickets
-        self._retry_budget = retry_budget
         self._poison = poison
         self._configuration = configuration
         self._clock = clock
         self._counters = counters
-        self._client = client
         tickets.run_forwarded_by(self._run_forwarded)
         claims.handed_over_to(lambda kept: self.take_over([kept]))
 
@@ -136,10 +88,10 @@
             There is no target's answer; ``outcome`` says what is known.
         """
         kind = self._kind(call)
-        self._poison.check(_fingerprint(call))
+        self._poison.check(fingerprint_of(call))
         try:
             if kind.idempotent:
-                result = self._dispatch(call, kind)
+                result = self._dispatcher.run(call, kind)
             elif call.key is None:
                 raise errors.key_needed()
             elif is_ticket(call.key):
@@ -158,7 +110,11 @@
             return self._tickets.find(organisation, key, wait_s)
         return self._claims.find(organisation, key, wait_s)
 
-    def take_over(self, outcomes: list[KeptOutcome]) -> None:
+    def take_over_wire(self, outcomes: Sequence[ttypes.KeptOutcome]) -> None:
+        """Take outcomes as a peer sends them."""
+        self.take_over([kept_from_wire(kept) for kept in outcomes])
+
+    def take_over(self, outcomes: Sequence[KeptOutcome]) -> None:
         """Take outcomes that a stopping peer hands over."""
         for kept in self._tickets.on_hand_over(outcomes):
             self._claims.adopt(kept)
@@ -172,97 +128,6 @@
             raise errors.not_configured("kind", f"{call.service}/{call.kind}")
         return kind
 
-    # Sending
-
-    def _dispatch(self, call: PlainCall, kind: ServiceKindPort) -> PlainResult:
-        """Send a call until a target answers or it may not be sent again."""
-        ends_s = min(call.deadline_s, self._clock.monotonic() + kind.timeout_s)
-        avoid: frozenset[str] = frozenset()
-        may_have_run = False
-        verdict = Elsewhere("no attempt was made", may_have_run=False)
-        for attempt in range(MOST_ATTEMPTS):
-            if attempt and not self._may_retry(kind, may_have_run, ends_s):
-                break
-            target = self._choose(call, avoid, may_have_run)
-            match self._send(call, kind, target, ends_s):
-                case Answer(sent, outcome):
-                    self._retry_budget.succeeded()
-                    return PlainResult(
-                        outcome, sent.status, sent.content_type, sent.body
-                    )
-                case Useless(reason):
-                    raise errors.target_failed(reason, Outcome.UNKNOWN)
-                case Elsewhere() as verdict:
-                    may_have_run = may_have_run or verdict.may_have_run
-                    avoid |= {target.id}
-        raise self._no_answer(verdict, may_have_run, ends_s)
-
-    def _may_retry(
-        self, kind: ServiceKindPort, may_have_run: bool, ends_s: float
-    ) -> bool:
-        if may_have_run and not kind.idempotent:
-            return False
-        if self._clock.monotonic() >= ends_s:
-            return False
-        if not self._retry_budget.may_retry():
-            self._counters.add("calls.retry_budget_spent")
-            return False
-        self._counters.add("calls.retries")
-        return True
-
-    def _choose(
-        self, call: PlainCall, avoid: frozenset[str], may_have_run: bool
-    ) -> TargetPort:
-        try:
-            return self._router.choose_service(call.service, avoid)
-        except RequestRefusedError as error:
-            if not may_have_run:
-                raise
-            raise errors.target_failed(
-                "no other target is left", Outcome.UNKNOWN
-            ) from error
-
-    def _send(
-        self,
-        call: PlainCall,
-        kind: ServiceKindPort,
-        target: TargetPort,
-        ends_s: float,
-    ) -> Answer | Elsewhere | Useless:
-        began_s = self._clock.monotonic()
-        result: SendResult = Lost("the call was broken off")
-        try:
-            result = self._client.send(
-                target.address,
-                call.kind,
-                _headers(call),
-                call.body,
-                ends_s - began_s,
-                fresh=not kind.idempotent,
-            )
-        finally:
-            seconds = self._clock.monotonic() - began_s
-            self._router.release_service(target, isinstance(result, Sent), seconds)
-        self._counters.add(f"calls.send_{type(result).__name__.lower()}")
-        self._observe(call, target, result)
-        return judge(result, kind.rejects_before_running)
-
-    def _observe(self, call: PlainCall, target: TargetPort, result: SendResult) -> None:
-        """Tell the view and the poison register what happened at the target."""
-        if isinstance(result, Lost) and not result.timed_out:
-            if not result.answer_too_large:
-                self._poison.crashed(_fingerprint(call), target.id)
-
-    def _no_answer(
-        self, verdict: Elsewhere, may_have_run: bool, ends_s: float
-    ) -> RequestRefusedError:
-        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
-        if self._clock.monotonic() >= ends_s:
-            return errors.deadline_passed(outcome)
-        if may_have_run:
-            return errors.target_failed(verdict.reason, outcome)
-        return errors.targets_busy(verdict.reason, verdict.retry_after_s)
-
     # Claims
 
     def _call_with_claim(
@@ -276,7 +141,7 @@
                 case Claimed() as claimed:
                     return self._run_claimed(call, kind, claimed)
                 case Replay(kept):
-                    return _replayed(kept)
+                    return replayed(kept)
                 case Refused(error):
                     raise error
                 case Unresolved(reason, outcome):
@@ -289,13 +154,175 @@
     def _run_claimed(
         self, call: PlainCall, kind: ServiceKindPort, claimed: Claimed
     ) -> PlainResult:
-        outcome = _kept(call, claimed.key, Outcome.UNKNOWN)
+        now_ms = self._clock.wall_ms()
+        kept = kept_of(call, claimed.key, Outcome.UNKNOWN, now_ms)
+        try:
+            result = self._dispatcher.run(call, kind)
+            kept = kept_of(call, claimed.key, result.outcome, now_ms, result)
+        except RequestRefusedError as error:
+            kept = kept_of(call, claimed.key, error.outcome, now_ms)
+            raise
+        finally:
+            self._claims.finish(claimed, kept)
+        return result
+
+    def _wait_for_holder(
+        self, call: PlainCall, key: str, kind: ServiceKindPort, holder: str
+    ) -> None:
+        """Wait on the claim that holds the key; return when to look again.
+
+        Raises
+        ------
+        RequestRefusedError
+            Its holder can't say, or the deadline passed.
+        """
+        left_s = call.deadline_s - self._clock.monotonic()
+        if left_s <= 0:
+            raise errors.in_progress(holder)
+        peer = self._tickets.peers.by_incarnation(holder)
+        reply = None
+        if peer is not None:
+            reply = self._tickets.peers.find_outcome(
+                peer, call.organisation, key, left_s
+            )
+        if reply is not None and reply.known and reply.kept is not None:
+            self._claims.adopt(kept_from_wire(reply.kept))
+            return
+        if reply is not None and reply.running:
+            return
+        # The holder is gone, paused, or gave its claim up; then an Abandon follows.
+        wait_s = min(HOLDER_GONE_WAIT_S, call.deadline_s - self._clock.monotonic())
+        if not self._claims.await_change(call.organisation, key, wait_s):
+            found = self._dispatcher.ask_status(call, key, kind)
+            if found is None:
+                raise errors.outcome_unknown(f"its holder {holder} does not answer")
+            self._claims.settle_unknown(found)
+
+    def _settle(
+        self,
+        call: PlainCall,
+        key: str,
+        kind: ServiceKindPort,
+        unknown: RequestRefusedError,
+    ) -> PlainResult:
+        """Answer from the kind's status call, or say that the outcome is unknown."""
+        found = self._dispatcher.ask_status(call, key, kind)
+        if found is None:
+            raise unknown
+        self._claims.settle_unknown(found)
+        return replayed(found)
+
+    # Tickets
+
+    def _call_with_ticket(
+        self, call: PlainCall, text: str, kind: ServiceKindPort
+    ) -> PlainResult:
+        ticket = self._tickets.read(text, call.organisation, call.service, call.kind)
+        if not self._tickets.is_mine(ticket):
+            return self._forward(call, text, ticket)
+        body_hash = hash_body(call.body)
+        while True:
+            match self._tickets.begin(ticket, text, body_hash):
+                case Begun() as begun:
+                    return self._run_begun(call, kind, begun)
+                case TicketReplay(kept):
+                    return self._replay_ticket(call, text, kind, kept)
+                case TicketRunning(begun):
+                    left_s = call.deadline_s - self._clock.monotonic()
+                    if left_s <= 0 or not begun.ended.wait(left_s):
+                        raise errors.in_progress(ticket.owner)
+
+    def _replay_ticket(
+        self, call: PlainCall, text: str, kind: ServiceKindPort, kept: KeptOutcome
+    ) -> PlainResult:
+        if kept.outcome is not Outcome.UNKNOWN:
+            return replayed(kept)
+        found = self._dispatcher.ask_status(call, text, kind)
+        if found is None:
+            raise errors.outcome_unknown("its target gave no whole answer")
+        self._tickets.settle(text, found)
+        return replayed(found)
+
+    def _run_begun(
+        self, call: PlainCall, kind: ServiceKindPort, begun: Begun
+    ) -> PlainResult:
+        now_ms = self._clock.wall_ms()
+        kept = kept_of(call, begun.text, Outcome.UNKNOWN, now_ms)
         try:
-            result = self._dispatch(call, kind)
-            outcome = _kept(call, claimed.key, result.outcome, result)
+            result = self._dispatcher.run(call, kind)
+            kept = kept_of(call, begun.text, result.outcome, now_ms, result)
         except RequestRefusedError as error:
-            outcome = _kept(call, claimed.key, error.outcome)
+            kept = kept_of(call, begun.text, error.outcome, now_ms)
             raise
         finally:
-            self._claims.finish(claimed, outcome)
+            self._tickets.finish(begun, kept)
         return result
+
+    def _forward(self, call: PlainCall, text: str, ticket: Ticket) -> PlainResult:
+        left_s = call.deadline_s - self._clock.monotonic()
+        if left_s <= 0:
+            raise errors.deadline_passed(Outcome.NOT_RUN)
+        forwarded = ttypes.TicketCall(
+            ticket=text,
+            organisation=call.organisation,
+            service_name=call.service,
+            kind=call.kind,
+            body=call.body,
+            deadline_ms=round(left_s * 1000),
+            body_hash=hash_body(call.body),
+            request_id=call.request_id,
+        )
+        kept = self._tickets.forward(ticket, forwarded, left_s)
+        refusal = refusal_from_kept(kept)
+        if refusal is not None:
+            raise refusal
+        if kept.outcome is Outcome.UNKNOWN:
+            raise errors.outcome_unknown("there is no whole answer")
+        return replayed(kept)
+
+    def _run_forwarded(self, forwarded: ttypes.TicketCall) -> KeptOutcome:
+        """Run a ticket's call that a peer forwarded, as if its caller had come here."""
+        call = PlainCall(
+            request_id=forwarded.request_id or "",
+            organisation=forwarded.organisation,
+            service=forwarded.service_name,
+            kind=forwarded.kind,
+            body=bytes(forwarded.body),
+            content_type=FORWARDED_CONTENT_TYPE,
+            key=forwarded.ticket,
+            deadline_s=self._clock.monotonic() + forwarded.deadline_ms / 1000,
+        )
+        now_ms = self._clock.wall_ms()
+        try:
+            result = self.call(call)
+        except RequestRefusedError as error:
+            return refusal_to_kept(error, call.organisation, forwarded.ticket, now_ms)
+        return kept_of(call, forwarded.ticket, result.outcome, now_ms, result)
+
+
+def make_plain_caller(
+    router: RouterPort,
+    view: ViewPort,
+    claims: ClaimBook,
+    tickets: TicketOffice,
+    retry_budget: RetryBudgetPort,
+    poison: PoisonPort,
+    configuration: Callable[[], ConfigurationPort],
+    clock: Clock,
+    counters: Counters,
+    client: ServiceClient | None = None,
+) -> PlainCaller:
+    """Return a caller of plain services; make it before ``claims`` is started."""
+    dispatcher = Dispatcher(
+        router,
+        view,
+        client or make_service_client(),
+        retry_budget,
+        poison,
+        configuration,
+        clock,
+        counters,
+    )
+    return PlainCaller(
+        dispatcher, claims, tickets, poison, configuration, clock, counters
+    )
--- a/libs/calls/src/celeryfork_calls/ports.py
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol, TypeVar
 
+from celeryfork_membership.observations import Observation
+from celeryfork_membership.targets import Target
 from celeryfork_wire.gen.celeryfork import Peer
 
 Reply = TypeVar("Reply")
@@ -61,28 +63,26 @@
         """Read, waiting up to ``wait_s`` for a record; PlatformUnavailableError."""
 
 
-class TargetPort(Protocol):
-    """A target that a call can be sent to."""
-
-    @property
-    def id(self) -> str:
-        """Name in the instance list."""
-
-    @property
-    def address(self) -> str:
-        """``ip:port`` that it listens on."""
+TargetPort = Target
 
 
 class RouterPort(Protocol):
     """The choice of targets for plain services."""
 
-    def choose_service(self, service: str, avoid: frozenset[str]) -> TargetPort:
+    def choose_service(self, service: str, avoid: frozenset[str]) -> Target:
         """Return a target, counted in flight; RequestRefusedError if there is none."""
 
-    def release_service(self, target: TargetPort, ok: bool, seconds: float) -> None:
+    def release_service(self, target: Target, ok: bool, seconds: float) -> None:
         """Say that a chosen target was done with."""
 
 
+class ViewPort(Protocol):
+    """The view of targets, which learns from what calls observe."""
+
+    def observe(self, target_id: str, observation: Observation) -> None:
+        """Note what became of an attempt on a target."""
+
+
 class RetryBudgetPort(Protocol):
     """The share of requests that may be retries."""
 
@@ -96,7 +96,7 @@
 class PoisonPort(Protocol):
     """Requests known to crash their targets."""
 
-    def crashed(self, fingerprint: str, target_id: str) -> None:
+    def crashed(self, fingerprint: str, target_id: str) -> object:
         """Count a crash."""
 
     def check(self, fingerprint: str) -> None:
@@ -131,9 +131,21 @@
         """Its kinds of call."""
 
 
+class PolicyPort(Protocol):
+    """Bounds that hold for the whole fleet."""
+
+    @property
+    def most_attempts(self) -> int:
+        """Most sends of one call."""
+
+
 class ConfigurationPort(Protocol):
     """The part of the configuration in force that plain calls read."""
 
+    @property
+    def policy(self) -> PolicyPort:
+        """Bounds that hold for the whole fleet."""
+
     @property
     def services_by_name(self) -> Mapping[str, ServicePort]:
         """Plain services."""
--- a/libs/streams/src/celeryfork_streams/events.py
+++ b/libs/streams/src/celeryfork_streams/events.py
@@ -7,6 +7,7 @@
 from celeryfork_streams.errors import EngineAnswerError
 from celeryfork_streams.ports import Chain
 
+LARGEST_EVENT_BYTES = 16 * 1024
 END_REASONS = frozenset({"stop", "length"})
 FAULTS = frozenset({"stage_lost", "overloaded", "leaving"})
 
@@ -79,6 +80,8 @@
         EngineAnswerError
             Malformed, a gap in the positions, or layers left out or run twice.
         """
+        if len(line) > LARGEST_EVENT_BYTES:
+            raise self._wrong("malformed", f"an event of {len(line)} bytes")
         try:
             event = loads(line)
         except JSONDecodeError:
@@ -141,10 +144,7 @@
         return Faulted(fault, engine if isinstance(engine, str) else None)
 
     def _wrong(self, kind: str, message: str) -> EngineAnswerError:
-        self._counters.add(f"streams.{kind}_events")
-        return EngineAnswerError(
-            self._address, message, "read the engine's log; it breaks the interface"
-        )
+        return EngineAnswerError(self._address, message, kind)
 
 
 def covers(spans: object, layers: int) -> bool:
