Routing: pack paths directly, deal engines out to lanes by width

Cause: splitting the max-flow into chains gave up to nine hops with parts of many engines; a batch of mixed widths takes as long as its widest. Change: paths are packed by a linear programme whose columns are shortest paths, with a small cost for hops and parts; a stage's engines are dealt out to hop widths.

--- a/libs/routing/src/celeryfork_routing/engines.py
+++ b/libs/routing/src/celeryfork_routing/engines.py
@@ -1,9 +1,11 @@
 """What a router knows of each engine: its work in flight, its queue, its speed."""
 
+from bisect import bisect
+from collections.abc import Callable, Sequence
 from itertools import accumulate
 from math import exp
 
-from attrs import define, field
+from attrs import define, frozen
 from celeryfork_membership.probe import LoadReport
 from celeryfork_membership.targets import Target
 
@@ -12,6 +14,7 @@
 MOST_RATIO = 1000.0
 LEAST_RATIO = 0.001
 DEFAULT_TOKENS_PER_S = 1000.0
+CLOSE_LATENCY_S = 0.002
 
 
 @define(eq=False)
@@ -21,29 +24,58 @@
     Parameters
     ----------
     engines
-        All of them; ``close`` are those near this instance, or all if none are.
+        All of them.
     capacity
         Sum of the engines' capacities.
-    own_layers
-        Layers of this instance's streams in flight on them.
     queue
-        Sum of the engines' queues as last reported, aged.
+        Sum of the engines' queues as last reported.
     """
 
     first: int
     last: int
     engines: list["Engine"]
-    close: list["Engine"]
-    far: list["Engine"]
-    close_cumulative: list[float] = field(factory=list)
-    far_cumulative: list[float] = field(factory=list)
     capacity: float = 0.0
-    own_layers: float = 0.0
     queue: float = 0.0
 
+
+@frozen(eq=False)
+class Draw:
+    """Engines to draw from by weight."""
+
+    engines: tuple["Engine", ...]
+    cumulative: tuple[float, ...]
+
+    def draw(self, uniform: float) -> "Engine":
+        """Return the engine at ``uniform``, a number in [0, 1)."""
+        index = bisect(self.cumulative, uniform * self.cumulative[-1])
+        return self.engines[min(index, len(self.engines) - 1)]
+
+
+@frozen(eq=False)
+class Lane:
+    """The engines of a stage that run the layers ``[first, last)`` of it.
+
+    Parameters
+    ----------
+    close, far
+        Its engines near this instance (or all if none are) and the others.
+    """
+
+    stage: Stage
+    first: int
+    last: int
+    close: Draw
+    far: Draw | None
+
+    @property
+    def layers(self) -> int:
+        """The number of layers run."""
+        return self.last - self.first
+
     def own_load_s(self) -> float:
-        """Return this instance's mean load relative to capacity."""
-        return self.own_layers / self.capacity
+        """Return this instance's mean load on the close engines."""
+        own_layers = sum(engine.own_layers for engine in self.close.engines)
+        return own_layers / sum(engine.capacity for engine in self.close.engines)
 
 
 @define(eq=False)
@@ -80,6 +112,11 @@
     refreshed_s: float = float("-inf")
     _queue: float = 0.0
 
+    @property
+    def held(self) -> tuple[int, int]:
+        """The layers that it holds."""
+        return self.target.first_layer, self.target.last_layer
+
     def own_load_s(self) -> float:
         """Return this instance's load on it relative to its capacity."""
         return self.own_layers / self.capacity
@@ -101,13 +138,13 @@
     def begin(self, layers: int) -> None:
         """Count a stream in flight."""
         self.own_streams += 1
-        self._add_own(layers)
+        self.own_layers += layers
         self.layers_per_stream += (layers - self.layers_per_stream) * LEARNING_GAIN
 
     def end(self, layers: int) -> None:
         """Count a stream out again."""
         self.own_streams -= 1
-        self._add_own(-layers)
+        self.own_layers -= layers
 
     def learn(self, ratio: float) -> None:
         """Take in how much longer a token took than expected.
@@ -139,14 +176,8 @@
         """Become a member of a stage."""
         self.stage = stage
         stage.capacity += self.capacity
-        stage.own_layers += self.own_layers
         stage.queue += self._queue
 
-    def _add_own(self, layers: int) -> None:
-        self.own_layers += layers
-        if self.stage is not None:
-            self.stage.own_layers += layers
-
 
 def make_engine(target: Target, tokens_per_second: float) -> Engine:
     """Return an engine without load; the rate is with all layers it holds."""
@@ -155,15 +186,35 @@
     return Engine(target, capacity, capacity, layers_per_stream=layers)
 
 
-def make_stage(
-    first: int, last: int, engines: list[Engine], close_domains: frozenset[str]
-) -> Stage:
+def make_stage(first: int, last: int, engines: list[Engine]) -> Stage:
     """Return a stage of engines and make them its members."""
-    close = [e for e in engines if e.target.domain in close_domains] or engines
-    far = [engine for engine in engines if engine not in close]
-    stage = Stage(first, last, engines, close, far)
+    stage = Stage(first, last, engines)
     for engine in engines:
         engine.join(stage)
-    stage.close_cumulative = list(accumulate(engine.capacity for engine in close))
-    stage.far_cumulative = list(accumulate(engine.capacity for engine in far))
     return stage
+
+
+def make_lane(
+    stage: Stage,
+    first: int,
+    last: int,
+    parts: Sequence[tuple[Engine, float]],
+    latency_s: Callable[[str, str], float],
+    origin: str,
+) -> Lane:
+    """Return a lane; ``parts`` are its engines with their capacity for it."""
+    close = [
+        (engine, part)
+        for engine, part in parts
+        if latency_s(origin, engine.target.domain) <= CLOSE_LATENCY_S
+    ]
+    far = [part for part in parts if part not in close]
+    if not close:
+        close, far = far, []
+    return Lane(stage, first, last, make_draw(close), make_draw(far) if far else None)
+
+
+def make_draw(parts: Sequence[tuple[Engine, float]]) -> Draw:
+    """Return a draw among engines by weight."""
+    engines = tuple(engine for engine, _ in parts)
+    return Draw(engines, tuple(accumulate(weight for _, weight in parts)))
--- a/libs/routing/src/celeryfork_routing/fleet.py
+++ b/libs/routing/src/celeryfork_routing/fleet.py
@@ -102,7 +102,7 @@
         return {
             "engines": len(self.engines_by_id),
             "usable": len(self.usable_ids),
-            "bound_tokens_per_second": plan.bound.tokens_per_second if plan else 0.0,
+            "bound_tokens_per_second": plan.bound_tokens_per_second if plan else 0.0,
             "paths": len(plan.table.paths) if plan and plan.table else 0,
             "instances_like_this": self.instances,
             "slow_ids": sorted(
--- a/libs/routing/src/celeryfork_routing/picker.py
+++ b/libs/routing/src/celeryfork_routing/picker.py
@@ -8,7 +8,6 @@
 (Mitzenmacher, "How useful is old information?", IEEE TPDS 2000).
 """
 
-from bisect import bisect
 from math import log
 from random import Random
 from typing import Protocol
@@ -19,7 +18,7 @@
 from xxhash import xxh3_64_intdigest
 
 from celeryfork_routing.chains import ChainRequest
-from celeryfork_routing.engines import Engine, Stage
+from celeryfork_routing.engines import Draw, Engine, Lane
 from celeryfork_routing.fleet import Fleet
 from celeryfork_routing.plan import LatencyOf, RoutePath
 from celeryfork_routing.search import Leg
@@ -64,7 +63,7 @@
         self._clock = clock
         self._random = random
         self._latency_s = latency_s
-        self._preferred: dict[tuple[Stage, str], Engine] = {}
+        self._preferred: dict[tuple[Lane, str], Engine] = {}
 
     def pick(
         self, fleet: Fleet, request: ChainRequest, origin: str
@@ -96,44 +95,47 @@
         legs = []
         total_s = 0.0
         domain = origin
-        for stage, first, last in path.hops:
-            choice = _Choice(stage, last - first, len(path.hops), domain)
-            engine = self._engine(choice, fleet, request)
+        for lane in path.lanes:
+            hop = _OpenHop(lane, len(path.lanes), domain)
+            engine = self._engine(hop, fleet, request)
             if engine is None:
                 return None
-            legs.append(Leg(engine, first, last))
-            total_s += self._cost_s(engine, choice, fleet, request)
+            legs.append(Leg(engine, lane.first, lane.last))
+            total_s += self._cost_s(engine, hop, fleet, request)
             domain = engine.target.domain
         total_s += self._latency_s(domain, origin)
         return Candidate(tuple(legs), total_s)
 
     def _engine(
-        self, choice: "_Choice", fleet: Fleet, request: ChainRequest
+        self, hop: "_OpenHop", fleet: Fleet, request: ChainRequest
     ) -> Engine | None:
         """Return the engine that the key points to, or the better of those drawn."""
-        stage = choice.stage
-        if request.prompt_key and len(stage.close) > 1:
-            preferred = self._preferred_of(stage, request.prompt_key)
+        lane = hop.lane
+        if request.prompt_key and len(lane.close.engines) > 1:
+            preferred = self._preferred_of(lane, request.prompt_key)
             usable = self._usable(preferred, fleet, request)
-            if usable and self._within_bound(preferred, stage):
+            if usable and self._within_bound(preferred, lane):
                 return preferred
-        drawn = self._draw(stage.close, stage.close_cumulative, fleet, request)
-        if len(stage.close) > 1:
-            drawn += self._draw(stage.close, stage.close_cumulative, fleet, request)
-        if stage.far:
-            drawn += self._draw(stage.far, stage.far_cumulative, fleet, request)
+        drawn = self._draw(lane.close, fleet, request)
+        if len(lane.close.engines) > 1:
+            drawn += self._draw(lane.close, fleet, request)
+        if lane.far is not None:
+            drawn += self._draw(lane.far, fleet, request)
+        if not drawn:
+            drawn = [e for e in lane.stage.engines if self._usable(e, fleet, request)]
         if len(drawn) <= 1:
             return drawn[0] if drawn else None
-        return min(drawn, key=lambda e: self._cost_s(e, choice, fleet, request))
+        return min(drawn, key=lambda e: self._cost_s(e, hop, fleet, request))
 
     def _cost_s(
-        self, engine: Engine, choice: "_Choice", fleet: Fleet, request: ChainRequest
+        self, engine: Engine, hop: "_OpenHop", fleet: Fleet, request: ChainRequest
     ) -> float:
         """Return the expected time that a token spends on the way to and in it."""
-        load_s = engine.load_s(fleet.instances, choice.layers) / choice.hops
-        cost_s = load_s + self._latency_s(choice.domain, engine.target.domain)
+        layers = hop.lane.layers
+        load_s = engine.load_s(fleet.instances, layers) / hop.hops
+        cost_s = load_s + self._latency_s(hop.domain, engine.target.domain)
         if request.prompt_tokens:
-            cost_s += self._prefill_s(engine, choice.layers, request)
+            cost_s += self._prefill_s(engine, layers, request)
         return cost_s
 
     def _prefill_s(self, engine: Engine, layers: int, request: ChainRequest) -> float:
@@ -143,21 +145,13 @@
         prefill_s = request.prompt_tokens * layers / engine.capacity / PREFILL_SPEEDUP
         return prefill_s / max(request.expected_tokens, 1)
 
-    def _draw(
-        self,
-        engines: list[Engine],
-        cumulative: list[float],
-        fleet: Fleet,
-        request: ChainRequest,
-    ) -> list[Engine]:
-        """Return one usable engine drawn by capacity, or none."""
-        total = cumulative[-1]
+    def _draw(self, draw: Draw, fleet: Fleet, request: ChainRequest) -> list[Engine]:
+        """Return one usable engine drawn by weight, or none."""
         for _ in range(MOST_DRAWS):
-            index = bisect(cumulative, self._random.random() * total)
-            engine = engines[min(index, len(engines) - 1)]
+            engine = draw.draw(self._random.random())
             if self._usable(engine, fleet, request):
                 return [engine]
-        usable = [e for e in engines if self._usable(e, fleet, request)]
+        usable = [e for e in draw.engines if self._usable(e, fleet, request)]
         return [self._random.choice(usable)] if usable else []
 
     def _usable(self, engine: Engine, fleet: Fleet, request: ChainRequest) -> bool:
@@ -170,32 +164,31 @@
             engine.refresh(self._probe.load_of(target_id), now_s)
         return True
 
-    def _preferred_of(self, stage: Stage, prompt_key: str) -> Engine:
+    def _preferred_of(self, lane: Lane, prompt_key: str) -> Engine:
         """Return the engine that the key points to.
 
         Weighted rendezvous hashing (Schindelhauer and Schomaker, SPAA 2005).
         """
-        key = (stage, prompt_key)
+        key = (lane, prompt_key)
         engine = self._preferred.get(key)
         if engine is None:
             if len(self._preferred) >= MOST_PREFERENCES:
                 self._preferred.clear()
-            engine = max(stage.close, key=lambda e: _rank(prompt_key, e))
+            engine = max(lane.close.engines, key=lambda e: _rank(prompt_key, e))
             self._preferred[key] = engine
         return engine
 
-    def _within_bound(self, engine: Engine, stage: Stage) -> bool:
+    def _within_bound(self, engine: Engine, lane: Lane) -> bool:
         """Return whether the preferred engine's load is near enough to the mean."""
         slack_s = AFFINITY_SLACK_STREAMS * engine.layers_per_stream / engine.capacity
-        return engine.own_load_s() <= AFFINITY_LOAD_LIMIT * stage.own_load_s() + slack_s
+        return engine.own_load_s() <= AFFINITY_LOAD_LIMIT * lane.own_load_s() + slack_s
 
 
-@frozen
-class _Choice:
-    """A hop to be filled: who, how many layers, how many hops, coming from where."""
+@frozen(eq=False)
+class _OpenHop:
+    """A hop to be filled: the lane, how many hops there are, coming from where."""
 
-    stage: Stage
-    layers: int
+    lane: Lane
     hops: int
     domain: str
 
--- a/libs/routing/src/celeryfork_routing/plan.py
+++ b/libs/routing/src/celeryfork_routing/plan.py
@@ -1,4 +1,11 @@
-"""The plan of one model: stages of engines, and weighted paths over the stages."""
+"""The plan of one model: stages of engines, lanes through them, and weighted paths.
+
+Engines of one range differ only in speed and place, so that the flow over ranges has
+the same bound as that over groups by accelerator and domain; who of a range gets a
+request is decided by its present cost. Where a range runs hops of several widths, its
+engines are dealt out to them in lanes, because a batch of mixed widths takes as long
+as its widest. Instances with the same view deal alike.
+"""
 
 from bisect import bisect_left
 from collections.abc import Callable, Mapping, Sequence
@@ -7,24 +14,22 @@
 
 from attrs import frozen
 
-from celeryfork_routing.bound import BoundResult, EngineCapacity, throughput_bound
-from celeryfork_routing.engines import Engine, Stage, make_stage
-from celeryfork_routing.paths import Path, make_paths
+from celeryfork_routing.bound import EngineCapacity, throughput_bound
+from celeryfork_routing.engines import Engine, Lane, Stage, make_lane, make_stage
+from celeryfork_routing.packing import Path, PathHop, Range, pack_paths
 
-SLOW_FROM = 1.5
-MOST_SLOWNESS = 10.0
+SLOWER_STEPS = (1.0, 1.5, 2.0, 3.0, 4.0, 6.0, 10.0)
 LEAST_SAMPLES = 8
-CLOSE_LATENCY_S = 0.002
+LEAST_PART_OF_ENGINE = 0.3
 
 LatencyOf = Callable[[str, str], float]
-Range = tuple[int, int]
 
 
 @frozen
 class RoutePath:
-    """A path: stage, first layer and last layer of each hop."""
+    """A path: the lane of each hop."""
 
-    hops: tuple[tuple[Stage, int, int], ...]
+    lanes: tuple[Lane, ...]
 
 
 @frozen
@@ -46,15 +51,15 @@
 
     Parameters
     ----------
-    bound
-        The most tokens a second, from capacities as learned so far.
+    bound_tokens_per_second
+        The max-flow bound, from capacities as learned so far.
     stages_by_range
         The engines by the layers they hold.
     table
-        Paths by the weights of the max-flow; None if some layer is not held.
+        Paths by their flows; None if some layer is not held.
     """
 
-    bound: BoundResult
+    bound_tokens_per_second: float
     stages_by_range: Mapping[Range, Stage]
     table: PathTable | None
 
@@ -64,22 +69,34 @@
     """The slow part of a plan: the bound and paths for learned capacities."""
 
     capacities_by_id: Mapping[str, float]
-    bound: BoundResult
+    bound_tokens_per_second: float
     paths: tuple[Path, ...]
 
 
-def draft_plan(engines: Sequence[Engine], layers: int) -> Draft:
-    """Return the bound and paths for a model; changes nothing.
+def learned_capacities(engines: Sequence[Engine]) -> dict[str, float]:
+    """Return capacities by id, lower for engines much slower than the others."""
+    known = [e.slowness for e in engines if e.samples >= LEAST_SAMPLES]
+    usual = median(known) if known else 1.0
+    return {
+        engine.target.id: engine.nominal / _slower(engine, usual) for engine in engines
+    }
 
-    Engines of one range differ only in speed and place, so that the flow over ranges
-    has the same bound as that over groups by accelerator and domain; who of a range
-    gets a request is then decided by its present cost.
-    """
-    capacities_by_id = _learned_capacities(engines)
+
+def _slower(engine: Engine, usual: float) -> float:
+    """Return by how much an engine is slower, in steps on which instances agree."""
+    if engine.samples < LEAST_SAMPLES:
+        return 1.0
+    relative = engine.slowness / usual
+    return max((s for s in SLOWER_STEPS if s <= relative), default=1.0)
+
+
+def draft_plan(engines: Sequence[Engine], layers: int) -> Draft:
+    """Return the bound and paths for a model; changes nothing."""
+    capacities_by_id = learned_capacities(engines)
     capacity_by_range: dict[Range, float] = {}
-    for engine in engines:
-        held = (engine.target.first_layer, engine.target.last_layer)
+    for engine in sorted(engines, key=lambda e: e.target.id):
         capacity = capacities_by_id[engine.target.id]
+        held = engine.held
         capacity_by_range[held] = capacity_by_range.get(held, 0.0) + capacity
     bound = throughput_bound(
         [
@@ -88,62 +105,89 @@
         ],
         layers,
     )
-    return Draft(capacities_by_id, bound, make_paths(bound.segments))
+    paths = pack_paths(dict(sorted(capacity_by_range.items())), layers)
+    return Draft(capacities_by_id, bound.tokens_per_second, paths)
 
 
 def finish_plan(
     draft: Draft, engines: Sequence[Engine], latency_s: LatencyOf, origin: str
 ) -> Plan:
-    """Put learned capacities into the engines and the engines into stages.
+    """Put learned capacities into the engines, and the engines into stages and lanes.
 
     Nothing may be counted in or out of the engines meanwhile.
     """
-    for engine in engines:
+    members: dict[Range, list[Engine]] = {}
+    for engine in sorted(engines, key=lambda e: e.target.id):
         engine.capacity = draft.capacities_by_id[engine.target.id]
-    stages_by_range = _make_stages(engines, latency_s, origin)
-    table = _make_table(draft.paths, stages_by_range) if draft.paths else None
-    return Plan(draft.bound, stages_by_range, table)
-
+        members.setdefault(engine.held, []).append(engine)
+    stages_by_range = {
+        held: make_stage(*held, engines) for held, engines in members.items()
+    }
+    if not draft.paths:
+        return Plan(draft.bound_tokens_per_second, stages_by_range, None)
+    lanes_by_hop = _make_lanes(draft.paths, stages_by_range, latency_s, origin)
+    routes = tuple(
+        RoutePath(tuple(lanes_by_hop[hop] for hop in path.hops)) for path in draft.paths
+    )
+    cumulative = tuple(accumulate(path.flow for path in draft.paths))
+    table = PathTable(routes, cumulative)
+    return Plan(draft.bound_tokens_per_second, stages_by_range, table)
+
+
+def _make_lanes(
+    paths: Sequence[Path],
+    stages_by_range: Mapping[Range, Stage],
+    latency_s: LatencyOf,
+    origin: str,
+) -> dict[PathHop, Lane]:
+    """Deal each stage's engines out to the hops that run on it."""
+    work_by_hop: dict[PathHop, float] = {}
+    for path in paths:
+        for hop in path.hops:
+            work = path.flow * (hop.last - hop.first)
+            work_by_hop[hop] = work_by_hop.get(hop, 0.0) + work
+    lanes_by_hop: dict[PathHop, Lane] = {}
+    for held, stage in stages_by_range.items():
+        hops = sorted(
+            (hop for hop in work_by_hop if hop.held == held),
+            key=lambda hop: (hop.first - hop.last, hop.first),
+        )
+        dealt = _deal(stage.engines, [work_by_hop[hop] for hop in hops])
+        for hop, parts in zip(hops, dealt, strict=True):
+            lanes_by_hop[hop] = make_lane(
+                stage, hop.first, hop.last, parts, latency_s, origin
+            )
+    return lanes_by_hop
 
-def _learned_capacities(engines: Sequence[Engine]) -> dict[str, float]:
-    """Return capacities by id, lower for engines much slower than the others."""
-    known = [e.slowness for e in engines if e.samples >= LEAST_SAMPLES]
-    usual = median(known) if known else 1.0
-    capacities_by_id = {}
-    for engine in engines:
-        relative = engine.slowness / usual
-        learned = engine.samples >= LEAST_SAMPLES and relative >= SLOW_FROM
-        slower = min(relative, MOST_SLOWNESS) if learned else 1.0
-        capacities_by_id[engine.target.id] = engine.nominal / slower
-    return capacities_by_id
 
+def _deal(
+    engines: Sequence[Engine], work: Sequence[float]
+) -> list[list[tuple[Engine, float]]]:
+    """Return for each piece of work the engines, with the capacity for it, in turn.
 
-def _make_stages(
-    engines: Sequence[Engine], latency_s: LatencyOf, origin: str
-) -> dict[Range, Stage]:
-    members: dict[Range, list[Engine]] = {}
-    domains: set[str] = set()
+    An engine between two pieces serves both only where each part is worth a batch.
+    """
+    if not work:
+        return []
+    scale = sum(engine.capacity for engine in engines) / sum(work)
+    ends = list(accumulate(piece * scale for piece in work))
+    dealt: list[list[tuple[Engine, float]]] = [[] for _ in work]
+    reached = 0.0
     for engine in engines:
-        held = (engine.target.first_layer, engine.target.last_layer)
-        members.setdefault(held, []).append(engine)
-        domains.add(engine.target.domain)
-    close = frozenset(d for d in domains if latency_s(origin, d) <= CLOSE_LATENCY_S)
-    return {
-        (first, last): make_stage(first, last, held, close)
-        for (first, last), held in members.items()
-    }
-
-
-def _make_table(
-    paths: Sequence[Path], stages_by_range: Mapping[Range, Stage]
-) -> PathTable:
-    routes = tuple(
-        RoutePath(
-            tuple(
-                (stages_by_range[hop.group.first, hop.group.last], hop.first, hop.last)
-                for hop in path.hops
-            )
-        )
-        for path in paths
-    )
-    return PathTable(routes, tuple(accumulate(path.weight for path in paths)))
+        parts = [
+            _overlap(begin, end, reached, reached + engine.capacity)
+            for begin, end in zip([0.0, *ends], ends, strict=False)
+        ]
+        reached += engine.capacity
+        largest = max(parts)
+        for index, part in enumerate(parts):
+            if part == largest or part >= LEAST_PART_OF_ENGINE * engine.capacity:
+                dealt[index].append((engine, part))
+    for parts_of_piece, piece in zip(dealt, work, strict=True):
+        if not parts_of_piece:
+            parts_of_piece += [(engine, piece) for engine in engines]
+    return dealt
+
+
+def _overlap(begin: float, end: float, first: float, last: float) -> float:
+    return max(min(end, last) - max(begin, first), 0.0)
