--- a/libs/calls/src/celeryfork_calls/ports.py
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -63,9 +63,6 @@
         """Read, waiting up to ``wait_s`` for a record; PlatformUnavailableError."""
 
 
-TargetPort = Target
-
-
 class RouterPort(Protocol):
     """The choice of targets for plain services."""
 
