--- a/libs/calls/src/celeryfork_calls/service_client.py
+++ b/libs/calls/src/celeryfork_calls/service_client.py
@@ -7,6 +7,7 @@
 import contextlib
 import time
 from collections.abc import Mapping
+from http.client import HTTPException
 
 from attrs import field, frozen
 from urllib3 import HTTPResponse, PoolManager, Timeout
@@ -19,6 +20,8 @@
 MOST_TARGETS_KEPT = 256
 MOST_IDLE_CONNECTIONS_PER_TARGET = 8
 LONGEST_CONNECT_S = 2.0
+# urllib3 passes the standard library's errors on where no pool is used.
+BROKEN = (HTTPError, HTTPException, OSError, ValueError)
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -187,7 +190,7 @@
                 return fault.lost
             except TimeoutError:
                 return Lost(f"{address} did not answer in time", timed_out=True)
-            except (HTTPError, OSError, ValueError) as error:
+            except BROKEN as error:
                 return _lost(address, error)
 
     def _send_pooled(
@@ -213,14 +216,14 @@
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             return NotSent(f"no connection to {address}: {error}", unreachable=True)
-        except (HTTPError, OSError, ValueError) as error:
+        except BROKEN as error:
             return _lost(address, error)
         try:
             answer = self._read(response, ends_s)
         except _AnswerFaultError as fault:
             response.close()
             return fault.lost
-        except (HTTPError, OSError, ValueError) as error:
+        except BROKEN as error:
             response.close()
             return _lost(address, error)
         response.release_conn()
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -55,6 +55,7 @@
         self.down = False
         self.held = threading.Event()  # cleared: appends stand still
         self.held.set()
+        self.waiting = 0
         self.append_s = 0.0
         self.poll_s = 0.05
         self.append_count = 0
@@ -70,7 +71,10 @@
     def append(self, stream: str, data: str, nonce: str, timeout_s: float) -> int:
         if self.append_s:
             time.sleep(self.append_s)
-        if not self.held.wait(timeout_s):
+        self.waiting += 1
+        held = not self.held.wait(timeout_s)
+        self.waiting -= 1
+        if held:
             raise AppendUnknownError("no answer in time", "look for the nonce")
         with self._changed:
             self.append_count += 1
@@ -212,6 +216,16 @@
     status_by_key: dict[str, bytes] = field(factory=dict)
     held: threading.Event = field(factory=threading.Event)
     address: str = ""
+    connections: int = 0
+
+    def take(self, key: str, body: bytes) -> str:
+        """Run a call, unless the answer is to reject it, and return the answer."""
+        answer = self.answers.pop(0) if self.answers else "done"
+        if answer != "reject":
+            self.ran[key] += 1
+            self.bodies.append(body)
+        self.held.wait(10)
+        return answer
 
 
 # Status, body, length if another one is claimed, and whether it drains.
@@ -229,13 +243,13 @@
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
+        def setup(self) -> None:
+            super().setup()
+            service.connections += 1
+
         def do_POST(self) -> None:
             body = self.rfile.read(int(self.headers["Content-Length"]))
-            answer = service.answers.pop(0) if service.answers else "done"
-            if answer != "reject":
-                service.ran[self.headers.get("Idempotency-Key", "")] += 1
-                service.bodies.append(body)
-            service.held.wait(10)
+            answer = service.take(self.headers.get("Idempotency-Key", ""), body)
             if answer in ("cut", "half", "unmarked"):
                 self.close_connection = True
             match answer:
--- a/libs/calls/tests/test_claim_table.py
+++ b/libs/calls/tests/test_claim_table.py
@@ -253,3 +253,83 @@
             machine.each_key_runs_at_most_once()
             machine.told_not_run_is_never_granted()
     assert sum(sum(m.ran.values()) for m in machines) > 100
+
+
+@pytest.fixture
+def two_books(fake_log_class):
+    """Two books over one log, whose every step the test takes itself."""
+    machine = ClaimMachine(fake_log_class)
+    return machine, *machine.books
+
+
+def begin(machine, book, key):
+    attempt = book.table.look_or_begin(ORGANISATION, key, BODY_HASH)
+    assert isinstance(attempt, Attempt)
+    return attempt
+
+
+def test_a_claim_read_after_an_earlier_one_expired_is_not_granted(two_books):
+    machine, one, two = two_books
+    machine.new_key(8)
+    (key,) = machine.keys
+    first = begin(machine, one, key)
+    one.table.commit.append_next()
+    one.follower.read_next()
+    assert first.state is AttemptState.GRANTED
+    machine.clock.advance(WINDOW_S - 1)
+    second = begin(machine, two, key)
+    two.table.commit.append_next()
+    machine.clock.advance(40)
+    machine.log.expire(RETENTION_S)
+    two.follower.read_next()
+    assert second.state is AttemptState.UNPROVEN
+
+
+def test_a_claim_that_turns_up_beyond_the_window_is_not_granted(two_books):
+    machine, one, _ = two_books
+    machine.new_key(8)
+    attempt = begin(machine, one, machine.keys[0])
+    machine.log.faults = ["late"]
+    one.table.commit.append_next()
+    machine.clock.advance(WINDOW_S + SKEW_S + 1)
+    machine.log.release_late()
+    one.follower.read_next()
+    assert attempt.state is AttemptState.UNPROVEN
+
+
+def test_a_claim_whose_answer_was_lost_is_abandoned_when_refused_later(two_books):
+    machine, one, two = two_books
+    machine.new_key(8)
+    attempt = begin(machine, one, machine.keys[0])
+    machine.log.faults = ["late", "refuse"]
+    one.table.commit.append_next()
+    one.table.append_again(attempt, 0.0)
+    machine.append(0)
+    one.table.end_wait(attempt)
+    machine.log.release_late()
+    machine.append(0)
+    two.follower.read_next()
+    assert begin(machine, two, machine.keys[0])
+
+
+def test_behind_a_record_of_a_newer_version_only_new_keys_are_granted(two_books):
+    machine, one, _ = two_books
+    machine.new_key(8)
+    old = begin(machine, one, machine.keys[0])
+    machine.log.append("claims", '{"v":2,"by":"x@1","e":[]}', "", 1.0)
+    one.table.commit.append_next()
+    machine.clock.advance(SKEW_S + 1)
+    machine.new_key(8)
+    new = begin(machine, one, machine.keys[1])
+    machine.append(0)
+    one.follower.read_next()
+    assert old.state is AttemptState.UNPROVEN
+    assert new.state is AttemptState.GRANTED
+
+
+def test_a_claim_is_finished_once(two_books):
+    machine, one, _ = two_books
+    machine.new_key(8)
+    attempt = begin(machine, one, machine.keys[0])
+    with pytest.raises(ValueError, match="granted"):
+        machine.finish(one, attempt, Outcome.DONE)
--- /dev/null
+++ b/libs/calls/tests/test_claims.py
@@ -0,0 +1,270 @@
+"""Tests of celeryfork_calls.claims: books with threads, over one log with faults."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from celeryfork_base.outcomes import Outcome
+from celeryfork_calls.claim_fold import hash_body
+from celeryfork_calls.claim_records import LARGEST_LOGGED_BODY_BYTES
+from celeryfork_calls.claim_results import (
+    Claimed,
+    InProgress,
+    Refused,
+    Replay,
+    Unresolved,
+)
+from celeryfork_calls.kept import KeptOutcome
+
+HASH = hash_body(b"monday")
+
+
+def claim(book, key, wait_s=5.0, body_hash=HASH):
+    return book.claim("o", key, body_hash, time.monotonic() + wait_s)
+
+
+def finish(book, claimed, outcome=Outcome.DONE, body=b"booked"):
+    kept = KeptOutcome(
+        "o", claimed.key, outcome, 200, "text/plain", body, claimed.body_hash, 0
+    )
+    book.finish(claimed, kept)
+    return kept
+
+
+def refusal(result):
+    assert isinstance(result, Refused)
+    assert result.error.outcome is Outcome.NOT_RUN
+    assert result.error.remedy
+    return result.error.code
+
+
+@pytest.mark.parametrize("count", [2, 9])
+def test_of_racing_books_one_gets_the_key(start_book, new_key, count):
+    books = [start_book(f"i{n}") for n in range(count)]
+    for _ in range(5):
+        key = new_key()
+        with ThreadPoolExecutor(count) as pool:
+            results = list(pool.map(lambda book, key=key: claim(book, key), books))
+        claimed = [r for r in results if isinstance(r, Claimed)]
+        assert len(claimed) == 1
+        holder = f"i{results.index(claimed[0])}@1"
+        losers = [r for r in results if r is not claimed[0]]
+        assert losers == [InProgress(holder)] * (count - 1)
+
+
+def test_an_outcome_is_replayed_whole_by_every_book_and_by_a_new_one(
+    start_book, new_key, wait_until
+):
+    one, two = start_book("a"), start_book("b")
+    key = new_key()
+    kept = finish(one, claim(one, key))
+    wait_until(lambda: isinstance(claim(two, key), Replay))
+    for book in (one, two, start_book("c")):
+        wait_until(lambda book=book: book.ready)
+        assert claim(book, key) == Replay(kept)
+        assert refusal(claim(book, key, body_hash=hash_body(b"x"))) == "key_reused"
+
+
+def test_a_lost_append_answer_is_made_good_by_the_log(start_book, log, new_key):
+    book = start_book()
+    log.faults = ["lose"]
+    assert isinstance(claim(book, new_key()), Claimed)
+
+
+def test_an_append_that_vanished_is_made_again(start_book, log, new_key):
+    book = start_book()
+    log.faults = ["vanish"]
+    assert isinstance(claim(book, new_key()), Claimed)
+    assert log.append_count == 2
+
+
+def test_a_claim_that_turns_up_late_is_never_run_and_frees_its_key(
+    start_book, log, new_key, wait_until
+):
+    one, two = start_book("a"), start_book("b")
+    key = new_key()
+    log.faults = ["late", *["refuse"] * 3]
+    assert refusal(claim(one, key, wait_s=0.1)) == "log_unavailable"
+    log.release_late()
+    wait_until(lambda: one.dump()["given_up"] == 0)
+    wait_until(lambda: isinstance(claim(two, key), Claimed))
+
+
+def test_a_late_claim_after_a_restart_is_run_by_nobody(start_book, log, new_key):
+    one = start_book("a")
+    key = new_key()
+    log.faults = ["late", *["refuse"] * 1000]
+    assert refusal(claim(one, key, wait_s=0.1)) == "log_unavailable"
+    assert one.stop().claims_not_abandoned == 1
+    log.faults = []
+    log.release_late()
+    again = start_book("b")
+    assert claim(again, key) == InProgress("a@1")
+    assert claim(start_book("c"), key) == InProgress("a@1")
+
+
+def test_a_late_claim_loses_to_one_that_won_meanwhile(start_book, log, new_key):
+    one, two = start_book("a"), start_book("b")
+    key = new_key()
+    log.faults = ["late", *["refuse"] * 6]
+    assert refusal(claim(one, key, wait_s=0.1)) == "log_unavailable"
+    log.faults = []
+    claimed = claim(two, key)
+    assert isinstance(claimed, Claimed)
+    log.release_late()
+    kept = finish(two, claimed)
+    assert claim(two, key) == Replay(kept)
+    assert isinstance(claim(one, key), InProgress | Replay)
+
+
+def test_in_an_outage_claims_are_refused_at_once(start_book, log, new_key, wait_until):
+    book = start_book()
+    key = new_key()
+    log.outage(True)
+    began_s = time.monotonic()
+    assert refusal(claim(book, key, wait_s=30.0)) == "log_unavailable"
+    assert time.monotonic() - began_s < 5.0
+    log.outage(False)
+    assert isinstance(claim(book, key), Claimed)
+
+
+def test_a_log_that_refuses_for_long_counts_as_down(start_book, log, new_key):
+    book = start_book()
+    log.faults = ["refuse"] * 1000
+    began_s = time.monotonic()
+    assert refusal(claim(book, new_key(), wait_s=30.0)) == "log_unavailable"
+    assert time.monotonic() - began_s < 10.0
+
+
+def test_a_log_that_hangs_ends_with_the_callers_deadline(start_book, log, new_key):
+    book = start_book()
+    log.held.clear()
+    results = []
+    threads = [
+        threading.Thread(target=lambda: results.append(claim(book, new_key(), 0.2)))
+        for _ in range(20)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(5)
+    assert {refusal(r) for r in results} <= {"log_unavailable", "deadline"}
+    assert len(results) == 20
+
+
+def test_a_claim_never_sent_leaves_nothing_behind(start_book, log, new_key, wait_until):
+    book = start_book()
+    log.held.clear()
+    stuck = threading.Thread(target=claim, args=(book, new_key(), 0.1))
+    stuck.start()
+    wait_until(lambda: log.waiting == 1)
+    second = new_key()
+    refusal(claim(book, second, 0.05))
+    stuck.join(5)
+    assert book.dump()["given_up"] == 1
+    log.held.set()
+    assert isinstance(claim(book, second), Claimed)
+    assert sum(second in record.data for record in log.records) == 1
+
+
+def test_a_paused_holder_keeps_its_key_and_is_never_replaced(
+    start_book, new_key, wait_until
+):
+    one, two = start_book("a"), start_book("b")
+    key = new_key()
+    claimed = claim(one, key)  # and then stands still before it sends
+    for _ in range(3):
+        assert claim(two, key, 0.1) == InProgress("a@1")
+    kept = finish(one, claimed)
+    wait_until(lambda: claim(two, key) == Replay(kept))
+
+
+def test_a_call_that_proved_not_to_run_frees_its_key(start_book, new_key, wait_until):
+    one, two = start_book("a"), start_book("b")
+    key = new_key()
+    finish(one, claim(one, key), Outcome.NOT_RUN)
+    assert isinstance(claim(one, key), Claimed | InProgress)
+    other = new_key()
+    finish(one, claim(one, other), Outcome.NOT_RUN)
+    wait_until(lambda: isinstance(claim(two, other), Claimed))
+
+
+def test_a_killed_holder_leaves_the_outcome_unknown(start_book, new_key):
+    one = start_book("a")
+    before, after = new_key(), new_key()
+    claim(one, before)
+    finish(one, claim(one, after), Outcome.UNKNOWN)
+    one.stop()
+    two = start_book("b")
+    assert claim(two, before) == InProgress("a@1")
+    assert isinstance(claim(two, after), Unresolved)
+
+
+@pytest.mark.parametrize(
+    ("key_age_s", "code"), [(601, "key_expired"), (-60, "key_malformed")]
+)
+def test_keys_outside_the_window_are_refused(start_book, new_key, key_age_s, code):
+    assert refusal(claim(start_book(), new_key(key_age_s))) == code
+
+
+@pytest.mark.parametrize(
+    "key", ["", "x", "123e4567-e89b-42d3-a456-426614174000", "{" * 5000]
+)
+def test_keys_that_are_no_uuid7_are_refused(start_book, key):
+    assert refusal(claim(start_book(), key)) == "key_malformed"
+
+
+def test_a_new_book_grants_nothing_before_it_has_read_up_to_its_claim(
+    start_book, log, new_key
+):
+    key = new_key()
+    one = start_book("a")
+    assert isinstance(claim(one, key), Claimed)
+    for _ in range(500):
+        log.append("claims", '{"v":1,"by":"x@1","e":[]}', "", 1.0)
+    assert claim(start_book("b"), key) == InProgress("a@1")
+
+
+def test_malformed_records_are_counted_and_do_not_stall_the_fold(
+    start_book, log, new_key
+):
+    book = start_book()
+    for data in ("no json", '{"v":1,"by":"x@1","e":[["c",1]]}', "\0"):
+        log.append("claims", data, "", 1.0)
+    assert isinstance(claim(book, new_key()), Claimed)
+    assert book._counters.count("claims.records_malformed") == 2
+    assert book._counters.count("claims.entries_malformed") == 1
+
+
+def test_a_large_answer_is_known_elsewhere_by_its_outcome(
+    start_book, new_key, wait_until
+):
+    one, two = start_book("a"), start_book("b")
+    key = new_key()
+    finish(one, claim(one, key), body=b"x" * (LARGEST_LOGGED_BODY_BYTES + 1))
+    wait_until(lambda: isinstance(claim(two, key), Unresolved))
+    assert claim(two, key).outcome is Outcome.DONE
+    assert isinstance(claim(one, key), Replay)
+
+
+def test_stop_writes_outcomes_and_names_those_it_could_not(start_book, log, new_key):
+    one, two = start_book("a"), start_book("b")
+    key = new_key()
+    finish(one, claim(one, key))
+    assert one.stop().unflushed == []
+    claimed = claim(two, new_key())
+    log.outage(True)
+    kept = finish(two, claimed)
+    report = two.stop()
+    assert report.unflushed == [kept]
+    log.outage(False)
+    assert refusal(claim(two, new_key())) == "stopping"
+
+
+def test_a_wider_window_is_followed_at_once(start_book, new_key):
+    book = start_book(window_s=1.0)
+    old = new_key(30)
+    assert refusal(claim(book, old)) == "key_expired"
+    book.set_limits(type(book._limits)(retention_s=3600.0, window_s=600.0))
+    assert isinstance(claim(book, old), Claimed | Unresolved)
--- /dev/null
+++ b/libs/calls/tests/test_service_client.py
@@ -0,0 +1,140 @@
+"""Tests of celeryfork_calls.service_client, over real sockets."""
+
+import socket
+import threading
+
+import pytest
+from celeryfork_calls.service_client import Lost, NotSent, Sent, make_service_client
+
+
+@pytest.fixture
+def send():
+    client = make_service_client(largest_answer_bytes=10_000)
+
+    def send(address, timeout_s=2.0, fresh=True):
+        headers = {"Idempotency-Key": "k"}
+        return client.send(address, "book", headers, b"day", timeout_s, fresh=fresh)
+
+    yield send
+    client.close()
+
+
+@pytest.fixture
+def closed_address():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return f"127.0.0.1:{server.getsockname()[1]}"
+
+
+@pytest.fixture
+def scripted_address():
+    """Answer one connection with given bytes, in parts, and close it."""
+    servers = []
+
+    def start(*parts, reset=False):
+        server = socket.create_server(("127.0.0.1", 0))
+        servers.append(server)
+
+        def serve():
+            connection, _ = server.accept()
+            connection.recv(65536)
+            for part in parts:
+                connection.sendall(part)
+            if reset:
+                linger = b"\x01\0\0\0\0\0\0\0"
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.close()
+
+        threading.Thread(target=serve, daemon=True).start()
+        return f"127.0.0.1:{server.getsockname()[1]}"
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_whole_answer_is_returned(start_service, send, fresh):
+    answer = send(start_service().address, fresh=fresh)
+    assert answer == Sent(200, "text/plain", b"booked day")
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_refused_connection_proves_that_nothing_was_sent(closed_address, send, fresh):
+    answer = send(closed_address, fresh=fresh)
+    assert isinstance(answer, NotSent)
+    assert answer.unreachable
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:notaport", "nowhere", ""])
+def test_an_address_that_is_none_proves_that_nothing_was_sent(address, send):
+    assert isinstance(send(address), NotSent)
+
+
+def test_a_deadline_that_has_passed_proves_that_nothing_was_sent(start_service, send):
+    service = start_service()
+    assert send(service.address, timeout_s=0.0) == NotSent(
+        "the deadline passed before the call was sent"
+    )
+    assert not service.ran
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+@pytest.mark.parametrize("answer", ["cut", "half", "unmarked"])
+def test_what_is_not_a_whole_answer_is_lost(start_service, send, answer, fresh):
+    service = start_service(answer)
+    result = send(service.address, fresh=fresh)
+    assert isinstance(result, Lost)
+    assert not result.timed_out
+    assert sum(service.ran.values()) == 1
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_an_answer_beyond_the_bound_is_lost(start_service, send, fresh):
+    result = send(start_service("large").address, fresh=fresh)
+    assert isinstance(result, Lost)
+    assert result.answer_too_large
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_silence_is_lost_at_the_deadline(start_service, send, fresh):
+    service = start_service()
+    service.held.clear()
+    result = send(service.address, timeout_s=0.2, fresh=fresh)
+    service.held.set()
+    assert isinstance(result, Lost)
+    assert result.timed_out
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (b"garbage\r\n\r\n",),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nboo",),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\nbooked",),
+        (),
+    ],
+)
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_faulty_answer_is_lost(scripted_address, send, parts, reset):
+    assert isinstance(send(scripted_address(*parts, reset=reset)), Lost)
+
+
+def test_a_chunked_answer_is_whole_at_its_end(scripted_address, send):
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    answer = send(scripted_address(head, b"6\r\nbooked\r\n0\r\n\r\n"))
+    assert answer == Sent(200, "application/octet-stream", b"booked")
+
+
+def test_draining_and_retry_after_are_read(start_service, send, scripted_address):
+    assert send(start_service("draining").address).draining
+    head = b"HTTP/1.1 429 Busy\r\nContent-Length: 0\r\nRetry-After: 3\r\n\r\n"
+    assert send(scripted_address(head)).retry_after_s == 3.0
+
+
+def test_fresh_sends_share_no_connection_and_others_do(start_service, send):
+    service = start_service()
+    for fresh in (True, True, False, False):
+        send(service.address, fresh=fresh)
+    assert service.connections == 3
--- /dev/null
+++ b/libs/calls/tests/test_verdicts.py
@@ -0,0 +1,46 @@
+"""Tests of celeryfork_calls.verdicts."""
+
+import pytest
+from celeryfork_base.outcomes import Outcome
+from celeryfork_calls.service_client import Lost, NotSent, Sent
+from celeryfork_calls.verdicts import Answer, Elsewhere, Useless, judge
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"),
+    [
+        (200, Outcome.DONE),
+        (302, Outcome.DONE),
+        (404, Outcome.FAILED),
+        (422, Outcome.FAILED),
+        (500, Outcome.FAILED),
+    ],
+)
+def test_a_whole_answer_is_for_the_caller(status, outcome):
+    sent = Sent(status, "", b"")
+    assert judge(sent, rejects_before_running=False) == Answer(sent, outcome)
+
+
+@pytest.mark.parametrize(
+    ("result", "rejects", "may_have_run"),
+    [
+        (NotSent("refused"), False, False),
+        (Lost("reset"), True, True),
+        (Sent(429, "", b""), False, True),
+        (Sent(429, "", b""), True, False),
+        (Sent(503, "", b""), False, True),
+        (Sent(503, "", b""), True, False),
+        (Sent(503, "", b"", draining=True), False, True),
+        (Sent(503, "", b"", draining=True), True, False),
+        (Sent(502, "", b""), True, True),
+        (Sent(504, "", b""), True, True),
+    ],
+)
+def test_only_proof_says_that_it_did_not_run(result, rejects, may_have_run):
+    verdict = judge(result, rejects)
+    assert isinstance(verdict, Elsewhere)
+    assert verdict.may_have_run is may_have_run
+
+
+def test_a_too_large_answer_is_not_asked_for_again():
+    assert isinstance(judge(Lost("x", answer_too_large=True), True), Useless)
