--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -278,7 +278,8 @@
 
     def _look(self, organisation: str, key: str, body_hash: str) -> Found | None:
         kept = self.kept.get(organisation, key)
-        if kept is not None:
+        held = self._fold.held(organisation, key)
+        if kept is not None and not _says_more(held, kept):
             return replay(kept, body_hash)
         hashed = key_hash(organisation, key)
         attempt = self._attempts_by_hash.get(hashed)
@@ -286,7 +287,6 @@
             if attempt.claim.body_hash != body_hash:
                 return Refused(errors.key_reused())
             return WaitFor(attempt.ended)
-        held = self._fold.held(organisation, key)
         if held is None:
             return None
         if held.body_hash_start != bytes.fromhex(body_hash)[:8]:
@@ -464,5 +464,12 @@
     return Replay(kept)
 
 
+def _says_more(held: Held | None, kept: KeptOutcome) -> bool:
+    """Tell whether the log has settled what is kept here as unknown."""
+    if held is None or kept.outcome is not Outcome.UNKNOWN:
+        return False
+    return held.outcome not in (None, Outcome.UNKNOWN)
+
+
 def _nonce_of(entry: Entry) -> str:
     return entry.nonce if isinstance(entry, Claim) else ""
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -424,21 +424,24 @@
     router: FakeRouter
     budget: FakeRetryBudget
     poison: FakePoison
+    view: FakeView
     counters: Counters
     server: PeerServer
 
-    def book_visit(self, key: str | None, body: bytes = b"monday", **options):  # type: ignore[no-untyped-def]
-        call = PlainCall(
+    def call_of(self, key, body=b"monday", kind="book", deadline_s=5.0):  # type: ignore[no-untyped-def]
+        return PlainCall(
             request_id="r1",
-            organisation=options.get("organisation", ORGANISATION),
+            organisation=ORGANISATION,
             service="visit-desk",
-            kind=options.get("kind", "book"),
+            kind=kind,
             body=body,
             content_type="text/plain",
             key=key,
-            deadline_s=soon(options.get("deadline_s", 5.0)),
+            deadline_s=soon(deadline_s),
         )
-        return self.caller.call(call)
+
+    def book_visit(self, key: str | None, **options):  # type: ignore[no-untyped-def]
+        return self.caller.call(self.call_of(key, **options))
 
     def vanish(self, gossip: FakeGossip) -> None:
         """Go away without a word, as a killed process does."""
@@ -488,10 +491,10 @@
         router = FakeRouter(
             [FakeTarget(f"t{n}", s.address) for n, s in enumerate(services)]
         )
-        budget, poison = FakeRetryBudget(), FakePoison()
+        budget, poison, view = FakeRetryBudget(), FakePoison(), FakeView()
         caller = make_plain_caller(
             router,
-            FakeView(),
+            view,
             book,
             tickets,
             budget,
@@ -501,7 +504,16 @@
             counters,
         )
         instance = FakeInstance(
-            identity, book, tickets, caller, router, budget, poison, counters, None
+            identity,
+            book,
+            tickets,
+            caller,
+            router,
+            budget,
+            poison,
+            view,
+            counters,
+            None,
         )
         instance.server = PeerServer("127.0.0.1", 0)
         instance.server.start(_PeerHandler(instance))
--- /dev/null
+++ b/libs/calls/tests/test_group_commit.py
@@ -0,0 +1,155 @@
+"""Tests of celeryfork_calls.group_commit."""
+
+import pytest
+from celeryfork_base.clock import ManualClock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import InputFaultError
+from celeryfork_base.outcomes import Outcome
+from celeryfork_calls.claim_records import Claim, Settled, decode_batch
+from celeryfork_calls.group_commit import (
+    LARGEST_RECORD_BYTES,
+    LONGEST_GAP_S,
+    AppendResult,
+    CommitLimits,
+    GroupCommit,
+    Queued,
+)
+from celeryfork_calls.kept import KeptOutcome
+
+GAP_S = 0.02
+
+
+def claim(n=0):
+    return Queued(Claim("o", f"k{n}", "ab", f"{n:016x}"), must_land=False)
+
+
+def settled(n=0, size=10):
+    kept = KeptOutcome("o", f"k{n}", Outcome.DONE, 200, "", b"x" * size, "", 0)
+    return Queued(Settled(f"{n:016x}", kept), must_land=True)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def log(fake_log_class, clock):
+    return fake_log_class(clock)
+
+
+@pytest.fixture
+def results():
+    return []
+
+
+@pytest.fixture
+def commit(log, clock, results):
+    limits = CommitLimits(GAP_S, most_queued=1000, most_queued_bytes=2_000_000)
+
+    def note(batch, result):
+        results.append((len(batch), result))
+
+    return GroupCommit(log, "a@1", limits, note, clock, Counters())
+
+
+def test_what_is_queued_shares_a_record_and_appends_keep_their_distance(
+    commit, log, clock
+):
+    commit.put(claim())
+    assert commit.append_next()
+    for n in range(100):
+        commit.put(claim(n))
+    assert not commit.append_next()
+    clock.advance(GAP_S)
+    assert commit.append_next()
+    assert [len(decode_batch(r.data).entries) for r in log.records] == [1, 100]
+
+
+def test_records_are_bounded(commit, log, clock):
+    for n in range(20):
+        commit.put(settled(n, size=50_000))
+    while commit.append_next():
+        clock.advance(GAP_S)
+    assert len(log.records) > 3
+    assert max(len(r.data) for r in log.records) < LARGEST_RECORD_BYTES + 100_000
+    entries = [e for r in log.records for e in decode_batch(r.data).entries]
+    assert [e.kept.key for e in entries] == [f"k{n}" for n in range(20)]
+
+
+def test_the_queue_is_bounded_by_count_and_bytes(commit):
+    assert sum(commit.put(claim(n)) for n in range(1100)) == 1000
+    assert not commit.put(settled(size=3_000_000))
+
+
+def test_what_must_land_is_appended_until_it_does_in_order(commit, log, clock, results):
+    log.faults = ["refuse", "vanish", "lose"]
+    for n in range(3):
+        commit.put(settled(n))
+    for _ in range(300):
+        commit.append_next()
+        clock.advance(GAP_S)
+    assert commit.flush(0) == []
+    keys = [e.kept.key for e in decode_batch(log.records[-1].data).entries]
+    assert keys == ["k0", "k1", "k2"]
+    assert results == []
+
+
+def test_claims_are_reported_with_what_is_known(commit, log, clock, results):
+    log.faults = ["refuse", "lose", ""]
+    for n in range(3):
+        commit.put(claim(n))
+        while not commit.append_next():
+            clock.advance(GAP_S)
+    assert [r for _, r in results] == [
+        AppendResult.NOT_APPENDED,
+        AppendResult.UNKNOWN,
+        AppendResult.APPENDED,
+    ]
+
+
+def test_a_refusing_log_is_asked_less_often_and_then_as_before(commit, log, clock):
+    log.faults = ["refuse"] * 20
+    commit.put(settled())
+    for _ in range(2000):
+        commit.append_next()
+        clock.advance(GAP_S)
+        if log.faults == []:
+            break
+    assert clock.monotonic() > 10 * LONGEST_GAP_S
+    for n in range(200):
+        commit.put(settled(n))
+        while not commit.append_next():
+            clock.advance(GAP_S)
+    assert commit.dump()["gap_s"] == GAP_S
+
+
+def test_withdrawing_proves_absence_only_before_an_append_may_have_landed(
+    commit, log, clock
+):
+    one = claim()
+    commit.put(one)
+    assert commit.withdraw(one)
+    assert not commit.append_next()
+    two = claim()
+    commit.put(two)
+    log.faults = ["lose"]
+    commit.append_next()
+    assert not commit.withdraw(two)
+    commit.put(two)
+    assert not commit.withdraw(two)
+    assert commit.dump()["queued"] == 0
+
+
+def test_a_record_that_the_log_rejects_for_good_is_not_sent_again(
+    commit, log, monkeypatch, results
+):
+    def reject(*_):
+        raise InputFaultError("$", "too large", "make it smaller")
+
+    monkeypatch.setattr(log, "append", reject)
+    commit.put(settled())
+    commit.put(claim())
+    commit.append_next()
+    assert results == [(1, AppendResult.REJECTED)]
+    assert commit.dump()["queued"] == 0
--- a/libs/calls/tests/test_plain.py
+++ b/libs/calls/tests/test_plain.py
@@ -1,8 +1,13 @@
 """Tests of celeryfork_calls.plain: whole calls through instances that share a log."""
 
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
+from celeryfork_calls.claim_fold import hash_body
 
 
 def test_a_repeat_at_any_instance_gets_the_first_answer_whole(
@@ -41,3 +46,218 @@
         assert refusal.value.outcome is Outcome.UNKNOWN
     assert service.ran == {key: 1}
     assert not spare.ran
+
+
+def refused(call):
+    with pytest.raises(RequestRefusedError) as refusal:
+        call()
+    assert refusal.value.remedy
+    return refusal.value.outcome, refusal.value.code
+
+
+def start_stopped_service(start_service):
+    """Return a service that refuses connections."""
+    service = start_service()
+    service.address = "127.0.0.1:1"
+    return service
+
+
+def test_an_idempotent_call_is_retried_elsewhere(start_service, start_instance):
+    services = [start_service("cut"), start_service("draining"), start_service()]
+    instance = start_instance("a", *services)
+    assert instance.book_visit(None, kind="ask").outcome is Outcome.DONE
+    assert instance.router.chosen == ["t0", "t1", "t2"]
+    assert instance.router.open_count == 0
+    assert len(instance.poison.crashes) == 1
+    observed = [type(o).__name__ for _, o in instance.view.observed]
+    assert observed == ["Reset", "Draining", "Succeeded"]
+
+
+def test_retries_end_with_the_attempts_the_targets_and_the_budget(
+    start_service, start_instance
+):
+    services = [start_service(*["cut"] * 9) for _ in range(5)]
+    instance = start_instance("a", *services)
+    ask = lambda: instance.book_visit(None, kind="ask")  # noqa: E731
+    assert refused(ask) == (Outcome.UNKNOWN, "target_failed")
+    assert len(instance.router.chosen) == 3
+    instance.router.targets = instance.router.targets[:1]
+    assert refused(ask) == (Outcome.UNKNOWN, "target_failed")
+    assert len(instance.router.chosen) == 4
+    instance.budget.left = 0
+    assert refused(ask) == (Outcome.UNKNOWN, "target_failed")
+    assert len(instance.router.chosen) == 5
+
+
+def test_a_booking_moves_on_only_after_proof_that_it_was_not_sent(
+    start_service, start_instance, new_key
+):
+    gone, up = start_stopped_service(start_service), start_service()
+    instance = start_instance("a", gone, up)
+    key = new_key()
+    assert instance.book_visit(key).outcome is Outcome.DONE
+    assert up.ran == {key: 1}
+
+
+def test_with_no_target_left_a_booking_did_not_run_and_may_be_sent_again(
+    start_service, start_instance, new_key
+):
+    gone, up = start_stopped_service(start_service), start_service()
+    one, two = start_instance("a", gone), start_instance("b", up)
+    key, (ticket, _) = new_key(), one.tickets.mint("kettlecare", "visit-desk", "book")
+    for again in (key, ticket):
+        refusal = refused(lambda again=again: one.book_visit(again))
+        assert refusal == (Outcome.NOT_RUN, "no_target")
+    assert two.book_visit(key).outcome is Outcome.DONE
+    one.router.targets = two.router.targets
+    assert two.book_visit(ticket).outcome is Outcome.DONE
+    assert up.ran == {key: 1, ticket: 1}
+
+
+@pytest.mark.parametrize("answer", ["busy", "draining", "half"])
+def test_a_booking_that_may_have_run_is_unknown(
+    start_service, start_instance, new_key, answer
+):
+    service, spare = start_service(answer), start_service()
+    instance = start_instance("a", service, spare)
+    outcome, _ = refused(lambda: instance.book_visit(new_key()))
+    assert outcome is Outcome.UNKNOWN
+    assert not spare.ran
+
+
+def test_a_kind_that_rejects_before_running_moves_on(
+    start_service, start_instance, new_key
+):
+    instance = start_instance("a", start_service("reject"), start_service())
+    assert instance.book_visit(new_key(), kind="firm").outcome is Outcome.DONE
+
+
+def test_a_failed_booking_is_replayed_as_failed(start_service, start_instance, new_key):
+    service = start_service("fail")
+    instance = start_instance("a", service)
+    key = new_key()
+    results = [instance.book_visit(key) for _ in range(2)]
+    assert [r.outcome for r in results] == [Outcome.FAILED] * 2
+    assert [r.status for r in results] == [422] * 2
+    assert service.ran == {key: 1}
+
+
+def test_faults_of_the_call_are_refused(start_service, start_instance, new_key):
+    service = start_service()
+    instance = start_instance("a", service)
+    book = instance.book_visit
+    assert refused(lambda: book(None)) == (Outcome.NOT_RUN, "key_needed")
+    assert refused(lambda: book("x")) == (Outcome.NOT_RUN, "key_malformed")
+    assert refused(lambda: book(new_key(9999))) == (Outcome.NOT_RUN, "key_expired")
+    unknown = refused(lambda: book(new_key(), kind="dance"))
+    assert unknown == (Outcome.NOT_RUN, "unknown_kind")
+    key = new_key()
+    book(key)
+    reused = refused(lambda: book(key, body=b"tuesday"))
+    assert reused == (Outcome.NOT_RUN, "key_reused")
+    assert service.ran == {key: 1}
+
+
+def test_a_repeat_waits_for_the_holder_and_gets_its_answer(
+    start_service, start_instance, new_key, wait_until
+):
+    service = start_service()
+    service.held.clear()
+    instances = [start_instance(name, service) for name in "abc"]
+    key = new_key()
+    with ThreadPoolExecutor(6) as pool:
+        calls = [pool.submit(i.book_visit, key) for i in instances * 2]
+        wait_until(lambda: sum(service.ran.values()) == 1)
+        service.held.set()
+        results = [call.result(10) for call in calls]
+    assert {r.body for r in results} == {b"booked monday"}
+    assert sum(not r.replayed for r in results) == 1
+    assert service.ran == {key: 1}
+
+
+def test_a_repeat_whose_time_is_up_is_told_that_the_call_is_in_progress(
+    start_service, start_instance, new_key, wait_until
+):
+    service = start_service()
+    service.held.clear()
+    one, two = start_instance("a", service), start_instance("b", service)
+    key = new_key()
+    first = threading.Thread(target=one.book_visit, args=(key,))
+    first.start()
+    wait_until(lambda: service.ran == {key: 1})
+    for instance in (one, two):
+        refusal = refused(lambda i=instance: i.book_visit(key, deadline_s=0.3))
+        assert refusal == (Outcome.UNKNOWN, "in_progress")
+    service.held.set()
+    first.join(10)
+    assert service.ran == {key: 1}
+
+
+@pytest.mark.parametrize("dispatched", [False, True])
+def test_a_booking_whose_instance_was_killed_is_unknown(
+    start_service, start_instance, gossip, kinds, new_key, dispatched
+):
+    service = start_service()
+    one, two = start_instance("a", service), start_instance("b", service)
+    key = new_key()
+    one.book.claim("kettlecare", key, hash_body(b"monday"), time.monotonic() + 5)
+    if dispatched:
+        one.caller._dispatcher.run(one.call_of(key), kinds["book"])
+    one.vanish(gossip)
+    began_s = time.monotonic()
+    refusal = refused(lambda: two.book_visit(key, deadline_s=30.0))
+    assert refusal == (Outcome.UNKNOWN, "outcome_unknown")
+    assert time.monotonic() - began_s < 10
+    assert sum(service.ran.values()) == dispatched
+
+
+def test_a_status_call_settles_an_unknown_booking_everywhere(
+    start_service, start_instance, log, new_key, wait_until
+):
+    service = start_service("cut")
+    one, two = start_instance("a", service), start_instance("b", service)
+    key = new_key()
+    unknown = refused(lambda: one.book_visit(key, kind="traced"))
+    assert unknown == (Outcome.UNKNOWN, "target_failed")
+    # The service has nothing yet: that proves nothing.
+    unknown = refused(lambda: two.book_visit(key, kind="traced"))
+    assert unknown[0] is Outcome.UNKNOWN
+    service.status_by_key[key] = b"booked monday"
+    assert two.book_visit(key, kind="traced").body == b"booked monday"
+    wait_until(lambda: any('"done"' in record.data for record in log.records))
+    wait_until(lambda: one.book.dump()["next_offset"] == log.next_offset)
+    service.status_by_key.clear()
+    assert one.book_visit(key, kind="traced").body == b"booked monday"
+    assert service.ran == {key: 1}
+
+
+def test_in_a_log_outage_claims_are_refused_and_tickets_go_on(
+    start_service, start_instance, log, new_key
+):
+    service = start_service()
+    one, two = start_instance("a", service), start_instance("b", service)
+    done = new_key()
+    one.book_visit(done)
+    log.outage(True)
+    refusal = refused(lambda: one.book_visit(new_key()))
+    assert refusal == (Outcome.NOT_RUN, "log_unavailable")
+    assert one.book_visit(done).replayed
+    ticket, _ = one.tickets.mint("kettlecare", "visit-desk", "book")
+    assert two.book_visit(ticket).outcome is Outcome.DONE
+    assert one.book_visit(ticket).replayed
+    assert service.ran == {done: 1, ticket: 1}
+
+
+def test_a_slow_target_is_unknown_at_the_kinds_timeout(
+    start_service, start_instance, new_key
+):
+    service = start_service()
+    service.held.clear()
+    instance = start_instance("a", service)
+    key = new_key()
+    refusal = refused(lambda: instance.book_visit(key, kind="quick"))
+    service.held.set()
+    assert refusal == (Outcome.UNKNOWN, "deadline")
+    assert [type(o).__name__ for _, o in instance.view.observed] == ["Stalled"]
+    assert refused(lambda: instance.book_visit(key))[0] is Outcome.UNKNOWN
+    assert service.ran == {key: 1}
