--- a/libs/streams/src/celeryfork_streams/engine_connection.py
+++ b/libs/streams/src/celeryfork_streams/engine_connection.py
@@ -53,6 +53,12 @@
         super().connection_made(transport)
         self._transport = cast(asyncio.Transport, transport)
 
+    def pause_reading(self) -> None:
+        """Do nothing: ``lines`` holds the engine back, not the parser's own buffer."""
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Do nothing; the parser's buffer calls this for every token."""
+
     def get_buffer(self, size_hint: int) -> memoryview:
         """Return where to receive."""
         return self._buffer
--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -71,6 +71,11 @@
         self._resumed_free = False
         self._suspected_on: Chain | None = None
 
+    @property
+    def tokens(self) -> int:
+        """Tokens that have passed to the caller."""
+        return len(self._progress.emitted)
+
     async def run(self) -> StreamResult:
         """Run the request to its end.
 
--- a/libs/streams/src/celeryfork_streams/streams.py
+++ b/libs/streams/src/celeryfork_streams/streams.py
@@ -45,7 +45,7 @@
 
     def __init__(self, parts: StreamParts) -> None:
         self._parts = parts
-        self._running = 0
+        self._running: set[StreamRun] = set()
 
     async def run(self, request: GenerateRequest, sink: Sink) -> StreamResult:
         """Run one request into ``sink``.
@@ -57,16 +57,22 @@
         CallerGoneError
             From the sink; the engine's connection is closed and the chain released.
         """
-        self._running += 1
+        run = StreamRun(self._parts, request, sink)
+        self._running.add(run)
         try:
-            return await StreamRun(self._parts, request, sink).run()
+            return await run.run()
         finally:
-            self._running -= 1
+            self._running.discard(run)
+
+    def tokens_of_running(self) -> int:
+        """Return how many tokens the running streams have passed on so far."""
+        return sum(run.tokens for run in tuple(self._running))
 
     def dump(self) -> dict[str, object]:
         """Return what runs now, for the state dump."""
         return {
-            "running": self._running,
+            "running": len(self._running),
+            "tokens_of_running": self.tokens_of_running(),
             "engines_with_suspects": sorted(self._parts.suspects.targets()),
             "chains_with_learned_gaps": self._parts.gaps.known_chains,
         }
