--- a/libs/streams/src/celeryfork_streams/relay_cost.py
+++ b/libs/streams/src/celeryfork_streams/relay_cost.py
@@ -178,6 +178,7 @@
     caller = await connect_caller(caller_address, counters)
     request = GenerateRequest(
         request_id=f"r{number}",
+        stream_id=f"r{number}.1",
         organisation="kiosk",
         model="model",
         prompt="Hard water in Nairobi",
