--- a/libs/calls/src/celeryfork_calls/service_client.py
+++ b/libs/calls/src/celeryfork_calls/service_client.py
@@ -274,9 +274,9 @@
     """Tell whether a cut-off body can be told from a whole one."""
     if response.status in (204, 304):
         return True
-    if "Content-Length" in response.headers:
+    if isinstance(response, HTTPResponse) and response.chunked:
         return True
-    return isinstance(response, HTTPResponse) and bool(response.chunked)
+    return response.headers.get("Content-Length", "").isdecimal()
 
 
 def _lost(address: str, error: Exception) -> Lost:
