Config: policy records can be read; no payload stops the fold; settling shows at once

Cause: every record of policy/default failed with a ValueError, which the fold let through and so stopped at; a configuration read before settling was kept after it.

--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -84,6 +84,7 @@
         self._states_with_fallback: dict[RecordKey, KeyState] = {}
         self._faults: deque[dict[str, Any]] = deque(maxlen=MOST_FAULTS_SHOWN)
         self._snapshot = Configuration()
+        self._stale = False
         self._oldest_as_of = 0
         self.next_offset = 0
         self.settled = True
@@ -91,8 +92,9 @@
     @property
     def configuration(self) -> Configuration:
         """What is in force now, as an immutable snapshot."""
-        if self._snapshot.offset != self.next_offset - 1:
+        if self._stale or self._snapshot.offset != self.next_offset - 1:
             self._snapshot = self._table.snapshot(self.next_offset - 1)
+            self._stale = False
         return self._snapshot
 
     def apply_slice(self, part: LogSlice) -> list[Change]:
@@ -393,6 +395,7 @@
         new = self._newest_readable(name)
         if old is new:
             return
+        self._stale = True
         self._table.replace(
             old.value if old is not None else None, new.value if new else None
         )
@@ -462,8 +465,9 @@
             return self._read_payload(record.name, record.schema, payload), None
         except ExceptionGroup as group:
             return None, "; ".join(str(error) for error in group.exceptions)
-        except InputFaultError as error:
-            return None, str(error)
+        except Exception as error:
+            # Whatever a payload does to its reader, the stream must go on.
+            return None, str(error) or repr(error)
 
     def _skip(self, kind: str, offset: int, reason: str) -> None:
         self._counters.add(f"config.fold.{kind}")
--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -299,8 +299,7 @@
         with self._changed:
             self._synced_s = self._clock.monotonic()
             configuration = self._fold.configuration
-            is_new = configuration.offset > self._current.offset or not self._ready
-            if not is_new:
+            if self._ready and configuration is self._current:
                 return
             self._current = configuration
             self._source = source
--- a/libs/config/src/celeryfork_config/records.py
+++ b/libs/config/src/celeryfork_config/records.py
@@ -247,9 +247,9 @@
     faults = _name_faults(name, kind, parts)
     if faults:
         raise _group(name, faults)
-    filled, faults = _fill_identity(
-        payload, dict(zip(kind.identity, parts, strict=True))
-    )
+    # A kind without identity fields has one fixed name.
+    identity = dict(zip(kind.identity, parts, strict=False))
+    filled, faults = _fill_identity(payload, identity)
     if kind.shape is Service:
         faults += _fill_kind_names(filled)
     try:
--- a/libs/config/src/celeryfork_config/settings.py
+++ b/libs/config/src/celeryfork_config/settings.py
@@ -23,6 +23,8 @@
 from celeryfork_config.structuring import optional_of, structure, unstructure
 
 ENVIRONMENT_PREFIX = "CELERYFORK_"
+# Read by the command line, and no option of a process.
+VARIABLES_OF_COMMANDS = frozenset({"CELERYFORK_ADMINISTRATOR_KEY"})
 FROM_DEFAULT = "default"
 FROM_FILE = "file"
 HIDDEN_VALUE = "(hidden)"
@@ -272,6 +274,8 @@
     for variable in sorted(environment):
         if not variable.startswith(ENVIRONMENT_PREFIX):
             continue
+        if variable in VARIABLES_OF_COMMANDS:
+            continue
         if variable not in fields_by_variable:
             faults.append(_unknown_variable(variable))
             continue
