--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -443,7 +443,8 @@
             offset=offset,
             original_ms=original_ms,
             born_offset=born_offset,
-            data=orjson.dumps(record.to_json()),
+            # orjson's result keeps the room of its buffer; a copy doesn't.
+            data=bytes(memoryview(orjson.dumps(record.to_json()))),
             retracted=record.payload is None,
             value=value,
             fault=fault,
