--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -55,7 +55,9 @@
         self.down = False
         self.held = threading.Event()  # cleared: appends stand still
         self.held.set()
+        self.waiting = 0
         self.append_s = 0.0
+        self.poll_s = 0.05
         self.append_count = 0
         self.refused_count = 0
         self._rate = appends_per_second
@@ -69,7 +71,10 @@
     def append(self, stream: str, data: str, nonce: str, timeout_s: float) -> int:
         if self.append_s:
             time.sleep(self.append_s)
-        if not self.held.wait(timeout_s):
+        self.waiting += 1
+        held = not self.held.wait(timeout_s)
+        self.waiting -= 1
+        if held:
             raise AppendUnknownError("no answer in time", "look for the nonce")
         with self._changed:
             self.append_count += 1
@@ -91,7 +96,7 @@
         with self._changed:
             if wait_s > 0:
                 self._changed.wait_for(
-                    lambda: self.down or self.next_offset > from_offset, 0.05
+                    lambda: self.down or self.next_offset > from_offset, self.poll_s
                 )
             if self.down:
                 raise PlatformUnavailableError("down", "try again")
@@ -211,6 +216,16 @@
     status_by_key: dict[str, bytes] = field(factory=dict)
     held: threading.Event = field(factory=threading.Event)
     address: str = ""
+    connections: int = 0
+
+    def take(self, key: str, body: bytes) -> str:
+        """Run a call, unless the answer is to reject it, and return the answer."""
+        answer = self.answers.pop(0) if self.answers else "done"
+        if answer != "reject":
+            self.ran[key] += 1
+            self.bodies.append(body)
+        self.held.wait(10)
+        return answer
 
 
 # Status, body, length if another one is claimed, and whether it drains.
@@ -228,13 +243,13 @@
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
+        def setup(self) -> None:
+            super().setup()
+            service.connections += 1
+
         def do_POST(self) -> None:
             body = self.rfile.read(int(self.headers["Content-Length"]))
-            answer = service.answers.pop(0) if service.answers else "done"
-            if answer != "reject":
-                service.ran[self.headers.get("Idempotency-Key", "")] += 1
-                service.bodies.append(body)
-            service.held.wait(10)
+            answer = service.take(self.headers.get("Idempotency-Key", ""), body)
             if answer in ("cut", "half", "unmarked"):
                 self.close_connection = True
             match answer:
@@ -409,21 +424,24 @@
     router: FakeRouter
     budget: FakeRetryBudget
     poison: FakePoison
+    view: FakeView
     counters: Counters
     server: PeerServer
 
-    def book_visit(self, key: str | None, body: bytes = b"monday", **options):  # type: ignore[no-untyped-def]
-        call = PlainCall(
+    def call_of(self, key, body=b"monday", kind="book", deadline_s=5.0):  # type: ignore[no-untyped-def]
+        return PlainCall(
             request_id="r1",
-            organisation=options.get("organisation", ORGANISATION),
+            organisation=ORGANISATION,
             service="visit-desk",
-            kind=options.get("kind", "book"),
+            kind=kind,
             body=body,
             content_type="text/plain",
             key=key,
-            deadline_s=soon(options.get("deadline_s", 5.0)),
+            deadline_s=soon(deadline_s),
         )
-        return self.caller.call(call)
+
+    def book_visit(self, key: str | None, **options):  # type: ignore[no-untyped-def]
+        return self.caller.call(self.call_of(key, **options))
 
     def vanish(self, gossip: FakeGossip) -> None:
         """Go away without a word, as a killed process does."""
@@ -473,10 +491,10 @@
         router = FakeRouter(
             [FakeTarget(f"t{n}", s.address) for n, s in enumerate(services)]
         )
-        budget, poison = FakeRetryBudget(), FakePoison()
+        budget, poison, view = FakeRetryBudget(), FakePoison(), FakeView()
         caller = make_plain_caller(
             router,
-            FakeView(),
+            view,
             book,
             tickets,
             budget,
@@ -486,7 +504,16 @@
             counters,
         )
         instance = FakeInstance(
-            identity, book, tickets, caller, router, budget, poison, counters, None
+            identity,
+            book,
+            tickets,
+            caller,
+            router,
+            budget,
+            poison,
+            view,
+            counters,
+            None,
         )
         instance.server = PeerServer("127.0.0.1", 0)
         instance.server.start(_PeerHandler(instance))
