Let the platform refuse connections, and a later version order win

An outage answered 503 only, which proves that nothing was appended; a store that is down refuses and resets. Two orders for versions raced: the slower load won (named test). Two targets of one name replaced each other silently.

--- a/libs/standin/src/celeryfork_standin/background.py
+++ b/libs/standin/src/celeryfork_standin/background.py
@@ -56,6 +56,9 @@
         if self._stopped:
             return
         self._stopped = True
+        if not self._thread.is_alive():
+            self._loop.close()
+            return
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(CALL_TIMEOUT_S)
 
--- a/libs/standin/src/celeryfork_standin/control.py
+++ b/libs/standin/src/celeryfork_standin/control.py
@@ -34,7 +34,7 @@
         {"kill", "kill_after", "restart", "remove", "stall", "resume", "leave"}
         | {"degrade", "slow_down", "spoil_events", "poison"}
     ),
-    "platform": frozenset({"cut_off"}),
+    "platform": frozenset({"cut_off", "down"}),
     "links": frozenset({"degrade", "partition", "heal"}),
     "services": frozenset(
         {
--- a/libs/standin/src/celeryfork_standin/engine.py
+++ b/libs/standin/src/celeryfork_standin/engine.py
@@ -16,7 +16,7 @@
     RanToken,
 )
 from celeryfork_standin.engine_http import EngineSite
-from celeryfork_standin.errors import UnknownTargetError
+from celeryfork_standin.errors import TargetExistsError, UnknownTargetError
 from celeryfork_standin.instance_list import InstanceListService, ListedInstance
 from celeryfork_standin.links import LinkTable
 from celeryfork_standin.orders import OrderDesk
@@ -82,8 +82,18 @@
         self._thread.stop()
 
     def add(self, spec: EngineSpec) -> Engine:
-        """Add an engine; it listens at its ``address`` when this returns."""
+        """Add an engine; it listens at its ``address`` when this returns.
+
+        Raises
+        ------
+        TargetExistsError
+            Its identifier is taken.
+        """
         self.start()
+        if spec.id in self._members_by_id:
+            raise TargetExistsError(
+                f"There is an engine {spec.id!r} already.", "give it another name"
+            )
         return self._thread.run(self._add(spec))
 
     async def _add(self, spec: EngineSpec) -> Engine:
--- a/libs/standin/src/celeryfork_standin/engine_core.py
+++ b/libs/standin/src/celeryfork_standin/engine_core.py
@@ -56,7 +56,7 @@
         self.alive = True
         self.leaving = False
         self.stalled = False
-        self.loading = False
+        self.loading_version: str | None = None
         self.standby = False
         self.version = spec.version
         self.adapters: list[str] = []
@@ -101,7 +101,8 @@
     @property
     def refuses(self) -> bool:
         """Whether it takes no new attempts."""
-        return self.leaving or self.loading or self.standby
+        loading = self.loading_version is not None
+        return self.leaving or loading or self.standby
 
     @property
     def waiting(self) -> int:
@@ -252,7 +253,8 @@
         """Begin a new incarnation as at first."""
         self.incarnation += 1
         self.alive = True
-        self.leaving = self.stalled = self.loading = self.standby = False
+        self.leaving = self.stalled = self.standby = False
+        self.loading_version = None
         self.version = self.spec.version
         self.adapters = []
         self.highest_fencing = 0
--- a/libs/standin/src/celeryfork_standin/errors.py
+++ b/libs/standin/src/celeryfork_standin/errors.py
@@ -26,6 +26,10 @@
     """No engine or service has this identifier."""
 
 
+class TargetExistsError(StandinError):
+    """An engine or service of this identifier is there already."""
+
+
 class DeploymentFaultError(StandinError):
     """One fault in a deployment file.
 
--- a/libs/standin/src/celeryfork_standin/orders.py
+++ b/libs/standin/src/celeryfork_standin/orders.py
@@ -67,7 +67,7 @@
             self._apply(engine, order)
         return web.json_response(
             {
-                "state": "loading" if engine.loading else "applied",
+                "state": "applied" if engine.loading_version is None else "loading",
                 "version": engine.version,
                 "adapters": engine.adapters,
                 "role": "standby" if engine.standby else "serve",
@@ -86,8 +86,7 @@
     def _apply(self, engine: Engine, order: _Order) -> None:
         match order.kind:
             case "load_version":
-                if engine.version != order.subject:
-                    self._start_load(engine, order.subject)
+                self._start_load(engine, order.subject)
             case "load_adapter":
                 engine.adapters = sorted({*engine.adapters, order.subject})
             case "drop_adapter":
@@ -97,7 +96,9 @@
         self._changed(engine)
 
     def _start_load(self, engine: Engine, version: str) -> None:
-        engine.loading = True
+        if version == (engine.loading_version or engine.version):
+            return
+        engine.loading_version = version
         load = asyncio.get_running_loop().create_task(self._load(engine, version))
         self._loads.add(load)
         load.add_done_callback(self._loads.discard)
@@ -105,9 +106,11 @@
     async def _load(self, engine: Engine, version: str) -> None:
         incarnation = engine.incarnation
         await self._read_weights(engine, version)
-        if engine.alive and engine.incarnation == incarnation:
+        # A later order may want another version by now.
+        wanted = engine.incarnation == incarnation and engine.loading_version == version
+        if engine.alive and wanted:
             engine.version = version
-            engine.loading = False
+            engine.loading_version = None
             self._changed(engine)
 
     async def _read_weights(self, engine: Engine, version: str) -> None:
--- a/libs/standin/src/celeryfork_standin/platform.py
+++ b/libs/standin/src/celeryfork_standin/platform.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from celeryfork_standin.background import LoopThread
+from celeryfork_standin.background import LoopThread, reset
 from celeryfork_standin.instance_list import READER_DOMAIN, InstanceListService
 from celeryfork_standin.log_service import LARGEST_RECORD_BYTES, LogService
 from celeryfork_standin.weight_store import DEFAULT_BYTES_PER_SECOND, WeightStore
@@ -46,6 +46,7 @@
         self._port = port
         self._port_by_domain = dict.fromkeys(client_domains, 0)
         self._domains_cut_off: set[str] = set()
+        self._sites: list[web.TCPSite] = []
         self._thread = LoopThread("standin-platform")
         self._runner: web.AppRunner | None = None
 
@@ -65,6 +66,10 @@
         else:
             self._domains_cut_off.discard(domain)
 
+    def down(self, on: bool) -> None:
+        """Refuse and reset every connection, or listen on the same ports again."""
+        self._thread.run(self._shut() if on else self._listen_everywhere())
+
     def start(self) -> None:
         """Begin to listen."""
         self._thread.start()
@@ -86,16 +91,30 @@
             app, access_log=None, shutdown_timeout=_SHUTDOWN_S, handle_signals=False
         )
         await self._runner.setup()
+        await self._listen_everywhere()
+
+    async def _listen_everywhere(self) -> None:
+        if self._runner is None or self._sites:
+            return
         self._port = await self._listen(self._runner, self._port)
-        for domain in self._port_by_domain:
-            self._port_by_domain[domain] = await self._listen(self._runner, 0)
+        for domain, port in self._port_by_domain.items():
+            self._port_by_domain[domain] = await self._listen(self._runner, port)
 
     async def _listen(self, runner: web.AppRunner, port: int) -> int:
-        site = web.TCPSite(runner, self._host, port)
+        site = web.TCPSite(runner, self._host, port, reuse_address=True)
         await site.start()
+        self._sites.append(site)
         listening: int = runner.addresses[-1][1]
         return listening
 
+    async def _shut(self) -> None:
+        for site in self._sites:
+            await site.stop()
+        self._sites.clear()
+        if self._runner is not None and self._runner.server is not None:
+            for connection in self._runner.server.connections:
+                reset(connection.transport)
+
     @web.middleware
     async def _admit(
         self, request: web.Request, handler: Handler
--- a/libs/standin/src/celeryfork_standin/service.py
+++ b/libs/standin/src/celeryfork_standin/service.py
@@ -5,7 +5,7 @@
 from attrs import define
 
 from celeryfork_standin.background import ListenerGroup, LoopThread
-from celeryfork_standin.errors import UnknownTargetError
+from celeryfork_standin.errors import TargetExistsError, UnknownTargetError
 from celeryfork_standin.instance_list import InstanceListService, ListedInstance
 from celeryfork_standin.links import LinkTable
 from celeryfork_standin.service_data import (
@@ -73,8 +73,18 @@
         self._thread.stop()
 
     def add(self, spec: ServiceSpec) -> ServiceTarget:
-        """Add a target; it listens at its ``address`` when this returns."""
+        """Add a target; it listens at its ``address`` when this returns.
+
+        Raises
+        ------
+        TargetExistsError
+            Its identifier is taken.
+        """
         self.start()
+        if spec.id in self._members_by_id:
+            raise TargetExistsError(
+                f"There is a target {spec.id!r} already.", "give it another name"
+            )
         return self._thread.run(self._add(spec))
 
     async def _add(self, spec: ServiceSpec) -> ServiceTarget:
--- a/libs/standin/tests/test_orders.py
+++ b/libs/standin/tests/test_orders.py
@@ -1,5 +1,6 @@
 import pytest
 from celeryfork_standin.engine import EngineSpec, make_engine_fleet
+from celeryfork_standin.errors import TargetExistsError
 
 
 @pytest.fixture
@@ -67,3 +68,20 @@
     for action in ({"kind": "explode"}, {"kind": "load_version"}, None):
         assert order(fleet, helpers, "lax", 1, action).status == 400
     assert fleet.ran_orders == []
+
+
+def test_a_later_version_wins_over_one_that_still_loads(fleet, helpers, platform):
+    platform.weights.set_size("m", "v2", 4e8)
+    platform.weights.set_size("m", "v3", 1e7)
+    for number, version in enumerate(("v2", "v3")):
+        action = {"kind": "load_version", "version": version}
+        order(fleet, helpers, "lax", 1, action, f"o{number}")
+    helpers.wait_until(lambda: fleet.engine("lax").version == "v3")
+    order(fleet, helpers, "strict", 1, {"kind": "load_version", "version": "v2"})
+    helpers.wait_until(lambda: fleet.engine("strict").version == "v2")
+    assert fleet.engine("lax").version == "v3"
+
+
+def test_two_engines_of_one_name_are_refused(fleet):
+    with pytest.raises(TargetExistsError, match="'lax'"):
+        fleet.add(EngineSpec("lax", "m", "karen", 0, 12))
