--- /dev/null
+++ b/libs/bench/src/celeryfork_bench/field.py
@@ -0,0 +1,181 @@
+"""Runs a workload against a rig, with events at set times, and gathers the evidence."""
+
+import asyncio
+import random
+import threading
+import time
+from collections.abc import Callable, Sequence
+
+from attrs import define, field, frozen
+from celeryfork_streams.loop_thread import make_loop_thread
+
+from celeryfork_bench.callers import CallerOptions, Callers, make_session
+from celeryfork_bench.checker import (
+    Evidence,
+    Left,
+    OffsetSeen,
+    PlannedStop,
+    Published,
+)
+from celeryfork_bench.history import History
+from celeryfork_bench.rig import Rig
+from celeryfork_bench.workload import Arrival, repeatable_kinds
+
+BALANCER_CHECK_S = 0.1
+LONGEST_RUN_S = 300.0
+
+
+@frozen
+class Event:
+    """Something done to the deployment at a time, in seconds from the beginning."""
+
+    at_s: float
+    name: str
+    do: Callable[["Field"], None]
+
+
+class Balancer:
+    """The platform's balancer: instances in turn, readiness looked up now and then."""
+
+    def __init__(self, rig: Rig, seed: int) -> None:
+        self._rig = rig
+        self._random = random.Random(seed)
+        self._ready: list[tuple[str, str]] = []
+        self._checked_s = 0.0
+
+    def pick(self) -> tuple[str, str] | None:
+        """Return a ready instance's name and address, None if there is none."""
+        now_s = time.monotonic()
+        if now_s - self._checked_s > BALANCER_CHECK_S:
+            self._checked_s = now_s
+            self._ready = [
+                (daemon.settings.instance, daemon.http_address)
+                for daemon in self._rig.daemons()
+                if daemon.ready
+            ]
+        return self._random.choice(self._ready) if self._ready else None
+
+
+@define(eq=False)
+class Field:
+    """A running experiment; create it with ``make_field``."""
+
+    rig: Rig
+    seed: int
+    options: CallerOptions
+    history: History = field(factory=History)
+    left: list[Left] = field(factory=list)
+    planned_stops: list[PlannedStop] = field(factory=list)
+    offsets_seen: list[OffsetSeen] = field(factory=list)
+    published: list[Published] = field(factory=list)
+    stop_codes: list[int] = field(factory=list)
+    event_times_s: dict[str, float] = field(factory=dict)
+    began_s: float = 0.0
+    ended_s: float = 0.0
+    _stopping: threading.Event = field(factory=threading.Event)
+
+    def run(self, arrivals: Sequence[Arrival], events: Sequence[Event] = ()) -> None:
+        """Run everything to its end: every ask has got its last answer."""
+        self.began_s = time.monotonic()
+        observer = threading.Thread(target=self._observe, name="observer", daemon=True)
+        actor = threading.Thread(
+            target=self._act,
+            args=(sorted(events, key=lambda event: event.at_s),),
+            name="events",
+            daemon=True,
+        )
+        observer.start()
+        actor.start()
+        callers_loop = make_loop_thread()
+        callers_loop.start()
+        callers_loop.submit(self._call_all(arrivals)).result(timeout=LONGEST_RUN_S)
+        callers_loop.stop()
+        actor.join(timeout=LONGEST_RUN_S)
+        self.ended_s = time.monotonic()
+        self._stopping.set()
+        observer.join(timeout=5)
+
+    def evidence(self) -> Evidence:
+        """Return what the checker judges."""
+        deployment = self.rig.deployment
+        return Evidence(
+            exchanges=self.history.exchanges(),
+            ran_tokens=self.rig.engines.ran,
+            ran_calls=self.rig.services.ran,
+            layers_by_model={model.name: model.layers for model in deployment.models},
+            repeatable_kinds=repeatable_kinds(deployment),
+            left=tuple(self.left),
+            planned_stops=tuple(self.planned_stops),
+            offsets_seen=tuple(self.offsets_seen),
+            published=tuple(self.published),
+        )
+
+    def leave_engine(self, engine_id: str) -> None:
+        """Have an engine announce that it is leaving."""
+        self.left.append(Left(engine_id, time.monotonic()))
+        self.rig.engines.leave(engine_id)
+
+    def drain_service(self, target_id: str) -> None:
+        """Have a plain service's target announce that it is leaving."""
+        self.left.append(Left(target_id, time.monotonic()))
+        self.rig.services.drain(target_id)
+
+    def replace_entry(self, name: str) -> None:
+        """Stop an entry instance as planned, and start it anew."""
+        entry = next(e for e in self.rig.deployment.entries if e.id == name)
+        from_s = time.monotonic()
+        self.stop_codes.append(self.rig.stop_entry(name))
+        self.planned_stops.append(PlannedStop(name, from_s, time.monotonic()))
+        self.rig.start_entry(entry)
+
+    def publish(self, name: str, payload: dict[str, object]) -> None:
+        """Publish a configuration record as an operator would."""
+        offset = self.rig.publish([{"name": name, "payload": payload}])
+        self.published.append(Published(offset, time.monotonic()))
+
+    async def _call_all(self, arrivals: Sequence[Arrival]) -> None:
+        keys = {c.organisation: c.key for c in self.rig.deployment.callers}
+        session = make_session()
+        callers = Callers(
+            session,
+            Balancer(self.rig, self.seed).pick,
+            keys,
+            self.history,
+            self.options,
+            self.seed,
+        )
+        began_s = asyncio.get_running_loop().time()
+        tasks: list[asyncio.Task[object]] = []
+        for arrival in arrivals:
+            wait_s = began_s + arrival.at_s - asyncio.get_running_loop().time()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            ask = callers.ask(arrival.organisation, arrival.ask)
+            tasks.append(asyncio.create_task(ask))
+        await asyncio.gather(*tasks)
+        await session.close()
+
+    def _act(self, events: Sequence[Event]) -> None:
+        for event in events:
+            wait_s = self.began_s + event.at_s - time.monotonic()
+            if self._stopping.wait(max(0.0, wait_s)):
+                return
+            self.event_times_s[event.name] = time.monotonic()
+            event.do(self)
+
+    def _observe(self) -> None:
+        """Note the offsets in force, as an operator's monitoring would."""
+        while not self._stopping.wait(BALANCER_CHECK_S):
+            now_s = time.monotonic()
+            for daemon in self.rig.daemons():
+                name = (
+                    f"{daemon.settings.instance}@{daemon.parts.incarnation.started_ms}"
+                )
+                if daemon.ready:
+                    offset = daemon.parts.follower.current.offset
+                    self.offsets_seen.append(OffsetSeen(name, offset, now_s))
+
+
+def make_field(rig: Rig, seed: int, options: CallerOptions | None = None) -> Field:
+    """Return an experiment on a rig that has started."""
+    return Field(rig, seed, options or CallerOptions())
