--- a/libs/standin/src/celeryfork_standin/caches.py
+++ b/libs/standin/src/celeryfork_standin/caches.py
@@ -124,61 +124,71 @@
 
 
 class KvCache:
-    """KV caches by stream, oldest out first when the memory is full."""
+    """KV caches by stream; those not in use go oldest first when memory is full.
+
+    Parameters
+    ----------
+    most_tokens
+        How many tokens fit.
+    kept_s
+        How long an entry outlives its attempt, in seconds.
+    """
 
     def __init__(self, most_tokens: int, kept_s: float) -> None:
         self._most_tokens = most_tokens
         self._kept_s = kept_s
-        self._entry_by_stream: OrderedDict[str, KvEntry] = OrderedDict()
+        self._used_by_stream: dict[str, KvEntry] = {}
+        self._kept_by_stream: OrderedDict[str, KvEntry] = OrderedDict()
+        self._kept_tokens = 0
 
     def find(self, stream_id: str, first: int, last: int) -> KvEntry | None:
         """Return the stream's entry if it covers the layers and is still there."""
-        entry = self._entry_by_stream.get(stream_id)
-        if entry is None or not entry.covers(first, last):
-            return None
-        if entry.expires_s is not None and entry.expires_s <= time.monotonic():
-            del self._entry_by_stream[stream_id]
-            return None
-        return entry
+        self._evict()
+        entry = self._used_by_stream.get(stream_id)
+        if entry is None:
+            entry = self._kept_by_stream.get(stream_id)
+        return entry if entry is not None and entry.covers(first, last) else None
 
     def hold(self, stream_id: str, entry: KvEntry) -> None:
         """Keep an entry for as long as its attempt runs."""
-        self._entry_by_stream[stream_id] = entry
-        self._entry_by_stream.move_to_end(stream_id)
+        self.drop(stream_id)
+        self._used_by_stream[stream_id] = entry
 
     def release(self, stream_id: str, entry: KvEntry) -> None:
         """Let an entry age, after its attempt ended."""
-        if self._entry_by_stream.get(stream_id) is not entry:
+        if self._used_by_stream.get(stream_id) is not entry:
             return
+        del self._used_by_stream[stream_id]
         final = entry.tokens()
         entry.tokens = lambda: final
         entry.expires_s = time.monotonic() + self._kept_s
+        self._kept_by_stream[stream_id] = entry
+        self._kept_tokens += final
         self._evict()
 
     def drop(self, stream_id: str) -> None:
         """Forget a stream's KV cache."""
-        self._entry_by_stream.pop(stream_id, None)
+        self._used_by_stream.pop(stream_id, None)
+        kept = self._kept_by_stream.pop(stream_id, None)
+        if kept is not None:
+            self._kept_tokens -= kept.tokens()
 
     def used_share(self) -> float:
         """Return the share of the memory in use, 0 to 1."""
         return min(1.0, self._tokens() / self._most_tokens)
 
     def _tokens(self) -> int:
-        return sum(entry.tokens() for entry in self._entry_by_stream.values())
+        in_use = sum(entry.tokens() for entry in self._used_by_stream.values())
+        return self._kept_tokens + in_use
 
     def _evict(self) -> None:
+        """Drop what has expired, and the oldest while there is too much."""
         now = time.monotonic()
-        expired = [
-            stream_id
-            for stream_id, entry in self._entry_by_stream.items()
-            if entry.expires_s is not None and entry.expires_s <= now
-        ]
-        for stream_id in expired:
-            del self._entry_by_stream[stream_id]
         excess = self._tokens() - self._most_tokens
-        for stream_id, entry in list(self._entry_by_stream.items()):
-            if excess <= 0:
+        while self._kept_by_stream:
+            stream_id, oldest = next(iter(self._kept_by_stream.items()))
+            expired = oldest.expires_s is not None and oldest.expires_s <= now
+            if not expired and excess <= 0:
                 return
-            if entry.expires_s is not None:
-                excess -= entry.tokens()
-                del self._entry_by_stream[stream_id]
+            excess -= oldest.tokens()
+            self.drop(stream_id)
