--- a/libs/standin/src/celeryfork_standin/background.py
+++ b/libs/standin/src/celeryfork_standin/background.py
@@ -1,8 +1,11 @@
-"""An event loop on a thread of its own, and HTTP listeners on it."""
+"""An event loop on a thread of its own, and HTTP listeners on it.
+
+The loop is asyncio's own, on epoll: uvloop 0.23 opens an io_uring for each loop
+whatever ``UV_USE_IO_URING`` says, and io_uring is ruled out.
+"""
 
 import asyncio
 import contextlib
-import os
 import socket
 import struct
 import threading
@@ -15,11 +18,6 @@
 
 from celeryfork_standin.errors import StandinStoppedError
 
-# libuv reads this once, when the first loop is made; io_uring is ruled out.
-os.environ["UV_USE_IO_URING"] = "0"
-
-import uvloop  # noqa: E402
-
 CALL_TIMEOUT_S = 10.0
 LISTEN_BACKLOG = 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -38,7 +36,7 @@
     """
 
     def __init__(self, name: str) -> None:
-        self._loop: asyncio.AbstractEventLoop = uvloop.new_event_loop()
+        self._loop: asyncio.AbstractEventLoop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
         self._stopped = False
 
--- a/libs/standin/src/celeryfork_standin/standins.py
+++ b/libs/standin/src/celeryfork_standin/standins.py
@@ -29,6 +29,24 @@
         for service in self.deployment.service_specs():
             self.services.add(service)
 
+    def isolate(self, domain: str, *, from_platform: bool) -> None:
+        """Cut one failure domain off from the others' targets.
+
+        Parameters
+        ----------
+        from_platform
+            Whether the platform is out of its reach too.
+        """
+        others = [one for one in self.deployment.domains if one != domain]
+        self.engines.partition([domain], others)
+        self.platform.cut_off(domain, from_platform)
+
+    def heal(self) -> None:
+        """End every partition."""
+        self.engines.heal()
+        for domain in self.deployment.domains:
+            self.platform.cut_off(domain, False)
+
     def stop(self) -> None:
         """Cut every connection and stop every thread."""
         self.engines.stop()
--- a/libs/standin/src/celeryfork_standin/step_timer.py
+++ b/libs/standin/src/celeryfork_standin/step_timer.py
@@ -1,7 +1,7 @@
 """One timer for the steps and the slow hops of a whole fleet.
 
 Waking the event loop costs more than ending a step, so whatever is due within the
-same millisecond (the resolution of libuv's timers) shares one wake-up.
+same millisecond (the resolution of epoll's timeout) shares one wake-up.
 """
 
 import asyncio
