--- a/libs/config/src/celeryfork_config/carrier.py
+++ b/libs/config/src/celeryfork_config/carrier.py
@@ -75,6 +75,7 @@
         self._instance = instance
         self._fleet = fleet
         self._stopped = threading.Event()
+        self._woken = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="config-carrier", daemon=True
         )
@@ -86,6 +87,7 @@
     def stop(self) -> None:
         """Stop; an append that is open ends by itself."""
         self._stopped.set()
+        self._woken.set()
         if self._thread.is_alive():
             self._thread.join(timeout=STOP_WAIT_S)
 
@@ -106,6 +108,10 @@
             carried += 1
         return carried
 
+    def wake(self) -> None:
+        """Check now; the retention may have become shorter."""
+        self._woken.set()
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             try:
@@ -115,7 +121,8 @@
                 self._counters.add("config.carrier.faults")
             retention_s = self._holder.current.policy.log_retention_s
             check_s = retention_s / CHECKS_PER_RETENTION
-            self._stopped.wait(min(max(check_s, SHORTEST_CHECK_S), LONGEST_CHECK_S))
+            self._woken.wait(min(max(check_s, SHORTEST_CHECK_S), LONGEST_CHECK_S))
+            self._woken.clear()
 
     def _collect(self, fold: Fold, now_ms: int, retention_s: float) -> list[str]:
         retention_ms = retention_s * 1000
@@ -127,7 +134,7 @@
         earliest_ms = int(now_ms - EARLIEST_SHARE * retention_ms)
         for kept, evidence_ms in fold.due_before(earliest_ms):
             age_share = (now_ms - evidence_ms) / retention_ms
-            if age_share < self._due_share(kept, evidence_ms, instances):
+            if not self._is_due(kept, evidence_ms, age_share, instances):
                 continue
             carry = kept.to_carry(fold.next_offset, now_ms)
             found.append(encode_entry(carry))
@@ -135,14 +142,21 @@
                 break
         return found
 
-    def _due_share(
-        self, kept: KeptRecord, evidence_ms: int, instances: list[str]
-    ) -> float:
-        """Return the age at which this instance carries, as a share of retention."""
+    def _is_due(
+        self,
+        kept: KeptRecord,
+        evidence_ms: int,
+        age_share: float,
+        instances: list[str],
+    ) -> bool:
+        """Tell whether this instance carries, at an age as a share of retention."""
         key = f"{kept.key[0]}#{kept.key[1]}#{evidence_ms}"
         jitter = xxh3_64_intdigest(key.encode()) / 2**64 * JITTER_SHARE
+        late_share = age_share - EARLIEST_SHARE - jitter
+        if late_share < 0:
+            return False  # ranking all instances takes longer than the hash
         rank = min(rank_of(self._instance, instances, key), HIGHEST_RANK)
-        return EARLIEST_SHARE + jitter + rank * RANK_STEP_SHARE
+        return late_share >= rank * RANK_STEP_SHARE
 
     def _append(self, data: str) -> bool:
         nonce = str(make_uuid7(self._clock.wall_ms()))
--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -82,6 +82,7 @@
         self._index = KeptIndex()
         self._evidence = EvidenceQueue()
         self._states_with_fallback: dict[RecordKey, KeyState] = {}
+        self._retracted_by_key: dict[RecordKey, KeptRecord] = {}
         self._faults: deque[dict[str, Any]] = deque(maxlen=MOST_FAULTS_SHOWN)
         self._snapshot = Configuration()
         self._stale = False
@@ -182,7 +183,7 @@
         for state in self._evidence.before(evidence_ms):
             if state.certain and state.head is not None:
                 yield state.head, state.evidence_ms
-        for state in list(self._states_with_fallback.values()):
+        for state in self._states_with_fallback.values():
             fallback = state.fallback
             if fallback is None or not state.certain:
                 continue
@@ -195,14 +196,14 @@
         Carries made by an instance that hadn't seen the retraction are refused from
         now on.
         """
-        for key, state in list(self._states_by_key.items()):
-            head = state.head
-            if head is None or not head.retracted or head.original_ms >= before_ms:
+        for key, head in list(self._retracted_by_key.items()):
+            if head.original_ms >= before_ms:
                 continue
             self._oldest_as_of = max(self._oldest_as_of, head.offset + 1)
             self._index.remove(head)
-            self._evidence.remove(state)
-            del self._states_by_key[key]
+            self._evidence.remove(self._states_by_key.pop(key))
+            del self._retracted_by_key[key]
+            self._forget_schema(*key)
 
     def live(self, name: str) -> dict[int, KeptRecord]:
         """Return the last accepted records of a name, unless retracted, by schema."""
@@ -380,6 +381,10 @@
         for dropped in state.replace_head(kept):
             self._index.remove(dropped)
         self._index.add(kept)
+        if kept.retracted:
+            self._retracted_by_key[state.key] = kept
+        else:
+            self._retracted_by_key.pop(state.key, None)
         if state.fallback is not None:
             self._states_with_fallback[state.key] = state
         else:
@@ -389,6 +394,13 @@
         self._update_in_force(name)
         return Change(name, schema, kept.offset, kept.retracted)
 
+    def _forget_schema(self, name: str, schema: int) -> None:
+        left = tuple(s for s in self._schemas_by_name[name] if s != schema)
+        if left:
+            self._schemas_by_name[name] = left
+        else:
+            del self._schemas_by_name[name]
+
     def _update_in_force(self, name: str) -> None:
         """Put the newest schema version that can be read in force."""
         old = self._in_force_by_name.get(name)
--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -301,11 +301,14 @@
             configuration = self._fold.configuration
             if self._ready and configuration is self._current:
                 return
+            new_policy = configuration.policy != self._current.policy
             self._current = configuration
             self._source = source
             became_ready, self._ready = not self._ready, True
             callbacks = list(self._callbacks)
             self._changed.notify_all()
+        if new_policy:
+            self._carrier.wake()
         if became_ready:
             _logger.notice(f"configuration ready at {configuration.offset} by {source}")
         self._counters.gauge("config.offset", configuration.offset)
--- a/libs/config/src/celeryfork_config/kept.py
+++ b/libs/config/src/celeryfork_config/kept.py
@@ -218,14 +218,17 @@
         self._states_by_key.pop(state.key, None)
 
     def before(self, evidence_ms: int) -> Iterator[KeyState]:
-        """Yield the keys that lack evidence since a time, the longest first."""
+        """Yield the keys that lack evidence since a time, the longest first.
+
+        Nothing may be noted or removed in the meantime.
+        """
         if not self._sorted:
             items = sorted(
                 self._states_by_key.items(), key=lambda item: item[1].evidence_ms
             )
             self._states_by_key = dict(items)
             self._sorted = True
-        for state in list(self._states_by_key.values()):
+        for state in self._states_by_key.values():
             if state.evidence_ms >= evidence_ms:
                 return
             yield state
