Config: how long an instance was cut off is told by the log's clock, not by its last peer

Cause: the state machine, given longer times, found that instances of a domain that was cut off for three retentions kept each other looking current, and then took news from outside without the retractions that outside had forgotten. Change: where news comes and what was applied last is older than the retention, the peer's whole state is taken.

--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -89,6 +89,8 @@
         self._oldest_as_of = 0
         self.next_offset = 0
         self.settled = True
+        # The log's clock at the newest entry that was applied.
+        self.newest_ms = 0
 
     @property
     def configuration(self) -> Configuration:
@@ -157,6 +159,7 @@
         changes = [c for entry, carry in found for c in self._adopt(entry, carry)]
         for entry, _ in found:
             self.next_offset = max(self.next_offset, entry.offset + 1)
+            self.newest_ms = max(self.newest_ms, entry.appended_ms)
         # What the peer saw and left out can't be seen here any more.
         self._oldest_as_of = max(self._oldest_as_of, self.next_offset)
         return changes
@@ -244,6 +247,7 @@
             return []
         self.note_first_offset(entry.offset)
         self.next_offset = entry.offset + 1
+        self.newest_ms = max(self.newest_ms, entry.appended_ms)
         match self._parse(entry):
             case Record() as record:
                 return self._apply_record(entry, record)
--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -119,7 +119,6 @@
         self._callbacks: list[ConfigurationCallback] = []
         self._stopped = threading.Event()
         self._next_log_read_s = 0.0
-        self._synced_s = clock.monotonic()
         self._thread = threading.Thread(
             target=self._run, name="config-follower", daemon=True
         )
@@ -268,10 +267,7 @@
 
     def _read_peers(self) -> bool:
         """Take what peers have and put it in force; return whether a peer answered."""
-        absent_s = self._clock.monotonic() - self._synced_s
-        # Peers forget retractions in time, so their news may not suffice any more.
-        whole = absent_s > self._current.policy.log_retention_s
-        if not self._merge_peers(whole=whole or not self._fold.settled):
+        if not self._merge_peers(whole=not self._fold.settled):
             return False
         self._publish("peers")
         return True
@@ -285,6 +281,9 @@
         if entries is None:
             self._counters.add("config.follower.peers_unavailable")
             return False
+        if entries and not whole and self._was_absent():
+            # Peers forget retractions in time, so their news doesn't suffice.
+            return self._merge_peers(whole=True)
         with self._changed:
             fold.merge_peer_entries(entries)
             if fold.next_offset < self._fold.next_offset:
@@ -294,10 +293,15 @@
             self._fold = fold
         return True
 
+    def _was_absent(self) -> bool:
+        """Whether what was applied last is older than the log's retention."""
+        retention_ms = self._current.policy.log_retention_s * 1000
+        age_ms = self._clock.wall_ms() - self._fold.newest_ms
+        return self._fold.next_offset > 0 and age_ms > retention_ms
+
     def _publish(self, source: str) -> None:
         """Put the fold's configuration in force and tell the subscribers."""
         with self._changed:
-            self._synced_s = self._clock.monotonic()
             configuration = self._fold.configuration
             if self._ready and configuration is self._current:
                 return
