--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -9,7 +9,7 @@
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PlatformUnavailableError
 from celeryfork_platform.log import LogClient
-from celeryfork_platform.model import LogRecord
+from celeryfork_platform.model import LogRecord, LogSlice
 from logbook import Logger
 
 from celeryfork_config.carrier import Carrier
@@ -23,6 +23,9 @@
 Fleet = Callable[[], Mapping[str, str]]
 ConfigurationCallback = Callable[[Configuration], None]
 
+STOP_WAIT_S = 1.0
+EMPTY_PAUSE_S = 0.05
+
 _logger = Logger(__name__)
 
 
@@ -241,21 +244,22 @@
         options = self._options
         waits = self._ready and self._is_tailer()
         wait_s = options.long_poll_s if waits else 0.0
+        read_from = self._fold.next_offset
         part = self._log.read(
             STREAM,
-            self._fold.next_offset,
+            read_from,
             options.read_limit,
             wait_s,
             wait_s + options.read_timeout_s,
         )
-        if part.next_offset < self._fold.next_offset:
+        if part.next_offset < read_from:
             # What is in force never goes back, whatever the log says.
             self._counters.add("config.follower.log_behind")
             self._pause(options.peer_poll_s)
             return
-        missed = part.first_offset > self._fold.next_offset
-        long = part.next_offset - part.first_offset > options.most_records_at_start
-        if missed and (self._ready or long) and self._merge_peers(whole=True):
+        if self._has_too_much_to_read(part):
+            self._merge_peers(whole=True)
+        if self._fold.next_offset > read_from:
             return  # and go on in the log from there
         with self._changed:
             self._fold.apply_slice(part)
@@ -264,6 +268,15 @@
                 self._fold.settle()
         if at_end:
             self._publish("log")
+        if not part.records:
+            self._pause(EMPTY_PAUSE_S)  # a log that doesn't hold its answers back
+
+    def _has_too_much_to_read(self, part: LogSlice) -> bool:
+        """Whether the log has dropped what was not read, or is long to read whole."""
+        if self._fold.next_offset == 0:
+            kept = part.next_offset - part.first_offset
+            return kept > self._options.most_records_at_start
+        return part.first_offset > self._fold.next_offset
 
     def _read_peers(self) -> bool:
         """Take what peers have and put it in force; return whether a peer answered."""
@@ -335,9 +348,6 @@
         return self._random.uniform(seconds / 2, seconds)
 
 
-STOP_WAIT_S = 1.0
-
-
 def make_follower(
     log: LogClient,
     clock: Clock,
--- a/libs/config/tests/test_follower.py
+++ b/libs/config/tests/test_follower.py
@@ -104,3 +104,139 @@
     offset = log.put_record("model/b", 1, None, {"layers": 4})
     assert follower.wait(offset, TIMEOUT_S)
     assert counters.count("config.follower.callback_faults") > 0
+
+
+def large_fleet() -> dict[str, str]:
+    return {f"i{i}": "karen" if i % 2 else "westlands" for i in range(40)}
+
+
+def one_of(fleet, tailer: bool, log) -> str:
+    """Return the name of an instance that is a tailer, or isn't."""
+    for name in fleet:
+        follower = make_follower(
+            log, SystemClock(), Counters(), instance=name, fleet=lambda: fleet
+        )
+        if follower.dump()["tailer"] is tailer:
+            return name
+    raise AssertionError
+
+
+def test_in_a_large_fleet_each_domain_has_a_few_tailers(log) -> None:
+    fleet = large_fleet()
+    tailers = [
+        domain
+        for name, domain in fleet.items()
+        if make_follower(
+            log, SystemClock(), Counters(), instance=name, fleet=lambda: fleet
+        ).dump()["tailer"]
+    ]
+    assert sorted(tailers) == ["karen"] * 3 + ["westlands"] * 3
+
+
+def test_who_is_no_tailer_follows_its_peers_and_leaves_the_log_alone(
+    log, make_log, started
+) -> None:
+    fleet = large_fleet()
+    log.put_record("model/a", 1, None, {"layers": 4})
+    peer = started(log)
+    wait_ready(peer)
+    own = make_log()
+    own.records.extend(log.records)
+    options = FollowerOptions(peer_poll_s=0.01, slow_poll_s=600)
+    follower = started(
+        own,
+        lambda after: peer.slice_after(after, 100).records,
+        options,
+        instance=one_of(fleet, False, log),
+        fleet=lambda: fleet,
+    )
+    wait_ready(follower)
+    for based_on in range(3):
+        offset = log.put_record("model/a", 1, based_on, {"layers": 5 + based_on})
+        assert follower.wait(offset, TIMEOUT_S)
+    assert follower.current.models_by_name["a"].layers == 7
+    assert own.reads <= 2, "one to be ready, and one slow poll"
+
+
+def test_who_is_no_tailer_reads_the_log_when_peers_are_gone(log, started) -> None:
+    fleet = large_fleet()
+    options = FollowerOptions(peer_poll_s=0.01, slow_poll_s=600, lone_poll_s=0.05)
+    follower = started(
+        log,
+        lambda after: None,
+        options,
+        instance=one_of(fleet, False, log),
+        fleet=lambda: fleet,
+    )
+    wait_ready(follower)
+    offset = log.put_record("model/a", 1, None, {"layers": 4})
+    assert follower.wait(offset, TIMEOUT_S)
+
+
+def test_after_a_gap_in_the_log_a_peers_whole_state_is_taken(
+    log, make_log, started
+) -> None:
+    log.put_record("model/a", 1, None, {"layers": 4})
+    log.put_record("model/b", 1, None, {"layers": 4})
+    own = make_log()
+    own.records.extend(log.records)
+    peer = started(log)
+    follower = started(own, lambda after: peer.slice_after(after, 100).records)
+    wait_ready(follower)
+    own.down = True
+    log.put_record("model/a", 1, 0, {"layers": 5})
+    log.put_record("model/b", 1, 1, None)
+    assert peer.wait(3, TIMEOUT_S)
+    with own.changed:
+        own.records[:] = log.records
+        own.drop_before(4)
+        own.down = False
+    assert follower.wait(3, TIMEOUT_S)
+    models = follower.current.models_by_name
+    assert {name: model.layers for name, model in models.items()} == {"a": 5}
+    assert follower.dump()["fold"]["uncertain"] == []
+
+
+def test_a_long_log_is_not_read_where_a_peer_has_its_state(
+    log, make_log, started
+) -> None:
+    for based_on in [None, *range(20)]:
+        log.put_record("model/a", 1, based_on, {"layers": 4})
+    peer = started(log)
+    wait_ready(peer)
+    own = make_log()
+    own.records.extend(log.records)
+    options = FollowerOptions(long_poll_s=0.05, read_limit=1, most_records_at_start=5)
+    follower = started(own, lambda after: peer.slice_after(after, 100).records, options)
+    wait_ready(follower)
+    assert follower.current.offset == 20
+    assert own.reads < 10
+
+
+def test_slices_are_cut_at_the_limit_and_go_on_from_there(log, started) -> None:
+    for i in range(5):
+        log.put_record(f"model/m{i}", 1, None, {"layers": 4})
+    follower = started(log)
+    wait_ready(follower)
+    first = follower.slice_after(-1, 2)
+    assert ([r.offset for r in first.records], first.complete) == ([0, 1], False)
+    rest = follower.slice_after(first.next_offset - 1, 100)
+    assert [r.offset for r in rest.records] == [2, 3, 4]
+    assert (rest.next_offset, rest.complete) == (5, True)
+
+
+def test_an_outage_adds_no_threads(log, started) -> None:
+    log.put_record("model/a", 1, None, {"layers": 4})
+    counters = Counters()
+    follower = started(log, lambda after: None, counters=counters)
+    wait_ready(follower)
+    log.down = True
+    before = threading.active_count()
+    pause = threading.Event()
+    for _ in range(1000):
+        if counters.count("config.follower.log_unavailable") > 20:
+            break
+        pause.wait(0.01)
+    assert counters.count("config.follower.log_unavailable") > 20
+    assert threading.active_count() <= before
+    assert follower.current.models_by_name["a"].layers == 4
