--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -9,7 +9,7 @@
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PlatformUnavailableError
 from celeryfork_platform.log import LogClient
-from celeryfork_platform.model import LogRecord
+from celeryfork_platform.model import LogRecord, LogSlice
 from logbook import Logger
 
 from celeryfork_config.carrier import Carrier
@@ -23,6 +23,9 @@
 Fleet = Callable[[], Mapping[str, str]]
 ConfigurationCallback = Callable[[Configuration], None]
 
+STOP_WAIT_S = 1.0
+EMPTY_PAUSE_S = 0.05
+
 _logger = Logger(__name__)
 
 
@@ -119,7 +122,6 @@
         self._callbacks: list[ConfigurationCallback] = []
         self._stopped = threading.Event()
         self._next_log_read_s = 0.0
-        self._synced_s = clock.monotonic()
         self._thread = threading.Thread(
             target=self._run, name="config-follower", daemon=True
         )
@@ -235,28 +237,30 @@
             return True
         domain = fleet.get(self._instance)
         neighbours = [name for name, where in fleet.items() if where == domain]
-        rank = rank_of(self._instance, neighbours, STREAM)
-        return rank < self._options.tailers_per_domain
+        most = self._options.tailers_per_domain
+        rank = rank_of(self._instance, neighbours, STREAM, most)
+        return rank < most
 
     def _read_log(self) -> None:
         options = self._options
         waits = self._ready and self._is_tailer()
         wait_s = options.long_poll_s if waits else 0.0
+        read_from = self._fold.next_offset
         part = self._log.read(
             STREAM,
-            self._fold.next_offset,
+            read_from,
             options.read_limit,
             wait_s,
             wait_s + options.read_timeout_s,
         )
-        if part.next_offset < self._fold.next_offset:
+        if part.next_offset < read_from:
             # What is in force never goes back, whatever the log says.
             self._counters.add("config.follower.log_behind")
             self._pause(options.peer_poll_s)
             return
-        missed = part.first_offset > self._fold.next_offset
-        long = part.next_offset - part.first_offset > options.most_records_at_start
-        if missed and (self._ready or long) and self._merge_peers(whole=True):
+        if self._has_too_much_to_read(part):
+            self._merge_peers(whole=True)
+        if self._fold.next_offset > read_from:
             return  # and go on in the log from there
         with self._changed:
             self._fold.apply_slice(part)
@@ -265,13 +269,19 @@
                 self._fold.settle()
         if at_end:
             self._publish("log")
+        if not part.records:
+            self._pause(EMPTY_PAUSE_S)  # a log that doesn't hold its answers back
+
+    def _has_too_much_to_read(self, part: LogSlice) -> bool:
+        """Whether the log has dropped what was not read, or is long to read whole."""
+        if self._fold.next_offset == 0:
+            kept = part.next_offset - part.first_offset
+            return kept > self._options.most_records_at_start
+        return part.first_offset > self._fold.next_offset
 
     def _read_peers(self) -> bool:
         """Take what peers have and put it in force; return whether a peer answered."""
-        absent_s = self._clock.monotonic() - self._synced_s
-        # Peers forget retractions in time, so their news may not suffice any more.
-        whole = absent_s > self._current.policy.log_retention_s
-        if not self._merge_peers(whole=whole or not self._fold.settled):
+        if not self._merge_peers(whole=not self._fold.settled):
             return False
         self._publish("peers")
         return True
@@ -285,6 +295,9 @@
         if entries is None:
             self._counters.add("config.follower.peers_unavailable")
             return False
+        if entries and not whole and self._was_absent():
+            # Peers forget retractions in time, so their news doesn't suffice.
+            return self._merge_peers(whole=True)
         with self._changed:
             fold.merge_peer_entries(entries)
             if fold.next_offset < self._fold.next_offset:
@@ -294,18 +307,26 @@
             self._fold = fold
         return True
 
+    def _was_absent(self) -> bool:
+        """Whether what was applied last is older than the log's retention."""
+        retention_ms = self._current.policy.log_retention_s * 1000
+        age_ms = self._clock.wall_ms() - self._fold.newest_ms
+        return self._fold.next_offset > 0 and age_ms > retention_ms
+
     def _publish(self, source: str) -> None:
         """Put the fold's configuration in force and tell the subscribers."""
         with self._changed:
-            self._synced_s = self._clock.monotonic()
             configuration = self._fold.configuration
             if self._ready and configuration is self._current:
                 return
+            new_policy = configuration.policy != self._current.policy
             self._current = configuration
             self._source = source
             became_ready, self._ready = not self._ready, True
             callbacks = list(self._callbacks)
             self._changed.notify_all()
+        if new_policy:
+            self._carrier.wake()
         if became_ready:
             _logger.notice(f"configuration ready at {configuration.offset} by {source}")
         self._counters.gauge("config.offset", configuration.offset)
@@ -328,9 +349,6 @@
         return self._random.uniform(seconds / 2, seconds)
 
 
-STOP_WAIT_S = 1.0
-
-
 def make_follower(
     log: LogClient,
     clock: Clock,
