--- a/libs/membership/src/celeryfork_membership/news.py
+++ b/libs/membership/src/celeryfork_membership/news.py
@@ -1,9 +1,9 @@
 """Facts that spread from instance to instance inside heartbeats.
 
 The board keeps the newest version of every (kind, subject), forgets it after its
-time to live, and hands out a bounded selection for each heartbeat: the news sent
-least often first, then a few old pieces in rotation, which repairs what the first
-spreading missed.
+time to live, and hands out a bounded selection for each heartbeat: the newest facts
+that were not sent often yet, then a few old ones in rotation, which repairs what the
+first spreading missed.
 """
 
 import heapq
@@ -257,9 +257,9 @@
                 self._old_keys.append(item.key)
         return chosen
 
-    def _rank(self, item: _Item) -> tuple[bool, int, float]:
-        """Order news for sending: weighty kinds, then the least sent, the newest."""
-        return item.kind in self.background_kinds, item.sends, -item.born_s
+    def _rank(self, item: _Item) -> tuple[bool, float]:
+        """Order news for sending: weighty kinds first, then the newest facts."""
+        return item.kind in self.background_kinds, -item.born_s
 
     def _choose_old(self, limit: int, chosen: list[_Item], now_s: float) -> list[_Item]:
         left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -281,7 +281,7 @@
     known = [board.to_send(1)[0] for board in network.boards.values()]
     for board in network.boards.values():
         board.receive(known)
-        for _ in range(400):
+        while board.dump()["spreading"]:
             board.to_send(8)
     assert network.all_know(len(network.gossips) - 1)
 
--- a/libs/routing/src/celeryfork_routing/engines.py
+++ b/libs/routing/src/celeryfork_routing/engines.py
@@ -8,6 +8,7 @@
 from attrs import define, frozen
 from celeryfork_membership.probe import LoadReport
 from celeryfork_membership.targets import Target
+from xxhash import xxh3_64_intdigest
 
 LOAD_MEMORY_S = 5.0
 LEARNING_GAIN = 0.1
@@ -27,6 +28,8 @@
         All of them.
     capacity
         Sum of the engines' capacities.
+    own_layers
+        Layers of this instance's streams in flight on them.
     queue
         Sum of the engines' queues as last reported.
     """
@@ -35,6 +38,7 @@
     last: int
     engines: list["Engine"]
     capacity: float = 0.0
+    own_layers: float = 0.0
     queue: float = 0.0
 
 
@@ -67,16 +71,6 @@
     close: Draw
     far: Draw | None
 
-    @property
-    def layers(self) -> int:
-        """The number of layers run."""
-        return self.last - self.first
-
-    def own_load_s(self) -> float:
-        """Return this instance's mean load on the close engines."""
-        own_layers = sum(engine.own_layers for engine in self.close.engines)
-        return own_layers / sum(engine.capacity for engine in self.close.engines)
-
 
 @define(eq=False)
 class Engine:
@@ -95,6 +89,8 @@
     excess
         Streams queued on it beyond its part of the stage's queue, by its last
         report, aged.
+    digest
+        Hash of its id, for the preference of prompts.
     slowness
         How much longer tokens took over it than its load explains.
     """
@@ -109,6 +105,7 @@
     slowness: float = 1.0
     samples: int = 0
     layers_per_stream: float = 0.0
+    digest: int = 0
     refreshed_s: float = float("-inf")
     _queue: float = 0.0
 
@@ -117,10 +114,6 @@
         """The layers that it holds."""
         return self.target.first_layer, self.target.last_layer
 
-    def own_load_s(self) -> float:
-        """Return this instance's load on it relative to its capacity."""
-        return self.own_layers / self.capacity
-
     def load_s(self, instances: float, layers: int) -> float:
         """Return everybody's load relative to capacity, with ``layers`` more.
 
@@ -133,18 +126,19 @@
         """
         everybody = (self.own_layers + layers) * instances
         excess = self.excess * self.layers_per_stream
-        return max(everybody + excess, layers) / self.capacity
+        load = everybody + excess
+        return (load if load > layers else layers) / self.capacity
 
     def begin(self, layers: int) -> None:
         """Count a stream in flight."""
         self.own_streams += 1
-        self.own_layers += layers
+        self._add_own(layers)
         self.layers_per_stream += (layers - self.layers_per_stream) * LEARNING_GAIN
 
     def end(self, layers: int) -> None:
         """Count a stream out again."""
         self.own_streams -= 1
-        self.own_layers -= layers
+        self._add_own(-layers)
 
     def learn(self, ratio: float) -> None:
         """Take in how much longer a token took than expected.
@@ -176,14 +170,26 @@
         """Become a member of a stage."""
         self.stage = stage
         stage.capacity += self.capacity
+        stage.own_layers += self.own_layers
         stage.queue += self._queue
 
+    def _add_own(self, layers: int) -> None:
+        self.own_layers += layers
+        if self.stage is not None:
+            self.stage.own_layers += layers
+
 
 def make_engine(target: Target, tokens_per_second: float) -> Engine:
     """Return an engine without load; the rate is with all layers it holds."""
     layers = target.last_layer - target.first_layer
     capacity = max(tokens_per_second, 1e-3) * layers
-    return Engine(target, capacity, capacity, layers_per_stream=layers)
+    return Engine(
+        target,
+        capacity,
+        capacity,
+        layers_per_stream=layers,
+        digest=xxh3_64_intdigest(target.id.encode()),
+    )
 
 
 def make_stage(first: int, last: int, engines: list[Engine]) -> Stage:
--- a/libs/routing/src/celeryfork_routing/fleet.py
+++ b/libs/routing/src/celeryfork_routing/fleet.py
@@ -16,7 +16,8 @@
 MOST_PLANNING_SHARE = 0.01
 LEAST_CHAINS_TO_WEIGH = 4
 MOST_INSTANCES = 1000.0
-WEIGHING_GAIN = 0.05
+WEIGHING_GAIN = 0.1
+WEIGH_EACH_S = 0.1
 
 RateOf = Callable[[Target, int], float]
 
@@ -46,6 +47,7 @@
         self.usable_ids: frozenset[str] = frozenset()
         self.instances = 1.0
         self.own_chains = 0
+        self._weighed_s = float("-inf")
         self._clock = clock
         self._counters = counters
         self._executor = executor
@@ -84,6 +86,10 @@
         plan = self.plan
         if plan is None or self.own_chains < LEAST_CHAINS_TO_WEIGH:
             return
+        now_s = self._clock.monotonic()
+        if now_s - self._weighed_s < WEIGH_EACH_S:
+            return
+        self._weighed_s = now_s
         queued = sum(stage.queue for stage in plan.stages_by_range.values())
         ratio = min(max(queued / self.own_chains, 1.0), MOST_INSTANCES)
         self.instances += (ratio - self.instances) * WEIGHING_GAIN
--- a/libs/routing/src/celeryfork_routing/picker.py
+++ b/libs/routing/src/celeryfork_routing/picker.py
@@ -1,18 +1,18 @@
 """The choice of a chain among a plan's paths and engines.
 
-Two paths are weighed: one drawn at random by the max-flow's weights, and one that the
-prompt's key points to, so that prompts with a common beginning meet their cache again
-(without a key, a second random one). For each hop, engines drawn by capacity are
-weighed by load and link latency, after the one that the key points to. Randomness and
-few choices keep instances that saw the same old report from running after it together
-(Mitzenmacher, "How useful is old information?", IEEE TPDS 2000).
+Two paths are weighed: one drawn at random by flow, and one that the prompt's key
+points to, so that prompts with a common beginning meet their cache again (without a
+key, a second random one). For each hop, engines drawn by capacity are weighed by load
+and link latency, after the one that the key points to. Randomness and few choices keep
+instances that saw the same old report from running after it together (Mitzenmacher,
+"How useful is old information?", IEEE TPDS 2000).
 """
 
 from math import log
 from random import Random
 from typing import Protocol
 
-from attrs import frozen
+from attrs import define
 from celeryfork_base.clock import Clock
 from celeryfork_membership.probe import LoadReport
 from xxhash import xxh3_64_intdigest
@@ -20,7 +20,8 @@
 from celeryfork_routing.chains import ChainRequest
 from celeryfork_routing.engines import Draw, Engine, Lane
 from celeryfork_routing.fleet import Fleet
-from celeryfork_routing.plan import LatencyOf, RoutePath
+from celeryfork_routing.links import LinkTable
+from celeryfork_routing.plan import RoutePath
 from celeryfork_routing.search import Leg
 
 AFFINITY_LOAD_LIMIT = 1.25
@@ -30,6 +31,8 @@
 MOST_PREFERENCES = 4096
 MOST_DRAWS = 4
 HASH_RANGE = float(1 << 64)
+HASH_MASK = (1 << 64) - 1
+HASH_MULTIPLIER = 0x9E3779B97F4A7C15  # 2**64 over the golden ratio, Knuth vol. 3, 6.4
 
 
 class Probe(Protocol):
@@ -42,7 +45,7 @@
         """Return whether an engine seems to keep a prompt prefix."""
 
 
-@frozen
+@define(eq=False)
 class Candidate:
     """A chain that could be taken, with its expected time for a token."""
 
@@ -50,6 +53,26 @@
     cost_s: float
 
 
+@define(eq=False)
+class _Search:
+    """What is the same for all hops of a request.
+
+    Parameters
+    ----------
+    hops
+        Hops of the path being weighed; a stream is in one of them at a time.
+    prompt_layers_s
+        The prompt's tokens for each expected token of the answer, as time that they
+        take at a capacity of one layer a second.
+    """
+
+    fleet: Fleet
+    request: ChainRequest
+    now_s: float
+    prompt_layers_s: float
+    hops: int = 1
+
+
 class Picker:
     """Weighs paths and engines for one request at a time.
 
@@ -57,12 +80,12 @@
     """
 
     def __init__(
-        self, probe: Probe, clock: Clock, random: Random, latency_s: LatencyOf
+        self, probe: Probe, clock: Clock, random: Random, links: LinkTable
     ) -> None:
         self._probe = probe
         self._clock = clock
         self._random = random
-        self._latency_s = latency_s
+        self._latency_s = links.latency_s
         self._preferred: dict[tuple[Lane, str], Engine] = {}
 
     def pick(
@@ -77,10 +100,13 @@
             point = xxh3_64_intdigest(request.prompt_key.encode()) / HASH_RANGE
         keyed = plan.table.draw(point)
         drawn = plan.table.draw(self._random.random())
-        best = self._weigh(keyed, fleet, request, origin)
+        answer_tokens = max(request.expected_tokens, 1)
+        prompt_layers_s = request.prompt_tokens / answer_tokens / PREFILL_SPEEDUP
+        search = _Search(fleet, request, self._clock.monotonic(), prompt_layers_s)
+        best = self._weigh(keyed, search, origin)
         if drawn is keyed and best is not None:
             return best
-        other = self._weigh(drawn, fleet, request, origin)
+        other = self._weigh(drawn, search, origin)
         if best is None or other is None:
             return best or other
         return best if best.cost_s <= other.cost_s else other
@@ -89,79 +115,85 @@
         """Drop remembered preferences, after a change of the stages."""
         self._preferred.clear()
 
-    def _weigh(
-        self, path: RoutePath, fleet: Fleet, request: ChainRequest, origin: str
-    ) -> Candidate | None:
+    def _weigh(self, path: RoutePath, search: _Search, origin: str) -> Candidate | None:
         legs = []
         total_s = 0.0
         domain = origin
+        search.hops = len(path.lanes)
         for lane in path.lanes:
-            hop = _OpenHop(lane, len(path.lanes), domain)
-            engine = self._engine(hop, fleet, request)
+            engine = self._engine(lane, search, domain)
             if engine is None:
                 return None
             legs.append(Leg(engine, lane.first, lane.last))
-            total_s += self._cost_s(engine, hop, fleet, request)
+            total_s += self._cost_s(engine, lane, search, domain)
             domain = engine.target.domain
         total_s += self._latency_s(domain, origin)
         return Candidate(tuple(legs), total_s)
 
-    def _engine(
-        self, hop: "_OpenHop", fleet: Fleet, request: ChainRequest
-    ) -> Engine | None:
+    def _engine(self, lane: Lane, search: _Search, domain: str) -> Engine | None:
         """Return the engine that the key points to, or the better of those drawn."""
-        lane = hop.lane
-        if request.prompt_key and len(lane.close.engines) > 1:
-            preferred = self._preferred_of(lane, request.prompt_key)
-            usable = self._usable(preferred, fleet, request)
-            if usable and self._within_bound(preferred, lane):
+        several = len(lane.close.engines) > 1
+        if several and search.request.prompt_key:
+            preferred = self._preferred_of(lane, search.request.prompt_key)
+            usable = self._usable(preferred, search)
+            if usable and _within_bound(preferred, lane):
                 return preferred
-        drawn = self._draw(lane.close, fleet, request)
-        if len(lane.close.engines) > 1:
-            drawn += self._draw(lane.close, fleet, request)
+        best = self._draw(lane.close, search)
+        if several:
+            other = self._draw(lane.close, search)
+            best = self._better(best, other, lane, search, domain)
         if lane.far is not None:
-            drawn += self._draw(lane.far, fleet, request)
-        if not drawn:
-            drawn = [e for e in lane.stage.engines if self._usable(e, fleet, request)]
-        if len(drawn) <= 1:
-            return drawn[0] if drawn else None
-        return min(drawn, key=lambda e: self._cost_s(e, hop, fleet, request))
+            other = self._draw(lane.far, search)
+            best = self._better(best, other, lane, search, domain)
+        if best is None:
+            for engine in lane.stage.engines:
+                if self._usable(engine, search):
+                    best = self._better(best, engine, lane, search, domain)
+        return best
+
+    def _better(
+        self,
+        one: Engine | None,
+        other: Engine | None,
+        lane: Lane,
+        search: _Search,
+        domain: str,
+    ) -> Engine | None:
+        if one is None or other is None or one is other:
+            return one or other
+        one_s = self._cost_s(one, lane, search, domain)
+        return one if one_s <= self._cost_s(other, lane, search, domain) else other
 
     def _cost_s(
-        self, engine: Engine, hop: "_OpenHop", fleet: Fleet, request: ChainRequest
+        self, engine: Engine, lane: Lane, search: _Search, domain: str
     ) -> float:
         """Return the expected time that a token spends on the way to and in it."""
-        layers = hop.lane.layers
-        load_s = engine.load_s(fleet.instances, layers) / hop.hops
-        cost_s = load_s + self._latency_s(hop.domain, engine.target.domain)
-        if request.prompt_tokens:
-            cost_s += self._prefill_s(engine, layers, request)
-        return cost_s
-
-    def _prefill_s(self, engine: Engine, layers: int, request: ChainRequest) -> float:
-        """Return the prompt's cost, spread over the answer's expected tokens."""
-        if self._probe.has_prefix(engine.target.id, request.prompt_key):
-            return 0.0
-        prefill_s = request.prompt_tokens * layers / engine.capacity / PREFILL_SPEEDUP
-        return prefill_s / max(request.expected_tokens, 1)
-
-    def _draw(self, draw: Draw, fleet: Fleet, request: ChainRequest) -> list[Engine]:
-        """Return one usable engine drawn by weight, or none."""
+        layers = lane.last - lane.first
+        cost_s = engine.load_s(search.fleet.instances, layers) / search.hops
+        if search.prompt_layers_s:
+            prefix = search.request.prompt_key
+            if not self._probe.has_prefix(engine.target.id, prefix):
+                cost_s += search.prompt_layers_s * layers / engine.capacity
+        return cost_s + self._latency_s(domain, engine.target.domain)
+
+    def _draw(self, draw: Draw, search: _Search) -> Engine | None:
+        """Return a usable engine drawn by weight."""
         for _ in range(MOST_DRAWS):
             engine = draw.draw(self._random.random())
-            if self._usable(engine, fleet, request):
-                return [engine]
-        usable = [e for e in draw.engines if self._usable(e, fleet, request)]
-        return [self._random.choice(usable)] if usable else []
+            if self._usable(engine, search):
+                return engine
+        usable = [engine for engine in draw.engines if self._usable(engine, search)]
+        return self._random.choice(usable) if usable else None
 
-    def _usable(self, engine: Engine, fleet: Fleet, request: ChainRequest) -> bool:
+    def _usable(self, engine: Engine, search: _Search) -> bool:
         """Return whether an engine may be taken, with its load brought up to date."""
         target_id = engine.target.id
-        if target_id not in fleet.usable_ids or target_id in request.avoid:
+        if target_id not in search.fleet.usable_ids:
+            return False
+        if target_id in search.request.avoid:
             return False
-        now_s = self._clock.monotonic()
-        if now_s - engine.refreshed_s >= REFRESH_S:
-            engine.refresh(self._probe.load_of(target_id), now_s)
+        if search.now_s - engine.refreshed_s >= REFRESH_S:
+            engine.refresh(self._probe.load_of(target_id), search.now_s)
         return True
 
     def _preferred_of(self, lane: Lane, prompt_key: str) -> Engine:
@@ -174,25 +206,20 @@
         if engine is None:
             if len(self._preferred) >= MOST_PREFERENCES:
                 self._preferred.clear()
-            engine = max(lane.close.engines, key=lambda e: _rank(prompt_key, e))
+            digest = xxh3_64_intdigest(prompt_key.encode())
+            engine = max(lane.close.engines, key=lambda e: _rank(digest, e))
             self._preferred[key] = engine
         return engine
 
-    def _within_bound(self, engine: Engine, lane: Lane) -> bool:
-        """Return whether the preferred engine's load is near enough to the mean."""
-        slack_s = AFFINITY_SLACK_STREAMS * engine.layers_per_stream / engine.capacity
-        return engine.own_load_s() <= AFFINITY_LOAD_LIMIT * lane.own_load_s() + slack_s
-
-
-@frozen(eq=False)
-class _OpenHop:
-    """A hop to be filled: the lane, how many hops there are, coming from where."""
 
-    lane: Lane
-    hops: int
-    domain: str
+def _within_bound(engine: Engine, lane: Lane) -> bool:
+    """Return whether the preferred engine's load is near enough to the mean."""
+    mean_s = lane.stage.own_layers / lane.stage.capacity
+    slack_s = AFFINITY_SLACK_STREAMS * engine.layers_per_stream / engine.capacity
+    return engine.own_layers / engine.capacity <= AFFINITY_LOAD_LIMIT * mean_s + slack_s
 
 
-def _rank(prompt_key: str, engine: Engine) -> float:
-    digest = xxh3_64_intdigest(f"{prompt_key}/{engine.target.id}".encode())
-    return -engine.capacity / log((digest + 1) / (HASH_RANGE + 2))
+def _rank(digest: int, engine: Engine) -> float:
+    """Return an engine's rank for a key, by a multiplicative hash of both digests."""
+    mixed = ((digest ^ engine.digest) * HASH_MULTIPLIER) & HASH_MASK
+    return -engine.capacity / log((mixed + 1) / (HASH_RANGE + 2))
--- a/libs/routing/src/celeryfork_routing/router.py
+++ b/libs/routing/src/celeryfork_routing/router.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from attrs import frozen
+from attrs import define
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
@@ -19,6 +19,7 @@
 from celeryfork_routing.engines import DEFAULT_TOKENS_PER_S, Engine
 from celeryfork_routing.fleet import Fleet
 from celeryfork_routing.gaps import gaps_between, kept_hops
+from celeryfork_routing.links import LinkTable
 from celeryfork_routing.picker import Picker
 from celeryfork_routing.search import Leg, cheapest_legs
 from celeryfork_routing.services import ServiceChoice
@@ -28,13 +29,11 @@
 
 __all__ = ["Chain", "ChainRequest", "ChainResult", "Hop", "Router", "make_router"]
 
-SAME_DOMAIN_LATENCY_S = 0.0001
-DEFAULT_LATENCY_S = 0.001
 RETRY_AFTER_S = 1.0
 LEAST_TOKENS_TO_LEARN = 4
 
 
-@frozen(eq=False)
+@define(eq=False)
 class _Flight:
     """A chain in flight: the engines to count out, and the time expected."""
 
@@ -68,7 +67,8 @@
         self._counters = counters
         self._executor = executor
         self._random = Random(seed)
-        self._picker = Picker(probe, clock, self._random, self._latency_s)
+        self._links = LinkTable(configuration)
+        self._picker = Picker(probe, clock, self._random, self._links)
         self._services = ServiceChoice(domain, self._random)
         self._lock = threading.RLock()
         self._fleets_by_model: dict[tuple[str, int], Fleet] = {}
@@ -86,6 +86,7 @@
         """
         in_choice = self._view.in_choice(request.model)
         with self._lock:
+            self._links.refresh()
             fleet = self._fleet(request)
             plan = fleet.plan
             fleet.see(in_choice)
@@ -166,7 +167,7 @@
                 self._counters,
                 self._executor,
                 self._rate_of,
-                self._latency_s,
+                self._links.latency_s,
                 self._domain,
                 self._lock,
             )
@@ -195,7 +196,9 @@
         legs = list(kept)
         for gap in gaps_between([(k.first, k.last) for k in kept], request.layers):
             origin = _domain_before(kept, gap[0], self._domain)
-            found = cheapest_legs(engines, gap, self._latency_s, origin, self._random)
+            found = cheapest_legs(
+                engines, gap, self._links.latency_s, origin, self._random
+            )
             if found is None:
                 return None
             legs += found
@@ -232,13 +235,6 @@
             return float(accelerator.tokens_per_second) * layers / held
         return DEFAULT_TOKENS_PER_S
 
-    def _latency_s(self, here: str, there: str) -> float:
-        if here == there:
-            return SAME_DOMAIN_LATENCY_S
-        links = self._configuration().links_by_pair
-        link = links.get((here, there)) or links.get((there, here))
-        return DEFAULT_LATENCY_S if link is None else float(link.latency_ms) / 1000
-
 
 def make_router(
     view: TargetView,
--- a/libs/routing/src/celeryfork_routing/search.py
+++ b/libs/routing/src/celeryfork_routing/search.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from attrs import frozen
+from attrs import define, frozen
 
 from celeryfork_routing.engines import Engine
 from celeryfork_routing.plan import LatencyOf
@@ -16,7 +16,7 @@
 ENGINES_DRAWN_PER_GROUP = 3
 
 
-@frozen
+@define(eq=False)
 class Leg:
     """A run of layers ``[first, last)`` on one engine."""
 
--- /dev/null
+++ b/libs/routing/tests/test_choice_cost.py
@@ -0,0 +1,100 @@
+"""The time that a choice and a plan take; run as a program it prints a table."""
+
+import time
+from concurrent.futures import Executor, Future
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from attrs import frozen
+from celeryfork_base.clock import SystemClock
+from celeryfork_base.counters import Counters
+from celeryfork_membership.news import make_news_board
+from celeryfork_membership.probe import make_load_probe
+from celeryfork_membership.targets import make_target_view
+from celeryfork_platform.model import Instance, InstanceList
+from celeryfork_routing.chains import ChainRequest, ChainResult
+from celeryfork_routing.router import make_router
+
+LAYERS = 72
+RANGES = ((0, 24), (24, 48), (48, 72), (0, 18), (18, 36), (36, 54), (54, 72), (10, 40))
+
+
+class NoExecutor(Executor):
+    """Keeps planning out of the measurement."""
+
+    def submit(self, fn: Any, /, *args: Any, **kwargs: Any) -> Future:
+        return Future()
+
+
+@frozen
+class Cost:
+    """Microseconds for a choice with and without a prompt key; a plan's ms."""
+
+    choose_us: float
+    choose_keyed_us: float
+    plan_ms: float
+
+
+def measure(engines: int, domains: int, rounds: int = 3000) -> Cost:
+    clock, counters = SystemClock(), Counters()
+    view = make_target_view(clock, counters, make_news_board(clock, counters), "d0")
+    instances = [instance(number, domains) for number in range(engines)]
+    view.update_from_list(InstanceList(1, {i.id: i for i in instances}))
+    configuration = SimpleNamespace(accelerators_by_kind={}, links_by_pair={})
+    router = make_router(
+        view,
+        make_load_probe(view, clock, counters),
+        lambda: configuration,
+        "d0",
+        clock,
+        counters,
+        1,
+        NoExecutor(),
+    )
+    began_s = time.process_time()
+    router.choose(ChainRequest("m", LAYERS))
+    plan_ms = (time.process_time() - began_s) * 1e3
+    plain = [ChainRequest("m", LAYERS)] * rounds
+    keyed = [ChainRequest("m", LAYERS, f"key-{n % 500}") for n in range(rounds)]
+    costs = []
+    for requests in (plain, keyed):
+        chains = []
+        began_s = time.process_time()
+        for request in requests:
+            chains.append(router.choose(request))
+        costs.append((time.process_time() - began_s) / rounds * 1e6)
+        for chain in chains:
+            router.release(chain, ChainResult(10, 0.1, 1.0))
+    return Cost(costs[0], costs[1], plan_ms)
+
+
+def instance(number: int, domains: int) -> Instance:
+    first, last = RANGES[number % len(RANGES)]
+    attributes = {
+        "first_layer": first,
+        "last_layer": last,
+        "accelerator": f"k{number % 7}",
+    }
+    return Instance(
+        id=f"e{number:04}",
+        role="engine",
+        target="m",
+        domain=f"d{number // len(RANGES) % domains}",
+        address="127.0.0.1:1",
+        state="live",
+        incarnation=1,
+        attributes=attributes,
+    )
+
+
+@pytest.mark.slow
+def test_a_choice_stays_cheap_with_many_engines() -> None:
+    few, many = measure(40, 3, 500), measure(600, 9, 500)
+    assert many.choose_us < 4 * few.choose_us
+    assert few.choose_us < 1000
+
+
+if __name__ == "__main__":
+    for engines, domains in ((40, 3), (600, 9), (2000, 9)):
+        print(engines, measure(engines, domains), flush=True)
