--- a/libs/membership/src/celeryfork_membership/circuit.py
+++ b/libs/membership/src/celeryfork_membership/circuit.py
@@ -80,6 +80,11 @@
         self.state = CircuitState.OPEN
         self.due_s = now_s + backoff_s * jitter
 
+    def half_open(self) -> None:
+        """Let one request try the target."""
+        self.state = CircuitState.HALF_OPEN
+        self.due_s = float("inf")
+
     def begin_trial(self, now_s: float) -> bool:
         """Take the one trial of a half-open circuit; return whether it was free."""
         if self.state is not CircuitState.HALF_OPEN:
@@ -92,8 +97,7 @@
         """Move on when the time has come; return whether the circuit changed."""
         if now_s < self.due_s:
             return False
-        self.state = CircuitState.HALF_OPEN
-        self.due_s = float("inf")
+        self.half_open()
         return True
 
     def _settle(self, now_s: float) -> None:
--- a/libs/membership/src/celeryfork_membership/coverage.py
+++ b/libs/membership/src/celeryfork_membership/coverage.py
@@ -1,12 +1,8 @@
 """Keeps a model's layers, or a service, covered when targets fail."""
 
-from __future__ import annotations
-
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from celeryfork_membership.targets import Target
+from celeryfork_membership.target import Target
 
 
 def fill_gaps(good: Sequence[Target], rest: Sequence[Target]) -> list[Target]:
--- a/libs/membership/src/celeryfork_membership/news.py
+++ b/libs/membership/src/celeryfork_membership/news.py
@@ -194,6 +194,14 @@
             if not item.expired(now_s)
         }
 
+    def version_of(self, kind: str, subject: str) -> int | None:
+        """Return the version of an unexpired fact, None if there is none."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            item = self._items_by_key.get((kind, subject))
+            known = item is not None and not item.expired(now_s)
+            return item.version if item is not None and known else None
+
     def dump(self) -> dict[str, object]:
         """Return the number of facts by kind, for the state dump."""
         with self._lock:
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/table.py
@@ -0,0 +1,186 @@
+"""The targets known, which of them are in choice, and when time alone changes that."""
+
+from typing import Any
+
+from attrs import define, field
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+
+from celeryfork_membership.circuit import Circuit, CircuitState
+from celeryfork_membership.coverage import fill_gaps
+from celeryfork_membership.target import Target
+
+UNLISTED_GRACE_S = 5.0
+FORGET_UNLISTED_S = 60.0
+
+
+@define(eq=False)
+class Entry:
+    """One target with everything known of it.
+
+    Parameters
+    ----------
+    source
+        The list entry that it was last read from.
+    listed
+        Whether the list shows it; since when not in ``unlisted_s``.
+    listed_leaving, observed_leaving
+        Whether the list, or an answer or a peer's news, says that it is leaving.
+    retry_leaving_s
+        When one request may find out whether it still is, where only an observation
+        says so.
+    """
+
+    target: Target
+    source: Any = None
+    listed: bool = True
+    listed_leaving: bool = False
+    observed_leaving: bool = False
+    unlisted_s: float = 0.0
+    unlisted_grace_s: float = UNLISTED_GRACE_S
+    retry_leaving_s: float = float("inf")
+    leaving_retries: int = 0
+    circuit: Circuit = field(factory=Circuit)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether anything says that it is leaving."""
+        return self.listed_leaving or self.observed_leaving
+
+    @property
+    def ailing(self) -> bool:
+        """Whether anything is wrong with it."""
+        closed = self.circuit.state is CircuitState.CLOSED
+        return self.leaving or not self.listed or not closed
+
+    def missing(self, now_s: float) -> bool:
+        """Return whether it is gone from the list and not seen working since."""
+        return not self.listed and now_s >= self._missing_s()
+
+    def in_choice(self, now_s: float) -> bool:
+        """Return whether it may get new work."""
+        if self.leaving or self.missing(now_s):
+            return False
+        return self.circuit.state in (CircuitState.CLOSED, CircuitState.HALF_OPEN)
+
+    def next_due_s(self, now_s: float) -> float:
+        """Return when time alone may change whether it is in choice."""
+        due_s = min(self.circuit.due_s, self.retry_leaving_s)
+        if not self.listed:
+            missing_s = self._missing_s()
+            due_s = min(due_s, self.unlisted_s + FORGET_UNLISTED_S)
+            due_s = min(due_s, missing_s if missing_s > now_s else due_s)
+        return due_s
+
+    def _missing_s(self) -> float:
+        return max(self.unlisted_s, self.circuit.succeeded_s) + self.unlisted_grace_s
+
+
+class TargetTable:
+    """Targets by id and by name; the view holds its lock for every call.
+
+    Parameters
+    ----------
+    clock, counters
+        Shared parts of the instance.
+    """
+
+    def __init__(self, clock: Clock, counters: Counters) -> None:
+        self.entries_by_id: dict[str, Entry] = {}
+        self.entries_by_name: dict[str, dict[str, Entry]] = {}
+        self.ailing_by_id: dict[str, Entry] = {}
+        self.last_resorts_by_name: dict[str, frozenset[str]] = {}
+        self.choice_by_name: dict[str, tuple[Target, ...]] = {}
+        self.revision = 0
+        self.due_s = float("inf")
+        self._clock = clock
+        self._counters = counters
+
+    def put(self, entry: Entry) -> None:
+        """Take in an entry in place of one of the same id."""
+        target = entry.target
+        old = self.entries_by_id.get(target.id)
+        if old is not None:
+            self.forget(old)
+        self.entries_by_id[target.id] = entry
+        self.entries_by_name.setdefault(target.target, {})[target.id] = entry
+        self.changed(entry)
+
+    def forget(self, entry: Entry) -> None:
+        """Drop an entry."""
+        target = entry.target
+        self.entries_by_id.pop(target.id, None)
+        self.ailing_by_id.pop(target.id, None)
+        by_id = self.entries_by_name.get(target.target, {})
+        by_id.pop(target.id, None)
+        if not by_id:
+            self.entries_by_name.pop(target.target, None)
+        self._expire(target.target)
+
+    def changed(self, entry: Entry) -> None:
+        """Note that an entry changed."""
+        target_id = entry.target.id
+        if entry.ailing:
+            self.ailing_by_id[target_id] = entry
+        else:
+            self.ailing_by_id.pop(target_id, None)
+        self._expire(entry.target.target)
+        self._plan_next()
+
+    def in_choice(self, name: str) -> tuple[Target, ...]:
+        """Return who of a model or service is in choice, remembered until a change."""
+        chosen = self.choice_by_name.get(name)
+        return self._choose(name) if chosen is None else chosen
+
+    def advance(self) -> bool:
+        """Apply what time alone has changed; return whether anything did."""
+        now_s = self._clock.monotonic()
+        due = [e for e in self.ailing_by_id.values() if e.next_due_s(now_s) <= now_s]
+        due += [e for e in self.ailing_by_id.values() if self._went_missing(e, now_s)]
+        for entry in due:
+            self._advance_entry(entry, now_s)
+            self._expire(entry.target.target)
+        self._plan_next()
+        return bool(due)
+
+    def _went_missing(self, entry: Entry, now_s: float) -> bool:
+        """Return whether an entry is missing but still among those remembered."""
+        if not entry.missing(now_s):
+            return False
+        chosen = self.choice_by_name.get(entry.target.target, ())
+        return entry.target in chosen
+
+    def _advance_entry(self, entry: Entry, now_s: float) -> None:
+        entry.circuit.advance(now_s)
+        if now_s >= entry.retry_leaving_s:
+            entry.observed_leaving = False
+            entry.leaving_retries += 1
+            entry.retry_leaving_s = float("inf")
+            entry.circuit.half_open()
+        if not entry.listed and now_s - entry.unlisted_s >= FORGET_UNLISTED_S:
+            self.forget(entry)
+
+    def _choose(self, name: str) -> tuple[Target, ...]:
+        """Work out who is in choice, the least bad included where nobody else is."""
+        now_s = self._clock.monotonic()
+        entries = self.entries_by_name.get(name, {}).values()
+        good = [entry.target for entry in entries if entry.in_choice(now_s)]
+        rest = [e for e in entries if not e.leaving and not e.in_choice(now_s)]
+        rest.sort(key=lambda e: (e.missing(now_s), e.circuit.openings, e.target.id))
+        kept = fill_gaps(good, [entry.target for entry in rest])
+        kept_ids = frozenset(target.id for target in kept)
+        if kept_ids - self.last_resorts_by_name.get(name, frozenset()):
+            self._counters.add("targets.kept_as_last_resort")
+        self.last_resorts_by_name[name] = kept_ids
+        chosen = (*good, *kept)
+        self.choice_by_name[name] = chosen
+        return chosen
+
+    def _expire(self, name: str) -> None:
+        self.choice_by_name.pop(name, None)
+        self.revision += 1
+
+    def _plan_next(self) -> None:
+        now_s = self._clock.monotonic()
+        due_s = (entry.next_due_s(now_s) for entry in self.ailing_by_id.values())
+        self.due_s = min(due_s, default=float("inf"))
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/target.py
@@ -0,0 +1,84 @@
+"""A target, and how the instance list describes it."""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from celeryfork_platform.model import Instance
+
+ROLES = ("engine", "service")
+
+
+@frozen
+class Target:
+    """An engine or a plain service that requests can be sent to.
+
+    Parameters
+    ----------
+    id
+        Its name in the instance list.
+    role
+        ``engine`` or ``service``.
+    target
+        The model or the service that it belongs to.
+    domain
+        Its failure domain.
+    address
+        ``ip:port``.
+    incarnation
+        Grows with each restart.
+    first_layer, last_layer
+        The layers ``[first_layer, last_layer)`` that an engine holds; 0 for services.
+    accelerator, version
+        Kind of the accelerator and version of the weights; empty for services.
+    checks_fencing
+        Whether an engine refuses orders with an old fencing number.
+    """
+
+    id: str
+    role: str
+    target: str
+    domain: str
+    address: str
+    incarnation: int
+    first_layer: int = 0
+    last_layer: int = 0
+    accelerator: str = ""
+    version: str = ""
+    checks_fencing: bool = False
+
+
+def subject_of(target: Target) -> str:
+    """Return the subject of its news: those of one incarnation never touch the next."""
+    return f"{target.id}@{target.incarnation}"
+
+
+def target_of(instance: "Instance") -> Target | None:
+    """Return the target that a list entry describes, None if it is malformed."""
+    attributes = instance.attributes
+    layers = (0, 0) if instance.role == "service" else _layers_of(attributes)
+    if layers is None:
+        return None
+    return Target(
+        id=instance.id,
+        role=instance.role,
+        target=instance.target,
+        domain=instance.domain,
+        address=instance.address,
+        incarnation=instance.incarnation,
+        first_layer=layers[0],
+        last_layer=layers[1],
+        accelerator=str(attributes.get("accelerator", "")),
+        version=str(attributes.get("version", "")),
+        checks_fencing=attributes.get("checks_fencing") is True,
+    )
+
+
+def _layers_of(attributes: Mapping[str, Any]) -> tuple[int, int] | None:
+    """Return the layers that an engine holds, None if they make no sense."""
+    first, last = attributes.get("first_layer"), attributes.get("last_layer")
+    if not isinstance(first, int) or not isinstance(last, int):
+        return None
+    return (first, last) if 0 <= first < last else None
