--- a/libs/routing/src/celeryfork_routing/engines.py
+++ b/libs/routing/src/celeryfork_routing/engines.py
@@ -89,6 +89,10 @@
     excess
         Streams queued on it beyond its part of the stage's queue, by its last
         report, aged.
+    relief
+        Share of its capacity that is planned with, lowered while its queue stands out.
+    queue, report
+        Its queue by its last report, and the report.
     digest
         Hash of its id, for the preference of prompts.
     slowness
@@ -107,7 +111,9 @@
     layers_per_stream: float = 0.0
     digest: int = 0
     refreshed_s: float = float("-inf")
-    _queue: float = 0.0
+    relief: float = 1.0
+    queue: float = 0.0
+    report: LoadReport | None = None
 
     @property
     def held(self) -> tuple[int, int]:
@@ -160,9 +166,10 @@
         self.refreshed_s = now_s
         if report is None or self.stage is None:
             return
+        self.report = report
         queue = report.running + report.waiting
-        self.stage.queue += queue - self._queue
-        self._queue = queue
+        self.stage.queue += queue - self.queue
+        self.queue = queue
         part = self.stage.queue * self.capacity / self.stage.capacity
         self.excess = (queue - part) * exp(-report.age_s(now_s) / LOAD_MEMORY_S)
 
@@ -171,7 +178,7 @@
         self.stage = stage
         stage.capacity += self.capacity
         stage.own_layers += self.own_layers
-        stage.queue += self._queue
+        stage.queue += self.queue
 
     def _add_own(self, layers: int) -> None:
         self.own_layers += layers
--- a/libs/routing/src/celeryfork_routing/fleet.py
+++ b/libs/routing/src/celeryfork_routing/fleet.py
@@ -9,7 +9,13 @@
 from celeryfork_membership.targets import Target
 
 from celeryfork_routing.engines import Engine, make_engine
-from celeryfork_routing.plan import LatencyOf, Plan, draft_plan, finish_plan
+from celeryfork_routing.plan import (
+    LatencyOf,
+    Plan,
+    draft_plan,
+    finish_plan,
+    relieve_long_queues,
+)
 
 LEAST_REPLAN_S = 0.2
 REPLAN_FOR_SPEED_S = 5.0
@@ -57,6 +63,7 @@
         self._in_choice: Sequence[Target] = ()
         self._planned_for: Sequence[Target] | None = None
         self._planned_s = float("-inf")
+        self._relieved_s = float("-inf")
         self._pause_s = LEAST_REPLAN_S
         self._lock = lock
         self._planning = threading.Lock()
@@ -148,6 +155,9 @@
             began_s = self._clock.monotonic()
             in_choice = self._in_choice
             engines = self._engines_of(in_choice)
+            if began_s - self._relieved_s >= REPLAN_FOR_SPEED_S:
+                self._relieved_s = began_s
+                relieve_long_queues(engines)
             draft = draft_plan(engines, self.layers)
             with self._lock:
                 self.plan = finish_plan(draft, engines, self._latency_s, self._origin)
--- a/libs/routing/src/celeryfork_routing/plan.py
+++ b/libs/routing/src/celeryfork_routing/plan.py
@@ -10,7 +10,7 @@
 from bisect import bisect_left
 from collections.abc import Callable, Mapping, Sequence
 from itertools import accumulate
-from statistics import median
+from statistics import median_low
 
 from attrs import frozen
 
@@ -18,9 +18,13 @@
 from celeryfork_routing.engines import Engine, Lane, Stage, make_lane, make_stage
 from celeryfork_routing.packing import Path, PathHop, Range, pack_paths
 
-SLOWER_STEPS = (1.0, 1.5, 2.0, 3.0, 4.0, 6.0, 10.0)
-LEAST_SAMPLES = 8
+SLOWER_STEPS = (2.0, 3.0, 4.0, 6.0, 10.0)
+LEAST_SAMPLES = 4
+LEAST_TO_COMPARE = 2
 LEAST_PART_OF_ENGINE = 0.3
+LONG_QUEUE_TIMES = 3.0
+LONG_QUEUE_BATCHES = 2.0
+LEAST_RELIEF = 0.125
 
 LatencyOf = Callable[[str, str], float]
 
@@ -74,19 +78,53 @@
 
 
 def learned_capacities(engines: Sequence[Engine]) -> dict[str, float]:
-    """Return capacities by id, lower for engines much slower than the others."""
-    known = [e.slowness for e in engines if e.samples >= LEAST_SAMPLES]
-    usual = median(known) if known else 1.0
+    """Return capacities by id, lower for engines much slower than others like them.
+
+    Engines are compared within their range, because chains over one range may wait
+    longer at others than expected.
+    """
+    known_by_range: dict[Range, list[float]] = {}
+    for engine in engines:
+        if engine.samples >= LEAST_SAMPLES:
+            known_by_range.setdefault(engine.held, []).append(engine.slowness)
     return {
-        engine.target.id: engine.nominal / _slower(engine, usual) for engine in engines
+        engine.target.id: engine.nominal
+        * engine.relief
+        / _slower(engine, known_by_range.get(engine.held, []))
+        for engine in engines
     }
 
 
-def _slower(engine: Engine, usual: float) -> float:
+def relieve_long_queues(engines: Sequence[Engine]) -> None:
+    """Plan with less of engines whose queue stands out in their range.
+
+    An engine that is much slower than it says finishes little to learn from, but its
+    queue shows. Call it every few seconds.
+    """
+    members: dict[Range, list[Engine]] = {}
+    for engine in engines:
+        if engine.report is not None:
+            members.setdefault(engine.held, []).append(engine)
+    for alike in members.values():
+        total = sum(engine.queue for engine in alike)
+        for engine in alike:
+            others = (total - engine.queue) / max(len(alike) - 1, 1)
+            _relieve(engine, others if len(alike) > 1 else engine.queue)
+
+
+def _relieve(engine: Engine, others: float) -> None:
+    batch = engine.report.max_batch if engine.report is not None else 1
+    if engine.queue > LONG_QUEUE_TIMES * others + LONG_QUEUE_BATCHES * batch:
+        engine.relief = max(engine.relief / 2, LEAST_RELIEF)
+    elif engine.queue <= others + batch:
+        engine.relief = min(engine.relief * 2, 1.0)
+
+
+def _slower(engine: Engine, known: Sequence[float]) -> float:
     """Return by how much an engine is slower, in steps on which instances agree."""
-    if engine.samples < LEAST_SAMPLES:
+    if engine.samples < LEAST_SAMPLES or len(known) < LEAST_TO_COMPARE:
         return 1.0
-    relative = engine.slowness / usual
+    relative = engine.slowness / median_low(known)
     return max((s for s in SLOWER_STEPS if s <= relative), default=1.0)
 
 
