--- a/libs/membership/src/celeryfork_membership/gossip.py
+++ b/libs/membership/src/celeryfork_membership/gossip.py
@@ -284,7 +284,8 @@
 
     def _choose(self) -> tuple[str, str | None] | None:
         """Return the address to speak to and, where known, the instance there."""
-        suspects = [n for n, count in self._failures_by_instance.items() if count == 1]
+        failures = list(self._failures_by_instance.items())
+        suspects = [name for name, count in failures if count == 1]
         for name in suspects:
             peer = self._table.get(name)
             if peer is not None and peer.suspected_s is None:
@@ -406,8 +407,7 @@
         """Announce this instance anew when peers suspect it."""
         same = rumour.incarnation == self._identity.incarnation
         if same and rumour.sequence >= self._sequence:
-            self._sequence = rumour.sequence
-            self._announce()
+            self._announce(after=rumour.sequence)
             if rumour.suspected_s is not None:
                 self._counters.add("gossip.contradicted")
                 self._request_eager()
@@ -422,8 +422,10 @@
         if self._clock.monotonic() - self._announced_s >= wait_s:
             self._announce()
 
-    def _announce(self) -> None:
-        self._sequence += 1
+    def _announce(self, after: int = 0) -> None:
+        """Publish what this instance is now, newer than sequence ``after``."""
+        with self._wake:
+            self._sequence = max(self._sequence, after) + 1
         self._announced_s = self._clock.monotonic()
         self._announced_offset = self._config_offset
         self._publish(self._own_view())
--- a/libs/routing/src/celeryfork_routing/fleet.py
+++ b/libs/routing/src/celeryfork_routing/fleet.py
@@ -7,6 +7,7 @@
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_membership.targets import Target
+from logbook import Logger
 
 from celeryfork_routing.engines import Engine, make_engine
 from celeryfork_routing.plan import (
@@ -25,6 +26,8 @@
 WEIGHING_GAIN = 0.1
 WEIGH_EACH_S = 0.1
 
+_log = Logger("routing")
+
 RateOf = Callable[[Target, int], float]
 
 
@@ -82,7 +85,11 @@
             return
         self._planned_s = now_s
         if not self._planning.locked():
-            self._executor.submit(self._replan)
+            self._plan_later()
+
+    def bound(self) -> float:
+        """Return the most tokens a second by the present plan."""
+        return self.plan.bound_tokens_per_second if self.plan is not None else 0.0
 
     def weigh_instances(self) -> None:
         """Estimate how many times this instance's work all instances' work is.
@@ -115,7 +122,7 @@
         return {
             "engines": len(self.engines_by_id),
             "usable": len(self.usable_ids),
-            "bound_tokens_per_second": plan.bound_tokens_per_second if plan else 0.0,
+            "bound_tokens_per_second": self.bound(),
             "paths": len(plan.table.paths) if plan and plan.table else 0,
             "instances_like_this": self.instances,
             "slow_ids": sorted(
@@ -150,6 +157,21 @@
             engine.slowness, engine.samples = known.slowness, known.samples
         return engine
 
+    def _plan_later(self) -> None:
+        try:
+            self._executor.submit(self._replan_or_keep)
+        except RuntimeError:
+            # The router was stopped; what is still in flight keeps the last plan.
+            self._counters.add("routing.plans_after_stop")
+
+    def _replan_or_keep(self) -> None:
+        """Make a new plan; keep the old one after a fault."""
+        try:
+            self._replan()
+        except Exception:
+            self._counters.add("routing.plan_faults")
+            _log.exception("the old plan of {} stays after a fault", self.model)
+
     def _replan(self) -> None:
         with self._planning:
             began_s = self._clock.monotonic()
--- a/libs/routing/src/celeryfork_routing/picker.py
+++ b/libs/routing/src/celeryfork_routing/picker.py
@@ -111,10 +111,6 @@
             return best or other
         return best if best.cost_s <= other.cost_s else other
 
-    def forget(self) -> None:
-        """Drop remembered preferences, after a change of the stages."""
-        self._preferred.clear()
-
     def _weigh(self, path: RoutePath, search: _Search, origin: str) -> Candidate | None:
         legs = []
         total_s = 0.0
--- a/libs/routing/src/celeryfork_routing/router.py
+++ b/libs/routing/src/celeryfork_routing/router.py
@@ -23,6 +23,7 @@
 from celeryfork_routing.picker import Picker
 from celeryfork_routing.search import Leg, cheapest_legs
 from celeryfork_routing.services import ServiceChoice
+from celeryfork_routing.versions import ModelFleets
 
 if TYPE_CHECKING:
     from celeryfork_config.in_force import Configuration
@@ -71,7 +72,7 @@
         self._picker = Picker(probe, clock, self._random, self._links)
         self._services = ServiceChoice(domain, self._random)
         self._lock = threading.RLock()
-        self._fleets_by_model: dict[tuple[str, int], Fleet] = {}
+        self._fleets_by_model: dict[tuple[str, int], ModelFleets] = {}
         self._flights_by_chain_id: dict[str, _Flight] = {}
         self._ids = count(1)
         self._id_prefix = f"{self._random.getrandbits(32):08x}"
@@ -85,15 +86,17 @@
             ``no_target``: some layer is held by no target that may be used.
         """
         in_choice = self._view.in_choice(request.model)
+        chain: Chain | None = None
         with self._lock:
             self._links.refresh()
-            fleet = self._fleet(request)
-            plan = fleet.plan
-            fleet.see(in_choice)
-            if fleet.plan is not plan:
-                self._picker.forget()
-            legs = self._legs(fleet, request)
-            chain = self._begin(fleet, legs) if legs else None
+            fleets = self._fleets(request)
+            fleets.see(in_choice)
+            point = self._random.random()
+            for fleet in fleets.in_order(point, request.keep):
+                legs = self._legs(fleet, request)
+                if legs is not None:
+                    chain = self._begin(fleet, legs)
+                    break
         if chain is None:
             self._counters.add("routing.no_target")
             raise _no_target(request.model)
@@ -149,30 +152,36 @@
         with self._lock:
             return {
                 "models": {
-                    fleet.model: fleet.dump()
-                    for fleet in self._fleets_by_model.values()
+                    model: {
+                        version: fleet.dump()
+                        for version, fleet in fleets.fleets_by_version.items()
+                    }
+                    for (model, _), fleets in self._fleets_by_model.items()
                 },
                 "chains_in_flight": len(self._flights_by_chain_id),
                 "service_calls_in_flight": self._services.dump(),
             }
 
-    def _fleet(self, request: ChainRequest) -> Fleet:
+    def _fleets(self, request: ChainRequest) -> ModelFleets:
         key = (request.model, request.layers)
-        fleet = self._fleets_by_model.get(key)
-        if fleet is None:
-            fleet = Fleet(
-                request.model,
-                request.layers,
-                self._clock,
-                self._counters,
-                self._executor,
-                self._rate_of,
-                self._links.latency_s,
-                self._domain,
-                self._lock,
-            )
-            self._fleets_by_model[key] = fleet
-        return fleet
+        fleets = self._fleets_by_model.get(key)
+        if fleets is None:
+            fleets = ModelFleets(lambda: self._make_fleet(*key))
+            self._fleets_by_model[key] = fleets
+        return fleets
+
+    def _make_fleet(self, model: str, layers: int) -> Fleet:
+        return Fleet(
+            model,
+            layers,
+            self._clock,
+            self._counters,
+            self._executor,
+            self._rate_of,
+            self._links.latency_s,
+            self._domain,
+            self._lock,
+        )
 
     def _legs(self, fleet: Fleet, request: ChainRequest) -> tuple[Leg, ...] | None:
         if not request.keep:
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/versions.py
@@ -0,0 +1,80 @@
+"""One model's fleets, one for each version of the weights.
+
+A chain must not mix versions: activations of one mean nothing to another. While a
+rollout goes on, requests are spread over the versions by what each can carry.
+"""
+
+from collections.abc import Callable, Sequence
+
+from celeryfork_membership.targets import Target
+
+from celeryfork_routing.chains import Hop
+from celeryfork_routing.fleet import Fleet
+
+
+class ModelFleets:
+    """The fleets of one model by version; the router holds its lock.
+
+    Parameters
+    ----------
+    make_fleet
+        Returns a new fleet.
+    """
+
+    def __init__(self, make_fleet: Callable[[], Fleet]) -> None:
+        self.fleets_by_version: dict[str, Fleet] = {}
+        self._make_fleet = make_fleet
+        self._in_choice: Sequence[Target] | None = None
+        self._targets_by_version: dict[str, tuple[Target, ...]] = {}
+
+    def see(self, in_choice: Sequence[Target]) -> None:
+        """Take in who is in choice."""
+        if in_choice is not self._in_choice:
+            self._split(in_choice)
+        for version, targets in self._targets_by_version.items():
+            self.fleets_by_version[version].see(targets)
+
+    def in_order(self, point: float, keep: Sequence[Hop]) -> list[Fleet]:
+        """Return the fleets to try, the first drawn by what each can carry.
+
+        Parameters
+        ----------
+        point
+            A number in [0, 1).
+        keep
+            Hops of an earlier attempt, whose version goes first.
+        """
+        if len(self.fleets_by_version) == 1:
+            return list(self.fleets_by_version.values())
+        fleets = sorted(
+            self.fleets_by_version.values(), key=lambda fleet: -fleet.bound()
+        )
+        kept = self.fleets_by_version.get(keep[0].target.version) if keep else None
+        first = kept or _draw(fleets, point)
+        return [first, *(fleet for fleet in fleets if fleet is not first)]
+
+    def _split(self, in_choice: Sequence[Target]) -> None:
+        """Sort targets by version; make new fleets, drop idle ones that are gone."""
+        members: dict[str, list[Target]] = {}
+        for target in in_choice:
+            members.setdefault(target.version, []).append(target)
+        for version, fleet in list(self.fleets_by_version.items()):
+            if version not in members:
+                fleet.see(())
+                if not fleet.own_chains:
+                    del self.fleets_by_version[version]
+        for version in members:
+            if version not in self.fleets_by_version:
+                self.fleets_by_version[version] = self._make_fleet()
+        self._targets_by_version = {v: tuple(held) for v, held in members.items()}
+        self._in_choice = in_choice
+
+
+def _draw(fleets: Sequence[Fleet], point: float) -> Fleet:
+    """Return the fleet at ``point`` where each has room by its bound."""
+    left = point * sum(fleet.bound() for fleet in fleets)
+    for fleet in fleets:
+        left -= fleet.bound()
+        if left < 0:
+            return fleet
+    return fleets[0]
