--- a/libs/membership/src/celeryfork_membership/gossip.py
+++ b/libs/membership/src/celeryfork_membership/gossip.py
@@ -24,7 +24,9 @@
 from celeryfork_wire.peers import PeerCall, Reply
 from logbook import Logger
 
+from celeryfork_membership.budget import Budget
 from celeryfork_membership.news import NewsBoard
+from celeryfork_membership.partners import Partner, Partners
 from celeryfork_membership.peers import (
     PeerIdentity,
     PeerTable,
@@ -40,10 +42,7 @@
 MOST_NEWS_TO_NEWCOMER = 2048
 MOST_WELCOME_NEWS = 4096.0
 WELCOME_NEWS_PER_S = 2.0
-MOST_SEEDS = 2048
-LOST_PEER_SHARE = 0.1
-MOST_STRAY_SHARE = 0.5
-MOST_EAGER_WAITING = 3
+MOST_EAGER_SAVED = 3.0
 STOP_WAIT_S = 3.0
 
 _log = Logger("membership")
@@ -118,12 +117,16 @@
         self._wake = threading.Condition()
         self._stopped = False
         self._eager = 0
-        self._eager_budget = float(MOST_EAGER_WAITING)
-        self._budget_s = clock.monotonic()
-        self._welcome_budget = MOST_WELCOME_NEWS
-        self._welcomed_s = clock.monotonic()
-        self._seeds: dict[str, None] = {}
-        self._failures_by_instance: dict[str, int] = {}
+        self._eager_budget = Budget(clock, pace.eager_per_s, MOST_EAGER_SAVED)
+        self._welcome_budget = Budget(clock, WELCOME_NEWS_PER_S, MOST_WELCOME_NEWS)
+        self._partners = Partners(
+            self._table,
+            identity.domain,
+            pace.own_domain_share,
+            identity.peer_address,
+            clock,
+            random,
+        )
         self._own_news = (NEWS_PEER, identity.instance)
         self._sequence = 0
         self._announced_s = float("-inf")
@@ -158,11 +161,7 @@
 
     def seed(self, addresses: Iterable[str]) -> None:
         """Note addresses where peers may be found."""
-        for address in addresses:
-            if address == self._identity.peer_address:
-                continue
-            if address in self._seeds or len(self._seeds) < MOST_SEEDS:
-                self._seeds[address] = None
+        self._partners.seed(addresses)
 
     def set_state(self, state: int) -> None:
         """Set this instance's `InstanceState` and announce it at once."""
@@ -214,7 +213,7 @@
                 for peer in list(self._table.live().values())[:100]
             },
             "lost": [peer.instance for peer in self._table.lost()][:100],
-            "seeds": len(self._seeds),
+            "seeds": self._partners.seed_count,
         }
 
     def exchange_once(self) -> None:
@@ -222,9 +221,9 @@
         with self._wake:
             self._eager = max(self._eager - 1, 0)
         self._announce_if_due()
-        target = self._choose()
-        if target is not None:
-            self._exchange(*target)
+        partner = self._partners.choose()
+        if partner is not None:
+            self._exchange(partner)
 
     def _run(self) -> None:
         while self._wait():
@@ -250,17 +249,11 @@
 
     def _request_eager(self) -> None:
         """Ask for exchanges at once, as far as their budget goes."""
-        now_s = self._clock.monotonic()
         with self._wake:
-            earned = (now_s - self._budget_s) * self._pace.eager_per_s
-            self._budget_s = now_s
-            self._eager_budget = min(
-                self._eager_budget + earned, float(MOST_EAGER_WAITING)
-            )
-            wanted = self._pace.eager_exchanges - self._eager
-            granted = max(min(wanted, int(self._eager_budget)), 0)
-            self._eager_budget -= granted
-            self._eager += granted
+            while self._eager < self._pace.eager_exchanges:
+                if not self._eager_budget.take(1):
+                    break
+                self._eager += 1
             self._wake.notify_all()
 
     def _is_newcomer(self, heartbeat: Heartbeat) -> bool:
@@ -269,83 +262,31 @@
 
     def _welcome_news(self) -> list[News] | None:
         """Return everything for a newcomer, None where that goes beyond the budget."""
-        now_s = self._clock.monotonic()
         news = self._news.everything(MOST_NEWS_TO_NEWCOMER)
         with self._wake:
-            earned = (now_s - self._welcomed_s) * WELCOME_NEWS_PER_S
-            budget = min(self._welcome_budget + earned, MOST_WELCOME_NEWS)
-            self._welcomed_s = now_s
-            self._welcome_budget = budget
-            if budget < len(news):
+            if not self._welcome_budget.take(len(news)):
                 return None
-            self._welcome_budget -= len(news)
         self._counters.add("gossip.welcomed")
         return news
 
-    def _choose(self) -> tuple[str, str | None] | None:
-        """Return the address to speak to and, where known, the instance there."""
-        failures = list(self._failures_by_instance.items())
-        suspects = [name for name, count in failures if count == 1]
-        for name in suspects:
-            peer = self._table.get(name)
-            if peer is not None and peer.suspected_s is None:
-                return peer.peer_address, name
-            self._failures_by_instance.pop(name, None)
-        live = list(self._table.live().values())
-        unknown = max(len(self._seeds) - len(live), 0)
-        share = unknown / (unknown + len(live)) if unknown else 0.0
-        share = min(max(share, LOST_PEER_SHARE), MOST_STRAY_SHARE)
-        if not live or self._random.random() < share:
-            stray = self._choose_stray()
-            if stray is not None:
-                return stray
-        return self._choose_live(live)
-
-    def _choose_live(self, live: list[PeerView]) -> tuple[str, str | None] | None:
-        if not live:
-            return None
-        domain = self._identity.domain
-        near = [peer for peer in live if peer.domain == domain]
-        far = [peer for peer in live if peer.domain != domain]
-        stay = self._random.random() < self._pace.own_domain_share
-        group = near if (stay and near) or not far else far
-        peer = self._random.choice(group)
-        return peer.peer_address, peer.instance
-
-    def _choose_stray(self) -> tuple[str, str | None] | None:
-        """Return a lost peer, or a seed at which no peer is known."""
-        lost = self._table.lost()
-        known = {peer.peer_address for peer in self._table.live().values()}
-        known.update(peer.peer_address for peer in lost)
-        strays: list[tuple[str, str | None]] = [
-            (peer.peer_address, peer.instance) for peer in lost
-        ]
-        strays += [(address, None) for address in self._seeds if address not in known]
-        return self._random.choice(strays) if strays else None
-
-    def _exchange(self, address: str, instance: str | None) -> None:
+    def _exchange(self, partner: Partner) -> None:
         mine = self._heartbeat()
         self._counters.add("gossip.begun")
         try:
             theirs = self._pool.call(
-                address,
+                partner.address,
                 lambda peer: _call_exchange(peer, mine),
                 self._pace.timeout_s,
                 fresh=False,
             )
         except PeerUnavailableError:
             self._counters.add("gossip.failed")
-            if instance is not None:
-                self._fail(instance)
+            if self._partners.failed(partner) and partner.instance is not None:
+                self._suspect(partner.instance)
             return
         self._hear(theirs)
 
-    def _fail(self, instance: str) -> None:
-        failures = self._failures_by_instance.get(instance, 0) + 1
-        if failures < 2:
-            self._failures_by_instance[instance] = failures
-            return
-        self._failures_by_instance.pop(instance, None)
+    def _suspect(self, instance: str) -> None:
         peer = self._table.suspect(instance)
         if peer is None:
             return
@@ -373,7 +314,7 @@
         self._news.receive(heartbeat.news[:MOST_NEWS_TO_NEWCOMER])
 
     def _hear_peer(self, peer: PeerView) -> None:
-        self._failures_by_instance.pop(peer.instance, None)
+        self._partners.answered(peer.instance, peer.peer_address)
         known = self._table.get(peer.instance)
         if known is not None and known.version > peer.version:
             if known.incarnation > peer.incarnation:
--- /dev/null
+++ b/libs/membership/src/celeryfork_membership/partners.py
@@ -0,0 +1,170 @@
+"""The choice of the peer to speak to next.
+
+Mostly a live peer at random, more often one of the own failure domain; first the peer
+that did not answer last time, so that a dead one is found out soon; now and then a
+lost peer, which ends a partition, or a seed at which no peer is known yet.
+"""
+
+import threading
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from attrs import define, frozen
+from celeryfork_base.clock import Clock
+
+from celeryfork_membership.peers import PeerTable, PeerView
+
+MOST_SEEDS = 2048
+SEEDS_ALWAYS_KEPT = 32
+SEED_FAILURES_TO_DROP = 8
+SEED_FIRST_BACKOFF_S = 1.0
+SEED_MOST_BACKOFF_S = 60.0
+LOST_PEER_SHARE = 0.1
+MOST_STRAY_SHARE = 0.5
+FAILURES_TO_SUSPECT = 2
+
+
+@frozen
+class Partner:
+    """Whom to speak to: an address, and the instance there where it is known."""
+
+    address: str
+    instance: str | None
+
+
+@define
+class _Seed:
+    """An address where a peer may be found."""
+
+    failures: int = 0
+    next_try_s: float = float("-inf")
+
+
+class Partners:
+    """Chooses partners; safe to use from any thread.
+
+    Parameters
+    ----------
+    table
+        The peers known.
+    domain
+        The instance's failure domain.
+    own_domain_share
+        Share of the exchanges with live peers that stays in it.
+    own_address
+        The instance's own peer address, never chosen.
+    clock, random
+        Sources of time and chance.
+    """
+
+    def __init__(
+        self,
+        table: PeerTable,
+        domain: str,
+        own_domain_share: float,
+        own_address: str,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._table = table
+        self._domain = domain
+        self._own_domain_share = own_domain_share
+        self._own_address = own_address
+        self._clock = clock
+        self._random = random
+        self._lock = threading.Lock()
+        self._seeds_by_address: dict[str, _Seed] = {}
+        self._failures_by_instance: dict[str, int] = {}
+
+    @property
+    def seed_count(self) -> int:
+        """How many seeds are remembered."""
+        return len(self._seeds_by_address)
+
+    def seed(self, addresses: Iterable[str]) -> None:
+        """Note addresses where peers may be found."""
+        with self._lock:
+            for address in addresses:
+                if address == self._own_address:
+                    continue
+                if len(self._seeds_by_address) < MOST_SEEDS:
+                    self._seeds_by_address.setdefault(address, _Seed())
+
+    def answered(self, instance: str, address: str) -> None:
+        """Note that a peer spoke."""
+        with self._lock:
+            self._failures_by_instance.pop(instance, None)
+            if address in self._seeds_by_address:
+                self._seeds_by_address[address] = _Seed()
+
+    def failed(self, partner: Partner) -> bool:
+        """Note that a partner did not answer; return whether to suspect it."""
+        with self._lock:
+            if partner.instance is None:
+                self._seed_failed(partner.address)
+                return False
+            failures = self._failures_by_instance.pop(partner.instance, 0) + 1
+            if failures >= FAILURES_TO_SUSPECT:
+                return True
+            self._failures_by_instance[partner.instance] = failures
+            return False
+
+    def choose(self) -> Partner | None:
+        """Return whom to speak to now, None if nobody is known."""
+        doubtful = self._doubtful()
+        if doubtful is not None:
+            return doubtful
+        live = list(self._table.live().values())
+        seeds = self._due_seeds()
+        share = len(seeds) / (len(seeds) + len(live)) if seeds else 0.0
+        share = min(max(share, LOST_PEER_SHARE), MOST_STRAY_SHARE)
+        if not live or self._random.random() < share:
+            strays = [*seeds, *(_partner(peer) for peer in self._table.lost())]
+            if strays:
+                return self._random.choice(strays)
+        return self._choose_live(live)
+
+    def _doubtful(self) -> Partner | None:
+        """Return a peer that failed to answer just now, for a second try."""
+        with self._lock:
+            for name in list(self._failures_by_instance):
+                peer = self._table.get(name)
+                if peer is not None and peer.suspected_s is None:
+                    return _partner(peer)
+                del self._failures_by_instance[name]
+        return None
+
+    def _due_seeds(self) -> list[Partner]:
+        """Return the seeds to try where no peer is known."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            due = [
+                a for a, s in self._seeds_by_address.items() if s.next_try_s <= now_s
+            ]
+        known = self._table.addresses() if due else frozenset()
+        return [Partner(address, None) for address in due if address not in known]
+
+    def _choose_live(self, live: Sequence[PeerView]) -> Partner | None:
+        if not live:
+            return None
+        near = [peer for peer in live if peer.domain == self._domain]
+        far = [peer for peer in live if peer.domain != self._domain]
+        stay = self._random.random() < self._own_domain_share
+        group = near if (stay and near) or not far else far
+        return _partner(self._random.choice(group))
+
+    def _seed_failed(self, address: str) -> None:
+        """Try a seed less often, and drop it in the end: the list may name it anew."""
+        seed = self._seeds_by_address.get(address)
+        if seed is None:
+            return
+        backoff_s = min(SEED_FIRST_BACKOFF_S * 2**seed.failures, SEED_MOST_BACKOFF_S)
+        seed.failures += 1
+        seed.next_try_s = self._clock.monotonic() + backoff_s
+        spare = len(self._seeds_by_address) > SEEDS_ALWAYS_KEPT
+        if spare and seed.failures >= SEED_FAILURES_TO_DROP:
+            del self._seeds_by_address[address]
+
+
+def _partner(peer: PeerView) -> Partner:
+    return Partner(peer.peer_address, peer.instance)
--- a/libs/membership/src/celeryfork_membership/peers.py
+++ b/libs/membership/src/celeryfork_membership/peers.py
@@ -126,11 +126,11 @@
         """Return a peer, dead or alive."""
         return self._peers_by_instance.get(instance)
 
-    def by_address(self, address: str) -> PeerView | None:
-        """Return the peer that serves peers at ``address``."""
+    def addresses(self) -> frozenset[str]:
+        """Return the peer addresses of all peers known, dead or alive."""
         with self._lock:
-            peers = list(self._peers_by_instance.values())
-        return next((peer for peer in peers if peer.peer_address == address), None)
+            peers = self._peers_by_instance.values()
+            return frozenset(peer.peer_address for peer in peers)
 
     def put(self, peer: PeerView) -> None:
         """Take in an announcement unless a newer one is known."""
