--- a/libs/calls/src/celeryfork_calls/claim_fold.py
+++ b/libs/calls/src/celeryfork_calls/claim_fold.py
@@ -9,12 +9,11 @@
 """
 
 import hashlib
+import re
 import struct
-import uuid
 from collections.abc import Iterator
 
 from attrs import field, frozen, mutable
-from celeryfork_base.identity import birth_ms_of_uuid7
 from celeryfork_base.outcomes import Outcome
 
 from celeryfork_calls.claim_records import Abandon, Batch, Claim, Settled
@@ -25,6 +24,10 @@
 
 _HELD = struct.Struct(">8s8sIqB")  # nonce, body hash, holder, outcome's offset, outcome
 _NO_OUTCOME = 0
+# RFC 9562, sections 4 and 5.7: 48 bits of milliseconds, version 7, variant 0b10.
+_CANONICAL_UUID7 = re.compile(
+    "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
 _OUTCOMES = (None, Outcome.DONE, Outcome.FAILED, Outcome.UNKNOWN)
 _NUMBER_BY_OUTCOME = {o: n for n, o in enumerate(_OUTCOMES) if o is not None}
 
@@ -235,11 +238,14 @@
 
 
 def birth_ms_of_key(key: str) -> int | None:
-    """Return the birth time of a key in milliseconds, None if it is no UUIDv7."""
-    try:
-        return birth_ms_of_uuid7(uuid.UUID(key))
-    except ValueError:
+    """Return the birth time of a key in milliseconds, None if it is no UUIDv7.
+
+    Only the canonical spelling counts, and it is read without building a UUID, since
+    every instance does this for every claim of all.
+    """
+    if _CANONICAL_UUID7.fullmatch(key) is None:
         return None
+    return int(key[:8] + key[9:13], 16)
 
 
 def key_hash(organisation: str, key: str) -> bytes:
--- a/libs/calls/src/celeryfork_calls/claim_follower.py
+++ b/libs/calls/src/celeryfork_calls/claim_follower.py
@@ -15,6 +15,9 @@
 READ_TIMEOUT_S = 5.0
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 2.0
+# Each read costs far more than folding what it brings, so reads keep a distance.
+GAP_WHILE_AWAITED_S = 0.01
+GAP_S = 0.1
 
 SliceCallback = Callable[[LogSlicePort], None]
 GapCallback = Callable[[float], None]
@@ -27,6 +30,8 @@
     ----------
     on_slice
         Called with each read, in order.
+    awaited
+        Set while a claim of this instance waits to be read.
     on_gap
         Called before a slice that does not continue the one before, with the
         monotonic time after that read: older records may be gone unread.
@@ -37,12 +42,14 @@
         log: LogPort,
         on_slice: SliceCallback,
         on_gap: GapCallback,
+        awaited: threading.Event,
         clock: Clock,
         counters: Counters,
     ) -> None:
         self._log = log
         self._on_slice = on_slice
         self._on_gap = on_gap
+        self._awaited = awaited
         self._clock = clock
         self._counters = counters
         self._next_offset = 0
@@ -75,17 +82,34 @@
     def _run(self) -> None:
         backoff_s = FIRST_BACKOFF_S
         while not self._stopping.is_set():
+            began_s = self._clock.monotonic()
             try:
-                self.read_next()
+                behind = self.read_next()
                 backoff_s = FIRST_BACKOFF_S
+                if not behind:
+                    self._keep_distance(began_s)
             except CeleryforkError:
                 self._counters.add("claims.reads_failed")
                 self._stopping.wait(backoff_s)
                 backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
 
-    def read_next(self) -> None:
+    def _keep_distance(self, began_s: float) -> None:
+        """Wait before the next read, less long once a claim waits for it."""
+        if not self._awaited.wait(self._left_s(began_s, GAP_S)):
+            return
+        self._stopping.wait(self._left_s(began_s, GAP_WHILE_AWAITED_S))
+
+    def _left_s(self, began_s: float, gap_s: float) -> float:
+        return max(0.0, began_s + gap_s - self._clock.monotonic())
+
+    def read_next(self) -> bool:
         """Read once and hand on what came.
 
+        Returns
+        -------
+        bool
+            Whether there is more to read at once.
+
         Raises
         ------
         CeleryforkError
@@ -104,5 +128,7 @@
         self._on_slice(part)
         last = part.records[-1].offset + 1 if part.records else part.next_offset
         self._next_offset = max(self._next_offset, last)
-        if self._next_offset >= part.next_offset:
-            self._caught_up.set()
+        if self._next_offset < part.next_offset:
+            return True
+        self._caught_up.set()
+        return False
--- a/libs/calls/src/celeryfork_calls/claim_records.py
+++ b/libs/calls/src/celeryfork_calls/claim_records.py
@@ -148,22 +148,34 @@
 
 
 def _decode(raw: Any) -> Entry:
-    match raw:
-        case ["c", str(organisation), str(key), str(body_hash), str(nonce), *_]:
+    tag, *rest = raw
+    match tag:
+        case "c":
+            organisation, key, body_hash, nonce = _texts(rest, 4)
             _check_nonce(nonce)
             bytes.fromhex(body_hash)
             return Claim(organisation, key, body_hash, nonce)
-        case ["a", str(organisation), str(key), str(nonce), *_]:
+        case "a":
+            organisation, key, nonce = _texts(rest, 3)
             _check_nonce(nonce)
             return Abandon(organisation, key, nonce)
-        case ["o", str(nonce), bool(body_kept), *kept]:
+        case "o":
+            (nonce,) = _texts(rest, 1)
             _check_nonce(nonce)
-            return Settled(nonce, _decode_kept(kept), body_kept)
-        case ["h", *kept]:
-            return HandedOver(_decode_kept(kept))
+            return Settled(nonce, _decode_kept(rest[2:]), rest[1] is True)
+        case "h":
+            return HandedOver(_decode_kept(rest))
     raise ValueError("no entry of claims")
 
 
+def _texts(values: list[Any], count: int) -> list[str]:
+    """Return the first values, which must be text; a later version may add more."""
+    texts = values[:count]
+    if len(texts) < count or not all(type(text) is str for text in texts):
+        raise ValueError("not the fields of this entry")
+    return texts
+
+
 def _check_nonce(nonce: str) -> None:
     if len(bytes.fromhex(nonce)) != NONCE_BYTES:
         raise ValueError("a nonce of another length")
@@ -182,27 +194,19 @@
     ]
 
 
-def _decode_kept(raw: Any) -> KeptOutcome:
-    match raw:
-        case [
-            str(organisation),
-            str(key),
-            str(outcome),
-            int(status),
-            str(content_type),
-            str(body),
-            str(body_hash),
-            int(kept_ms),
-            *_,
-        ]:
-            return KeptOutcome(
-                organisation=organisation,
-                key=key,
-                outcome=Outcome(outcome),
-                status=status,
-                content_type=content_type,
-                body=base64.b64decode(body, validate=True),
-                body_hash=body_hash,
-                kept_ms=kept_ms,
-            )
-    raise ValueError("no kept outcome")
+def _decode_kept(values: list[Any]) -> KeptOutcome:
+    organisation, key, outcome = _texts(values, 3)
+    content_type, body, body_hash = _texts(values[4:], 3)
+    status, kept_ms = values[3], values[7]
+    if type(status) is not int or type(kept_ms) is not int:
+        raise ValueError("not the fields of an outcome")
+    return KeptOutcome(
+        organisation=organisation,
+        key=key,
+        outcome=Outcome(outcome),
+        status=status,
+        content_type=content_type,
+        body=base64.b64decode(body, validate=True),
+        body_hash=body_hash,
+        kept_ms=kept_ms,
+    )
--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -141,6 +141,8 @@
         self._given_up: dict[str, Abandon | None] = {}
         self._waiters_by_hash: dict[bytes, list[threading.Event]] = {}
         self._on_handed_over: HandedOverCallback | None = None
+        self._waiting_count = 0
+        self.awaited = threading.Event()
         self.stopping = False
         self.kept = KeptStore(
             clock,
@@ -316,6 +318,8 @@
             return Refused(errors.overloaded("Too many claims wait for the log."))
         self._attempts_by_nonce[claim.nonce] = attempt
         self._attempts_by_hash[hashed] = attempt
+        self._waiting_count += 1
+        self.awaited.set()
         return attempt
 
     def _log_outcome(self, nonce: str, kept: KeptOutcome) -> None:
@@ -339,6 +343,10 @@
         self._given_up[claim.nonce] = None if queued else abandon
 
     def _decide(self, attempt: Attempt, state: AttemptState) -> None:
+        if attempt.state is AttemptState.WAITING:
+            self._waiting_count -= 1
+            if self._waiting_count == 0:
+                self.awaited.clear()
         attempt.state = state
         attempt.decided.set()
 
@@ -398,7 +406,8 @@
             except MalformedRecordError:
                 self._counters.add("claims.records_malformed")
             else:
-                self._counters.add("claims.entries_malformed", batch.faults)
+                if batch.faults:
+                    self._counters.add("claims.entries_malformed", batch.faults)
                 with self._lock:
                     self._apply(record, batch)
 
--- a/libs/calls/src/celeryfork_calls/claims.py
+++ b/libs/calls/src/celeryfork_calls/claims.py
@@ -5,7 +5,6 @@
 """
 
 import threading
-import uuid
 from collections.abc import Sequence
 
 from celeryfork_base.clock import Clock
@@ -71,7 +70,12 @@
         self._limits = limits
         self.table = ClaimTable(log, str(incarnation), clock, counters, limits)
         self.follower = ClaimFollower(
-            log, self.table.take_in, self.table.on_gap, clock, counters
+            log,
+            self.table.take_in,
+            self.table.on_gap,
+            self.table.awaited,
+            clock,
+            counters,
         )
 
     @property
@@ -122,11 +126,11 @@
         deadline_s
             Monotonic time until which the caller waits, in seconds.
         """
+        key = key.lower()
         fault = self._key_fault(key)
         if fault is not None:
             self._counters.add(f"claims.refused_{fault.code}")
             return Refused(fault)
-        key = str(uuid.UUID(key))
         result: ClaimResult | None = None
         while result is None:
             match self.table.look_or_begin(organisation, key, body_hash):
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -60,6 +60,7 @@
         self.poll_s = 0.05
         self.append_count = 0
         self.refused_count = 0
+        self.read_count = 0
         self._rate = appends_per_second
         self._allowance = 10.0
         self._allowance_s = clock.monotonic()
@@ -94,6 +95,7 @@
         self, stream: str, from_offset: int, limit: int, wait_s: float, timeout_s: float
     ) -> FakeSlice:
         with self._changed:
+            self.read_count += 1
             if wait_s > 0:
                 self._changed.wait_for(
                     lambda: self.down or self.next_offset > from_offset, self.poll_s
