--- a/libs/calls/tests/measure_claims.py
+++ b/libs/calls/tests/measure_claims.py
@@ -1,14 +1,17 @@
 """Prints what claims cost: appends and added latency a call, processor time, memory.
 
 Run from the root, with every library's ``src`` on PYTHONPATH:
-``python libs/calls/tests/measure_claims.py [SECONDS]``.
+``python libs/calls/tests/measure_claims.py [SECONDS]``. Each instance is a process of
+its own, and the log is the platform's stand-in, over HTTP.
 """
 
+import subprocess
 import sys
 import time
 import tracemalloc
 from concurrent.futures import Future, ThreadPoolExecutor
 
+import orjson
 from celeryfork_base.clock import SystemClock
 from celeryfork_base.counters import Counters
 from celeryfork_base.identity import Incarnation, make_uuid7
@@ -24,13 +27,14 @@
 from celeryfork_calls.claim_results import Claimed
 from celeryfork_calls.claims import ClaimBook, make_claim_book
 from celeryfork_calls.kept import KeptOutcome
-from conftest import FakeLog
+from celeryfork_platform.log import make_log_client
+from celeryfork_standin.platform import make_platform
 
-BOOKS = 9
+INSTANCES = 9
 APPENDS_PER_SECOND = 300.0
-APPEND_S = 0.002
 COMMIT_WAIT_S = 0.02
 DEADLINE_S = 10.0
+MOST_THREADS = 100
 HASH = hash_body(b"monday")
 CLOCK = SystemClock()
 
@@ -52,51 +56,79 @@
 
 
 def run_calls(
-    books: list[ClaimBook], calls_per_second: int, seconds: float
+    book: ClaimBook, calls_per_second: float, seconds: float
 ) -> list[Future[float | None]]:
     calls = []
-    with ThreadPoolExecutor(400) as pool:
+    with ThreadPoolExecutor(MOST_THREADS) as pool:
         began_s = time.monotonic()
-        for n in range(round(calls_per_second * seconds)):
+        for n in range(max(1, round(calls_per_second * seconds))):
             due_s = began_s + n / calls_per_second
             time.sleep(max(0.0, due_s - time.monotonic()))
-            calls.append(pool.submit(one_call, books[n % len(books)], due_s))
+            calls.append(pool.submit(one_call, book, due_s))
     return calls
 
 
-def measure_rate(calls_per_second: int, seconds: float, book_count: int) -> None:
-    log = FakeLog(CLOCK, APPENDS_PER_SECOND)
-    log.append_s = APPEND_S
-    books = [
-        make_claim_book(
-            log,
-            Incarnation(f"i{n}", 1),
-            CLOCK,
-            Counters(),
-            3600.0,
-            commit_wait_s=COMMIT_WAIT_S,
-        )
-        for n in range(book_count)
-    ]
-    for book in books:
-        book.start()
+def run_instance(name: str, url: str, calls_per_second: float, seconds: float) -> None:
+    """Be one instance, and print its figures as JSON."""
+    counters = Counters()
+    log = make_log_client(url, CLOCK, counters)
+    book = make_claim_book(
+        log, Incarnation(name, 1), CLOCK, counters, 3600.0, commit_wait_s=COMMIT_WAIT_S
+    )
+    book.start()
+    while not book.ready:
+        time.sleep(0.01)
+    sys.stdout.write("ready\n")
+    sys.stdout.flush()
+    sys.stdin.readline()
     cpu_s = time.process_time()
-    calls = run_calls(books, calls_per_second, seconds)
+    calls = run_calls(book, calls_per_second, seconds)
     cpu_s = time.process_time() - cpu_s
-    added = sorted(s for call in calls if (s := call.result()) is not None)
-    for book in books:
-        book.stop()
-    appends = log.append_count - log.refused_count
+    book.stop()
+    figures = {
+        "added_s": [call.result() for call in calls],
+        "cpu_s": cpu_s,
+        "appends": counters.count("claims.appends"),
+        "refused": counters.count("claims.appends_refused"),
+    }
+    sys.stdout.write(orjson.dumps(figures).decode() + "\n")
+
+
+def measure_rate(calls_per_second: int, seconds: float) -> None:
+    platform = make_platform(appends_per_second=APPENDS_PER_SECOND)
+    platform.start()
+    share = calls_per_second / INSTANCES
+    instances = [
+        subprocess.Popen(
+            [sys.executable, __file__, f"i{n}", platform.url, str(share), str(seconds)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for n in range(INSTANCES)
+    ]
+    for instance in instances:
+        instance.stdout.readline()
+    for instance in instances:
+        instance.stdin.write("go\n")
+        instance.stdin.flush()
+    figures = [orjson.loads(i.communicate(timeout=seconds + 60)[0]) for i in instances]
+    reads = platform.log.counts_by_name.get("reads", 0)
+    platform.stop()
+    calls = [s for f in figures for s in f["added_s"]]
+    added = sorted(s for s in calls if s is not None)
+    appends = sum(f["appends"] - f["refused"] for f in figures)
+    cpu_s = sum(f["cpu_s"] for f in figures) / INSTANCES
     print(
-        f"{calls_per_second:5} calls/s, {book_count} instances: {len(calls)} calls, "
-        f"{len(calls) - len(added)} refused, "
+        f"{calls_per_second:5} calls/s, {INSTANCES} instances, {seconds:g} s: "
+        f"{len(calls)} calls, {len(calls) - len(added)} refused; "
         f"appends a call {appends / len(calls):.2f}, "
-        f"reads an instance and second {log.read_count / seconds / book_count:.0f}, "
-        f"appends refused {log.refused_count}, added ms p50 "
-        f"{added[len(added) // 2] * 1000:.0f} p95 "
-        f"{added[len(added) * 95 // 100] * 1000:.0f} max {added[-1] * 1000:.0f}, "
-        f"processor us a call, all instances and callers "
-        f"{cpu_s / len(calls) * 1e6:.0f}"
+        f"{sum(f['refused'] for f in figures)} appends refused by the log, "
+        f"reads an instance and second {reads / seconds / INSTANCES:.0f}; "
+        f"added ms p50 {added[len(added) // 2] * 1000:.0f} "
+        f"p95 {added[len(added) * 95 // 100] * 1000:.0f} max {added[-1] * 1000:.0f}; "
+        f"processor of an instance {cpu_s / seconds * 100:.1f}% of a core",
+        flush=True,
     )
 
 
@@ -135,11 +167,14 @@
 
 
 def main() -> None:
-    seconds = float(sys.argv[1]) if len(sys.argv) > 1 else 10.0
+    if len(sys.argv) > 2:
+        name, url, calls_per_second, seconds = sys.argv[1:]
+        run_instance(name, url, float(calls_per_second), float(seconds))
+        return
+    measured_s = float(sys.argv[1]) if len(sys.argv) > 1 else 10.0
     measure_fold()
-    for calls_per_second in (1, 100, 1000):
-        measure_rate(calls_per_second, seconds, BOOKS)
-    measure_rate(1000, seconds, 1)
+    for rate in (1, 100, 1000):
+        measure_rate(rate, measured_s)
 
 
 if __name__ == "__main__":
