--- a/libs/config/src/celeryfork_config/entries.py
+++ b/libs/config/src/celeryfork_config/entries.py
@@ -63,9 +63,13 @@
     ----------
     original_offset, original_ms
         Where and when the record was accepted.
+    born_offset
+        Where the first record since the last retraction was accepted.
     as_of
         The carrier had applied every offset below this one, and the record was the
         last accepted one then.
+    made_ms
+        The carrier's clock then: a carry may stand in the log much later.
     superseded
         The record is not the last accepted one, but the newest that some instances
         can read.
@@ -73,7 +77,9 @@
 
     original_offset: int
     original_ms: int
+    born_offset: int
     as_of: int
+    made_ms: int
     superseded: bool
     record: Record
 
@@ -82,7 +88,9 @@
         body: dict[str, Any] = {
             "original_offset": self.original_offset,
             "original_ms": self.original_ms,
+            "born_offset": self.born_offset,
             "as_of": self.as_of,
+            "made_ms": self.made_ms,
             "record": self.record.to_json(),
         }
         if self.superseded:
@@ -145,7 +153,9 @@
     return Carry(
         original_offset=offset,
         original_ms=_whole(value.get("original_ms"), "$.carry.original_ms"),
+        born_offset=_whole(value.get("born_offset"), "$.carry.born_offset"),
         as_of=as_of,
+        made_ms=_whole(value.get("made_ms"), "$.carry.made_ms"),
         superseded=value.get("superseded") is True,
         record=_parse_record(value["record"], "$.carry.record"),
     )
--- a/libs/config/src/celeryfork_config/kept.py
+++ b/libs/config/src/celeryfork_config/kept.py
@@ -18,6 +18,8 @@
     ----------
     offset, original_ms
         Where and when the record itself was appended.
+    born_offset
+        Where the first record since the last retraction was accepted.
     data
         The record as JSON.
     value
@@ -33,6 +35,7 @@
     key: RecordKey
     offset: int
     original_ms: int
+    born_offset: int
     data: bytes
     retracted: bool
     value: Payload | None
@@ -41,13 +44,21 @@
     seen_ms: int
     superseded: bool = False
 
-    def to_carry(self, as_of: int) -> Carry:
+    def to_carry(self, as_of: int, made_ms: int) -> Carry:
         """Return a carry by an instance that has applied all before ``as_of``."""
         value = orjson.loads(self.data)
         record = Record(
             value["name"], value["schema"], value["based_on"], value["payload"]
         )
-        return Carry(self.offset, self.original_ms, as_of, self.superseded, record)
+        return Carry(
+            original_offset=self.offset,
+            original_ms=self.original_ms,
+            born_offset=self.born_offset,
+            as_of=as_of,
+            made_ms=made_ms,
+            superseded=self.superseded,
+            record=record,
+        )
 
 
 @frozen
@@ -68,12 +79,16 @@
         Nothing of this key can have been missed.
     head
         The last accepted record, retracted or not.
+    evidence_ms
+        When the log last got what tells a new reader of this key's state: its first
+        record, or a carry. Later records tell nothing without one.
     fallback
         The newest accepted record that can be read, where ``head`` can't.
     """
 
     key: RecordKey
     certain: bool
+    evidence_ms: int = 0
     head: KeptRecord | None = None
     fallback: KeptRecord | None = None
     pending: list[PendingRecord] = field(factory=list)
@@ -102,6 +117,14 @@
         """Name and schema version, for people."""
         return f"{self.key[0]}#{self.key[1]}"
 
+    def accepts_fallback(self, kept: KeptRecord) -> bool:
+        """Whether ``kept`` is the newest known record to fall back on."""
+        if kept.value is None:
+            return False
+        if self.fallback is not None and self.fallback.offset >= kept.offset:
+            return False
+        return self.head is None or self._may_fall_back(kept)
+
     def take_pending(self) -> list[PendingRecord]:
         """Return what was held back, and hold it back no more."""
         taken, self.pending = self.pending, []
@@ -110,17 +133,23 @@
     def replace_head(self, kept: KeptRecord) -> list[KeptRecord]:
         """Make ``kept`` the last accepted record; return what is kept no longer."""
         old, self.head = self.head, kept
-        dropped = [old] if old is not None else []
-        if kept.retracted or kept.value is not None:
-            if self.fallback is not None:
-                dropped.append(self.fallback)
-            self.fallback = None
-        elif old is not None and old.value is not None:
+        if old is not None and old.value is not None and self._may_fall_back(old):
             old.superseded = True
             self.fallback = old
-            dropped = []
+            return []
+        dropped = [old] if old is not None else []
+        if self.fallback is not None and not self._may_fall_back(self.fallback):
+            dropped.append(self.fallback)
+            self.fallback = None
         return dropped
 
+    def _may_fall_back(self, kept: KeptRecord) -> bool:
+        """Whether ``kept`` came before a head that can't be read, unretracted since."""
+        head = self.head
+        if head is None or head.fault is None:
+            return False
+        return head.born_offset <= kept.offset < head.offset
+
 
 class KeptIndex:
     """Kept records in the order in which the log last held them."""
@@ -159,15 +188,44 @@
         found.reverse()
         return found
 
-    def seen_before(self, seen_ms: int) -> Iterator[KeptRecord]:
-        """Yield the records that the log last held before a time, oldest first."""
-        self._sort()
-        for kept in list(self._by_seen_offset.values()):
-            if kept.seen_ms >= seen_ms:
-                return
-            yield kept
-
     def _sort(self) -> None:
         if not self._sorted:
             self._by_seen_offset = dict(sorted(self._by_seen_offset.items()))
             self._sorted = True
+
+
+class EvidenceQueue:
+    """Keys in the order in which the log last got evidence of them."""
+
+    def __init__(self) -> None:
+        self._states_by_key: dict[RecordKey, KeyState] = {}
+        self._last_ms = 0
+        self._sorted = True
+
+    def note(self, state: KeyState, evidence_ms: int) -> None:
+        """Note evidence of a key; older evidence than known changes nothing."""
+        if state.key in self._states_by_key and evidence_ms <= state.evidence_ms:
+            return
+        state.evidence_ms = evidence_ms
+        if evidence_ms < self._last_ms:
+            self._sorted = False
+        self._last_ms = max(self._last_ms, evidence_ms)
+        self._states_by_key.pop(state.key, None)
+        self._states_by_key[state.key] = state
+
+    def remove(self, state: KeyState) -> None:
+        """Remove a key."""
+        self._states_by_key.pop(state.key, None)
+
+    def before(self, evidence_ms: int) -> Iterator[KeyState]:
+        """Yield the keys that lack evidence since a time, the longest first."""
+        if not self._sorted:
+            items = sorted(
+                self._states_by_key.items(), key=lambda item: item[1].evidence_ms
+            )
+            self._states_by_key = dict(items)
+            self._sorted = True
+        for state in list(self._states_by_key.values()):
+            if state.evidence_ms >= evidence_ms:
+                return
+            yield state
--- a/libs/daemon/src/celeryfork_daemon/model_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/model_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import Future
+from secrets import token_hex
 from socket import socket
 
 from attrs import frozen
@@ -17,6 +18,7 @@
 from celeryfork_streams.errors import CallerGoneError
 from celeryfork_streams.formats import Shape
 from celeryfork_streams.loop_thread import LoopThread
+from celeryfork_streams.policy import StreamPolicy
 from celeryfork_streams.requests import GenerateRequest, StreamResult
 from celeryfork_streams.serve import answer_error, serve_generate
 from celeryfork_streams.streams import StreamRunner
@@ -34,7 +36,7 @@
 )
 from celeryfork_daemon.refusals import malformed, not_found
 
-SLOW_CALLER_TIMEOUT_S = 10.0
+STREAM_ID_BYTES = 8
 
 
 @frozen
@@ -43,6 +45,7 @@
 
     callers: Callers
     configuration: Callable[[], Configuration]
+    stream_policy: Callable[[], StreamPolicy]
     admission: Admission
     poison: PoisonRegister
     runner: StreamRunner
@@ -97,6 +100,7 @@
         priority = priority_of(call, organisation.priority)
         request = GenerateRequest(
             request_id=call.request_id,
+            stream_id=f"{call.request_id}.{token_hex(STREAM_ID_BYTES)}",
             organisation=organisation.name,
             model=model.name,
             prompt=asked.prompt,
@@ -135,12 +139,8 @@
         prepared: _Prepared,
         entered: "Future[Admitted]",
     ) -> None:
-        policy = self._parts.configuration().policy
         caller = await take_over(
-            connection,
-            policy.stream_buffer_bytes,
-            SLOW_CALLER_TIMEOUT_S,
-            self._parts.counters,
+            connection, self._parts.stream_policy(), self._parts.counters
         )
         admitted = await self._wait_for_turn(caller, prepared, entered)
         if admitted is None:
--- a/libs/routing/src/celeryfork_routing/plan.py
+++ b/libs/routing/src/celeryfork_routing/plan.py
@@ -1,4 +1,11 @@
-"""The plan of one model: its engines in groups, and weighted paths over the groups."""
+"""The plan of one model: stages of engines, lanes through them, and weighted paths.
+
+Engines of one range differ only in speed and place, so that the flow over ranges has
+the same bound as that over groups by accelerator and domain; who of a range gets a
+request is decided by its present cost. Where a range runs hops of several widths, its
+engines are dealt out to them in lanes, because a batch of mixed widths takes as long
+as its widest. Instances with the same view deal alike.
+"""
 
 from bisect import bisect_left
 from collections.abc import Callable, Mapping, Sequence
@@ -7,35 +14,22 @@
 
 from attrs import frozen
 
-from celeryfork_routing.bound import (
-    BoundResult,
-    EngineCapacity,
-    GroupKey,
-    Segment,
-    throughput_bound,
-)
-from celeryfork_routing.engines import Engine, Group, make_group
-from celeryfork_routing.paths import LatencyOf, Path, make_paths
-
-SLOW_FROM = 1.5
-MOST_SLOWNESS = 10.0
+from celeryfork_routing.bound import EngineCapacity, throughput_bound
+from celeryfork_routing.engines import Engine, Lane, Stage, make_lane, make_stage
+from celeryfork_routing.packing import Path, PathHop, Range, pack_paths
+
+SLOWER_STEPS = (1.0, 1.5, 2.0, 3.0, 4.0, 6.0, 10.0)
 LEAST_SAMPLES = 8
+LEAST_PART_OF_ENGINE = 0.3
+
+LatencyOf = Callable[[str, str], float]
 
 
 @frozen
 class RoutePath:
-    """A path with its groups at hand.
-
-    Parameters
-    ----------
-    hops
-        Group, first layer and last layer of each hop.
-    latency_s
-        Sum of the one-way latencies of its links, in seconds.
-    """
+    """A path: the lane of each hop."""
 
-    hops: tuple[tuple[Group, int, int], ...]
-    latency_s: float
+    lanes: tuple[Lane, ...]
 
 
 @frozen
@@ -57,104 +51,143 @@
 
     Parameters
     ----------
-    bound
-        The most tokens a second, from capacities as learned so far.
-    groups_by_key
-        The groups of engines.
-    spread
-        Paths by the weights of the max-flow; None if some layer is not held.
-    near
-        Paths over the nearest domains that hold each layer.
+    bound_tokens_per_second
+        The max-flow bound, from capacities as learned so far.
+    stages_by_range
+        The engines by the layers they hold.
+    table
+        Paths by their flows; None if some layer is not held.
     """
 
-    bound: BoundResult
-    groups_by_key: Mapping[GroupKey, Group]
-    spread: PathTable | None
-    near: PathTable | None
+    bound_tokens_per_second: float
+    stages_by_range: Mapping[Range, Stage]
+    table: PathTable | None
 
 
-def make_plan(
-    engines: Sequence[Engine], layers: int, latency_s: LatencyOf, origin: str
-) -> Plan:
-    """Return the plan for a model; learned speeds go into the engines' capacities."""
-    _apply_learned_speed(engines)
-    capacities = [_capacity_of(engine) for engine in engines]
-    bound = throughput_bound(capacities, layers)
-    groups_by_key = _make_groups(engines)
-    if not bound.segments:
-        return Plan(bound, groups_by_key, None, None)
-    spread = make_paths(bound.segments, latency_s, origin)
-    near_segments = _near_segments(bound.segments, latency_s, origin)
-    near = make_paths(near_segments, latency_s, origin)
-    to_table = _table_maker(groups_by_key, latency_s, origin)
-    return Plan(bound, groups_by_key, to_table(spread), to_table(near))
-
-
-def _apply_learned_speed(engines: Sequence[Engine]) -> None:
-    """Lower the capacity of engines that are much slower than the others."""
+@frozen
+class Draft:
+    """The slow part of a plan: the bound and paths for learned capacities."""
+
+    capacities_by_id: Mapping[str, float]
+    bound_tokens_per_second: float
+    paths: tuple[Path, ...]
+
+
+def learned_capacities(engines: Sequence[Engine]) -> dict[str, float]:
+    """Return capacities by id, lower for engines much slower than the others."""
     known = [e.slowness for e in engines if e.samples >= LEAST_SAMPLES]
     usual = median(known) if known else 1.0
-    for engine in engines:
-        relative = engine.slowness / usual
-        learned = engine.samples >= LEAST_SAMPLES and relative >= SLOW_FROM
-        slower = min(relative, MOST_SLOWNESS) if learned else 1.0
-        engine.capacity = engine.nominal / slower
-
-
-def _capacity_of(engine: Engine) -> EngineCapacity:
-    target = engine.target
-    held = target.last_layer - target.first_layer
-    return EngineCapacity(
-        id=target.id,
-        first=target.first_layer,
-        last=target.last_layer,
-        accelerator=target.accelerator,
-        domain=target.domain,
-        tokens_per_second=engine.capacity / held,
+    return {
+        engine.target.id: engine.nominal / _slower(engine, usual) for engine in engines
+    }
+
+
+def _slower(engine: Engine, usual: float) -> float:
+    """Return by how much an engine is slower, in steps on which instances agree."""
+    if engine.samples < LEAST_SAMPLES:
+        return 1.0
+    relative = engine.slowness / usual
+    return max((s for s in SLOWER_STEPS if s <= relative), default=1.0)
+
+
+def draft_plan(engines: Sequence[Engine], layers: int) -> Draft:
+    """Return the bound and paths for a model; changes nothing."""
+    capacities_by_id = learned_capacities(engines)
+    capacity_by_range: dict[Range, float] = {}
+    for engine in sorted(engines, key=lambda e: e.target.id):
+        capacity = capacities_by_id[engine.target.id]
+        held = engine.held
+        capacity_by_range[held] = capacity_by_range.get(held, 0.0) + capacity
+    bound = throughput_bound(
+        [
+            EngineCapacity("", first, last, "", "", capacity / (last - first))
+            for (first, last), capacity in capacity_by_range.items()
+        ],
+        layers,
     )
+    paths = pack_paths(dict(sorted(capacity_by_range.items())), layers)
+    return Draft(capacities_by_id, bound.tokens_per_second, paths)
 
 
-def _make_groups(engines: Sequence[Engine]) -> dict[GroupKey, Group]:
-    members: dict[GroupKey, list[Engine]] = {}
-    for engine in engines:
-        members.setdefault(_capacity_of(engine).group, []).append(engine)
-    return {key: make_group(key, group) for key, group in members.items()}
-
-
-def _near_segments(
-    segments: Sequence[Segment], latency_s: LatencyOf, origin: str
-) -> list[Segment]:
-    """Keep of each segment's groups only those in the nearest domain."""
-    near = []
-    for segment in segments:
-        distances = {g: latency_s(origin, g.domain) for g in segment.shares}
-        least = min(distances.values())
-        kept = {g: s for g, s in segment.shares.items() if distances[g] <= least}
-        total = sum(kept.values())
-        shares = {group: share / total for group, share in kept.items()}
-        near.append(Segment(segment.first, segment.last, shares))
-    return near
-
-
-def _table_maker(
-    groups_by_key: Mapping[GroupKey, Group], latency_s: LatencyOf, origin: str
-) -> Callable[[Sequence[Path]], PathTable]:
-    def to_table(paths: Sequence[Path]) -> PathTable:
-        routes = tuple(
-            RoutePath(
-                tuple((groups_by_key[h.group], h.first, h.last) for h in path.hops),
-                path_latency_s([h.group.domain for h in path.hops], latency_s, origin),
-            )
-            for path in paths
+def finish_plan(
+    draft: Draft, engines: Sequence[Engine], latency_s: LatencyOf, origin: str
+) -> Plan:
+    """Put learned capacities into the engines, and the engines into stages and lanes.
+
+    Nothing may be counted in or out of the engines meanwhile.
+    """
+    members: dict[Range, list[Engine]] = {}
+    for engine in sorted(engines, key=lambda e: e.target.id):
+        engine.capacity = draft.capacities_by_id[engine.target.id]
+        members.setdefault(engine.held, []).append(engine)
+    stages_by_range = {
+        held: make_stage(*held, engines) for held, engines in members.items()
+    }
+    if not draft.paths:
+        return Plan(draft.bound_tokens_per_second, stages_by_range, None)
+    lanes_by_hop = _make_lanes(draft.paths, stages_by_range, latency_s, origin)
+    routes = tuple(
+        RoutePath(tuple(lanes_by_hop[hop] for hop in path.hops)) for path in draft.paths
+    )
+    cumulative = tuple(accumulate(path.flow for path in draft.paths))
+    table = PathTable(routes, cumulative)
+    return Plan(draft.bound_tokens_per_second, stages_by_range, table)
+
+
+def _make_lanes(
+    paths: Sequence[Path],
+    stages_by_range: Mapping[Range, Stage],
+    latency_s: LatencyOf,
+    origin: str,
+) -> dict[PathHop, Lane]:
+    """Deal each stage's engines out to the hops that run on it."""
+    work_by_hop: dict[PathHop, float] = {}
+    for path in paths:
+        for hop in path.hops:
+            work = path.flow * (hop.last - hop.first)
+            work_by_hop[hop] = work_by_hop.get(hop, 0.0) + work
+    lanes_by_hop: dict[PathHop, Lane] = {}
+    for held, stage in stages_by_range.items():
+        hops = sorted(
+            (hop for hop in work_by_hop if hop.held == held),
+            key=lambda hop: (hop.first - hop.last, hop.first),
         )
-        return PathTable(routes, tuple(accumulate(path.weight for path in paths)))
+        dealt = _deal(stage.engines, [work_by_hop[hop] for hop in hops])
+        for hop, parts in zip(hops, dealt, strict=True):
+            lanes_by_hop[hop] = make_lane(
+                stage, hop.first, hop.last, parts, latency_s, origin
+            )
+    return lanes_by_hop
 
-    return to_table
 
+def _deal(
+    engines: Sequence[Engine], work: Sequence[float]
+) -> list[list[tuple[Engine, float]]]:
+    """Return for each piece of work the engines, with the capacity for it, in turn.
 
-def path_latency_s(domains: Sequence[str], latency_s: LatencyOf, origin: str) -> float:
-    """Return the latency of a token's way around, from the origin and back."""
-    stops = [origin, *domains, origin]
-    return sum(
-        latency_s(here, there) for here, there in zip(stops, stops[1:], strict=False)
-    )
+    An engine between two pieces serves both only where each part is worth a batch.
+    """
+    if not work:
+        return []
+    scale = sum(engine.capacity for engine in engines) / sum(work)
+    ends = list(accumulate(piece * scale for piece in work))
+    dealt: list[list[tuple[Engine, float]]] = [[] for _ in work]
+    reached = 0.0
+    for engine in engines:
+        parts = [
+            _overlap(begin, end, reached, reached + engine.capacity)
+            for begin, end in zip([0.0, *ends], ends, strict=False)
+        ]
+        reached += engine.capacity
+        largest = max(parts)
+        for index, part in enumerate(parts):
+            if part == largest or part >= LEAST_PART_OF_ENGINE * engine.capacity:
+                dealt[index].append((engine, part))
+    for parts_of_piece, piece in zip(dealt, work, strict=True):
+        if not parts_of_piece:
+            parts_of_piece += [(engine, piece) for engine in engines]
+    return dealt
+
+
+def _overlap(begin: float, end: float, first: float, last: float) -> float:
+    return max(min(end, last) - max(begin, first), 0.0)
--- a/libs/streams/src/celeryfork_streams/loop_thread.py
+++ b/libs/streams/src/celeryfork_streams/loop_thread.py
@@ -1,27 +1,25 @@
-"""The one thread whose uvloop event loop runs every stream."""
+"""The one thread whose event loop runs every stream.
+
+The loop is asyncio's own, on epoll. uvloop 0.23 (libuv 1.52) opens an io_uring for each
+loop whatever ``UV_USE_IO_URING`` says, and io_uring may not be used.
+"""
 
 import asyncio
-import os
 import threading
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
-# libuv reads this when a loop is made; io_uring may not be used.
-os.environ["UV_USE_IO_URING"] = "0"
-
-from uvloop import new_event_loop  # noqa: E402
-
 STOP_TIMEOUT_S = 5.0
 
 Result = TypeVar("Result")
 
 
 class LoopThread:
-    """A thread with a uvloop event loop of its own."""
+    """A thread with an event loop of its own."""
 
     def __init__(self) -> None:
-        self.loop: asyncio.AbstractEventLoop = new_event_loop()
+        self.loop: asyncio.AbstractEventLoop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._run, name="stream-loop", daemon=True
         )
@@ -34,11 +32,15 @@
         """Run a coroutine as a task of the loop; from any thread."""
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
 
-    def stop(self) -> None:
-        """Cancel every task, wait for them, and end the thread."""
+    def stop(
+        self, last: Callable[[], Coroutine[Any, Any, object]] | None = None
+    ) -> None:
+        """Cancel every task, wait for them, run ``last``, and end the thread."""
         if not self._thread.is_alive():
             return
         self.submit(_cancel_all()).result(timeout=STOP_TIMEOUT_S * 2)
+        if last is not None:
+            self.submit(last()).result(timeout=STOP_TIMEOUT_S)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join(timeout=STOP_TIMEOUT_S)
 
