--- a/libs/calls/src/celeryfork_calls/claim_results.py
+++ b/libs/calls/src/celeryfork_calls/claim_results.py
@@ -86,10 +86,19 @@
 
 @frozen
 class Unresolved:
-    """The call may have run, or its answer is not kept whole."""
+    """The call may have run, or its answer can't be had whole.
+
+    Parameters
+    ----------
+    outcome
+        What is known of it.
+    holder
+        Incarnation that may still have the answer, as text.
+    """
 
     reason: str
     outcome: Outcome = Outcome.UNKNOWN
+    holder: str | None = None
 
 
 @frozen
--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -303,7 +303,13 @@
             return Recorded(held)
         if held.holder != self.holder:
             return InProgress(held.holder)
+        return self._look_at_own(hashed, held)
+
+    def _look_at_own(self, hashed: bytes, held: Held) -> Found:
+        """Return what is known of a key that this instance held before."""
         if held.nonce in self._given_up:
+            if self.log_is_down:
+                return Refused(errors.log_unavailable("The log is down."))
             return WaitFor(self._waiter(hashed))
         return Unresolved("its outcome is not kept any more")
 
--- a/libs/calls/src/celeryfork_calls/claims.py
+++ b/libs/calls/src/celeryfork_calls/claims.py
@@ -257,14 +257,16 @@
         """Read a whole outcome back from the log; failing that, its holder has it."""
         if held.outcome_offset < 0:
             outcome = held.outcome or Outcome.UNKNOWN
-            return Unresolved("its answer was too large to keep", outcome)
+            reason = "its answer was too large for the log"
+            return Unresolved(reason, outcome, held.holder)
         try:
             part = self._log.read(
                 CLAIMS_STREAM, held.outcome_offset, 1, 0.0, READ_TIMEOUT_S
             )
             batches = [decode_batch(r.data) for r in part.records[:1]]
         except (CeleryforkError, ValueError):
-            return InProgress(held.holder)
+            reason = "its answer can't be read while the log is down"
+            return Unresolved(reason, holder=held.holder)
         for entry in (e for batch in batches for e in batch.entries):
             if isinstance(entry, Settled) and entry.nonce == held.nonce:
                 self.table.kept.put(entry.kept)
--- a/libs/calls/src/celeryfork_calls/dispatch.py
+++ b/libs/calls/src/celeryfork_calls/dispatch.py
@@ -70,15 +70,14 @@
 
     def run(self, call: PlainCall, kind: ServiceKindPort) -> PlainResult:
         """Send a call until a target answers or it may not be sent again."""
-        ends_s = min(call.deadline_s, self._clock.monotonic() + kind.timeout_s)
         avoid: frozenset[str] = frozenset()
         may_have_run = False
         verdict = Elsewhere("no attempt was made", may_have_run=False)
         for attempt in range(self._configuration().policy.most_attempts):
-            if attempt and not self._may_retry(kind, may_have_run, ends_s):
+            if attempt and not self._may_retry(call, kind, may_have_run):
                 break
             target = self._choose(call, avoid, may_have_run)
-            match self._send(call, kind, target, ends_s):
+            match self._send(call, kind, target):
                 case Answer(sent, outcome):
                     self._retry_budget.succeeded()
                     return PlainResult(
@@ -89,14 +88,14 @@
                 case Elsewhere() as verdict:
                     may_have_run = may_have_run or verdict.may_have_run
                     avoid |= {target.id}
-        raise self._no_answer(verdict, may_have_run, ends_s)
+        raise self._no_answer(call, verdict, may_have_run)
 
     def _may_retry(
-        self, kind: ServiceKindPort, may_have_run: bool, ends_s: float
+        self, call: PlainCall, kind: ServiceKindPort, may_have_run: bool
     ) -> bool:
         if may_have_run and not kind.idempotent:
             return False
-        if self._clock.monotonic() >= ends_s:
+        if self._clock.monotonic() >= call.deadline_s:
             return False
         if not self._retry_budget.may_retry():
             self._counters.add("calls.retry_budget_spent")
@@ -119,9 +118,9 @@
         call: PlainCall,
         kind: ServiceKindPort,
         target: Target,
-        ends_s: float,
     ) -> Verdict:
         began_s = self._clock.monotonic()
+        timeout_s = min(kind.timeout_s, call.deadline_s - began_s)
         result: SendResult = Lost("the call was broken off")
         try:
             result = self._client.send(
@@ -129,7 +128,7 @@
                 call.kind,
                 target_headers(call),
                 call.body,
-                ends_s - began_s,
+                timeout_s,
                 fresh=not kind.idempotent,
             )
         finally:
@@ -164,10 +163,10 @@
                 self._poison.crashed(fingerprint_of(call), target.id)
 
     def _no_answer(
-        self, verdict: Elsewhere, may_have_run: bool, ends_s: float
+        self, call: PlainCall, verdict: Elsewhere, may_have_run: bool
     ) -> RequestRefusedError:
         outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
-        if self._clock.monotonic() >= ends_s:
+        if self._clock.monotonic() >= call.deadline_s:
             return errors.deadline_passed(outcome)
         if may_have_run:
             return errors.target_failed(verdict.reason)
--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -88,9 +88,9 @@
             There is no target's answer; ``outcome`` says what is known.
         """
         kind = self._kind(call)
-        self._poison.check(fingerprint_of(call))
         try:
             if kind.idempotent:
+                self._poison.check(fingerprint_of(call))
                 result = self._dispatcher.run(call, kind)
             elif call.key is None:
                 raise errors.key_needed()
@@ -144,17 +144,19 @@
                     return replayed(kept)
                 case Refused(error):
                     raise error
-                case Unresolved(reason, outcome):
-                    if outcome is not Outcome.UNKNOWN:
-                        raise errors.answer_not_kept(outcome)
-                    return self._settle(call, key, kind, errors.outcome_unknown(reason))
+                case Unresolved() as unresolved:
+                    return self._resolve(call, key, kind, unresolved)
                 case InProgress(holder):
-                    self._wait_for_holder(call, key, kind, holder)
+                    found = self._wait_for_holder(call, key, kind, holder)
+                    if found is not None:
+                        return replayed(found)
 
     def _run_claimed(
         self, call: PlainCall, kind: ServiceKindPort, claimed: Claimed
     ) -> PlainResult:
         now_ms = self._clock.wall_ms()
+        not_run = kept_of(call, claimed.key, Outcome.NOT_RUN, now_ms)
+        self._check_poison(call, lambda: self._claims.finish(claimed, not_run))
         kept = kept_of(call, claimed.key, Outcome.UNKNOWN, now_ms)
         try:
             result = self._dispatcher.run(call, kind)
@@ -166,10 +168,18 @@
             self._claims.finish(claimed, kept)
         return result
 
+    def _check_poison(self, call: PlainCall, free_key: Callable[[], None]) -> None:
+        """Refuse a call that crashes its targets, and leave its key unused."""
+        try:
+            self._poison.check(fingerprint_of(call))
+        except RequestRefusedError:
+            free_key()
+            raise
+
     def _wait_for_holder(
         self, call: PlainCall, key: str, kind: ServiceKindPort, holder: str
-    ) -> None:
-        """Wait on the claim that holds the key; return when to look again.
+    ) -> KeptOutcome | None:
+        """Wait on the claim that holds the key; None where it has to be looked up.
 
         Raises
         ------
@@ -179,36 +189,50 @@
         left_s = call.deadline_s - self._clock.monotonic()
         if left_s <= 0:
             raise errors.in_progress(holder)
-        peer = self._tickets.peers.by_incarnation(holder)
-        reply = None
-        if peer is not None:
-            reply = self._tickets.peers.find_outcome(
-                peer, call.organisation, key, left_s
-            )
-        if reply is not None and reply.known and reply.kept is not None:
-            self._claims.adopt(kept_from_wire(reply.kept))
-            return
-        if reply is not None and reply.running:
-            return
+        reply = self._ask_holder(call, key, holder, left_s)
+        if reply is not None and (reply.running or reply.kept is not None):
+            return self._adopt(reply)
         # The holder is gone, paused, or gave its claim up; then an Abandon follows.
         wait_s = min(HOLDER_GONE_WAIT_S, call.deadline_s - self._clock.monotonic())
-        if not self._claims.await_change(call.organisation, key, wait_s):
-            found = self._dispatcher.ask_status(call, key, kind)
-            if found is None:
-                raise errors.outcome_unknown(f"its holder {holder} does not answer")
-            self._claims.settle_unknown(found)
+        if self._claims.await_change(call.organisation, key, wait_s):
+            return None
+        found = self._dispatcher.ask_status(call, key, kind)
+        if found is None:
+            raise errors.outcome_unknown(f"its holder {holder} does not answer")
+        self._claims.settle_unknown(found)
+        return found
 
-    def _settle(
-        self,
-        call: PlainCall,
-        key: str,
-        kind: ServiceKindPort,
-        unknown: RequestRefusedError,
+    def _ask_holder(
+        self, call: PlainCall, key: str, holder: str, wait_s: float
+    ) -> ttypes.OutcomeReply | None:
+        peers = self._tickets.peers
+        peer = peers.by_incarnation(holder)
+        if peer is None:
+            return None
+        return peers.find_outcome(peer, call.organisation, key, wait_s)
+
+    def _adopt(self, reply: ttypes.OutcomeReply) -> KeptOutcome | None:
+        """Keep an outcome that the holder told, None if it has to be looked up."""
+        if reply.kept is None:
+            return None
+        kept = kept_from_wire(reply.kept)
+        self._claims.adopt(kept)
+        return None if kept.outcome is Outcome.UNKNOWN else kept
+
+    def _resolve(
+        self, call: PlainCall, key: str, kind: ServiceKindPort, unresolved: Unresolved
     ) -> PlainResult:
-        """Answer from the kind's status call, or say that the outcome is unknown."""
+        """Answer from the holder or the kind's status call, or say what is known."""
+        if unresolved.holder is not None:
+            reply = self._ask_holder(call, key, unresolved.holder, 0.0)
+            found = None if reply is None else self._adopt(reply)
+            if found is not None:
+                return replayed(found)
+        if unresolved.outcome is not Outcome.UNKNOWN:
+            raise errors.answer_not_kept(unresolved.outcome)
         found = self._dispatcher.ask_status(call, key, kind)
         if found is None:
-            raise unknown
+            raise errors.outcome_unknown(unresolved.reason)
         self._claims.settle_unknown(found)
         return replayed(found)
 
@@ -247,6 +271,8 @@
         self, call: PlainCall, kind: ServiceKindPort, begun: Begun
     ) -> PlainResult:
         now_ms = self._clock.wall_ms()
+        not_run = kept_of(call, begun.text, Outcome.NOT_RUN, now_ms)
+        self._check_poison(call, lambda: self._tickets.finish(begun, not_run))
         kept = kept_of(call, begun.text, Outcome.UNKNOWN, now_ms)
         try:
             result = self._dispatcher.run(call, kind)
