--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -14,6 +14,7 @@
 from celeryfork_wire.gen.celeryfork import ttypes
 
 from celeryfork_calls import errors
+from celeryfork_calls.begun_tickets import Begun, TicketReplay, TicketRunning
 from celeryfork_calls.claim_fold import hash_body
 from celeryfork_calls.claim_results import (
     Claimed,
@@ -43,12 +44,7 @@
 from celeryfork_calls.refusals import refusal_from_kept, refusal_to_kept
 from celeryfork_calls.service_client import ServiceClient, make_service_client
 from celeryfork_calls.ticket_text import Ticket, is_ticket
-from celeryfork_calls.tickets import (
-    Begun,
-    TicketOffice,
-    TicketReplay,
-    TicketRunning,
-)
+from celeryfork_calls.tickets import TicketOffice
 
 __all__ = ["PlainCall", "PlainCaller", "PlainResult", "make_plain_caller"]
 
--- a/libs/calls/src/celeryfork_calls/tickets.py
+++ b/libs/calls/src/celeryfork_calls/tickets.py
@@ -6,10 +6,9 @@
 """
 
 import secrets
-import threading
 from collections.abc import Callable, Sequence
 
-from attrs import define, field, frozen
+from attrs import frozen
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PeerUnavailableError
@@ -17,6 +16,12 @@
 from celeryfork_wire.gen.celeryfork import ttypes
 
 from celeryfork_calls import errors
+from celeryfork_calls.begun_tickets import (
+    Begun,
+    BegunTickets,
+    TicketReplay,
+    TicketRunning,
+)
 from celeryfork_calls.hand_over import (
     CLOSED_PREFIX,
     HandedOverOutcomes,
@@ -35,8 +40,6 @@
 )
 
 DEFAULT_TICKET_LIFE_S = 600.0
-MOST_BEGUN = 50_000
-MOST_ANSWER_BYTES = 64 * 1024 * 1024
 MOST_PEERS_HANDED_TO = 3
 MOST_PEERS_ASKED = 5
 SHORTEST_SECRET_BYTES = 16
@@ -45,40 +48,6 @@
 RunForwarded = Callable[[ttypes.TicketCall], KeptOutcome]
 
 
-@define(eq=False)
-class Begun:
-    """A ticket that this instance began to run.
-
-    Parameters
-    ----------
-    kept
-        The outcome, None while it runs.
-    answer_dropped
-        The answer was too much to keep; a repeat is told the outcome alone.
-    """
-
-    ticket: Ticket
-    text: str
-    body_hash: str
-    kept: KeptOutcome | None = None
-    answer_dropped: bool = False
-    ended: threading.Event = field(factory=threading.Event)
-
-
-@frozen
-class TicketReplay:
-    """The ticket's call ended before, with this outcome."""
-
-    kept: KeptOutcome
-
-
-@frozen
-class TicketRunning:
-    """The ticket's call is running here."""
-
-    begun: Begun
-
-
 @frozen
 class HandOverReport:
     """What became of a planned stop's outcomes.
@@ -123,19 +92,10 @@
         self._clock = clock
         self._counters = counters
         self._life_s = life_s
-        self._lock = threading.Lock()
-        self._begun_by_text: dict[str, Begun] = {}
-        self._answer_bytes = 0
-        self._closed = False
+        self._begun = BegunTickets(self.owner, clock, counters, life_s)
         self._run_forwarded: RunForwarded | None = None
         self.handed_over = HandedOverOutcomes(clock, 2 * life_s)
 
-    @property
-    def open_count(self) -> int:
-        """Return the number of tickets that are running here."""
-        with self._lock:
-            return sum(b.kept is None for b in self._begun_by_text.values())
-
     def run_forwarded_by(self, run: RunForwarded) -> None:
         """Say what runs the calls that other instances forward."""
         self._run_forwarded = run
@@ -157,9 +117,8 @@
             expires_ms=self._clock.wall_ms() + round(self._life_s * 1000),
             serial=secrets.token_hex(8),
         )
-        with self._lock:
-            if self._closed:
-                raise errors.stopping()
+        if self._begun.closed:
+            raise errors.stopping()
         self._counters.add("tickets.minted")
         return sign_ticket(ticket, self._secret), ticket
 
@@ -188,6 +147,11 @@
         """Tell whether this very run minted the ticket."""
         return ticket.owner == self.owner
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of tickets that are running here."""
+        return self._begun.open_count
+
     def begin(
         self, ticket: Ticket, text: str, body_hash: str
     ) -> Begun | TicketReplay | TicketRunning:
@@ -198,39 +162,19 @@
         RequestRefusedError
             It expired, was used with another body, or this instance is stopping.
         """
-        with self._lock:
-            begun = self._begun_by_text.get(text)
-            if begun is None:
-                return self._begin_new(ticket, text, body_hash)
-            if begun.body_hash != body_hash:
-                raise errors.key_reused()
-            if begun.kept is None:
-                return TicketRunning(begun)
-            if begun.answer_dropped:
-                raise errors.answer_not_kept(begun.kept.outcome)
-            return TicketReplay(begun.kept)
+        return self._begun.begin(ticket, text, body_hash)
 
     def finish(self, begun: Begun, kept: KeptOutcome) -> None:
         """End a ticket that was begun; ``NOT_RUN`` lets it be begun again."""
-        with self._lock:
-            if kept.outcome is Outcome.NOT_RUN:
-                del self._begun_by_text[begun.text]
-            else:
-                begun.kept = kept
-                self._answer_bytes += len(kept.body)
-                self._drop_old_answers()
-        begun.ended.set()
+        self._begun.finish(begun, kept)
 
     def settle(self, text: str, kept: KeptOutcome) -> None:
         """Keep what a status call found out about a ticket's unknown outcome."""
-        with self._lock:
-            begun = self._begun_by_text.get(text)
-            if begun is None or begun.kept is None:
-                return
-            if begun.kept.outcome is Outcome.UNKNOWN:
-                begun.kept = kept
-                self._answer_bytes += len(kept.body)
-                self._drop_old_answers()
+        self._begun.settle(text, kept)
+
+    def close(self) -> None:
+        """Begin no ticket from now on; those begun are answered for as before."""
+        self._begun.close()
 
     def forward(
         self, ticket: Ticket, call: ttypes.TicketCall, timeout_s: float
@@ -267,18 +211,12 @@
 
     def find(self, organisation: str, key: str, wait_s: float) -> ttypes.OutcomeReply:
         """Answer a peer that asks what became of a ticket."""
-        with self._lock:
-            begun = self._begun_by_text.get(key)
+        begun = self._begun.get(key)
         if begun is not None and begun.ticket.organisation == organisation:
             ended = begun.ended.wait(wait_s)
             return _reply(begun.kept, running=not ended)
         return _reply(self._known(organisation, key), running=False)
 
-    def close(self) -> None:
-        """Begin no ticket from now on; those begun are answered for as before."""
-        with self._lock:
-            self._closed = True
-
     def hand_over(
         self,
         wait_s: float,
@@ -298,7 +236,7 @@
             Writes to the log; None while it is down.
         """
         self.close()
-        outcomes = self._outcomes(wait_s)
+        outcomes = self._begun.outcomes(wait_s)
         marker = closing_marker(self.owner, len(outcomes), self._clock.wall_ms())
         chunks = in_chunks([*outcomes, marker], HAND_OVER_CHUNK_BYTES)
         chunks += in_chunks(claims_unflushed, HAND_OVER_CHUNK_BYTES)
@@ -328,84 +266,10 @@
 
     def dump(self) -> dict[str, object]:
         """Return the office's state for the state dump."""
-        with self._lock:
-            state: dict[str, object] = {
-                "owner": self.owner,
-                "closed": self._closed,
-                "begun": len(self._begun_by_text),
-                "answer_bytes": self._answer_bytes,
-            }
+        state: dict[str, object] = {"owner": self.owner, **self._begun.dump()}
         state["handed_over"] = self.handed_over.dump()
         return state
 
-    def _begin_new(self, ticket: Ticket, text: str, body_hash: str) -> Begun:
-        """Enter a ticket as begun, under the lock."""
-        if self._closed:
-            raise errors.ticket_void(self.owner)
-        now_ms = self._clock.wall_ms()
-        if ticket.expires_ms <= now_ms:
-            raise errors.ticket_expired()
-        if len(self._begun_by_text) >= MOST_BEGUN:
-            self._forget_expired(now_ms)
-        if len(self._begun_by_text) >= MOST_BEGUN:
-            raise errors.overloaded("Too many tickets were begun here.")
-        begun = Begun(ticket, text, body_hash)
-        self._begun_by_text[text] = begun
-        self._counters.add("tickets.begun")
-        return begun
-
-    def _forget_expired(self, now_ms: int) -> None:
-        """Forget tickets that are refused by their expiry, with a margin."""
-        kept_ms = round(self._life_s * 1000)
-        expired = [
-            b
-            for b in self._begun_by_text.values()
-            if b.kept is not None and b.ticket.expires_ms + kept_ms < now_ms
-        ]
-        for begun in expired:
-            del self._begun_by_text[begun.text]
-            if begun.kept is not None and not begun.answer_dropped:
-                self._answer_bytes -= len(begun.kept.body)
-
-    def _drop_old_answers(self) -> None:
-        """Keep the outcome but not the answer of the oldest, beyond the bound."""
-        if self._answer_bytes <= MOST_ANSWER_BYTES:
-            return
-        for begun in self._begun_by_text.values():
-            if begun.kept is None or begun.answer_dropped or not begun.kept.body:
-                continue
-            self._answer_bytes -= len(begun.kept.body)
-            begun.kept = begun.kept.without_body()
-            begun.answer_dropped = True
-            self._counters.add("tickets.answers_dropped")
-            if self._answer_bytes <= MOST_ANSWER_BYTES // 2:
-                return
-
-    def _outcomes(self, wait_s: float) -> list[KeptOutcome]:
-        """Return an outcome for each ticket begun, unknown for what still runs."""
-        ends_s = self._clock.monotonic() + wait_s
-        with self._lock:
-            begun = list(self._begun_by_text.values())
-        for one in begun:
-            one.ended.wait(max(0.0, ends_s - self._clock.monotonic()))
-        with self._lock:
-            return [self._outcome_of(b) for b in self._begun_by_text.values()]
-
-    def _outcome_of(self, begun: Begun) -> KeptOutcome:
-        kept = begun.kept
-        if kept is not None and not begun.answer_dropped:
-            return kept
-        return KeptOutcome(
-            organisation=begun.ticket.organisation,
-            key=begun.text,
-            outcome=Outcome.UNKNOWN,
-            status=0,
-            content_type="",
-            body=b"",
-            body_hash=begun.body_hash,
-            kept_ms=self._clock.wall_ms(),
-        )
-
     def _known(self, organisation: str, key: str) -> KeptOutcome | None:
         """Return what a stopped owner said of a ticket, not_run where it proved so."""
         owner = self._owner_of(key)
--- a/libs/calls/tests/test_tickets.py
+++ b/libs/calls/tests/test_tickets.py
@@ -195,8 +195,8 @@
 
 
 def test_begun_tickets_and_their_answers_are_bounded(start_instance, monkeypatch):
-    monkeypatch.setattr("celeryfork_calls.tickets.MOST_BEGUN", 2)
-    monkeypatch.setattr("celeryfork_calls.tickets.MOST_ANSWER_BYTES", 10)
+    monkeypatch.setattr("celeryfork_calls.begun_tickets.MOST_BEGUN", 2)
+    monkeypatch.setattr("celeryfork_calls.begun_tickets.MOST_ANSWER_BYTES", 10)
     clock = ManualClock()
     identity = start_instance("a").identity
     office = make_ticket_office(identity, b"s" * 16, None, None, clock, Counters())
@@ -204,7 +204,7 @@
     def run(body):
         text, ticket = office.mint(*BOUND_TO)
         begun = office.begin(ticket, text, "ab")
-        kept = office._outcome_of(begun)
+        kept = office._begun._outcome_of(begun)
         office.finish(begun, evolve(kept, outcome=Outcome.DONE, body=body))
         return ticket, text
 
