Ask the engines of a silent chain which of them still answers; learn gaps by engines

A later stage that stalled was blamed on the first engine, which alone is heard, and the stalled one was kept. Each engine of a silent chain is now asked for its state. Chain ids are new with each choice, so gaps are learned by the chain's engines and by model.

--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from attrs import define, field, frozen
-
 from celeryfork_streams.engine_client import (
     EngineStream,
     generate_body,
@@ -17,12 +15,12 @@
 )
 from celeryfork_streams.events import Ended, EventReader, Faulted
 from celeryfork_streams.gap_watch import GapWatch
+from celeryfork_streams.lost import Lost, Progress
 from celeryfork_streams.parts import StreamParts
 from celeryfork_streams.ports import Chain
-from celeryfork_streams.requests import GenerateRequest, RecoveryKind, Sink
-from celeryfork_streams.stages import Stage
+from celeryfork_streams.requests import RecoveryKind, Sink
+from celeryfork_streams.salvage import Stage
 
-CHARACTERS_PER_TOKEN = 4
 # Counters and learned gaps cost more than the relay of a token; see relay_cost.
 TOKENS_PER_NOTE = 8
 
@@ -33,50 +31,6 @@
 }
 
 
-@frozen
-class Lost:
-    """The attempt ended before the answer did.
-
-    Parameters
-    ----------
-    suspect
-        Id of the engine that is taken for the cause.
-    retry_after_s
-        What the engine said about coming back, in seconds.
-    """
-
-    kind: RecoveryKind
-    suspect: str
-    message: str
-    retry_after_s: float | None = None
-
-
-@define
-class Progress:
-    """How far a stream has come, over all of its attempts.
-
-    Parameters
-    ----------
-    sent
-        An engine may have received the request.
-    accepted
-        An engine has begun to run it.
-    """
-
-    request: GenerateRequest
-    layers: int
-    emitted: list[str] = field(factory=list)
-    attempts: int = 0
-    sent: bool = False
-    accepted: bool = False
-
-    @property
-    def tokens_to_compute(self) -> int:
-        """Length of the prompt and of what was emitted, in tokens (estimated)."""
-        prompt_tokens = len(self.request.prompt) // CHARACTERS_PER_TOKEN + 1
-        return prompt_tokens + len(self.emitted)
-
-
 class Attempt:
     """One attempt; use it once.
 
@@ -109,7 +63,7 @@
         first = chain.hops[0].target
         self._address = first.address
         load = parts.load_of(first.id)
-        gap_s = parts.gaps.first_gap_s(chain.id, self._to_compute, load, self._policy)
+        gap_s = parts.gaps.first_gap_s(chain, self._to_compute, load, self._policy)
         self._watch = GapWatch(first.address, gap_s, may_give_up)
         self._first_position = len(progress.emitted)
         self._noted_tokens = 0
@@ -126,7 +80,7 @@
         """
         progress = self._progress
         sent_before, progress.sent = progress.sent, True
-        first = self._chain.hops[0].target.id
+        first = frozenset({self._chain.hops[0].target.id})
         try:
             with self._watch:
                 return await self._converse()
@@ -142,7 +96,7 @@
         except EngineCutError as error:
             return Lost(RecoveryKind.CUT, first, error.message)
         except EngineStalledError as error:
-            return Lost(RecoveryKind.STALLED, first, error.message)
+            return Lost(RecoveryKind.STALLED, frozenset(), error.message)
         except EngineAnswerError as error:
             self._parts.counters.add(f"streams.{error.kind}_events")
             return Lost(RecoveryKind.MALFORMED, first, error.message)
@@ -205,15 +159,15 @@
         """Learn the silence before the first token."""
         self.first_s = self._parts.clock.monotonic()
         gaps, gap_s = self._parts.gaps, self.first_s - self.started_s
-        gaps.heard_first(self._chain.id, self._to_compute, gap_s)
-        self._watch.allow(gaps.token_gap_s(self._chain.id, self._policy))
+        gaps.heard_first(self._chain, self._to_compute, gap_s)
+        self._watch.allow(gaps.token_gap_s(self._chain, self._policy))
         self._on_passed(1)
 
     def _note(self, gap_s: float) -> None:
         """Count the tokens that have passed, and learn one silence of theirs."""
         gaps = self._parts.gaps
-        gaps.heard(self._chain.id, gap_s)
-        self._watch.allow(gaps.token_gap_s(self._chain.id, self._policy))
+        gaps.heard(self._chain, gap_s)
+        self._watch.allow(gaps.token_gap_s(self._chain, self._policy))
         self._count()
         self._on_passed(self._noted_tokens)
 
@@ -227,6 +181,8 @@
                 await self._sink.finished(reason, tokens)
                 return event
             case Faulted(fault, engine):
-                suspect = engine or self._chain.hops[0].target.id
-                message = f"the engines said {fault} of {suspect}"
-                return Lost(_KIND_BY_FAULT[fault], suspect, message)
+                ids = [hop.target.id for hop in self._chain.hops]
+                # An engine that isn't in the chain can't have been its fault.
+                blamed = engine if engine in ids else ids[0]
+                message = f"the engines said {fault} of {blamed}"
+                return Lost(_KIND_BY_FAULT[fault], frozenset({blamed}), message)
--- a/libs/streams/src/celeryfork_streams/caller.py
+++ b/libs/streams/src/celeryfork_streams/caller.py
@@ -15,8 +15,6 @@
 from celeryfork_streams.errors import CallerGoneError
 from celeryfork_streams.policy import StreamPolicy
 
-CLOSE_TIMEOUT_S = 2.0
-
 
 class CallerConnection(asyncio.Protocol):
     """Writes one answer to one caller, and notices when it goes away.
@@ -152,9 +150,10 @@
         """Send what is left and close; cut the connection if that takes too long."""
         self._transport.close()
         try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            async with asyncio.timeout(self._slow_timeout_s):
                 await self._closed
         except TimeoutError:
+            self.counters.add("streams.slow_callers_cut")
             self.abort()
 
     def abort(self) -> None:
--- a/libs/streams/src/celeryfork_streams/engine_client.py
+++ b/libs/streams/src/celeryfork_streams/engine_client.py
@@ -16,7 +16,7 @@
     EngineRejectedError,
 )
 from celeryfork_streams.requests import GenerateRequest
-from celeryfork_streams.stages import Stage
+from celeryfork_streams.salvage import Stage
 
 REJECTED_STATUSES = frozenset({400, 404, 409, 429})
 
@@ -119,13 +119,27 @@
         """
         connection = await self._connect(address)
         try:
-            connection.send(_head(address, len(body)) + body)
+            connection.send(_generate_head(address, len(body)) + body)
             await self._check_accepted(address, connection)
         except BaseException:
             connection.close()
             raise
         return EngineStream(address, connection)
 
+    async def alive(self, address: str, timeout_s: float) -> bool:
+        """Return whether an engine answers ``GET /v1/engine`` within ``timeout_s``."""
+        connection = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect(address)
+                connection.send(_head("GET /v1/engine", address))
+                return await connection.answered()
+        except (EngineNotReachedError, TimeoutError):
+            return False
+        finally:
+            if connection is not None:
+                connection.close()
+
     async def close(self) -> None:
         """Do nothing: the connections are their attempts'."""
 
@@ -161,13 +175,19 @@
         raise EngineRejectedError(address, head.code, text, retry_after_s)
 
 
-def _head(address: str, length: int) -> bytes:
-    """Return the head of the request."""
-    return (
-        f"POST /v1/generate HTTP/1.1\r\nHost: {address}\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {length}\r\n"
-        "Connection: close\r\n\r\n"
-    ).encode("ascii")
+def _head(call: str, address: str, *headers: str) -> bytes:
+    """Return the head of a request, such as ``GET /v1/engine``."""
+    lines = [f"{call} HTTP/1.1", f"Host: {address}", *headers]
+    return "\r\n".join([*lines, "Connection: close\r\n\r\n"]).encode("ascii")
+
+
+def _generate_head(address: str, length: int) -> bytes:
+    return _head(
+        "POST /v1/generate",
+        address,
+        "Content-Type: application/json",
+        f"Content-Length: {length}",
+    )
 
 
 def _raise_fault(address: str, connection: EngineConnection) -> None:
--- a/libs/streams/src/celeryfork_streams/gaps.py
+++ b/libs/streams/src/celeryfork_streams/gaps.py
@@ -8,6 +8,7 @@
 from attrs import define
 
 from celeryfork_streams.policy import StreamPolicy
+from celeryfork_streams.ports import Chain
 
 MOST_CHAINS = 4096
 MEAN_GAIN = 1 / 8
@@ -34,25 +35,29 @@
 
 
 class GapBook:
-    """The silences of chains; belongs to the event loop's thread."""
+    """The silences of chains; belongs to the event loop's thread.
+
+    A chain is known by its engines. One that is new is taken to be like the others of
+    its model.
+    """
 
     def __init__(self) -> None:
-        self._token_by_chain: OrderedDict[str, _Learned] = OrderedDict()
-        self._prefill_by_chain: OrderedDict[str, _Learned] = OrderedDict()
+        self._between: _Book = OrderedDict()
+        self._prefill: _Book = OrderedDict()
 
     @property
     def known_chains(self) -> int:
-        """How many chains' gaps are known."""
-        return len(self._token_by_chain)
+        """How many chains' gaps are known, and models'."""
+        return len(self._between)
 
-    def token_gap_s(self, chain_id: str, policy: StreamPolicy) -> float:
+    def token_gap_s(self, chain: Chain, policy: StreamPolicy) -> float:
         """Return the longest silence between tokens, in seconds."""
-        learned = self._token_by_chain.get(chain_id)
+        learned = _find(self._between, chain)
         longest_s = learned.longest_s(policy.gap_factor) if learned else 0.0
         return _bounded(longest_s, policy.token_gap_floor_s, policy)
 
     def first_gap_s(
-        self, chain_id: str, prompt_tokens: int, load: float, policy: StreamPolicy
+        self, chain: Chain, prompt_tokens: int, load: float, policy: StreamPolicy
     ) -> float:
         """Return the longest silence before the first token, in seconds.
 
@@ -63,7 +68,7 @@
         load
             Requests that wait at the first engine, in batches.
         """
-        learned = self._prefill_by_chain.get(chain_id)
+        learned = _find(self._prefill, chain)
         if learned is None:
             expected_s = policy.prompt_token_s * prompt_tokens
         else:
@@ -72,24 +77,41 @@
         expected_s = (policy.first_token_floor_s + expected_s) * (1 + load)
         return _bounded(expected_s, policy.first_token_floor_s, policy)
 
-    def heard(self, chain_id: str, gap_s: float) -> None:
+    def heard(self, chain: Chain, gap_s: float) -> None:
         """Learn a silence between tokens."""
-        _learn(self._token_by_chain, chain_id, gap_s)
+        _learn(self._between, chain, gap_s)
 
-    def heard_first(self, chain_id: str, prompt_tokens: int, gap_s: float) -> None:
+    def heard_first(self, chain: Chain, prompt_tokens: int, gap_s: float) -> None:
         """Learn the silence before a first token."""
-        per_token_s = gap_s / (PROMPT_BASE_TOKENS + prompt_tokens)
-        _learn(self._prefill_by_chain, chain_id, per_token_s)
-
-
-def _learn(by_chain: OrderedDict[str, _Learned], chain_id: str, seconds: float) -> None:
-    learned = by_chain.get(chain_id)
-    if learned is not None:
-        learned.add(seconds)
-        return
-    by_chain[chain_id] = _Learned(seconds, seconds / 2)
-    if len(by_chain) > MOST_CHAINS:
-        by_chain.popitem(last=False)
+        _learn(self._prefill, chain, gap_s / (PROMPT_BASE_TOKENS + prompt_tokens))
+
+
+# By the ids of a chain's engines, or by the model alone.
+_Book = OrderedDict[tuple[str, ...], _Learned]
+
+
+def _engines(chain: Chain) -> tuple[str, ...]:
+    return tuple(hop.target.id for hop in chain.hops)
+
+
+def _model(chain: Chain) -> tuple[str, ...]:
+    return ("model", chain.hops[0].target.target)
+
+
+def _find(book: _Book, chain: Chain) -> _Learned | None:
+    return book.get(_engines(chain)) or book.get(_model(chain))
+
+
+def _learn(book: _Book, chain: Chain, seconds: float) -> None:
+    for key in (_engines(chain), _model(chain)):
+        learned = book.get(key)
+        if learned is not None:
+            learned.add(seconds)
+            book.move_to_end(key)
+            continue
+        book[key] = _Learned(seconds, seconds / 2)
+        if len(book) > MOST_CHAINS:
+            book.popitem(last=False)
 
 
 def _bounded(seconds: float, floor_s: float, policy: StreamPolicy) -> float:
--- a/libs/streams/src/celeryfork_streams/parts.py
+++ b/libs/streams/src/celeryfork_streams/parts.py
@@ -17,6 +17,7 @@
     RouterPort,
     ViewPort,
 )
+from celeryfork_streams.stall_check import StallCheck
 from celeryfork_streams.suspects import Suspects
 
 
@@ -47,5 +48,6 @@
     load_of: LoadOf
     domain: str
     policy: Callable[[], StreamPolicy]
+    stall_check: StallCheck
     gaps: GapBook = field(factory=GapBook)
     suspects: Suspects = field(factory=Suspects)
--- a/libs/streams/src/celeryfork_streams/streams.py
+++ b/libs/streams/src/celeryfork_streams/streams.py
@@ -28,6 +28,7 @@
     StreamResult,
 )
 from celeryfork_streams.run import StreamRun
+from celeryfork_streams.stall_check import StallCheck
 
 __all__ = [
     "GenerateRequest",
@@ -119,5 +120,6 @@
         load_of=load_of,
         domain=domain,
         policy=policy,
+        stall_check=StallCheck(session, counters),
     )
     return StreamRunner(parts)
--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -90,6 +90,7 @@
         self.name = name
         self.scripts = []  # one for each attempt; then answer_whole
         self.requests = []
+        self.silent = False  # answers no other call either
         self.cancelled = threading.Event()
         self.address = ""
 
@@ -104,6 +105,12 @@
     async def _serve(self, reader, writer):
         try:
             head = await reader.readuntil(b"\r\n\r\n")
+            if head.startswith(b"GET /v1/engine "):
+                if self.silent:
+                    await reader.read()
+                else:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                return
             fields = dict(
                 line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:-2]
             )
@@ -239,7 +246,8 @@
 
     def request(self, **changes):
         fields = {
-            "request_id": "r1", "stream_id": "r1.1", "organisation": "kiosk", "model": "reminder-writer",
+            "request_id": "r1", "stream_id": "r1.1", "organisation": "kiosk",
+            "model": "reminder-writer",
             "prompt": "Hard water in Nairobi", "max_tokens": 12, "priority": 5,
             "seed": 0, "deadline_s": time.monotonic() + WAIT_S, "fingerprint": "f1",
         }  # fmt: skip
--- a/libs/streams/tests/test_streams.py
+++ b/libs/streams/tests/test_streams.py
@@ -6,9 +6,10 @@
 
 import pytest
 from celeryfork_base.outcomes import Outcome
+from celeryfork_streams.lost import Lost
 from celeryfork_streams.ports import Chain, Hop
 from celeryfork_streams.requests import RecoveryKind, StreamRefusedError
-from celeryfork_streams.stages import plan_stages
+from celeryfork_streams.salvage import Salvage
 
 
 def expected(count):
@@ -126,14 +127,50 @@
 def test_a_stall_between_tokens_is_given_up_within_its_gap(world):
     [e1] = world.chain("e1")
     world.chain("e2")
-    e1.scripts = [stalls]
+    e1.scripts, e1.silent = [stalls], True
     result = check_resumed(world, RecoveryKind.STALLED)
     [recovery] = result.recoveries
+    assert recovery.silent_s >= 0.2
     assert recovery.silent_s + recovery.resumed_s - recovery.fault_s < 1.0
     assert ("e1", "Stalled") in world.view.observed
     assert e1.cancelled.wait(timeout=5)
 
 
+def test_the_stage_that_stalls_is_blamed_not_the_one_that_is_heard(world):
+    e1, e2 = world.chain("e1", "e2")
+    world.chain("e1", "e3")
+    e1.scripts, e2.silent = [stalls], True
+    check_resumed(world, RecoveryKind.STALLED)
+    assert ("e2", "Stalled") in world.view.observed
+    assert ("e1", "Stalled") not in world.view.observed
+    assert [stage["engine"] for stage in e1.requests[1]["chain"]] == ["e1", "e3"]
+
+
+def test_where_all_engines_answer_none_is_blamed_but_all_are_left(world):
+    e1, e2 = world.chain("e1", "e2")
+    world.chain("e3", "e2")
+    e4, _ = world.chain("e4", "e5")
+    e1.scripts = [stalls]
+    check_resumed(world, RecoveryKind.STALLED)
+    assert {kind for _, kind in world.view.observed} == {"Succeeded"}
+    kv_from = [stage["kv_from"] for stage in e4.requests[0]["chain"]]
+    assert kv_from == [e1.address, e2.address]
+
+
+def test_an_engine_named_from_outside_the_chain_is_not_blamed(world):
+    async def names_another(talk):
+        await talk.accept()
+        await talk.tokens(3)
+        await talk.fault("stage_lost", "e9")
+
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    e1.scripts = [names_another]
+    check_resumed(world, RecoveryKind.STAGE_LOST)
+    assert ("e1", "Reset") in world.view.observed
+    assert "e9" not in dict(world.view.observed)
+
+
 def test_a_stall_before_the_first_token_is_given_up(world):
     [e1] = world.chain("e1")
     world.chain("e2")
@@ -412,7 +449,11 @@
         ),
         "c+d+b",
     )
-    assert [s.kv_from for s in plan_stages(chain, old)] == ["a:1", None, None]
+    salvage = Salvage(world.view)
+    lost = Lost(RecoveryKind.OVERLOADED, frozenset({"a"}), "overloaded")
+    salvage.take_in(Chain(tuple(old), "a+b"), lost, tokens=3)
+    kv_from = [stage.kv_from for stage in salvage.stages(chain)]
+    assert kv_from == ["a:1", None, None]
 
 
 def test_an_address_that_takes_no_connection_costs_only_the_connect_limit(world):
