--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -29,6 +29,7 @@
     "overloaded": RecoveryKind.OVERLOADED,
     "leaving": RecoveryKind.LEAVING,
 }
+_KIND_BY_STATUS = {409: RecoveryKind.LEAVING, 429: RecoveryKind.OVERLOADED}
 
 
 class Attempt:
@@ -89,9 +90,7 @@
             return Lost(RecoveryKind.NOT_REACHED, first, error.message)
         except EngineRejectedError as error:
             progress.sent = sent_before
-            kind = RecoveryKind.REJECTED
-            if error.status == 409:
-                kind = RecoveryKind.LEAVING
+            kind = _KIND_BY_STATUS.get(error.status, RecoveryKind.REJECTED)
             return Lost(kind, first, error.message, error.retry_after_s)
         except EngineCutError as error:
             return Lost(RecoveryKind.CUT, first, error.message)
--- a/libs/streams/src/celeryfork_streams/refusals.py
+++ b/libs/streams/src/celeryfork_streams/refusals.py
@@ -4,7 +4,7 @@
 from celeryfork_base.outcomes import Outcome
 
 from celeryfork_streams.lost import Lost, Progress
-from celeryfork_streams.salvage import TURNED_AWAY
+from celeryfork_streams.requests import RecoveryKind
 
 
 def outcome_of(progress: Progress) -> Outcome:
@@ -43,8 +43,8 @@
     outcome = outcome_of(progress)
     status, code = 502, "target_failed"
     if outcome is Outcome.NOT_RUN:
-        turned_away = lost is not None and lost.kind in TURNED_AWAY
-        status, code = 503, "overloaded" if turned_away else "no_target"
+        overloaded = lost is not None and lost.kind is RecoveryKind.OVERLOADED
+        status, code = 503, "overloaded" if overloaded else "no_target"
     if lost is not None and lost.retry_after_s is not None:
         retry_after_s = lost.retry_after_s
     reason = lost.message if lost is not None else "no chain is left"
