--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -18,7 +18,7 @@
 from celeryfork_streams.lost import Lost, Progress
 from celeryfork_streams.parts import StreamParts
 from celeryfork_streams.ports import Chain
-from celeryfork_streams.requests import RecoveryKind, Sink
+from celeryfork_streams.requests import BatchingSink, RecoveryKind, Sink
 from celeryfork_streams.salvage import Stage
 
 # Counters and learned gaps cost more than the relay of a token; see relay_cost.
@@ -58,6 +58,7 @@
         self._chain = chain
         self._stages = stages
         self._sink = sink
+        self._batching = sink if isinstance(sink, BatchingSink) else None
         self._on_passed = on_passed
         self._policy = parts.policy()
         self._to_compute = progress.tokens_to_compute
@@ -120,10 +121,13 @@
         try:
             return await self._relay(stream)
         finally:
+            if self._batching is not None:
+                self._batching.flush()
             stream.close()
 
     async def _relay(self, stream: EngineStream) -> Ended | Lost:
         progress, watch, sink = self._progress, self._watch, self._sink
+        batching = self._batching
         emitted = progress.emitted
         reader = EventReader(
             progress.attempts,
@@ -137,6 +141,8 @@
             watch.listen()
             lines = await stream.lines()
             gap_s = watch.hold()
+            if batching is not None and len(lines) > 1:
+                batching.hold()
             for line in lines:
                 event = reader.read(line)
                 if isinstance(event, str):
@@ -146,6 +152,8 @@
                         self._note_first()
                 elif event is not None:
                     return await self._end(event)
+            if batching is not None and len(lines) > 1:
+                batching.flush()
             if self.tokens >= self._noted_tokens + TOKENS_PER_NOTE:
                 self._note(gap_s)
 
--- a/libs/streams/src/celeryfork_streams/caller.py
+++ b/libs/streams/src/celeryfork_streams/caller.py
@@ -33,6 +33,7 @@
         self.counters = counters
         self._transport: asyncio.Transport
         self._closed = asyncio.get_running_loop().create_future()
+        self._held: list[bytes] | None = None
         self._resumed: asyncio.Future[None] | None = None
         self._task_to_cancel: asyncio.Task[object] | None = None
         self.gone = False
@@ -96,7 +97,20 @@
         """
         if self.gone:
             raise _gone()
-        self._transport.write(data)
+        if self._held is not None:
+            self._held.append(data)
+        else:
+            self._transport.write(data)
+
+    def hold(self) -> None:
+        """Keep what is written until ``flush``."""
+        self._held = []
+
+    def flush(self) -> None:
+        """Write what was kept, in one piece."""
+        held, self._held = self._held, None
+        if held and not self.gone:
+            self._transport.write(b"".join(held))
 
     async def drained(self) -> None:
         """Wait until the buffer has room.
--- a/libs/streams/src/celeryfork_streams/relay_cost.py
+++ b/libs/streams/src/celeryfork_streams/relay_cost.py
@@ -200,11 +200,14 @@
 
 
 @app.command()
-def load(seed: int = Option(1, help="Seed of the streams' phases.")) -> None:
+def load(
+    seed: int = Option(1, help="Seed of the streams' phases."),
+    together: int = Option(1, help="Tokens that an engine sends together."),
+) -> None:
     """Play the engines and the callers until interrupted."""
 
     async def run() -> None:
-        both_ends = RelayLoad(seed)
+        both_ends = RelayLoad(seed, together)
         print(*await both_ends.listen(), flush=True)
         await both_ends.run()
 
--- a/libs/streams/src/celeryfork_streams/relay_load.py
+++ b/libs/streams/src/celeryfork_streams/relay_load.py
@@ -53,13 +53,15 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._load.discard(self)
 
-    def send_token(self) -> None:
-        """Send the next token in a chunk of its own."""
-        position = self._position
-        self._position += 1
-        middle = b'%d,"x":" chai%d"' % (position, position % 100)
-        event = self._before + middle + self._after
-        self._transport.write(b"%x\r\n%s\r\n" % (len(event), event))
+    def send_tokens(self, count: int) -> None:
+        """Send the next tokens together, each in a chunk of its own."""
+        chunks = []
+        for position in range(self._position, self._position + count):
+            middle = b'%d,"x":" chai%d"' % (position, position % 100)
+            event = self._before + middle + self._after
+            chunks.append(b"%x\r\n%s\r\n" % (len(event), event))
+        self._position += count
+        self._transport.write(b"".join(chunks))
 
 
 class _Caller(asyncio.BufferedProtocol):
@@ -75,10 +77,19 @@
 
 
 class RelayLoad:
-    """Both ends of the relay."""
+    """Both ends of the relay.
 
-    def __init__(self, seed: int) -> None:
+    Parameters
+    ----------
+    seed
+        Seed of the attempts' phases.
+    together
+        Tokens that are sent together; the interval grows with it.
+    """
+
+    def __init__(self, seed: int, together: int = 1) -> None:
         self._random = Random(seed)
+        self._together = together
         self._attempts_by_tick: list[set[_Attempt]] = [
             set() for _ in range(TICKS_PER_INTERVAL)
         ]
@@ -107,11 +118,11 @@
 
     async def run(self) -> None:
         """Send until cancelled."""
-        tick_s = TOKEN_INTERVAL_S / TICKS_PER_INTERVAL
+        tick_s = TOKEN_INTERVAL_S * self._together / TICKS_PER_INTERVAL
         due_s, number = time.monotonic(), 0
         while True:
             for attempt in tuple(self._attempts_by_tick[number % TICKS_PER_INTERVAL]):
-                attempt.send_token()
+                attempt.send_tokens(self._together)
             number += 1
             due_s += tick_s
             left_s = due_s - time.monotonic()
--- a/libs/streams/src/celeryfork_streams/requests.py
+++ b/libs/streams/src/celeryfork_streams/requests.py
@@ -1,7 +1,7 @@
 """What is asked of a stream, where its tokens go, and what became of it."""
 
 from enum import StrEnum
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 from attrs import frozen
 from celeryfork_base.errors import RequestRefusedError
@@ -46,6 +46,17 @@
         """Take the end of the answer: ``stop`` or ``length``, and its length."""
 
 
+@runtime_checkable
+class BatchingSink(Sink, Protocol):
+    """A sink that is told which tokens came together, to pass them on at once."""
+
+    def hold(self) -> None:
+        """Keep what follows until ``flush``."""
+
+    def flush(self) -> None:
+        """Pass on what was kept; may be called without ``hold``."""
+
+
 class RecoveryKind(StrEnum):
     """Why an attempt ended before the answer did."""
 
--- a/libs/streams/src/celeryfork_streams/serve.py
+++ b/libs/streams/src/celeryfork_streams/serve.py
@@ -53,6 +53,15 @@
         if not self.tokens:
             self._begin()
         self._caller.write(self._form.last(reason, tokens))
+        self._caller.flush()
+
+    def hold(self) -> None:
+        """Keep events until ``flush``."""
+        self._caller.hold()
+
+    def flush(self) -> None:
+        """Write the kept events at once."""
+        self._caller.flush()
 
     def _begin(self) -> None:
         headers = {
--- a/libs/streams/tests/test_serve.py
+++ b/libs/streams/tests/test_serve.py
@@ -37,6 +37,25 @@
     assert future.result(timeout=5).outcome is Outcome.DONE
 
 
+def test_tokens_that_come_together_pass_even_if_garbage_follows(world, read_answer):
+    async def sends_together(talk):
+        await talk.accept()
+        events = [{"a": 1, "p": p, "x": f" t{p}", "l": [[0, 24]]} for p in range(5)]
+        lines = [json.dumps(event).encode() for event in events]
+        talk.writer.write(b"\n".join([*lines, b"garbage", b""]))
+
+    [e1] = world.chain("e1")
+    [e2] = world.chain("e2")
+    e1.scripts = [sends_together]
+    caller, future = world.call()
+    _, _, body = split_answer(read_answer(caller))
+    *tokens, _, _ = events_of(body)
+    texts = [json.loads(event)["choices"][0]["text"] for event in tokens]
+    assert texts == [f" t{position}" for position in range(12)]
+    assert e2.requests[0]["position"] == 5
+    assert future.result(timeout=5).outcome is Outcome.DONE
+
+
 def test_a_whole_chat_answer_is_one_json_body(world, read_answer):
     world.chain("e1")
     caller, future = world.call(shape=ChatShape(stream=False, created_s=7))
