--- a/libs/bench/src/celeryfork_bench/callers.py
+++ b/libs/bench/src/celeryfork_bench/callers.py
@@ -5,7 +5,13 @@
 import time
 from collections.abc import Callable, Mapping
 
-from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
 from aiohttp.client_exceptions import ClientConnectorError
 from attrs import frozen
 from celeryfork_base.identity import make_uuid7
@@ -134,7 +140,10 @@
 
 def make_session() -> ClientSession:
     """Return a client session of the running event loop."""
-    return ClientSession(timeout=ClientTimeout(total=120, sock_connect=2))
+    return ClientSession(
+        connector=TCPConnector(limit=0),
+        timeout=ClientTimeout(total=120, sock_connect=2),
+    )
 
 
 def _worth_sending_again(exchange: Exchange) -> bool:
--- a/libs/bench/src/celeryfork_bench/rig.py
+++ b/libs/bench/src/celeryfork_bench/rig.py
@@ -21,6 +21,7 @@
 from celeryfork_standin.platform import PlatformStandin
 from celeryfork_standin.service import ServiceFleet
 from celeryfork_standin.standins import Standins, make_standins
+from celeryfork_streams.loop_thread import LoopThread, make_loop_thread
 
 HOST = "127.0.0.1"
 ADMINISTRATOR_KEY = "administrator-of-the-rig"
@@ -73,6 +74,7 @@
     deployment: Deployment
     standins: Standins
     options: RigOptions
+    loop_thread: LoopThread = field(factory=make_loop_thread)
     daemons_by_name: dict[str, Daemon] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
@@ -94,6 +96,7 @@
     def start(self) -> None:
         """Start everything and wait until every entry instance is ready."""
         self.standins.start()
+        self.loop_thread.start()
         for entry in self.deployment.entries:
             self.start_entry(entry)
         self.wait_ready()
@@ -105,6 +108,7 @@
             self.daemons_by_name.clear()
         with ThreadPoolExecutor(max_workers=max(1, len(daemons))) as executor:
             list(executor.map(lambda daemon: daemon.kill(), daemons))
+        self.loop_thread.stop()
         self.standins.stop()
 
     def publish(self, records: Sequence[Mapping[str, Any]]) -> int:
@@ -121,7 +125,7 @@
 
     def start_entry(self, entry: EntrySpec) -> Daemon:
         """Start one entry instance and put it into the instance list."""
-        daemon = make_daemon(self._settings_of(entry))
+        daemon = make_daemon(self._settings_of(entry), self.loop_thread)
         daemon.start()
         with self._lock:
             self.daemons_by_name[entry.id] = daemon
--- a/libs/daemon/src/celeryfork_daemon/assembly.py
+++ b/libs/daemon/src/celeryfork_daemon/assembly.py
@@ -32,7 +32,7 @@
 from celeryfork_platform.log import LogClient, make_log_client
 from celeryfork_routing.router import Router, make_router
 from celeryfork_streams.engine_client import EngineSession
-from celeryfork_streams.loop_thread import LoopThread, make_loop_thread
+from celeryfork_streams.loop_thread import LoopThread
 from celeryfork_streams.policy import StreamPolicy
 from celeryfork_streams.streams import StreamRunner, make_stream_runner
 from celeryfork_wire.peers import PeerPool
@@ -94,7 +94,12 @@
     loop_thread: LoopThread
 
 
-def make_parts(settings: Settings, http_address: str, peer_address: str) -> Parts:
+def make_parts(
+    settings: Settings,
+    http_address: str,
+    peer_address: str,
+    loop_thread: LoopThread,
+) -> Parts:
     """Return the parts of an instance.
 
     Parameters
@@ -103,6 +108,8 @@
         The instance's settings.
     http_address, peer_address
         ``ip:port`` that it tells others.
+    loop_thread
+        Runs the streams.
     """
     clock = SystemClock()
     counters = Counters()
@@ -149,7 +156,7 @@
             clock,
             counters,
         ),
-        loop_thread=make_loop_thread(),
+        loop_thread=loop_thread,
     )
 
 
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -5,12 +5,12 @@
 from urllib.parse import parse_qs, urlsplit
 
 from attrs import asdict, frozen
-from celeryfork_admission.admission import Admission
 from celeryfork_base.clock import SystemClock
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_calls.kept import kept_from_wire
 from celeryfork_config.settings import Settings
 from celeryfork_streams.engine_client import EngineSession, make_engine_session
+from celeryfork_streams.loop_thread import LoopThread, make_loop_thread
 from celeryfork_streams.streams import StreamRunner
 from celeryfork_wire.gen.celeryfork.ttypes import (
     ConfigSlice,
@@ -44,6 +44,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 LOOP_START_TIMEOUT_S = 10.0
+STOP_TIMEOUT_S = 5.0
 VERSION = "0.1.0"
 
 logger = make_logger("entry")
@@ -55,14 +56,16 @@
 
     session: EngineSession
     runner: StreamRunner
+    model_calls: ModelCalls
     handlers: Handlers
 
 
 class Daemon:
     """An entry instance; create it with ``make_daemon``."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, shared_loop: LoopThread | None) -> None:
         self.settings = settings
+        self._own_loop = make_loop_thread() if shared_loop is None else None
         self._state = InstanceState.STARTING
         self._http = make_http_server(
             settings.http_host,
@@ -77,8 +80,16 @@
         self.peer_address = (
             settings.advertised_peer_address or self._peer_server.address
         )
-        self.parts: Parts = make_parts(settings, self.http_address, self.peer_address)
+        self.parts: Parts = make_parts(
+            settings,
+            self.http_address,
+            self.peer_address,
+            shared_loop or self._own_loop or make_loop_thread(),
+        )
         self.in_flight = InFlight(self.parts.clock)
+        self._callers = Callers(
+            lambda: self.parts.follower.current, settings.administrator_key_sha256
+        )
         self._metrics = _make_metrics(settings, self.parts)
         self._serving: Serving | None = None
         self._http_thread = threading.Thread(
@@ -97,12 +108,16 @@
     def start(self) -> None:
         """Begin to serve; readiness follows when the configuration is in force."""
         parts = self.parts
-        parts.loop_thread.start()
+        if self._own_loop is not None:
+            self._own_loop.start()
         session = parts.loop_thread.submit(
             make_engine_session(CONNECT_TIMEOUT_S)
         ).result(timeout=LOOP_START_TIMEOUT_S)
         runner = make_runner(parts, session)
-        self._serving = Serving(session, runner, self._make_handlers(runner))
+        model_calls = self._make_model_calls(runner)
+        self._serving = Serving(
+            session, runner, model_calls, self._make_handlers(model_calls)
+        )
         self._peer_server.start(PeerHandler(self._peer_parts()))
         parts.follower.subscribe(
             lambda current: parts.membership.gossip.set_config_offset(current.offset)
@@ -206,8 +221,13 @@
             self._metrics.stop()
 
     def _stop_loop(self) -> None:
-        session = self._serving.session if self._serving else None
-        self.parts.loop_thread.stop(session.close if session else None)
+        loop_thread, serving = self.parts.loop_thread, self._serving
+        if serving is not None:
+            self._serving = None
+            serving.model_calls.cancel_all()
+            loop_thread.submit(serving.session.close()).result(timeout=STOP_TIMEOUT_S)
+        if self._own_loop is not None:
+            self._own_loop.stop()
 
     def _answer(self, call: HttpCall) -> Answer:
         if self._serving is None:
@@ -221,14 +241,11 @@
             logger.exception("a call failed inside", request_id=call.request_id)
             raise internal_fault(error) from error
 
-    def _make_handlers(self, runner: StreamRunner) -> Handlers:
+    def _make_model_calls(self, runner: StreamRunner) -> ModelCalls:
         parts, gate = self.parts, self.parts.gate
-        callers = Callers(
-            lambda: parts.follower.current, self.settings.administrator_key_sha256
-        )
-        model_calls = ModelCalls(
+        return ModelCalls(
             ModelCallParts(
-                callers=callers,
+                callers=self._callers,
                 configuration=lambda: parts.follower.current,
                 stream_policy=lambda: stream_policy(parts.follower.current.policy),
                 admission=gate.admission,
@@ -240,26 +257,28 @@
                 counters=parts.counters,
             )
         )
-        plain_calls = self._make_plain_calls(callers, gate.admission)
+
+    def _make_handlers(self, model_calls: ModelCalls) -> Handlers:
+        plain_calls = self._make_plain_calls()
         return Handlers(
             completion=model_calls.completion,
             chat=model_calls.chat,
             models=self._models,
             ticket=plain_calls.ticket,
             service=plain_calls.service,
-            state=lambda call: self._state_reply(callers, call),
+            state=self._state_reply,
             healthy=lambda: self._state != InstanceState.STOPPED,
             ready=lambda: self.ready,
         )
 
-    def _make_plain_calls(self, callers: Callers, admission: Admission) -> PlainCalls:
+    def _make_plain_calls(self) -> PlainCalls:
         parts = self.parts
         has_secret = self.settings.ticket_secret is not None
         return PlainCalls(
             PlainCallParts(
-                callers=callers,
+                callers=self._callers,
                 configuration=lambda: parts.follower.current,
-                admission=admission,
+                admission=parts.gate.admission,
                 caller=parts.plain.caller,
                 tickets=parts.plain.tickets if has_secret else None,
                 in_flight=self.in_flight,
@@ -302,8 +321,8 @@
             },
         )
 
-    def _state_reply(self, callers: Callers, call: HttpCall) -> Reply:
-        callers.check_administrator(call)
+    def _state_reply(self, call: HttpCall) -> Reply:
+        self._callers.check_administrator(call)
         part = parse_qs(urlsplit(call.path).query).get("part", [None])[0]
         return json_reply(200, self.dump(part))
 
@@ -354,6 +373,13 @@
 }
 
 
-def make_daemon(settings: Settings) -> Daemon:
-    """Return an entry instance that listens, but does not serve yet."""
-    return Daemon(settings)
+def make_daemon(settings: Settings, shared_loop: LoopThread | None = None) -> Daemon:
+    """Return an entry instance that listens, but does not serve yet.
+
+    Parameters
+    ----------
+    shared_loop
+        A running event loop to use, for several instances in one process; None gives
+        the instance one of its own.
+    """
+    return Daemon(settings, shared_loop)
--- a/libs/daemon/src/celeryfork_daemon/model_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/model_calls.py
@@ -69,6 +69,12 @@
 
     def __init__(self, parts: ModelCallParts) -> None:
         self._parts = parts
+        self._served: set[Future[None]] = set()
+
+    def cancel_all(self) -> None:
+        """Cut off the calls that run."""
+        for served in self._served.copy():
+            served.cancel()
 
     def completion(self, call: HttpCall) -> TakesConnection:
         """Answer ``POST /v1/completions`` on the event loop."""
@@ -131,7 +137,12 @@
         served = self._parts.loop_thread.submit(
             self._serve(connection, prepared, entered)
         )
-        served.add_done_callback(lambda _: self._parts.in_flight.end(number))
+        self._served.add(served)
+        served.add_done_callback(lambda _: self._end(served, number))
+
+    def _end(self, served: "Future[None]", number: int) -> None:
+        self._served.discard(served)
+        self._parts.in_flight.end(number)
 
     async def _serve(
         self,
