--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -9,7 +9,9 @@
 from celeryfork_cmdline.config import config_app
 from celeryfork_cmdline.demo import demo
 from celeryfork_cmdline.inspect import dump, targets
+from celeryfork_cmdline.load import load
 from celeryfork_cmdline.serve import serve
+from celeryfork_cmdline.standin import standin
 from celeryfork_cmdline.version import version
 
 EXIT_FAULT = 1
@@ -23,7 +25,7 @@
         no_args_is_help=True,
         pretty_exceptions_enable=False,
     )
-    for command in (serve, check, dump, targets, demo, version):
+    for command in (serve, check, dump, targets, demo, load, standin, version):
         app.command()(command)
     app.add_typer(config_app, name="config")
     return app
