Config: carriers go by the retention that they observe, and share a backlog

Cause: with log_retention_s longer than what the log keeps, records were lost unseen; with a backlog every instance would have carried the same records first. Change: a record that the log dropped too soon shortens the retention that the carrier works by; six instances may carry a key, its first ones first, in batches bounded for the fleet.

--- a/libs/config/src/celeryfork_config/carrier.py
+++ b/libs/config/src/celeryfork_config/carrier.py
@@ -1,7 +1,7 @@
 """Appends records again before the log drops them."""
 
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
 from celeryfork_base.clock import Clock
@@ -24,11 +24,12 @@
 EARLIEST_SHARE = 1 / 4
 JITTER_SHARE = 1 / 12
 RANK_STEP_SHARE = 1 / 60
-HIGHEST_RANK = 5
+CARRIERS_PER_KEY = 6
 CHECKS_PER_RETENTION = 1000
 SHORTEST_CHECK_S = 0.05
 LONGEST_CHECK_S = 30.0
 MOST_CARRIES_PER_CHECK = 200
+LEAST_BATCH = 2
 APPEND_TIMEOUT_S = 5.0
 RETRACTED_KEPT_RETENTIONS = 3
 STOP_WAIT_S = 1.0
@@ -45,6 +46,10 @@
     def ready(self) -> bool:
         """Whether the configuration is complete."""
 
+    @property
+    def retention_s(self) -> float:
+        """How long the log keeps records, as far as is known, in seconds."""
+
     def with_fold(self, use: Callable[[Fold], object]) -> None:
         """Let ``use`` look at the fold while it doesn't change."""
 
@@ -56,7 +61,8 @@
     of the retention old, by a hash, so that records published together aren't carried
     together. The instance that comes first for the key by rendezvous hash carries it
     then; the next one only if the log still lacks the carry a sixtieth of the
-    retention later, and so on. Carries that stand twice in the log do no harm.
+    retention later, and so on for the first six of the live instances. Carries that
+    stand twice in the log do no harm.
     """
 
     def __init__(
@@ -95,12 +101,8 @@
         """Carry what is due now; return how many records were carried."""
         if not self._holder.ready or not self._log.available:
             return 0
-        retention_s = self._holder.current.policy.log_retention_s
-        now_ms = self._clock.wall_ms()
         due: list[str] = []
-        self._holder.with_fold(
-            lambda fold: due.extend(self._collect(fold, now_ms, retention_s))
-        )
+        self._holder.with_fold(lambda fold: due.extend(self._collect(fold)))
         carried = 0
         for data in due:
             if self._stopped.is_set() or not self._append(data):
@@ -119,44 +121,49 @@
             except Exception:
                 # The next check may do better; without carries records would be lost.
                 self._counters.add("config.carrier.faults")
-            retention_s = self._holder.current.policy.log_retention_s
-            check_s = retention_s / CHECKS_PER_RETENTION
+            check_s = self._holder.retention_s / CHECKS_PER_RETENTION
             self._woken.wait(min(max(check_s, SHORTEST_CHECK_S), LONGEST_CHECK_S))
             self._woken.clear()
 
-    def _collect(self, fold: Fold, now_ms: int, retention_s: float) -> list[str]:
-        retention_ms = retention_s * 1000
-        fold.forget_retracted(int(now_ms - RETRACTED_KEPT_RETENTIONS * retention_ms))
+    def _collect(self, fold: Fold) -> list[str]:
+        now_ms = self._clock.wall_ms()
+        published_s = self._holder.current.policy.log_retention_s
+        kept_ms = RETRACTED_KEPT_RETENTIONS * published_s * 1000
+        fold.forget_retracted(int(now_ms - kept_ms))
         if not fold.settled:
             return []
         instances = list(self._fleet())
-        found: list[str] = []
+        # A bound for the whole fleet, also when everything is due at once.
+        most = max(LEAST_BATCH, MOST_CARRIES_PER_CHECK // max(len(instances), 1))
+        due_by_rank: dict[int, list[KeptRecord]] = {}
+        for kept, rank in self._due(fold, now_ms, instances):
+            due = due_by_rank.setdefault(rank, [])
+            if len(due) < most:
+                due.append(kept)
+            elif rank == 0:
+                break
+        chosen = [kept for rank in sorted(due_by_rank) for kept in due_by_rank[rank]]
+        return [
+            encode_entry(kept.to_carry(fold.next_offset, now_ms))
+            for kept in chosen[:most]
+        ]
+
+    def _due(
+        self, fold: Fold, now_ms: int, instances: list[str]
+    ) -> Iterator[tuple[KeptRecord, int]]:
+        """Yield what this instance shall carry, with its rank for the key."""
+        retention_ms = self._holder.retention_s * 1000
         earliest_ms = int(now_ms - EARLIEST_SHARE * retention_ms)
         for kept, evidence_ms in fold.due_before(earliest_ms):
+            key = f"{kept.key[0]}#{kept.key[1]}#{evidence_ms}"
+            jitter = xxh3_64_intdigest(key.encode()) / 2**64 * JITTER_SHARE
             age_share = (now_ms - evidence_ms) / retention_ms
-            if not self._is_due(kept, evidence_ms, age_share, instances):
-                continue
-            carry = kept.to_carry(fold.next_offset, now_ms)
-            found.append(encode_entry(carry))
-            if len(found) >= MOST_CARRIES_PER_CHECK:
-                break
-        return found
-
-    def _is_due(
-        self,
-        kept: KeptRecord,
-        evidence_ms: int,
-        age_share: float,
-        instances: list[str],
-    ) -> bool:
-        """Tell whether this instance carries, at an age as a share of retention."""
-        key = f"{kept.key[0]}#{kept.key[1]}#{evidence_ms}"
-        jitter = xxh3_64_intdigest(key.encode()) / 2**64 * JITTER_SHARE
-        late_share = age_share - EARLIEST_SHARE - jitter
-        if late_share < 0:
-            return False  # ranking all instances takes longer than the hash
-        rank = rank_of(self._instance, instances, key, most=HIGHEST_RANK)
-        return late_share >= rank * RANK_STEP_SHARE
+            late_share = age_share - EARLIEST_SHARE - jitter
+            if late_share < 0:
+                continue  # ranking takes longer than the hash
+            rank = rank_of(self._instance, instances, key, most=CARRIERS_PER_KEY)
+            if rank < CARRIERS_PER_KEY and late_share >= rank * RANK_STEP_SHARE:
+                yield kept, rank
 
     def _append(self, data: str) -> bool:
         nonce = str(make_uuid7(self._clock.wall_ms()))
--- a/libs/config/src/celeryfork_config/describe.py
+++ b/libs/config/src/celeryfork_config/describe.py
@@ -106,6 +106,10 @@
         "Records are not carried, and lost if that lasts for two thirds of the "
         "log's retention: bring the log back."
     ),
+    "`config.follower.retention_shorter` grows": (
+        "The log drops records sooner than `log_retention_s` says: correct the policy. "
+        "Instances carry by what they observe until then."
+    ),
     "`config.follower.log_behind` grows": (
         "The log's next offset went back: what is in force stays; restart the "
         "instances once the log is whole."
--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -193,6 +193,15 @@
             if fallback.seen_ms < evidence_ms:
                 yield fallback, fallback.seen_ms
 
+    def newest_dropped_ms(self, first_offset: int) -> int | None:
+        """Return when the log last held the newest record that it holds no more."""
+        dropped = [
+            kept.seen_ms
+            for kept in self._index.before(first_offset)
+            if self._states_by_key[kept.key].certain
+        ]
+        return max(dropped, default=None)
+
     def forget_retracted(self, before_ms: int) -> None:
         """Drop the records that were retracted before ``before_ms``.
 
--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -1,5 +1,6 @@
 """Keeps the configuration in force up to date, from the log or from peers."""
 
+import math
 import random
 import threading
 from collections.abc import Callable, Mapping, Sequence
@@ -25,6 +26,7 @@
 
 STOP_WAIT_S = 1.0
 EMPTY_PAUSE_S = 0.05
+LEAST_RETENTION_S = 1.0
 
 _logger = Logger(__name__)
 
@@ -122,6 +124,7 @@
         self._callbacks: list[ConfigurationCallback] = []
         self._stopped = threading.Event()
         self._next_log_read_s = 0.0
+        self._observed_retention_s = math.inf
         self._thread = threading.Thread(
             target=self._run, name="config-follower", daemon=True
         )
@@ -137,6 +140,11 @@
         """Whether the log's end, or the state of a peer, was reached once."""
         return self._ready
 
+    @property
+    def retention_s(self) -> float:
+        """How long the log keeps records, in seconds: as published, or as observed."""
+        return min(self._current.policy.log_retention_s, self._observed_retention_s)
+
     def start(self) -> None:
         """Begin to follow."""
         self._thread.start()
@@ -196,6 +204,7 @@
             "ready": self._ready,
             "source": self._source,
             "tailer": self._is_tailer(),
+            "retention_s": self.retention_s,
             "fold": fold,
         }
 
@@ -269,9 +278,24 @@
                 self._fold.settle()
         if at_end:
             self._publish("log")
+            self._observe_retention(part.first_offset)
         if not part.records:
             self._pause(EMPTY_PAUSE_S)  # a log that doesn't hold its answers back
 
+    def _observe_retention(self, first_offset: int) -> None:
+        """Notice that the log has dropped a record before it was due to be carried."""
+        with self._changed:
+            dropped_ms = self._fold.newest_dropped_ms(first_offset)
+        if dropped_ms is None:
+            return
+        age_s = max((self._clock.wall_ms() - dropped_ms) / 1000, LEAST_RETENTION_S)
+        if age_s >= self.retention_s:
+            return
+        self._observed_retention_s = age_s
+        self._counters.add("config.follower.retention_shorter")
+        _logger.warning(f"the log keeps records for less than {age_s:.1f} s")
+        self._carrier.wake()
+
     def _has_too_much_to_read(self, part: LogSlice) -> bool:
         """Whether the log has dropped what was not read, or is long to read whole."""
         if self._fold.next_offset == 0:
--- a/libs/config/src/celeryfork_config/kept.py
+++ b/libs/config/src/celeryfork_config/kept.py
@@ -188,6 +188,14 @@
         found.reverse()
         return found
 
+    def before(self, offset: int) -> Iterator[KeptRecord]:
+        """Yield the records that the log last held before an offset, in order."""
+        self._sort()
+        for seen_offset, kept in self._by_seen_offset.items():
+            if seen_offset >= offset:
+                return
+            yield kept
+
     def _sort(self) -> None:
         if not self._sorted:
             self._by_seen_offset = dict(sorted(self._by_seen_offset.items()))
--- a/libs/config/tests/test_carrier.py
+++ b/libs/config/tests/test_carrier.py
@@ -81,6 +81,26 @@
             follower.stop()
 
 
+def test_a_log_that_forgets_sooner_than_published_loses_no_record(platform) -> None:
+    clock, counters = SystemClock(), Counters()
+    log = make_log_client(platform.url, clock, counters)
+    operator = make_publisher(log, clock)
+    operator.publish("model/a", 1, {"layers": 4})
+    operator.publish("model/b", 1, {"layers": 8})
+    follower = make_follower(log, clock, counters, options=OPTIONS, seed=1)
+    follower.start()
+    try:
+        assert follower.wait(1, TIMEOUT_S)
+        platform.log.retain(RETENTION_S)
+        wait_until(lambda: counters.count("config.carrier.carried") >= 6)
+        assert counters.count("config.follower.retention_shorter") >= 1
+        assert follower.retention_s < 10 * RETENTION_S
+        assert {item.payload["layers"] for item in operator.show("model/a")} == {4}
+        assert {item.payload["layers"] for item in operator.show("model/b")} == {8}
+    finally:
+        follower.stop()
+
+
 def test_every_key_has_one_first_carrier_and_the_load_is_spread() -> None:
     names = [f"instance-{i}" for i in range(9)]
     firsts = [
--- a/libs/config/tests/test_fold_machine.py
+++ b/libs/config/tests/test_fold_machine.py
@@ -72,6 +72,10 @@
     def current(self) -> Configuration:
         return self.retention
 
+    @property
+    def retention_s(self) -> float:
+        return RETENTION_S
+
     def with_fold(self, use) -> None:
         use(self.fold)
 
