--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -141,6 +141,8 @@
         self._given_up: dict[str, Abandon | None] = {}
         self._waiters_by_hash: dict[bytes, list[threading.Event]] = {}
         self._on_handed_over: HandedOverCallback | None = None
+        self._waiting_count = 0
+        self.awaited = threading.Event()
         self.stopping = False
         self.kept = KeptStore(
             clock,
@@ -301,7 +303,13 @@
             return Recorded(held)
         if held.holder != self.holder:
             return InProgress(held.holder)
+        return self._look_at_own(hashed, held)
+
+    def _look_at_own(self, hashed: bytes, held: Held) -> Found:
+        """Return what is known of a key that this instance held before."""
         if held.nonce in self._given_up:
+            if self.log_is_down:
+                return Refused(errors.log_unavailable("The log is down."))
             return WaitFor(self._waiter(hashed))
         return Unresolved("its outcome is not kept any more")
 
@@ -316,6 +324,8 @@
             return Refused(errors.overloaded("Too many claims wait for the log."))
         self._attempts_by_nonce[claim.nonce] = attempt
         self._attempts_by_hash[hashed] = attempt
+        self._waiting_count += 1
+        self.awaited.set()
         return attempt
 
     def _log_outcome(self, nonce: str, kept: KeptOutcome) -> None:
@@ -339,6 +349,10 @@
         self._given_up[claim.nonce] = None if queued else abandon
 
     def _decide(self, attempt: Attempt, state: AttemptState) -> None:
+        if attempt.state is AttemptState.WAITING:
+            self._waiting_count -= 1
+            if self._waiting_count == 0:
+                self.awaited.clear()
         attempt.state = state
         attempt.decided.set()
 
@@ -398,7 +412,8 @@
             except MalformedRecordError:
                 self._counters.add("claims.records_malformed")
             else:
-                self._counters.add("claims.entries_malformed", batch.faults)
+                if batch.faults:
+                    self._counters.add("claims.entries_malformed", batch.faults)
                 with self._lock:
                     self._apply(record, batch)
 
--- a/libs/calls/src/celeryfork_calls/claims.py
+++ b/libs/calls/src/celeryfork_calls/claims.py
@@ -5,7 +5,6 @@
 """
 
 import threading
-import uuid
 from collections.abc import Sequence
 
 from celeryfork_base.clock import Clock
@@ -71,7 +70,12 @@
         self._limits = limits
         self.table = ClaimTable(log, str(incarnation), clock, counters, limits)
         self.follower = ClaimFollower(
-            log, self.table.take_in, self.table.on_gap, clock, counters
+            log,
+            self.table.take_in,
+            self.table.on_gap,
+            self.table.awaited,
+            clock,
+            counters,
         )
 
     @property
@@ -122,11 +126,11 @@
         deadline_s
             Monotonic time until which the caller waits, in seconds.
         """
+        key = key.lower()
         fault = self._key_fault(key)
         if fault is not None:
             self._counters.add(f"claims.refused_{fault.code}")
             return Refused(fault)
-        key = str(uuid.UUID(key))
         result: ClaimResult | None = None
         while result is None:
             match self.table.look_or_begin(organisation, key, body_hash):
@@ -253,14 +257,16 @@
         """Read a whole outcome back from the log; failing that, its holder has it."""
         if held.outcome_offset < 0:
             outcome = held.outcome or Outcome.UNKNOWN
-            return Unresolved("its answer was too large to keep", outcome)
+            reason = "its answer was too large for the log"
+            return Unresolved(reason, outcome, held.holder)
         try:
             part = self._log.read(
                 CLAIMS_STREAM, held.outcome_offset, 1, 0.0, READ_TIMEOUT_S
             )
             batches = [decode_batch(r.data) for r in part.records[:1]]
         except (CeleryforkError, ValueError):
-            return InProgress(held.holder)
+            reason = "its answer can't be read while the log is down"
+            return Unresolved(reason, holder=held.holder)
         for entry in (e for batch in batches for e in batch.entries):
             if isinstance(entry, Settled) and entry.nonce == held.nonce:
                 self.table.kept.put(entry.kept)
--- a/libs/routing/src/celeryfork_routing/fleet.py
+++ b/libs/routing/src/celeryfork_routing/fleet.py
@@ -7,16 +7,26 @@
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_membership.targets import Target
+from logbook import Logger
 
 from celeryfork_routing.engines import Engine, make_engine
-from celeryfork_routing.plan import LatencyOf, Plan, draft_plan, finish_plan
+from celeryfork_routing.plan import (
+    LatencyOf,
+    Plan,
+    draft_plan,
+    finish_plan,
+    relieve_long_queues,
+)
 
 LEAST_REPLAN_S = 0.2
 REPLAN_FOR_SPEED_S = 5.0
 MOST_PLANNING_SHARE = 0.01
 LEAST_CHAINS_TO_WEIGH = 4
 MOST_INSTANCES = 1000.0
-WEIGHING_GAIN = 0.05
+WEIGHING_GAIN = 0.1
+WEIGH_EACH_S = 0.1
+
+_log = Logger("routing")
 
 RateOf = Callable[[Target, int], float]
 
@@ -46,6 +56,7 @@
         self.usable_ids: frozenset[str] = frozenset()
         self.instances = 1.0
         self.own_chains = 0
+        self._weighed_s = float("-inf")
         self._clock = clock
         self._counters = counters
         self._executor = executor
@@ -55,6 +66,7 @@
         self._in_choice: Sequence[Target] = ()
         self._planned_for: Sequence[Target] | None = None
         self._planned_s = float("-inf")
+        self._relieved_s = float("-inf")
         self._pause_s = LEAST_REPLAN_S
         self._lock = lock
         self._planning = threading.Lock()
@@ -73,7 +85,11 @@
             return
         self._planned_s = now_s
         if not self._planning.locked():
-            self._executor.submit(self._replan)
+            self._plan_later()
+
+    def bound(self) -> float:
+        """Return the most tokens a second by the present plan."""
+        return self.plan.bound_tokens_per_second if self.plan is not None else 0.0
 
     def weigh_instances(self) -> None:
         """Estimate how many times this instance's work all instances' work is.
@@ -84,6 +100,10 @@
         plan = self.plan
         if plan is None or self.own_chains < LEAST_CHAINS_TO_WEIGH:
             return
+        now_s = self._clock.monotonic()
+        if now_s - self._weighed_s < WEIGH_EACH_S:
+            return
+        self._weighed_s = now_s
         queued = sum(stage.queue for stage in plan.stages_by_range.values())
         ratio = min(max(queued / self.own_chains, 1.0), MOST_INSTANCES)
         self.instances += (ratio - self.instances) * WEIGHING_GAIN
@@ -102,7 +122,7 @@
         return {
             "engines": len(self.engines_by_id),
             "usable": len(self.usable_ids),
-            "bound_tokens_per_second": plan.bound_tokens_per_second if plan else 0.0,
+            "bound_tokens_per_second": self.bound(),
             "paths": len(plan.table.paths) if plan and plan.table else 0,
             "instances_like_this": self.instances,
             "slow_ids": sorted(
@@ -137,11 +157,29 @@
             engine.slowness, engine.samples = known.slowness, known.samples
         return engine
 
+    def _plan_later(self) -> None:
+        try:
+            self._executor.submit(self._replan_or_keep)
+        except RuntimeError:
+            # The router was stopped; what is still in flight keeps the last plan.
+            self._counters.add("routing.plans_after_stop")
+
+    def _replan_or_keep(self) -> None:
+        """Make a new plan; keep the old one after a fault."""
+        try:
+            self._replan()
+        except Exception:
+            self._counters.add("routing.plan_faults")
+            _log.exception("the old plan of {} stays after a fault", self.model)
+
     def _replan(self) -> None:
         with self._planning:
             began_s = self._clock.monotonic()
             in_choice = self._in_choice
             engines = self._engines_of(in_choice)
+            if began_s - self._relieved_s >= REPLAN_FOR_SPEED_S:
+                self._relieved_s = began_s
+                relieve_long_queues(engines)
             draft = draft_plan(engines, self.layers)
             with self._lock:
                 self.plan = finish_plan(draft, engines, self._latency_s, self._origin)
--- a/libs/standin/src/celeryfork_standin/engine.py
+++ b/libs/standin/src/celeryfork_standin/engine.py
@@ -16,17 +16,17 @@
     RanToken,
 )
 from celeryfork_standin.engine_http import EngineSite
-from celeryfork_standin.errors import UnknownTargetError
+from celeryfork_standin.errors import TargetExistsError, UnknownTargetError
 from celeryfork_standin.instance_list import InstanceListService, ListedInstance
 from celeryfork_standin.links import LinkTable
 from celeryfork_standin.orders import OrderDesk
-from celeryfork_standin.sequence import TokenRecord
 from celeryfork_standin.step_timer import StepTimer
+from celeryfork_standin.token_record import TokenRecord
 from celeryfork_standin.weight_store import WeightStore
 
 DEFAULT_LATENCY_S = 0.00025
 DEFAULT_LINK_TIMEOUT_S = 1.0
-MOST_TOKENS_RECORDED = 1_000_000
+MOST_TOKENS_RECORDED = 500_000
 
 __all__ = ["Engine", "EngineFleet", "EngineSpec", "make_engine_fleet"]
 
@@ -82,8 +82,18 @@
         self._thread.stop()
 
     def add(self, spec: EngineSpec) -> Engine:
-        """Add an engine; it listens at its ``address`` when this returns."""
+        """Add an engine; it listens at its ``address`` when this returns.
+
+        Raises
+        ------
+        TargetExistsError
+            Its identifier is taken.
+        """
         self.start()
+        if spec.id in self._members_by_id:
+            raise TargetExistsError(
+                f"There is an engine {spec.id!r} already.", "give it another name"
+            )
         return self._thread.run(self._add(spec))
 
     async def _add(self, spec: EngineSpec) -> Engine:
