--- a/libs/config/src/celeryfork_config/describe.py
+++ b/libs/config/src/celeryfork_config/describe.py
@@ -10,10 +10,11 @@
 import orjson
 from attrs import NOTHING
 
+from celeryfork_config.environment import environment_variable, option_paths
 from celeryfork_config.options import option_of
 from celeryfork_config.records import KINDS_BY_KEY, ServiceKind
 from celeryfork_config.schema import default_of
-from celeryfork_config.settings import Settings, environment_variable, option_paths
+from celeryfork_config.settings import Settings
 from celeryfork_config.structuring import optional_of
 
 _NAMES_BY_TYPE = {
--- a/libs/config/src/celeryfork_config/publisher.py
+++ b/libs/config/src/celeryfork_config/publisher.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import orjson
-from attrs import frozen
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import (
@@ -22,13 +21,17 @@
 from celeryfork_config.entries import (
     LARGEST_ENTRY_BYTES,
     STREAM,
-    Carry,
     Record,
     check_record_name,
     encode_entry,
-    parse_entry,
 )
 from celeryfork_config.fold import Change, Fold
+from celeryfork_config.history import (
+    HistoryItem,
+    PublishedRecord,
+    WaitResult,
+    history_item,
+)
 from celeryfork_config.records import validate_record
 
 NEW_RECORD = -1
@@ -38,45 +41,6 @@
 _LONGEST_PAUSE_S = 1.0
 
 
-@frozen
-class PublishedRecord:
-    """A record in force, as the publisher sees it."""
-
-    name: str
-    schema: int
-    offset: int
-    published_ms: int
-    payload: Mapping[str, Any]
-
-
-@frozen
-class HistoryItem:
-    """One entry of the log about a name.
-
-    Parameters
-    ----------
-    carried_from
-        Offset of the original, where the entry is a carry.
-    """
-
-    offset: int
-    appended_ms: int
-    schema: int
-    based_on: int | None
-    accepted: bool
-    carried_from: int | None
-    payload: Mapping[str, Any] | None
-
-
-@frozen
-class WaitResult:
-    """Which instances have applied an offset, and which had not in time."""
-
-    offset: int
-    reached: tuple[str, ...]
-    behind: Mapping[str, int]
-
-
 class Publisher:
     """Publishes, retracts and shows records; for one thread."""
 
@@ -165,7 +129,7 @@
         self._fold = Fold(Counters())
         entries, changes = self._catch_up(self._deadline_s())
         accepted = {change.offset for change in changes}
-        items = [_history_item(entry, name, accepted) for entry in entries]
+        items = [history_item(entry, name, accepted) for entry in entries]
         return tuple(item for item in items if item is not None)
 
     def wait(
@@ -313,25 +277,3 @@
 ) -> Publisher:
     """Return a publisher whose calls take at most ``timeout_s`` seconds each."""
     return Publisher(log, clock, timeout_s)
-
-
-def _history_item(
-    entry: LogRecord, name: str, accepted: set[int]
-) -> HistoryItem | None:
-    try:
-        parsed = parse_entry(entry.data)
-    except InputFaultError:
-        return None
-    carried_from = parsed.original_offset if isinstance(parsed, Carry) else None
-    record = parsed.record if isinstance(parsed, Carry) else parsed
-    if record.name != name:
-        return None
-    return HistoryItem(
-        offset=entry.offset,
-        appended_ms=entry.appended_ms,
-        schema=record.schema,
-        based_on=record.based_on,
-        accepted=carried_from is not None or entry.offset in accepted,
-        carried_from=carried_from,
-        payload=record.payload,
-    )
--- a/libs/config/src/celeryfork_config/settings.py
+++ b/libs/config/src/celeryfork_config/settings.py
@@ -6,11 +6,11 @@
 from pathlib import Path
 from typing import Any
 
-import attrs
 import orjson
 from attrs import frozen
 from celeryfork_base.errors import InputFaultError
 
+from celeryfork_config.environment import option_paths, override
 from celeryfork_config.options import (
     ADDRESS_PATTERN,
     HEX_SHA256_PATTERN,
@@ -20,11 +20,8 @@
     option_of,
 )
 from celeryfork_config.schema import schema_of
-from celeryfork_config.structuring import optional_of, structure, unstructure
+from celeryfork_config.structuring import structure, unstructure
 
-ENVIRONMENT_PREFIX = "CELERYFORK_"
-# Read by the command line, and no option of a process.
-VARIABLES_OF_COMMANDS = frozenset({"CELERYFORK_ADMINISTRATOR_KEY"})
 FROM_DEFAULT = "default"
 FROM_FILE = "file"
 HIDDEN_VALUE = "(hidden)"
@@ -206,7 +203,7 @@
     """
     values = _read_file(Path(path))
     in_file = set(_paths_in(values))
-    overridden = _override(values, environment)
+    overridden = override(Settings, values, environment)
     settings = structure(values, Settings)
     sources: dict[str, str] = {}
     for option_path, _ in option_paths(Settings):
@@ -222,22 +219,6 @@
     return schema_of(Settings)
 
 
-def environment_variable(path: str) -> str:
-    """Return the variable that overrides the option at a dotted path."""
-    return ENVIRONMENT_PREFIX + path.replace(".", "_").upper()
-
-
-def option_paths(shape: Any, prefix: str = "") -> Iterator[tuple[str, Any]]:
-    """Yield the dotted path and the attrs field of every option."""
-    for attribute in attrs.fields(shape):
-        path = prefix + attribute.name
-        inner = optional_of(attribute.type) or attribute.type
-        if attrs.has(inner):
-            yield from option_paths(inner, f"{path}.")
-        else:
-            yield path, attribute
-
-
 def _read_file(path: Path) -> dict[str, Any]:
     try:
         values = orjson.loads(path.read_bytes())
@@ -263,60 +244,6 @@
             yield from _paths_in(value, f"{prefix}{name}.")
 
 
-def _override(values: dict[str, Any], environment: Mapping[str, str]) -> dict[str, str]:
-    """Put the environment's values in place; return the variables by path."""
-    fields_by_variable = {
-        environment_variable(path): (path, attribute)
-        for path, attribute in option_paths(Settings)
-    }
-    overridden: dict[str, str] = {}
-    faults: list[InputFaultError] = []
-    for variable in sorted(environment):
-        if not variable.startswith(ENVIRONMENT_PREFIX):
-            continue
-        if variable in VARIABLES_OF_COMMANDS:
-            continue
-        if variable not in fields_by_variable:
-            faults.append(_unknown_variable(variable))
-            continue
-        path, attribute = fields_by_variable[variable]
-        _put(values, path, _parse(environment[variable], attribute))
-        overridden[path] = variable
-    if faults:
-        raise ExceptionGroup("The environment has faults", faults)
-    return overridden
-
-
-def _unknown_variable(variable: str) -> InputFaultError:
-    return InputFaultError(
-        f"${variable}",
-        "No option has this environment variable.",
-        "unset it, or look its name up in docs/CONFIGURATION.md",
-    )
-
-
-def _parse(text: str, attribute: Any) -> Any:
-    """Read a variable as JSON, except where the option is a text."""
-    if attribute.type is str:
-        return text
-    if optional_of(attribute.type) is str:
-        return None if text == "null" else text
-    try:
-        return orjson.loads(text)
-    except orjson.JSONDecodeError:
-        return text  # the option's own check refuses it
-
-
-def _put(values: dict[str, Any], path: str, value: Any) -> None:
-    *parents, name = path.split(".")
-    for parent in parents:
-        inner = values.get(parent)
-        if not isinstance(inner, dict):
-            inner = values[parent] = {}
-        values = inner
-    values[name] = value
-
-
 def _shown(values: Mapping[str, Any], path: str) -> Any:
     found: Any = values
     for name in path.split("."):
--- a/libs/config/tests/test_settings.py
+++ b/libs/config/tests/test_settings.py
@@ -4,7 +4,7 @@
 
 import orjson
 import pytest
-from celeryfork_config.settings import Settings as SettingsClass
+from celeryfork_config.settings import Settings as Settings
 from celeryfork_config.settings import (
     load_settings_with_sources,
     option_paths,
@@ -56,7 +56,7 @@
     assert shown["domain"] == {"value": "westlands", "source": "file"}
     assert shown["heartbeat_s"] == {"value": 1.0, "source": "default"}
     assert shown["ticket_secret"] == {"value": "(hidden)", "source": "file"}
-    assert set(shown) == {path for path, _ in option_paths(SettingsClass)}
+    assert set(shown) == {path for path, _ in option_paths(Settings)}
 
 
 def test_a_hash_of_digits_alone_in_the_environment_stays_a_text() -> None:
