--- a/libs/config/src/celeryfork_config/environment.py
+++ b/libs/config/src/celeryfork_config/environment.py
@@ -32,8 +32,11 @@
 
 def override(
     shape: Any, values: dict[str, Any], environment: Mapping[str, str]
-) -> dict[str, str]:
-    """Put the environment's values in place; return the variables by path."""
+) -> tuple[dict[str, str], list[InputFaultError]]:
+    """Put the environment's values in place.
+
+    Returns the variables by path, and a fault for each that names no option.
+    """
     fields_by_variable = {
         environment_variable(path): (path, attribute)
         for path, attribute in option_paths(shape)
@@ -51,9 +54,7 @@
         path, attribute = fields_by_variable[variable]
         _put(values, path, _parse(environment[variable], attribute))
         overridden[path] = variable
-    if faults:
-        raise ExceptionGroup("The environment has faults", faults)
-    return overridden
+    return overridden, faults
 
 
 def _unknown_variable(variable: str) -> InputFaultError:
--- a/libs/config/src/celeryfork_config/fold.py
+++ b/libs/config/src/celeryfork_config/fold.py
@@ -14,14 +14,10 @@
 docs/notes/configuration.md has the reasoning and the limits.
 """
 
-from collections import deque
-from collections.abc import Iterator, Mapping, Sequence
-from typing import Any
+from collections.abc import Iterator, Sequence
 
-import orjson
 from attrs import frozen
 from celeryfork_base.counters import Counters
-from celeryfork_base.errors import InputFaultError
 from celeryfork_platform.model import LogRecord, LogSlice
 
 from celeryfork_config.entries import (
@@ -29,9 +25,8 @@
     Record,
     RecordKey,
     encode_entry,
-    parse_entry,
 )
-from celeryfork_config.in_force import Configuration, ForceTable
+from celeryfork_config.in_force import Configuration
 from celeryfork_config.kept import (
     EvidenceQueue,
     KeptIndex,
@@ -39,9 +34,9 @@
     KeyState,
     PendingRecord,
 )
-from celeryfork_config.records import Payload, PayloadReader, validate_record
-
-MOST_FAULTS_SHOWN = 20
+from celeryfork_config.name_table import NameTable
+from celeryfork_config.reading import MOST_FAULTS_SHOWN, EntryReader
+from celeryfork_config.records import PayloadReader, validate_record
 
 
 @frozen
@@ -66,26 +61,20 @@
     Parameters
     ----------
     read_payload
-        Reads a payload, and raises ``ExceptionGroup`` or ``InputFaultError`` for one
-        that this version can't read.
+        Reads a payload, and raises for one that this version can't read.
     """
 
     def __init__(
         self, counters: Counters, read_payload: PayloadReader = validate_record
     ) -> None:
         self._counters = counters
-        self._read_payload = read_payload
+        self._reader = EntryReader(counters, read_payload)
         self._states_by_key: dict[RecordKey, KeyState] = {}
-        self._schemas_by_name: dict[str, tuple[int, ...]] = {}
-        self._in_force_by_name: dict[str, KeptRecord] = {}
-        self._table = ForceTable()
+        self._names = NameTable(self._states_by_key)
         self._index = KeptIndex()
         self._evidence = EvidenceQueue()
         self._states_with_fallback: dict[RecordKey, KeyState] = {}
         self._retracted_by_key: dict[RecordKey, KeptRecord] = {}
-        self._faults: deque[dict[str, Any]] = deque(maxlen=MOST_FAULTS_SHOWN)
-        self._snapshot = Configuration()
-        self._stale = False
         self._oldest_as_of = 0
         self.next_offset = 0
         self.settled = True
@@ -95,10 +84,7 @@
     @property
     def configuration(self) -> Configuration:
         """What is in force now, as an immutable snapshot."""
-        if self._stale or self._snapshot.offset != self.next_offset - 1:
-            self._snapshot = self._table.snapshot(self.next_offset - 1)
-            self._stale = False
-        return self._snapshot
+        return self._names.configuration(self.next_offset - 1)
 
     def apply_slice(self, part: LogSlice) -> list[Change]:
         """Apply a slice that was read from ``next_offset`` on."""
@@ -149,7 +135,7 @@
         """
         found: list[tuple[LogRecord, Carry]] = []
         for entry in entries:
-            parsed = self._parse(entry)
+            parsed = self._reader.parse(entry)
             if entry.offset < self.next_offset or not isinstance(parsed, Carry):
                 self._counters.add("config.fold.peer_entries_skipped")
                 continue
@@ -215,16 +201,15 @@
             self._index.remove(head)
             self._evidence.remove(self._states_by_key.pop(key))
             del self._retracted_by_key[key]
-            self._forget_schema(*key)
+            self._names.forget(key)
 
     def live(self, name: str) -> dict[int, KeptRecord]:
         """Return the last accepted records of a name, unless retracted, by schema."""
-        found = {
-            schema: self._states_by_key[name, schema].live
-            for schema in self._schemas_by_name.get(name, ())
-            if (name, schema) in self._states_by_key
+        return {
+            state.key[1]: state.live
+            for state in self._names.states(name)
+            if state.live is not None
         }
-        return {schema: kept for schema, kept in found.items() if kept is not None}
 
     def dump(self) -> dict[str, object]:
         """Return what the state dump shows of the fold."""
@@ -235,7 +220,7 @@
             "settled": self.settled,
             "records": len(heads),
             "retracted": sum(head.retracted for head in heads),
-            "in_force": len(self._in_force_by_name),
+            "in_force": len(self._names),
             "held_back": sum(len(state.pending) for state in states),
             "uncertain": [s.label for s in states if not s.certain][:MOST_FAULTS_SHOWN],
             "unreadable": [
@@ -247,7 +232,7 @@
                 for h in heads
                 if h.fault is not None
             ][:MOST_FAULTS_SHOWN],
-            "skipped": list(self._faults),
+            "skipped": self._reader.skipped,
         }
 
     def _apply(self, entry: LogRecord) -> list[Change]:
@@ -257,27 +242,13 @@
         self.note_first_offset(entry.offset)
         self.next_offset = entry.offset + 1
         self.newest_ms = max(self.newest_ms, entry.appended_ms)
-        match self._parse(entry):
+        match self._reader.parse(entry):
             case Record() as record:
                 return self._apply_record(entry, record)
             case Carry() as carry:
                 return self._apply_carry(entry, carry)
         return []
 
-    def _parse(self, entry: LogRecord) -> Record | Carry | None:
-        try:
-            parsed = parse_entry(entry.data)
-            if isinstance(parsed, Carry) and parsed.as_of > entry.offset + 1:
-                raise InputFaultError(
-                    "$.carry.as_of",
-                    "It is in the future.",
-                    "leave carries to instances",
-                )
-        except InputFaultError as error:
-            self._skip("malformed", entry.offset, str(error))
-            return None
-        return parsed
-
     def _apply_record(self, entry: LogRecord, record: Record) -> list[Change]:
         state = self._states_by_key.get(record.key)
         if state is None:
@@ -293,7 +264,7 @@
         wanted = live.offset if live is not None else None
         fits = record.based_on == wanted
         if not fits and not (record.based_on is None and not state.certain):
-            self._skip(
+            self._reader.skip(
                 "refused",
                 entry.offset,
                 f"{state.label} is based on {record.based_on}, in force was {wanted}",
@@ -304,7 +275,7 @@
             self._evidence.note(state, entry.appended_ms)
         self._counters.add("config.fold.accepted")
         born_offset = live.born_offset if live is not None else entry.offset
-        kept = self._keep_record(entry, record, born_offset)
+        kept = self._reader.keep_record(entry, record, born_offset)
         return [self._set_head(state, kept)]
 
     def _apply_carry(self, entry: LogRecord, carry: Carry) -> list[Change]:
@@ -334,7 +305,9 @@
         based_on = carry.record.based_on
         while based_on is not None and based_on in pending_by_offset:
             found = pending_by_offset.pop(based_on)
-            kept = self._keep_record(found.entry, found.record, carry.born_offset)
+            kept = self._reader.keep_record(
+                found.entry, found.record, carry.born_offset
+            )
             if kept.value is not None:
                 self._adopt_fallback(state, kept)
                 return
@@ -354,7 +327,7 @@
         if state is None:
             state = KeyState(key, certain=self.settled)
             self._states_by_key[key] = state
-        kept = self._keep_carry(entry, carry)
+        kept = self._reader.keep_carry(entry, carry)
         if carry.superseded:
             self._adopt_fallback(state, kept)
             return []
@@ -383,14 +356,12 @@
         state.fallback = kept
         self._states_with_fallback[state.key] = state
         self._index.add(kept)
-        self._update_in_force(state.key[0])
+        self._names.update(state.key[0])
 
     def _set_head(self, state: KeyState, kept: KeptRecord) -> Change:
         name, schema = state.key
         self._states_by_key[state.key] = state
-        if schema not in self._schemas_by_name.get(name, ()):
-            schemas = (*self._schemas_by_name.get(name, ()), schema)
-            self._schemas_by_name[name] = tuple(sorted(schemas, reverse=True))
+        self._names.add(state.key)
         for dropped in state.replace_head(kept):
             self._index.remove(dropped)
         self._index.add(kept)
@@ -404,97 +375,11 @@
             self._states_with_fallback.pop(state.key, None)
         if kept.fault is not None:
             self._counters.add("config.fold.unreadable")
-        self._update_in_force(name)
+        self._names.update(name)
         return Change(name, schema, kept.offset, kept.retracted)
 
-    def _forget_schema(self, name: str, schema: int) -> None:
-        left = tuple(s for s in self._schemas_by_name[name] if s != schema)
-        if left:
-            self._schemas_by_name[name] = left
-        else:
-            del self._schemas_by_name[name]
-
-    def _update_in_force(self, name: str) -> None:
-        """Put the newest schema version that can be read in force."""
-        old = self._in_force_by_name.get(name)
-        new = self._newest_readable(name)
-        if old is new:
-            return
-        self._stale = True
-        self._table.replace(
-            old.value if old is not None else None, new.value if new else None
-        )
-        if new is None:
-            del self._in_force_by_name[name]
-        else:
-            self._in_force_by_name[name] = new
-
-    def _newest_readable(self, name: str) -> KeptRecord | None:
-        for schema in self._schemas_by_name.get(name, ()):
-            state = self._states_by_key.get((name, schema))
-            readable = state.readable if state is not None else None
-            if readable is not None:
-                return readable
-        return None
-
-    def _keep_record(
-        self, entry: LogRecord, record: Record, born_offset: int
-    ) -> KeptRecord:
-        return self._keep(entry, record, entry.offset, entry.appended_ms, born_offset)
-
-    def _keep_carry(self, entry: LogRecord, carry: Carry) -> KeptRecord:
-        kept = self._keep(
-            entry,
-            carry.record,
-            carry.original_offset,
-            carry.original_ms,
-            carry.born_offset,
-        )
-        # What a late carry tells is as old as its carrier's knowledge.
-        kept.seen_ms = min(carry.made_ms, entry.appended_ms)
-        return kept
-
-    def _keep(
-        self,
-        entry: LogRecord,
-        record: Record,
-        offset: int,
-        original_ms: int,
-        born_offset: int,
-    ) -> KeptRecord:
-        value, fault = self._read(record)
-        return KeptRecord(
-            key=record.key,
-            offset=offset,
-            original_ms=original_ms,
-            born_offset=born_offset,
-            # orjson's result keeps the room of its buffer; a copy doesn't.
-            data=bytes(memoryview(orjson.dumps(record.to_json()))),
-            retracted=record.payload is None,
-            value=value,
-            fault=fault,
-            seen_offset=entry.offset,
-            seen_ms=entry.appended_ms,
-        )
-
     def _entry_of(self, kept: KeptRecord) -> LogRecord:
         state = self._states_by_key[kept.key]
         evidence_ms = kept.seen_ms if kept.superseded else state.evidence_ms
         carry = kept.to_carry(as_of=kept.seen_offset + 1, made_ms=evidence_ms)
         return LogRecord(kept.seen_offset, kept.seen_ms, "", encode_entry(carry))
-
-    def _read(self, record: Record) -> tuple[Payload | None, str | None]:
-        if record.payload is None:
-            return None, None
-        payload: Mapping[str, Any] = record.payload
-        try:
-            return self._read_payload(record.name, record.schema, payload), None
-        except ExceptionGroup as group:
-            return None, "; ".join(str(error) for error in group.exceptions)
-        except Exception as error:
-            # Whatever a payload does to its reader, the stream must go on.
-            return None, str(error) or repr(error)
-
-    def _skip(self, kind: str, offset: int, reason: str) -> None:
-        self._counters.add(f"config.fold.{kind}")
-        self._faults.append({"offset": offset, "kind": kind, "reason": reason})
--- a/libs/config/src/celeryfork_config/settings.py
+++ b/libs/config/src/celeryfork_config/settings.py
@@ -203,8 +203,8 @@
     """
     values = _read_file(Path(path))
     in_file = set(_paths_in(values))
-    overridden = override(Settings, values, environment)
-    settings = structure(values, Settings)
+    overridden, faults = override(Settings, values, environment)
+    settings = _structure(values, faults)
     sources: dict[str, str] = {}
     for option_path, _ in option_paths(Settings):
         if option_path in overridden:
@@ -214,6 +214,18 @@
     return LoadedSettings(settings, sources)
 
 
+def _structure(values: dict[str, Any], faults: list[InputFaultError]) -> Settings:
+    """Return the settings, or raise their faults together with those given."""
+    try:
+        settings = structure(values, Settings)
+    except ExceptionGroup as group:
+        faults += [e for e in group.exceptions if isinstance(e, InputFaultError)]
+        raise ExceptionGroup(group.message, faults) from group
+    if faults:
+        raise ExceptionGroup("The environment has faults", faults)
+    return settings
+
+
 def settings_schema() -> dict[str, Any]:
     """Return the JSON Schema of the settings file."""
     return schema_of(Settings)
--- a/libs/config/tests/test_settings.py
+++ b/libs/config/tests/test_settings.py
@@ -105,5 +105,6 @@
 
 def test_a_missing_file_and_an_unknown_variable_are_clear_faults(tmp_path) -> None:
     assert "check the path" in faults_by_path(tmp_path / "none.json")["$"]
-    faults = faults_by_path(EXAMPLE, {"CELERYFORK_HTP_PORT": "1"})
-    assert list(faults) == ["$CELERYFORK_HTP_PORT"]
+    environment = {"CELERYFORK_HTP_PORT": "1", "CELERYFORK_PEER_PORT": "-1"}
+    faults = faults_by_path(EXAMPLE, environment)
+    assert set(faults) == {"$CELERYFORK_HTP_PORT", "$.peer_port"}
