--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -5,7 +5,6 @@
 import threading
 from collections.abc import Callable, Mapping, Sequence
 
-from attrs import frozen
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PlatformUnavailableError
@@ -14,15 +13,18 @@
 from logbook import Logger
 
 from celeryfork_config.carrier import Carrier
+from celeryfork_config.current import ConfigurationCallback, CurrentConfiguration
 from celeryfork_config.entries import STREAM
 from celeryfork_config.fold import Fold
+from celeryfork_config.follower_options import ConfigurationSlice, FollowerOptions
 from celeryfork_config.in_force import Configuration
 from celeryfork_config.records import PayloadReader, validate_record
 from celeryfork_config.rendezvous import rank_of
 
+__all__ = ["ConfigFollower", "ConfigurationSlice", "FollowerOptions", "make_follower"]
+
 ReadFromPeers = Callable[[int], Sequence[LogRecord] | None]
 Fleet = Callable[[], Mapping[str, str]]
-ConfigurationCallback = Callable[[Configuration], None]
 
 STOP_WAIT_S = 1.0
 EMPTY_PAUSE_S = 0.05
@@ -31,62 +33,6 @@
 _logger = Logger(__name__)
 
 
-@frozen
-class FollowerOptions:
-    """How the log and the peers are read; all times in seconds.
-
-    Parameters
-    ----------
-    long_poll_s
-        How long the log may hold back the answer to a read at its end.
-    read_timeout_s
-        Limit of one read beyond ``long_poll_s``.
-    read_limit
-        Most records in one read.
-    peer_poll_s
-        Between two reads from peers, where they are read.
-    slow_poll_s
-        Between two reads of the log by an instance that isn't a tailer.
-    lone_poll_s
-        The same, where no peer can be reached either.
-    most_records_at_start
-        Where the log has more than this, a peer's state is taken first.
-    tailers_per_domain
-        How many instances of a failure domain long-poll the log.
-    most_direct_readers
-        A fleet up to this size long-polls altogether.
-    """
-
-    long_poll_s: float = 5.0
-    read_timeout_s: float = 5.0
-    read_limit: int = 1000
-    peer_poll_s: float = 1.0
-    slow_poll_s: float = 60.0
-    lone_poll_s: float = 5.0
-    most_records_at_start: int = 5000
-    tailers_per_domain: int = 3
-    most_direct_readers: int = 30
-
-
-@frozen
-class ConfigurationSlice:
-    """What a peer is given to follow this instance.
-
-    Parameters
-    ----------
-    records
-        Entries as they stand in the log, without those that were replaced.
-    next_offset
-        From where to go on.
-    complete
-        Nothing was left out for the limit's sake.
-    """
-
-    records: tuple[LogRecord, ...]
-    next_offset: int
-    complete: bool
-
-
 class ConfigFollower:
     """Follows the configuration stream on a thread of its own.
 
@@ -117,11 +63,8 @@
         self._read_payload = read_payload
         self._random = random.Random(seed)
         self._fold = Fold(counters, read_payload)
-        self._changed = threading.Condition()
-        self._current = Configuration()
-        self._ready = False
-        self._source = "none"
-        self._callbacks: list[ConfigurationCallback] = []
+        self._fold_lock = threading.Lock()
+        self._current = CurrentConfiguration(counters)
         self._stopped = threading.Event()
         self._next_log_read_s = 0.0
         self._observed_retention_s = math.inf
@@ -133,17 +76,19 @@
     @property
     def current(self) -> Configuration:
         """What is in force now."""
-        return self._current
+        return self._current.value
 
     @property
     def ready(self) -> bool:
         """Whether the log's end, or the state of a peer, was reached once."""
-        return self._ready
+        return self._current.ready
 
     @property
     def retention_s(self) -> float:
         """How long the log keeps records, in seconds: as published, or as observed."""
-        return min(self._current.policy.log_retention_s, self._observed_retention_s)
+        return min(
+            self._current.value.policy.log_retention_s, self._observed_retention_s
+        )
 
     def start(self) -> None:
         """Begin to follow."""
@@ -158,9 +103,11 @@
             self._thread.join(timeout=STOP_WAIT_S)
 
     def subscribe(self, callback: ConfigurationCallback) -> None:
-        """Call ``callback`` with every new configuration, on the follower's thread."""
-        with self._changed:
-            self._callbacks.append(callback)
+        """Call ``callback`` with every new configuration, on the follower's thread.
+
+        It must return soon: nothing is followed in the meantime.
+        """
+        self._current.subscribe(callback)
 
     def wait(self, offset: int, timeout_s: float) -> bool:
         """Wait until ``offset`` has been applied; return whether it has.
@@ -170,18 +117,15 @@
         timeout_s
             How long to wait at most, in seconds.
         """
-        with self._changed:
-            return self._changed.wait_for(
-                lambda: self._current.offset >= offset, timeout_s
-            )
+        return self._current.wait(offset, timeout_s)
 
     def slice_after(self, offset: int, limit: int) -> ConfigurationSlice:
         """Return what a peer that has applied ``offset`` lacks.
 
         Nothing is given before this instance is ready.
         """
-        with self._changed:
-            if not self._ready or not self._fold.settled:
+        with self._fold_lock:
+            if not self._current.ready or not self._fold.settled:
                 return ConfigurationSlice((), 0, complete=True)
             entries = self._fold.entries_after(offset)
             next_offset = self._fold.next_offset
@@ -192,17 +136,17 @@
 
     def with_fold(self, use: Callable[[Fold], object]) -> None:
         """Let ``use`` look at the fold while it doesn't change."""
-        with self._changed:
+        with self._fold_lock:
             use(self._fold)
 
     def dump(self) -> dict[str, object]:
         """Return what the state dump shows of the configuration."""
-        with self._changed:
+        with self._fold_lock:
             fold = self._fold.dump()
         return {
-            "offset": self._current.offset,
-            "ready": self._ready,
-            "source": self._source,
+            "offset": self._current.value.offset,
+            "ready": self._current.ready,
+            "source": self._current.source,
             "tailer": self._is_tailer(),
             "retention_s": self.retention_s,
             "fold": fold,
@@ -225,14 +169,14 @@
                 return
             except PlatformUnavailableError:
                 self._counters.add("config.follower.log_unavailable")
-        if not self._read_peers() and self._ready and not self._is_tailer():
+        if not self._read_peers() and self._current.ready and not self._is_tailer():
             soon_s = self._clock.monotonic() + self._jittered(self._options.lone_poll_s)
             self._next_log_read_s = min(self._next_log_read_s, soon_s)
         self._pause(self._options.peer_poll_s)
 
     def _reads_log_now(self) -> bool:
         """Tailers always do; others until they are ready, and then now and then."""
-        if not self._ready or self._is_tailer():
+        if not self._current.ready or self._is_tailer():
             return True
         now_s = self._clock.monotonic()
         if now_s < self._next_log_read_s:
@@ -252,7 +196,7 @@
 
     def _read_log(self) -> None:
         options = self._options
-        waits = self._ready and self._is_tailer()
+        waits = self._current.ready and self._is_tailer()
         wait_s = options.long_poll_s if waits else 0.0
         read_from = self._fold.next_offset
         part = self._log.read(
@@ -271,7 +215,7 @@
             self._merge_peers(whole=True)
         if self._fold.next_offset > read_from:
             return  # and go on in the log from there
-        with self._changed:
+        with self._fold_lock:
             self._fold.apply_slice(part)
             at_end = self._fold.next_offset >= part.next_offset
             if at_end:
@@ -284,7 +228,7 @@
 
     def _observe_retention(self, first_offset: int) -> None:
         """Notice that the log has dropped a record before it was due to be carried."""
-        with self._changed:
+        with self._fold_lock:
             dropped_ms = self._fold.newest_dropped_ms(first_offset)
         if dropped_ms is None:
             return
@@ -322,7 +266,7 @@
         if entries and not whole and self._was_absent():
             # Peers forget retractions in time, so their news doesn't suffice.
             return self._merge_peers(whole=True)
-        with self._changed:
+        with self._fold_lock:
             fold.merge_peer_entries(entries)
             if fold.next_offset < self._fold.next_offset:
                 return False
@@ -333,38 +277,20 @@
 
     def _was_absent(self) -> bool:
         """Whether what was applied last is older than the log's retention."""
-        retention_ms = self._current.policy.log_retention_s * 1000
+        retention_ms = self._current.value.policy.log_retention_s * 1000
         age_ms = self._clock.wall_ms() - self._fold.newest_ms
         return self._fold.next_offset > 0 and age_ms > retention_ms
 
     def _publish(self, source: str) -> None:
-        """Put the fold's configuration in force and tell the subscribers."""
-        with self._changed:
+        """Put the fold's configuration in force."""
+        with self._fold_lock:
             configuration = self._fold.configuration
-            if self._ready and configuration is self._current:
-                return
-            new_policy = configuration.policy != self._current.policy
-            self._current = configuration
-            self._source = source
-            became_ready, self._ready = not self._ready, True
-            callbacks = list(self._callbacks)
-            self._changed.notify_all()
-        if new_policy:
+        before = self._current.value
+        if self._current.ready and configuration is before:
+            return
+        self._current.put(configuration, source)
+        if configuration.policy != before.policy:
             self._carrier.wake()
-        if became_ready:
-            _logger.notice(f"configuration ready at {configuration.offset} by {source}")
-        self._counters.gauge("config.offset", configuration.offset)
-        for callback in callbacks:
-            self._call(callback, configuration)
-
-    def _call(
-        self, callback: ConfigurationCallback, configuration: Configuration
-    ) -> None:
-        try:
-            callback(configuration)
-        except Exception as error:
-            self._counters.add("config.follower.callback_faults")
-            _logger.error(f"a subscriber of the configuration failed: {error!r}")
 
     def _pause(self, seconds: float) -> None:
         self._stopped.wait(self._jittered(seconds))
