--- a/libs/config/src/celeryfork_config/publisher.py
+++ b/libs/config/src/celeryfork_config/publisher.py
@@ -16,7 +16,7 @@
 )
 from celeryfork_base.identity import make_uuid7
 from celeryfork_platform.log import LogClient
-from celeryfork_platform.model import LogRecord
+from celeryfork_platform.model import LogRecord, LogSlice
 
 from celeryfork_config.entries import (
     LARGEST_ENTRY_BYTES,
@@ -32,10 +32,13 @@
     WaitResult,
     history_item,
 )
+from celeryfork_config.payloads import Payload
 from celeryfork_config.records import validate_record
 
 NEW_RECORD = -1
+NOTHING_IN_FORCE = -1
 DEFAULT_TIMEOUT_S = 15.0
+LONGEST_CATCH_UP_S = 120.0
 READ_LIMIT = 1000
 _SHORTEST_PAUSE_S = 0.05
 _LONGEST_PAUSE_S = 1.0
@@ -48,7 +51,7 @@
         self._log = log
         self._clock = clock
         self._timeout_s = timeout_s
-        self._fold = Fold(Counters())
+        self._fold = Fold(Counters(), _leave_unread)
         self._random = random.Random()
 
     def publish(
@@ -75,7 +78,8 @@
         PlatformUnavailableError
             The record is not in the log.
         AppendUnknownError
-            The record may be in the log, or turn up later.
+            The record may be in the log, or turn up later; or it is there, and the
+            log can't be read to see whether it was accepted.
         """
         validate_record(name, schema, payload)
         return self._publish(name, schema, dict(payload), based_on)
@@ -96,7 +100,7 @@
             As for ``publish``.
         """
         check_record_name(name)
-        self._catch_up(self._deadline_s())
+        self._catch_up()
         live = self._fold.live(name)
         schemas = [s for s in live if schema is None or s == schema]
         if not schemas:
@@ -111,7 +115,7 @@
     def show(self, name: str) -> tuple[PublishedRecord, ...]:
         """Return the live records of a name, the newest schema version first."""
         check_record_name(name)
-        self._catch_up(self._deadline_s())
+        self._catch_up()
         return tuple(
             PublishedRecord(
                 name,
@@ -126,8 +130,8 @@
     def history(self, name: str) -> tuple[HistoryItem, ...]:
         """Return what the log still has about a name, oldest first."""
         check_record_name(name)
-        self._fold = Fold(Counters())
-        entries, changes = self._catch_up(self._deadline_s())
+        self._fold = Fold(Counters(), _leave_unread)
+        entries, changes = self._catch_up()
         accepted = {change.offset for change in changes}
         items = [history_item(entry, name, accepted) for entry in entries]
         return tuple(item for item in items if item is not None)
@@ -163,8 +167,8 @@
         payload: Mapping[str, Any] | None,
         based_on: int | None,
     ) -> int:
+        self._catch_up()
         deadline_s = self._deadline_s()
-        self._catch_up(deadline_s)
         live = self._fold.live(name).get(schema)
         in_force = live.offset if live is not None else None
         if based_on is None:
@@ -172,11 +176,11 @@
         elif based_on == NEW_RECORD:
             based_on = None
         if based_on != in_force:
-            raise self._conflict(name, based_on)
+            raise self._conflict(name, schema, based_on)
         record = Record(name, schema, based_on, payload)
         offset = self._append(record, deadline_s)
-        if not self._was_accepted(offset, deadline_s):
-            raise self._conflict(name, based_on)
+        if not self._was_accepted(offset):
+            raise self._conflict(name, schema, based_on)
         return offset
 
     def _append(self, record: Record, deadline_s: float) -> int:
@@ -191,7 +195,9 @@
         pause_s = _SHORTEST_PAUSE_S
         while True:
             try:
-                return self._log.append(STREAM, data, nonce, self._left_s(deadline_s))
+                # The other half of the time is for finding it, if the answer is lost.
+                timeout_s = self._left_s(deadline_s) / 2
+                return self._log.append(STREAM, data, nonce, timeout_s)
             except AppendUnknownError as error:
                 return self._find(nonce, deadline_s, error)
             except PlatformUnavailableError:
@@ -225,15 +231,24 @@
             "look at `config history` before you publish it again",
         ) from unknown
 
-    def _was_accepted(self, offset: int, deadline_s: float) -> bool:
+    def _was_accepted(self, offset: int) -> bool:
         changes: list[Change] = []
-        while self._fold.next_offset <= offset:
-            changes += self._catch_up(deadline_s)[1]
+        try:
+            while self._fold.next_offset <= offset:
+                changes += self._catch_up()[1]
+        except PlatformUnavailableError as error:
+            raise AppendUnknownError(
+                f"The record stands in the log at offset {offset}, but the log can't be "
+                "read to see whether it was accepted.",
+                "look at `config history` once the log is back",
+            ) from error
         return any(change.offset == offset for change in changes)
 
-    def _conflict(self, name: str, based_on: int | None) -> PublishConflictError:
-        live = self._fold.live(name)
-        winner = max((kept.offset for kept in live.values()), default=-1)
+    def _conflict(
+        self, name: str, schema: int, based_on: int | None
+    ) -> PublishConflictError:
+        live = self._fold.live(name).get(schema)
+        winner = live.offset if live is not None else NOTHING_IN_FORCE
         held = f"offset {winner} is in force" if live else "nothing is in force"
         return PublishConflictError(
             f"{name} was not accepted: it is based on {based_on}, but {held}.",
@@ -241,10 +256,24 @@
             winner,
         )
 
-    def _catch_up(self, deadline_s: float) -> tuple[list[LogRecord], list[Change]]:
-        """Read to the log's end; return the entries read and the records accepted."""
+    def _catch_up(self) -> tuple[list[LogRecord], list[Change]]:
+        """Read to the log's end; return the entries read and the records accepted.
+
+        The timeout holds for each slice: a log of a day takes longer to read.
+        """
         entries: list[LogRecord] = []
         changes: list[Change] = []
+        longest_s = self._clock.monotonic() + LONGEST_CATCH_UP_S
+        while True:
+            part = self._read(
+                self._fold.next_offset, min(longest_s, self._deadline_s())
+            )
+            entries += part.records
+            changes += self._fold.apply_slice(part)
+            if self._fold.next_offset >= part.next_offset:
+                return entries, changes + self._fold.settle()
+
+    def _read(self, from_offset: int, deadline_s: float) -> LogSlice:
         while True:
             left_s = self._left_s(deadline_s)
             if left_s <= 0:
@@ -252,18 +281,11 @@
                     "The log's end was not reached in time.", "try again"
                 )
             try:
-                part = self._log.read(
-                    STREAM, self._fold.next_offset, READ_LIMIT, 0.0, left_s
-                )
+                return self._log.read(STREAM, from_offset, READ_LIMIT, 0.0, left_s)
             except PlatformUnavailableError:
                 if self._left_s(deadline_s) <= _SHORTEST_PAUSE_S:
                     raise
-                time.sleep(_SHORTEST_PAUSE_S)
-                continue
-            entries += part.records
-            changes += self._fold.apply_slice(part)
-            if self._fold.next_offset >= part.next_offset:
-                return entries, changes + self._fold.settle()
+            time.sleep(_SHORTEST_PAUSE_S)
 
     def _deadline_s(self) -> float:
         return self._clock.monotonic() + self._timeout_s
@@ -272,8 +294,20 @@
         return deadline_s - self._clock.monotonic()
 
 
+def _leave_unread(name: str, schema: int, payload: Mapping[str, Any]) -> Payload:
+    """Read no payload: which records are accepted doesn't depend on it."""
+    raise InputFaultError("$", "It was left unread.", "look at the payload itself")
+
+
 def make_publisher(
     log: LogClient, clock: Clock, timeout_s: float = DEFAULT_TIMEOUT_S
 ) -> Publisher:
-    """Return a publisher whose calls take at most ``timeout_s`` seconds each."""
+    """Return a publisher.
+
+    Parameters
+    ----------
+    timeout_s
+        How long each read of the log, and then the append with the search for it, may
+        take, in seconds.
+    """
     return Publisher(log, clock, timeout_s)
--- a/libs/config/tests/test_publisher.py
+++ b/libs/config/tests/test_publisher.py
@@ -83,6 +83,28 @@
         publisher(log, timeout_s=0.3).publish(NAME, 1, {"layers": 24})
 
 
+def test_a_log_that_fails_after_the_append_leaves_acceptance_unknown(log) -> None:
+    put = log.put
+
+    def put_and_fail(data: str, nonce: str = "") -> int:
+        log.down = True
+        return put(data, nonce)
+
+    log.put = put_and_fail
+    with pytest.raises(AppendUnknownError, match="offset 0"):
+        publisher(log, timeout_s=0.3).publish(NAME, 1, {"layers": 24})
+    log.down = False
+    assert publisher(log).show(NAME)[0].offset == 0
+
+
+def test_the_winner_is_told_by_schema_version(log) -> None:
+    log.put_record(NAME, 1, None, {"layers": 1})
+    log.put_record(NAME, 2, None, {"colour": "red"})
+    with pytest.raises(PublishConflictError) as caught:
+        publisher(log).publish(NAME, 1, {"layers": 2}, based_on=7)
+    assert caught.value.winner_offset == 0
+
+
 def test_a_faulty_record_is_not_appended(log) -> None:
     with pytest.raises(ExceptionGroup) as caught:
         publisher(log).publish(NAME, 1, {"layers": 0, "colour": "red"})
