--- a/libs/config/src/celeryfork_config/publisher.py
+++ b/libs/config/src/celeryfork_config/publisher.py
@@ -232,17 +232,20 @@
         ) from unknown
 
     def _was_accepted(self, offset: int) -> bool:
-        changes: list[Change] = []
+        deadline_s = self._deadline_s()
+        changes = self._read_back(offset)
+        while self._fold.next_offset <= offset:
+            if self._left_s(deadline_s) <= 0:
+                raise _unread(offset)
+            time.sleep(_SHORTEST_PAUSE_S)
+            changes += self._read_back(offset)
+        return any(change.offset == offset for change in changes)
+
+    def _read_back(self, offset: int) -> list[Change]:
         try:
-            while self._fold.next_offset <= offset:
-                changes += self._catch_up()[1]
+            return self._catch_up()[1]
         except PlatformUnavailableError as error:
-            raise AppendUnknownError(
-                f"The record stands in the log at offset {offset}, but the log can't be "
-                "read to see whether it was accepted.",
-                "look at `config history` once the log is back",
-            ) from error
-        return any(change.offset == offset for change in changes)
+            raise _unread(offset) from error
 
     def _conflict(
         self, name: str, schema: int, based_on: int | None
@@ -294,6 +297,14 @@
         return deadline_s - self._clock.monotonic()
 
 
+def _unread(offset: int) -> AppendUnknownError:
+    return AppendUnknownError(
+        f"The record stands in the log at offset {offset}, but can't be read back to "
+        "see whether it was accepted.",
+        "look at `config history` once the log is back",
+    )
+
+
 def _leave_unread(name: str, schema: int, payload: Mapping[str, Any]) -> Payload:
     """Read no payload: which records are accepted doesn't depend on it."""
     raise InputFaultError("$", "It was left unread.", "look at the payload itself")
