--- a/libs/config/src/celeryfork_config/describe.py
+++ b/libs/config/src/celeryfork_config/describe.py
@@ -10,10 +10,11 @@
 import orjson
 from attrs import NOTHING
 
+from celeryfork_config.environment import environment_variable, option_paths
 from celeryfork_config.options import option_of
 from celeryfork_config.records import KINDS_BY_KEY, ServiceKind
 from celeryfork_config.schema import default_of
-from celeryfork_config.settings import Settings, environment_variable, option_paths
+from celeryfork_config.settings import Settings
 from celeryfork_config.structuring import optional_of
 
 _NAMES_BY_TYPE = {
@@ -106,6 +107,10 @@
         "Records are not carried, and lost if that lasts for two thirds of the "
         "log's retention: bring the log back."
     ),
+    "`config.follower.retention_shorter` grows": (
+        "The log drops records sooner than `log_retention_s` says: correct the policy. "
+        "Instances carry by what they observe until then."
+    ),
     "`config.follower.log_behind` grows": (
         "The log's next offset went back: what is in force stays; restart the "
         "instances once the log is whole."
--- a/libs/config/tests/test_settings.py
+++ b/libs/config/tests/test_settings.py
@@ -4,7 +4,7 @@
 
 import orjson
 import pytest
-from celeryfork_config.settings import Settings as SettingsClass
+from celeryfork_config.settings import Settings as Settings
 from celeryfork_config.settings import (
     load_settings_with_sources,
     option_paths,
@@ -56,7 +56,7 @@
     assert shown["domain"] == {"value": "westlands", "source": "file"}
     assert shown["heartbeat_s"] == {"value": 1.0, "source": "default"}
     assert shown["ticket_secret"] == {"value": "(hidden)", "source": "file"}
-    assert set(shown) == {path for path, _ in option_paths(SettingsClass)}
+    assert set(shown) == {path for path, _ in option_paths(Settings)}
 
 
 def test_a_hash_of_digits_alone_in_the_environment_stays_a_text() -> None:
@@ -105,5 +105,6 @@
 
 def test_a_missing_file_and_an_unknown_variable_are_clear_faults(tmp_path) -> None:
     assert "check the path" in faults_by_path(tmp_path / "none.json")["$"]
-    faults = faults_by_path(EXAMPLE, {"CELERYFORK_HTP_PORT": "1"})
-    assert list(faults) == ["$CELERYFORK_HTP_PORT"]
+    environment = {"CELERYFORK_HTP_PORT": "1", "CELERYFORK_PEER_PORT": "-1"}
+    faults = faults_by_path(EXAMPLE, environment)
+    assert set(faults) == {"$CELERYFORK_HTP_PORT", "$.peer_port"}
