Membership: peers hear of new targets, long lists are fetched less often, bursts of news all get their turn

Cause: a whole instance list of 10,690 entries is over 2 MB by its fields; fetched by every daemon each few seconds it alone breaks the 4 KB/s for control. A test with 40 targets that leave at once showed that news ranked by age only starves the older ones. Conclusion: tests of the cases pass.

--- a/libs/membership/src/celeryfork_membership/gossip.py
+++ b/libs/membership/src/celeryfork_membership/gossip.py
@@ -38,7 +38,7 @@
 __all__ = ["Gossip", "GossipPace", "PeerIdentity", "PeerView", "make_gossip"]
 
 NEWS_PEER = "peer"
-MOST_NEWS_PER_HEARTBEAT = 8
+MOST_NEWS_PER_HEARTBEAT = 16
 MOST_NEWS_TO_NEWCOMER = 2048
 MOST_WELCOME_NEWS = 4096.0
 WELCOME_NEWS_PER_S = 2.0
--- a/libs/membership/src/celeryfork_membership/news.py
+++ b/libs/membership/src/celeryfork_membership/news.py
@@ -25,6 +25,7 @@
 MOST_ITEMS = 8192
 MOST_TTL_S = 3600.0
 MOST_NEWS_BYTES_PER_HEARTBEAT = 450
+MOST_WEIGHTY_BYTES = 1800
 MOST_OLD_ITEMS_PER_HEARTBEAT = 2
 NEWS_FRAME_BYTES = 60
 DEFAULT_SENDS_PER_ITEM = 6
@@ -255,12 +256,14 @@
         for key in [k for k, i in self._fresh_by_key.items() if i.expired(now_s)]:
             self._drop(key)
         chosen: list[_Item] = []
-        left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
+        sent_bytes = 0
         ranked = heapq.nsmallest(limit, self._fresh_by_key.values(), key=self._rank)
         for item in ranked:
-            if chosen and item.size_bytes > left_bytes:
+            background = item.kind in self.background_kinds
+            most = MOST_NEWS_BYTES_PER_HEARTBEAT if background else MOST_WEIGHTY_BYTES
+            if chosen and sent_bytes + item.size_bytes > most:
                 break
-            left_bytes -= item.size_bytes
+            sent_bytes += item.size_bytes
             chosen.append(item)
             item.sends += 1
             if self._sent_enough(item, now_s):
@@ -280,9 +283,14 @@
             return True
         return now_s - item.taken_s >= LEAST_SPREADING_S
 
-    def _rank(self, item: _Item) -> tuple[bool, float]:
-        """Order news for sending: weighty kinds first, then the newest facts."""
-        return item.kind in self.background_kinds, -item.born_s
+    def _rank(self, item: _Item) -> tuple[bool, int, float]:
+        """Order news for sending.
+
+        Weighty kinds go first, the least sent before others, so that many at once
+        all get their turn; of the background the newest facts.
+        """
+        background = item.kind in self.background_kinds
+        return background, 0 if background else item.sends, -item.born_s
 
     def _choose_old(self, limit: int, chosen: list[_Item], now_s: float) -> list[_Item]:
         left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
--- a/libs/membership/src/celeryfork_membership/table.py
+++ b/libs/membership/src/celeryfork_membership/table.py
@@ -22,6 +22,8 @@
     ----------
     source
         The list entry that it was last read from.
+    shown_in_version
+        The version of the list that is known to show it.
     listed
         Whether the list shows it; since when not in ``unlisted_s``.
     listed_leaving, observed_leaving
@@ -34,6 +36,7 @@
     target: Target
     source: Any = None
     listed: bool = True
+    shown_in_version: int = -1
     listed_leaving: bool = False
     observed_leaving: bool = False
     unlisted_s: float = 0.0
--- a/libs/membership/src/celeryfork_membership/target.py
+++ b/libs/membership/src/celeryfork_membership/target.py
@@ -55,6 +55,57 @@
     return f"{target.id}@{target.incarnation}"
 
 
+def body_of(target: Target, list_version: int) -> dict[str, Any]:
+    """Return the body of the news that a list of this version shows a new target."""
+    return {
+        "t": [
+            list_version,
+            target.role,
+            target.target,
+            target.domain,
+            target.address,
+            target.first_layer,
+            target.last_layer,
+            target.accelerator,
+            target.version,
+            target.checks_fencing,
+        ]
+    }
+
+
+def target_in(subject: str, body: Mapping[str, Any]) -> tuple[Target, int] | None:
+    """Return the target and list version of such news, None if it is malformed."""
+    target_id, _, incarnation = subject.rpartition("@")
+    match body.get("t"):
+        case [
+            int(list_version),
+            str(role),
+            str(target),
+            str(domain),
+            str(address),
+            int(first),
+            int(last),
+            str(accelerator),
+            str(version),
+            bool(checks_fencing),
+        ] if incarnation.isdecimal():
+            told = Target(
+                id=target_id,
+                role=role,
+                target=target,
+                domain=domain,
+                address=address,
+                incarnation=int(incarnation),
+                first_layer=first,
+                last_layer=last,
+                accelerator=accelerator,
+                version=version,
+                checks_fencing=checks_fencing,
+            )
+            return told, list_version
+    return None
+
+
 def target_of(instance: "Instance") -> Target | None:
     """Return the target that a list entry describes, None if it is malformed."""
     attributes = instance.attributes
--- a/libs/membership/src/celeryfork_membership/targets.py
+++ b/libs/membership/src/celeryfork_membership/targets.py
@@ -26,7 +26,14 @@
     Succeeded,
 )
 from celeryfork_membership.table import UNLISTED_GRACE_S, Entry, TargetTable
-from celeryfork_membership.target import ROLES, Target, subject_of, target_of
+from celeryfork_membership.target import (
+    ROLES,
+    Target,
+    body_of,
+    subject_of,
+    target_in,
+    target_of,
+)
 
 if TYPE_CHECKING:
     from celeryfork_platform.model import Instance, InstanceList
@@ -45,8 +52,11 @@
 
 NEWS_OUT = "target_out"
 NEWS_LEAVING = "target_leaving"
+NEWS_NEW = "target_new"
 NEWS_OUT_TTL_S = 10.0
 NEWS_LEAVING_TTL_S = 600.0
+NEWS_NEW_TTL_S = 3600.0
+MOST_NEW_PER_LIST = 32
 LEAVING_RETRY_S = 30.0
 MOST_LEAVING_RETRY_DOUBLINGS = 5
 OWN_SUCCESS_OUTWEIGHS_NEWS_S = 2.0
@@ -76,6 +86,7 @@
         self._callbacks: list[Callable[[], None]] = []
         news.subscribe(NEWS_LEAVING, self._on_leaving_news)
         news.subscribe(NEWS_OUT, self._on_out_news)
+        news.subscribe(NEWS_NEW, self._on_new_news)
 
     @property
     def revision(self) -> int:
@@ -135,13 +146,17 @@
             if instances.version < self._list_version:
                 self._counters.add("targets.list_stale")
                 return
+            first = self._list_version < 0
             self._list_version = instances.version
             before = self._table.revision
+            fresh: list[Entry] = []
             for instance in instances.by_id.values():
                 if instance.role in ROLES:
-                    self._merge(instance)
+                    self._merge(instance, fresh)
             self._mark_unlisted(instances)
             changed = self._table.revision != before
+            if not first:
+                self._tell_peers_of_new(fresh)
         self._tell(changed)
 
     def observe(self, target_id: str, observation: Observation) -> None:
@@ -207,8 +222,8 @@
                 },
             }
 
-    def _merge(self, instance: "Instance") -> None:
-        """Take over what the list says of one target."""
+    def _merge(self, instance: "Instance", fresh: list[Entry]) -> None:
+        """Take over what the list says of one target; add new ones to ``fresh``."""
         entry = self._table.entries_by_id.get(instance.id)
         if entry is not None and entry.listed and entry.source == instance:
             return
@@ -221,6 +236,7 @@
             return
         if entry is None or entry.target != target:
             entry = self._renew(entry, target)
+            fresh.append(entry)
         entry.source = instance
         entry.listed = True
         leaving = instance.state == "leaving"
@@ -244,7 +260,11 @@
     def _mark_unlisted(self, instances: "InstanceList") -> None:
         """Start the grace of targets that the list no longer shows."""
         entries = self._table.entries_by_id.values()
-        listed = [entry for entry in entries if entry.listed]
+        listed = [
+            entry
+            for entry in entries
+            if entry.listed and entry.shown_in_version <= instances.version
+        ]
         gone = [entry for entry in listed if entry.target.id not in instances.by_id]
         shrunk = len(gone) > len(listed) * SHRUNK_LIST_SHARE
         if shrunk:
@@ -312,6 +332,34 @@
         self._counters.add("targets.left_by_news")
         self._tell(True)
 
+    def _tell_peers_of_new(self, fresh: Sequence[Entry]) -> None:
+        """Spread what this list showed first: a long list is fetched only rarely."""
+        for entry in fresh[:MOST_NEW_PER_LIST]:
+            if entry.leaving:
+                continue
+            subject = subject_of(entry.target)
+            if self._news.version_of(NEWS_NEW, subject) is not None:
+                continue
+            body = body_of(entry.target, self._list_version)
+            self._news.publish(NEWS_NEW, subject, body, NEWS_NEW_TTL_S)
+
+    def _on_new_news(self, subject: str, body: dict[str, Any], _: str) -> None:
+        """Take in a target that a peer's newer list shows."""
+        told = target_in(subject, body)
+        if told is None:
+            self._counters.add("targets.malformed")
+            return
+        target, shown_in = told
+        with self._lock:
+            known = self._table.entries_by_id.get(target.id)
+            newer = known is None or known.target.incarnation < target.incarnation
+            if not newer or shown_in <= self._list_version:
+                return
+            entry = self._renew(known, target)
+            entry.shown_in_version = shown_in
+        self._counters.add("targets.new_by_news")
+        self._tell(True)
+
     def _on_out_news(self, subject: str, body: dict[str, Any], _: str) -> None:
         """Leave a target alone that a peer of this failure domain found failing."""
         if self._domain and body.get("domain") not in ("", self._domain):
--- a/libs/membership/src/celeryfork_membership/watch.py
+++ b/libs/membership/src/celeryfork_membership/watch.py
@@ -17,6 +17,9 @@
 
 FETCH_TIMEOUT_S = 2.0
 MOST_BACKOFF_FACTOR = 8.0
+LIST_BYTES_PER_INSTANCE = 220
+LIST_BYTES_PER_S = 1800
+POLLS_TOGETHER = 2
 STOP_WAIT_S = 3.0
 
 _log = Logger("membership")
@@ -52,6 +55,7 @@
         self._poll_s = poll_s
         self._failures = 0
         self._fetched_s: float | None = None
+        self._listed = 0
         self._random = Random()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="watch", daemon=True)
@@ -83,6 +87,7 @@
             _log.info("the instance list answers again")
         self._failures = 0
         self._fetched_s = self._clock.monotonic()
+        self._listed = len(instances.by_id)
         self._view.update_from_list(instances)
         self._gossip.seed(_peer_addresses(instances))
         return True
@@ -109,7 +114,19 @@
 
     def _next_wait_s(self) -> float:
         factor = min(2.0**self._failures, MOST_BACKOFF_FACTOR)
-        return self._poll_s * factor * self._random.uniform(0.8, 1.2)
+        return self._interval_s() * factor * self._random.uniform(0.8, 1.2)
+
+    def _interval_s(self) -> float:
+        """Return the time between polls, longer where the list is long.
+
+        Peers pass on what they see first, so that it is enough that all of them
+        together poll often.
+        """
+        list_bytes = self._listed * LIST_BYTES_PER_INSTANCE
+        instances = 1 + len(self._gossip.peers_by_instance)
+        within_budget_s = list_bytes / LIST_BYTES_PER_S
+        together_s = self._poll_s * instances / POLLS_TOGETHER
+        return max(self._poll_s, min(within_budget_s, together_s))
 
 
 def make_instance_watch(
@@ -120,7 +137,19 @@
     counters: Counters,
     poll_s: float,
 ) -> InstanceWatch:
-    """Return a watch that has not started; ``poll_s`` is the time between polls."""
+    """Return a watch that has not started.
+
+    Parameters
+    ----------
+    list_client
+        Fetches the list.
+    view, gossip
+        Who gets it.
+    clock, counters
+        Shared parts of the instance.
+    poll_s
+        Least time between polls.
+    """
     return InstanceWatch(list_client, view, gossip, clock, counters, poll_s)
 
 
--- a/libs/membership/tests/test_gossip.py
+++ b/libs/membership/tests/test_gossip.py
@@ -204,6 +204,18 @@
     assert all([t.id for t in view.in_choice("s")] == ["s1"] for view in views)
 
 
+def test_a_rack_of_targets_that_leaves_at_once_is_known_everywhere_within_3_s() -> None:
+    network = Network(9)
+    network.run(15)
+    for number in range(40):
+        board = network.boards[f"i{number % 2}"]
+        board.publish("target_leaving", f"e{number}@1", {"domain": "d0"}, 600)
+    network.run_eager(list(network.gossips))
+    network.run(3)
+    for board in network.boards.values():
+        assert len(board.current("target_leaving")) == 40
+
+
 def test_an_old_incarnation_does_not_win_over_a_newer_one() -> None:
     network = Network(3)
     network.run(10)
--- a/libs/membership/tests/test_news.py
+++ b/libs/membership/tests/test_news.py
@@ -96,6 +96,7 @@
 def test_heartbeats_are_bounded_and_the_newest_fact_goes_first() -> None:
     clock = ManualClock()
     one = board(clock)
+    one.background_kinds.add("k")
     for number in range(500):
         clock.advance(0.01)
         one.publish("k", f"s{number}", {"n": "x" * 40}, 60)
@@ -115,6 +116,14 @@
     assert one.to_send(8)[0].kind == "target_leaving"
 
 
+def test_many_weighty_facts_at_once_all_get_their_turn() -> None:
+    one = board()
+    for number in range(40):
+        one.publish("target_leaving", f"e{number}@1", {"domain": "d0"}, 60)
+    told = {n.subject for _ in range(4) for n in one.to_send(16)}
+    assert len(told) == 40
+
+
 def test_old_facts_are_repeated_in_rotation() -> None:
     clock = ManualClock()
     one = board(clock)
--- a/libs/membership/tests/test_targets.py
+++ b/libs/membership/tests/test_targets.py
@@ -218,6 +218,38 @@
     assert far.ids() == {"e0", "e1", "e2"}
 
 
+def test_peers_hear_of_a_new_target_before_their_list_shows_it() -> None:
+    node, peer = Node(), Node()
+    for one in (node, peer):
+        one.see(1, *stage(2))
+    node.see(3, *stage(3), engine(0, incarnation=2))
+    peer.news.receive(node.news.to_send(8))
+    assert peer.ids() == {"e0", "e1", "e2"}
+    assert peer.view.get("e0").incarnation == 2
+    peer.see(2, *stage(2))
+    peer.clock.advance(10)
+    assert peer.ids() == {"e0", "e1", "e2"}
+    peer.see(4, *stage(2))
+    peer.clock.advance(10)
+    assert peer.ids() == {"e0", "e1"}
+
+
+def test_late_news_of_a_new_target_does_not_revive_it() -> None:
+    node, peer = Node(), Node()
+    for one in (node, peer):
+        one.see(1, *stage(2))
+    node.see(3, *stage(3))
+    peer.see(5, *stage(2))
+    peer.news.receive(node.news.to_send(8))
+    assert peer.ids() == {"e0", "e1"}
+
+
+def test_a_first_list_is_not_spread() -> None:
+    node = Node()
+    node.see(1, *stage(50))
+    assert node.news.to_send(8) == []
+
+
 def test_own_success_outweighs_a_peers_news() -> None:
     node, peer = Node(), Node()
     for one in (node, peer):
--- a/libs/membership/tests/test_watch.py
+++ b/libs/membership/tests/test_watch.py
@@ -2,6 +2,8 @@
 
 from types import SimpleNamespace
 
+import pytest
+from attrs import evolve
 from celeryfork_base.clock import ManualClock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PlatformUnavailableError
@@ -43,7 +45,7 @@
     clock, counters = ManualClock(), Counters()
     view = make_target_view(clock, counters, make_news_board(clock, counters))
     seeds: list[str] = []
-    gossip = SimpleNamespace(seed=seeds.extend)
+    gossip = SimpleNamespace(seed=seeds.extend, peers_by_instance={})
     watch = make_instance_watch(client, view, gossip, clock, counters, 0.001)
     return watch, seeds
 
@@ -71,6 +73,18 @@
     assert watch._next_wait_s() < 0.002
 
 
+def test_a_long_list_is_fetched_less_often_where_peers_fetch_it_too() -> None:
+    many = {f"e{n}": evolve(ENGINE, id=f"e{n}") for n in range(1000)}
+    watch, _ = make_watch(ListClient(InstanceList(1, many)))
+    watch._poll_s = 2.0
+    watch.poll_once()
+    assert watch._interval_s() == 2.0
+    watch._gossip.peers_by_instance.update(dict.fromkeys(range(9)))
+    assert watch._interval_s() == 10.0
+    watch._gossip.peers_by_instance.update(dict.fromkeys(range(689)))
+    assert watch._interval_s() == pytest.approx(122, rel=0.01)
+
+
 def test_a_fault_in_the_client_does_not_end_the_thread() -> None:
     listed = InstanceList(1, {"e0": ENGINE})
     watch, seeds = make_watch(ListClient(ValueError("odd"), listed))
