--- a/libs/membership/src/celeryfork_membership/gossip.py
+++ b/libs/membership/src/celeryfork_membership/gossip.py
@@ -85,7 +85,7 @@
     own_domain_share: float = 0.75
     timeout_s: float = 0.5
     eager_exchanges: int = 2
-    eager_per_s: float = 1.0
+    eager_per_s: float = 2.0
     announce_s_per_peer: float = 0.5
     refresh_s: float = 60.0
 
