--- a/libs/calls/src/celeryfork_calls/tickets.py
+++ b/libs/calls/src/celeryfork_calls/tickets.py
@@ -41,6 +41,7 @@
 
 DEFAULT_TICKET_LIFE_S = 600.0
 MOST_PEERS_HANDED_TO = 3
+LONGEST_HAND_OVER_S = 4.0
 MOST_PEERS_ASKED = 5
 SHORTEST_SECRET_BYTES = 16
 HAND_OVER_CHUNK_BYTES = 4 * 1024 * 1024
@@ -240,19 +241,28 @@
         marker = closing_marker(self.owner, len(outcomes), self._clock.wall_ms())
         chunks = in_chunks([*outcomes, marker], HAND_OVER_CHUNK_BYTES)
         chunks += in_chunks(claims_unflushed, HAND_OVER_CHUNK_BYTES)
-        peers: list[str] = []
-        for peer in self.peers.in_domain(
-            self._identity.domain, self._identity.instance
-        ):
-            if len(peers) >= MOST_PEERS_HANDED_TO:
-                break
-            if all(self.peers.hand_over(peer, chunk) for chunk in chunks if chunk):
-                peers.append(peer.instance)
+        peers = self._give_to_peers([chunk for chunk in chunks if chunk])
         if to_log is not None:
             to_log([*outcomes, marker])
         self._counters.add("tickets.handed_over", len(outcomes))
         return HandOverReport(len(outcomes), peers, to_log is not None)
 
+    def _give_to_peers(self, chunks: Sequence[Sequence[KeptOutcome]]) -> Sequence[str]:
+        """Give some peers of the domain everything; return those that took it."""
+        ends_s = self._clock.monotonic() + LONGEST_HAND_OVER_S
+        taken_by: list[str] = []
+        for peer in self.peers.in_domain(
+            self._identity.domain, self._identity.instance
+        ):
+            if len(taken_by) >= MOST_PEERS_HANDED_TO:
+                break
+            if self._clock.monotonic() >= ends_s:
+                self._counters.add("tickets.hand_over_cut_short")
+                break
+            if all(self.peers.hand_over(peer, chunk) for chunk in chunks):
+                taken_by.append(peer.instance)
+        return taken_by
+
     def on_hand_over(self, outcomes: Sequence[KeptOutcome]) -> Sequence[KeptOutcome]:
         """Take tickets' outcomes from a peer; return those that are of claims."""
         others: list[KeptOutcome] = []
