Calls: every call goes out on a connection of its own

A kept connection that a target had closed while idle was taken for a crash of the target and counted against the request.

--- a/libs/calls/src/celeryfork_calls/dispatch.py
+++ b/libs/calls/src/celeryfork_calls/dispatch.py
@@ -129,7 +129,9 @@
                 target_headers(call),
                 call.body,
                 timeout_s,
-                fresh=not kind.idempotent,
+                # A kept connection that the target closed looks like a crash of the
+                # target, which would count against the request.
+                fresh=True,
             )
         finally:
             seconds = self._clock.monotonic() - began_s
--- a/libs/calls/tests/test_plain.py
+++ b/libs/calls/tests/test_plain.py
@@ -73,6 +73,17 @@
     assert observed == ["Reset", "Draining", "Succeeded"]
 
 
+def test_a_connection_that_the_target_closed_while_idle_is_no_crash(
+    start_service, start_instance
+):
+    service = start_service()
+    instance = start_instance("a", service)
+    for _ in range(3):
+        assert instance.book_visit(None, kind="ask").outcome is Outcome.DONE
+    assert service.connections == 3
+    assert instance.poison.crashes == []
+
+
 def test_retries_end_with_the_attempts_the_targets_and_the_budget(
     start_service, start_instance
 ):
