Calls: a handed-over outcome in the log no longer stalls the fold; trickled answers end at the deadline

The callback for handed-over outcomes ran under the table's lock, and came back for it with any key that is no ticket: the follower stood still for good.

--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -416,6 +416,7 @@
                     self._counters.add("claims.entries_malformed", batch.faults)
                 with self._lock:
                     self._apply(record, batch)
+                self._hand_on(batch)
 
     def _apply(self, record: LogRecordPort, batch: Batch) -> None:
         for effect in self._fold.apply(record.offset, record.appended_ms, batch):
@@ -429,12 +430,16 @@
                 case Ended(hashed):
                     self._wake(hashed)
         for entry in batch.entries:
-            match entry:
-                case Abandon(nonce=nonce):
-                    self._given_up.pop(nonce, None)
-                case HandedOver(kept):
-                    if self._on_handed_over is not None:
-                        self._on_handed_over(kept)
+            if isinstance(entry, Abandon):
+                self._given_up.pop(entry.nonce, None)
+
+    def _hand_on(self, batch: Batch) -> None:
+        """Pass tickets' outcomes on; not under the lock, since they may come back."""
+        if self._on_handed_over is None:
+            return
+        for entry in batch.entries:
+            if isinstance(entry, HandedOver):
+                self._on_handed_over(entry.kept)
 
     def _on_won(self, nonce: str, appended_ms: int) -> None:
         attempt = self._attempts_by_nonce.get(nonce)
--- a/libs/calls/src/celeryfork_calls/service_client.py
+++ b/libs/calls/src/celeryfork_calls/service_client.py
@@ -238,7 +238,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            part = response.read(READ_CHUNK_BYTES, decode_content=False)
+            part = _read_some(response, ends_s)
             if not part:
                 break
             parts.append(part)
@@ -250,10 +250,6 @@
                         answer_too_large=True,
                     )
                 )
-            if time.monotonic() > ends_s:
-                raise _AnswerFaultError(
-                    Lost("the answer took longer than the deadline", timed_out=True)
-                )
         return Sent(
             status=response.status,
             content_type=response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
@@ -270,6 +266,17 @@
     return ServiceClient(largest_answer_bytes)
 
 
+def _read_some(response: BaseHTTPResponse, ends_s: float) -> bytes:
+    """Return what one read of the socket brings, b"" at the answer's end."""
+    if time.monotonic() > ends_s:
+        raise _AnswerFaultError(
+            Lost("the answer took longer than the deadline", timed_out=True)
+        )
+    if isinstance(response, HTTPResponse):
+        return response.read1(READ_CHUNK_BYTES, decode_content=False)
+    return response.read(READ_CHUNK_BYTES, decode_content=False)
+
+
 def _length_is_known(response: BaseHTTPResponse) -> bool:
     """Tell whether a cut-off body can be told from a whole one."""
     if response.status in (204, 304):
--- a/libs/calls/tests/test_plain.py
+++ b/libs/calls/tests/test_plain.py
@@ -8,6 +8,8 @@
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
 from celeryfork_calls.claim_fold import hash_body
+from celeryfork_calls.claim_records import Batch, HandedOver, encode_batch
+from celeryfork_calls.kept import KeptOutcome
 
 
 def test_a_repeat_at_any_instance_gets_the_first_answer_whole(
@@ -259,6 +261,16 @@
     assert service.ran == {done: 1, ticket: 1}
 
 
+def test_handed_over_entries_of_any_key_do_not_stall_the_fold(
+    start_service, start_instance, log, new_key
+):
+    instance = start_instance("a", start_service())
+    for key in (new_key(), "tk1.forged.ticket", "closed:x@1", ""):
+        kept = KeptOutcome("kettlecare", key, Outcome.DONE, 200, "", b"x", "", 0)
+        log.append("claims", encode_batch(Batch("x@1", [HandedOver(kept)])), "", 1.0)
+    assert instance.book_visit(new_key()).outcome is Outcome.DONE
+
+
 def test_a_slow_target_is_unknown_at_the_kinds_timeout(
     start_service, start_instance, new_key
 ):
--- a/libs/calls/tests/test_service_client.py
+++ b/libs/calls/tests/test_service_client.py
@@ -1,12 +1,22 @@
 """Tests of celeryfork_calls.service_client, over real sockets."""
 
+import contextlib
 import socket
 import threading
+import time
 
 import pytest
 from celeryfork_calls.service_client import Lost, NotSent, Sent, make_service_client
 
 
+def trickle(connection):
+    """Send a byte now and then, until the other side has had enough."""
+    with contextlib.suppress(OSError):
+        for _ in range(200):
+            connection.sendall(b"x")
+            time.sleep(0.03)
+
+
 @pytest.fixture
 def send():
     client = make_service_client(largest_answer_bytes=10_000)
@@ -38,6 +48,9 @@
             connection, _ = server.accept()
             connection.recv(65536)
             for part in parts:
+                if part is None:
+                    trickle(connection)
+                    break
                 connection.sendall(part)
             if reset:
                 linger = b"\x01\0\0\0\0\0\0\0"
@@ -138,3 +151,12 @@
     for fresh in (True, True, False, False):
         send(service.address, fresh=fresh)
     assert service.connections == 3
+
+
+def test_an_answer_that_trickles_is_lost_at_the_deadline(scripted_address, send):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"
+    began_s = time.monotonic()
+    result = send(scripted_address(head, None), timeout_s=0.3)
+    assert isinstance(result, Lost)
+    assert result.timed_out
+    assert time.monotonic() - began_s < 3
