--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -268,9 +268,13 @@
     def call(self, request=None, shape=None):
         """Start a whole call and return (caller's socket, future of the result)."""
         ours, theirs = connected_sockets()
+        return ours, self.serve(theirs, request, shape)
+
+    def serve(self, connection, request=None, shape=None):
+        """Serve a call on an accepted connection; return the result's future."""
 
         async def serve():
-            caller = await take_over(theirs, self.policy, self.counters)
+            caller = await take_over(connection, self.policy, self.counters)
             return await serve_generate(
                 request or self.request(),
                 caller,
@@ -278,7 +282,7 @@
                 shape or CompletionShape(stream=True, created_s=0),
             )
 
-        return ours, self.thread.submit(serve())
+        return self.thread.submit(serve())
 
     def stop(self):
         for engine in self.engines_by_name.values():
