--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -81,13 +81,12 @@
             From the sink. The engine's connection is closed.
         """
         progress = self._progress
-        sent_before, progress.sent = progress.sent, True
+        sent_before = progress.sent
         first = frozenset({self._chain.hops[0].target.id})
         try:
             with self._watch:
                 return await self._converse()
         except EngineNotReachedError as error:
-            progress.sent = sent_before
             return Lost(RecoveryKind.NOT_REACHED, first, error.message)
         except EngineRejectedError as error:
             progress.sent = sent_before
@@ -116,9 +115,11 @@
             self._stages,
             progress.emitted,
         )
-        stream = await self._parts.session.open(self._address, body)
-        progress.accepted = True
+        stream = await self._parts.session.connect(self._address)
         try:
+            progress.sent = True
+            await stream.begin(body)
+            progress.accepted = True
             return await self._relay(stream)
         finally:
             if self._batching is not None:
--- a/libs/streams/src/celeryfork_streams/caller.py
+++ b/libs/streams/src/celeryfork_streams/caller.py
@@ -77,7 +77,7 @@
     def send_head(self, status: int, headers: dict[str, str]) -> None:
         """Write the response's status line and headers."""
         lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
+        lines += [f"{name}: {_one_line(value)}" for name, value in headers.items()]
         lines.append("Connection: close\r\n\r\n")
         self.head_sent = True
         self._transport.write("\r\n".join(lines).encode("latin-1", "replace"))
@@ -183,6 +183,11 @@
             task.cancel()
 
 
+def _one_line(value: str) -> str:
+    """Return a header's value that can't start another header."""
+    return value.replace("\r", " ").replace("\n", " ")
+
+
 def _gone() -> CallerGoneError:
     return CallerGoneError(
         "The caller closed the connection.", "keep it open until [DONE]"
--- a/libs/streams/src/celeryfork_streams/engine_client.py
+++ b/libs/streams/src/celeryfork_streams/engine_client.py
@@ -56,12 +56,42 @@
 
 
 class EngineStream:
-    """The events of one attempt that an engine has accepted."""
+    """One attempt on a connection of its own."""
 
     def __init__(self, address: str, connection: EngineConnection) -> None:
         self._address = address
         self._connection = connection
 
+    async def begin(self, body: bytes) -> None:
+        """Send the request and wait until the engine has accepted it.
+
+        Raises
+        ------
+        EngineRejectedError
+            It answered that it did not run.
+        EngineCutError
+            The connection broke; the engine may have run it.
+        EngineAnswerError
+            An answer that the interface does not have.
+        """
+        connection = self._connection
+        connection.send(_generate_head(self._address, len(body)) + body)
+        if not await connection.answered():
+            _raise_fault(self._address, connection)
+            raise EngineCutError(
+                self._address, "closed without an answer", "resume on another chain"
+            )
+        head = connection.head
+        assert head is not None
+        if head.code == HTTPStatus.OK:
+            return
+        if head.code not in REJECTED_STATUSES:
+            message = f"answered {head.code}, which the interface does not have"
+            raise EngineAnswerError(self._address, message)
+        text = (await connection.body()).decode(errors="replace")
+        retry_after_s = _seconds(head.headers.get("Retry-After"))
+        raise EngineRejectedError(self._address, head.code, text, retry_after_s)
+
     async def lines(self) -> list[bytes]:
         """Return the whole lines that have come, at least one.
 
@@ -103,28 +133,15 @@
         self._connect_timeout_s = connect_timeout_s
         self._buffer = memoryview(bytearray(RECEIVE_BYTES))
 
-    async def open(self, address: str, body: bytes) -> EngineStream:
-        """Send one attempt and return its events once the engine has accepted it.
+    async def connect(self, address: str) -> EngineStream:
+        """Connect to an engine; nothing is sent yet.
 
         Raises
         ------
         EngineNotReachedError
-            Not connected: no byte was sent.
-        EngineRejectedError
-            Answered that it did not run.
-        EngineCutError
-            The connection broke after the request may have been sent.
-        EngineAnswerError
-            An answer that the interface does not have.
+            Nothing listens there, or not within the limit.
         """
-        connection = await self._connect(address)
-        try:
-            connection.send(_generate_head(address, len(body)) + body)
-            await self._check_accepted(address, connection)
-        except BaseException:
-            connection.close()
-            raise
-        return EngineStream(address, connection)
+        return EngineStream(address, await self._connect(address))
 
     async def alive(self, address: str, timeout_s: float) -> bool:
         """Return whether an engine answers ``GET /v1/engine`` within ``timeout_s``."""
@@ -156,24 +173,6 @@
             ) from error
         return connection
 
-    async def _check_accepted(self, address: str, connection: EngineConnection) -> None:
-        """Wait for the engine's answer, and raise unless it is 200."""
-        if not await connection.answered():
-            _raise_fault(address, connection)
-            raise EngineCutError(
-                address, "closed without an answer", "resume on another chain"
-            )
-        head = connection.head
-        assert head is not None
-        if head.code == HTTPStatus.OK:
-            return
-        if head.code not in REJECTED_STATUSES:
-            message = f"answered {head.code}, which the interface does not have"
-            raise EngineAnswerError(address, message)
-        text = (await connection.body()).decode(errors="replace")
-        retry_after_s = _seconds(head.headers.get("Retry-After"))
-        raise EngineRejectedError(address, head.code, text, retry_after_s)
-
 
 def _head(call: str, address: str, *headers: str) -> bytes:
     """Return the head of a request, such as ``GET /v1/engine``."""
--- a/libs/streams/tests/test_streams.py
+++ b/libs/streams/tests/test_streams.py
@@ -456,17 +456,53 @@
     assert kv_from == ["a:1", None, None]
 
 
-def test_an_address_that_takes_no_connection_costs_only_the_connect_limit(world):
-    full = socket.create_server(("127.0.0.1", 0), backlog=0)
-    host, port = full.getsockname()
+@pytest.fixture
+def full_address():
+    """An address whose backlog is full, so that connecting to it hangs."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    host, port = listener.getsockname()
     fillers = [socket.socket() for _ in range(4)]
     for filler in fillers:
         filler.setblocking(False)
         filler.connect_ex((host, port))
-    hop = Hop(world.make_target("full", f"{host}:{port}"), 0, 24)
+    yield f"{host}:{port}"
+    for connection in (listener, *fillers):
+        connection.close()
+
+
+def add_full(world, full_address):
+    hop = Hop(world.make_target("full", full_address), 0, 24)
     world.router.chains.append(Chain((hop,), "full"))
-    world.chain("e2")
     world.set_policy(first_token_floor_s=5.0)
+
+
+def test_an_address_that_takes_no_connection_costs_only_the_limit(world, full_address):
+    add_full(world, full_address)
+    world.chain("e2")
     check_resumed(world, RecoveryKind.NOT_REACHED)
-    for connection in (full, *fillers):
-        connection.close()
+
+
+def test_a_deadline_before_the_first_byte_is_not_run(world, full_address):
+    add_full(world, full_address)
+    error = refused(world, world.request(deadline_s=time.monotonic() + 0.2))
+    assert (error.code, error.outcome) == ("deadline", Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"X-Long: " + b"y" * 20_000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n",
+    ],
+)
+def test_an_answer_that_breaks_the_interface_ends_its_attempt(world, answer):
+    async def breaks_interface(talk):
+        talk.writer.write(answer)
+        await asyncio.sleep(60)
+
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    e1.scripts = [breaks_interface]
+    check_resumed(world, RecoveryKind.MALFORMED)
