Run suspects one at a time, so that a poison request takes no innocent with it

Cause: requests that were young at two crashes were refused together with the poison request, and streams lost to its crashes ran out of retry budget. A refused connection draws nothing from the retry budget; two resumptions of what an engine had begun go without it.

--- a/libs/streams/src/celeryfork_streams/policy.py
+++ b/libs/streams/src/celeryfork_streams/policy.py
@@ -11,6 +11,9 @@
     ----------
     most_attempts
         Attempts of one request, the first included.
+    free_resumptions
+        How often a request that an engine had begun is resumed even if the retry
+        budget is out; two, because a poison request may crash two engines.
     connect_timeout_s
         Limit for connecting to an engine, in seconds.
     first_token_floor_s, token_gap_floor_s
@@ -30,11 +33,15 @@
     no_target_wait_s, longest_wait_s
         First and longest pause, in seconds, before a stream that is being resumed
         asks again for a chain, or goes back to engines that turned it away.
+    suspect_wait_s
+        How long a request that may have crashed an engine waits, in seconds, for
+        engines that no other such request runs on.
     refused_retry_after_s
         ``Retry-After`` of answers given up on, in seconds.
     """
 
     most_attempts: int = 6
+    free_resumptions: int = 2
     connect_timeout_s: float = 0.5
     first_token_floor_s: float = 0.6
     token_gap_floor_s: float = 0.25
@@ -46,4 +53,5 @@
     slow_caller_timeout_s: float = 10.0
     no_target_wait_s: float = 0.05
     longest_wait_s: float = 1.0
+    suspect_wait_s: float = 3.0
     refused_retry_after_s: float = 1.0
--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -47,6 +47,9 @@
     RecoveryKind.LEAVING: Draining(),
     RecoveryKind.MALFORMED: Reset(),
 }
+# Nothing was sent, so that the next attempt adds no load; or the budget was asked
+# before the silent attempt was given up.
+_NEED_NO_RETRY = frozenset({RecoveryKind.NOT_REACHED, RecoveryKind.STALLED})
 _CRASHES = frozenset({RecoveryKind.CUT, RecoveryKind.STAGE_LOST})
 
 
@@ -65,7 +68,8 @@
         self._recoveries: list[Recovery] = []
         self._last: Lost | None = None
         self._crashes = 0
-        self._resumed_free = False
+        self._resumed_free = 0
+        self._counted_attempts = 0
         self._wait_s = self._policy.no_target_wait_s
         self._suspected_on: Chain | None = None
 
@@ -119,6 +123,10 @@
         A request that no engine has accepted is refused at once where there is no
         chain; one that has begun waits for one until its deadline.
         """
+        if self._suspected:
+            chain = await self._choose_alone()
+            if chain is not None:
+                return chain
         while True:
             suspects = self._parts.suspects.targets()
             chain = self._first_choice(self._salvage.first_avoid(suspects))
@@ -134,6 +142,22 @@
             if not self._progress.accepted:
                 raise self._gave_up(self._last)
 
+    async def _choose_alone(self) -> Chain | None:
+        """Return a chain without other suspects; None if none came free in time."""
+        clock, suspects = self._parts.clock, self._parts.suspects
+        until_s = clock.monotonic() + self._policy.suspect_wait_s
+        while True:
+            avoid = self._salvage.first_avoid(suspects.targets())[0]
+            chain = self._first_choice([avoid])
+            left_s = until_s - clock.monotonic()
+            if chain is not None or not suspects.targets() or left_s <= 0:
+                return chain
+            await suspects.one_left(left_s)
+
+    @property
+    def _suspected(self) -> bool:
+        return self._parts.poison.crashes(self._request.fingerprint) > 0
+
     def _first_choice(self, avoidances: Iterable[frozenset[str]]) -> Chain | None:
         for avoid in avoidances:
             try:
@@ -166,7 +190,7 @@
         """Run one attempt and release its chain, whatever happens."""
         self._progress.attempts += 1
         self._parts.counters.add("streams.attempts")
-        if self._parts.poison.crashes(self._request.fingerprint):
+        if self._suspected:
             self._suspected_on = chain
             self._parts.suspects.enter(chain)
         attempt = Attempt(
@@ -236,24 +260,32 @@
 
     def _check_may_go_on(self, lost: Lost) -> None:
         """Raise unless another attempt is allowed."""
-        if self._progress.attempts >= self._policy.most_attempts:
+        # A stream that has begun pauses before it goes back to a dead engine, so that
+        # its deadline is bound enough.
+        if lost.kind is not RecoveryKind.NOT_REACHED or not self._progress.accepted:
+            self._counted_attempts += 1
+        if self._counted_attempts >= self._policy.most_attempts:
             raise self._gave_up(lost)
-        # A silent attempt was only given up because the budget allowed it.
-        if lost.kind is not RecoveryKind.STALLED and not self._take_retry():
+        if lost.kind not in _NEED_NO_RETRY and not self._take_retry():
             raise self._gave_up(lost)
 
     def _may_give_up(self) -> bool:
         """Return whether a silent attempt may be left for another one."""
-        if self._progress.attempts >= self._policy.most_attempts:
+        if self._counted_attempts + 1 >= self._policy.most_attempts:
             return False
         return self._take_retry()
 
     def _take_retry(self) -> bool:
-        """Take a retry from the budget; the first resumption goes even without."""
+        """Take a retry from the budget; the first resumptions go even without.
+
+        What an engine had begun when it was lost is bounded by what was in flight, so
+        that this can't multiply an overload.
+        """
         if self._parts.retry_budget.may_retry():
             return True
-        if self.tokens and not self._resumed_free:
-            self._resumed_free = True
+        free = self._policy.free_resumptions
+        if self._progress.accepted and self._resumed_free < free:
+            self._resumed_free += 1
             self._parts.counters.add("streams.resumed_over_budget")
             return True
         self._parts.counters.add("streams.retries_refused")
--- a/libs/streams/tests/test_streams.py
+++ b/libs/streams/tests/test_streams.py
@@ -377,12 +377,12 @@
     assert len(e1.requests) == 1
 
 
-def test_the_retry_budget_holds_but_one_resumption_is_always_tried(world):
-    [e1] = world.chain("e1")
-    [e2] = world.chain("e2")
-    e1.scripts, e2.scripts = [dies_late], [dies_late]
-    world.chain("e3")
+def test_the_retry_budget_holds_but_some_resumptions_are_always_tried(world):
+    for name in ("e1", "e2", "e3", "e4"):
+        [engine] = world.chain(name)
+        engine.scripts = [dies_late]
     world.budget.left = 0
+    world.set_policy(free_resumptions=1)
     error = refused(world, world.request(max_tokens=100))
     assert error.result.attempts == 2
     assert error.outcome is Outcome.FAILED
@@ -390,6 +390,30 @@
     assert world.counters.count("streams.retries_refused") == 1
 
 
+def test_a_refused_connection_needs_no_budget(world):
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    world.do(e1.stop())
+    world.budget.left = 0
+    check_resumed(world, RecoveryKind.NOT_REACHED)
+
+
+def test_suspects_run_one_at_a_time_where_no_other_does(world, eventually):
+    [e1] = world.chain("e1")
+    e1.scripts = [stalls]
+    world.set_policy(first_token_floor_s=5.0, token_gap_floor_s=5.0)
+    for fingerprint in ("first", "second"):
+        world.poison.crashed(fingerprint, "e9")
+    caller, _ = world.call(world.request(fingerprint="first"))
+    eventually(lambda: e1.requests)
+    second = world.runner.run(world.request(fingerprint="second"), world.make_sink())
+    future = world.thread.submit(second)
+    eventually(lambda: len(world.router.asked) >= 2)
+    assert len(e1.requests) == 1
+    caller.close()
+    assert future.result(timeout=5).outcome is Outcome.DONE
+
+
 def test_a_request_that_crashes_two_engines_is_refused(world):
     async def crashes(talk):
         await talk.accept()
