--- a/libs/bench/src/celeryfork_bench/demo.py
+++ b/libs/bench/src/celeryfork_bench/demo.py
@@ -52,11 +52,13 @@
     """Return the rows of the demo's table."""
     first, gap = summary.first_token_s, summary.token_gap_s
     share = summary.tokens_per_second / summary.bound_tokens_per_second
+    reasons = ", ".join(f"{name}: {n}" for name, n in sorted(summary.reasons.items()))
     return [
         ("asks", str(summary.asks)),
         ("answered whole", str(summary.answered_whole)),
         ("refused, not run", str(summary.refused)),
         ("in doubt", str(summary.in_doubt)),
+        ("by outcome", reasons),
         ("doubled", str(summary.doubled)),
         ("lost", str(summary.lost)),
         ("untrue not_run", str(summary.untrue_not_run)),
--- a/libs/bench/src/celeryfork_bench/summary.py
+++ b/libs/bench/src/celeryfork_bench/summary.py
@@ -1,6 +1,7 @@
 """Figures of one run, from its history."""
 
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 
 from attrs import frozen
 from celeryfork_base.outcomes import Outcome
@@ -34,6 +35,8 @@
         Asks that ended ``unknown`` or ``failed``.
     doubled, lost, untrue_not_run
         Broken promises.
+    reasons
+        Count of asks by outcome and code, or by how the exchange ended.
     first_token_s, token_gap_s
         Over streamed answers, in seconds.
     tokens_per_second, bound_tokens_per_second
@@ -48,6 +51,7 @@
     lost: int
     untrue_not_run: int
     violations: tuple[Violation, ...]
+    reasons: Mapping[str, int]
     first_token_s: Quantiles
     token_gap_s: Quantiles
     tokens_per_second: float
@@ -121,6 +125,7 @@
         lost=_count(violations, "own_whole_answer", "done", "planned_stop"),
         untrue_not_run=_count(violations, "not_run"),
         violations=tuple(violations),
+        reasons=Counter(map(_reason, last_by_ask.values())),
         first_token_s=quantiles(e.first_token_s or 0.0 for e in streamed),
         token_gap_s=quantiles(gap for e in streamed for gap in e.token_gaps_s),
         tokens_per_second=busiest_tokens_per_second(
@@ -144,6 +149,11 @@
     return last
 
 
+def _reason(exchange: Exchange) -> str:
+    outcome = exchange.outcome or exchange.ending
+    return f"{outcome} {exchange.code}" if exchange.code else str(outcome)
+
+
 def _count(violations: Iterable[Violation], *promises: str) -> int:
     return sum(violation.promise in promises for violation in violations)
 
