--- a/libs/bench/src/celeryfork_bench/field.py
+++ b/libs/bench/src/celeryfork_bench/field.py
@@ -1,12 +1,16 @@
 """Runs a workload against a rig, with events at set times, and gathers the evidence."""
 
 import asyncio
+import contextlib
 import random
 import threading
 import time
 from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
 
 from attrs import define, field, frozen
+from celeryfork_base.errors import CeleryforkError
+from celeryfork_daemon.entry import Daemon
 
 from celeryfork_bench.callers import CallerOptions, Callers, make_session
 from celeryfork_bench.checker import (
@@ -48,7 +52,7 @@
         if now_s - self._checked_s > BALANCER_CHECK_S:
             self._checked_s = now_s
             self._ready = [
-                (daemon.settings.instance, daemon.http_address)
+                (name_of(daemon), daemon.http_address)
                 for daemon in self._rig.daemons()
                 if daemon.ready
             ]
@@ -119,9 +123,19 @@
     def replace_entry(self, name: str) -> None:
         """Stop an entry instance as planned, and start it anew."""
         entry = next(e for e in self.rig.deployment.entries if e.id == name)
+        daemon = self.rig.daemons_by_name.get(name)
+        if daemon is None:
+            return
         from_s = time.monotonic()
         self.stop_codes.append(self.rig.stop_entry(name))
-        self.planned_stops.append(PlannedStop(name, from_s, time.monotonic()))
+        stop = PlannedStop(name_of(daemon), from_s, time.monotonic())
+        self.planned_stops.append(stop)
+        self.rig.start_entry(entry)
+
+    def kill_entry(self, name: str) -> None:
+        """End an entry instance without notice, and start it anew."""
+        entry = next(e for e in self.rig.deployment.entries if e.id == name)
+        self.rig.kill_entry(name)
         self.rig.start_entry(entry)
 
     def publish(self, name: str, payload: dict[str, object]) -> None:
@@ -129,6 +143,24 @@
         offset = self.rig.publish([{"name": name, "payload": payload}])
         self.published.append(Published(offset, time.monotonic()))
 
+    def publish_racing(self, rates: Sequence[int]) -> None:
+        """Have two operators change one limit at the same time."""
+        record = next(
+            record
+            for record in self.rig.deployment.configuration
+            if record.name.startswith("organisation/")
+        )
+        payloads = [{**record.payload, "requests_per_second": rate} for rate in rates]
+        with ThreadPoolExecutor(max_workers=len(payloads)) as operators:
+            for payload in payloads:
+                operators.submit(self._publish_if_possible, record.name, payload)
+
+    def _publish_if_possible(self, name: str, payload: dict[str, object]) -> None:
+        # Losing a race, or finding the log down, is an operator's day; anything else
+        # would end the future with an error that nobody reads.
+        with contextlib.suppress(CeleryforkError):
+            self.publish(name, payload)
+
     async def _call_all(self, arrivals: Sequence[Arrival]) -> None:
         keys = {c.organisation: c.key for c in self.rig.deployment.callers}
         session = make_session()
@@ -164,12 +196,15 @@
         while not self._stopping.wait(BALANCER_CHECK_S):
             now_s = time.monotonic()
             for daemon in self.rig.daemons():
-                name = (
-                    f"{daemon.settings.instance}@{daemon.parts.incarnation.started_ms}"
-                )
                 if daemon.ready:
                     offset = daemon.parts.follower.current.offset
-                    self.offsets_seen.append(OffsetSeen(name, offset, now_s))
+                    seen = OffsetSeen(name_of(daemon), offset, now_s)
+                    self.offsets_seen.append(seen)
+
+
+def name_of(daemon: Daemon) -> str:
+    """Return the name of one run of an instance."""
+    return str(daemon.parts.incarnation)
 
 
 def make_field(rig: Rig, seed: int, options: CallerOptions | None = None) -> Field:
--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -11,6 +11,7 @@
 from celeryfork_cmdline.inspect import dump, targets
 from celeryfork_cmdline.load import load
 from celeryfork_cmdline.serve import serve
+from celeryfork_cmdline.soak import soak
 from celeryfork_cmdline.standin import standin
 from celeryfork_cmdline.version import version
 
@@ -25,7 +26,7 @@
         no_args_is_help=True,
         pretty_exceptions_enable=False,
     )
-    for command in (serve, check, dump, targets, demo, load, standin, version):
+    for command in (serve, check, dump, targets, demo, load, soak, standin, version):
         app.command()(command)
     app.add_typer(config_app, name="config")
     return app
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,87 +1,15 @@
 """One request of each kind through separate entry instances and the stand-ins."""
 
 import time
-from hashlib import sha256
 
 import pytest
 import urllib3
 from celeryfork_base.identity import make_uuid7
 from celeryfork_bench.rig import Rig, make_rig
-from celeryfork_standin.deployment import Deployment, make_deployment
+from celeryfork_bench.small import KEY, ORGANISATION, small_deployment
 from celeryfork_standin.text import expected_tokens
 from openai import OpenAI
 
-KEY = "key-of-kilimani"
-LAYERS = 24
-DOMAINS = ("westlands", "embakasi", "karen")
-ORGANISATION = {
-    "key_sha256s": [sha256(KEY.encode()).hexdigest()],
-    "requests_per_second": 1000,
-    "burst": 1000,
-    "concurrency": 500,
-}
-
-
-def engine_group(prefix: str, first_layer: int, last_layer: int) -> dict[str, object]:
-    return {
-        "prefix": prefix,
-        "count": 3,
-        "model": "reminder-writer",
-        "domains": DOMAINS,
-        "first_layer": first_layer,
-        "last_layer": last_layer,
-        "accelerator": "k1",
-    }
-
-
-def small_deployment() -> Deployment:
-    """Return three entry instances, six engines in two stages, one plain service."""
-    links = [
-        {"from_domain": DOMAINS[a], "to_domain": DOMAINS[b], "latency_ms": 0.25}
-        for a, b in ((0, 1), (0, 2), (1, 2))
-    ]
-    speed = {
-        "base_ms_per_layer": 0.3,
-        "sequence_ms_per_layer": 0.1,
-        "max_batch": 8,
-        "prefill_layer_tokens_per_second": 500000,
-    }
-    book = {"idempotent": False, "status_path": "/status/{key}"}
-    kinds = {"book": book, "slots": {"idempotent": True}}
-    records = {
-        "organisation/kilimani": ORGANISATION,
-        "model/reminder-writer": {"layers": LAYERS},
-        "service/visit-desk": {"kinds_by_name": kinds},
-    }
-    return make_deployment(
-        {
-            "name": "small",
-            "seed": 1,
-            "domains": DOMAINS,
-            "links": links,
-            "accelerators_by_kind": {"k1": speed},
-            "models": [{"name": "reminder-writer", "layers": LAYERS}],
-            "engines": [
-                engine_group("rw-low", 0, LAYERS // 2),
-                engine_group("rw-high", LAYERS // 2, LAYERS),
-            ],
-            "services": [
-                {
-                    "prefix": "vd",
-                    "count": 3,
-                    "service": "visit-desk",
-                    "domains": DOMAINS,
-                }
-            ],
-            "entries": [{"id": f"entry-{name}", "domain": name} for name in DOMAINS],
-            "callers": [{"organisation": "kilimani", "key": KEY, "load_share": 1.0}],
-            "configuration": [
-                {"name": name, "schema": 1, "payload": payload}
-                for name, payload in records.items()
-            ],
-        }
-    )
-
 
 @pytest.fixture(scope="module")
 def rig():
