Control: leases in the platform's log, fenced orders, rolling rollouts

Cause: engines have to be told which version, adapters and role to hold, by one order-giver per failure domain, without a coordination service of our own.

--- a/libs/bench/src/celeryfork_bench/soak.py
+++ b/libs/bench/src/celeryfork_bench/soak.py
@@ -115,7 +115,7 @@
             yield (
                 f"    {exchange.sent_s:.3f}-{exchange.ended_s:.3f} {exchange.instance}"
                 f" {exchange.request_id} key={key} {exchange.ending}"
-                f" {exchange.outcome} {exchange.code}"
+                f" {exchange.outcome} {exchange.code} {exchange.body[:160]!r}"
             )
     for call in evidence.ran_calls:
         if call.request_id in request_ids or call.key in keys:
--- /dev/null
+++ b/libs/control/src/celeryfork_control/lease_fold.py
@@ -0,0 +1,96 @@
+"""Folds the ``leases`` stream: who holds each lease, by the log's order and clock.
+
+Every reader decides the same from the same records: a record counts only if it is based
+on the lease's last accepted record, an acquisition only once the log's clock has passed
+the lease's end, a renewal only before.
+"""
+
+from collections.abc import Mapping
+
+from attrs import define, field, frozen
+from celeryfork_platform.model import LogRecord
+
+from celeryfork_control.lease_records import LeaseRecord, LeaseStep, parse_record
+
+
+@frozen
+class LeaseState:
+    """One lease as the log has it.
+
+    Parameters
+    ----------
+    holder
+        None after a release.
+    fencing
+        Offset of the acquisition: it grows with each new holder.
+    last_offset
+        Offset of the last accepted record.
+    ends_ms
+        End by the log's clock, in milliseconds since the Unix epoch.
+    """
+
+    holder: str | None
+    fencing: int
+    last_offset: int
+    ends_ms: int
+
+
+@define
+class LeaseFold:
+    """All leases up to an offset."""
+
+    next_offset: int = 0
+    malformed: int = 0
+    _clock_ms: int = 0
+    _states_by_name: dict[str, LeaseState] = field(factory=dict)
+
+    def apply(self, entry: LogRecord) -> bool:
+        """Apply the next entry of the log; return whether it was accepted."""
+        self.next_offset = entry.offset + 1
+        # The log's clock may be set back; its order can't.
+        self._clock_ms = max(self._clock_ms, entry.appended_ms)
+        record = parse_record(entry.data)
+        if record is None:
+            self.malformed += 1
+            return False
+        if not self._is_accepted(record):
+            return False
+        self._states_by_name[record.name] = self._next_state(record, entry.offset)
+        return True
+
+    def state(self, name: str) -> LeaseState | None:
+        """Return a lease's state, None if it was never held."""
+        return self._states_by_name.get(name)
+
+    def states(self) -> Mapping[str, LeaseState]:
+        """Return a copy of all states by name."""
+        return self._states_by_name.copy()
+
+    def is_free(self, name: str, now_ms: int) -> bool:
+        """Tell whether a lease can be acquired at a time of the log's clock."""
+        state = self._states_by_name.get(name)
+        return state is None or state.holder is None or now_ms >= state.ends_ms
+
+    def _is_accepted(self, record: LeaseRecord) -> bool:
+        state = self._states_by_name.get(record.name)
+        last_offset = None if state is None else state.last_offset
+        if record.based_on != last_offset:
+            return False
+        if record.step is LeaseStep.ACQUIRE:
+            return self.is_free(record.name, self._clock_ms)
+        held = state is not None and state.holder == record.holder
+        return held and not self.is_free(record.name, self._clock_ms)
+
+    def _next_state(self, record: LeaseRecord, offset: int) -> LeaseState:
+        match record.step:
+            case LeaseStep.ACQUIRE:
+                fencing = offset
+            case LeaseStep.RENEW | LeaseStep.RELEASE:
+                fencing = self._states_by_name[record.name].fencing
+        released = record.step is LeaseStep.RELEASE
+        return LeaseState(
+            holder=None if released else record.holder,
+            fencing=fencing,
+            last_offset=offset,
+            ends_ms=self._clock_ms + record.duration_ms,
+        )
--- /dev/null
+++ b/libs/control/src/celeryfork_control/leases.py
@@ -0,0 +1,261 @@
+"""Leases kept in the platform's log; no instance is set aside for them.
+
+The holder counts its time from before it sent the accepted record, on its own
+monotonic clock, less a margin for clocks that run at different rates. So it stops
+believing in its lease before the log lets another instance acquire it, also when it was
+paused, as long as it asks ``held`` right before each act.
+"""
+
+import threading
+import uuid
+
+from attrs import define, frozen
+from celeryfork_base.clock import Clock
+from celeryfork_base.counters import Counters
+from celeryfork_base.errors import AppendUnknownError, PlatformUnavailableError
+from celeryfork_platform.log import LogClient
+from logbook import Logger
+
+from celeryfork_control.lease_fold import LeaseFold, LeaseState
+from celeryfork_control.lease_records import (
+    STREAM,
+    LeaseRecord,
+    LeaseStep,
+    format_record,
+)
+
+# Share of a lease's time that is given up for clocks running at different rates.
+CLOCK_RATE_MARGIN = 0.1
+RENEWALS_PER_LEASE = 3
+READ_LIMIT = 1000
+READ_TIMEOUT_S = 3.0
+APPEND_TIMEOUT_S = 2.0
+LONG_POLL_S = 1.0
+RETRY_S = 0.5
+MOST_READS_AFTER_APPEND = 5
+READ_AFTER_APPEND_S = 0.2
+STOP_WAIT_S = 2.0
+
+logger = Logger("leases")
+
+
+@frozen
+class Fencing:
+    """Proof of a lease that is held now.
+
+    Parameters
+    ----------
+    number
+        Grows with each new holder of the lease.
+    ends_s
+        Monotonic time until which it may be acted upon, in seconds.
+    """
+
+    number: int
+    ends_s: float
+
+
+@define
+class _Wanted:
+    """A lease that this instance wants, and holds if it has a fencing number.
+
+    Parameters
+    ----------
+    due_s
+        When to try or to renew next, on the monotonic clock, in seconds.
+    """
+
+    name: str
+    duration_s: float
+    fencing: int | None = None
+    ends_s: float = 0.0
+    due_s: float = 0.0
+
+
+class LeaseKeeper:
+    """Acquires and renews the leases that this instance wants, on one thread.
+
+    Parameters
+    ----------
+    log
+        The platform's log.
+    holder
+        This instance's incarnation; two runs never share one.
+    clock, counters
+        Time and counts.
+    """
+
+    def __init__(
+        self, log: LogClient, holder: str, clock: Clock, counters: Counters
+    ) -> None:
+        self._log = log
+        self._holder = holder
+        self._clock = clock
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._fold = LeaseFold()
+        self._wanted_by_name: dict[str, _Wanted] = {}
+        self._caught_up = False
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="leases", daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow the log and to keep the wanted leases."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Give up every lease, and release them in the log if it is up."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=STOP_WAIT_S)
+        with self._lock:
+            held = [w for w in self._wanted_by_name.values() if w.fencing is not None]
+            self._wanted_by_name.clear()
+        for wanted in held:
+            self._append(wanted, LeaseStep.RELEASE)
+
+    def want(self, name: str, duration_s: float) -> None:
+        """Try to get a lease from now on, and keep it."""
+        with self._lock:
+            if name not in self._wanted_by_name:
+                self._wanted_by_name[name] = _Wanted(name, duration_s)
+
+    def resign(self, name: str) -> None:
+        """Stop wanting a lease, and release it if it is held."""
+        with self._lock:
+            wanted = self._wanted_by_name.pop(name, None)
+        if wanted is not None and wanted.fencing is not None:
+            self._append(wanted, LeaseStep.RELEASE)
+
+    def held(self, name: str) -> Fencing | None:
+        """Return proof that a lease is held at this moment, None if it isn't."""
+        with self._lock:
+            wanted = self._wanted_by_name.get(name)
+            if wanted is None or wanted.fencing is None:
+                return None
+            if self._clock.monotonic() >= wanted.ends_s:
+                return None
+            return Fencing(wanted.fencing, wanted.ends_s)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        with self._lock:
+            names = list(self._wanted_by_name)
+            states = self._fold.states()
+        return {
+            "caught_up": self._caught_up,
+            "next_offset": self._fold.next_offset,
+            "malformed": self._fold.malformed,
+            "held": [name for name in names if self.held(name)],
+            "by_name": {
+                name: {"holder": state.holder, "fencing": state.fencing}
+                for name, state in states.items()
+            },
+        }
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self._read(LONG_POLL_S if self._caught_up else 0.0)
+                self._step_all()
+            except PlatformUnavailableError:
+                self._counters.add("leases.log_unavailable")
+                self._stopping.wait(RETRY_S)
+
+    def _read(self, wait_s: float) -> None:
+        """Fold what the log has, waiting a while for something new."""
+        part = self._log.read(
+            STREAM, self._fold.next_offset, READ_LIMIT, wait_s, READ_TIMEOUT_S + wait_s
+        )
+        with self._lock:
+            for entry in part.records:
+                if not self._fold.apply(entry):
+                    self._counters.add("leases.records_refused")
+            self._caught_up = self._fold.next_offset >= part.next_offset
+            if not part.records:
+                self._fold.next_offset = max(self._fold.next_offset, part.first_offset)
+
+    def _step_all(self) -> None:
+        if not self._caught_up:
+            return
+        with self._lock:
+            wanted = list(self._wanted_by_name.values())
+        for each in wanted:
+            self._step(each)
+
+    def _step(self, wanted: _Wanted) -> None:
+        """Renew a lease that is held and due, or acquire one that is free."""
+        now_s = self._clock.monotonic()
+        if now_s < wanted.due_s:
+            return
+        state = self._fold.state(wanted.name)
+        if self._is_mine(state) and wanted.fencing is not None:
+            self._send(wanted, LeaseStep.RENEW)
+        elif self._fold.is_free(wanted.name, self._clock.wall_ms()):
+            self._lose(wanted)
+            self._send(wanted, LeaseStep.ACQUIRE)
+        elif not self._is_mine(state):
+            self._lose(wanted)
+
+    def _send(self, wanted: _Wanted, step: LeaseStep) -> None:
+        """Append a step, read up to it, and take note if it was accepted."""
+        sent_s = self._clock.monotonic()
+        wanted.due_s = sent_s + wanted.duration_s / RENEWALS_PER_LEASE
+        offset = self._append(wanted, step)
+        if offset is None:
+            return
+        for _ in range(MOST_READS_AFTER_APPEND):
+            if self._fold.next_offset > offset:
+                break
+            self._read(READ_AFTER_APPEND_S)
+        state = self._fold.state(wanted.name)
+        if state is None or state.last_offset != offset:
+            self._counters.add("leases.lost_race")
+            return
+        with self._lock:
+            is_new = wanted.fencing != state.fencing
+            wanted.fencing = state.fencing
+            wanted.ends_s = sent_s + wanted.duration_s * (1 - CLOCK_RATE_MARGIN)
+        if is_new:
+            self._counters.add("leases.acquired")
+            logger.info("lease acquired", lease=wanted.name, fencing=state.fencing)
+
+    def _append(self, wanted: _Wanted, step: LeaseStep) -> int | None:
+        """Append a step; None if it isn't known to be in the log.
+
+        A step whose answer was lost is left alone: it counts only if nothing else was
+        accepted meanwhile, and then all it does is to let the lease run out once more.
+        """
+        state = self._fold.state(wanted.name)
+        record = LeaseRecord(
+            name=wanted.name,
+            step=step,
+            holder=self._holder,
+            based_on=None if state is None else state.last_offset,
+            duration_ms=round(wanted.duration_s * 1000),
+        )
+        try:
+            return self._log.append(
+                STREAM, format_record(record), uuid.uuid4().hex, APPEND_TIMEOUT_S
+            )
+        except (PlatformUnavailableError, AppendUnknownError):
+            self._counters.add("leases.append_failed")
+            return None
+
+    def _is_mine(self, state: LeaseState | None) -> bool:
+        return state is not None and state.holder == self._holder
+
+    def _lose(self, wanted: _Wanted) -> None:
+        with self._lock:
+            if wanted.fencing is None:
+                return
+            wanted.fencing = None
+        self._counters.add("leases.lost")
+        logger.info("lease lost", lease=wanted.name)
+
+
+def make_lease_keeper(
+    log: LogClient, holder: str, clock: Clock, counters: Counters
+) -> LeaseKeeper:
+    """Return a keeper that wants no lease yet and has not started."""
+    return LeaseKeeper(log, holder, clock, counters)
--- /dev/null
+++ b/libs/control/src/celeryfork_control/orders.py
@@ -0,0 +1,176 @@
+"""Orders to engines: what they are, and the one place that sends them."""
+
+from attrs import frozen
+from celeryfork_base.counters import Counters
+from orjson import JSONDecodeError, dumps, loads
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+ORDER_TIMEOUT_S = 2.0
+OBSERVE_TIMEOUT_S = 1.0
+STALE_FENCING = 409
+
+
+@frozen
+class LoadVersion:
+    """Load a version of the weights; the engine serves nothing meanwhile."""
+
+    version: str
+
+
+@frozen
+class LoadAdapter:
+    """Load an adapter."""
+
+    adapter: str
+
+
+@frozen
+class DropAdapter:
+    """Drop an adapter."""
+
+    adapter: str
+
+
+@frozen
+class SetRole:
+    """Serve, or stand by."""
+
+    role: str
+
+
+Action = LoadVersion | LoadAdapter | DropAdapter | SetRole
+
+
+@frozen
+class Order:
+    """One order to one engine.
+
+    Parameters
+    ----------
+    order_id
+        The same for the same order of the same holder, so that it can be sent again.
+    fencing
+        Offset of the lease's acquisition.
+    """
+
+    order_id: str
+    engine_id: str
+    address: str
+    fencing: int
+    holder: str
+    action: Action
+
+
+@frozen
+class ObservedEngine:
+    """What an engine says of itself."""
+
+    engine_id: str
+    first_layer: int
+    last_layer: int
+    version: str
+    adapters: frozenset[str]
+    role: str
+    loading: bool
+
+
+@frozen
+class Obeyed:
+    """The engine took the order; it may still be loading."""
+
+    state: str
+
+
+@frozen
+class Stale:
+    """The engine has seen a higher fencing number: this holder has been replaced."""
+
+    highest: int
+
+
+@frozen
+class NotObeyed:
+    """No usable answer came; the order may have been taken."""
+
+    reason: str
+
+
+OrderResult = Obeyed | Stale | NotObeyed
+
+
+class OrderClient:
+    """Observes engines and sends orders; safe to use from any thread."""
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        # A kept connection could carry an order long after its lease was checked.
+        self._pool = PoolManager(retries=False, maxsize=1)
+
+    def observe(self, engine_id: str, address: str) -> ObservedEngine | None:
+        """Return what an engine says of itself, None if it says nothing usable."""
+        try:
+            response = self._pool.request(
+                "GET",
+                f"http://{address}/v1/engine",
+                timeout=Timeout(total=OBSERVE_TIMEOUT_S),
+            )
+            fields = loads(response.data)
+            return ObservedEngine(
+                engine_id=engine_id,
+                first_layer=int(fields["first_layer"]),
+                last_layer=int(fields["last_layer"]),
+                version=str(fields["version"]),
+                adapters=frozenset(fields.get("adapters", ())),
+                role=str(fields.get("role", "serve")),
+                loading=fields.get("state") == "loading",
+            )
+        except (HTTPError, JSONDecodeError, KeyError, TypeError, ValueError):
+            self._counters.add("orders.observation_failed")
+            return None
+
+    def send(self, order: Order) -> OrderResult:
+        """Send one order over a connection of its own."""
+        body = {
+            "order_id": order.order_id,
+            "fencing": order.fencing,
+            "holder": order.holder,
+            "action": _action_fields(order.action),
+        }
+        self._counters.add("orders.sent")
+        try:
+            response = self._pool.request(
+                "POST",
+                f"http://{order.address}/v1/orders",
+                body=dumps(body),
+                headers={"Content-Type": "application/json", "Connection": "close"},
+                timeout=Timeout(total=ORDER_TIMEOUT_S),
+            )
+            answer = loads(response.data)
+        except NewConnectionError as error:
+            return NotObeyed(f"not reached: {error}")
+        except (HTTPError, JSONDecodeError) as error:
+            return NotObeyed(f"no answer: {error}")
+        if response.status == STALE_FENCING and "highest" in answer:
+            self._counters.add("orders.stale_fencing")
+            return Stale(int(answer["highest"]))
+        if response.status != 200:
+            return NotObeyed(f"answered {response.status}: {answer}")
+        return Obeyed(str(answer.get("state", "applied")))
+
+
+def _action_fields(action: Action) -> dict[str, str]:
+    match action:
+        case LoadVersion(version):
+            return {"kind": "load_version", "version": version}
+        case LoadAdapter(adapter):
+            return {"kind": "load_adapter", "adapter": adapter}
+        case DropAdapter(adapter):
+            return {"kind": "drop_adapter", "adapter": adapter}
+        case SetRole(role):
+            return {"kind": "set_role", "role": role}
+
+
+def make_order_client(counters: Counters) -> OrderClient:
+    """Return a client without open connections."""
+    return OrderClient(counters)
--- /dev/null
+++ b/libs/control/src/celeryfork_control/rollout.py
@@ -0,0 +1,108 @@
+"""What a rollout has to do next, and whether an engine can be spared for it."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from attrs import frozen
+from celeryfork_config.records import Rollout
+
+from celeryfork_control.orders import (
+    Action,
+    DropAdapter,
+    LoadAdapter,
+    LoadVersion,
+    ObservedEngine,
+    SetRole,
+)
+
+SERVE = "serve"
+STANDBY = "standby"
+
+
+@frozen
+class Holder:
+    """An engine that serves some layers in some version now.
+
+    Parameters
+    ----------
+    usable
+        Whether it gets new work: in choice, serving, not loading.
+    """
+
+    engine_id: str
+    first_layer: int
+    last_layer: int
+    version: str
+    usable: bool
+
+
+def next_action(engine: ObservedEngine, wanted: Rollout) -> Action | None:
+    """Return the next order that brings an engine to its rollout, None if it is there.
+
+    One at a time: the next is decided from what the engine then says of itself.
+    """
+    if engine.loading:
+        return None
+    if engine.version != wanted.version:
+        return LoadVersion(wanted.version)
+    adapters = frozenset(wanted.adapters)
+    for adapter in sorted(adapters - engine.adapters):
+        return LoadAdapter(adapter)
+    for adapter in sorted(engine.adapters - adapters):
+        return DropAdapter(adapter)
+    role = STANDBY if engine.engine_id in wanted.standby else SERVE
+    return None if engine.role == role else SetRole(role)
+
+
+def takes_out(action: Action) -> bool:
+    """Tell whether an engine gets no new work while it carries out an action."""
+    match action:
+        case LoadVersion() | LoadAdapter():
+            return True
+        case SetRole(role):
+            return role == STANDBY
+        case DropAdapter():
+            return False
+
+
+def can_spare(
+    engine: ObservedEngine,
+    holders: Iterable[Holder],
+    layers: int,
+    wanted: Rollout,
+) -> bool:
+    """Tell whether the model keeps a whole chain of one version without an engine.
+
+    Others may take out as many engines as the rollout allows at the same time, so that
+    many further holders of each of its layers have to remain.
+    """
+    others = [h for h in holders if h.usable and h.engine_id != engine.engine_id]
+    if wanted.version != engine.version and _covers(others, wanted.version, layers, 1):
+        return True
+    left = wanted.most_out_at_once
+    needed = _count_by_layer(others, engine.version, layers)
+    own = range(engine.first_layer, min(engine.last_layer, layers))
+    keeps_old = all(needed[layer] >= left for layer in own)
+    return keeps_old and all(count >= 1 for count in needed)
+
+
+def progress(engines: Sequence[ObservedEngine], wanted: Rollout) -> Mapping[str, int]:
+    """Return how many engines are there, on their way, and yet to be ordered."""
+    loading = sum(engine.loading for engine in engines)
+    done = sum(
+        not engine.loading and next_action(engine, wanted) is None for engine in engines
+    )
+    return {"done": done, "loading": loading, "left": len(engines) - done - loading}
+
+
+def _covers(holders: Iterable[Holder], version: str, layers: int, least: int) -> bool:
+    return all(count >= least for count in _count_by_layer(holders, version, layers))
+
+
+def _count_by_layer(holders: Iterable[Holder], version: str, layers: int) -> list[int]:
+    counts = [0] * layers
+    for holder in holders:
+        if holder.version != version:
+            continue
+        for layer in range(holder.first_layer, min(holder.last_layer, layers)):
+            counts[layer] += 1
+    return counts
