Test each kind of spoilt event, and date load reports by their moment

A load report's wall time was read later than the moment it spoke of, so that it looked fresher than the lag allows (test_load_reports_lag failed once by a fraction of a millisecond).

--- a/libs/standin/src/celeryfork_standin/load_history.py
+++ b/libs/standin/src/celeryfork_standin/load_history.py
@@ -29,7 +29,8 @@
     def add(self, now: float, running: int, waiting: int) -> None:
         """Note the load now; the next one is due at ``due_s``."""
         self.due_s = now + SAMPLE_S
-        wall_ms = time.time_ns() // 1_000_000
+        # ``now`` may lie a while back, when the steps of one wake-up took long.
+        wall_ms = int((time.time() - (time.monotonic() - now)) * 1000)
         self._samples.append(LoadSample(now, wall_ms, running, waiting))
 
     def shown(self, newest_s: float) -> LoadSample:
--- a/libs/standin/tests/test_engine.py
+++ b/libs/standin/tests/test_engine.py
@@ -1,4 +1,7 @@
+import json
+
 import pytest
+from celeryfork_standin.engine import EngineSpec, make_engine_fleet
 from celeryfork_standin.engine_data import EventFault
 from celeryfork_standin.errors import UnknownTargetError
 from celeryfork_standin.text import expected_tokens
@@ -103,14 +106,47 @@
     assert helpers.open(fleet, "a1", "b2").rest()[-1]["end"] == "length"
 
 
-def test_spoilt_events_are_as_asked_for(fleet, helpers):
-    fleet.spoil_events("a1", EventFault.DUPLICATE)
+@pytest.mark.parametrize(
+    ("kind", "seen"),
+    [
+        (EventFault.DUPLICATE, [(1, 0), (1, 0), (1, 1), (1, 1), (1, 2)]),
+        (EventFault.LATE, [(1, 0), (1, 0), (1, 1), (1, 0), (1, 2)]),
+        (EventFault.OLD_ATTEMPT, [(0, 0), (1, 0), (0, 1), (1, 1), (1, 2)]),
+        (EventFault.SKIPPED, [(1, 2)]),
+        (None, [(1, 0), (1, 1), (1, 2)]),
+    ],
+)
+def test_spoilt_events_are_as_asked_for(fleet, helpers, kind, seen):
+    fleet.spoil_events("a1", kind)
     events = helpers.open(fleet, "a1", "b1", max_tokens=2).rest()
-    assert [event.get("p") for event in events] == [0, 0, 1, 1, 2]
+    assert [(event["a"], event["p"]) for event in events] == seen
+    assert fleet.ran_count == 2
+
+
+def test_a_coverage_gap_lacks_the_last_layer(fleet, helpers):
     fleet.spoil_events("a1", EventFault.COVERAGE_GAP)
     assert helpers.open(fleet, "a1", "b1").event()["l"] == [[0, 12], [12, 23]]
-    fleet.spoil_events("a1", EventFault.SKIPPED)
-    assert len(helpers.open(fleet, "a1", "b1").rest()) == 1
+
+
+def test_a_garbled_event_is_no_json(fleet, helpers):
+    fleet.spoil_events("a1", EventFault.GARBLED)
+    line = helpers.open(fleet, "a1", "b1").line()
+    with pytest.raises(json.JSONDecodeError):
+        json.loads(line)
+
+
+def test_a_share_of_events_is_spoilt_by_seed(helpers):
+    def skipped():
+        fleet = make_engine_fleet(seed=5)
+        fleet.add(EngineSpec("e1", "m", "westlands", 0, 12))
+        fleet.spoil_events("e1", EventFault.SKIPPED, 0.5)
+        events = helpers.open(fleet, "e1", max_tokens=40).rest()
+        fleet.stop()
+        return [event["p"] for event in events]
+
+    first = skipped()
+    assert 5 < len(first) < 36
+    assert skipped() == first
 
 
 @pytest.mark.parametrize(
--- a/libs/standin/tests/test_log_service.py
+++ b/libs/standin/tests/test_log_service.py
@@ -69,6 +69,12 @@
     helpers.wait_until(lambda: bool(platform.log.contents("configuration")))
 
 
+def test_a_refused_append_is_not_there(platform, helpers):
+    platform.log.refuse_appends(1.0)
+    assert append(platform, helpers).status == 503
+    assert platform.log.contents("configuration") == []
+
+
 def test_appends_over_the_rate_get_429(platform, helpers):
     platform.log.limit_appends(2)
     statuses = [append(platform, helpers).status for _ in range(5)]
--- a/libs/standin/tests/test_service.py
+++ b/libs/standin/tests/test_service.py
@@ -103,3 +103,17 @@
     services.slow("d2", 0.1)
     book(services, helpers, key="k2", target="d2")  # begun later, as long
     assert (lost, list(services.ran_by_key)) == ([True], ["k2"])
+
+
+def test_a_stalled_target_runs_its_calls_once_it_resumes(services, helpers):
+    services.stall("d1")
+    statuses = []
+    caller = threading.Thread(
+        target=lambda: statuses.append(book(services, helpers).status)
+    )
+    caller.start()
+    helpers.wait_until(lambda: services.target("d1").calls == 1)
+    assert services.ran == []
+    services.resume("d1")
+    caller.join(10)
+    assert (statuses, len(services.ran)) == ([200], 1)
