Config: an instance that starts on a log that has forgotten asks its peers first

Cause: after a log outage longer than retention the log is empty; a new instance read to its end and was ready with no configuration, while its peers had all of it. Change: where the log has dropped records a peer's whole state comes first; peers are looked for during 3 s before the log alone is believed. A test causes it.

--- a/libs/config/src/celeryfork_config/describe.py
+++ b/libs/config/src/celeryfork_config/describe.py
@@ -107,6 +107,11 @@
         "Records are not carried, and lost if that lasts for two thirds of the "
         "log's retention: bring the log back."
     ),
+    "the log was down for longer than its retention": (
+        "Instances that run keep what is in force, and carry it into the log again. "
+        "Keep some of them running, and publish nothing before `config show` shows "
+        "the records again."
+    ),
     "`config.follower.retention_shorter` grows": (
         "The log drops records sooner than `log_retention_s` says: correct the policy. "
         "Instances carry by what they observe until then."
--- a/libs/config/src/celeryfork_config/follower.py
+++ b/libs/config/src/celeryfork_config/follower.py
@@ -67,6 +67,7 @@
         self._current = CurrentConfiguration(counters)
         self._stopped = threading.Event()
         self._next_log_read_s = 0.0
+        self._alone_s = 0.0
         self._observed_retention_s = math.inf
         self._thread = threading.Thread(
             target=self._run, name="config-follower", daemon=True
@@ -92,6 +93,7 @@
 
     def start(self) -> None:
         """Begin to follow."""
+        self._alone_s = self._clock.monotonic() + self._options.peers_wait_s
         self._thread.start()
         self._carrier.start()
 
@@ -211,8 +213,11 @@
             self._counters.add("config.follower.log_behind")
             self._pause(options.peer_poll_s)
             return
-        if self._has_too_much_to_read(part):
-            self._merge_peers(whole=True)
+        if self._needs_peers(part) and not self._merge_peers(whole=True):
+            early = self._clock.monotonic() < self._alone_s
+            if early and not self._current.ready:
+                self._pause(options.peer_poll_s)
+                return
         if self._fold.next_offset > read_from:
             return  # and go on in the log from there
         with self._fold_lock:
@@ -240,12 +245,16 @@
         _logger.warning(f"the log keeps records for less than {age_s:.1f} s")
         self._carrier.wake()
 
-    def _has_too_much_to_read(self, part: LogSlice) -> bool:
-        """Whether the log has dropped what was not read, or is long to read whole."""
-        if self._fold.next_offset == 0:
-            kept = part.next_offset - part.first_offset
-            return kept > self._options.most_records_at_start
-        return part.first_offset > self._fold.next_offset
+    def _needs_peers(self, part: LogSlice) -> bool:
+        """Whether the log may not tell everything, or would take long to do so.
+
+        After an outage longer than its retention the log is empty at first, and only
+        the instances that run know what is in force.
+        """
+        if self._fold.next_offset > 0:
+            return part.first_offset > self._fold.next_offset
+        kept = part.next_offset - part.first_offset
+        return part.first_offset > 0 or kept > self._options.most_records_at_start
 
     def _read_peers(self) -> bool:
         """Take what peers have and put it in force; return whether a peer answered."""
--- a/libs/config/src/celeryfork_config/follower_options.py
+++ b/libs/config/src/celeryfork_config/follower_options.py
@@ -22,6 +22,9 @@
         Between two reads of the log by an instance that isn't a tailer.
     lone_poll_s
         The same, where no peer can be reached either.
+    peers_wait_s
+        How long to look for peers at the start before the log alone is believed,
+        where it has dropped records already.
     most_records_at_start
         Where the log has more than this, a peer's state is taken first.
     tailers_per_domain
@@ -36,6 +39,7 @@
     peer_poll_s: float = 1.0
     slow_poll_s: float = 60.0
     lone_poll_s: float = 5.0
+    peers_wait_s: float = 3.0
     most_records_at_start: int = 5000
     tailers_per_domain: int = 3
     most_direct_readers: int = 30
--- a/libs/config/tests/test_follower.py
+++ b/libs/config/tests/test_follower.py
@@ -213,6 +213,39 @@
     assert own.reads < 10
 
 
+def test_after_an_outage_longer_than_retention_the_peers_know_what_is_in_force(
+    log, make_log, started
+) -> None:
+    log.put_record("model/a", 1, None, {"layers": 4})
+    peer = started(log)
+    wait_ready(peer)
+    empty = make_log()
+    empty.records.extend(log.records)
+    empty.drop_before(1)
+    asked = threading.Event()
+
+    def read(after: int):
+        if not asked.is_set():
+            asked.set()
+            return None  # gossip has not heard of any peer yet
+        return peer.slice_after(after, 100).records
+
+    options = FollowerOptions(long_poll_s=0.05, peer_poll_s=0.01, peers_wait_s=600)
+    follower = started(empty, read, options)
+    wait_ready(follower)
+    assert follower.current.models_by_name["a"].layers == 4
+
+
+def test_a_lone_instance_believes_the_log_after_a_while(log, started) -> None:
+    log.put_record("model/a", 1, None, {"layers": 4})
+    log.put_record("model/b", 1, None, {"layers": 4})
+    log.drop_before(1)
+    options = FollowerOptions(long_poll_s=0.05, peer_poll_s=0.01, peers_wait_s=0.2)
+    follower = started(log, lambda after: None, options)
+    wait_ready(follower)
+    assert set(follower.current.models_by_name) == {"b"}
+
+
 def test_slices_are_cut_at_the_limit_and_go_on_from_there(log, started) -> None:
     for i in range(5):
         log.put_record(f"model/m{i}", 1, None, {"layers": 4})
