--- a/libs/config/src/celeryfork_config/settings.py
+++ b/libs/config/src/celeryfork_config/settings.py
@@ -221,11 +221,33 @@
     except ExceptionGroup as group:
         faults += [e for e in group.exceptions if isinstance(e, InputFaultError)]
         raise ExceptionGroup(group.message, faults) from group
+    faults += _cross_faults(settings)
     if faults:
-        raise ExceptionGroup("The environment has faults", faults)
+        raise ExceptionGroup("Settings has faults", faults)
     return settings
 
 
+def _cross_faults(settings: Settings) -> list[InputFaultError]:
+    """Return the faults that only show between two options."""
+    faults: list[InputFaultError] = []
+    if settings.stop.notice_s >= settings.stop.most_stop_s:
+        faults.append(
+            InputFaultError(
+                "$.stop.notice_s",
+                "It leaves no time to finish what was accepted.",
+                f"write less than most_stop_s, which is {settings.stop.most_stop_s}",
+            )
+        )
+    same_port = settings.http_port == settings.peer_port != 0
+    if same_port and settings.http_host == settings.peer_host:
+        faults.append(
+            InputFaultError(
+                "$.peer_port", "It is http_port, too.", "write another port, or 0"
+            )
+        )
+    return faults
+
+
 def settings_schema() -> dict[str, Any]:
     """Return the JSON Schema of the settings file."""
     return schema_of(Settings)
--- a/libs/config/src/celeryfork_config/structuring.py
+++ b/libs/config/src/celeryfork_config/structuring.py
@@ -9,7 +9,6 @@
 from cattrs import Converter
 from cattrs.errors import (
     AttributeValidationNote,
-    BaseValidationError,
     ForbiddenExtraKeysError,
     IterableValidationNote,
 )
@@ -45,7 +44,7 @@
     """
     try:
         return _converter.structure(value, shape)
-    except (BaseValidationError, _ValueFaultError) as error:
+    except (BaseExceptionGroup, _ValueFaultError) as error:
         faults = list(_faults(error, "$", shape))
         raise ExceptionGroup(f"{shape.__name__} has faults", faults) from error
 
@@ -72,22 +71,32 @@
 
     def hook(value: Any, _shape: Any) -> Any:
         result = converter.structure(value, attribute.type)
-        for item in _scalars(result):
-            if message := rule.fault(item):
-                shown = HIDDEN_FAULT if rule.secret else message
-                raise _ValueFaultError(shown, rule.advice())
+        match result:
+            case tuple():
+                _check_items(rule, result)
+            case str() | int() | float():
+                _check(rule, result)
         return float(result) if attribute.type is float else result
 
     return hook
 
 
-def _scalars(value: object) -> Iterator[object]:
-    """Yield what a field's limits apply to: the value, or a tuple's items."""
-    match value:
-        case tuple():
-            yield from value
-        case str() | int() | float():
-            yield value
+def _check(rule: Option, value: object) -> None:
+    if message := rule.fault(value):
+        shown = HIDDEN_FAULT if rule.secret else message
+        raise _ValueFaultError(shown, rule.advice())
+
+
+def _check_items(rule: Option, items: tuple[object, ...]) -> None:
+    faults: list[_ValueFaultError] = []
+    for index, item in enumerate(items):
+        try:
+            _check(rule, item)
+        except _ValueFaultError as fault:
+            fault.add_note(IterableValidationNote(f"item {index}", index, str))
+            faults.append(fault)
+    if faults:
+        raise ExceptionGroup("items have faults", faults)
 
 
 def _class_hook(converter: Converter, shape: Any) -> StructureHook:
--- a/libs/config/tests/test_settings.py
+++ b/libs/config/tests/test_settings.py
@@ -87,7 +87,7 @@
         "$.platform.wights_url",
         "$.http_port",
         "$.peer_port",
-        "$.peers",
+        "$.peers[1]",
         "$.stop.notice_s",
         "$.ticket_secret",
         "$.colour",
@@ -96,6 +96,11 @@
     assert "short" not in faults["$.ticket_secret"], "a secret must not be shown"
 
 
+def test_faults_between_two_options_are_found(tmp_path) -> None:
+    path = write(tmp_path, stop={"notice_s": 30, "most_stop_s": 30}, peer_port=8080)
+    assert set(faults_by_path(path)) == {"$.stop.notice_s", "$.peer_port"}
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", "3", '"x"'])
 def test_a_file_that_holds_no_object_is_one_clear_fault(tmp_path, text) -> None:
     path = tmp_path / "settings.json"
