--- a/libs/streams/tests/test_streams.py
+++ b/libs/streams/tests/test_streams.py
@@ -377,12 +377,12 @@
     assert len(e1.requests) == 1
 
 
-def test_the_retry_budget_holds_but_one_resumption_is_always_tried(world):
-    [e1] = world.chain("e1")
-    [e2] = world.chain("e2")
-    e1.scripts, e2.scripts = [dies_late], [dies_late]
-    world.chain("e3")
+def test_the_retry_budget_holds_but_some_resumptions_are_always_tried(world):
+    for name in ("e1", "e2", "e3", "e4"):
+        [engine] = world.chain(name)
+        engine.scripts = [dies_late]
     world.budget.left = 0
+    world.set_policy(free_resumptions=1)
     error = refused(world, world.request(max_tokens=100))
     assert error.result.attempts == 2
     assert error.outcome is Outcome.FAILED
@@ -390,6 +390,30 @@
     assert world.counters.count("streams.retries_refused") == 1
 
 
+def test_a_refused_connection_needs_no_budget(world):
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    world.do(e1.stop())
+    world.budget.left = 0
+    check_resumed(world, RecoveryKind.NOT_REACHED)
+
+
+def test_suspects_run_one_at_a_time_where_no_other_does(world, eventually):
+    [e1] = world.chain("e1")
+    e1.scripts = [stalls]
+    world.set_policy(first_token_floor_s=5.0, token_gap_floor_s=5.0)
+    for fingerprint in ("first", "second"):
+        world.poison.crashed(fingerprint, "e9")
+    caller, _ = world.call(world.request(fingerprint="first"))
+    eventually(lambda: e1.requests)
+    second = world.runner.run(world.request(fingerprint="second"), world.make_sink())
+    future = world.thread.submit(second)
+    eventually(lambda: len(world.router.asked) >= 2)
+    assert len(e1.requests) == 1
+    caller.close()
+    assert future.result(timeout=5).outcome is Outcome.DONE
+
+
 def test_a_request_that_crashes_two_engines_is_refused(world):
     async def crashes(talk):
         await talk.accept()
@@ -456,17 +480,53 @@
     assert kv_from == ["a:1", None, None]
 
 
-def test_an_address_that_takes_no_connection_costs_only_the_connect_limit(world):
-    full = socket.create_server(("127.0.0.1", 0), backlog=0)
-    host, port = full.getsockname()
+@pytest.fixture
+def full_address():
+    """An address whose backlog is full, so that connecting to it hangs."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    host, port = listener.getsockname()
     fillers = [socket.socket() for _ in range(4)]
     for filler in fillers:
         filler.setblocking(False)
         filler.connect_ex((host, port))
-    hop = Hop(world.make_target("full", f"{host}:{port}"), 0, 24)
+    yield f"{host}:{port}"
+    for connection in (listener, *fillers):
+        connection.close()
+
+
+def add_full(world, full_address):
+    hop = Hop(world.make_target("full", full_address), 0, 24)
     world.router.chains.append(Chain((hop,), "full"))
-    world.chain("e2")
     world.set_policy(first_token_floor_s=5.0)
+
+
+def test_an_address_that_takes_no_connection_costs_only_the_limit(world, full_address):
+    add_full(world, full_address)
+    world.chain("e2")
     check_resumed(world, RecoveryKind.NOT_REACHED)
-    for connection in (full, *fillers):
-        connection.close()
+
+
+def test_a_deadline_before_the_first_byte_is_not_run(world, full_address):
+    add_full(world, full_address)
+    error = refused(world, world.request(deadline_s=time.monotonic() + 0.2))
+    assert (error.code, error.outcome) == ("deadline", Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"X-Long: " + b"y" * 20_000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n",
+    ],
+)
+def test_an_answer_that_breaks_the_interface_ends_its_attempt(world, answer):
+    async def breaks_interface(talk):
+        talk.writer.write(answer)
+        await asyncio.sleep(60)
+
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    e1.scripts = [breaks_interface]
+    check_resumed(world, RecoveryKind.MALFORMED)
