--- a/libs/routing/tests/test_router.py
+++ b/libs/routing/tests/test_router.py
@@ -11,7 +11,7 @@
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
 from celeryfork_membership.news import make_news_board
-from celeryfork_membership.probe import make_load_probe
+from celeryfork_membership.probe import LoadReport, make_load_probe
 from celeryfork_membership.targets import Draining, Refused, make_target_view
 from celeryfork_platform.model import Instance, InstanceList
 from celeryfork_routing.chains import Chain, ChainRequest, ChainResult
@@ -33,7 +33,7 @@
 class Node:
     """A router over a view that a test fills."""
 
-    def __init__(self, *instances: Instance, domain: str = "d0") -> None:
+    def __init__(self, *instances: Instance, domain: str = "d0", seed: int = 1) -> None:
         self.clock = ManualClock()
         self.counters = Counters()
         news = make_news_board(self.clock, self.counters)
@@ -46,7 +46,7 @@
             domain,
             self.clock,
             self.counters,
-            seed=1,
+            seed=seed,
             executor=InlineExecutor(),
         )
         self.version = 0
@@ -194,6 +194,21 @@
     assert held.count(chains[0]) < 40
 
 
+def test_instances_with_the_same_old_report_do_not_all_run_to_one_engine() -> None:
+    taken: list[str] = []
+    for seed in range(9):
+        node = Node(*two_stages(10), seed=seed)
+
+        def report(target_id: str, node: Node = node) -> LoadReport:
+            waiting = 0 if target_id == "a0" else 20
+            now_s = node.clock.monotonic()
+            return LoadReport(4, waiting, 4, 1000.0, 0.5, 2.0, now_s)
+
+        node.probe.load_of = report  # type: ignore[method-assign]
+        taken += [ids(node.choose())[0] for _ in range(20)]
+    assert 18 <= taken.count("a0") <= 60  # of 180; an even share is 18
+
+
 def test_a_slow_engine_is_learned_and_gets_less() -> None:
     node = Node(*two_stages(4))
     for _ in range(400):
