--- a/libs/routing/src/celeryfork_routing/picker.py
+++ b/libs/routing/src/celeryfork_routing/picker.py
@@ -8,6 +8,7 @@
 "How useful is old information?", IEEE TPDS 2000).
 """
 
+from collections.abc import Iterable
 from math import log
 from random import Random
 from typing import Protocol
@@ -28,7 +29,7 @@
 AFFINITY_SLACK_STREAMS = 1.0
 PREFILL_SPEEDUP = 10.0
 REFRESH_S = 0.5
-MOST_PREFERENCES = 4096
+MOST_PREFERENCES = 16384
 MOST_DRAWS = 4
 HASH_RANGE = float(1 << 64)
 HASH_MASK = (1 << 64) - 1
@@ -117,48 +118,53 @@
         domain = origin
         search.hops = len(path.lanes)
         for lane in path.lanes:
-            engine = self._engine(lane, search, domain)
-            if engine is None:
+            found = self._engine(lane, search, domain)
+            if found is None:
                 return None
+            engine, cost_s = found
             legs.append(Leg(engine, lane.first, lane.last))
-            total_s += self._cost_s(engine, lane, search, domain)
+            total_s += cost_s
             domain = engine.target.domain
         total_s += self._latency_s(domain, origin)
         return Candidate(tuple(legs), total_s)
 
-    def _engine(self, lane: Lane, search: _Search, domain: str) -> Engine | None:
-        """Return the engine that the key points to, or the better of those drawn."""
+    def _engine(
+        self, lane: Lane, search: _Search, domain: str
+    ) -> tuple[Engine, float] | None:
+        """Return an engine and its cost: who the key points to, or the best drawn."""
         several = len(lane.close.engines) > 1
         if several and search.request.prompt_key:
             preferred = self._preferred_of(lane, search.request.prompt_key)
             usable = self._usable(preferred, search)
             if usable and _within_bound(preferred, lane):
-                return preferred
-        best = self._draw(lane.close, search)
+                return preferred, self._cost_s(preferred, lane, search, domain)
+        drawn = [self._draw(lane.close, search)]
         if several:
-            other = self._draw(lane.close, search)
-            best = self._better(best, other, lane, search, domain)
+            drawn.append(self._draw(lane.close, search))
         if lane.far is not None:
-            other = self._draw(lane.far, search)
-            best = self._better(best, other, lane, search, domain)
+            drawn.append(self._draw(lane.far, search))
+        best = self._cheapest(drawn, lane, search, domain)
         if best is None:
-            for engine in lane.stage.engines:
-                if self._usable(engine, search):
-                    best = self._better(best, engine, lane, search, domain)
+            others = [e for e in lane.stage.engines if self._usable(e, search)]
+            best = self._cheapest(others, lane, search, domain)
         return best
 
-    def _better(
+    def _cheapest(
         self,
-        one: Engine | None,
-        other: Engine | None,
+        engines: Iterable[Engine | None],
         lane: Lane,
         search: _Search,
         domain: str,
-    ) -> Engine | None:
-        if one is None or other is None or one is other:
-            return one or other
-        one_s = self._cost_s(one, lane, search, domain)
-        return one if one_s <= self._cost_s(other, lane, search, domain) else other
+    ) -> tuple[Engine, float] | None:
+        best: Engine | None = None
+        best_s = 0.0
+        for engine in engines:
+            if engine is None or engine is best:
+                continue
+            cost_s = self._cost_s(engine, lane, search, domain)
+            if best is None or cost_s < best_s:
+                best, best_s = engine, cost_s
+        return None if best is None else (best, best_s)
 
     def _cost_s(
         self, engine: Engine, lane: Lane, search: _Search, domain: str
@@ -203,7 +209,8 @@
             if len(self._preferred) >= MOST_PREFERENCES:
                 self._preferred.clear()
             digest = xxh3_64_intdigest(prompt_key.encode())
-            engine = max(lane.close.engines, key=lambda e: _rank(digest, e))
+            ranks = [_rank(digest, engine) for engine in lane.close.engines]
+            engine = lane.close.engines[ranks.index(max(ranks))]
             self._preferred[key] = engine
         return engine
 
