--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -219,15 +219,16 @@
             self._wake(attempt.hashed)
 
     def settle_unknown(self, kept: KeptOutcome) -> None:
-        """Keep what a status call found out about a key whose outcome was unknown."""
+        """Keep what was found out about a key, and write it to the log if new there."""
         with self._lock:
             self.kept.put(kept)
+            self._wake(key_hash(kept.organisation, kept.key))
             held = self._fold.held(kept.organisation, kept.key)
             if held is not None and held.outcome is not kept.outcome:
                 self._log_outcome(held.nonce, kept)
 
     def adopt(self, kept: KeptOutcome) -> None:
-        """Keep an outcome that its holder handed over."""
+        """Keep an outcome that its holder told; the holder writes it to the log."""
         with self._lock:
             self.kept.put(kept)
             self._wake(key_hash(kept.organisation, kept.key))
--- a/libs/calls/src/celeryfork_calls/claims.py
+++ b/libs/calls/src/celeryfork_calls/claims.py
@@ -150,11 +150,11 @@
         self.table.finish(claimed, kept)
 
     def settle_unknown(self, kept: KeptOutcome) -> None:
-        """Keep what a status call found out about a key whose outcome was unknown."""
+        """Keep what was found out about a key, and write it to the log if new there."""
         self.table.settle_unknown(kept)
 
     def adopt(self, kept: KeptOutcome) -> None:
-        """Keep an outcome that its holder handed over."""
+        """Keep an outcome that its holder told; the holder writes it to the log."""
         self.table.adopt(kept)
 
     def log_handed_over(self, outcomes: Sequence[KeptOutcome]) -> bool:
--- a/libs/calls/src/celeryfork_calls/hand_over.py
+++ b/libs/calls/src/celeryfork_calls/hand_over.py
@@ -78,6 +78,17 @@
                 return False
             return (organisation, key) not in group.outcomes_by_key
 
+    def everything(self) -> list[KeptOutcome]:
+        """Return all that is kept, to pass it on: each marker after its outcomes."""
+        now_ms = self._clock.wall_ms()
+        passed_on: list[KeptOutcome] = []
+        with self._lock:
+            for owner, group in self._groups_by_owner.items():
+                passed_on += group.outcomes_by_key.values()
+                if group.begun is not None:
+                    passed_on.append(closing_marker(owner, group.begun, now_ms))
+        return passed_on
+
     def dump(self) -> dict[str, object]:
         """Return the sizes for the state dump."""
         with self._lock:
--- a/libs/calls/src/celeryfork_calls/peer_calls.py
+++ b/libs/calls/src/celeryfork_calls/peer_calls.py
@@ -4,6 +4,7 @@
 
 from celeryfork_base.errors import PeerUnavailableError
 from celeryfork_wire.gen.celeryfork import ttypes
+from celeryfork_wire.gen.celeryfork.ttypes import InstanceState
 
 from celeryfork_calls.kept import KeptOutcome
 from celeryfork_calls.ports import GossipPort, PeerPoolPort, PeerViewPort
@@ -28,13 +29,16 @@
             return None
         return peer
 
-    def in_domain(self, domain: str, except_instance: str) -> Sequence[PeerViewPort]:
-        """Return the peers known in a failure domain, in a stable order."""
+    def near(self, domain: str, except_instance: str) -> Sequence[PeerViewPort]:
+        """Return the known peers in a stable order, those of a domain first."""
         peers = self._gossip.peers_by_instance.values()
-        found = [
-            p for p in peers if p.domain == domain and p.instance != except_instance
-        ]
-        return sorted(found, key=lambda p: p.instance)
+        others = [p for p in peers if p.instance != except_instance]
+        return sorted(others, key=lambda p: (p.domain != domain, p.instance))
+
+    def serving_near(self, domain: str, except_instance: str) -> Sequence[PeerViewPort]:
+        """Return the peers that aren't stopping themselves, as ``near`` does."""
+        near = self.near(domain, except_instance)
+        return [p for p in near if p.state == InstanceState.SERVING]
 
     def find_outcome(
         self, peer: PeerViewPort, organisation: str, key: str, wait_s: float
--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -113,7 +113,8 @@
     def take_over(self, outcomes: Sequence[KeptOutcome]) -> None:
         """Take outcomes that a stopping peer hands over."""
         for kept in self._tickets.on_hand_over(outcomes):
-            self._claims.adopt(kept)
+            # Its holder could not write it to the log; this instance may yet.
+            self._claims.settle_unknown(kept)
 
     def _kind(self, call: PlainCall) -> ServiceKindPort:
         service = self._configuration().services_by_name.get(call.service)
--- a/libs/calls/src/celeryfork_calls/ports.py
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -181,6 +181,10 @@
     def peer_address(self) -> str:
         """``ip:port`` of its peer server."""
 
+    @property
+    def state(self) -> int:
+        """Its ``InstanceState``."""
+
 
 class IdentityPort(Protocol):
     """What this instance is called."""
--- a/libs/calls/src/celeryfork_calls/tickets.py
+++ b/libs/calls/src/celeryfork_calls/tickets.py
@@ -226,6 +226,9 @@
     ) -> HandOverReport:
         """Close, wait for what runs, and give peers and the log all outcomes.
 
+        Peers get what this instance took over from others, too, so that nothing is
+        lost while a whole fleet is replaced one by one.
+
         Parameters
         ----------
         wait_s
@@ -240,7 +243,8 @@
         outcomes = self._begun.outcomes(wait_s)
         marker = closing_marker(self.owner, len(outcomes), self._clock.wall_ms())
         chunks = in_chunks([*outcomes, marker], HAND_OVER_CHUNK_BYTES)
-        chunks += in_chunks(claims_unflushed, HAND_OVER_CHUNK_BYTES)
+        taken_before = [*self.handed_over.everything(), *claims_unflushed]
+        chunks += in_chunks(taken_before, HAND_OVER_CHUNK_BYTES)
         peers = self._give_to_peers([chunk for chunk in chunks if chunk])
         if to_log is not None:
             to_log([*outcomes, marker])
@@ -251,7 +255,7 @@
         """Give some peers of the domain everything; return those that took it."""
         ends_s = self._clock.monotonic() + LONGEST_HAND_OVER_S
         taken_by: list[str] = []
-        for peer in self.peers.in_domain(
+        for peer in self.peers.serving_near(
             self._identity.domain, self._identity.instance
         ):
             if len(taken_by) >= MOST_PEERS_HANDED_TO:
@@ -295,7 +299,7 @@
         kept = self._known(ticket.organisation, call.ticket)
         asked: Sequence[PeerViewPort] = ()
         if kept is None:
-            asked = self.peers.in_domain(ticket.domain, self._identity.instance)
+            asked = self.peers.near(ticket.domain, self._identity.instance)
         for peer in asked[:MOST_PEERS_ASKED]:
             reply = self.peers.find_outcome(peer, ticket.organisation, call.ticket, 0)
             if reply is not None and reply.known and reply.kept is not None:
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -21,6 +21,7 @@
 from celeryfork_calls.plain import PlainCall, PlainCaller, make_plain_caller
 from celeryfork_calls.tickets import TicketOffice, make_ticket_office
 from celeryfork_wire.gen.celeryfork import Peer
+from celeryfork_wire.gen.celeryfork.ttypes import InstanceState
 from celeryfork_wire.peers import PeerPool, PeerServer
 
 SECRET = b"0123456789abcdef"
@@ -402,6 +403,7 @@
     incarnation: int
     domain: str
     peer_address: str
+    state: int = InstanceState.SERVING
 
 
 @define
--- a/libs/calls/tests/test_tickets.py
+++ b/libs/calls/tests/test_tickets.py
@@ -9,6 +9,7 @@
 from celeryfork_base.errors import CeleryforkError, RequestRefusedError
 from celeryfork_base.outcomes import Outcome
 from celeryfork_calls.tickets import make_ticket_office
+from celeryfork_wire.gen.celeryfork.ttypes import InstanceState
 
 BOUND_TO = ("kettlecare", "visit-desk", "book")
 
@@ -146,7 +147,7 @@
     log.outage(not log_up)
     to_log = one.book.log_handed_over if log_up else None
     report = one.tickets.hand_over(1.0, to_log=to_log)
-    assert report.peers == ["b"]
+    assert report.peers == ["b", "c"]
     # Until its last connection closes, the owner answers itself.
     void = (Outcome.NOT_RUN, "key_expired")
     assert one.book_visit(begun).replayed
@@ -159,6 +160,34 @@
     assert service.ran == {begun: 1}
 
 
+def test_outcomes_outlive_the_replacement_of_every_instance(
+    start_service, start_instance, gossip, log
+):
+    service = start_service()
+    old = [start_instance(name, service) for name in "abc"]
+    begun, open_ = mint(old[0]), mint(old[0])
+    old[0].book_visit(begun)
+    log.outage(True)
+    for number, instance in enumerate(old):
+        start_instance(f"new{number}", service)
+        report = instance.tickets.hand_over(0.1)
+        assert report.peers
+        instance.vanish(gossip)
+    last = start_instance("last", service)
+    assert last.book_visit(begun).body == b"booked monday"
+    assert refused(lambda: last.book_visit(open_)) == (Outcome.NOT_RUN, "key_expired")
+    assert service.ran == {begun: 1}
+
+
+def test_nothing_is_handed_to_a_peer_that_stops_itself(
+    start_service, start_instance, gossip
+):
+    one, _ = start_instance("a"), start_instance("b")
+    stopping = evolve(gossip.peers_by_instance["b"], state=InstanceState.DRAINING)
+    gossip.peers_by_instance["b"] = stopping
+    assert one.tickets.hand_over(0.1).peers == []
+
+
 def test_what_runs_on_past_the_hand_over_is_unknown(
     start_service, start_instance, gossip, wait_until
 ):
@@ -186,12 +215,15 @@
     booking = threading.Thread(target=one.book_visit, args=(key,))
     booking.start()
     wait_until(lambda: service.ran == {key: 1})
+    wait_until(lambda: two.book.dump()["keys_held"] == 1)
     log.outage(True)
     service.held.set()
     booking.join(10)
     one.tickets.hand_over(1.0, one.book.stop().unflushed)
     one.vanish(gossip)
     assert two.book_visit(key).body == b"booked monday"
+    log.outage(False)
+    wait_until(lambda: any('"done"' in record.data for record in log.records))
 
 
 def test_begun_tickets_and_their_answers_are_bounded(start_instance, monkeypatch):
