--- a/libs/routing/src/celeryfork_routing/router.py
+++ b/libs/routing/src/celeryfork_routing/router.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from attrs import frozen
+from attrs import define
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
@@ -19,22 +19,22 @@
 from celeryfork_routing.engines import DEFAULT_TOKENS_PER_S, Engine
 from celeryfork_routing.fleet import Fleet
 from celeryfork_routing.gaps import gaps_between, kept_hops
+from celeryfork_routing.links import LinkTable
 from celeryfork_routing.picker import Picker
 from celeryfork_routing.search import Leg, cheapest_legs
 from celeryfork_routing.services import ServiceChoice
+from celeryfork_routing.versions import ModelFleets
 
 if TYPE_CHECKING:
     from celeryfork_config.in_force import Configuration
 
 __all__ = ["Chain", "ChainRequest", "ChainResult", "Hop", "Router", "make_router"]
 
-SAME_DOMAIN_LATENCY_S = 0.0001
-DEFAULT_LATENCY_S = 0.001
 RETRY_AFTER_S = 1.0
 LEAST_TOKENS_TO_LEARN = 4
 
 
-@frozen(eq=False)
+@define(eq=False)
 class _Flight:
     """A chain in flight: the engines to count out, and the time expected."""
 
@@ -68,10 +68,11 @@
         self._counters = counters
         self._executor = executor
         self._random = Random(seed)
-        self._picker = Picker(probe, clock, self._random, self._latency_s)
+        self._links = LinkTable(configuration)
+        self._picker = Picker(probe, clock, self._random, self._links)
         self._services = ServiceChoice(domain, self._random)
         self._lock = threading.RLock()
-        self._fleets_by_model: dict[tuple[str, int], Fleet] = {}
+        self._fleets_by_model: dict[tuple[str, int], ModelFleets] = {}
         self._flights_by_chain_id: dict[str, _Flight] = {}
         self._ids = count(1)
         self._id_prefix = f"{self._random.getrandbits(32):08x}"
@@ -85,14 +86,17 @@
             ``no_target``: some layer is held by no target that may be used.
         """
         in_choice = self._view.in_choice(request.model)
+        chain: Chain | None = None
         with self._lock:
-            fleet = self._fleet(request)
-            plan = fleet.plan
-            fleet.see(in_choice)
-            if fleet.plan is not plan:
-                self._picker.forget()
-            legs = self._legs(fleet, request)
-            chain = self._begin(fleet, legs) if legs else None
+            self._links.refresh()
+            fleets = self._fleets(request)
+            fleets.see(in_choice)
+            point = self._random.random()
+            for fleet in fleets.in_order(point, request.keep):
+                legs = self._legs(fleet, request)
+                if legs is not None:
+                    chain = self._begin(fleet, legs)
+                    break
         if chain is None:
             self._counters.add("routing.no_target")
             raise _no_target(request.model)
@@ -148,30 +152,36 @@
         with self._lock:
             return {
                 "models": {
-                    fleet.model: fleet.dump()
-                    for fleet in self._fleets_by_model.values()
+                    model: {
+                        version: fleet.dump()
+                        for version, fleet in fleets.fleets_by_version.items()
+                    }
+                    for (model, _), fleets in self._fleets_by_model.items()
                 },
                 "chains_in_flight": len(self._flights_by_chain_id),
                 "service_calls_in_flight": self._services.dump(),
             }
 
-    def _fleet(self, request: ChainRequest) -> Fleet:
+    def _fleets(self, request: ChainRequest) -> ModelFleets:
         key = (request.model, request.layers)
-        fleet = self._fleets_by_model.get(key)
-        if fleet is None:
-            fleet = Fleet(
-                request.model,
-                request.layers,
-                self._clock,
-                self._counters,
-                self._executor,
-                self._rate_of,
-                self._latency_s,
-                self._domain,
-                self._lock,
-            )
-            self._fleets_by_model[key] = fleet
-        return fleet
+        fleets = self._fleets_by_model.get(key)
+        if fleets is None:
+            fleets = ModelFleets(lambda: self._make_fleet(*key))
+            self._fleets_by_model[key] = fleets
+        return fleets
+
+    def _make_fleet(self, model: str, layers: int) -> Fleet:
+        return Fleet(
+            model,
+            layers,
+            self._clock,
+            self._counters,
+            self._executor,
+            self._rate_of,
+            self._links.latency_s,
+            self._domain,
+            self._lock,
+        )
 
     def _legs(self, fleet: Fleet, request: ChainRequest) -> tuple[Leg, ...] | None:
         if not request.keep:
@@ -195,7 +205,9 @@
         legs = list(kept)
         for gap in gaps_between([(k.first, k.last) for k in kept], request.layers):
             origin = _domain_before(kept, gap[0], self._domain)
-            found = cheapest_legs(engines, gap, self._latency_s, origin, self._random)
+            found = cheapest_legs(
+                engines, gap, self._links.latency_s, origin, self._random
+            )
             if found is None:
                 return None
             legs += found
@@ -232,13 +244,6 @@
             return float(accelerator.tokens_per_second) * layers / held
         return DEFAULT_TOKENS_PER_S
 
-    def _latency_s(self, here: str, there: str) -> float:
-        if here == there:
-            return SAME_DOMAIN_LATENCY_S
-        links = self._configuration().links_by_pair
-        link = links.get((here, there)) or links.get((there, here))
-        return DEFAULT_LATENCY_S if link is None else float(link.latency_ms) / 1000
-
 
 def make_router(
     view: TargetView,
