--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -33,11 +33,9 @@
     StreamResult,
 )
 from celeryfork_streams.salvage import TURNED_AWAY, Salvage
-from celeryfork_streams.suspects import PROVEN_TOKENS
+from celeryfork_streams.suspects import Suspicion
 
 PREFIX_CHARACTERS = 32
-# From this crash on, it is counted even where the attempt had made tokens before.
-CRASHES_EXCUSED = 2
 
 _OBSERVATION_BY_KIND: dict[RecoveryKind, Observation] = {
     RecoveryKind.NOT_REACHED: Refused(),
@@ -50,7 +48,6 @@
 # Nothing was sent, so that the next attempt adds no load; or the budget was asked
 # before the silent attempt was given up.
 _NEED_NO_RETRY = frozenset({RecoveryKind.NOT_REACHED, RecoveryKind.STALLED})
-_CRASHES = frozenset({RecoveryKind.CUT, RecoveryKind.STAGE_LOST})
 
 
 class StreamRun:
@@ -65,13 +62,12 @@
         self._policy = parts.policy()
         self._progress = Progress(request, parts.layers_of(request.model))
         self._salvage = Salvage(parts.view)
+        self._suspicion = Suspicion(parts.suspects, parts.poison, request.fingerprint)
         self._recoveries: list[Recovery] = []
         self._last: Lost | None = None
-        self._crashes = 0
         self._resumed_free = 0
         self._counted_attempts = 0
         self._wait_s = self._policy.no_target_wait_s
-        self._suspected_on: Chain | None = None
 
     @property
     def tokens(self) -> int:
@@ -123,7 +119,7 @@
         A request that no engine has accepted is refused at once where there is no
         chain; one that has begun waits for one until its deadline.
         """
-        if self._suspected:
+        if self._suspicion.stands:
             chain = await self._choose_alone()
             if chain is not None:
                 return chain
@@ -154,10 +150,6 @@
                 return chain
             await suspects.one_left(left_s)
 
-    @property
-    def _suspected(self) -> bool:
-        return self._parts.poison.crashes(self._request.fingerprint) > 0
-
     def _first_choice(self, avoidances: Iterable[frozenset[str]]) -> Chain | None:
         for avoid in avoidances:
             try:
@@ -190,9 +182,7 @@
         """Run one attempt and release its chain, whatever happens."""
         self._progress.attempts += 1
         self._parts.counters.add("streams.attempts")
-        if self._suspected:
-            self._suspected_on = chain
-            self._parts.suspects.enter(chain)
+        self._suspicion.begin(chain)
         attempt = Attempt(
             self._parts,
             self._progress,
@@ -206,7 +196,7 @@
         try:
             ended = await attempt.run()
         finally:
-            self._proved_harmless()
+            self._suspicion.end()
             self._release(chain, attempt, ended)
         if isinstance(ended, Lost):
             return await self._note_lost(chain, attempt, ended)
@@ -244,20 +234,9 @@
                 self._parts.view.observe(target_id, observation)
         self._last = lost
         self._salvage.take_in(chain, lost, attempt.tokens)
-        if lost.kind in _CRASHES:
-            self._count_crash(lost, attempt.tokens)
+        self._suspicion.count(lost, attempt.tokens)
         return lost
 
-    def _count_crash(self, lost: Lost, tokens: int) -> None:
-        """Hold a crash against the request unless it had proved harmless."""
-        self._crashes += 1
-        if tokens >= PROVEN_TOKENS and self._crashes <= CRASHES_EXCUSED:
-            return
-        fingerprint = self._request.fingerprint
-        for target_id in lost.blamed:
-            self._parts.poison.crashed(fingerprint, target_id)
-        self._parts.poison.check(fingerprint)
-
     def _check_may_go_on(self, lost: Lost) -> None:
         """Raise unless another attempt is allowed."""
         # A stream that has begun pauses before it goes back to a dead engine, so that
@@ -299,8 +278,7 @@
         """Note that an attempt has passed tokens on."""
         if self._recoveries and self._recoveries[-1].resumed_s is None:
             self._note_resumed()
-        if self._suspected_on is not None and tokens >= PROVEN_TOKENS:
-            self._proved_harmless()
+        self._suspicion.passed(tokens)
 
     def _note_resumed(self) -> None:
         now_s = self._parts.clock.monotonic()
@@ -312,11 +290,6 @@
                 timing = f"streams.recovery.{recovery.kind}"
                 self._parts.counters.timing(timing, pause_s)
 
-    def _proved_harmless(self) -> None:
-        chain, self._suspected_on = self._suspected_on, None
-        if chain is not None:
-            self._parts.suspects.leave(chain)
-
     def _result(self, code: str | None) -> StreamResult:
         return StreamResult(
             outcome=Outcome.DONE if code is None else outcome_of(self._progress),
--- a/libs/streams/src/celeryfork_streams/suspects.py
+++ b/libs/streams/src/celeryfork_streams/suspects.py
@@ -9,10 +9,16 @@
 import asyncio
 from collections import Counter
 
-from celeryfork_streams.ports import Chain
+from celeryfork_streams.lost import Lost
+from celeryfork_streams.ports import Chain, PoisonPort
+from celeryfork_streams.requests import RecoveryKind
 
 # Tokens after which an attempt counts as proof that its request crashes no engine.
 PROVEN_TOKENS = 8
+# From this crash on, it is counted even where the attempt had made tokens before.
+CRASHES_EXCUSED = 2
+
+_CRASHES = frozenset({RecoveryKind.CUT, RecoveryKind.STAGE_LOST})
 
 
 class Suspects:
@@ -50,3 +56,55 @@
             return
         finally:
             self._waiting.discard(future)
+
+
+class Suspicion:
+    """What one request's attempts say of whether it crashes engines."""
+
+    def __init__(
+        self, suspects: Suspects, poison: PoisonPort, fingerprint: str
+    ) -> None:
+        self._suspects = suspects
+        self._poison = poison
+        self._fingerprint = fingerprint
+        self._crashes = 0
+        self._running_on: Chain | None = None
+
+    @property
+    def stands(self) -> bool:
+        """Whether an engine has crashed that ran this request."""
+        return self._poison.crashes(self._fingerprint) > 0
+
+    def begin(self, chain: Chain) -> None:
+        """Mark a chain's engines if the request is a suspect."""
+        if self.stands:
+            self._running_on = chain
+            self._suspects.enter(chain)
+
+    def passed(self, tokens: int) -> None:
+        """Lift the mark once the attempt has proved harmless."""
+        if self._running_on is not None and tokens >= PROVEN_TOKENS:
+            self.end()
+
+    def end(self) -> None:
+        """Lift the mark."""
+        chain, self._running_on = self._running_on, None
+        if chain is not None:
+            self._suspects.leave(chain)
+
+    def count(self, lost: Lost, tokens: int) -> None:
+        """Hold a crash against the request unless it had proved harmless.
+
+        Raises
+        ------
+        RequestRefusedError
+            It has crashed too many engines.
+        """
+        if lost.kind not in _CRASHES:
+            return
+        self._crashes += 1
+        if tokens >= PROVEN_TOKENS and self._crashes <= CRASHES_EXCUSED:
+            return
+        for target_id in lost.blamed:
+            self._poison.crashed(self._fingerprint, target_id)
+        self._poison.check(self._fingerprint)
