--- a/libs/streams/tests/test_recovery.py
+++ b/libs/streams/tests/test_recovery.py
@@ -111,21 +111,27 @@
         self.engines.stop()
 
 
+def busiest(engines, stage):
+    """Return the id of the engine of a stage that runs most streams."""
+    names = [f"s{stage}-{number}" for number in range(ENGINES)]
+    return max(names, key=lambda name: len(engines.engine(name).sequences))
+
+
 FAULTS = {
-    "first stage dies": lambda engines: engines.kill("s0-0"),
-    "later stage dies": lambda engines: engines.kill("s1-0"),
-    "first stage stalls": lambda engines: engines.stall("s0-0"),
-    "later stage stalls": lambda engines: engines.stall("s1-0"),
-    "link degrades": lambda engines: engines.degrade("s1-0", 8000),
+    "first stage dies": lambda engines: engines.kill(busiest(engines, 0)),
+    "later stage dies": lambda engines: engines.kill(busiest(engines, 1)),
+    "first stage stalls": lambda engines: engines.stall(busiest(engines, 0)),
+    "later stage stalls": lambda engines: engines.stall(busiest(engines, 1)),
+    "link degrades": lambda engines: engines.degrade(busiest(engines, 1), 8000),
     "events duplicated": lambda engines: spoil(engines, EventFault.DUPLICATE),
     "events with gaps": lambda engines: spoil(engines, EventFault.SKIPPED),
     "layers left out": lambda engines: spoil(engines, EventFault.COVERAGE_GAP),
-    "engine leaves": lambda engines: engines.leave("s0-0"),
+    "engine leaves": lambda engines: engines.leave(busiest(engines, 0)),
 }
 
 
 def spoil(engines, kind):
-    engines.spoil_events("s0-0", kind, 0.2)
+    engines.spoil_events(busiest(engines, 0), kind, 0.2)
 
 
 def pauses_under(fault, seed):
