--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,6 @@
 thrift:
 	thrift --gen py -out libs/wire/src libs/wire/celeryfork.thrift
 	rm -f libs/wire/src/__init__.py libs/wire/src/celeryfork_wire/gen/celeryfork/Peer-remote
+
+docs: $(STAMP)
+	$(BIN)/python -m celeryfork_config.describe > docs/CONFIGURATION.md
--- a/libs/config/src/celeryfork_config/payloads.py
+++ b/libs/config/src/celeryfork_config/payloads.py
@@ -125,6 +125,11 @@
     most_out_at_once: int = option(
         "Engines that may be out of service at once for it.", default=1, minimum=1
     )
+    standby: tuple[str, ...] = option(
+        "Engines that stand by instead of serving, by id.",
+        default=(),
+        pattern=r"[A-Za-z0-9._-]{1,64}",
+    )
 
 
 @frozen
--- a/libs/control/src/celeryfork_control/leases.py
+++ b/libs/control/src/celeryfork_control/leases.py
@@ -189,7 +189,8 @@
         if now_s < wanted.due_s:
             return
         state = self._fold.state(wanted.name)
-        if self._is_mine(state) and wanted.fencing is not None:
+        in_time = wanted.fencing is not None and now_s < wanted.ends_s
+        if self._is_mine(state) and in_time:
             self._send(wanted, LeaseStep.RENEW)
         elif self._fold.is_free(wanted.name, self._clock.wall_ms()):
             self._lose(wanted)
--- a/libs/control/src/celeryfork_control/order_giver.py
+++ b/libs/control/src/celeryfork_control/order_giver.py
@@ -202,6 +202,15 @@
             reason = self._order(target, engine, action, rollout, targets)
             if reason is not None:
                 found.waiting_by_engine[target.id] = reason
+        if not any(target.id in found.waiting_by_engine for target in own):
+            self._resign_unused_slots(rollout)
+
+    def _resign_unused_slots(self, rollout: Rollout) -> None:
+        """Leave the out-slots to other failure domains once nothing waits for one."""
+        used = {out.slot for out in self._out_by_engine.values()}
+        for slot in _slots(rollout):
+            if slot not in used:
+                self._parts.leases.resign(slot)
 
     def _observe(self, targets: Sequence[Target]) -> dict[str, ObservedEngine]:
         seen = self._observers.map(
@@ -279,8 +288,7 @@
         """Return an out-slot that is held and not used yet, after asking for one."""
         used = {out.slot for out in self._out_by_engine.values()}
         lease_s = self._parts.configuration().policy.lease_s
-        for number in range(rollout.most_out_at_once):
-            slot = f"out/{rollout.model}/{number}"
+        for slot in _slots(rollout):
             if slot in used:
                 continue
             if self._parts.leases.held(slot):
@@ -334,6 +342,10 @@
         self._parts.leases.resign(self.lease)
 
 
+def _slots(rollout: Rollout) -> list[str]:
+    return [f"out/{rollout.model}/{n}" for n in range(rollout.most_out_at_once)]
+
+
 def make_order_giver(parts: OrderGiverParts) -> OrderGiver:
     """Return an order-giver that has not started."""
     return OrderGiver(parts)
--- a/libs/control/src/celeryfork_control/rollout.py
+++ b/libs/control/src/celeryfork_control/rollout.py
@@ -73,9 +73,13 @@
     """Tell whether the model keeps a whole chain of one version without an engine.
 
     Others may take out as many engines as the rollout allows at the same time, so that
-    many further holders of each of its layers have to remain.
+    many further holders of each of its layers have to remain. An engine that serves
+    nothing now can always be spared.
     """
-    others = [h for h in holders if h.usable and h.engine_id != engine.engine_id]
+    usable = [holder for holder in holders if holder.usable]
+    others = [holder for holder in usable if holder.engine_id != engine.engine_id]
+    if len(others) == len(usable):
+        return True
     if wanted.version != engine.version and _covers(others, wanted.version, layers, 1):
         return True
     left = wanted.most_out_at_once
