--- a/libs/standin/tests/test_standins.py
+++ b/libs/standin/tests/test_standins.py
@@ -1,10 +1,23 @@
+import re
+import textwrap
 import threading
 from pathlib import Path
 
 from celeryfork_standin.deployment import load_deployment
 from celeryfork_standin.standins import make_standins
 
-EXAMPLE = Path(__file__).parents[3] / "examples" / "troskgille.json"
+ROOT = Path(__file__).parents[3]
+EXAMPLE = ROOT / "examples" / "troskgille.json"
+
+
+def test_the_example_in_the_docs_runs(monkeypatch):
+    monkeypatch.chdir(ROOT)
+    page = (ROOT / "docs" / "STANDINS.md").read_text()
+    blocks = re.findall(r"(?:^    .*\n|^\n)+", page, re.MULTILINE)
+    code = next(block for block in blocks if "make_standins" in block)
+    names = {}
+    exec(textwrap.dedent(code), names)
+    assert names["standins"].services.ran == []
 
 
 def test_an_isolated_domain_reaches_only_its_own(helpers):
