--- a/libs/standin/src/celeryfork_standin/engine.py
+++ b/libs/standin/src/celeryfork_standin/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Iterable, Mapping
 
 from attrs import define
@@ -124,6 +125,10 @@
         """How many tokens whole chains ran."""
         return self._record.count
 
+    def processor_s(self) -> float:
+        """Return the processor time that the fleet's loop has taken, in seconds."""
+        return self._thread.call(time.thread_time)
+
     @property
     def ran_orders(self) -> list[RanOrder]:
         """Every order that came, obeyed or refused."""
