--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -141,6 +141,8 @@
         self._given_up: dict[str, Abandon | None] = {}
         self._waiters_by_hash: dict[bytes, list[threading.Event]] = {}
         self._on_handed_over: HandedOverCallback | None = None
+        self._waiting_count = 0
+        self.awaited = threading.Event()
         self.stopping = False
         self.kept = KeptStore(
             clock,
@@ -217,15 +219,16 @@
             self._wake(attempt.hashed)
 
     def settle_unknown(self, kept: KeptOutcome) -> None:
-        """Keep what a status call found out about a key whose outcome was unknown."""
+        """Keep what was found out about a key, and write it to the log if new there."""
         with self._lock:
             self.kept.put(kept)
+            self._wake(key_hash(kept.organisation, kept.key))
             held = self._fold.held(kept.organisation, kept.key)
             if held is not None and held.outcome is not kept.outcome:
                 self._log_outcome(held.nonce, kept)
 
     def adopt(self, kept: KeptOutcome) -> None:
-        """Keep an outcome that its holder handed over."""
+        """Keep an outcome that its holder told; the holder writes it to the log."""
         with self._lock:
             self.kept.put(kept)
             self._wake(key_hash(kept.organisation, kept.key))
@@ -301,7 +304,13 @@
             return Recorded(held)
         if held.holder != self.holder:
             return InProgress(held.holder)
+        return self._look_at_own(hashed, held)
+
+    def _look_at_own(self, hashed: bytes, held: Held) -> Found:
+        """Return what is known of a key that this instance held before."""
         if held.nonce in self._given_up:
+            if self.log_is_down:
+                return Refused(errors.log_unavailable("The log is down."))
             return WaitFor(self._waiter(hashed))
         return Unresolved("its outcome is not kept any more")
 
@@ -316,6 +325,8 @@
             return Refused(errors.overloaded("Too many claims wait for the log."))
         self._attempts_by_nonce[claim.nonce] = attempt
         self._attempts_by_hash[hashed] = attempt
+        self._waiting_count += 1
+        self.awaited.set()
         return attempt
 
     def _log_outcome(self, nonce: str, kept: KeptOutcome) -> None:
@@ -339,6 +350,10 @@
         self._given_up[claim.nonce] = None if queued else abandon
 
     def _decide(self, attempt: Attempt, state: AttemptState) -> None:
+        if attempt.state is AttemptState.WAITING:
+            self._waiting_count -= 1
+            if self._waiting_count == 0:
+                self.awaited.clear()
         attempt.state = state
         attempt.decided.set()
 
@@ -398,9 +413,11 @@
             except MalformedRecordError:
                 self._counters.add("claims.records_malformed")
             else:
-                self._counters.add("claims.entries_malformed", batch.faults)
+                if batch.faults:
+                    self._counters.add("claims.entries_malformed", batch.faults)
                 with self._lock:
                     self._apply(record, batch)
+                self._hand_on(batch)
 
     def _apply(self, record: LogRecordPort, batch: Batch) -> None:
         for effect in self._fold.apply(record.offset, record.appended_ms, batch):
@@ -414,12 +431,16 @@
                 case Ended(hashed):
                     self._wake(hashed)
         for entry in batch.entries:
-            match entry:
-                case Abandon(nonce=nonce):
-                    self._given_up.pop(nonce, None)
-                case HandedOver(kept):
-                    if self._on_handed_over is not None:
-                        self._on_handed_over(kept)
+            if isinstance(entry, Abandon):
+                self._given_up.pop(entry.nonce, None)
+
+    def _hand_on(self, batch: Batch) -> None:
+        """Pass tickets' outcomes on; not under the lock, since they may come back."""
+        if self._on_handed_over is None:
+            return
+        for entry in batch.entries:
+            if isinstance(entry, HandedOver):
+                self._on_handed_over(entry.kept)
 
     def _on_won(self, nonce: str, appended_ms: int) -> None:
         attempt = self._attempts_by_nonce.get(nonce)
--- a/libs/standin/src/celeryfork_standin/engine_http.py
+++ b/libs/standin/src/celeryfork_standin/engine_http.py
@@ -16,9 +16,9 @@
     GenerateBody,
     Sequence,
     Stage,
-    TokenRecord,
     make_stages,
 )
+from celeryfork_standin.token_record import TokenRecord
 
 RETRY_AFTER_S = "1"
 REACH_POLL_S = 0.02
@@ -90,7 +90,10 @@
         response = web.StreamResponse()
         response.content_type = "application/x-ndjson"
         response.enable_chunked_encoding()
-        await response.prepare(request)
+        try:
+            await response.prepare(request)
+        except ConnectionResetError:
+            return response
         if request.transport is None:
             return response
         layers = [(stage.first, stage.last) for stage in body.chain]
--- a/libs/streams/src/celeryfork_streams/caller.py
+++ b/libs/streams/src/celeryfork_streams/caller.py
@@ -15,8 +15,6 @@
 from celeryfork_streams.errors import CallerGoneError
 from celeryfork_streams.policy import StreamPolicy
 
-CLOSE_TIMEOUT_S = 2.0
-
 
 class CallerConnection(asyncio.Protocol):
     """Writes one answer to one caller, and notices when it goes away.
@@ -35,6 +33,7 @@
         self.counters = counters
         self._transport: asyncio.Transport
         self._closed = asyncio.get_running_loop().create_future()
+        self._held: list[bytes] | None = None
         self._resumed: asyncio.Future[None] | None = None
         self._task_to_cancel: asyncio.Task[object] | None = None
         self.gone = False
@@ -78,7 +77,7 @@
     def send_head(self, status: int, headers: dict[str, str]) -> None:
         """Write the response's status line and headers."""
         lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
+        lines += [f"{name}: {_one_line(value)}" for name, value in headers.items()]
         lines.append("Connection: close\r\n\r\n")
         self.head_sent = True
         self._transport.write("\r\n".join(lines).encode("latin-1", "replace"))
@@ -98,7 +97,20 @@
         """
         if self.gone:
             raise _gone()
-        self._transport.write(data)
+        if self._held is not None:
+            self._held.append(data)
+        else:
+            self._transport.write(data)
+
+    def hold(self) -> None:
+        """Keep what is written until ``flush``."""
+        self._held = []
+
+    def flush(self) -> None:
+        """Write what was kept, in one piece."""
+        held, self._held = self._held, None
+        if held and not self.gone:
+            self._transport.write(b"".join(held))
 
     async def drained(self) -> None:
         """Wait until the buffer has room.
@@ -152,9 +164,10 @@
         """Send what is left and close; cut the connection if that takes too long."""
         self._transport.close()
         try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            async with asyncio.timeout(self._slow_timeout_s):
                 await self._closed
         except TimeoutError:
+            self.counters.add("streams.slow_callers_cut")
             self.abort()
 
     def abort(self) -> None:
@@ -170,6 +183,11 @@
             task.cancel()
 
 
+def _one_line(value: str) -> str:
+    """Return a header's value that can't start another header."""
+    return value.replace("\r", " ").replace("\n", " ")
+
+
 def _gone() -> CallerGoneError:
     return CallerGoneError(
         "The caller closed the connection.", "keep it open until [DONE]"
--- a/libs/streams/tests/test_streams.py
+++ b/libs/streams/tests/test_streams.py
@@ -6,9 +6,10 @@
 
 import pytest
 from celeryfork_base.outcomes import Outcome
+from celeryfork_streams.lost import Lost
 from celeryfork_streams.ports import Chain, Hop
 from celeryfork_streams.requests import RecoveryKind, StreamRefusedError
-from celeryfork_streams.stages import plan_stages
+from celeryfork_streams.salvage import Salvage
 
 
 def expected(count):
@@ -126,14 +127,50 @@
 def test_a_stall_between_tokens_is_given_up_within_its_gap(world):
     [e1] = world.chain("e1")
     world.chain("e2")
-    e1.scripts = [stalls]
+    e1.scripts, e1.silent = [stalls], True
     result = check_resumed(world, RecoveryKind.STALLED)
     [recovery] = result.recoveries
+    assert recovery.silent_s >= 0.2
     assert recovery.silent_s + recovery.resumed_s - recovery.fault_s < 1.0
     assert ("e1", "Stalled") in world.view.observed
     assert e1.cancelled.wait(timeout=5)
 
 
+def test_the_stage_that_stalls_is_blamed_not_the_one_that_is_heard(world):
+    e1, e2 = world.chain("e1", "e2")
+    world.chain("e1", "e3")
+    e1.scripts, e2.silent = [stalls], True
+    check_resumed(world, RecoveryKind.STALLED)
+    assert ("e2", "Stalled") in world.view.observed
+    assert ("e1", "Stalled") not in world.view.observed
+    assert [stage["engine"] for stage in e1.requests[1]["chain"]] == ["e1", "e3"]
+
+
+def test_where_all_engines_answer_none_is_blamed_but_all_are_left(world):
+    e1, e2 = world.chain("e1", "e2")
+    world.chain("e3", "e2")
+    e4, _ = world.chain("e4", "e5")
+    e1.scripts = [stalls]
+    check_resumed(world, RecoveryKind.STALLED)
+    assert {kind for _, kind in world.view.observed} == {"Succeeded"}
+    kv_from = [stage["kv_from"] for stage in e4.requests[0]["chain"]]
+    assert kv_from == [e1.address, e2.address]
+
+
+def test_an_engine_named_from_outside_the_chain_is_not_blamed(world):
+    async def names_another(talk):
+        await talk.accept()
+        await talk.tokens(3)
+        await talk.fault("stage_lost", "e9")
+
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    e1.scripts = [names_another]
+    check_resumed(world, RecoveryKind.STAGE_LOST)
+    assert ("e1", "Reset") in world.view.observed
+    assert "e9" not in dict(world.view.observed)
+
+
 def test_a_stall_before_the_first_token_is_given_up(world):
     [e1] = world.chain("e1")
     world.chain("e2")
@@ -280,7 +317,7 @@
 
 @pytest.mark.parametrize(
     ("script", "kind"),
-    [(overloaded, RecoveryKind.REJECTED), (leaving, RecoveryKind.LEAVING)],
+    [(overloaded, RecoveryKind.OVERLOADED), (leaving, RecoveryKind.LEAVING)],
 )
 def test_an_engine_that_turns_work_away_is_passed_over(world, script, kind):
     [e1] = world.chain("e1")
@@ -340,12 +377,12 @@
     assert len(e1.requests) == 1
 
 
-def test_the_retry_budget_holds_but_one_resumption_is_always_tried(world):
-    [e1] = world.chain("e1")
-    [e2] = world.chain("e2")
-    e1.scripts, e2.scripts = [dies_late], [dies_late]
-    world.chain("e3")
+def test_the_retry_budget_holds_but_some_resumptions_are_always_tried(world):
+    for name in ("e1", "e2", "e3", "e4"):
+        [engine] = world.chain(name)
+        engine.scripts = [dies_late]
     world.budget.left = 0
+    world.set_policy(free_resumptions=1)
     error = refused(world, world.request(max_tokens=100))
     assert error.result.attempts == 2
     assert error.outcome is Outcome.FAILED
@@ -353,6 +390,30 @@
     assert world.counters.count("streams.retries_refused") == 1
 
 
+def test_a_refused_connection_needs_no_budget(world):
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    world.do(e1.stop())
+    world.budget.left = 0
+    check_resumed(world, RecoveryKind.NOT_REACHED)
+
+
+def test_suspects_run_one_at_a_time_where_no_other_does(world, eventually):
+    [e1] = world.chain("e1")
+    e1.scripts = [stalls]
+    world.set_policy(first_token_floor_s=5.0, token_gap_floor_s=5.0)
+    for fingerprint in ("first", "second"):
+        world.poison.crashed(fingerprint, "e9")
+    caller, _ = world.call(world.request(fingerprint="first"))
+    eventually(lambda: e1.requests)
+    second = world.runner.run(world.request(fingerprint="second"), world.make_sink())
+    future = world.thread.submit(second)
+    eventually(lambda: len(world.router.asked) >= 2)
+    assert len(e1.requests) == 1
+    caller.close()
+    assert future.result(timeout=5).outcome is Outcome.DONE
+
+
 def test_a_request_that_crashes_two_engines_is_refused(world):
     async def crashes(talk):
         await talk.accept()
@@ -412,20 +473,60 @@
         ),
         "c+d+b",
     )
-    assert [s.kv_from for s in plan_stages(chain, old)] == ["a:1", None, None]
-
-
-def test_an_address_that_takes_no_connection_costs_only_the_connect_limit(world):
-    full = socket.create_server(("127.0.0.1", 0), backlog=0)
-    host, port = full.getsockname()
+    salvage = Salvage(world.view)
+    lost = Lost(RecoveryKind.OVERLOADED, frozenset({"a"}), "overloaded")
+    salvage.take_in(Chain(tuple(old), "a+b"), lost, tokens=3)
+    kv_from = [stage.kv_from for stage in salvage.stages(chain)]
+    assert kv_from == ["a:1", None, None]
+
+
+@pytest.fixture
+def full_address():
+    """An address whose backlog is full, so that connecting to it hangs."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    host, port = listener.getsockname()
     fillers = [socket.socket() for _ in range(4)]
     for filler in fillers:
         filler.setblocking(False)
         filler.connect_ex((host, port))
-    hop = Hop(world.make_target("full", f"{host}:{port}"), 0, 24)
+    yield f"{host}:{port}"
+    for connection in (listener, *fillers):
+        connection.close()
+
+
+def add_full(world, full_address):
+    hop = Hop(world.make_target("full", full_address), 0, 24)
     world.router.chains.append(Chain((hop,), "full"))
-    world.chain("e2")
     world.set_policy(first_token_floor_s=5.0)
+
+
+def test_an_address_that_takes_no_connection_costs_only_the_limit(world, full_address):
+    add_full(world, full_address)
+    world.chain("e2")
     check_resumed(world, RecoveryKind.NOT_REACHED)
-    for connection in (full, *fillers):
-        connection.close()
+
+
+def test_a_deadline_before_the_first_byte_is_not_run(world, full_address):
+    add_full(world, full_address)
+    error = refused(world, world.request(deadline_s=time.monotonic() + 0.2))
+    assert (error.code, error.outcome) == ("deadline", Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"X-Long: " + b"y" * 20_000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n",
+    ],
+)
+def test_an_answer_that_breaks_the_interface_ends_its_attempt(world, answer):
+    async def breaks_interface(talk):
+        talk.writer.write(answer)
+        await asyncio.sleep(60)
+
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    e1.scripts = [breaks_interface]
+    check_resumed(world, RecoveryKind.MALFORMED)
