--- a/libs/calls/src/celeryfork_calls/dispatch.py
+++ b/libs/calls/src/celeryfork_calls/dispatch.py
@@ -1,6 +1,7 @@
 """Sends a call to targets until one answers or it may not be sent again."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from urllib.parse import quote
 
 from celeryfork_base.clock import Clock
@@ -76,10 +77,13 @@
         for attempt in range(self._configuration().policy.most_attempts):
             if attempt and not self._may_retry(call, kind, may_have_run):
                 break
+            if may_have_run:
+                self._poison.check(fingerprint_of(call))
             target = self._choose(call, avoid, may_have_run)
             match self._send(call, kind, target):
                 case Answer(sent, outcome):
                     self._retry_budget.succeeded()
+                    self._poison.cleared(fingerprint_of(call))
                     return PlainResult(
                         outcome, sent.status, sent.content_type, sent.body
                     )
@@ -106,13 +110,23 @@
     def _choose(
         self, call: PlainCall, avoid: frozenset[str], may_have_run: bool
     ) -> Target:
+        suspects = self._poison.avoid_for(fingerprint_of(call))
         try:
-            return self._router.choose_service(call.service, avoid)
+            return self._choose_apart(call, avoid, suspects)
         except RequestRefusedError as error:
             if not may_have_run:
                 raise
             raise errors.target_failed("no other target is left") from error
 
+    def _choose_apart(
+        self, call: PlainCall, avoid: frozenset[str], suspects: frozenset[str]
+    ) -> Target:
+        """Choose a target where no other suspect runs, if there is one."""
+        if suspects:
+            with suppress(RequestRefusedError):
+                return self._router.choose_service(call.service, avoid | suspects)
+        return self._router.choose_service(call.service, avoid)
+
     def _send(
         self,
         call: PlainCall,
@@ -122,6 +136,7 @@
         began_s = self._clock.monotonic()
         timeout_s = min(kind.timeout_s, call.deadline_s - began_s)
         result: SendResult = Lost("the call was broken off")
+        self._poison.begin(fingerprint_of(call), [target.id])
         try:
             result = self._client.send(
                 target.address,
@@ -134,6 +149,7 @@
                 fresh=True,
             )
         finally:
+            self._poison.end(fingerprint_of(call))
             seconds = self._clock.monotonic() - began_s
             self._router.release_service(target, isinstance(result, Sent), seconds)
         self._counters.add(f"calls.send_{type(result).__name__.lower()}")
--- a/libs/calls/src/celeryfork_calls/ports.py
+++ b/libs/calls/src/celeryfork_calls/ports.py
@@ -1,6 +1,6 @@
 """What this library needs of others, as narrow protocols."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Protocol, TypeVar
 
 from celeryfork_membership.observations import Observation
@@ -96,6 +96,18 @@
     def crashed(self, fingerprint: str, target_id: str) -> object:
         """Count a crash."""
 
+    def cleared(self, fingerprint: str) -> None:
+        """Note that the request ran to its end."""
+
+    def begin(self, fingerprint: str, target_ids: Iterable[str]) -> None:
+        """Note where a request starts to run."""
+
+    def end(self, fingerprint: str) -> None:
+        """Note that it runs no more."""
+
+    def avoid_for(self, fingerprint: str) -> frozenset[str]:
+        """Return the targets where other suspects run."""
+
     def check(self, fingerprint: str) -> None:
         """Raise RequestRefusedError for a request that crashed too often."""
 
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -8,6 +8,11 @@
 
 import pytest
 from attrs import define, field, frozen
+from celeryfork_admission.poison import (
+    PoisonBounds,
+    PoisonRegister,
+    make_poison_register,
+)
 from celeryfork_base.clock import Clock, SystemClock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import (
@@ -20,6 +25,7 @@
 from celeryfork_calls.claims import ClaimBook, make_claim_book
 from celeryfork_calls.plain import PlainCall, PlainCaller, make_plain_caller
 from celeryfork_calls.tickets import TicketOffice, make_ticket_office
+from celeryfork_membership.news import make_news_board
 from celeryfork_wire.gen.celeryfork import Peer
 from celeryfork_wire.gen.celeryfork.ttypes import InstanceState
 from celeryfork_wire.peers import PeerPool, PeerServer
@@ -354,25 +360,6 @@
         return self.left >= 0
 
 
-@define
-class FakePoison:
-    crashes: list[tuple[str, str]] = field(factory=list)
-    refusing: bool = False
-
-    def crashed(self, fingerprint: str, target_id: str) -> None:
-        self.crashes.append((fingerprint, target_id))
-
-    def check(self, fingerprint: str) -> None:
-        if self.refusing:
-            raise RequestRefusedError(
-                "crashes",
-                "change it",
-                outcome=Outcome.FAILED,
-                status=422,
-                code="poison",
-            )
-
-
 @frozen
 class FakeKind:
     idempotent: bool = False
@@ -435,7 +422,7 @@
     caller: PlainCaller
     router: FakeRouter
     budget: FakeRetryBudget
-    poison: FakePoison
+    poison: PoisonRegister
     view: FakeView
     counters: Counters
     server: PeerServer
@@ -503,7 +490,11 @@
         router = FakeRouter(
             [FakeTarget(f"t{n}", s.address) for n, s in enumerate(services)]
         )
-        budget, poison, view = FakeRetryBudget(), FakePoison(), FakeView()
+        budget, view = FakeRetryBudget(), FakeView()
+        news = make_news_board(clock, counters)
+        poison = make_poison_register(
+            news, clock, counters, lambda: PoisonBounds(most_crashes=2, ttl_s=600.0)
+        )
         caller = make_plain_caller(
             router,
             view,
--- a/libs/calls/tests/test_plain.py
+++ b/libs/calls/tests/test_plain.py
@@ -10,6 +10,7 @@
 from celeryfork_calls.claim_fold import hash_body
 from celeryfork_calls.claim_records import Batch, HandedOver, encode_batch
 from celeryfork_calls.kept import KeptOutcome
+from celeryfork_calls.plain_call import fingerprint_of
 
 
 def test_a_repeat_at_any_instance_gets_the_first_answer_whole(
@@ -70,7 +71,10 @@
     assert instance.book_visit(None, kind="ask").outcome is Outcome.DONE
     assert instance.router.chosen == ["t0", "t1", "t2"]
     assert instance.router.open_count == 0
-    assert len(instance.poison.crashes) == 1
+    assert instance.counters.count("poison.crashes") == 1
+    assert (
+        instance.poison.crashes(fingerprint_of(instance.call_of(None, kind="ask"))) == 0
+    )
     observed = [type(o).__name__ for _, o in instance.view.observed]
     assert observed == ["Reset", "Draining", "Succeeded"]
 
@@ -83,13 +87,13 @@
     for _ in range(3):
         assert instance.book_visit(None, kind="ask").outcome is Outcome.DONE
     assert service.connections == 3
-    assert instance.poison.crashes == []
+    assert instance.counters.count("poison.crashes") == 0
 
 
 def test_retries_end_with_the_attempts_the_targets_and_the_budget(
     start_service, start_instance
 ):
-    services = [start_service(*["cut"] * 9) for _ in range(5)]
+    services = [start_service(*["busy"] * 9) for _ in range(5)]
     instance = start_instance("a", *services)
     ask = lambda: instance.book_visit(None, kind="ask")  # noqa: E731
     assert refused(ask) == (Outcome.UNKNOWN, "target_failed")
@@ -286,24 +290,35 @@
     assert service.ran == {key: 1}
 
 
+def test_a_call_that_crashes_two_targets_is_sent_to_no_third(
+    start_service, start_instance
+):
+    services = [start_service(*["cut"] * 9) for _ in range(3)]
+    instance = start_instance("a", *services)
+    for _ in range(2):
+        refusal = refused(lambda: instance.book_visit(None, kind="ask"))
+        assert refusal == (Outcome.FAILED, "poison")
+    assert [sum(s.ran.values()) for s in services] == [1, 1, 0]
+
+
 def test_a_poisonous_booking_leaves_its_key_unused(
     start_service, start_instance, new_key
 ):
     service = start_service()
     instance = start_instance("a", service)
-    key, (ticket, _) = (
-        new_key(),
-        instance.tickets.mint("kettlecare", "visit-desk", "book"),
-    )
-    instance.poison.refusing = True
+    key, other = new_key(), new_key()
+    (ticket, _) = instance.tickets.mint("kettlecare", "visit-desk", "book")
+    instance.book_visit(other)
+    suspect = fingerprint_of(instance.call_of(key))
+    for target_id in ("t8", "t9"):
+        instance.poison.crashed(suspect, target_id)
     for one in (key, ticket):
         assert refused(lambda one=one: instance.book_visit(one))[1] == "poison"
-    instance.poison.refusing = False
+    assert instance.book_visit(other).replayed
+    instance.poison.cleared(suspect)
     for one in (key, ticket):
         assert instance.book_visit(one).outcome is Outcome.DONE
-    instance.poison.refusing = True
-    assert instance.book_visit(key).replayed
-    assert service.ran == {key: 1, ticket: 1}
+    assert service.ran == {other: 1, key: 1, ticket: 1}
 
 
 @pytest.mark.parametrize("holder_up", [True, False])
