Orders from the entry instances: the order-giver runs in the daemon; a rollout end to end

Cause: control was not wired in. Change: lease keeper and order-giver start and stop with the instance; two candidates per failure domain by rendezvous hash. Instances in the rig reach the platform by their domain's own address, so that a domain can be cut off.

--- a/libs/bench/src/celeryfork_bench/rig.py
+++ b/libs/bench/src/celeryfork_bench/rig.py
@@ -194,7 +194,7 @@
         return time.monotonic() - began_s
 
     def _settings_of(self, entry: EntrySpec) -> Settings:
-        url = self.platform.url
+        url = self.platform.url_for(entry.domain)
         return Settings(
             instance=entry.id,
             domain=entry.domain,
--- a/libs/daemon/src/celeryfork_daemon/assembly.py
+++ b/libs/daemon/src/celeryfork_daemon/assembly.py
@@ -21,7 +21,15 @@
 from celeryfork_calls.tickets import TicketOffice, make_ticket_office
 from celeryfork_config.follower import ConfigFollower, make_follower
 from celeryfork_config.records import Policy
+from celeryfork_config.rendezvous import rank_of
 from celeryfork_config.settings import Settings
+from celeryfork_control.leases import LeaseKeeper, make_lease_keeper
+from celeryfork_control.order_giver import (
+    OrderGiver,
+    OrderGiverParts,
+    make_order_giver,
+)
+from celeryfork_control.orders import make_order_client
 from celeryfork_membership.gossip import Gossip, make_gossip
 from celeryfork_membership.news import NewsBoard, make_news_board
 from celeryfork_membership.peers import PeerIdentity
@@ -30,11 +38,13 @@
 from celeryfork_membership.watch import InstanceWatch, make_instance_watch
 from celeryfork_platform.instances import make_instance_list_client
 from celeryfork_platform.log import LogClient, make_log_client
+from celeryfork_platform.weights import make_weight_store_client
 from celeryfork_routing.router import Router, make_router
 from celeryfork_streams.engine_client import EngineSession
 from celeryfork_streams.loop_thread import LoopThread
 from celeryfork_streams.policy import StreamPolicy
 from celeryfork_streams.streams import StreamRunner, make_stream_runner
+from celeryfork_wire.gen.celeryfork.ttypes import InstanceState
 from celeryfork_wire.peers import PeerPool
 
 from celeryfork_daemon.capacity import CapacityReview
@@ -42,6 +52,8 @@
 from celeryfork_daemon.fleet_view import FleetView
 
 NO_TICKET_SECRET_BYTES = 32
+# Instances of a failure domain that try for its order-giver's lease.
+ORDER_GIVER_CANDIDATES = 2
 
 
 @frozen
@@ -77,6 +89,14 @@
     caller: PlainCaller
 
 
+@frozen
+class ControlParts:
+    """Who orders engines."""
+
+    leases: LeaseKeeper
+    order_giver: OrderGiver
+
+
 @frozen
 class Parts:
     """Everything that an entry instance is made of."""
@@ -91,6 +111,7 @@
     router: Router
     gate: Gate
     plain: PlainParts
+    control: ControlParts
     loop_thread: LoopThread
 
 
@@ -156,6 +177,9 @@
             clock,
             counters,
         ),
+        control=_make_control(
+            settings, incarnation, log, follower, membership, clock, counters
+        ),
         loop_thread=loop_thread,
     )
 
@@ -295,6 +319,42 @@
     )
 
 
+def _make_control(
+    settings: Settings,
+    incarnation: Incarnation,
+    log: LogClient,
+    follower: ConfigFollower,
+    membership: Membership,
+    clock: Clock,
+    counters: Counters,
+) -> ControlParts:
+    leases = make_lease_keeper(log, str(incarnation), clock, counters)
+
+    def is_candidate() -> bool:
+        peers = membership.gossip.in_domain()
+        others = [p.instance for p in peers if p.state == InstanceState.SERVING]
+        key = f"orders/{settings.domain}"
+        return rank_of(settings.instance, others, key) < ORDER_GIVER_CANDIDATES
+
+    order_giver = make_order_giver(
+        OrderGiverParts(
+            leases=leases,
+            client=make_order_client(counters),
+            view=membership.view,
+            weights=make_weight_store_client(
+                settings.platform.weights_url, clock, counters
+            ),
+            configuration=lambda: follower.current,
+            is_candidate=is_candidate,
+            domain=settings.domain,
+            holder=str(incarnation),
+            clock=clock,
+            counters=counters,
+        )
+    )
+    return ControlParts(leases, order_giver)
+
+
 def _make_plain(
     settings: Settings,
     incarnation: Incarnation,
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -177,6 +177,8 @@
                 "poison": gate.poison.dump,
                 "claims": parts.plain.claims.dump,
                 "tickets": parts.plain.tickets.dump,
+                "leases": parts.control.leases.dump,
+                "orders": parts.control.order_giver.dump,
                 "streams": runner.dump if runner else dict,
                 "in_flight": self.in_flight.dump,
                 "counters": parts.counters.counts,
@@ -195,6 +197,8 @@
             parts.plain.claims.start,
             gate.admission.start,
             gate.capacity.start,
+            parts.control.leases.start,
+            parts.control.order_giver.start,
         ]
         if self._metrics is not None:
             starts.append(self._metrics.start)
@@ -205,6 +209,8 @@
         parts, gate, membership = self.parts, self.parts.gate, self.parts.membership
         self._set_state(InstanceState.STOPPED)
         for stop in (
+            parts.control.order_giver.stop,
+            parts.control.leases.stop,
             gate.capacity.stop,
             gate.admission.stop,
             gate.permits.stop,
