--- a/libs/calls/src/celeryfork_calls/errors.py
+++ b/libs/calls/src/celeryfork_calls/errors.py
@@ -196,3 +196,17 @@
         code="no_target",
         retry_after_s=retry_after_s or RETRY_UNKNOWN_S,
     )
+
+
+def poison_not_run(error: RequestRefusedError) -> RequestRefusedError:
+    """Return the refusal of a call whose like crashed targets under other keys.
+
+    The register says ``failed`` of the like; the call with this key did not run.
+    """
+    return RequestRefusedError(
+        error.message,
+        error.remedy,
+        outcome=Outcome.NOT_RUN,
+        status=error.status,
+        code=error.code,
+    )
--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -169,9 +169,9 @@
         """Refuse a call that crashes its targets, and leave its key unused."""
         try:
             self._poison.check(fingerprint_of(call))
-        except RequestRefusedError:
+        except RequestRefusedError as error:
             free_key()
-            raise
+            raise errors.poison_not_run(error) from error
 
     def _wait_for_holder(
         self, call: PlainCall, key: str, kind: ServiceKindPort, holder: str
--- a/libs/calls/tests/test_plain.py
+++ b/libs/calls/tests/test_plain.py
@@ -1,5 +1,6 @@
 """Tests of celeryfork_calls.plain: whole calls through instances that share a log."""
 
+import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -12,6 +13,8 @@
 from celeryfork_calls.kept import KeptOutcome
 from celeryfork_calls.plain_call import fingerprint_of
 
+BOUND_TO = ("kettlecare", "visit-desk", "book")
+
 
 def test_a_repeat_at_any_instance_gets_the_first_answer_whole(
     start_service, start_instance, new_key
@@ -313,7 +316,8 @@
     for target_id in ("t8", "t9"):
         instance.poison.crashed(suspect, target_id)
     for one in (key, ticket):
-        assert refused(lambda one=one: instance.book_visit(one))[1] == "poison"
+        refusal = refused(lambda one=one: instance.book_visit(one))
+        assert refusal == (Outcome.NOT_RUN, "poison")
     assert instance.book_visit(other).replayed
     instance.poison.cleared(suspect)
     for one in (key, ticket):
@@ -338,3 +342,64 @@
     one.vanish(gossip)
     refusal = refused(lambda: two.book_visit(key))
     assert refusal == (Outcome.UNKNOWN, "outcome_unknown")
+
+
+def book_until_answered(instances, key, chosen):
+    """Send a booking to one instance after another; return the outcomes told."""
+    told = []
+    for _ in range(6):
+        try:
+            instance = chosen.choice(instances)
+            result = instance.book_visit(key, body=key.encode(), deadline_s=0.4)
+            assert result.outcome is Outcome.FAILED or key.encode() in result.body
+            told.append(result.outcome)
+        except RequestRefusedError as error:
+            told.append(error.outcome)
+        if told[-1] in (Outcome.DONE, Outcome.FAILED):
+            break
+    return told
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_bookings_run_at_most_once_and_are_told_the_truth_whatever_fails(
+    start_service, start_instance, log, new_key, seed
+):
+    chosen = random.Random(seed)
+    answers = ["done"] * 4 + ["cut", "half", "busy", "fail"]
+    services = [
+        start_service(*(chosen.choice(answers) for _ in range(200))) for _ in range(2)
+    ]
+    gone = start_stopped_service(start_service)
+    instances = [start_instance(name, gone, *services) for name in "abc"]
+    ended = threading.Event()
+
+    def trouble():
+        while not ended.wait(0.01):
+            fault = chosen.choice(
+                ["", "", "", "refuse", "lose", "late", "vanish", "down"]
+            )
+            log.outage(fault == "down")
+            log.release_late()
+            if fault not in ("", "down"):
+                log.faults.append(fault)
+
+    troublemaker = threading.Thread(target=trouble)
+    troublemaker.start()
+    keys = [new_key() for _ in range(20)]
+    keys += [chosen.choice(instances).tickets.mint(*BOUND_TO)[0] for _ in range(20)]
+    sends = [(key, random.Random(f"{seed} {n}")) for n, key in enumerate(keys * 2)]
+    with ThreadPoolExecutor(16) as pool:
+        told = list(pool.map(lambda s: book_until_answered(instances, *s), sends))
+    ended.set()
+    troublemaker.join(5)
+    ran = services[0].ran + services[1].ran
+    assert max(ran.values()) == 1
+    for key in keys:
+        outcomes = {
+            o for (k, _), ts in zip(sends, told, strict=True) for o in ts if k == key
+        }
+        assert not {Outcome.DONE, Outcome.FAILED} <= outcomes
+        if outcomes & {Outcome.DONE, Outcome.FAILED}:
+            assert ran[key] == 1
+        if outcomes == {Outcome.NOT_RUN}:
+            assert ran[key] == 0
