--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -294,6 +294,7 @@
             deadline_ms=round(left_s * 1000),
             body_hash=hash_body(call.body),
             request_id=call.request_id,
+            content_type=call.content_type,
         )
         kept = self._tickets.forward(ticket, forwarded, left_s)
         refusal = refusal_from_kept(kept)
@@ -311,7 +312,7 @@
             service=forwarded.service_name,
             kind=forwarded.kind,
             body=bytes(forwarded.body),
-            content_type=FORWARDED_CONTENT_TYPE,
+            content_type=forwarded.content_type or FORWARDED_CONTENT_TYPE,
             key=forwarded.ticket,
             deadline_s=self._clock.monotonic() + forwarded.deadline_ms / 1000,
         )
--- a/libs/daemon/src/celeryfork_daemon/assembly.py
+++ b/libs/daemon/src/celeryfork_daemon/assembly.py
@@ -16,6 +16,7 @@
 from celeryfork_base.clock import Clock, SystemClock
 from celeryfork_base.counters import Counters
 from celeryfork_base.identity import Incarnation
+from celeryfork_calls.claim_results import ClaimLimits
 from celeryfork_calls.claims import ClaimBook, make_claim_book
 from celeryfork_calls.plain import PlainCaller, make_plain_caller
 from celeryfork_calls.tickets import TicketOffice, make_ticket_office
@@ -201,6 +202,15 @@
     )
 
 
+def claim_limits(policy: Policy) -> ClaimLimits:
+    """Return the part of the policy that claims need."""
+    return ClaimLimits(
+        retention_s=policy.log_retention_s,
+        window_s=policy.claim_window_s,
+        commit_wait_s=policy.claim_commit_wait_s,
+    )
+
+
 def stream_policy(policy: Policy) -> StreamPolicy:
     """Return the part of the policy that streams need."""
     return StreamPolicy(
@@ -367,16 +377,17 @@
     clock: Clock,
     counters: Counters,
 ) -> PlainParts:
-    policy = Policy()
+    limits = claim_limits(Policy())
     claims = make_claim_book(
         log,
         incarnation,
         clock,
         counters,
-        policy.log_retention_s,
-        window_s=policy.claim_window_s,
-        commit_wait_s=policy.claim_commit_wait_s,
+        limits.retention_s,
+        window_s=limits.window_s,
+        commit_wait_s=limits.commit_wait_s,
     )
+    follower.subscribe(lambda current: claims.set_limits(claim_limits(current.policy)))
     # Without a secret of the fleet no ticket is minted, and none can be read.
     secret = (settings.ticket_secret or token_hex(NO_TICKET_SECRET_BYTES)).encode()
     tickets = make_ticket_office(
--- a/libs/wire/celeryfork.thrift
+++ b/libs/wire/celeryfork.thrift
@@ -86,6 +86,7 @@
   6: required i32 deadline_ms,
   7: optional string body_hash,
   8: optional string request_id,
+  9: optional string content_type,
 }
 
 struct OutcomeReply {
--- a/libs/wire/src/celeryfork_wire/gen/celeryfork/ttypes.py
+++ b/libs/wire/src/celeryfork_wire/gen/celeryfork/ttypes.py
@@ -957,11 +957,12 @@
      - deadline_ms
      - body_hash
      - request_id
+     - content_type
 
     """
 
 
-    def __init__(self, ticket=None, organisation=None, service_name=None, kind=None, body=None, deadline_ms=None, body_hash=None, request_id=None,):
+    def __init__(self, ticket=None, organisation=None, service_name=None, kind=None, body=None, deadline_ms=None, body_hash=None, request_id=None, content_type=None,):
         self.ticket = ticket
         self.organisation = organisation
         self.service_name = service_name
@@ -970,6 +971,7 @@
         self.deadline_ms = deadline_ms
         self.body_hash = body_hash
         self.request_id = request_id
+        self.content_type = content_type
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1020,6 +1022,11 @@
                     self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.content_type = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1062,6 +1069,10 @@
             oprot.writeFieldBegin('request_id', TType.STRING, 8)
             oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
+        if self.content_type is not None:
+            oprot.writeFieldBegin('content_type', TType.STRING, 9)
+            oprot.writeString(self.content_type.encode('utf-8') if sys.version_info[0] == 2 else self.content_type)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1257,6 +1268,7 @@
     (6, TType.I32, 'deadline_ms', None, None, ),  # 6
     (7, TType.STRING, 'body_hash', 'UTF8', None, ),  # 7
     (8, TType.STRING, 'request_id', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'content_type', 'UTF8', None, ),  # 9
 )
 all_structs.append(OutcomeReply)
 OutcomeReply.thrift_spec = (
