--- a/libs/membership/src/celeryfork_membership/gossip.py
+++ b/libs/membership/src/celeryfork_membership/gossip.py
@@ -13,19 +13,19 @@
 from collections.abc import Iterable, Mapping
 from math import ceil, log2
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
-from attrs import evolve, frozen
+from attrs import evolve
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import PeerUnavailableError
 from celeryfork_wire.gen.celeryfork import Peer
 from celeryfork_wire.gen.celeryfork.ttypes import Heartbeat, InstanceState, News
-from celeryfork_wire.peers import PeerCall, Reply
 from logbook import Logger
 
 from celeryfork_membership.budget import Budget
 from celeryfork_membership.news import NewsBoard
+from celeryfork_membership.pace import GossipPace, PeerCaller
 from celeryfork_membership.partners import Partner, Partners
 from celeryfork_membership.peers import (
     PeerIdentity,
@@ -48,48 +48,6 @@
 _log = Logger("membership")
 
 
-class PeerCaller(Protocol):
-    """The part of `celeryfork_wire.peers.PeerPool` that gossip needs."""
-
-    def call(
-        self, address: str, call: PeerCall[Reply], timeout_s: float, *, fresh: bool
-    ) -> Reply:
-        """Make one call to a peer."""
-
-
-@frozen
-class GossipPace:
-    """How often an instance speaks to its peers.
-
-    Parameters
-    ----------
-    interval_s
-        Mean time between exchanges that this instance begins.
-    own_domain_share
-        Share of them that stays in its failure domain.
-    timeout_s
-        Limit for one exchange.
-    eager_exchanges
-        Exchanges begun at once when fresh news of targets comes in.
-    eager_per_s
-        Budget of those, a second.
-    announce_s_per_peer
-        An instance announces a new configuration offset at most each ``peers *
-        announce_s_per_peer`` seconds, so that the announcements of all together
-        stay constant. Heartbeats carry it to those spoken to in any case.
-    refresh_s
-        Least time between announcements that say nothing new.
-    """
-
-    interval_s: float = 1.0
-    own_domain_share: float = 0.75
-    timeout_s: float = 0.5
-    eager_exchanges: int = 3
-    eager_per_s: float = 2.0
-    announce_s_per_peer: float = 0.5
-    refresh_s: float = 60.0
-
-
 class Gossip:
     """Exchanges of an instance with its peers.
 
--- a/libs/membership/src/celeryfork_membership/news.py
+++ b/libs/membership/src/celeryfork_membership/news.py
@@ -13,60 +13,29 @@
 from typing import Any
 
 import orjson
-from attrs import define
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_wire.gen.celeryfork.ttypes import News
 
-from celeryfork_membership.errors import NewsTooLargeError
+from celeryfork_membership.facts import (
+    MOST_TTL_S,
+    Fact,
+    FactKey,
+    check_size,
+    decode,
+    fact_from_wire,
+    fact_to_wire,
+)
 
-MOST_BODY_BYTES = 512
-MOST_NAME_CHARACTERS = 256
 MOST_ITEMS = 8192
-MOST_TTL_S = 3600.0
 MOST_NEWS_BYTES_PER_HEARTBEAT = 450
 MOST_WEIGHTY_BYTES = 5400
 MOST_OLD_ITEMS_PER_HEARTBEAT = 2
-NEWS_FRAME_BYTES = 60
 DEFAULT_SENDS_PER_ITEM = 6
 LEAST_SPREADING_S = 10.0
 MOST_FRESH_AT_EASE = 16
 
 NewsCallback = Callable[[str, dict[str, Any], str], None]
-_Key = tuple[str, str]
-
-
-@define
-class _Item:
-    """The newest version of one fact."""
-
-    kind: str
-    subject: str
-    version: int
-    body: str
-    origin: str
-    born_s: float
-    ttl_s: float
-    taken_s: float
-    sends: int = 0
-
-    @property
-    def key(self) -> _Key:
-        return self.kind, self.subject
-
-    @property
-    def size_bytes(self) -> int:
-        names = len(self.kind) + len(self.subject) + len(self.origin)
-        return NEWS_FRAME_BYTES + names + len(self.body)
-
-    def expired(self, now_s: float) -> bool:
-        return now_s - self.born_s >= self.ttl_s
-
-    def beats(self, other: "_Item | None") -> bool:
-        """Return whether this one replaces ``other``; ties go to the larger body."""
-        if other is None:
-            return True
-        return (self.version, self.body) > (other.version, other.body)
 
 
 class NewsBoard:
@@ -82,9 +51,9 @@
         self._clock = clock
         self._counters = counters
         self._lock = threading.Lock()
-        self._items_by_key: dict[_Key, _Item] = {}
-        self._fresh_by_key: dict[_Key, _Item] = {}
-        self._old_keys: deque[_Key] = deque()
+        self._items_by_key: dict[FactKey, Fact] = {}
+        self._fresh_by_key: dict[FactKey, Fact] = {}
+        self._old_keys: deque[FactKey] = deque()
         self._callbacks_by_kind: dict[str, list[NewsCallback]] = {}
         self._on_fresh: list[Callable[[str], None]] = []
 
@@ -118,14 +87,14 @@
             The body or a name is too long to fit into a heartbeat.
         """
         encoded = orjson.dumps(body).decode()
-        _check_size(kind, subject, encoded)
+        check_size(kind, subject, encoded)
         with self._lock:
             known = self._items_by_key.get((kind, subject))
             if version is None:
                 version = self._clock.wall_ms()
                 if known is not None:
                     version = max(version, known.version + 1)
-            item = _Item(
+            item = Fact(
                 kind=kind,
                 subject=subject,
                 version=version,
@@ -150,7 +119,7 @@
         """Call ``callback(kind)`` whenever the board takes in something new."""
         self._on_fresh.append(callback)
 
-    def to_send(self, limit: int, leave_out: _Key | None = None) -> list[News]:
+    def to_send(self, limit: int, leave_out: FactKey | None = None) -> list[News]:
         """Return pieces that fit into one heartbeat.
 
         Parameters
@@ -166,23 +135,23 @@
                 self._fresh_by_key.pop(leave_out, None)
             chosen = self._choose_fresh(limit, now_s)
             chosen += self._choose_old(limit - len(chosen), chosen, now_s)
-            return [_to_wire(item, now_s) for item in chosen]
+            return [fact_to_wire(item, now_s) for item in chosen]
 
     def everything(self, limit: int) -> list[News]:
         """Return up to ``limit`` unexpired pieces, for a newcomer."""
         now_s = self._clock.monotonic()
         with self._lock:
             items = [i for i in self._items_by_key.values() if not i.expired(now_s)]
-            return [_to_wire(item, now_s) for item in items[:limit]]
+            return [fact_to_wire(item, now_s) for item in items[:limit]]
 
     def receive(self, news: Iterable[News]) -> None:
         """Take in a peer's news; malformed pieces are counted and dropped."""
         for piece in news:
-            item = self._from_wire(piece)
+            item = fact_from_wire(piece, self._clock.monotonic())
             if item is None:
                 self._counters.add("news.malformed")
                 continue
-            body = _decode(item.body)
+            body = decode(item.body)
             if body is None:
                 self._counters.add("news.malformed")
                 continue
@@ -215,7 +184,7 @@
                 counts[kind] = counts.get(kind, 0) + 1
             return {"items_by_kind": counts, "spreading": len(self._fresh_by_key)}
 
-    def _take(self, item: _Item, body: dict[str, Any]) -> None:
+    def _take(self, item: Fact, body: dict[str, Any]) -> None:
         now_s = self._clock.monotonic()
         with self._lock:
             if item.expired(now_s):
@@ -234,7 +203,7 @@
         for callback in self._on_fresh:
             callback(kind)
 
-    def _store(self, item: _Item) -> None:
+    def _store(self, item: Fact) -> None:
         if item.key not in self._items_by_key and len(self._items_by_key) >= MOST_ITEMS:
             self._make_room()
         self._items_by_key[item.key] = item
@@ -249,14 +218,14 @@
         for item in by_expiry[: MOST_ITEMS // 16]:
             self._drop(item.key)
 
-    def _drop(self, key: _Key) -> None:
+    def _drop(self, key: FactKey) -> None:
         self._items_by_key.pop(key, None)
         self._fresh_by_key.pop(key, None)
 
-    def _choose_fresh(self, limit: int, now_s: float) -> list[_Item]:
+    def _choose_fresh(self, limit: int, now_s: float) -> list[Fact]:
         for key in [k for k, i in self._fresh_by_key.items() if i.expired(now_s)]:
             self._drop(key)
-        chosen: list[_Item] = []
+        chosen: list[Fact] = []
         sent_bytes = 0
         ranked = heapq.nsmallest(limit, self._fresh_by_key.values(), key=self._rank)
         for item in ranked:
@@ -272,7 +241,7 @@
                 self._old_keys.append(item.key)
         return chosen
 
-    def _sent_enough(self, item: _Item, now_s: float) -> bool:
+    def _sent_enough(self, item: Fact, now_s: float) -> bool:
         """Return whether a fact need not be spread any more.
 
         Facts are sent for a while however often that is: a few exchanges at once can
@@ -286,7 +255,7 @@
             return True
         return now_s - item.taken_s >= LEAST_SPREADING_S
 
-    def _rank(self, item: _Item) -> tuple[bool, int, float]:
+    def _rank(self, item: Fact) -> tuple[bool, int, float]:
         """Order news for sending.
 
         Weighty kinds go first, the least sent before others, so that many at once
@@ -295,10 +264,10 @@
         background = item.kind in self.background_kinds
         return background, 0 if background else item.sends, -item.born_s
 
-    def _choose_old(self, limit: int, chosen: list[_Item], now_s: float) -> list[_Item]:
+    def _choose_old(self, limit: int, chosen: list[Fact], now_s: float) -> list[Fact]:
         left_bytes = MOST_NEWS_BYTES_PER_HEARTBEAT
         left_bytes -= sum(item.size_bytes for item in chosen)
-        picked: list[_Item] = []
+        picked: list[Fact] = []
         for _ in range(min(limit, MOST_OLD_ITEMS_PER_HEARTBEAT)):
             item = self._next_old(now_s)
             if item is None or item.size_bytes > left_bytes:
@@ -308,7 +277,7 @@
                 picked.append(item)
         return picked
 
-    def _next_old(self, now_s: float) -> _Item | None:
+    def _next_old(self, now_s: float) -> Fact | None:
         for _ in range(min(len(self._old_keys), 16)):
             key = self._old_keys.popleft()
             item = self._items_by_key.get(key)
@@ -321,59 +290,7 @@
             return item
         return None
 
-    def _from_wire(self, news: News) -> _Item | None:
-        names = (news.kind, news.subject, news.origin or "")
-        if any(len(name) > MOST_NAME_CHARACTERS for name in names):
-            return None
-        if len(news.body) > MOST_BODY_BYTES or news.age_ms < 0:
-            return None
-        ttl_s = MOST_TTL_S if news.ttl_ms is None else news.ttl_ms / 1000
-        now_s = self._clock.monotonic()
-        return _Item(
-            kind=news.kind,
-            subject=news.subject,
-            version=news.version,
-            body=news.body,
-            origin=news.origin or "",
-            born_s=now_s - news.age_ms / 1000,
-            ttl_s=min(ttl_s, MOST_TTL_S),
-            taken_s=now_s,
-        )
-
 
 def make_news_board(clock: Clock, counters: Counters, origin: str = "") -> NewsBoard:
     """Return an empty board; ``origin`` names the instance in what it publishes."""
     return NewsBoard(clock, counters, origin)
-
-
-def _check_size(kind: str, subject: str, body: str) -> None:
-    if len(body) > MOST_BODY_BYTES:
-        raise NewsTooLargeError(
-            f"News {kind}/{subject} has a body of {len(body)} bytes.",
-            f"keep it within {MOST_BODY_BYTES}",
-        )
-    if max(len(kind), len(subject)) > MOST_NAME_CHARACTERS:
-        raise NewsTooLargeError(
-            f"News {kind[:40]}/{subject[:40]} has too long a name.",
-            f"keep names within {MOST_NAME_CHARACTERS} characters",
-        )
-
-
-def _decode(body: str) -> dict[str, Any] | None:
-    try:
-        decoded = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return None
-    return decoded if isinstance(decoded, dict) else None
-
-
-def _to_wire(item: _Item, now_s: float) -> News:
-    return News(
-        kind=item.kind,
-        subject=item.subject,
-        version=item.version,
-        body=item.body,
-        age_ms=round((now_s - item.born_s) * 1000),
-        origin=item.origin or None,
-        ttl_ms=round(item.ttl_s * 1000),
-    )
