--- a/libs/streams/src/celeryfork_streams/policy.py
+++ b/libs/streams/src/celeryfork_streams/policy.py
@@ -53,5 +53,5 @@
     slow_caller_timeout_s: float = 10.0
     no_target_wait_s: float = 0.05
     longest_wait_s: float = 1.0
-    suspect_wait_s: float = 3.0
+    suspect_wait_s: float = 10.0
     refused_retry_after_s: float = 1.0
--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -142,13 +142,19 @@
         """Return a chain without other suspects; None if none came free in time."""
         clock, suspects = self._parts.clock, self._parts.suspects
         until_s = clock.monotonic() + self._policy.suspect_wait_s
+        back: list[frozenset[str]] = []
         while True:
-            avoid = self._salvage.first_avoid(suspects.targets())[0]
-            chain = self._first_choice([avoid])
+            taken = suspects.targets()
+            best = self._salvage.first_avoid(taken)[0]
+            chain = self._first_choice([best, *(avoid | taken for avoid in back)])
             left_s = until_s - clock.monotonic()
-            if chain is not None or not suspects.targets() or left_s <= 0:
+            if chain is not None or left_s <= 0:
                 return chain
-            await suspects.one_left(left_s)
+            if taken:
+                await suspects.one_left(left_s)
+            else:
+                await self._wait()
+                back = self._salvage.then_avoid()
 
     def _first_choice(self, avoidances: Iterable[frozenset[str]]) -> Chain | None:
         for avoid in avoidances:
