--- a/libs/calls/src/celeryfork_calls/plain.py
+++ b/libs/calls/src/celeryfork_calls/plain.py
@@ -113,7 +113,8 @@
     def take_over(self, outcomes: Sequence[KeptOutcome]) -> None:
         """Take outcomes that a stopping peer hands over."""
         for kept in self._tickets.on_hand_over(outcomes):
-            self._claims.adopt(kept)
+            # Its holder could not write it to the log; this instance may yet.
+            self._claims.settle_unknown(kept)
 
     def _kind(self, call: PlainCall) -> ServiceKindPort:
         service = self._configuration().services_by_name.get(call.service)
@@ -168,9 +169,9 @@
         """Refuse a call that crashes its targets, and leave its key unused."""
         try:
             self._poison.check(fingerprint_of(call))
-        except RequestRefusedError:
+        except RequestRefusedError as error:
             free_key()
-            raise
+            raise errors.poison_not_run(error) from error
 
     def _wait_for_holder(
         self, call: PlainCall, key: str, kind: ServiceKindPort, holder: str
