--- /dev/null
+++ b/libs/bench/src/celeryfork_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments of the bench, one module each."""
--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -5,6 +5,7 @@
 from celeryfork_base.errors import CeleryforkError
 from typer import Typer
 
+from celeryfork_cmdline.bench import bench
 from celeryfork_cmdline.check import check
 from celeryfork_cmdline.config import config_app
 from celeryfork_cmdline.demo import demo
@@ -26,7 +27,18 @@
         no_args_is_help=True,
         pretty_exceptions_enable=False,
     )
-    for command in (serve, check, dump, targets, demo, load, soak, standin, version):
+    for command in (
+        serve,
+        check,
+        dump,
+        targets,
+        demo,
+        load,
+        soak,
+        bench,
+        standin,
+        version,
+    ):
         app.command()(command)
     app.add_typer(config_app, name="config")
     return app
