Peers: bounded idle connections over all peers; configuration from near peers first

Cause: the pool kept up to two connections for every address ever spoken to and the server a thread for each: hundreds at 690 daemons. Every instance asked the one most advanced peer for configuration. Change: 64 idle connections in all, the longest idle closed first, none used after 20 s; the server lets go after 60 s. Equally advanced peers: own failure domain first, then at random. Before: no bound.

--- a/libs/daemon/src/celeryfork_daemon/assembly.py
+++ b/libs/daemon/src/celeryfork_daemon/assembly.py
@@ -259,7 +259,9 @@
     counters: Counters,
 ) -> ConfigFollower:
     gossip = membership.gossip
-    from_peers = ConfigFromPeers(lambda: gossip.peers_by_instance, membership.pool)
+    from_peers = ConfigFromPeers(
+        lambda: gossip.peers_by_instance, membership.pool, settings.domain
+    )
 
     def domains_by_instance() -> dict[str, str]:
         peers = gossip.peers_by_instance
--- a/libs/daemon/src/celeryfork_daemon/config_peers.py
+++ b/libs/daemon/src/celeryfork_daemon/config_peers.py
@@ -1,6 +1,7 @@
 """Configuration between instances: serving it to peers, and reading it from them."""
 
 from collections.abc import Callable, Mapping, Sequence
+from random import Random
 from typing import Protocol
 
 from celeryfork_base.errors import PeerUnavailableError
@@ -22,6 +23,10 @@
     def config_offset(self) -> int:
         """Return up to where it has applied the configuration."""
 
+    @property
+    def domain(self) -> str:
+        """Return its failure domain."""
+
     @property
     def peer_address(self) -> str:
         """Return its ``ip:port`` for peers."""
@@ -36,19 +41,24 @@
         Returns the live peers by name.
     pool
         Connections to them.
+    domain
+        This instance's failure domain.
     """
 
     def __init__(
-        self, peers: Callable[[], Mapping[str, PeerPort]], pool: PeerPool
+        self,
+        peers: Callable[[], Mapping[str, PeerPort]],
+        pool: PeerPool,
+        domain: str,
     ) -> None:
         self._peers = peers
         self._pool = pool
+        self._domain = domain
+        self._random = Random()
 
     def read(self, after_offset: int) -> Sequence[LogRecord] | None:
         """Return all entries after an offset, None where no peer gives them."""
-        peers = sorted(
-            self._peers().values(), key=lambda peer: peer.config_offset, reverse=True
-        )
+        peers = sorted(self._peers().values(), key=self._preference, reverse=True)
         for peer in peers[:MOST_PEERS_TRIED]:
             try:
                 records = self._read_all(peer.peer_address, after_offset)
@@ -58,6 +68,10 @@
                 return records
         return None
 
+    def _preference(self, peer: PeerPort) -> tuple[int, bool, float]:
+        """Prefer advanced peers, then near ones; spread the rest at random."""
+        return peer.config_offset, peer.domain == self._domain, self._random.random()
+
     def _read_all(self, address: str, after_offset: int) -> list[LogRecord] | None:
         records: list[LogRecord] = []
         for _ in range(MOST_SLICES):
--- a/libs/wire/src/celeryfork_wire/peers.py
+++ b/libs/wire/src/celeryfork_wire/peers.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket
 import threading
+import time
 from collections.abc import Callable
 from logging import NullHandler, getLogger
 from typing import TypeVar
@@ -25,7 +26,11 @@
 getLogger("thrift").addHandler(NullHandler())
 getLogger("thrift").propagate = False
 
-MOST_IDLE_CONNECTIONS_PER_PEER = 2
+MOST_IDLE_CONNECTIONS = 64
+# The client lets go well before the server does, so that it never sends into a
+# connection that the server has just closed.
+LONGEST_IDLE_S = 20.0
+LONGEST_SERVER_IDLE_S = 60.0
 LARGEST_FRAME_BYTES = 16 * 1024 * 1024
 
 Reply = TypeVar("Reply")
@@ -92,6 +97,7 @@
 
     def _serve(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(LONGEST_SERVER_IDLE_S)
         peer = TSocket()
         peer.setHandle(connection)
         protocol = _make_protocol(TFramedTransport(peer))
@@ -117,11 +123,14 @@
 
 
 class PeerPool:
-    """Client connections to peers, by address; safe to use from any thread."""
+    """Client connections to peers; safe to use from any thread.
+
+    A bounded number stays open between calls, the longest idle goes first.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._idle_by_address: dict[str, list[_Connection]] = {}
+        self._idle: list[_Connection] = []
 
     def call(
         self, address: str, call: PeerCall[Reply], timeout_s: float, *, fresh: bool
@@ -149,7 +158,7 @@
         try:
             reply = call(connection.client)
         except TApplicationException as error:
-            self._give_back(address, connection)
+            self._give_back(connection)
             raise PeerUnavailableError(
                 f"Peer {address} failed in the call: {error}",
                 "read the peer's log; its version may be older",
@@ -165,25 +174,21 @@
         except BaseException:
             connection.close()
             raise
-        self._give_back(address, connection)
+        self._give_back(connection)
         return reply
 
     def close(self) -> None:
         """Close every idle connection."""
         with self._lock:
-            idle = [c for group in self._idle_by_address.values() for c in group]
-            self._idle_by_address.clear()
+            idle, self._idle = self._idle, []
         for connection in idle:
             connection.close()
 
     def _take(self, address: str, timeout_s: float, fresh: bool) -> "_Connection":
-        if not fresh:
-            with self._lock:
-                idle = self._idle_by_address.get(address)
-                if idle:
-                    connection = idle.pop()
-                    connection.set_timeout(timeout_s)
-                    return connection
+        kept = None if fresh else self._take_idle(address)
+        if kept is not None:
+            kept.set_timeout(timeout_s)
+            return kept
         try:
             return _Connection(address, timeout_s)
         except (TTransportException, OSError, ValueError) as error:
@@ -193,19 +198,36 @@
                 sent=False,
             ) from error
 
-    def _give_back(self, address: str, connection: "_Connection") -> None:
+    def _take_idle(self, address: str) -> "_Connection | None":
+        """Return the connection to an address that was used last, None if none is."""
+        youngest_s = time.monotonic() - LONGEST_IDLE_S
+        with self._lock:
+            stale = [each for each in self._idle if each.idle_since_s < youngest_s]
+            self._idle = [each for each in self._idle if each not in stale]
+            matching = [each for each in self._idle if each.address == address]
+            found = matching[-1] if matching else None
+            if found is not None:
+                self._idle.remove(found)
+        for connection in stale:
+            connection.close()
+        return found
+
+    def _give_back(self, connection: "_Connection") -> None:
+        connection.idle_since_s = time.monotonic()
         with self._lock:
-            idle = self._idle_by_address.setdefault(address, [])
-            if len(idle) < MOST_IDLE_CONNECTIONS_PER_PEER:
-                idle.append(connection)
-                return
-        connection.close()
+            self._idle.append(connection)
+            surplus = self._idle[:-MOST_IDLE_CONNECTIONS]
+            self._idle = self._idle[-MOST_IDLE_CONNECTIONS:]
+        for each in surplus:
+            each.close()
 
 
 class _Connection:
     """One open thrift connection to a peer."""
 
     def __init__(self, address: str, timeout_s: float) -> None:
+        self.address = address
+        self.idle_since_s = 0.0
         host, _, port = address.rpartition(":")
         self._socket = TSocket(host, int(port))
         self.set_timeout(timeout_s)
--- a/libs/wire/tests/test_peers.py
+++ b/libs/wire/tests/test_peers.py
@@ -78,3 +78,31 @@
         PeerPool().call(server.address, lambda p: p.lease_permits(lease), 5, fresh=True)
     assert caught.value.sent is True
     server.stop()
+
+
+def test_idle_connections_are_bounded_over_all_peers(monkeypatch) -> None:
+    monkeypatch.setattr("celeryfork_wire.peers.MOST_IDLE_CONNECTIONS", 3)
+    servers = [PeerServer("127.0.0.1", 0) for _ in range(5)]
+    pool = PeerPool()
+    for server in servers:
+        server.start(PermitHandler())
+        lease = permit_request(1)
+        pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
+    assert [each.address for each in pool._idle] == [s.address for s in servers[2:]]
+    pool.close()
+    for server in servers:
+        server.stop()
+
+
+def test_a_connection_that_was_idle_for_long_is_not_used_again(monkeypatch) -> None:
+    server = PeerServer("127.0.0.1", 0)
+    server.start(PermitHandler())
+    pool = PeerPool()
+    lease = permit_request(1)
+    pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
+    kept = pool._idle[0]
+    monkeypatch.setattr("celeryfork_wire.peers.LONGEST_IDLE_S", -1.0)
+    pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
+    assert kept not in pool._idle
+    pool.close()
+    server.stop()
