--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 from attrs import asdict, frozen
 from celeryfork_base.clock import SystemClock
@@ -329,7 +329,7 @@
 
     def _state_reply(self, call: HttpCall) -> Reply:
         self._callers.check_administrator(call)
-        part = parse_qs(urlsplit(call.path).query).get("part", [None])[0]
+        part = parse_qs(call.query).get("part", [None])[0]
         return json_reply(200, self.dump(part))
 
     def _dump_process(self) -> dict[str, object]:
--- a/libs/daemon/src/celeryfork_daemon/gateway.py
+++ b/libs/daemon/src/celeryfork_daemon/gateway.py
@@ -106,6 +106,7 @@
         return HttpCall(
             method=self.req.method.decode("latin-1"),
             path=self.req.path.decode("latin-1"),
+            query=self.req.qs.decode("latin-1"),
             headers=headers,
             body=body,
             request_id=request_id,
--- a/libs/daemon/src/celeryfork_daemon/http_call.py
+++ b/libs/daemon/src/celeryfork_daemon/http_call.py
@@ -43,6 +43,7 @@
 
     method: str
     path: str
+    query: str
     headers: Mapping[str, str]
     body: bytes
     request_id: str
--- a/libs/daemon/src/celeryfork_daemon/routes.py
+++ b/libs/daemon/src/celeryfork_daemon/routes.py
@@ -35,8 +35,7 @@
     RequestRefusedError
         There is no such call, or it was refused.
     """
-    path, _, _ = call.path.partition("?")
-    match call.method, path.strip("/").split("/"):
+    match call.method, call.path.strip("/").split("/"):
         case "POST", ["v1", "completions"]:
             return handlers.completion(call)
         case "POST", ["v1", "chat", "completions"]:
@@ -53,7 +52,7 @@
             return _health(handlers.healthy(), "healthy", "stopped")
         case "GET" | "HEAD", ["readyz"]:
             return _health(handlers.ready(), "ready", "not ready")
-    raise no_such_path(call.method, path[:200])
+    raise no_such_path(call.method, call.path[:200])
 
 
 def _health(good: bool, yes: str, no: str) -> Reply:
--- a/libs/wire/tests/test_peers.py
+++ b/libs/wire/tests/test_peers.py
@@ -84,9 +84,9 @@
     monkeypatch.setattr("celeryfork_wire.peers.MOST_IDLE_CONNECTIONS", 3)
     servers = [PeerServer("127.0.0.1", 0) for _ in range(5)]
     pool = PeerPool()
+    lease = permit_request(1)
     for server in servers:
         server.start(PermitHandler())
-        lease = permit_request(1)
         pool.call(server.address, lambda p: p.lease_permits(lease), 5, fresh=False)
     assert [each.address for each in pool._idle] == [s.address for s in servers[2:]]
     pool.close()
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,7 +5,7 @@
 import pytest
 import urllib3
 from celeryfork_base.identity import make_uuid7
-from celeryfork_bench.rig import Rig, make_rig
+from celeryfork_bench.rig import ADMINISTRATOR_KEY, Rig, make_rig
 from celeryfork_bench.small import KEY, ORGANISATION, small_deployment
 from celeryfork_standin.text import expected_tokens
 from openai import OpenAI
@@ -140,6 +140,11 @@
     address = rig.daemons()[0].http_address
     refused = http.request("GET", f"http://{address}/debug/state", headers=headers())
     assert refused.status == 401
+    administrator = {"Authorization": f"Bearer {ADMINISTRATOR_KEY}"}
+    one_part = http.request(
+        "GET", f"http://{address}/debug/state?part=peers", headers=administrator
+    )
+    assert list(one_part.json()) == ["peers"]
     state = rig.daemons()[0].dump()
     assert all("dump_failed" not in str(part) for part in state.values())
     assert state["process"]["ready"] is True
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -18,4 +18,5 @@
   pids+=($!)
 done
 url=$(.venv/bin/python -c "import json,sys; print(json.load(open(sys.argv[1]))['platform'])" "$directory/addresses.json")
-"$celeryfork" load "$deployment" --instances-url "$url" "$@"
+show_logs() { tail -n 5 "$directory"/*.log >&2; }
+"$celeryfork" load "$deployment" --instances-url "$url" "$@" || { show_logs; exit 1; }
