--- a/libs/bench/src/celeryfork_bench/bench.py
+++ b/libs/bench/src/celeryfork_bench/bench.py
@@ -6,12 +6,34 @@
 from celeryfork_standin.deployment import Deployment
 
 from celeryfork_bench.experiments.context import Context, Experiment
+from celeryfork_bench.experiments.control_plane import CONTROL_PLANE
+from celeryfork_bench.experiments.fairness import FAIRNESS
+from celeryfork_bench.experiments.hop import HOP
+from celeryfork_bench.experiments.leaving import LEAVING
+from celeryfork_bench.experiments.limits import LIMITS
+from celeryfork_bench.experiments.poison import POISON
 from celeryfork_bench.experiments.propagation import PROPAGATION
 from celeryfork_bench.experiments.recovery import RECOVERY
+from celeryfork_bench.experiments.relay import RELAY
+from celeryfork_bench.experiments.retries import RETRIES
 from celeryfork_bench.experiments.saturation import SATURATION
+from celeryfork_bench.experiments.size import SIZE
 from celeryfork_bench.figures import Figure
 
-EXPERIMENTS: tuple[Experiment, ...] = (SATURATION, RECOVERY, PROPAGATION)
+EXPERIMENTS: tuple[Experiment, ...] = (
+    SATURATION,
+    RECOVERY,
+    RELAY,
+    HOP,
+    PROPAGATION,
+    LIMITS,
+    FAIRNESS,
+    LEAVING,
+    RETRIES,
+    POISON,
+    CONTROL_PLANE,
+    SIZE,
+)
 
 
 @frozen
--- a/libs/bench/src/celeryfork_bench/experiments/recovery.py
+++ b/libs/bench/src/celeryfork_bench/experiments/recovery.py
@@ -6,24 +6,28 @@
 
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
+from itertools import islice
 
 from attrs import frozen
 from celeryfork_base.outcomes import Outcome
+from celeryfork_standin.deployment import Deployment
 from celeryfork_standin.engine import EngineFleet
 
 from celeryfork_bench.checker import Evidence, request_of
 from celeryfork_bench.experiments.context import Context, Experiment
 from celeryfork_bench.field import Event, Field
 from celeryfork_bench.figures import Figure, at_most
-from celeryfork_bench.history import Exchange
 from celeryfork_bench.summary import deployment_bound, quantiles
 from celeryfork_bench.workload import WorkloadOptions, make_arrivals
 
 MOST_P95_S = 1.0
-FIRST_AT_S = 1.5
-EVERY_S = 1.5
+FIRST_AT_S = 1.2
+EVERY_S = 1.6
+LASTS_S = 1.5
+STRUCK_TOGETHER = 2
 OFFERED_SHARE = 0.4
-LEAST_TOKENS, MOST_TOKENS = 24, 64
+LEAST_TOKENS, MOST_TOKENS = 16, 40
 MEAN_BURST_FACTOR = 1.4
 LINK_FACTOR = 100.0
 
@@ -35,8 +39,16 @@
     mend: Callable[[EngineFleet, str], None]
 
 
+@frozen
+class _Strike:
+    kind: _Kind
+    engine_id: str
+    at_s: float
+
+
 KINDS = (
-    _Kind("engine killed", EngineFleet.kill, EngineFleet.restart),
+    # A killed engine starts again by itself.
+    _Kind("engine killed", EngineFleet.kill, lambda fleet, engine_id: None),
     _Kind("engine stalled", EngineFleet.stall, EngineFleet.resume),
     _Kind(
         "link degraded",
@@ -48,24 +60,23 @@
 
 def run(context: Context) -> Sequence[Figure]:
     """Return the p95 by fault and the requests that failed."""
+    evidence, strikes = _run_faults(context)
     figures = []
-    failed = 0
     for kind in KINDS:
-        field, struck_at_s = _run_kind(context, kind)
-        evidence = field.evidence()
         values = [
             pause_s
-            for engine_id, fault_s in struck_at_s.items()
-            for pause_s in pauses_s(evidence, engine_id, fault_s)
+            for strike in strikes
+            if strike.kind is kind
+            for pause_s in pauses_s(evidence, strike.engine_id, strike.at_s)
         ]
-        failed += _not_done(evidence.exchanges)
         found = quantiles(values)
-        name = f"recovery, {kind.name}, p95"
         value = found.p95 if found.count else float("nan")
-        figures.append(context.figure(name, value, "s", at_most(MOST_P95_S)))
-        figures.append(
-            context.figure(f"recovery, {kind.name}, struck", found.count, "streams")
-        )
+        name = f"recovery, {kind.name}"
+        figures.append(context.figure(f"{name}, p95", value, "s", at_most(MOST_P95_S)))
+        figures.append(context.figure(f"{name}, struck", found.count, "streams"))
+    failed = sum(
+        exchange.outcome is not Outcome.DONE for exchange in evidence.exchanges
+    )
     name = "recovery, idempotent requests not answered whole"
     figures.append(context.figure(name, failed, "requests", at_most(0)))
     return figures
@@ -91,31 +102,50 @@
     return pauses
 
 
-def _run_kind(context: Context, kind: _Kind) -> tuple[Field, dict[str, float]]:
-    engine_ids = [engine.spec.id for engine in context.rig.engines.engines]
-    chosen = engine_ids[:: max(1, len(engine_ids) // int(context.choose(2, 6)))]
+def _run_faults(context: Context) -> tuple[Evidence, list[_Strike]]:
     fleet = context.rig.engines
-    struck_at_s: dict[str, float] = {}
+    engine_ids = [engine.spec.id for engine in fleet.engines]
+    rounds = int(context.choose(1, 5))
+    step = max(1, len(engine_ids) // (rounds * len(KINDS) * STRUCK_TOGETHER))
+    chosen = iter(engine_ids[::step])
+    strikes: list[_Strike] = []
+    events: list[Event] = []
+    for number in range(rounds * len(KINDS)):
+        kind = KINDS[number % len(KINDS)]
+        struck = tuple(islice(chosen, STRUCK_TOGETHER))
+        at_s = FIRST_AT_S + number * EVERY_S
+        strike = partial(_strike, fleet, kind, struck, strikes)
+        events.append(Event(at_s, f"{number} {kind.name}", strike))
+        mend = partial(_mend, fleet, kind, struck)
+        events.append(Event(at_s + LASTS_S, f"{number} mended", mend))
+    seconds = FIRST_AT_S + rounds * len(KINDS) * EVERY_S
+    arrivals = make_arrivals(
+        context.deployment, _options(context.deployment, seconds), context.seed
+    )
+    return context.run(arrivals, events).evidence(), strikes
 
-    def strike(engine_id: str) -> Callable[[Field], None]:
-        def do(_: Field) -> None:
-            struck_at_s[engine_id] = time.monotonic()
-            kind.strike(fleet, engine_id)
 
-        return do
+def _strike(
+    fleet: EngineFleet,
+    kind: _Kind,
+    engine_ids: Sequence[str],
+    strikes: list[_Strike],
+    _: Field,
+) -> None:
+    for engine_id in engine_ids:
+        strikes.append(_Strike(kind, engine_id, time.monotonic()))
+        kind.strike(fleet, engine_id)
 
-    def mend(engine_id: str) -> Callable[[Field], None]:
-        return lambda _: kind.mend(fleet, engine_id)
 
-    events = []
-    for number, engine_id in enumerate(chosen):
-        at_s = FIRST_AT_S + number * EVERY_S
-        events.append(Event(at_s, f"{engine_id} {kind.name}", strike(engine_id)))
-        events.append(Event(at_s + EVERY_S, f"{engine_id} mended", mend(engine_id)))
-    seconds = FIRST_AT_S + len(chosen) * EVERY_S
-    offered = deployment_bound(context.deployment) * OFFERED_SHARE
+def _mend(fleet: EngineFleet, kind: _Kind, engine_ids: Sequence[str], _: Field) -> None:
+    for engine_id in engine_ids:
+        kind.mend(fleet, engine_id)
+
+
+def _options(deployment: Deployment, seconds: float) -> WorkloadOptions:
+    offered = deployment_bound(deployment) * OFFERED_SHARE
     mean_tokens = (LEAST_TOKENS + MOST_TOKENS) / 2
-    options = WorkloadOptions(
+    return WorkloadOptions(
         seconds=seconds,
         model_calls_per_s=offered / mean_tokens / MEAN_BURST_FACTOR,
         plain_calls_per_s=0.0,
@@ -123,12 +153,6 @@
         most_tokens=MOST_TOKENS,
         stream_share=1.0,
     )
-    arrivals = make_arrivals(context.deployment, options, context.seed)
-    return context.run(arrivals, events), struck_at_s
-
-
-def _not_done(exchanges: Sequence[Exchange]) -> int:
-    return sum(exchange.outcome is not Outcome.DONE for exchange in exchanges)
 
 
 RECOVERY = Experiment("recovery", run)
--- a/libs/bench/tests/test_figures.py
+++ b/libs/bench/tests/test_figures.py
@@ -41,7 +41,7 @@
 
 def test_a_line_gives_name_value_unit_bound_and_verdict() -> None:
     line = Figure("delay", 0.5, "s", at_most(1), "wanjiru").line()
-    assert line.split() == "wanjiru: delay 0.5 s at most 1 holds".split()
+    assert line.split() == ["wanjiru:", "delay", "0.5", "s", "at", "most", "1", "holds"]
 
 
 def test_the_report_names_every_figure_and_loads_nothing(tmp_path: Path) -> None:
