--- a/libs/cmdline/src/celeryfork_cmdline/inspect.py
+++ b/libs/cmdline/src/celeryfork_cmdline/inspect.py
@@ -25,7 +25,7 @@
     address: Address,
     json: Annotated[bool, Option("--json", help="Print JSON.")] = False,
 ) -> None:
-    """Show the targets as an instance sees them, and why any is out.
+    """Show the targets in choice by name, and each that an instance finds ailing.
 
     Needs the administrator's key in CELERYFORK_ADMINISTRATOR_KEY.
     """
@@ -33,22 +33,21 @@
     if json:
         print_json(state)
         return
-    rows = [_row(name, target) for name, target in sorted(_by_id(state).items())]
-    print_table(("id", "target", "domain", "address", "in choice", "why out"), rows)
-
-
-def _by_id(state: dict[str, Any]) -> dict[str, dict[str, Any]]:
-    found: dict[str, dict[str, Any]] = state.get("targets_by_id", {})
-    return found
-
-
-def _row(name: str, target: dict[str, Any]) -> tuple[object, ...]:
-    why_out = target.get("why_out") or ""
-    return (
-        name,
-        target.get("target", ""),
-        target.get("domain", ""),
-        target.get("address", ""),
-        "no" if why_out else "yes",
-        why_out,
-    )
+    known: dict[str, int] = state["known_by_name"]
+    ailing: dict[str, dict[str, Any]] = state["ailing"]
+    print_table(("target", "known"), sorted(known.items()))
+    if ailing:
+        rows = [(name, *_row(entry)) for name, entry in sorted(ailing.items())]
+        print()
+        print_table(("id", "circuit", "failures", "why ailing"), rows)
+
+
+def _row(entry: dict[str, Any]) -> tuple[object, ...]:
+    reasons = {
+        "leaving": entry["leaving"],
+        "not listed": not entry["listed"],
+        "missing": entry["missing"],
+        "circuit " + entry["circuit"]: entry["circuit"] != "closed",
+    }
+    why = ", ".join(reason for reason, holds in reasons.items() if holds)
+    return entry["circuit"], entry["failures"], why
--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -10,6 +10,7 @@
 from celeryfork_cmdline.demo import demo
 from celeryfork_cmdline.inspect import dump, targets
 from celeryfork_cmdline.load import load
+from celeryfork_cmdline.schema import schema
 from celeryfork_cmdline.serve import serve
 from celeryfork_cmdline.soak import soak
 from celeryfork_cmdline.standin import standin
@@ -17,6 +18,10 @@
 
 EXIT_FAULT = 1
 EXIT_INPUT_FAULT = 2
+COMMANDS = (
+    *(serve, check, schema, dump, targets),
+    *(demo, load, soak, standin, version),
+)
 
 
 def make_app() -> Typer:
@@ -26,7 +31,7 @@
         no_args_is_help=True,
         pretty_exceptions_enable=False,
     )
-    for command in (serve, check, dump, targets, demo, load, soak, standin, version):
+    for command in COMMANDS:
         app.command()(command)
     app.add_typer(config_app, name="config")
     return app
