--- a/libs/cmdline/src/celeryfork_cmdline/config.py
+++ b/libs/cmdline/src/celeryfork_cmdline/config.py
@@ -48,11 +48,18 @@
     offset of what is in force.
     """
     records = _read_records(path)
+    if based_on is not None and len(records) > 1:
+        raise InputFaultError(
+            "--based-on", "names the offset of one record.", "publish one at a time"
+        )
     publisher = publisher_at(log_url)
     offsets_by_name: dict[str, int] = {}
     for record in records:
         offset = publisher.publish(
-            record["name"], record.get("schema", 1), record["payload"], based_on
+            record["name"],
+            record.get("schema", 1),
+            record.get("payload", {}),
+            based_on,
         )
         offsets_by_name[record["name"]] = offset
         if not json:
@@ -130,8 +137,11 @@
 
 def _behind(offset: int, instances_url: str) -> dict[str, str]:
     """Return the instances that have not applied an offset, with what they say."""
+    addresses = entry_addresses(instances_url)
+    if not addresses:
+        return {"instance list": "names no live entry instance"}
     behind: dict[str, str] = {}
-    for name, address in entry_addresses(instances_url).items():
+    for name, address in addresses.items():
         try:
             applied = read_state(address, "configuration")["configuration"]["offset"]
         except InstanceUnreachableError as error:
--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -1,8 +1,9 @@
 """The ``celeryfork`` command."""
 
 import sys
+from collections.abc import Sequence
 
-from celeryfork_base.errors import CeleryforkError
+from celeryfork_base.errors import CeleryforkError, InputFaultError
 from typer import Typer
 
 from celeryfork_cmdline.check import check
@@ -16,6 +17,7 @@
 from celeryfork_cmdline.standin import standin
 from celeryfork_cmdline.version import version
 
+PROGRAM = "celeryfork"
 EXIT_FAULT = 1
 EXIT_INPUT_FAULT = 2
 COMMANDS = (
@@ -40,12 +42,17 @@
 def main() -> int:
     """Run the command line and return its exit code."""
     try:
-        make_app()()
-    except CeleryforkError as error:
-        print(f"celeryfork: {error}", file=sys.stderr)
-        return EXIT_FAULT
+        make_app()(prog_name=PROGRAM)
+    except InputFaultError as error:
+        return _say([error], EXIT_INPUT_FAULT)
+    except (CeleryforkError, OSError) as error:
+        return _say([error], EXIT_FAULT)
     except ExceptionGroup as group:
-        for fault in group.exceptions:
-            print(f"celeryfork: {fault}", file=sys.stderr)
-        return EXIT_INPUT_FAULT
+        return _say(group.exceptions, EXIT_INPUT_FAULT)
     return 0
+
+
+def _say(errors: Sequence[Exception], exit_code: int) -> int:
+    for error in errors:
+        print(f"celeryfork: {error}", file=sys.stderr)
+    return exit_code
--- a/libs/cmdline/src/celeryfork_cmdline/operator_client.py
+++ b/libs/cmdline/src/celeryfork_cmdline/operator_client.py
@@ -9,7 +9,7 @@
 from celeryfork_config.publisher import Publisher, make_publisher
 from celeryfork_platform.instances import make_instance_list_client
 from celeryfork_platform.log import make_log_client
-from orjson import loads
+from orjson import JSONDecodeError, loads
 from typer import Option
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError
@@ -78,5 +78,26 @@
             f"{address} answered {response.status}.",
             f"set {ADMINISTRATOR_KEY_VARIABLE} to the administrator's key",
         )
-    state: dict[str, Any] = loads(response.data)
-    return state
+    return _parse_state(address, response.data, part)
+
+
+def _parse_state(address: str, data: bytes, part: str | None) -> dict[str, Any]:
+    try:
+        state: dict[str, Any] = loads(data)
+    except JSONDecodeError as error:
+        raise InstanceUnreachableError(
+            f"{address} answered no JSON.", "check that it is an entry instance"
+        ) from error
+    if part is None:
+        return state
+    if part not in state:
+        raise InstanceUnreachableError(
+            f"{address} has no part {part!r} in its state.",
+            "leave --part out to see which parts there are",
+        )
+    if "dump_failed" in state[part]:
+        raise InstanceUnreachableError(
+            f"{address} could not tell its {part}: {state[part]['dump_failed']}.",
+            "read the other parts, and report it as a fault",
+        )
+    return {part: state[part]}
