--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -6,6 +6,7 @@
 from celeryfork_base.errors import CeleryforkError, InputFaultError
 from typer import Typer
 
+from celeryfork_cmdline.bench import bench
 from celeryfork_cmdline.check import check
 from celeryfork_cmdline.config import config_app
 from celeryfork_cmdline.demo import demo
@@ -22,7 +23,7 @@
 EXIT_INPUT_FAULT = 2
 COMMANDS = (
     *(serve, check, schema, dump, targets),
-    *(demo, load, soak, standin, version),
+    *(demo, load, bench, soak, standin, version),
 )
 
 
