--- a/libs/bench/src/celeryfork_bench/experiments/leaving.py
+++ b/libs/bench/src/celeryfork_bench/experiments/leaving.py
@@ -16,6 +16,7 @@
 MOST_S = 3.0
 WAIT_S = 6.0
 POLL_S = 0.01
+RESTART_S = 0.5
 FIRST_AT_S = 1.0
 OFFERED_SHARE = 0.4
 MEAN_TOKENS = 8
@@ -39,7 +40,9 @@
 def run(context: Context) -> Sequence[Figure]:
     """Return seconds by the state of the instance list, under load."""
     seconds_by_state: dict[str, float] = {}
-    engine_ids = [engine.spec.id for engine in context.rig.engines.engines]
+    engine_ids = [
+        engine.spec.id for engine in context.rig.engines.engines if engine.alive
+    ]
     step = len(engine_ids) // len(STATES_BY_NAME)
     events = [
         Event(
@@ -62,7 +65,7 @@
     )
     context.run(make_arrivals(context.deployment, options, context.seed), events)
     for engine_id in engine_ids[::step]:
-        context.rig.engines.restart(engine_id)
+        context.rig.engines.kill(engine_id, RESTART_S)
     return [
         context.figure(
             f"leaving, list {name}, out of choice everywhere",
--- a/libs/bench/src/celeryfork_bench/experiments/recovery.py
+++ b/libs/bench/src/celeryfork_bench/experiments/recovery.py
@@ -25,6 +25,7 @@
 FIRST_AT_S = 1.0
 EVERY_S = 1.6
 LASTS_S = 1.2
+RESTART_S = 1.2
 STRUCK_TOGETHER = 2
 OFFERED_SHARE = 0.4
 LEAST_TOKENS, MOST_TOKENS = 12, 20
@@ -47,8 +48,11 @@
 
 
 KINDS = (
-    # A killed engine starts again by itself.
-    _Kind("engine killed", EngineFleet.kill, lambda fleet, engine_id: None),
+    _Kind(
+        "engine killed",
+        lambda fleet, engine_id: fleet.kill(engine_id, RESTART_S),
+        lambda fleet, engine_id: None,
+    ),
     _Kind("engine stalled", EngineFleet.stall, EngineFleet.resume),
     _Kind(
         "link degraded",
