Libraries' page as the code is; its names are tested

admission, permits, poison, leases and orders had changed their signatures since the page was written.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,6 +4,7 @@
 import shlex
 import subprocess
 import sys
+from importlib import import_module
 from pathlib import Path
 
 import pytest
@@ -142,6 +143,20 @@
     assert used - named - {"caller_gone"} == set()
 
 
+def test_every_public_name_on_the_libraries_page_exists() -> None:
+    page = (ROOT / "docs" / "LIBRARIES.md").read_text()
+    missing, seen = [], 0
+    for part in page.split("\n## ")[1:]:
+        library = part.split(maxsplit=1)[0]
+        for module, name in re.findall(r"^    ([a-z_]+)\.([A-Za-z]\w+)", part, re.M):
+            seen += 1
+            found = import_module(f"celeryfork_{library}.{module}")
+            if not hasattr(found, name):
+                missing.append(f"{library}: {module}.{name}")
+    assert missing == []
+    assert seen > 50
+
+
 def test_the_configuration_page_is_up_to_date() -> None:
     page = (ROOT / "docs" / "CONFIGURATION.md").read_text()
     assert page.strip() == configuration_page().strip()
