A planned stop cuts off no call: deadlines fit the stop's bound

Change: no call is accepted with a deadline beyond what a stop waits for, and none that comes during a stop beyond its end; the default bound of a stop is 620 s, above the longest deadline of the policy. Stand-ins wait for a port that another connection borrowed.

--- a/libs/bench/src/celeryfork_bench/rig.py
+++ b/libs/bench/src/celeryfork_bench/rig.py
@@ -243,8 +243,7 @@
             administrator_key_sha256=sha256(ADMINISTRATOR_KEY.encode()).hexdigest(),
             ticket_secret=TICKET_SECRET,
             http_threads=self.options.http_threads,
-            stop=StopSettings(notice_s=self.options.notice_s, most_stop_s=30.0),
-            instance_poll_s=0.5,
+            stop=StopSettings(notice_s=self.options.notice_s, most_stop_s=60.0),
         )
 
 
--- a/libs/config/src/celeryfork_config/settings.py
+++ b/libs/config/src/celeryfork_config/settings.py
@@ -81,8 +81,9 @@
         maximum=300,
     )
     most_stop_s: float = option(
-        "Longest time in seconds from the signal to the end of the process.",
-        default=60.0,
+        "Longest time in seconds from the signal to the end of the process; no call "
+        "is accepted with a deadline beyond it.",
+        default=620.0,
         above=0,
         maximum=3600,
     )
--- a/libs/daemon/src/celeryfork_daemon/entry.py
+++ b/libs/daemon/src/celeryfork_daemon/entry.py
@@ -29,6 +29,7 @@
 )
 from celeryfork_daemon.callers import Callers
 from celeryfork_daemon.config_peers import slice_for_peer
+from celeryfork_daemon.deadlines import Deadlines
 from celeryfork_daemon.gateway import GatewayPort, make_http_server
 from celeryfork_daemon.http_call import HttpCall, Reply, json_reply
 from celeryfork_daemon.in_flight import InFlight
@@ -87,6 +88,9 @@
             shared_loop or self._own_loop or make_loop_thread(),
         )
         self.in_flight = InFlight(self.parts.clock)
+        self._deadlines = Deadlines(
+            lambda: self.parts.follower.current.policy, settings.stop
+        )
         self._callers = Callers(
             lambda: self.parts.follower.current, settings.administrator_key_sha256
         )
@@ -143,7 +147,7 @@
                 in_flight=self.in_flight,
                 stop_http=self._http.stop,
                 notice_s=stop.notice_s,
-                ends_s=self.parts.clock.monotonic() + stop.most_stop_s,
+                calls_end_s=self._deadlines.begin_stop(self.parts.clock.monotonic()),
             )
         )
         self._close()
@@ -254,6 +258,7 @@
                 callers=self._callers,
                 configuration=lambda: parts.follower.current,
                 stream_policy=lambda: stream_policy(parts.follower.current.policy),
+                deadlines=self._deadlines,
                 admission=gate.admission,
                 poison=gate.poison,
                 runner=runner,
@@ -284,6 +289,7 @@
             PlainCallParts(
                 callers=self._callers,
                 configuration=lambda: parts.follower.current,
+                deadlines=self._deadlines,
                 admission=parts.gate.admission,
                 caller=parts.plain.caller,
                 tickets=parts.plain.tickets if has_secret else None,
--- a/libs/daemon/src/celeryfork_daemon/http_call.py
+++ b/libs/daemon/src/celeryfork_daemon/http_call.py
@@ -111,28 +111,6 @@
     return body
 
 
-def deadline_of(call: HttpCall, usual_s: float, longest_s: float) -> float:
-    """Return the monotonic time by which the caller wants its answer.
-
-    Raises
-    ------
-    RequestRefusedError
-        ``X-Deadline-Ms`` is no positive number of milliseconds.
-    """
-    given = call.header("X-Deadline-Ms")
-    if given is None:
-        return call.received_s + usual_s
-    if not given.isascii() or not given.isdigit() or int(given) == 0:
-        raise malformed(
-            f"X-Deadline-Ms is {given[:40]!r}.",
-            "send a whole number of milliseconds above 0",
-            "bad_deadline",
-        )
-    # Digits alone can name a number too large for a float.
-    wanted_s = min(int(given[:12]) / 1000, longest_s)
-    return call.received_s + wanted_s
-
-
 def priority_of(call: HttpCall, highest: int) -> int:
     """Return the wished priority, at most the organisation's.
 
--- a/libs/daemon/src/celeryfork_daemon/model_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/model_calls.py
@@ -13,7 +13,7 @@
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_config.in_force import Configuration
-from celeryfork_config.records import Model, Organisation, Policy
+from celeryfork_config.records import Model, Organisation
 from celeryfork_streams.caller import CallerConnection, take_over
 from celeryfork_streams.errors import CallerGoneError
 from celeryfork_streams.formats import Shape
@@ -24,8 +24,9 @@
 from celeryfork_streams.streams import StreamRunner
 
 from celeryfork_daemon.callers import Callers
+from celeryfork_daemon.deadlines import Deadlines
 from celeryfork_daemon.gateway import TakesConnection
-from celeryfork_daemon.http_call import HttpCall, deadline_of, priority_of
+from celeryfork_daemon.http_call import HttpCall, priority_of
 from celeryfork_daemon.in_flight import InFlight
 from celeryfork_daemon.model_call import (
     USUAL_MOST_TOKENS,
@@ -46,6 +47,7 @@
     callers: Callers
     configuration: Callable[[], Configuration]
     stream_policy: Callable[[], StreamPolicy]
+    deadlines: Deadlines
     admission: Admission
     poison: PoisonRegister
     runner: StreamRunner
@@ -102,7 +104,7 @@
             raise not_found("model", asked.model, "unknown_model")
         _check_size(asked, model)
         max_tokens = asked.max_tokens or min(USUAL_MOST_TOKENS, model.most_tokens)
-        deadline_s = _deadline(call, configuration.policy)
+        deadline_s = self._parts.deadlines.of(call)
         priority = priority_of(call, organisation.priority)
         request = GenerateRequest(
             request_id=call.request_id,
@@ -206,10 +208,6 @@
         counters.add("streams.tokens_passed", result.tokens)
 
 
-def _deadline(call: HttpCall, policy: Policy) -> float:
-    return deadline_of(call, policy.default_deadline_s, policy.longest_deadline_s)
-
-
 def _check_size(asked: ModelCall, model: Model) -> None:
     if asked.max_tokens is not None and asked.max_tokens > model.most_tokens:
         raise malformed(
--- a/libs/daemon/src/celeryfork_daemon/plain_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/plain_calls.py
@@ -17,11 +17,11 @@
 from orjson import JSONDecodeError, loads
 
 from celeryfork_daemon.callers import Callers
+from celeryfork_daemon.deadlines import Deadlines
 from celeryfork_daemon.http_call import (
     JSON,
     HttpCall,
     Reply,
-    deadline_of,
     json_reply,
     priority_of,
 )
@@ -48,6 +48,7 @@
 
     callers: Callers
     configuration: Callable[[], Configuration]
+    deadlines: Deadlines
     admission: Admission
     caller: PlainCaller
     tickets: TicketOffice | None
@@ -114,7 +115,6 @@
     def _read(
         self, call: HttpCall, organisation: Organisation, service: str, kind: str
     ) -> PlainCall:
-        policy = self._parts.configuration().policy
         return PlainCall(
             request_id=call.request_id,
             organisation=organisation.name,
@@ -123,9 +123,7 @@
             body=call.body,
             content_type=call.header("Content-Type") or JSON,
             key=call.header("Idempotency-Key"),
-            deadline_s=deadline_of(
-                call, policy.default_deadline_s, policy.longest_deadline_s
-            ),
+            deadline_s=self._parts.deadlines.of(call),
         )
 
     @contextmanager
--- a/libs/daemon/src/celeryfork_daemon/stopping.py
+++ b/libs/daemon/src/celeryfork_daemon/stopping.py
@@ -12,8 +12,6 @@
 # A balancer that has noticed sends nothing more; this long a quiet shows it.
 QUIET_S = 0.3
 QUIET_CHECK_S = 0.02
-# Kept back from the bound for handing over and closing.
-HAND_OVER_S = 5.0
 
 logger = make_logger("stopping")
 
@@ -26,15 +24,15 @@
     ----------
     notice_s
         How long to keep serving, until the balancer has noticed, in seconds.
-    ends_s
-        Monotonic time by which the process has to end, in seconds.
+    calls_end_s
+        Monotonic time by which every accepted call has ended, in seconds.
     """
 
     parts: Parts
     in_flight: InFlight
     stop_http: Callable[[], None]
     notice_s: float
-    ends_s: float
+    calls_end_s: float
 
 
 def stop_gracefully(plan: StopPlan) -> bool:
@@ -46,10 +44,9 @@
         Whether every accepted call was answered and every outcome was handed over.
     """
     parts = plan.parts
-    calls_end_s = plan.ends_s - HAND_OVER_S
-    _serve_until_quiet(plan, calls_end_s)
+    _serve_until_quiet(plan)
     plan.stop_http()
-    finished = plan.in_flight.wait_empty(calls_end_s - parts.clock.monotonic())
+    finished = plan.in_flight.wait_empty(plan.calls_end_s - parts.clock.monotonic())
     if not finished:
         logger.warning("calls were cut off", count=plan.in_flight.count())
     return _hand_over(parts) and finished
@@ -72,11 +69,13 @@
     return bool(report.peers) or not (unflushed or report.outcomes)
 
 
-def _serve_until_quiet(plan: StopPlan, calls_end_s: float) -> None:
+def _serve_until_quiet(plan: StopPlan) -> None:
     """Serve for the notice time, and on while calls still arrive."""
     clock = plan.parts.clock
-    notice_ends_s = min(clock.monotonic() + plan.notice_s, calls_end_s)
+    notice_ends_s = min(clock.monotonic() + plan.notice_s, plan.calls_end_s)
     while clock.monotonic() < notice_ends_s:
         time.sleep(QUIET_CHECK_S)
-    while plan.in_flight.quiet_for_s() < QUIET_S and clock.monotonic() < calls_end_s:
+    while (
+        plan.in_flight.quiet_for_s() < QUIET_S and clock.monotonic() < plan.calls_end_s
+    ):
         time.sleep(QUIET_CHECK_S)
--- a/libs/standin/src/celeryfork_standin/background.py
+++ b/libs/standin/src/celeryfork_standin/background.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
 import threading
@@ -20,6 +21,8 @@
 
 CALL_TIMEOUT_S = 10.0
 LISTEN_BACKLOG = 1024
+LONGEST_WAIT_FOR_PORT_S = 5.0
+PORT_RETRY_S = 0.05
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Result = TypeVar("Result")
@@ -132,11 +135,24 @@
             return
         loop = asyncio.get_running_loop()
         self._server = web.Server(self.handler, handler_cancellation=True)
-        self._socket = await loop.create_server(
-            self._server, self.host, self.port, backlog=LISTEN_BACKLOG
-        )
+        self._socket = await self._listen(loop, self._server)
         self.port = self._socket.sockets[0].getsockname()[1]
 
+    async def _listen(
+        self, loop: asyncio.AbstractEventLoop, server: web.Server
+    ) -> asyncio.Server:
+        """Listen, waiting for the port where a connection of others borrowed it."""
+        ends_s = loop.time() + LONGEST_WAIT_FOR_PORT_S
+        while True:
+            try:
+                return await loop.create_server(
+                    server, self.host, self.port, backlog=LISTEN_BACKLOG
+                )
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or loop.time() > ends_s:
+                    raise
+            await asyncio.sleep(PORT_RETRY_S)
+
     def cut(self) -> None:
         """Stop listening and reset every open connection."""
         if self._socket is None or self._server is None:
