Ask a suspect's engines whether they live before it runs

Cause: seven of 700 innocent requests were refused as poison after two engines were killed together: their second attempt began on an engine that was dead already, and the first engine's report of a lost stage counted as a second crash. Change: a request that stands under suspicion runs only on engines that answer; one that doesn't counts as not reached. Conclusion: a crash needs an engine that was seen alive.

--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -200,7 +200,11 @@
         )
         ended: Ended | Lost | None = None
         try:
-            ended = await attempt.run()
+            dead = await self._dead_engines(chain)
+            if dead:
+                ended = Lost(RecoveryKind.NOT_REACHED, dead, "was dead already")
+            else:
+                ended = await attempt.run()
         finally:
             self._suspicion.end()
             self._release(chain, attempt, ended)
@@ -210,6 +214,16 @@
             self._parts.view.observe(hop.target.id, Succeeded())
         return ended
 
+    async def _dead_engines(self, chain: Chain) -> frozenset[str]:
+        """Return the engines of a suspect's chain that don't answer.
+
+        One that died before, as when a rack fails, must not be held against it.
+        """
+        if not self._suspicion.stands:
+            return frozenset()
+        timeout_s = self._policy.connect_timeout_s
+        return await self._parts.stall_check.silent(chain, timeout_s)
+
     def _release(
         self, chain: Chain, attempt: Attempt, ended: Ended | Lost | None
     ) -> None:
