One roomy copy of the model in each domain; lost layers are taken over

Besides, engines that were held out of choice came back only on a change of their entry, and entries are written on a change alone.

Ruled out: a fast path over the fast cards of all domains (its two changes of domain fill the pipes at about 60% of the load); holding targets after failures in a row (requests with short deadlines took all three targets out).

Change: one copy a domain with the largest room that allows it; layers whose last holder is lost go to the neighbours, to an engine whose layers others hold, or one is freed for it (layer_repair); paths change domains twice at most, and the load of a pipe counts; less room is reserved for an answer; held targets are asked again, one of a dark domain; the list is followed by waiting reads.

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -104,6 +104,7 @@
         standing = self._table.standing(target.id)
         if standing.held:
             self._log.info("engine_back", engine=target.id, held=standing.reason)
+            self._table.ask_domain_now(target.domain, now_s)
         standing.slowness = max(1.0, report.slowness)
         self._table.succeeded(target.id)
         return report
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -32,16 +32,14 @@
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.targets import TargetTable
 
-LIST_INTERVAL_S = 0.9
-"""Pause between two readings of the list of targets; half of the time to drain."""
+LIST_PAUSE_S = 0.3
+"""Pause between two readings of the list, so that its changes come together."""
 DUTY_INTERVAL_S = 1.0
 """Pause between two renewals of the membership."""
 STORE_RETRY_S = 0.3
 """Pause after the store gave no answer."""
 HOUSEKEEPING_S = 0.25
 """Pause between two looks at targets out of choice and at unused connections."""
-LIST_CURRENT_S = 3.0
-"""A list read longer ago says nothing about which engines live."""
 ROTATION_S = 2.3
 """Time until new callers go elsewhere after two questions, a second apart."""
 EXIT_MARGIN_S = 0.5
@@ -221,20 +219,18 @@
 
     async def _follow_targets(self) -> None:
         while True:
-            begun_s = time.monotonic()
             try:
                 changes = await self._targets.poll()
             except StoreUnavailableError as error:
                 await self._store_failed("targets", error)
                 continue
             self._store_answered("targets")
-            now_s = self._list_read_s = time.monotonic()
+            self._list_read_s = time.monotonic()
             if changes is None:
-                self.table.replace_all(self._targets.whole(), now_s)
+                self.table.replace_all(self._targets.whole())
             else:
-                self.table.apply(changes, now_s)
-            pause_s = LIST_INTERVAL_S - (now_s - begun_s)
-            await asyncio.sleep(max(0.05, pause_s))
+                self.table.apply(changes)
+            await asyncio.sleep(LIST_PAUSE_S)
 
     async def _follow_duty(self) -> None:
         fence = -1
@@ -265,11 +261,10 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             now_s = time.monotonic()
             self.connections.close_idle(now_s)
-            current = now_s - self._list_read_s < LIST_CURRENT_S
             await asyncio.gather(
                 *(
                     self._ask_again(target.id, target.service)
-                    for target in self.table.to_ask(now_s, current)
+                    for target in self.table.to_ask(now_s)
                 )
             )
 
--- a/libs/entry/src/celeryfork_entry/placement_duty.py
+++ b/libs/entry/src/celeryfork_entry/placement_duty.py
@@ -9,7 +9,8 @@
 from collections.abc import Awaitable, Callable
 
 from attrs import define, field
-from celeryfork_routing.layer_placement import PlacedEngine, plan_placement
+from celeryfork_routing.layer_placement import plan_placement
+from celeryfork_routing.layer_repair import PlacedEngine
 from celeryfork_routing.layers import LayerRange, ModelShape
 from logbook import Logger
 
@@ -34,6 +35,8 @@
 """An order counts as lost after this multiple of its expected duration."""
 LEAST_LOAD_PATIENCE_S = 4.0
 """Shortest such time: two renewals of an entry and two readings of the list."""
+LOST_AFTER_S = 0.8
+"""Silence after which an engine's layers are given to others."""
 FORBIDDEN = 412
 """An engine has seen a higher fence."""
 
@@ -114,22 +117,29 @@
         ordered = self._ordered_by_id.get(target.id)
         if ordered is not None:
             over = time.monotonic() > ordered.until_s
-            if held is not None or over or ordered.born_ms != target.born_ms:
+            arrived = held is not None and held == ordered.layers
+            if arrived or over or ordered.born_ms != target.born_ms:
                 del self._ordered_by_id[target.id]
             else:
                 held = ordered.layers
-        return PlacedEngine(target.id, target.domain, target.accelerator or "", held)
+        standing = self._table.standing(target.id)
+        silent_s = time.monotonic() - standing.marked_s
+        lost = standing.held and silent_s > LOST_AFTER_S
+        return PlacedEngine(
+            target.id, target.domain, target.accelerator or "", held, lost
+        )
 
     async def _order(
         self, target: Target, layers: LayerRange, shape: ModelShape
     ) -> None:
         report = await self._checks.ask(target.id)
-        if report is None or report.busy or report.held is not None:
+        if report is None or report.busy or report.held != target.held:
             self._log.info(
                 "order_withheld", engine=target.id, answered=report is not None
             )
             return
-        duration_s = shape.load_s * layers.count / shape.layers
+        lacking = layers.count - (target.held.count if target.held else 0)
+        duration_s = shape.load_s * lacking / shape.layers
         until_s = time.monotonic() + max(
             LEAST_LOAD_PATIENCE_S, LOAD_PATIENCE * duration_s
         )
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -32,8 +32,11 @@
 """When a caller may come back after that: about the duration of a stream."""
 MOST_SENDS = 6
 """Most paths that one request is offered to, those that refuse it included."""
-ANSWER_RESERVE = 1.5
-"""Room reserved for an answer, as a multiple of its expected length."""
+ANSWER_RESERVE = 0.7
+"""Room reserved for an answer, as a part of its expected length.
+
+Memory fills as the answer grows: half of it on average, and a margin.
+"""
 
 
 Got = TypeVar("Got")
@@ -168,8 +171,15 @@
         self, call: Call, path: LayerPath, progress: _Progress
     ) -> Outcome:
         attempt = _Attempt(path)
-        tokens = call.facts.prompt_tokens + _answer_tokens(call)
+        tokens = call.facts.prompt_tokens + _answer_tokens(call) * ANSWER_RESERVE
         self._loads.begin(path, tokens)
+        self._parts.note(
+            call,
+            "path_chosen",
+            path=_describe(path),
+            predicted_ms=round(path.predicted_ms),
+            after=progress.last_event,
+        )
         for engine_id in path.engine_ids:
             self._attempts_by_engine.setdefault(engine_id, set()).add(attempt)
         try:
@@ -366,13 +376,11 @@
     facts = call.facts
     if not facts.expected_answer_tokens:
         return float(facts.most_answer_tokens)
-    return min(
-        float(facts.most_answer_tokens), facts.expected_answer_tokens * ANSWER_RESERVE
-    )
+    return min(float(facts.most_answer_tokens), facts.expected_answer_tokens)
 
 
 def _describe(path: LayerPath) -> str:
     return " ".join(
-        f"{part.engine_id}={part.layers.first}-{part.layers.last}"
+        f"{part.domain}/{part.engine_id}={part.layers.first}-{part.layers.last}"
         for part in path.parts
     )
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -7,7 +7,7 @@
 
 FIRST_HOLD_S = 0.5
 """Time a target that failed stays out of choice before it is asked again."""
-LONGEST_HOLD_S = 4.0
+LONGEST_HOLD_S = 2.0
 """Longest such time; it doubles with each failed question."""
 FAILURE_WEIGHT = 0.2
 """Weight of the newest answer in a target's share of failed answers."""
@@ -21,8 +21,8 @@
     ----------
     held
         Layers of the model that it holds; None for none.
-    orders
-        Number of orders it has begun since its start.
+    entry_number
+        Grows with each renewal of its entry since its start.
     born_ms
         Wall clock of its start in ms, None where the list doesn't say.
     """
@@ -34,7 +34,7 @@
     draining: bool = False
     accelerator: str | None = None
     held: LayerRange | None = None
-    orders: int = 0
+    entry_number: int = 0
     born_ms: int | None = None
     slots: int = 0
 
@@ -79,41 +79,39 @@
 
     by_id: dict[str, Target] = field(factory=dict)
     _standing_by_id: dict[str, Standing] = field(factory=dict)
-    _heard_s_by_id: dict[str, float] = field(factory=dict)
     in_flight_by_id: dict[str, int] = field(factory=dict)
 
-    def apply(self, changes: Iterable[ListChange], now_s: float) -> None:
+    def apply(self, changes: Iterable[ListChange]) -> None:
         """Take changes of the list in their order."""
         for change in changes:
             match change:
                 case Listed(target):
-                    self._list(target, now_s)
+                    self._list(target)
                 case Unlisted(target_id):
                     self.forget(target_id)
 
-    def replace_all(self, targets: Iterable[Target], now_s: float) -> None:
+    def replace_all(self, targets: Iterable[Target]) -> None:
         """Take a whole list; what isn't in it is gone."""
         listed = {target.id: target for target in targets}
         for target_id in set(self.by_id) - set(listed):
             self.forget(target_id)
         for target in listed.values():
-            self._list(target, now_s)
+            self._list(target)
 
     def forget(self, target_id: str) -> None:
         """Drop a target and what was seen of it."""
-        for by_id in (self.by_id, self._standing_by_id, self._heard_s_by_id):
-            by_id.pop(target_id, None)
+        self.by_id.pop(target_id, None)
+        self._standing_by_id.pop(target_id, None)
 
-    def _list(self, target: Target, now_s: float) -> None:
+    def _list(self, target: Target) -> None:
         known = self.by_id.get(target.id)
         if known is not None and known.born_ms != target.born_ms:
             if (target.born_ms or 0) < (known.born_ms or 0):
                 return
             self._standing_by_id.pop(target.id, None)
-        elif known is not None and target.orders < known.orders:
+        elif known is not None and target.entry_number < known.entry_number:
             return
         self.by_id[target.id] = target
-        self._heard_s_by_id[target.id] = now_s
 
     def listed(self, service: str) -> list[Target]:
         """Return the targets of a service that aren't leaving."""
@@ -167,22 +165,31 @@
             standing.reason = reason
         return not was_held
 
-    def to_ask(self, now_s: float, list_is_current: bool) -> list[Target]:
+    def to_ask(self, now_s: float) -> list[Target]:
         """Return the targets out of choice that should be asked whether they serve.
 
-        A target that hasn't renewed its entry since it failed isn't asked while the
-        list is current: it is most likely gone.
+        Of a failure domain whose targets are all out of choice, one is asked: most
+        likely the domain is cut off.
         """
-        return [
-            target
-            for target in self.by_id.values()
-            if (standing := self.standing(target.id)).held
-            and now_s >= standing.held_until_s
-            and not (
-                list_is_current
-                and self._heard_s_by_id.get(target.id, 0.0) <= standing.marked_s
-            )
-        ]
+        due_by_domain: dict[str, list[Target]] = {}
+        lit_domains: set[str] = set()
+        for target in self.by_id.values():
+            standing = self.standing(target.id)
+            if not standing.held:
+                lit_domains.add(target.domain)
+            elif now_s >= standing.held_until_s:
+                due_by_domain.setdefault(target.domain, []).append(target)
+        asked: list[Target] = []
+        for domain, due in due_by_domain.items():
+            asked.extend(due if domain in lit_domains else due[:1])
+        return asked
+
+    def ask_domain_now(self, domain: str, now_s: float) -> None:
+        """Have all targets of a domain asked, since one of them answers again."""
+        for target in self.by_id.values():
+            standing = self.standing(target.id)
+            if target.domain == domain and standing.held:
+                standing.held_until_s = now_s
 
     def counts_by_service(self) -> Mapping[str, int]:
         """Return the number of targets in choice by service."""
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -9,30 +9,30 @@
     Unlisted,
 )
 
-TARGET = Target("t1", "desk", "10.0.0.1:80", "a", orders=3, born_ms=1000)
+TARGET = Target("t1", "desk", "10.0.0.1:80", "a", entry_number=3, born_ms=1000)
 
 
 def make_table():
     table = TargetTable()
-    table.apply([Listed(TARGET)], 1.0)
+    table.apply([Listed(TARGET)])
     return table
 
 
 def test_a_draining_target_gets_no_new_work():
     table = make_table()
-    table.apply([Listed(evolve(TARGET, draining=True))], 2.0)
+    table.apply([Listed(evolve(TARGET, draining=True))])
     assert table.in_choice("desk") == []
 
 
 def test_an_older_entry_of_the_same_start_changes_nothing():
     table = make_table()
-    table.apply([Listed(evolve(TARGET, orders=2, draining=True))], 2.0)
+    table.apply([Listed(evolve(TARGET, entry_number=2, draining=True))])
     assert table.in_choice("desk") == [TARGET]
 
 
 def test_an_entry_of_an_earlier_start_changes_nothing():
     table = make_table()
-    table.apply([Listed(evolve(TARGET, born_ms=900, orders=9))], 2.0)
+    table.apply([Listed(evolve(TARGET, born_ms=900, entry_number=9))])
     assert table.in_choice("desk") == [TARGET]
 
 
@@ -40,21 +40,21 @@
     table = make_table()
     table.hold("t1", "refused", 1.0)
     assert table.in_choice("desk") == []
-    again = evolve(TARGET, born_ms=2000, orders=0)
-    table.apply([Listed(again)], 2.0)
+    again = evolve(TARGET, born_ms=2000, entry_number=0)
+    table.apply([Listed(again)])
     assert table.in_choice("desk") == [again]
 
 
 def test_what_a_whole_list_lacks_is_gone():
     table = make_table()
     other = evolve(TARGET, id="t2")
-    table.replace_all([other], 2.0)
+    table.replace_all([other])
     assert list(table.by_id) == ["t2"]
 
 
 def test_an_entry_that_goes_is_forgotten():
     table = make_table()
-    table.apply([Unlisted("t1")], 2.0)
+    table.apply([Unlisted("t1")])
     assert table.by_id == {}
 
 
@@ -64,13 +64,25 @@
     assert table.listed("desk") == [TARGET]
 
 
-def test_a_silent_entry_is_not_asked_while_the_list_is_current():
+def test_a_held_target_is_asked_though_its_entry_does_not_change():
+    """Entries are written only on a change: a cut that heals leaves none."""
     table = make_table()
     table.hold("t1", "refused", 1.5)
-    assert table.to_ask(5.0, list_is_current=True) == []
-    assert table.to_ask(5.0, list_is_current=False) == [TARGET]
-    table.apply([Listed(TARGET)], 4.0)
-    assert table.to_ask(5.0, list_is_current=True) == [TARGET]
+    table.apply([Listed(evolve(TARGET, id="t2"))])
+    assert table.to_ask(1.6) == []
+    assert table.to_ask(2.5) == [TARGET]
+
+
+def test_of_a_domain_that_is_cut_off_one_target_is_asked():
+    table = make_table()
+    for number in range(2, 6):
+        table.apply([Listed(evolve(TARGET, id=f"t{number}"))])
+    for target_id in list(table.by_id):
+        table.hold(target_id, "silent", 1.0)
+    assert len(table.to_ask(5.0)) == 1
+    table.succeeded("t1")
+    table.ask_domain_now("a", 5.0)
+    assert len(table.to_ask(5.0)) == 4
 
 
 def test_questions_become_rarer():
--- a/libs/routing/src/celeryfork_routing/engine_loads.py
+++ b/libs/routing/src/celeryfork_routing/engine_loads.py
@@ -17,13 +17,21 @@
     engine_id: str
     address: str
     layers: LayerRange
+    domain: str = ""
 
 
 @frozen
 class LayerPath:
-    """Engines that together run every layer once, in order."""
+    """Engines that together run every layer once, in order.
+
+    Parameters
+    ----------
+    predicted_ms
+        Duration of the request over them, as predicted when they were chosen.
+    """
 
     parts: tuple[Part, ...]
+    predicted_ms: float = 0.0
 
     @property
     def engine_ids(self) -> tuple[str, ...]:
@@ -33,7 +41,7 @@
 
 @frozen
 class Load:
-    """Work in flight at one engine.
+    """Work in flight at one engine, or over one pipe between domains.
 
     Parameters
     ----------
@@ -61,20 +69,20 @@
     _reports_by_peer: dict[str, _PeerReport] = field(factory=dict)
 
     def begin(self, path: LayerPath, tokens: float) -> None:
-        """Count a request of ``tokens`` tokens on each part of ``path``."""
-        for part in path.parts:
-            own = self._own_by_engine.setdefault(part.engine_id, [0, 0.0])
+        """Count a request of ``tokens`` tokens on each part and pipe of ``path``."""
+        for key, layers in _uses(path):
+            own = self._own_by_engine.setdefault(key, [0, 0.0])
             own[0] += 1
-            own[1] += tokens * part.layers.count
+            own[1] += tokens * layers
 
     def end(self, path: LayerPath, tokens: float) -> None:
         """Undo one :meth:`begin` with the same arguments."""
-        for part in path.parts:
-            own = self._own_by_engine[part.engine_id]
+        for key, layers in _uses(path):
+            own = self._own_by_engine[key]
             own[0] -= 1
-            own[1] -= tokens * part.layers.count
+            own[1] -= tokens * layers
             if own[0] <= 0:
-                del self._own_by_engine[part.engine_id]
+                del self._own_by_engine[key]
 
     def own(self) -> dict[str, Load]:
         """Return this instance's own work by engine."""
@@ -99,3 +107,17 @@
                 entry[0] += load.requests
                 entry[1] += load.token_layers
         return {key: Load(int(n), layers) for key, (n, layers) in total.items()}
+
+
+def pipe_key(domain: str, other: str) -> str:
+    """Return the key under which the pipe between two domains is counted."""
+    return "|".join(sorted((domain, other)))
+
+
+def _uses(path: LayerPath) -> list[tuple[str, int]]:
+    """Return the engines and pipes of a path, each with the layers it holds."""
+    uses = [(part.engine_id, part.layers.count) for part in path.parts]
+    for part, following in zip(path.parts, path.parts[1:], strict=False):
+        if part.domain != following.domain:
+            uses.append((pipe_key(part.domain, following.domain), 1))
+    return uses
--- a/libs/routing/src/celeryfork_routing/layer_paths.py
+++ b/libs/routing/src/celeryfork_routing/layer_paths.py
@@ -9,15 +9,25 @@
 
 from attrs import frozen
 
-from celeryfork_routing.engine_loads import LayerPath, Load, Part
+from celeryfork_routing.engine_loads import LayerPath, Load, Part, pipe_key
 from celeryfork_routing.layers import LayerRange, ModelShape, room_for_requests
 
 MOST_PARTS = 32
 """Most engines in one path; the engines' own limit."""
-AWAY_FROM_CALLER_MS = 150.0
+MOST_CROSSINGS = 2
+"""Most changes of failure domain: a detour around one lost range."""
+AWAY_FROM_CALLER_MS = 600.0
 """Cost of a first engine outside the caller's domain, in ms: its answer crosses."""
 CROSSING_MS = 100.0
 """Cost of a change of failure domain beside its transfer, in ms: the pipe is shared."""
+USUAL_STREAM_MS = 3_000.0
+"""Duration by which requests in flight are turned into a rate, in ms."""
+MOST_PIPE_SHARE = 0.6
+"""A pipe that is busier takes no more requests."""
+PASS_WAIT = 1.5
+"""A token waits for half of the pass before its own at each engine."""
+REQUESTS_A_PASS = 0.12
+"""Part of an engine's requests that run in one pass: one of about eight engines."""
 FULL_MEMORY_FACTOR = 2.0
 """An engine with full memory counts as this many times slower, plus one."""
 
@@ -77,6 +87,7 @@
     candidate: _Candidate
     first: int
     before: "_Step | None"
+    crossings: int = 0
 
     def uses(self, engine_id: str) -> bool:
         step: _Step | None = self
@@ -114,7 +125,9 @@
     best_by_engine = _first_steps(candidates, request)
     for point, following in zip(points, points[1:], strict=False):
         if point:
-            _switch_at(point, best_by_engine, candidates, shape, request)
+            _switch_at(
+                point, best_by_engine, candidates, shape, request, load_by_engine
+            )
         best_by_engine = _extend(best_by_engine, point, following, request)
         if not best_by_engine:
             return None
@@ -137,7 +150,8 @@
     if free < request.tokens:
         return None
     context_ms = shape.context_ms_per_thousand * request.tokens / 1000
-    step_ms = shape.step_ms + (load.requests + 1) * (shape.sequence_ms + context_ms)
+    batch = 1 + load.requests * REQUESTS_A_PASS
+    step_ms = PASS_WAIT * (shape.step_ms + batch * (shape.sequence_ms + context_ms))
     read_ms = request.prompt / shape.read_tokens_per_ms * accelerator.read_factor
     busy_ms = request.answer * step_ms * accelerator.step_factor + read_ms * (
         1 + load.requests / 4
@@ -174,7 +188,9 @@
         if needed > candidate.free_token_layers:
             continue
         cost = step.cost_ms + candidate.cost_per_layer_ms * (following - point)
-        extended[engine_id] = _Step(cost, candidate, step.first, step.before)
+        extended[engine_id] = _Step(
+            cost, candidate, step.first, step.before, step.crossings
+        )
     return extended
 
 
@@ -184,6 +200,7 @@
     candidates: Sequence[_Candidate],
     shape: ModelShape,
     request: PathRequest,
+    load_by_engine: Mapping[str, Load],
 ) -> None:
     """Add the paths that go over to another engine at ``point``."""
     arrived = sorted(steps.values(), key=lambda step: step.cost_ms)
@@ -197,33 +214,53 @@
                 break
             if step.uses(engine.id) or step.length() >= MOST_PARTS:
                 continue
-            hop_ms = _hop_ms(shape, step.candidate.engine, engine, request)
+            crosses = step.candidate.engine.domain != engine.domain
+            if step.crossings + crosses > MOST_CROSSINGS:
+                continue
+            hop_ms = _hop_ms(
+                shape, step.candidate.engine, engine, request, load_by_engine
+            )
+            if hop_ms is None:
+                continue
             cost = step.cost_ms + hop_ms
             if known is None or cost < known.cost_ms:
-                steps[engine.id] = _Step(cost, candidate, point, step)
+                steps[engine.id] = _Step(
+                    cost, candidate, point, step, step.crossings + crosses
+                )
 
 
 def _hop_ms(
-    shape: ModelShape, engine: PathEngine, following: PathEngine, request: PathRequest
-) -> float:
+    shape: ModelShape,
+    engine: PathEngine,
+    following: PathEngine,
+    request: PathRequest,
+    load_by_engine: Mapping[str, Load],
+) -> float | None:
+    """Return the cost of a change of engine, None where the pipe is full."""
     delay_ms = shape.delay_ms(engine.domain, following.domain)
     hop_ms = request.answer * delay_ms
     if engine.domain == following.domain:
         return hop_ms
     hop_ms += CROSSING_MS
-    if shape.pipe_bytes_per_ms:
-        transferred = request.tokens * shape.activation_bytes
-        hop_ms += transferred / shape.pipe_bytes_per_ms
-    return hop_ms
+    if not shape.pipe_bytes_per_ms:
+        return hop_ms
+    token_ms = shape.activation_bytes / shape.pipe_bytes_per_ms
+    pipe = load_by_engine.get(pipe_key(engine.domain, following.domain), Load())
+    busy = pipe.token_layers * token_ms / USUAL_STREAM_MS
+    if busy > MOST_PIPE_SHARE:
+        return None
+    wait_ms = busy / (1 - busy) * request.prompt * token_ms / 2
+    return hop_ms + request.tokens * token_ms + request.answer * wait_ms
 
 
 def _to_path(final: _Step, layers: int) -> LayerPath:
     parts: list[Part] = []
     step: _Step | None = final
-    last = layers
+    following = layers
     while step is not None:
         engine = step.candidate.engine
-        parts.append(Part(engine.id, engine.address, LayerRange(step.first, last)))
-        last = step.first
+        held = LayerRange(step.first, following)
+        parts.append(Part(engine.id, engine.address, held, engine.domain))
+        following = step.first
         step = step.before
-    return LayerPath(tuple(reversed(parts)))
+    return LayerPath(tuple(reversed(parts)), final.cost_ms)
--- a/libs/routing/src/celeryfork_routing/layer_placement.py
+++ b/libs/routing/src/celeryfork_routing/layer_placement.py
@@ -1,46 +1,34 @@
-"""Which layers an empty engine should load.
+"""Which layers engines should load.
 
 Each failure domain that can hold a whole copy of the model gets one of its own, so
-that it serves on when cut off; the others form one cell together. Within a cell,
-engines take ranges one after the other, the fastest first, each where the cell holds
-the fewest copies. An engine that holds layers keeps them.
+that it serves on when cut off; the others form one cell together. Within a cell, empty
+engines take ranges one after the other, the fastest first, each where the cell has
+the least room for requests.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
 
-from attrs import frozen
-
-from celeryfork_routing.layers import LayerRange, ModelShape, most_layers
+from celeryfork_routing.layer_repair import PlacedEngine, fill_gaps
+from celeryfork_routing.layers import (
+    LayerRange,
+    ModelShape,
+    most_layers,
+    room_for_requests,
+)
 
 ROOM_STEPS_TOKENS = (
     72_000, 64_000, 56_000, 48_000, 40_000, 34_000, 28_000, 24_000, 20_000, 16_000,
     12_000, 8_000, 5_000, 3_000, 2_000, 1_000,
 )  # fmt: skip
 """Rooms for requests that are tried for each engine, in tokens, the largest first."""
-WANTED_COPIES = 1.25
-"""Copies of the model that a cell should hold: one, and a quarter against losses."""
-
-
-@frozen
-class PlacedEngine:
-    """An engine as far as placement is concerned.
-
-    Parameters
-    ----------
-    held
-        Layers that it holds or is loading, None for an empty engine.
-    """
-
-    id: str
-    domain: str
-    accelerator: str
-    held: LayerRange | None
+MOST_LOST_SHARE = 0.5
+"""A cell that lost more of its engines is cut off: nothing is moved there."""
 
 
 def plan_placement(
     shape: ModelShape, engines: Sequence[PlacedEngine]
 ) -> dict[str, LayerRange]:
-    """Return the layers that each empty engine should load, by engine id."""
+    """Return the layers that engines should hold instead of what they do, by id."""
     known = [engine for engine in engines if shape.accelerator(engine.accelerator)]
     planned: dict[str, LayerRange] = {}
     for cell in cells(shape, known):
@@ -60,11 +48,11 @@
         by_domain.setdefault(engine.domain, []).append(engine)
     whole, rest = [], []
     for domain in sorted(by_domain):
-        if _room_step(shape, by_domain[domain], copies=1.0) is not None:
+        if _room_step(shape, by_domain[domain]) is not None:
             whole.append(by_domain[domain])
         else:
             rest.extend(by_domain[domain])
-    if rest and _room_step(shape, rest, copies=1.0) is None and whole:
+    if rest and _room_step(shape, rest) is None and whole:
         whole[0] = whole[0] + rest
         return whole
     return [*whole, rest] if rest else whole
@@ -72,37 +60,44 @@
 
 def layer_counts(shape: ModelShape, cell: Sequence[PlacedEngine]) -> dict[str, int]:
     """Return how many layers each kind of accelerator of a cell takes, by its name."""
-    room = _room_step(shape, cell, WANTED_COPIES)
-    if room is None:
-        room = _room_step(shape, cell, copies=1.0) or ROOM_STEPS_TOKENS[-1]
-    return _counts_at(shape, cell, room)
+    return _counts_at(shape, cell, _room_step(shape, cell) or ROOM_STEPS_TOKENS[-1])
 
 
 def _plan_cell(
     shape: ModelShape, cell: Sequence[PlacedEngine]
 ) -> dict[str, LayerRange]:
-    counts_by_accelerator = layer_counts(shape, cell)
-    copies = [0] * shape.layers
-    for engine in cell:
+    lost = sum(engine.lost for engine in cell)
+    if lost > MOST_LOST_SHARE * len(cell):
+        return {}
+    wanted_room = _room_step(shape, cell) or ROOM_STEPS_TOKENS[-1]
+    counts_by_accelerator = _counts_at(shape, cell, wanted_room)
+    present = [engine for engine in cell if not engine.lost]
+    copies = [0.0] * shape.layers
+    for engine in present:
         if engine.held is not None:
-            _add(copies, engine.held)
+            _add(copies, engine.held, _worth(shape, engine, engine.held, wanted_room))
     planned: dict[str, LayerRange] = {}
-    for engine in sorted(_empty(cell), key=lambda each: _speed_key(shape, each)):
+    empty = [engine for engine in present if engine.held is None]
+    for engine in sorted(empty, key=lambda each: _speed_key(shape, each)):
         count = counts_by_accelerator[engine.accelerator]
         if count < 1:
             continue
         planned[engine.id] = scarcest_range(copies, count)
-        _add(copies, planned[engine.id])
+        _add(copies, planned[engine.id], 1.0)
+    holders = [engine for engine in present if engine.held is not None]
+    planned.update(
+        fill_gaps(shape, holders, list(planned.values()), counts_by_accelerator)
+    )
     return planned
 
 
-def scarcest_range(copies: Sequence[int], count: int) -> LayerRange:
+def scarcest_range(copies: Sequence[float], count: int) -> LayerRange:
     """Return the range of ``count`` layers of which there are the fewest copies.
 
     Parameters
     ----------
     copies
-        Copies of each layer, by layer.
+        Copies of each layer, by layer; one with little room counts as part of one.
     """
     weights = [1.0 / (1 + held) ** 2 for held in copies]
     total = best = sum(weights[:count])
@@ -114,12 +109,19 @@
     return LayerRange(best_first, best_first + count)
 
 
-def _room_step(
-    shape: ModelShape, cell: Sequence[PlacedEngine], copies: float
-) -> int | None:
+def _worth(
+    shape: ModelShape, engine: PlacedEngine, held: LayerRange, wanted_room: float
+) -> float:
+    """Return what a copy counts, by its room for requests."""
+    accelerator = shape.accelerators_by_name[engine.accelerator]
+    room = room_for_requests(shape, accelerator, held.count) / max(1, held.count)
+    return min(1.0, max(0.05, room / wanted_room))
+
+
+def _room_step(shape: ModelShape, cell: Sequence[PlacedEngine]) -> int | None:
     for room in ROOM_STEPS_TOKENS:
         counts = _counts_at(shape, cell, room)
-        if sum(counts[engine.accelerator] for engine in cell) >= copies * shape.layers:
+        if sum(counts[engine.accelerator] for engine in cell) >= shape.layers:
             return room
     return None
 
@@ -135,25 +137,21 @@
     return counts
 
 
-def _empty(cell: Iterable[PlacedEngine]) -> list[PlacedEngine]:
-    return [engine for engine in cell if engine.held is None]
-
-
 def _speed_key(shape: ModelShape, engine: PlacedEngine) -> tuple[float, str]:
     accelerator = shape.accelerators_by_name[engine.accelerator]
     return accelerator.step_factor, engine.id
 
 
-def _add(copies: list[int], held: LayerRange) -> None:
+def _add(copies: list[float], held: LayerRange, worth: float) -> None:
     for layer in range(max(0, held.first), min(len(copies), held.last)):
-        copies[layer] += 1
+        copies[layer] += worth
 
 
 def copies_by_layer(
     shape: ModelShape, held_by_id: Mapping[str, LayerRange]
-) -> list[int]:
+) -> list[float]:
     """Return how many engines hold each layer."""
-    copies = [0] * shape.layers
+    copies = [0.0] * shape.layers
     for held in held_by_id.values():
-        _add(copies, held)
+        _add(copies, held, 1.0)
     return copies
--- a/libs/routing/tests/test_layer_placement.py
+++ b/libs/routing/tests/test_layer_placement.py
@@ -1,13 +1,15 @@
 """Layers for empty engines: a copy in each domain, and room for requests."""
 
+import pytest
+from attrs import evolve
 from celeryfork_routing.layer_placement import (
-    PlacedEngine,
     cells,
     copies_by_layer,
     layer_counts,
     plan_placement,
     scarcest_range,
 )
+from celeryfork_routing.layer_repair import PlacedEngine
 from celeryfork_routing.layers import (
     Accelerator,
     LayerRange,
@@ -106,6 +108,52 @@
     assert plan_placement(SHAPE, placed) == {"b-a100s-0": planned["b-a100s-0"]}
 
 
+def place_all(engines):
+    planned = plan_placement(SHAPE, engines)
+    return [
+        PlacedEngine(each.id, each.domain, each.accelerator, planned[each.id])
+        for each in engines
+    ]
+
+
+@pytest.mark.parametrize("lost_id", [engine.id for engine in make_fleet()])
+def test_the_layers_of_any_lost_engine_are_taken_over(lost_id):
+    """Pattern: an engine goes dark for good, and its domain has no other copy."""
+    placed = place_all(make_fleet())
+    left = [evolve(each, lost=each.id == lost_id) for each in placed]
+    domain = lost_id[0]
+    loaded = 0
+    for _ in range(8):
+        moved = plan_placement(SHAPE, left)
+        before = covered_layers(left, domain)
+        for each in left:
+            if each.id in moved:
+                loaded += len(layer_set(moved[each.id]) - layer_set(each.held))
+        left = [evolve(each, held=moved.get(each.id, each.held)) for each in left]
+        assert covered_layers(left, domain) >= before, "no layer is given up"
+    assert plan_placement(SHAPE, left) == {}
+    assert covered_layers(left, domain) == set(range(80))
+    assert loaded <= SHAPE.layers
+    for each in left:
+        accelerator = SHAPE.accelerators_by_name[each.accelerator]
+        assert room_for_requests(SHAPE, accelerator, each.held.count) > 0
+
+
+def layer_set(layers):
+    return set(range(layers.first, layers.last))
+
+
+def covered_layers(engines, domain):
+    held = [each.held for each in engines if each.domain == domain and not each.lost]
+    return set().union(*map(layer_set, held))
+
+
+def test_a_domain_that_is_cut_off_is_left_as_it_is():
+    placed = place_all(make_fleet())
+    cut = [evolve(each, lost=each.domain == "c") for each in placed]
+    assert plan_placement(SHAPE, cut) == {}
+
+
 def test_domains_too_small_for_a_copy_share_one():
     fleet = make_fleet({"a": {"l4": 5}, "b": {"l4": 5}, "c": {"l4": 20}})
     groups = cells(SHAPE, fleet)
