Engines shift towards a gap; a broken first engine is asked; tests of the whole path

Cause, each found by a test first: (1) an engine through which a stream had just made progress wasn't asked after its connection broke, so that a crash of a first engine went unnoticed until the next request; (2) while stopping, a new connection was closed before its request had come, though callers still arrive for two seconds; (3) a gap wider than the memory left beside it stayed open where no engine could be freed.

Change: the engine of a broken connection is asked in any case; connections are closed only once new callers go elsewhere; engines shift one after the other towards a gap. Stand-ins of the store, engines and services under tests/support, against which the adapter runs as a process (tests/adapter); framing tests of callers' connections. The adapter's tests lie under tests/, since a package called platform in pytest's import mode hides the standard library's module.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -183,8 +183,6 @@
             if self.http.trailing_data[0] and begun_s is None:
                 begun_s = loop.time()
             wait_s = idle_s if begun_s is None else begun_s + head_s - loop.time()
-            if self.closing() and begun_s is None:
-                return None
             try:
                 async with asyncio.timeout(max(0.0, wait_s)):
                     data = await self.stream.read()
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from asyncio import CancelledError
 
 from attrs import define, field
 from celeryfork_base.errors import RequestRefusedError
@@ -47,7 +48,7 @@
             )
         except RequestRefusedError as error:
             await self._refuse(connection, request, facts, error)
-        except CallerGoneError:
+        except (CallerGoneError, CancelledError):
             self._log("caller_left", facts)
             raise
 
--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -47,13 +47,22 @@
         for engine_id in engine_ids:
             self._proved_s_by_id[engine_id] = now_s
 
-    async def find_down(self, engine_ids: Iterable[str]) -> list[str]:
-        """Return those engines that don't answer; put them out of choice."""
+    async def find_down(
+        self, engine_ids: Iterable[str], doubted: str | None = None
+    ) -> list[str]:
+        """Return those engines that don't answer; put them out of choice.
+
+        Parameters
+        ----------
+        doubted
+            An engine that is asked in any case: its connection has just broken.
+        """
         now_s = time.monotonic()
         asked = [
             engine_id
             for engine_id in engine_ids
-            if now_s - self._proved_s_by_id.get(engine_id, 0.0) > PROOF_LIFE_S
+            if engine_id == doubted
+            or now_s - self._proved_s_by_id.get(engine_id, 0.0) > PROOF_LIFE_S
         ]
         reports = await asyncio.gather(*(self.ask(each) for each in asked))
         return [
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -216,7 +216,7 @@
             self._checks.mark_down(first.id, str(error))
             return PathRefused(str(error))
         except (LostError, TimeoutError, ValueError) as error:
-            await self._checks.find_down(path.engine_ids)
+            await self._checks.find_down(path.engine_ids, doubted=first.id)
             return self._broke(call, path, repr(error))
 
     async def _relay(
--- /dev/null
+++ b/libs/entry/tests/test_caller_http.py
@@ -0,0 +1,172 @@
+"""Callers' connections: framing, limits, and nothing smuggled."""
+
+import asyncio
+import re
+
+import pytest
+from celeryfork_entry.byte_stream import ByteStream
+from celeryfork_entry.caller_http import CallerConnection
+from celeryfork_entry.configuration import CallerLimits
+
+LIMITS = CallerLimits(
+    header_bytes=1000, body_bytes=500, header_timeout_s=0.3, idle_timeout_s=0.5
+)
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Server:
+    def __init__(self):
+        self.seen = []
+        self.cancelled = 0
+        self.hold = None
+
+    async def handle(self, connection, request):
+        self.seen.append(request)
+        if self.hold is not None:
+            try:
+                await self.hold.wait()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        await connection.answer(200, [], request.target.encode() + request.body)
+
+    def make(self):
+        stream = ByteStream()
+
+        def begin():
+            connection = CallerConnection(
+                stream, lambda: LIMITS, self.handle, lambda: False
+            )
+            self.task = asyncio.ensure_future(connection.serve())
+
+        asyncio.get_running_loop().call_soon(begin)
+        return stream
+
+
+def talk(sent, *, pause_s=0.0, wait_s=2.0):
+    """Send pieces; return what the server saw and all that it answered."""
+
+    async def run():
+        server = Server()
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(server.make, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for piece in sent if isinstance(sent, list) else [sent]:
+            writer.write(piece)
+            await asyncio.sleep(pause_s)
+        try:
+            answer = await asyncio.wait_for(reader.read(-1), wait_s)
+        finally:
+            writer.close()
+            listening.close()
+        return server.seen, answer
+
+    return asyncio.run(run())
+
+
+def statuses(answer):
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+) ", answer)]
+
+
+def test_pipelined_requests_are_answered_in_order():
+    seen, answer = talk(GET + GET.replace(b"/a", b"/b"))
+    assert [request.target for request in seen] == ["/a", "/b"]
+    assert statuses(answer) == [200, 200]
+    assert answer.index(b"/a") < answer.index(b"/b")
+
+
+def test_a_request_may_come_byte_by_byte():
+    seen, answer = talk([bytes([byte]) for byte in GET])
+    assert len(seen) == 1
+    assert statuses(answer) == [200]
+
+
+def test_a_body_in_chunks_is_put_together():
+    sent = (
+        b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    seen, _ = talk(sent)
+    assert seen[0].body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nBad Name: y\r\n\r\n", 400),
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            400,
+        ),
+        (b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -3\r\n\r\n", 400),
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+            501,
+        ),
+        (b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 501\r\n\r\n", 413),
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1f5\r\n" + b"x" * 501 + b"\r\n0\r\n\r\n",
+            413,
+        ),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 1000 + b"\r\n\r\n", 431),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 9000, 431),
+    ],
+)
+def test_faulty_requests_are_refused_at_once(sent, status):
+    seen, answer = talk(sent, wait_s=0.9)
+    assert statuses(answer) == [status]
+    assert seen == []
+    assert b"connection: close" in answer.lower()
+
+
+def test_what_follows_a_faulty_request_is_not_read_as_one():
+    faulty = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5, 6\r\n\r\n"
+    seen, answer = talk(faulty + GET + GET)
+    assert statuses(answer) == [400]
+    assert seen == []
+
+
+def test_a_head_that_never_ends_is_given_up_in_time():
+    _, answer = talk([b"GET /a HTTP/1.1\r\n"], wait_s=1.5)
+    assert statuses(answer) == [408]
+
+
+def test_an_idle_connection_is_closed_without_an_answer():
+    _, answer = talk(b"", wait_s=1.5)
+    assert answer == b""
+
+
+def test_a_body_that_stops_is_given_up():
+    sent = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc"
+    seen, answer = talk(sent, wait_s=2)
+    assert statuses(answer) == [408]
+    assert seen == []
+
+
+def test_work_is_cancelled_when_the_caller_leaves():
+    async def run():
+        server = Server()
+        server.hold = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(server.make, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.2)
+        listening.close()
+        return server.cancelled
+
+    assert asyncio.run(run()) == 1
--- a/libs/routing/src/celeryfork_routing/layer_repair.py
+++ b/libs/routing/src/celeryfork_routing/layer_repair.py
@@ -3,10 +3,10 @@
 First the engines beside the gap grow over it, loading only what they lack. If they are
 too small for it, an engine whose layers others hold as well moves there; where there is
 no such engine, the neighbours of the smallest one grow over its layers, so that it can
-move next.
+move next. As a last resort engines shift one after the other towards the gap.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from attrs import evolve, frozen
 
@@ -55,7 +55,7 @@
     counts = count_holders(shape, holders, loading)
     grown: dict[str, LayerRange] = {}
     for gap in _gaps(counts):
-        grown.update(_grow_over(shape, _after(holders, grown), gap))
+        grown.update(_grow_over(shape, _after(holders, grown), gap, counts))
     left = _gaps(count_holders(shape, _after(holders, grown), loading))
     if grown or not left:
         return grown
@@ -68,10 +68,10 @@
         others = [each for each in holders if each.id != smallest.id]
         if smallest.held is None:
             continue
-        freed = _grow_over(shape, others, smallest.held)
+        freed = _grow_over(shape, others, smallest.held, [0] * shape.layers)
         if _covers(freed.values(), smallest.held):
             return freed
-    return {}
+    return _push(shape, holders, left[0])
 
 
 def count_holders(
@@ -89,23 +89,83 @@
 
 
 def _grow_over(
-    shape: ModelShape, holders: Sequence[PlacedEngine], gap: LayerRange
+    shape: ModelShape,
+    holders: Sequence[PlacedEngine],
+    gap: LayerRange,
+    counts: Sequence[int],
 ) -> dict[str, LayerRange]:
-    """Return the two engines beside ``gap`` as they grow over it."""
-    before = _roomiest(shape, [each for each in holders if _ends_at(each, gap.first)])
-    after = _roomiest(shape, [each for each in holders if _begins_at(each, gap.last)])
-    spare_before = _spare_layers(shape, before)
-    spare_after = _spare_layers(shape, after)
+    """Return the two engines beside ``gap`` as they grow over it.
+
+    A full engine gives up layers at its other end that others hold as well.
+    """
+
+    def spare(engine: PlacedEngine) -> int:
+        return _spare_layers(shape, engine) + _shared(engine, gap, counts)
+
+    before = _roomiest([each for each in holders if _ends_at(each, gap.first)], spare)
+    after = _roomiest([each for each in holders if _begins_at(each, gap.last)], spare)
+    spare_before = spare(before) if before is not None else 0
+    spare_after = spare(after) if after is not None else 0
     grown: dict[str, LayerRange] = {}
     taken = min(spare_before, _share(gap.count, spare_before, spare_after))
     if before is not None and before.held is not None and taken:
-        grown[before.id] = LayerRange(before.held.first, gap.first + taken)
+        given_up = max(0, taken - _spare_layers(shape, before))
+        grown[before.id] = LayerRange(before.held.first + given_up, gap.first + taken)
     rest = min(spare_after, gap.count - taken)
     if after is not None and after.held is not None and rest:
-        grown[after.id] = LayerRange(gap.last - rest, after.held.last)
+        given_up = max(0, rest - _spare_layers(shape, after))
+        grown[after.id] = LayerRange(gap.last - rest, after.held.last - given_up)
     return grown
 
 
+def _shared(engine: PlacedEngine, gap: LayerRange, counts: Sequence[int]) -> int:
+    """Return how many layers at the end away from ``gap`` others hold as well."""
+    held = engine.held
+    if held is None:
+        return 0
+    layers = list(range(held.first, held.last))
+    if held.first >= gap.last:
+        layers.reverse()
+    shared = 0
+    for layer in layers[:-1]:
+        if counts[layer] < 2:
+            break
+        shared += 1
+    return shared
+
+
+def _push(
+    shape: ModelShape, holders: Sequence[PlacedEngine], gap: LayerRange
+) -> dict[str, LayerRange]:
+    """Return the nearest engine with memory left as it grows towards ``gap``.
+
+    Its neighbour shares layers with it afterwards and can move on by as many.
+    """
+    roomy = [
+        each
+        for each in holders
+        if each.held is not None and _spare_layers(shape, each) > 0
+    ]
+    if not roomy:
+        return {}
+    nearest = min(roomy, key=lambda each: (_distance(each, gap), each.id))
+    held = nearest.held
+    if held is None:
+        return {}
+    spare = min(_spare_layers(shape, nearest), gap.count)
+    if held.first >= gap.last:
+        return {nearest.id: LayerRange(max(0, held.first - spare), held.last)}
+    last = min(shape.layers, held.last + spare)
+    return {nearest.id: LayerRange(held.first, last)}
+
+
+def _distance(engine: PlacedEngine, gap: LayerRange) -> int:
+    held = engine.held
+    if held is None:
+        return 0
+    return max(held.first - gap.last, gap.first - held.last)
+
+
 def _share(count: int, spare: int, other_spare: int) -> int:
     total = spare + other_spare
     return round(count * spare / total) if total else 0
@@ -139,16 +199,12 @@
 
 
 def _roomiest(
-    shape: ModelShape, engines: Sequence[PlacedEngine]
+    engines: Sequence[PlacedEngine], spare: Callable[[PlacedEngine], int]
 ) -> PlacedEngine | None:
-    return max(
-        engines, key=lambda each: (_spare_layers(shape, each), each.id), default=None
-    )
+    return max(engines, key=lambda each: (spare(each), each.id), default=None)
 
 
-def _spare_layers(shape: ModelShape, engine: PlacedEngine | None) -> int:
-    if engine is None:
-        return 0
+def _spare_layers(shape: ModelShape, engine: PlacedEngine) -> int:
     accelerator = shape.accelerators_by_name[engine.accelerator]
     most = most_layers(shape, accelerator, LEAST_ROOM_TOKENS)
     return max(0, most - _count(engine))
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,48 @@
+"""A fleet of stand-ins before one entry instance."""
+
+import time
+
+import pytest
+from entry_process import Entry, wait_for
+from platform_standins import Platform
+
+
+def make_fleet(platform):
+    for zone in ("west", "east"):
+        platform.add_engine(f"{zone}-big", zone, "big")
+        for number in range(3):
+            platform.add_engine(f"{zone}-small-{number}", zone, "small")
+        platform.add_service(f"{zone}-desk", zone)
+
+
+@pytest.fixture
+def platform():
+    platform = Platform()
+    yield platform
+    platform.stop()
+
+
+@pytest.fixture
+def fleet(platform):
+    make_fleet(platform)
+    platform.configure()
+    return platform
+
+
+@pytest.fixture
+def entry(fleet, tmp_path):
+    entry = Entry(fleet, tmp_path).start().wait_ready()
+    wait_for(lambda: covers(fleet, "west") and covers(fleet, "east"), 10)
+    time.sleep(0.5)
+    yield entry
+    entry.end()
+    assert not entry.events("task_failed")
+    assert not entry.events("unstructured")
+
+
+def covers(platform, zone):
+    layers = set()
+    for engine in platform.engines.values():
+        if engine.zone == zone and engine.held is not None:
+            layers |= set(range(*engine.held))
+    return layers == set(range(8))
--- /dev/null
+++ b/tests/adapter/test_whole_path.py
@@ -0,0 +1,312 @@
+"""Callers, one entry instance as a process, and the platform's stand-ins."""
+
+import http.client
+import time
+
+import pytest
+from entry_process import Entry, wait_for
+
+
+def events_of(response):
+    return [
+        int(line[4:]) for line in response.read().split(b"\n") if line[:4] == b"id: "
+    ]
+
+
+def runs_of(platform, attempt):
+    return [
+        (engine, path)
+        for engine in platform.engines.values()
+        for run_id, path, _ in engine.runs
+        if run_id == attempt
+    ]
+
+
+def desk_runs(platform, attempt):
+    return [
+        run
+        for service in platform.services.values()
+        for run in service.runs
+        if run[0] == attempt
+    ]
+
+
+def test_a_stream_comes_whole_over_every_layer_once(entry, fleet):
+    response = entry.stream("a1")
+    assert response.status == 200
+    assert response.getheader("X-Server-Stamp").startswith("stamp.")
+    assert events_of(response) == list(range(1, 21))
+    ((engine, path),) = runs_of(fleet, "a1")
+    layers = [layer for _, first, last in path for layer in range(first, last)]
+    assert layers == list(range(8))
+    assert path[0][0] == engine.addr
+
+
+def test_the_target_gets_the_organisation_and_not_the_key(entry, fleet):
+    entry.stream("a2", X_Tenant="forged", X_Hop_Count="1.2.3.4:5=0-8").read()
+    (headers,) = [
+        headers
+        for engine in fleet.engines.values()
+        for run_id, _, headers in engine.runs
+        if run_id == "a2"
+    ]
+    assert headers["X-Tenant"] == "kiosk"
+    assert "Authorization" not in headers
+    assert "1.2.3.4" not in headers["X-Hop-Count"]
+    assert int(headers["X-Deadline-Ms"]) <= 9000
+
+
+@pytest.mark.parametrize("which", ["first", "other"])
+def test_a_stream_goes_on_when_an_engine_crashes(entry, fleet, which):
+    for engine in fleet.engines.values():
+        engine.event_gap_s = 0.03
+    response = entry.stream("b1", events=40)
+    got = [response.readline() for _ in range(6)]
+    ((first, path),) = runs_of(fleet, "b1")
+    address = path[0][0] if which == "first" else path[-1][0]
+    lost = next(e for e in fleet.engines.values() if e.addr == address)
+    fleet.kill(lost.id)
+    rest = b"".join(got) + response.read()
+    numbers = [int(x[4:]) for x in rest.split(b"\n") if x[:4] == b"id: "]
+    assert numbers == list(range(1, 41))
+    assert response.getheader("X-Server-Stamp") == f"stamp.{first.id}"
+    assert entry.events("engine_down")
+
+
+def test_a_stream_goes_on_when_an_engine_falls_silent(entry, fleet):
+    for engine in fleet.engines.values():
+        engine.event_gap_s = 0.03
+    response = entry.stream("b2", events=30)
+    response.readline()
+    ((_, path),) = runs_of(fleet, "b2")
+    lost = next(e for e in fleet.engines.values() if e.addr == path[-1][0])
+    lost.silent = True
+    began = time.monotonic()
+    assert events_of(response)[-1] == 30
+    assert time.monotonic() - began < 3.0
+
+
+def test_a_stream_that_stops_midway_in_an_event_is_resumed(entry, fleet):
+    for engine in fleet.engines.values():
+        engine.events_before_cut = 3
+    response = entry.stream("b3", events=6)
+    assert events_of(response) == list(range(1, 7))
+    assert len(runs_of(fleet, "b3")) == 2
+
+
+def test_lost_layers_are_taken_over(entry, fleet):
+    fleet.kill("west-big")
+    entry.stream("c1").read()
+    west = [e for e in fleet.engines.values() if e.zone == "west"]
+    wait_for(
+        lambda: (
+            {x for e in west if e.id != "west-big" for x in range(*e.held)}
+            == set(range(8))
+        ),
+        8,
+    )
+    orders = [order for engine in west for order in engine.orders]
+    assert all(order["op"] == "place" and "fence" in order for order in orders)
+
+
+def test_a_restarted_engine_gets_layers_again(entry, fleet):
+    async def restart():
+        engine = fleet.engines["east-big"]
+        engine.held, engine.seq, engine.fence = None, 0, -1
+        engine.born += 5000
+        engine.listed()
+
+    fleet.call(restart())
+    wait_for(lambda: fleet.engines["east-big"].held is not None, 8)
+
+
+def test_a_call_that_runs_once_is_not_repeated_when_its_answer_is_lost(entry, fleet):
+    for service in fleet.services.values():
+        service.behaviour = "lose"
+    response = entry.request("POST", "/book/1", "d1", body=b"visit")
+    assert response.status == 502
+    assert len(desk_runs(fleet, "d1")) == 1
+
+
+def test_a_call_that_runs_once_goes_on_when_a_target_is_gone(entry, fleet):
+    fleet.kill("west-desk")
+    response = entry.request("POST", "/book/1", "d2", body=b"visit")
+    assert response.status == 200
+    assert desk_runs(fleet, "d2") == [("d2", "POST", "/book/1", b"visit")]
+
+
+def test_a_call_that_every_target_refuses_is_told_so_at_once(entry, fleet):
+    for service in fleet.services.values():
+        service.behaviour = "full"
+    began = time.monotonic()
+    response = entry.request("POST", "/book/1", "d3", body=b"visit")
+    assert response.status == 503
+    assert float(response.getheader("Retry-After")) > 0
+    assert time.monotonic() - began < 0.5
+    assert desk_runs(fleet, "d3") == []
+
+
+def test_a_promise_that_a_target_does_not_make_is_not_passed_on(entry, fleet):
+    for service in fleet.services.values():
+        service.behaviour = "busy"
+    response = entry.request("POST", "/book/1", "d4", body=b"visit")
+    assert response.status == 502
+    assert len(desk_runs(fleet, "d4")) == 1
+
+
+def test_a_repeatable_call_is_asked_again_elsewhere(entry, fleet):
+    fleet.services["west-desk"].behaviour = "fail"
+    responses = [entry.request("GET", f"/look/{n}", f"e{n}") for n in range(5)]
+    assert [response.status for response in responses] == [200] * 5
+
+
+def test_an_answer_that_belongs_to_another_request_is_not_passed_on(entry, fleet):
+    for service in fleet.services.values():
+        service.behaviour = "other"
+    assert entry.request("POST", "/book/1", "f1", body=b"visit").status == 502
+
+
+def test_a_call_ends_at_its_routes_time(entry, fleet):
+    for service in fleet.services.values():
+        service.behaviour = "slow"
+    began = time.monotonic()
+    assert entry.request("POST", "/book/1", "f2", body=b"visit").status == 504
+    assert 1.2 < time.monotonic() - began < 1.8
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "key", "status"),
+    [
+        ("GET", "/look/1", None, 401),
+        ("GET", "/look/1", "forged", 401),
+        ("GET", "/look/open/1", None, 200),
+        ("GET", "/nowhere/1", "key-1", 404),
+        ("GET", "/look/1", "key-3", 200),
+    ],
+)
+def test_keys_and_routes(entry, method, path, key, status):
+    assert entry.request(method, path, "g1", key=key).status == status
+
+
+def test_a_key_that_is_taken_away_is_refused_soon(entry, fleet):
+    assert entry.request("GET", "/look/1", "h1", key="key-3").status == 200
+    fleet.configure(tenants=[{"name": "kiosk", "apiKeys": ["key-1"]}])
+    wait_for(
+        lambda: entry.request("GET", "/look/1", "h2", key="key-3").status == 401, 2
+    )
+
+
+def test_an_older_configuration_changes_nothing(entry, fleet):
+    fleet.configure(tenants=[{"name": "kiosk", "apiKeys": ["key-1"]}])
+    wait_for(
+        lambda: entry.request("GET", "/look/1", "i1", key="key-3").status == 401, 2
+    )
+    fleet.version -= 6
+    fleet.configure()
+    time.sleep(0.5)
+    assert entry.request("GET", "/look/1", "i2", key="key-3").status == 401
+
+
+def test_a_draining_target_gets_nothing_more(entry, fleet):
+    async def drain():
+        fleet.services["west-desk"].state = "draining"
+        fleet.services["west-desk"].listed()
+
+    fleet.call(drain())
+    time.sleep(1.0)
+    before = len(fleet.services["west-desk"].runs)
+    for number in range(5):
+        assert entry.request("GET", "/look/1", f"j{number}").status == 200
+    assert len(fleet.services["west-desk"].runs) == before
+
+
+def test_entries_of_other_writers_are_skipped(entry, fleet):
+    good = fleet.services["west-desk"].entry()
+    for number, entry_value in enumerate(
+        [b"\xff\xfe", b"[]", {"state": "ready"}, good | {"state": "lost"}]
+    ):
+        fleet.put_entry(f"forged-{number}", entry_value)
+    fleet.put_entry("forged-x", good | {"seq": "many", "addr": 7})
+    wait_for(lambda: len(entry.events("target_unreadable")) == 5, 5)
+    assert entry.request("GET", "/look/1", "k1").status == 200
+
+
+def test_it_serves_on_while_the_store_is_away(entry, fleet):
+    fleet.store.down = True
+    wait_for(lambda: entry.events("store_lost"), 8)
+    assert entry.stream("l1").status == 200
+    assert entry.request("POST", "/book/1", "l2", body=b"x").status == 200
+    fleet.store.down = False
+    wait_for(lambda: entry.events("store_regained"), 8)
+
+
+def test_a_forgotten_history_is_read_anew(entry, fleet):
+    fleet.store.forget_history("keyed.op")
+    fleet.configure(tenants=[{"name": "kiosk", "apiKeys": ["key-1"]}])
+    fleet.store.forget_history("keyed.op")
+    wait_for(
+        lambda: entry.request("GET", "/look/1", "m1", key="key-3").status == 401, 3
+    )
+
+
+def test_work_ends_when_the_caller_leaves(entry, fleet):
+    for engine in fleet.engines.values():
+        engine.event_gap_s = 0.1
+    response = entry.stream("n1", events=50)
+    response.readline()
+    assert sum(engine.open for engine in fleet.engines.values()) == 1
+    response.close()
+    wait_for(lambda: sum(e.open for e in fleet.engines.values()) == 0, 0.5)
+
+
+def test_a_planned_stop_cuts_off_nothing(entry, fleet):
+    for engine in fleet.engines.values():
+        engine.event_gap_s = 0.05
+    response = entry.stream("o1", events=60)
+    response.readline()
+    entry.terminate()
+    wait_for(lambda: not entry.is_ready(), 2)
+    assert entry.request("GET", "/look/1", "o2").status == 200
+    assert events_of(response)[-1] == 60
+    assert entry.wait() == 0
+    (stop,) = entry.events("stop")
+    assert stop["broken_off"] == 0
+
+
+def test_a_stop_during_the_start_ends_the_process(platform, tmp_path):
+    platform.store.down = True
+    entry = Entry(platform, tmp_path).start()
+    try:
+        wait_for(lambda: entry.log_path.exists() and entry.events("start"), 10)
+        entry.terminate()
+        assert entry.wait(5) == 0
+    finally:
+        entry.end()
+
+
+def test_without_a_configuration_it_says_that_the_request_has_not_run(
+    platform, tmp_path
+):
+    entry = Entry(platform, tmp_path).start()
+    try:
+        wait_for(lambda: entry.log_path.exists() and entry.events("start"), 10)
+        wait_for(lambda: entry.request("GET", "/look/1", "p1").status == 503, 5)
+        assert not entry.is_ready()
+        response = entry.request("GET", "/look/1", "p2")
+        assert float(response.getheader("Retry-After")) > 0
+    finally:
+        entry.end()
+
+
+def test_requests_on_one_connection(entry):
+    connection = http.client.HTTPConnection("127.0.0.1", entry.front, timeout=5)
+    for number in range(3):
+        headers = {
+            "Host": "shop.example",
+            "Authorization": "Bearer key-1",
+            "X-Attempt-Id": f"q{number}",
+        }
+        connection.request("GET", "/look/1", headers=headers)
+        response = connection.getresponse()
+        assert response.status == 200
+        assert response.read() == f"done q{number}".encode()
--- /dev/null
+++ b/tests/support/entry_process.py
@@ -0,0 +1,132 @@
+"""An entry instance as a process, and waiting for what it does."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+READY_S = 15.0
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Entry:
+    """One entry instance as a process."""
+
+    def __init__(self, platform, directory, name="entry-1", zone="west"):
+        self.front, self.ready, self.peer = free_port(), free_port(), free_port()
+        self.path = Path(directory) / f"{name}.json"
+        self.log_path = Path(directory) / f"{name}.log"
+        self.settings = {
+            "nodeName": name,
+            "zone": zone,
+            "ip": "127.0.0.1",
+            "listen": {
+                "front": f"127.0.0.1:{self.front}",
+                "ready": f"127.0.0.1:{self.ready}",
+            },
+            "portRange": [self.peer, self.peer + 1],
+            "bounds": {
+                "graceS": 8,
+                "retryBudget": 0.2,
+                "retrySlack": 200,
+                "retryWindowS": 10,
+            },
+            "platform": {"addr": platform.store_addr},
+        }
+        self.write_settings()
+        self.process = None
+
+    def write_settings(self):
+        self.path.write_text(json.dumps(self.settings))
+
+    def start(self):
+        sources = [str(path) for path in (ROOT / "libs").glob("*/src")]
+        environment = os.environ | {
+            "CELERYFORK_CONFIG": str(self.path),
+            "PYTHONPATH": os.pathsep.join([*sources, str(ROOT / "platform")]),
+        }
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "celeryfork_adapter"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+                cwd=self.path.parent,
+            )
+        return self
+
+    def is_ready(self):
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=1)
+            connection.request("GET", "/-/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def wait_ready(self):
+        wait_for(self.is_ready, READY_S)
+        return self
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout=12):
+        return self.process.wait(timeout)
+
+    def end(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait(5)
+
+    def log(self):
+        events = []
+        for line in self.log_path.read_text().splitlines():
+            try:
+                events.append(json.loads(line))
+            except ValueError:
+                events.append({"event": "unstructured", "line": line})
+        return events
+
+    def events(self, name):
+        return [event for event in self.log() if event["event"] == name]
+
+    def request(self, method, path, attempt, *, key="key-1", body=None, **headers):
+        sent = {"Host": "shop.example", "X-Attempt-Id": attempt}
+        if key is not None:
+            sent["Authorization"] = f"Bearer {key}"
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        connection = http.client.HTTPConnection("127.0.0.1", self.front, timeout=10)
+        connection.request(method, path, body=body, headers=sent)
+        return connection.getresponse()
+
+    def stream(self, attempt, events=20, **headers):
+        return self.request(
+            "POST",
+            "/advice/x",
+            attempt,
+            body=b"prompt",
+            X_Model="m",
+            X_Token_Count=f"100,{events * 2}",
+            X_Deadline_Ms="9000",
+            **headers,
+        )
+
+
+def wait_for(condition, timeout_s, pause_s=0.05):
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        if condition():
+            return
+        time.sleep(pause_s)
+    raise AssertionError(f"not so within {timeout_s} s: {condition}")
