A stream that may have begun is never said not to have run; lapsed entries are spared

Cause, found on reading the code: a path that broke on a dead engine didn't count as a run, and if every other path then refused the request, it was answered 503, which promises that it has not run. And an engine whose connection was refused interrupted its own attempt, so that a request which certainly hadn't run was answered 502. A test that failed first for the former (503 instead of 502). Entries that lapse while the store is down were dropped at its return, though they come back within two seconds; layers would have been moved for them.

Change: may_have_run beside the count of runs; the engine is marked after the attempt has ended; entries missing at the store's return are spared for 2 s. A refusal without a path logs what is known of the engines.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -32,7 +32,9 @@
     sends
         Targets that it was passed on to so far, refusals included.
     runs
-        Those of them that may have run it.
+        Those that may have run it and still live; they count against the route's bound.
+    may_have_run
+        Whether any target may have begun it: then it can't be said not to have run.
     """
 
     connection: CallerConnection
@@ -45,6 +47,7 @@
     ends_s: float
     sends: int = 0
     runs: int = 0
+    may_have_run: bool = False
     avoided: set[str] = field(factory=set)
 
     @property
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -40,6 +40,8 @@
 """Pause between two renewals of the membership."""
 STORE_RETRY_S = 0.3
 """Pause after the store gave no answer."""
+LAPSE_S = 2.0
+"""Time after the store's return in which entries that lapsed may come back."""
 HOUSEKEEPING_S = 0.25
 """Pause between two looks at targets out of choice and at unused connections."""
 ROTATION_S = 2.3
@@ -74,6 +76,7 @@
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
     _list_read_s: float = 0.0
+    _spare_until_s: float = 0.0
     _store_away: set[str] = field(factory=set)
     _instances: int = 0
     _stop_asked: asyncio.Event = field(factory=asyncio.Event)
@@ -285,12 +288,14 @@
             except StoreUnavailableError as error:
                 await self._store_failed("targets", error)
                 continue
-            self._store_answered("targets")
-            self._list_read_s = time.monotonic()
+            now_s = self._list_read_s = time.monotonic()
+            if self._store_answered("targets"):
+                self._spare_until_s = now_s + LAPSE_S
+            spare = now_s < self._spare_until_s
             if changes is None:
-                self.table.replace_all(self._targets.whole())
+                self.table.replace_all(self._targets.whole(), spare=spare)
             else:
-                self.table.apply(changes)
+                self.table.apply(changes, spare=spare)
             await asyncio.sleep(LIST_PAUSE_S)
 
     async def _follow_duty(self) -> None:
@@ -312,16 +317,21 @@
         self.counters.add("store.failed")
         await asyncio.sleep(STORE_RETRY_S)
 
-    def _store_answered(self, what: str) -> None:
-        if what in self._store_away:
-            self._store_away.discard(what)
-            self.log.info("store_regained", what=what)
+    def _store_answered(self, what: str) -> bool:
+        """Note an answer; return whether it is the first after a while without."""
+        if what not in self._store_away:
+            return False
+        self._store_away.discard(what)
+        self.log.info("store_regained", what=what)
+        return True
 
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             now_s = time.monotonic()
             self.connections.close_idle(now_s)
+            if now_s >= self._spare_until_s and (gone := self.table.drop_lapsed()):
+                self.log.info("targets_lapsed", targets=gone)
             await asyncio.gather(
                 *(
                     self._ask_again(target.id, target.service)
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -116,6 +116,7 @@
             self._parts.table.hold(target.id, "refused", time.monotonic())
         except (LostError, TimeoutError) as error:
             call.runs += 1
+            call.may_have_run = True
             attempt = Vanished(repr(error))
             self._parts.table.failed(target.id)
         finally:
@@ -140,6 +141,7 @@
         if facts.not_run:
             return Refused(f"status {reply.status}")
         call.runs += 1
+        call.may_have_run = True
         if reply.status in PROMISES_NOT_RUN:
             return Vanished(f"status {reply.status} without the promise")
         if reply.status >= 500:
@@ -169,7 +171,7 @@
                     "calls.answer", time.monotonic() - call.request.arrived_s
                 )
                 self._parts.note(call, "answered", status=status, sends=call.sends)
-            case Refused(reason) if call.runs == 0:
+            case Refused(reason) if not call.may_have_run:
                 after_s = BUSY_RETRY_AFTER_S if call.sends else ABSENT_RETRY_AFTER_S
                 raise not_run(
                     "targets_refuse", f"No target took it: {reason}.", after_s
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -81,6 +81,7 @@
 
     last_event: int | None
     begun: bool = False
+    complete: bool = False
     event_s: float = 0.0
     longest_pause_s: float = 0.0
 
@@ -134,6 +135,7 @@
         while call.sends < MOST_SENDS and call.left_s > 0:
             path = await self._choose(call)
             if path is None:
+                self._note_no_path(call)
                 break
             if not self._parts.may_send(call):
                 break
@@ -142,9 +144,27 @@
                 break
         await self._finish(call, last, progress)
 
+    def _note_no_path(self, call: Call) -> None:
+        """Log what is known of the engines when none of them took a call."""
+        table, now_s = self._parts.table, time.monotonic()
+        listed = [each for each in table.listed(call.service.name) if each.held]
+        standings = [table.standing(each.id) for each in listed]
+        self._parts.note(
+            call,
+            "no_path",
+            engines=len(listed),
+            down=sum(standing.held for standing in standings),
+            refusing=sum(each.refused_until_s >= now_s for each in standings),
+            requests_in_flight=sum(
+                load.requests for load in self._loads.own().values()
+            ),
+            tokens=round(call.facts.prompt_tokens + _answer_tokens(call)),
+            avoided=len(call.avoided),
+        )
+
     async def _choose(self, call: Call) -> LayerPath | None:
         """Return a path with room for the call; wait a moment for one."""
-        wait_s = REPEAT_WAIT_S if call.runs else ROOM_WAIT_S
+        wait_s = REPEAT_WAIT_S if call.may_have_run else ROOM_WAIT_S
         until_s = time.monotonic() + min(wait_s, call.left_s)
         while True:
             path = self._find(call)
@@ -203,8 +223,10 @@
             attempt.task = asyncio.ensure_future(self._run(call, path, progress))
             return await attempt.task
         except asyncio.CancelledError:
-            if not attempt.interrupted:
+            if not attempt.interrupted or call.connection.stream.ended:
                 raise
+            if progress.complete:
+                return Finished()
             return self._broke(call, path, attempt.interrupted)
         finally:
             self._loads.end(path, tokens)
@@ -230,7 +252,9 @@
             finally:
                 reply.drop()
         except NotSentError as error:
-            self._checks.mark_down(first.id, str(error))
+            # After this attempt's end, which marking would interrupt as a broken one.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._checks.mark_down, first.id, str(error))
             return PathRefused(str(error))
         except (LostError, TimeoutError, ValueError) as error:
             await self._checks.find_down(path.engine_ids, doubted=first.id)
@@ -258,6 +282,7 @@
                 await self._pass_on(call, reply, events, progress)
         if splitter.incomplete or not progress.begun:
             raise LostError("the stream ended within an event")
+        progress.complete = True
         await call.connection.end()
         self._parts.table.succeeded(path.parts[0].engine_id)
         return Finished()
@@ -324,6 +349,7 @@
             self._blame(call, path, facts.at_fault)
             return PathRefused(f"status {reply.status} at {facts.at_fault}")
         call.runs += 1
+        call.may_have_run = True
         if reply.status in PROMISES_NOT_RUN:
             return PathBroke(f"status {reply.status} without the promise")
         headers = self._parts.dialect.reply_headers(reply.headers)
@@ -342,6 +368,7 @@
             if engine_id not in self._parts.table.by_id
             or self._parts.table.standing(engine_id).held
         ]
+        call.may_have_run = True
         if not down:
             call.runs += 1
             call.avoided.add(path.parts[0].engine_id)
@@ -390,7 +417,7 @@
                 return
             case PathRefused(reason) | PathBroke(reason):
                 pass
-        if call.runs == 0 and isinstance(outcome, PathRefused):
+        if not call.may_have_run and isinstance(outcome, PathRefused):
             after_s = self._pressure.retry_after_s(time.monotonic())
             raise not_run("no_path", f"No path took it: {reason}.", after_s)
         status = 504 if call.left_s <= 0 else 502
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -91,28 +91,46 @@
     by_id: dict[str, Target] = field(factory=dict)
     _standing_by_id: dict[str, Standing] = field(factory=dict)
     in_flight_by_id: dict[str, int] = field(factory=dict)
+    _lapsed: set[str] = field(factory=set)
 
-    def apply(self, changes: Iterable[ListChange]) -> None:
-        """Take changes of the list in their order."""
+    def apply(self, changes: Iterable[ListChange], *, spare: bool = False) -> None:
+        """Take changes of the list in their order.
+
+        Parameters
+        ----------
+        spare
+            Whether targets that are no longer listed stay until :meth:`drop_lapsed`:
+            entries lapse while the store is away, and come back soon after.
+        """
         for change in changes:
             match change:
                 case Listed(target):
                     self._list(target)
+                case Unlisted(target_id) if spare and target_id in self.by_id:
+                    self._lapsed.add(target_id)
                 case Unlisted(target_id):
                     self.forget(target_id)
 
-    def replace_all(self, targets: Iterable[Target]) -> None:
-        """Take a whole list; what isn't in it is gone."""
+    def replace_all(self, targets: Iterable[Target], *, spare: bool = False) -> None:
+        """Take a whole list; what isn't in it is gone, or spared."""
         listed = {target.id: target for target in targets}
-        for target_id in set(self.by_id) - set(listed):
-            self.forget(target_id)
+        missing = [Unlisted(target_id) for target_id in set(self.by_id) - set(listed)]
+        self.apply(missing, spare=spare)
         for target in listed.values():
             self._list(target)
 
+    def drop_lapsed(self) -> list[str]:
+        """Forget the spared targets that were not listed again; return their ids."""
+        lapsed = sorted(self._lapsed)
+        for target_id in lapsed:
+            self.forget(target_id)
+        return lapsed
+
     def forget(self, target_id: str) -> None:
         """Drop a target and what was seen of it."""
         self.by_id.pop(target_id, None)
         self._standing_by_id.pop(target_id, None)
+        self._lapsed.discard(target_id)
 
     def _list(self, target: Target) -> None:
         known = self.by_id.get(target.id)
@@ -123,6 +141,7 @@
         elif known is not None and target.entry_number < known.entry_number:
             return
         self.by_id[target.id] = target
+        self._lapsed.discard(target.id)
 
     def listed(self, service: str) -> list[Target]:
         """Return the targets of a service that aren't leaving."""
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -117,3 +117,23 @@
     table.refused("t1", 100.0)
     assert 100.0 < table.standing("t1").refused_until_s < 101.0
     assert table.in_choice("desk") == [TARGET]
+
+
+def test_entries_that_lapsed_with_the_store_may_come_back():
+    """Pattern: the store is down for longer than three renewals of an entry."""
+    table = make_table()
+    other = evolve(TARGET, id="t2")
+    table.apply([Listed(other)])
+    table.apply([Unlisted("t1"), Unlisted("t2")], spare=True)
+    assert len(table.in_choice("desk")) == 2
+    table.apply([Listed(evolve(TARGET, entry_number=4))])
+    assert table.drop_lapsed() == ["t2"]
+    assert list(table.by_id) == ["t1"]
+
+
+def test_a_whole_list_after_an_outage_spares_what_it_lacks():
+    table = make_table()
+    table.replace_all([], spare=True)
+    assert list(table.by_id) == ["t1"]
+    assert table.drop_lapsed() == ["t1"]
+    assert table.by_id == {}
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -24,6 +24,10 @@
     ]
 
 
+def targets_in(events):
+    return [event for event in events if event["what"] == "targets"]
+
+
 def desk_runs(platform, attempt):
     return [
         run
@@ -96,6 +100,28 @@
     assert len(runs_of(fleet, "b3")) == 2
 
 
+def test_a_stream_that_may_have_begun_is_not_said_not_to_have_run(entry, fleet):
+    """Its first path broke on a dead engine, and all that live refuse it."""
+    for engine in fleet.engines.values():
+        engine.fills_the_fleet = True
+        engine.silent = engine.zone == "west" and engine.held[0] > 0
+    response = entry.stream("b4")
+    assert len(runs_of(fleet, "b4")) == 1
+    assert response.status == 502
+    assert response.getheader("Retry-After") is None
+
+
+def test_a_stream_that_no_engine_was_reached_for_has_not_run(entry, fleet):
+    """Its first engine refuses the connection; every other is full."""
+    for engine in fleet.engines.values():
+        engine.full = True
+    fleet.kill("west-big")
+    response = entry.stream("b5")
+    assert runs_of(fleet, "b5") == []
+    assert response.status == 503
+    assert float(response.getheader("Retry-After")) > 0
+
+
 def test_lost_layers_are_taken_over(entry, fleet):
     fleet.kill("west-big")
     entry.stream("c1").read()
@@ -254,6 +280,21 @@
     wait_for(lambda: entry.events("store_regained"), 8)
 
 
+def test_entries_that_lapse_while_the_store_is_away_stay_for_two_seconds(entry, fleet):
+    fleet.store.down = True
+    wait_for(lambda: targets_in(entry.events("store_lost")), 8)
+    for target_id in ("west-desk", "east-desk"):
+        fleet.put_entry(target_id, None)
+    fleet.store.down = False
+    wait_for(lambda: targets_in(entry.events("store_regained")), 8)
+    assert entry.request("GET", "/look/1", "l3").status == 200
+    fleet.services["west-desk"].beats += 1
+    fleet.put_entry("west-desk", fleet.services["west-desk"].entry())
+    wait_for(lambda: entry.events("targets_lapsed"), 4)
+    assert entry.events("targets_lapsed")[0]["targets"] == ["east-desk"]
+    assert entry.request("GET", "/look/1", "l4").status == 200
+
+
 def test_a_forgotten_history_is_read_anew(entry, fleet):
     fleet.store.forget_history("keyed.op")
     fleet.configure(tenants=[{"name": "kiosk", "apiKeys": ["key-1"]}])
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -154,6 +154,7 @@
         self.events_before_cut = None
         self.silent = False
         self.full = False
+        self.fills_the_fleet = False
 
     def entry(self):
         self.beats += 1
@@ -225,6 +226,9 @@
             return web.Response(status=503, headers={"X-Not-Run": "1"})
         path = self._path(headers["X-Hop-Count"])
         self.runs.append((attempt, path, headers))
+        if self.fills_the_fleet:
+            for engine in self.platform.engines.values():
+                engine.full = True
         self.open += 1
         try:
             return await self._stream(request, attempt, path)
