--- /dev/null
+++ b/tests/support/engine_standins.py
@@ -0,0 +1,202 @@
+"""Stand-ins of the users' engines and plain services.
+
+They speak the published messages and share no code with the adapter.
+"""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+
+class EngineStandin:
+    """One model engine."""
+
+    def __init__(self, platform, engine_id, zone, kind):
+        self.platform = platform
+        self.id = engine_id
+        self.zone = zone
+        self.kind = kind
+        self.held = None
+        self.seq = 0
+        self.beats = 0
+        self.born = int(time.time() * 1000)
+        self.fence = -1
+        self.state = "ready"
+        self.orders = []
+        self.runs = []
+        self.open = 0
+        self.event_gap_s = 0.01
+        self.events_before_cut = None
+        self.silent = False
+        self.full = False
+        self.fills_the_fleet = False
+
+    def entry(self):
+        self.beats += 1
+        return {
+            "service": "llm",
+            "addr": self.addr,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self.beats,
+            "models": [],
+            "layers": self.layers(),
+            "kind": self.kind,
+            "born": self.born,
+        }
+
+    def layers(self):
+        if self.held is None:
+            return None
+        return {"from": self.held[0], "to": self.held[1], "version": 1}
+
+    def listed(self):
+        self.platform.store.put("keyed.servers", self.id, self.entry())
+
+    async def handle(self, request):
+        if self.silent:
+            await asyncio.sleep(30)
+        if request.path == "/-/report":
+            return web.json_response(
+                {
+                    "stage": "mixed",
+                    "models": [],
+                    "layers": self.layers(),
+                    "busy": False,
+                    "seq": self.seq,
+                    "born": self.born,
+                    "pace": 1.0,
+                    "waiting": 0,
+                    "running": self.open,
+                    "kvUsed": 0,
+                    "kvTotal": 1000,
+                    "handles": 0,
+                }
+            )
+        if request.path == "/-/order":
+            return self._order(await request.json())
+        return await self._run(request)
+
+    def _order(self, order):
+        self.orders.append(order)
+        if order["fence"] < self.fence:
+            return web.Response(status=412)
+        self.fence = order["fence"]
+        if order.get("precondition") != self.seq:
+            return web.Response(status=409)
+        self.seq += 1
+        self.held = (order["from"], order["to"])
+        self.listed()
+        return web.Response(status=202)
+
+    async def _run(self, request):
+        headers = request.headers
+        attempt = headers["X-Attempt-Id"]
+        if headers["X-Expect-Instance"] != self.id:
+            return web.Response(status=421)
+        if self.full:
+            return web.Response(status=503, headers={"X-Not-Run": "1"})
+        path = self._path(headers["X-Hop-Count"])
+        self.runs.append((attempt, path, headers))
+        if self.fills_the_fleet:
+            for engine in self.platform.engines.values():
+                engine.full = True
+        self.open += 1
+        try:
+            return await self._stream(request, attempt, path)
+        finally:
+            self.open -= 1
+
+    def _path(self, header):
+        parts = []
+        for part in header.split(","):
+            address, _, layers = part.partition("=")
+            first, _, last = layers.partition("-")
+            parts.append((address, int(first), int(last)))
+        return parts
+
+    async def _stream(self, request, attempt, path):
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        count = int(request.headers["X-Token-Count"].split(",")[1]) // 2
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "X-Attempt-Id": attempt,
+                "X-Server-Stamp": f"stamp.{self.id}",
+            }
+        )
+        await self.platform.whole(path)
+        await response.prepare(request)
+        for number in range(first, count + 1):
+            await asyncio.sleep(self.event_gap_s)
+            await self.platform.whole(path)
+            if self.events_before_cut == number - first:
+                await response.write(b"id: 9")
+                request.transport.abort()
+                return response
+            data = f"id: {number}\ndata: {attempt}-{number}\n\n"
+            await response.write(data.encode())
+        await response.write_eof()
+        return response
+
+
+class ServiceStandin:
+    """One target of a plain service."""
+
+    def __init__(self, platform, target_id, zone):
+        self.platform = platform
+        self.id = target_id
+        self.zone = zone
+        self.runs = []
+        self.behaviour = "answer"
+        self.state = "ready"
+        self.beats = 0
+        self.open = 0
+
+    def entry(self):
+        self.beats += 1
+        return {
+            "service": "desk",
+            "addr": self.addr,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 6,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self.beats,
+            "born": 1,
+        }
+
+    def listed(self):
+        self.platform.store.put("keyed.servers", self.id, self.entry())
+
+    async def handle(self, request):
+        body = await request.read()
+        attempt = request.headers["X-Attempt-Id"]
+        if request.headers["X-Expect-Instance"] != self.id:
+            return web.Response(status=421)
+        headers = {"X-Attempt-Id": attempt, "X-Server-Stamp": f"stamp.{self.id}"}
+        if self.behaviour == "full":
+            return web.Response(status=503, headers={"X-Not-Run": "1"})
+        self.runs.append((attempt, request.method, request.path_qs, body))
+        self.headers = dict(request.headers)
+        match self.behaviour:
+            case "lose":
+                request.transport.abort()
+            case "fail":
+                return web.Response(status=500, headers=headers, text="failed")
+            case "other":
+                headers["X-Attempt-Id"] = "someone-else"
+            case "slow":
+                self.open += 1
+                try:
+                    await asyncio.sleep(3)
+                finally:
+                    self.open -= 1
+            case "busy":
+                return web.Response(status=503, headers=headers)
+        return web.Response(headers=headers, text=f"done {attempt}")
