--- /dev/null
+++ b/libs/entry/tests/test_decisions.py
@@ -0,0 +1,59 @@
+"""The log of decisions is bounded and never blocks."""
+
+import json
+import os
+
+from celeryfork_entry.decisions import (
+    BURST_LINES,
+    MOST_LINE_BYTES,
+    MOST_LINES_PER_S,
+    LineBudget,
+    make_decision_log,
+)
+
+
+def test_lines_above_the_budget_are_counted():
+    budget = LineBudget(filled_s=0.0)
+    taken = sum(budget.take(0.0) for _ in range(5_000))
+    assert taken == BURST_LINES
+    assert budget.dropped == 5_000 - taken
+
+
+def test_the_budget_fills_again():
+    budget = LineBudget(filled_s=0.0)
+    while budget.take(0.0):
+        pass
+    taken = sum(budget.take(1.0) for _ in range(5_000))
+    assert taken == MOST_LINES_PER_S
+
+
+def test_a_line_is_json_with_its_inputs():
+    reading, writing = os.pipe()
+    log = make_decision_log("entry-1", writing)
+    log.info("path_chosen", id="a1", predicted_ms=12)
+    line = json.loads(os.read(reading, 65_536))
+    assert line["event"] == "path_chosen"
+    assert (line["instance"], line["id"], line["predicted_ms"]) == ("entry-1", "a1", 12)
+
+
+def test_a_full_pipe_drops_lines_and_says_so_later():
+    reading, writing = os.pipe()
+    log = make_decision_log("entry-1", writing)
+    for number in range(2_000):
+        log.info("filler", text="x" * 200, number=number)
+    while True:
+        os.set_blocking(reading, False)
+        try:
+            os.read(reading, 1 << 20)
+        except BlockingIOError:
+            break
+    log.info("after")
+    assert json.loads(os.read(reading, 65_536))["lines_dropped"] > 0
+
+
+def test_a_line_is_cut_at_its_bound():
+    reading, writing = os.pipe()
+    make_decision_log("entry-1", writing).info("long", text="x" * 10_000)
+    line = os.read(reading, 65_536)
+    assert len(line) < MOST_LINE_BYTES
+    assert json.loads(line)["cut"] > 10_000
--- /dev/null
+++ b/libs/entry/tests/test_placement_duty.py
@@ -0,0 +1,136 @@
+"""Who places layers, and which orders are sent."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from attrs import evolve
+from celeryfork_entry import placement_duty
+from celeryfork_entry.placement_duty import PlacementDuty
+from celeryfork_entry.ports import Duty, EngineReport
+from celeryfork_entry.targets import Listed, Target, TargetTable
+from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
+
+SHAPE = ModelShape(
+    layers=8,
+    layer_mb=100.0,
+    token_bytes=80_000.0,
+    step_ms=1.0,
+    sequence_ms=0.0,
+    context_ms_per_thousand=0.0,
+    read_tokens_per_ms=100.0,
+    activation_bytes=0.0,
+    pipe_bytes_per_ms=0.0,
+    usual_prompt=100.0,
+    usual_answer=100.0,
+    load_s=1.0,
+    accelerators_by_name={"card": Accelerator("card", 1_000.0)},
+)
+REPORT = EngineReport(None, 0, False, 1, 1.0, {})
+
+
+class Fleet:
+    """A table of engines, what they report, and the orders they got."""
+
+    def __init__(self, *targets):
+        self.table = TargetTable()
+        self.table.apply([Listed(target) for target in targets])
+        self.report_by_id = dict.fromkeys(self.table.by_id, REPORT)
+        self.orders = []
+        self.status = 202
+        self.events = []
+        self.duty = PlacementDuty(
+            self.table, self, self, self, self, lambda: None, planned_once=True
+        )
+        self.duty.renewed(Duty(True, 7))
+
+    async def ask(self, target_id):
+        return self.report_by_id[target_id]
+
+    async def send(self, address, order, **_):
+        self.orders.append((address, *order))
+        return SimpleNamespace(status=self.status, drop=lambda: None)
+
+    def order_layers(self, layers, fence, expected_orders):
+        return layers, fence, expected_orders
+
+    def info(self, event, **_):
+        self.events.append(event)
+
+    def round(self):
+        asyncio.run(self.duty._round("llm", SHAPE))
+
+
+def engine(engine_id, held=None):
+    address = f"{engine_id}:1"
+    return Target(
+        engine_id, "llm", address, "a", accelerator="card", held=held, born_ms=1
+    )
+
+
+def test_an_empty_engine_is_ordered_once():
+    fleet = Fleet(engine("x"))
+    fleet.report_by_id["x"] = evolve(REPORT, orders=3)
+    fleet.round()
+    fleet.round()
+    ((address, layers, fence, expected),) = fleet.orders
+    assert (address, fence, expected) == ("x:1", 7, 3)
+    assert layers.count > 0
+
+
+@pytest.mark.parametrize(
+    "report", [None, evolve(REPORT, busy=True), evolve(REPORT, held=LayerRange(0, 4))]
+)
+def test_an_engine_that_is_busy_silent_or_not_empty_gets_no_order(report):
+    fleet = Fleet(engine("x"))
+    fleet.report_by_id["x"] = report
+    fleet.round()
+    assert fleet.orders == []
+    assert "order_withheld" in fleet.events
+
+
+def test_an_engine_that_refuses_an_order_may_be_ordered_again():
+    fleet = Fleet(engine("x"))
+    fleet.status = 409
+    fleet.round()
+    fleet.round()
+    assert len(fleet.orders) == 2
+
+
+def test_a_holder_whose_fence_is_refused_orders_no_more():
+    fleet = Fleet(engine("x"))
+    fleet.status = placement_duty.FORBIDDEN
+    fleet.round()
+    assert fleet.duty._refused_fence == 7
+
+
+def test_a_holder_gives_up_when_a_peer_has_a_higher_fence():
+    """Pattern: the store turns the holder away while another is elected."""
+    fleet = Fleet(engine("x"))
+    fleet.duty.heard_of(6)
+    assert fleet.duty.duty.held
+    fleet.duty.heard_of(8)
+    assert not fleet.duty.duty.held
+    assert "duty_superseded" in fleet.events
+
+
+def test_a_new_holder_leaves_engines_with_layers_alone_at_first():
+    fleet = Fleet(engine("x", LayerRange(0, 4)), engine("y", LayerRange(0, 4)))
+    fleet.round()
+    assert fleet.orders == []
+    fleet.duty._held_since_s -= placement_duty.TAKE_OVER_S + 0.1
+    for engine_id in ("x", "y"):
+        fleet.report_by_id[engine_id] = evolve(REPORT, held=LayerRange(0, 4))
+    fleet.round()
+    assert len(fleet.orders) >= 1
+
+
+def test_a_silent_engines_layers_are_given_to_others_after_a_while():
+    fleet = Fleet(engine("x", LayerRange(0, 4)), engine("y", LayerRange(4, 8)))
+    fleet.table.apply([Listed(engine("z"))])
+    fleet.report_by_id["z"] = REPORT
+    fleet.table.hold("x", "silent", -100.0)
+    fleet.round()
+    ((address, layers, _, _),) = fleet.orders
+    assert address == "z:1"
+    assert layers.first == 0
