--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	$(BIN)/celeryfork demo $(DEMO)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n 4 $$($(BIN)/python tools/known_red.py)
+	$(BIN)/python tools/known_red.py > $(VENV)/known_red.args
+	$(BIN)/python -m pytest -n 4 @$(VENV)/known_red.args
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -42,7 +42,7 @@
     entries = read_entries(path.read_text()) if path.exists() else []
     for entry in entries:
         print(f"known red: {entry['test']}: {entry['seen']}", file=sys.stderr)
-    print(" ".join(f"--deselect={entry['test']}" for entry in entries))
+    print("\n".join(f"--deselect={entry['test']}" for entry in entries))
 
 
 if __name__ == "__main__":
