Stand-ins keep their port while they are down

A stopped stand-in closed its socket, so the kernel could give the port to any connection that another test made; the stand-in then waited up to 5 s for it, which is shorter than a test's kept connection. The platform stand-in had the same gap, without the wait. Ruled out: sockets in TIME_WAIT (the listeners set SO_REUSEADDR) and two stand-ins on one port (ports come from the kernel). Change: a bound socket that never listens keeps the port from the first open to the close, and clients are still refused. The wait is gone. Test: test_a_listener_that_is_down_keeps_its_port fails on the old code (DID NOT RAISE OSError) and passes now; libs/standin passes.

--- a/libs/standin/src/celeryfork_standin/background.py
+++ b/libs/standin/src/celeryfork_standin/background.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import errno
 import socket
 import struct
 import threading
@@ -18,11 +17,10 @@
 from attrs import define, field
 
 from celeryfork_standin.errors import StandinStoppedError
+from celeryfork_standin.kept_port import KeptPort
 
 CALL_TIMEOUT_S = 10.0
 LISTEN_BACKLOG = 1024
-LONGEST_WAIT_FOR_PORT_S = 5.0
-PORT_RETRY_S = 0.05
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Result = TypeVar("Result")
@@ -110,7 +108,8 @@
     handler
         Answers a request; it is cancelled when the client closes the connection.
     host, port
-        Where to listen; port 0 takes a free one, and keeps it from then on.
+        Where to listen; port 0 takes a free one. The port is kept until ``close``, also
+        while nothing listens there.
     """
 
     handler: Handler
@@ -118,6 +117,7 @@
     port: int = 0
     _server: web.Server | None = field(default=None, init=False)
     _socket: asyncio.Server | None = field(default=None, init=False)
+    _kept: KeptPort | None = field(default=None, init=False)
 
     @property
     def address(self) -> str:
@@ -133,25 +133,13 @@
         """Listen; does nothing when already listening."""
         if self._socket is not None:
             return
-        loop = asyncio.get_running_loop()
+        if self._kept is None:
+            self._kept = KeptPort(self.host, self.port)
+            self.port = self._kept.number
         self._server = web.Server(self.handler, handler_cancellation=True)
-        self._socket = await self._listen(loop, self._server)
-        self.port = self._socket.sockets[0].getsockname()[1]
-
-    async def _listen(
-        self, loop: asyncio.AbstractEventLoop, server: web.Server
-    ) -> asyncio.Server:
-        """Listen, waiting for the port where a connection of others borrowed it."""
-        ends_s = loop.time() + LONGEST_WAIT_FOR_PORT_S
-        while True:
-            try:
-                return await loop.create_server(
-                    server, self.host, self.port, backlog=LISTEN_BACKLOG
-                )
-            except OSError as error:
-                if error.errno != errno.EADDRINUSE or loop.time() > ends_s:
-                    raise
-            await asyncio.sleep(PORT_RETRY_S)
+        self._socket = await asyncio.get_running_loop().create_server(
+            self._server, self.host, self.port, backlog=LISTEN_BACKLOG
+        )
 
     def cut(self) -> None:
         """Stop listening and reset every open connection."""
@@ -162,6 +150,13 @@
         for connection in self._server.connections:
             reset(connection.transport)
 
+    def close(self) -> None:
+        """Cut it off for good, and give its port back."""
+        self.cut()
+        if self._kept is not None:
+            self._kept.release()
+            self._kept = None
+
 
 ClientHandler = Callable[[web.BaseRequest, str | None], Awaitable[web.StreamResponse]]
 
@@ -210,6 +205,11 @@
         for listener in (self._common, *self._by_domain.values()):
             listener.cut()
 
+    def close(self) -> None:
+        """Cut every port off for good, and give it back."""
+        for listener in (self._common, *self._by_domain.values()):
+            listener.close()
+
 
 async def _pass_domain(
     handler: ClientHandler, domain: str | None, request: web.BaseRequest
--- a/libs/standin/src/celeryfork_standin/control.py
+++ b/libs/standin/src/celeryfork_standin/control.py
@@ -173,7 +173,7 @@
 
     def stop(self) -> None:
         """Stop listening."""
-        self._thread.call(self._listener.cut)
+        self._thread.call(self._listener.close)
         self._thread.stop()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/libs/standin/src/celeryfork_standin/platform.py
+++ b/libs/standin/src/celeryfork_standin/platform.py
@@ -7,6 +7,7 @@
 
 from celeryfork_standin.background import LoopThread, reset
 from celeryfork_standin.instance_list import READER_DOMAIN, InstanceListService
+from celeryfork_standin.kept_port import KeptPort
 from celeryfork_standin.log_service import LARGEST_RECORD_BYTES, LogService
 from celeryfork_standin.weight_store import DEFAULT_BYTES_PER_SECOND, WeightStore
 
@@ -47,6 +48,7 @@
         self._port_by_domain = dict.fromkeys(client_domains, 0)
         self._domains_cut_off: set[str] = set()
         self._sites: list[web.TCPSite] = []
+        self._kept_ports: list[KeptPort] = []
         self._thread = LoopThread("standin-platform")
         self._runner: web.AppRunner | None = None
 
@@ -81,6 +83,8 @@
             runner, self._runner = self._runner, None
             self._thread.run(runner.cleanup())
         self._thread.stop()
+        for kept in self._kept_ports:
+            kept.release()
 
     async def _open(self) -> None:
         limit = LARGEST_RECORD_BYTES + _REQUEST_OVERHEAD_BYTES
@@ -91,21 +95,23 @@
             app, access_log=None, shutdown_timeout=_SHUTDOWN_S, handle_signals=False
         )
         await self._runner.setup()
+        self._port = self._keep_port(self._port)
+        for domain in self._port_by_domain:
+            self._port_by_domain[domain] = self._keep_port(0)
         await self._listen_everywhere()
 
+    def _keep_port(self, port: int) -> int:
+        kept = KeptPort(self._host, port)
+        self._kept_ports.append(kept)
+        return kept.number
+
     async def _listen_everywhere(self) -> None:
         if self._runner is None or self._sites:
             return
-        self._port = await self._listen(self._runner, self._port)
-        for domain, port in self._port_by_domain.items():
-            self._port_by_domain[domain] = await self._listen(self._runner, port)
-
-    async def _listen(self, runner: web.AppRunner, port: int) -> int:
-        site = web.TCPSite(runner, self._host, port, reuse_address=True)
-        await site.start()
-        self._sites.append(site)
-        listening: int = runner.addresses[-1][1]
-        return listening
+        for port in (self._port, *self._port_by_domain.values()):
+            site = web.TCPSite(self._runner, self._host, port, reuse_address=True)
+            await site.start()
+            self._sites.append(site)
 
     async def _shut(self) -> None:
         for site in self._sites:
--- a/libs/standin/src/celeryfork_standin/service.py
+++ b/libs/standin/src/celeryfork_standin/service.py
@@ -69,7 +69,7 @@
         if not self._started:
             return
         for member in list(self._members_by_id.values()):
-            self._thread.call(member.listeners.cut)
+            self._thread.call(member.listeners.close)
         self._thread.stop()
 
     def add(self, spec: ServiceSpec) -> ServiceTarget:
--- a/libs/standin/tests/test_background.py
+++ b/libs/standin/tests/test_background.py
@@ -1,7 +1,9 @@
+import socket
 from pathlib import Path
 
 import pytest
-from celeryfork_standin.background import LoopThread
+from aiohttp import web
+from celeryfork_standin.background import Listener, LoopThread
 from celeryfork_standin.errors import StandinStoppedError
 
 
@@ -28,3 +30,29 @@
     thread.stop()
     with pytest.raises(StandinStoppedError):
         thread.call(lambda: None)
+
+
+def test_a_listener_that_is_down_keeps_its_port():
+    """An own test run failed as another's connection got the port meanwhile."""
+    thread = LoopThread("test")
+    thread.start()
+    listener = Listener(answer_nothing, "127.0.0.1")
+    thread.run(listener.open())
+    address = ("127.0.0.1", listener.port)
+    thread.call(listener.cut)
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(address)
+    with socket.socket() as client, pytest.raises(ConnectionRefusedError):
+        client.connect(address)
+    thread.run(listener.open())
+    with socket.create_connection(address):
+        pass
+    thread.call(listener.close)
+    with socket.socket() as other:
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        other.bind(address)
+    thread.stop()
+
+
+async def answer_nothing(request: web.BaseRequest) -> web.Response:
+    return web.Response()
