Peers pass on configuration and list; engines that leave unseen are offered less

Change: - While the list can't be read, the pause of an engine that goes on refusing doubles up to 2.4 s, until it takes work. With a list that is read it stays 0.3 s: memory that is full is free again soon. - An instance without a configuration asks a peer for its configuration and list; the settings' seeds name some, since the membership is in the store too. - Reports to peers carry the version in force; who is behind asks. Peers go on telling one that has dropped off the list for 10 s after its last report. The following of store and peers is a module of its own (following). Tests: the patterns in test_targets, test_peer_loads, test_known, and two whole-path tests with a second instance.

--- a/libs/entry/src/celeryfork_entry/configuration.py
+++ b/libs/entry/src/celeryfork_entry/configuration.py
@@ -111,6 +111,8 @@
         Routes of each host, the longest path prefix first.
     needs_key
         Whether requests on routes that aren't open need a key.
+    encoded
+        The operator's own words, from which it was decoded.
     """
 
     version: int
@@ -119,6 +121,7 @@
     organisation_by_key: Mapping[str, Organisation]
     needs_key: bool
     limits: CallerLimits
+    encoded: bytes = b""
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``."""
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -18,6 +18,8 @@
 from celeryfork_entry.configuration import CallerLimits, Configuration
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
+from celeryfork_entry.following import Following
+from celeryfork_entry.known import KNOWN_PATH
 from celeryfork_entry.metrics import Histograms, metrics_text
 from celeryfork_entry.peer_loads import PeerLoads
 from celeryfork_entry.placement_duty import PlacementDuty, renew_duty
@@ -34,14 +36,8 @@
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.targets import TargetTable
 
-LIST_PAUSE_S = 0.3
-"""Pause between two readings of the list, so that its changes come together."""
 DUTY_INTERVAL_S = 1.0
 """Pause between two renewals of the membership."""
-STORE_RETRY_S = 0.3
-"""Pause after the store gave no answer."""
-LAPSE_S = 2.0
-"""Time after the store's return in which entries that lapsed may come back."""
 HOUSEKEEPING_S = 0.25
 """Pause between two looks at targets out of choice and at unused connections."""
 ROTATION_S = 2.3
@@ -67,7 +63,6 @@
     _election: DutyElection
     log: Logger
     counters: Counters = field(factory=Counters)
-    configuration: Configuration | None = None
     stopping: bool = False
     table: TargetTable = field(factory=TargetTable)
     connections: TargetConnections = field(factory=TargetConnections)
@@ -75,12 +70,10 @@
     _callers: set[CallerConnection] = field(factory=set)
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
-    _list_read_s: float = 0.0
-    _spare_until_s: float = 0.0
-    _store_away: set[str] = field(factory=set)
     _instances: int = 0
     _stop_asked: asyncio.Event = field(factory=asyncio.Event)
     _histograms: Histograms = field(factory=Histograms)
+    _following: Following = field(init=False)
     _checks: EngineChecks = field(init=False)
     _placement: PlacementDuty = field(init=False)
     _peers: PeerLoads = field(init=False)
@@ -88,6 +81,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
+        self._following = Following(
+            self._configurations, self._targets, self.table, self.connections,
+            self.log, self.counters, self._peer_addresses,
+        )  # fmt: skip
         self._checks = EngineChecks(
             self.table, self.connections, self._dialect, self.log, self.counters
         )
@@ -111,10 +108,26 @@
             lambda: self.configuration,
         )  # fmt: skip
         self._peers = PeerLoads(
-            self.settings.name, self.settings.domain, self.loads, self.log
-        )
+            self.settings.name, self.settings.domain, self.settings.peer_address,
+            self.loads, self.log,
+        )  # fmt: skip
         self._peers.fence = self._held_fence
         self._peers.on_fence = self._placement.heard_of
+        self._peers.version = lambda: self._following.version
+        self._peers.on_version = self._heard_of_version
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, None before the first."""
+        return self._following.configuration
+
+    def _peer_addresses(self) -> list[str]:
+        """Return where peers may be asked: those known, else those of the settings."""
+        known = [peer.address for peer in self._peers.peers]
+        return known or list(self.settings.seed_addresses)
+
+    def _heard_of_version(self, version: int, address: str) -> None:
+        self._spawn(self._following.heard_of(version, address))
 
     def _held_fence(self) -> int | None:
         duty = self._placement.duty
@@ -123,7 +136,7 @@
     @property
     def ready(self) -> bool:
         """Return whether new callers should come here."""
-        known = self.configuration is not None and self._list_read_s > 0
+        known = self.configuration is not None and self._following.list_read_s > 0
         return known and not self.stopping
 
     def ask_stop(self) -> None:
@@ -138,8 +151,8 @@
         await self._listen_for_metrics()
         await self._open_peers()
         for loop in (
-            self._follow_configuration,
-            self._follow_targets,
+            self._following.follow_configuration,
+            self._following.follow_targets,
             self._follow_duty,
             self._keep_house,
         ):
@@ -202,6 +215,8 @@
             case "/metrics":
                 text = [("Content-Type", "text/plain")]
                 await connection.answer(200, text, self._metrics())
+            case str(path) if path == KNOWN_PATH:
+                await connection.answer(200, JSON_HEADERS, self._following.known())
             case "/dump":
                 data = dumps(self.dump(), option=OPT_NON_STR_KEYS)
                 await connection.answer(200, JSON_HEADERS, data)
@@ -228,9 +243,10 @@
             "instance": self.settings.name,
             "stopping": self.stopping,
             "configuration": configuration.version if configuration else None,
-            "list_age_s": round(now_s - self._list_read_s, 3),
-            "store_away": sorted(self._store_away),
+            "list_age_s": round(now_s - self._following.list_read_s, 3),
+            "store_away": sorted(self._following.store_away),
             "duty": asdict(self._placement.duty),
+            "peers": sorted(peer.address for peer in self._peers.peers),
             "targets": {
                 target.id: asdict(target)
                 | {"standing": asdict(self.table.standing(target.id))}
@@ -261,43 +277,12 @@
         return budget
 
     async def _open_peers(self) -> None:
+        await self._listen(self.settings.peer_address, self._serve_question)
         host, _, port = self.settings.peer_address.rpartition(":")
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self._peers, local_addr=(host, int(port))
         )
 
-    async def _follow_configuration(self) -> None:
-        while True:
-            try:
-                newest = await self._configurations.poll()
-            except StoreUnavailableError as error:
-                await self._store_failed("configuration", error)
-                continue
-            self._store_answered("configuration")
-            if newest is not None and self._is_newer(newest):
-                self.configuration = newest
-                self.log.info("configuration_in_force", version=newest.version)
-
-    def _is_newer(self, newest: Configuration) -> bool:
-        return self.configuration is None or newest.version > self.configuration.version
-
-    async def _follow_targets(self) -> None:
-        while True:
-            try:
-                changes = await self._targets.poll()
-            except StoreUnavailableError as error:
-                await self._store_failed("targets", error)
-                continue
-            now_s = self._list_read_s = time.monotonic()
-            if self._store_answered("targets"):
-                self._spare_until_s = now_s + LAPSE_S
-            spare = now_s < self._spare_until_s
-            if changes is None:
-                self.table.replace_all(self._targets.whole(), spare=spare)
-            else:
-                self.table.apply(changes, spare=spare)
-            await asyncio.sleep(LIST_PAUSE_S)
-
     async def _follow_duty(self) -> None:
         fence = -1
         while not self.stopping:
@@ -310,27 +295,13 @@
                     self._peers.peers = peers
             await asyncio.sleep(DUTY_INTERVAL_S)
 
-    async def _store_failed(self, what: str, error: Exception) -> None:
-        if what not in self._store_away:
-            self._store_away.add(what)
-            self.log.info("store_lost", what=what, reason=str(error))
-        self.counters.add("store.failed")
-        await asyncio.sleep(STORE_RETRY_S)
-
-    def _store_answered(self, what: str) -> bool:
-        """Note an answer; return whether it is the first after a while without."""
-        if what not in self._store_away:
-            return False
-        self._store_away.discard(what)
-        self.log.info("store_regained", what=what)
-        return True
-
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             now_s = time.monotonic()
             self.connections.close_idle(now_s)
-            if now_s >= self._spare_until_s and (gone := self.table.drop_lapsed()):
+            spare_until_s = self._following.spare_until_s
+            if now_s >= spare_until_s and (gone := self.table.drop_lapsed()):
                 self.log.info("targets_lapsed", targets=gone)
             await asyncio.gather(
                 *(
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -1,4 +1,4 @@
-"""Work in flight at engines, and who places layers, told to the peers.
+"""Work in flight, who places layers, and the newest configuration, told to the peers.
 
 Datagrams: a lost one is replaced by the next within a quarter of a second.
 """
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import cast
 
-from attrs import define, field
+from attrs import define, field, frozen
 from celeryfork_routing.engine_loads import EngineLoads, Load
 from logbook import Logger
 from orjson import JSONDecodeError, dumps, loads
@@ -19,9 +19,27 @@
 """Pause between two reports to peers of the domain; a stream lasts several."""
 REPORTS_TO_AWAY = 4
 """Each so many reports, one goes to the peers of other domains too."""
+IDLE_REPORTS = 8
+"""Each so many reports, one goes out though there is nothing to say."""
+HEARD_LIFE_S = 10.0
+"""Time that a peer is told things after its last report though it isn't listed.
+
+One that the store turns away drops off the list within seconds.
+"""
+VERSION_TELLINGS = 8
+"""Reports in which a new version is told though there is nothing else; two are enough
+for the peers of all domains, the others make up for lost datagrams."""
 MOST_DATAGRAM_BYTES = 60_000
 
 
+@frozen
+class _Heard:
+    """Where a report came from, and when."""
+
+    domain: str
+    at_s: float
+
+
 @define(eq=False)
 class PeerLoads(asyncio.DatagramProtocol):
     """Sends this instance's loads and takes the peers'.
@@ -32,10 +50,15 @@
         Gives the fence with which this instance places layers, None if it doesn't.
     on_fence
         Called with the fence of a peer that does.
+    version
+        Gives the version of the configuration in force, -1 for none.
+    on_version
+        Called with a peer's version and address if it is higher.
     """
 
     name: str
     domain: str
+    address: str
     _loads: EngineLoads
     _log: Logger
     peers: Sequence[Peer] = ()
@@ -44,7 +67,12 @@
     _said_idle: bool = False
     fence: Callable[[], int | None] = lambda: None
     on_fence: Callable[[int], None] = lambda fence: None
+    version: Callable[[], int] = lambda: -1
+    on_version: Callable[[int, str], None] = lambda version, address: None
     _reports: int = 0
+    _version_told: int = -1
+    _version_tellings: int = 0
+    _heard_by_address: dict[str, _Heard] = field(factory=dict)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the socket."""
@@ -58,10 +86,14 @@
                 str(engine_id): Load(int(requests), float(token_layers))
                 for engine_id, (requests, token_layers) in report["loads"].items()
             }
-            peer = str(report["from"])
+            peer, at = str(report["from"]), str(report["at"])
+            self._heard_by_address[at] = _Heard(str(report["domain"]), time.monotonic())
             fence = report.get("fence")
             if isinstance(fence, int):
                 self.on_fence(fence)
+            version = report.get("version")
+            if isinstance(version, int) and version > self.version():
+                self.on_version(version, at)
         except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as e:
             self._unreadable += 1
             if self._unreadable == 1:
@@ -82,14 +114,22 @@
         own = self._loads.own()
         self._reports += 1
         to_away = self._reports % REPORTS_TO_AWAY == 0
-        fence = self.fence()
-        if not own and self._said_idle and fence is None:
+        fence, version = self.fence(), self.version()
+        if version != self._version_told:
+            self._version_told, self._version_tellings = version, 0
+        told = self._version_tellings >= VERSION_TELLINGS
+        idle = not own and self._said_idle and fence is None and told
+        if idle and self._reports % IDLE_REPORTS != 0:
             return
+        self._version_tellings += 1
         self._said_idle = not own and to_away
         data = dumps(
             {
                 "from": self.name,
+                "at": self.address,
+                "domain": self.domain,
                 "fence": fence,
+                "version": version,
                 "loads": {
                     key: (load.requests, round(load.token_layers))
                     for key, load in own.items()
@@ -98,8 +138,19 @@
         )
         if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
             return
-        for peer in self.peers:
-            if peer.domain != self.domain and not to_away:
+        for address, domain in self._domain_by_address().items():
+            if domain != self.domain and not to_away:
                 continue
-            host, _, port = peer.address.rpartition(":")
+            host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
+
+    def _domain_by_address(self) -> dict[str, str]:
+        """Return the peers listed and those heard of late."""
+        since_s = time.monotonic() - HEARD_LIFE_S
+        self._heard_by_address = {
+            address: heard
+            for address, heard in self._heard_by_address.items()
+            if heard.at_s >= since_s and address != self.address
+        }
+        heard = {at: heard.domain for at, heard in self._heard_by_address.items()}
+        return heard | {peer.address: peer.domain for peer in self.peers}
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -146,6 +146,9 @@
         StoreUnavailableError
         """
 
+    def decode(self, encoded: bytes) -> Configuration | None:
+        """Return a configuration that a peer passed on, None if it can't be read."""
+
 
 class TargetFeed(Protocol):
     """The list of targets."""
--- a/libs/entry/src/celeryfork_entry/settings.py
+++ b/libs/entry/src/celeryfork_entry/settings.py
@@ -14,7 +14,9 @@
     ready
         Address at which it is asked whether it is ready.
     peer_address
-        Address for the peers' datagrams.
+        Address for the peers' datagrams and questions.
+    seed_addresses
+        Such addresses of some peers; they may be out of date.
     metrics
         Address at which the metrics are served.
     store
@@ -37,3 +39,4 @@
     retry_slack: float
     retry_window_s: float
     usual_instances: int
+    seed_addresses: tuple[str, ...] = ()
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -279,7 +279,7 @@
             if events:
                 patience_s = EVENT_PATIENCE_S
                 self._checks.progressed(path.engine_ids, time.monotonic())
-                await self._pass_on(call, reply, events, progress)
+                await self._pass_on(call, path, reply, events, progress)
         if splitter.incomplete or not progress.begun:
             raise LostError("the stream ended within an event")
         progress.complete = True
@@ -288,7 +288,12 @@
         return Finished()
 
     async def _pass_on(
-        self, call: Call, reply: Reply, events: list[Event], progress: _Progress
+        self,
+        call: Call,
+        path: LayerPath,
+        reply: Reply,
+        events: list[Event],
+        progress: _Progress,
     ) -> None:
         """Send events that the caller doesn't have yet, each once and in order."""
         fresh = []
@@ -310,6 +315,7 @@
             return
         progress.begun = True
         self._parts.note(call, "first_event", sends=call.sends)
+        self._parts.table.accepted(path.engine_ids)
         self._parts.histograms.record(
             "streams.first_event", time.monotonic() - call.request.arrived_s
         )
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -13,6 +13,8 @@
 """Time after which a slow engine is tried again as if it were sound."""
 REFUSAL_PAUSE_S = 0.3
 """Time that an engine which refused work is left out where others can do it."""
+LONGEST_REFUSAL_PAUSE_S = 2.4
+"""Longest such time: it doubles for one that goes on refusing while the list is old."""
 FAILURE_WEIGHT = 0.2
 """Weight of the newest answer in a target's share of failed answers."""
 
@@ -72,6 +74,7 @@
     slowness: float = 1.0
     reported_s: float = 0.0
     refused_until_s: float = 0.0
+    refusals: int = 0
 
     def slowness_at(self, now_s: float) -> float:
         """Return the slowness last reported, 1 if that is long ago."""
@@ -86,12 +89,19 @@
 
 @define
 class TargetTable:
-    """All listed targets with their standings."""
+    """All listed targets with their standings.
+
+    Parameters
+    ----------
+    list_is_old
+        Whether the list can't be read now: it may show engines that have left.
+    """
 
     by_id: dict[str, Target] = field(factory=dict)
     _standing_by_id: dict[str, Standing] = field(factory=dict)
     in_flight_by_id: dict[str, int] = field(factory=dict)
     _lapsed: set[str] = field(factory=set)
+    list_is_old: bool = False
 
     def apply(self, changes: Iterable[ListChange], *, spare: bool = False) -> None:
         """Take changes of the list in their order.
@@ -185,8 +195,23 @@
         standing.failed_share += FAILURE_WEIGHT * (1 - standing.failed_share)
 
     def refused(self, target_id: str, now_s: float) -> None:
-        """Record that an engine refused work, by its memory or because it leaves."""
-        self.standing(target_id).refused_until_s = now_s + REFUSAL_PAUSE_S
+        """Record that an engine refused work, by its memory or because it leaves.
+
+        One without memory has some again soon. One that leaves refuses on, and only
+        the list could say so.
+        """
+        standing = self.standing(target_id)
+        pause_s = REFUSAL_PAUSE_S
+        if self.list_is_old:
+            pause_s = min(LONGEST_REFUSAL_PAUSE_S, pause_s * 2**standing.refusals)
+        standing.refusals += 1
+        standing.refused_until_s = now_s + pause_s
+
+    def accepted(self, target_ids: Iterable[str]) -> None:
+        """Record that engines have taken work."""
+        for target_id in target_ids:
+            if target_id in self._standing_by_id:
+                self._standing_by_id[target_id].refusals = 0
 
     def hold(self, target_id: str, reason: str, now_s: float) -> bool:
         """Put a target out of choice; return whether it was in choice before."""
--- /dev/null
+++ b/libs/entry/tests/test_known.py
@@ -0,0 +1,34 @@
+"""What instances tell one another."""
+
+import pytest
+from attrs import evolve
+from celeryfork_entry.configuration import CallerLimits, Configuration
+from celeryfork_entry.known import decode_known, encode_known
+from celeryfork_entry.targets import Target
+from celeryfork_routing.layers import LayerRange
+
+TARGET = Target("t1", "llm", "10.0.0.1:80", "a", held=LayerRange(3, 9), born_ms=7)
+LIMITS = CallerLimits(1, 1, 1.0, 1.0)
+CONFIGURATION = Configuration(4, {}, {}, {}, False, LIMITS, encoded=b"\x00{}")
+
+
+def test_a_peer_gets_what_was_known():
+    targets = [TARGET, evolve(TARGET, id="t2", held=None, draining=True)]
+    known = decode_known(encode_known(CONFIGURATION, targets))
+    assert known.encoded == CONFIGURATION.encoded
+    assert list(known.targets) == targets
+
+
+def test_an_instance_without_a_configuration_says_so():
+    assert decode_known(encode_known(None, [])).encoded == b""
+
+
+@pytest.mark.parametrize(
+    "message",
+    [b"", b"[]", b"{}", b'{"configuration": 4, "targets": []}',
+     b'{"configuration": "", "targets": [{"id": "t1"}]}',
+     b'{"configuration": "", "targets": ["t1"]}'],
+)  # fmt: skip
+def test_messages_of_another_kind_are_unreadable(message):
+    with pytest.raises(ValueError):
+        decode_known(message)
--- /dev/null
+++ b/libs/entry/tests/test_peer_loads.py
@@ -0,0 +1,80 @@
+"""Reports to peers and from them."""
+
+from celeryfork_entry.peer_loads import IDLE_REPORTS, VERSION_TELLINGS, PeerLoads
+from celeryfork_entry.ports import Peer
+from celeryfork_routing.engine_loads import EngineLoads
+from logbook import Logger
+from orjson import dumps, loads
+
+NEAR, FAR = Peer("e2", "west", "10.0.0.2:7"), Peer("e3", "east", "10.0.1.3:7")
+
+
+class Wire:
+    """Takes datagrams instead of a socket."""
+
+    def __init__(self):
+        self.sent = []
+
+    def sendto(self, data, address):
+        self.sent.append((address[0], loads(data)))
+
+
+def make_peer_loads(name="e1", address="10.0.0.1:7"):
+    peer_loads = PeerLoads(name, "west", address, EngineLoads(), Logger("test"))
+    peer_loads.connection_made(Wire())
+    return peer_loads
+
+
+def report(peer_loads, times):
+    wire = peer_loads._transport = Wire()
+    for _ in range(times):
+        peer_loads._report()
+    return wire.sent
+
+
+def test_a_new_version_is_told_though_nothing_is_in_flight():
+    peer_loads = make_peer_loads()
+    peer_loads.peers = [NEAR, FAR]
+    report(peer_loads, 10 * VERSION_TELLINGS)
+    peer_loads.version = lambda: 5
+    told = report(peer_loads, VERSION_TELLINGS)
+    assert {to for to, message in told if message["version"] == 5} == {
+        "10.0.0.2", "10.0.1.3",
+    }  # fmt: skip
+
+
+def test_an_idle_instance_says_little():
+    peer_loads = make_peer_loads()
+    peer_loads.peers = [NEAR]
+    report(peer_loads, 2 * VERSION_TELLINGS)
+    assert len(report(peer_loads, 10 * IDLE_REPORTS)) == 10
+
+
+def test_a_peer_that_is_no_longer_listed_is_told_on():
+    """One that the store turns away drops off the list and hears of no change."""
+    peer_loads, turned_away = make_peer_loads(), make_peer_loads("e2", "10.0.0.2:7")
+    peer_loads.peers = []
+    turned_away.peers = [Peer("e1", "west", "10.0.0.1:7")]
+    for _, message in report(turned_away, IDLE_REPORTS):
+        peer_loads.datagram_received(dumps(message), ("10.0.0.2", 7))
+    assert {to for to, _ in report(peer_loads, IDLE_REPORTS)} == {"10.0.0.2"}
+
+
+def test_only_a_higher_version_of_a_peer_is_asked_for():
+    peer_loads, peer = make_peer_loads(), make_peer_loads("e2", "10.0.0.2:7")
+    peer.peers = [Peer("e1", "west", "10.0.0.1:7")]
+    heard = []
+    peer_loads.on_version = lambda version, address: heard.append((version, address))
+    peer_loads.version = lambda: 5
+    for version in (4, 5, 6):
+        peer.version = lambda version=version: version
+        for _, message in report(peer, 1):
+            peer_loads.datagram_received(dumps(message), ("10.0.0.2", 7))
+    assert heard == [(6, "10.0.0.2:7")]
+
+
+def test_what_is_no_report_is_left_out():
+    peer_loads = make_peer_loads()
+    for data in (b"", b"[]", b'{"loads": {}}', b'{"from": "e2", "at": 1}'):
+        peer_loads.datagram_received(data, ("10.0.0.2", 7))
+    assert report(peer_loads, 1) == []
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -137,3 +137,30 @@
     assert list(table.by_id) == ["t1"]
     assert table.drop_lapsed() == ["t1"]
     assert table.by_id == {}
+
+
+def refused_until_s(table, times_s):
+    for now_s in times_s:
+        table.refused("t1", now_s)
+    return table.standing("t1").refused_until_s
+
+
+def test_an_engine_that_left_while_the_store_is_away_is_offered_ever_less():
+    """The pattern of incident inc-807a: engines leave while nothing can say so."""
+    table = make_table()
+    table.list_is_old = True
+    assert refused_until_s(table, [100.0]) < 100.5
+    assert refused_until_s(table, [101.0, 102.0, 103.0, 104.0, 105.0]) > 107.0
+    assert refused_until_s(table, [110.0]) < 113.0
+
+
+def test_an_engine_without_memory_is_tried_again_soon_however_often_it_refuses():
+    assert refused_until_s(make_table(), [100.0, 101.0, 102.0, 103.0]) < 103.5
+
+
+def test_an_engine_that_takes_work_again_is_trusted_again():
+    table = make_table()
+    table.list_is_old = True
+    refused_until_s(table, [100.0, 101.0, 102.0])
+    table.accepted(["t1"])
+    assert refused_until_s(table, [110.0]) < 110.5
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -353,6 +353,42 @@
         entry.end()
 
 
+@pytest.fixture
+def newcomer(entry, fleet, tmp_path):
+    """A second instance that has not started."""
+    newcomer = Entry(fleet, tmp_path, "entry-2", "east", beside=entry)
+    yield newcomer
+    newcomer.end()
+    assert not newcomer.events("task_failed")
+
+
+def test_an_instance_that_starts_without_the_store_asks_a_peer(entry, fleet, newcomer):
+    """The pattern of incident inc-807a: instances start while the store is away."""
+    fleet.store.down = True
+    newcomer.start().wait_ready()
+    assert newcomer.stream("v1").status == 200
+    (taken,) = newcomer.events("configuration_in_force")
+    assert taken["source"] == f"127.0.0.1:{entry.peer}"
+    fleet.store.down = False
+    wait_for(lambda: len(newcomer.events("store_regained")) >= 2, 8)
+    assert newcomer.request("GET", "/look/1", "v2").status == 200
+
+
+def versions_in_force(entry):
+    return [event["version"] for event in entry.events("configuration_in_force")]
+
+
+def test_a_peer_that_reads_the_store_passes_a_change_on(entry, fleet, newcomer):
+    newcomer.start().wait_ready()
+    wait_for(lambda: json.loads(entry.ask("/dump"))["peers"], 8)
+    newcomer.settings["platform"]["addr"] = "127.0.0.1:1"
+    newcomer.write_settings()
+    wait_for(lambda: len(newcomer.events("store_lost")) >= 2, 8)
+    time.sleep(4)  # its membership lapses meanwhile
+    version = fleet.configure()["version"]
+    wait_for(lambda: versions_in_force(newcomer)[-1] == version, 2)
+
+
 def test_requests_on_one_connection(entry):
     connection = http.client.HTTPConnection("127.0.0.1", entry.front, timeout=5)
     for number in range(3):
--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -23,17 +23,30 @@
 class Entry:
     """One entry instance as a process."""
 
-    def __init__(self, platform, directory, name="entry-1", zone="west"):
-        self.front, self.ready, self.peer = free_port(), free_port(), free_port()
+    def __init__(self, platform, directory, name="entry-1", zone="west", beside=None):
+        """Prepare an instance.
+
+        Parameters
+        ----------
+        beside
+            Another instance, on whose ports this one listens at another address.
+        """
+        self.ip = "127.0.0.1" if beside is None else "127.0.0.2"
+        self.front, self.ready, self.peer = (
+            (free_port(), free_port(), free_port())
+            if beside is None
+            else (beside.front, beside.ready, beside.peer)
+        )
         self.path = Path(directory) / f"{name}.json"
         self.log_path = Path(directory) / f"{name}.log"
         self.settings = {
             "nodeName": name,
             "zone": zone,
-            "ip": "127.0.0.1",
+            "ip": self.ip,
+            "seeds": [f"{beside.ip}:1"] if beside is not None else [],
             "listen": {
-                "front": f"127.0.0.1:{self.front}",
-                "ready": f"127.0.0.1:{self.ready}",
+                "front": f"{self.ip}:{self.front}",
+                "ready": f"{self.ip}:{self.ready}",
             },
             "portRange": [self.peer, self.peer + 1],
             "bounds": {
@@ -67,13 +80,13 @@
         return self
 
     def ask(self, path):
-        connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=2)
+        connection = http.client.HTTPConnection(self.ip, self.ready, timeout=2)
         connection.request("GET", path)
         return connection.getresponse().read()
 
     def is_ready(self):
         try:
-            connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=1)
+            connection = http.client.HTTPConnection(self.ip, self.ready, timeout=1)
             connection.request("GET", "/-/readyz")
             return connection.getresponse().status == 200
         except OSError:
@@ -111,7 +124,7 @@
         if key is not None:
             sent["Authorization"] = f"Bearer {key}"
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
-        connection = http.client.HTTPConnection("127.0.0.1", self.front, timeout=10)
+        connection = http.client.HTTPConnection(self.ip, self.front, timeout=10)
         connection.request(method, path, body=body, headers=sent)
         return connection.getresponse()
 
