Requests carry their priority to the targets

The organisation's priority goes before the route's, and what a caller sends of it is dropped, as it was. Targets where requests wait take the more urgent first. Test: test_an_organisations_priority_goes_before_the_routes.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -29,6 +29,8 @@
     ----------
     ends_s
         Steady time by which its final answer leaves.
+    priority
+        0 is the most urgent; the organisation's, else the route's.
     sends
         Targets that it was passed on to so far, refusals included.
     runs
@@ -45,6 +47,7 @@
     organisation: str | None
     version: int
     ends_s: float
+    priority: int = 0
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -78,6 +78,7 @@
             organisation=organisation.name if organisation else None,
             version=configuration.version,
             ends_s=request.arrived_s + left_s - ANSWER_MARGIN_S,
+            priority=_priority(route, organisation),
         )
 
     def _pick_service(self, route: Route) -> str:
@@ -123,6 +124,12 @@
         self._parts.log.info(event, **known, **inputs)
 
 
+def _priority(route: Route, organisation: Organisation | None) -> int:
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
+
 def _organisation(
     configuration: Configuration, route: Route, facts: RequestFacts
 ) -> Organisation | None:
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -126,7 +126,9 @@
 
     async def _exchange(self, call: Call, target: Target, once: bool) -> Attempt:
         parts = self._parts
-        handover = Handover(target, call.organisation, call.left_s)
+        handover = Handover(
+            target, call.organisation, call.left_s, priority=call.priority
+        )
         request = parts.dialect.pass_on(call.request, handover)
         reply = await parts.connections.send(target.address, request, fresh=once)
         try:
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -56,6 +56,8 @@
         Engines that run its layers; None for a plain service.
     after_event
         Event after which a stream goes on, None for its begin.
+    priority
+        Rank of the request at targets where requests wait, 0 the most urgent.
     """
 
     target: Target
@@ -63,6 +65,7 @@
     left_s: float
     path: LayerPath | None = None
     after_event: int | None = None
+    priority: int = 0
 
 
 @frozen
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -239,7 +239,12 @@
         if first is None:
             return PathRefused("its first engine has left")
         handover = Handover(
-            first, call.organisation, call.left_s, path, progress.last_event
+            first,
+            call.organisation,
+            call.left_s,
+            path,
+            progress.last_event,
+            call.priority,
         )
         request = parts.dialect.pass_on(call.request, handover)
         try:
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -62,6 +62,26 @@
     assert int(headers["X-Deadline-Ms"]) <= 9000
 
 
+def test_an_organisations_priority_goes_before_the_routes(entry, fleet):
+    entry.stream("a3").read()
+    assert header_at_engine(fleet, "a3", "X-Request-Priority") == "1"
+    tenant = {"name": "kiosk", "apiKeys": ["key-1"], "priority": 12}
+    version = fleet.configure(tenants=[tenant])["version"]
+    wait_for(lambda: versions_in_force(entry)[-1] == version, 3)
+    entry.stream("a4", X_Request_Priority="0").read()
+    assert header_at_engine(fleet, "a4", "X-Request-Priority") == "9"
+
+
+def header_at_engine(platform, attempt, name):
+    (value,) = [
+        headers[name]
+        for engine in platform.engines.values()
+        for run_id, _, headers in engine.runs
+        if run_id == attempt
+    ]
+    return value
+
+
 @pytest.mark.parametrize("which", ["first", "other"])
 def test_a_stream_goes_on_when_an_engine_crashes(entry, fleet, which):
     for engine in fleet.engines.values():
