Streams over slow engines are asked about by their own pace

Change: a stream is asked about after twice its usual gap, at least 70 ms and at most 150 ms. The engines are asked beside the wait, so that what comes meanwhile is passed on at once.

--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -0,0 +1,52 @@
+"""One attempt of a stream over one path, and how it can end."""
+
+import asyncio
+
+from attrs import define, frozen
+from celeryfork_routing.engine_loads import LayerPath
+
+
+@frozen
+class Finished:
+    """The stream is complete."""
+
+
+@frozen
+class PathRefused:
+    """The path has not run the request."""
+
+    reason: str
+
+
+@frozen
+class PathBroke:
+    """The path began, or may have begun, and stopped."""
+
+    reason: str
+
+
+@frozen
+class EngineFailed:
+    """The engine's own failure, to be passed on if nothing else helps."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+Outcome = Finished | PathRefused | PathBroke | EngineFailed
+
+
+@define(eq=False)
+class PathAttempt:
+    """A path in use; it can be interrupted from outside."""
+
+    path: LayerPath
+    task: asyncio.Task[Outcome] | None = None
+    interrupted: str = ""
+
+    def interrupt(self, reason: str) -> None:
+        """End the attempt, so that the stream goes on over another path."""
+        if self.task is not None and not self.task.done():
+            self.interrupted = reason
+            self.task.cancel()
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -4,7 +4,7 @@
 import time
 from typing import TypeVar
 
-from attrs import define, field, frozen
+from attrs import define, field
 from celeryfork_admission.room_pressure import RoomPressure
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath
 from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
@@ -13,15 +13,22 @@
 from celeryfork_entry.configuration import Stream
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.events import Event, EventSplitter
+from celeryfork_entry.path_attempts import (
+    EngineFailed,
+    Finished,
+    Outcome,
+    PathAttempt,
+    PathBroke,
+    PathRefused,
+)
 from celeryfork_entry.plain_calls import MOST_REPLY_BYTES, PROMISES_NOT_RUN
 from celeryfork_entry.ports import Handover
+from celeryfork_entry.stream_progress import Pace, Progress
 from celeryfork_entry.target_http import LostError, NotSentError, Reply
 from celeryfork_entry.targets import Target
 
 FIRST_EVENT_PATIENCE_S = 0.2
 """Silence before the first event after which the path's engines are asked."""
-EVENT_PATIENCE_S = 0.07
-"""Silence between events after which they are asked; a third of callers' bound."""
 SILENCE_LIMIT_S = 1.2
 """Silence after which a path is left though its engines answer.
 
@@ -44,68 +51,6 @@
 Got = TypeVar("Got")
 
 
-@frozen
-class Finished:
-    """The stream is complete."""
-
-
-@frozen
-class PathRefused:
-    """The path has not run the request."""
-
-    reason: str
-
-
-@frozen
-class PathBroke:
-    """The path began, or may have begun, and stopped."""
-
-    reason: str
-
-
-@frozen
-class EngineFailed:
-    """The engine's own failure, to be passed on if nothing else helps."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
-Outcome = Finished | PathRefused | PathBroke | EngineFailed
-
-
-@define(eq=False)
-class _Progress:
-    """What the caller has of its stream."""
-
-    last_event: int | None
-    begun: bool = False
-    complete: bool = False
-    event_s: float = 0.0
-    longest_pause_s: float = 0.0
-
-    def passed(self, now_s: float) -> None:
-        """Note that events have just left for the caller."""
-        if self.begun:
-            pause_s = now_s - self.event_s
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.event_s = now_s
-
-
-@define(eq=False)
-class _Attempt:
-    path: LayerPath
-    task: asyncio.Task[Outcome] | None = None
-    interrupted: str = ""
-
-    def interrupt(self, reason: str) -> None:
-        """End the attempt, so that the stream goes on over another path."""
-        if self.task is not None and not self.task.done():
-            self.interrupted = reason
-            self.task.cancel()
-
-
 @define(eq=False)
 class StreamCalls:
     """Carries streams from engines to callers."""
@@ -113,7 +58,7 @@
     _parts: CallParts
     _checks: EngineChecks
     _loads: EngineLoads
-    _attempts_by_engine: dict[str, set[_Attempt]] = field(factory=dict)
+    _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
     _pressure: RoomPressure = field(factory=RoomPressure)
 
     def engine_down(self, engine_id: str) -> None:
@@ -130,7 +75,7 @@
             It was refused, or failed before its first event.
         """
         self._pressure.arrived(time.monotonic())
-        progress = _Progress(call.facts.last_event)
+        progress = Progress(call.facts.last_event)
         last: Outcome = PathRefused("no path")
         while call.sends < MOST_SENDS and call.left_s > 0:
             path = await self._choose(call)
@@ -205,9 +150,9 @@
         return find_path(shape, engines, self._loads.total(now_s), request)
 
     async def _attempt(
-        self, call: Call, path: LayerPath, progress: _Progress
+        self, call: Call, path: LayerPath, progress: Progress
     ) -> Outcome:
-        attempt = _Attempt(path)
+        attempt = PathAttempt(path)
         tokens = call.facts.prompt_tokens + _answer_tokens(call) * ANSWER_RESERVE
         self._loads.begin(path, tokens)
         self._parts.note(
@@ -233,7 +178,7 @@
             for engine_id in path.engine_ids:
                 self._attempts_by_engine[engine_id].discard(attempt)
 
-    async def _run(self, call: Call, path: LayerPath, progress: _Progress) -> Outcome:
+    async def _run(self, call: Call, path: LayerPath, progress: Progress) -> Outcome:
         parts = self._parts
         first = parts.table.by_id.get(path.parts[0].engine_id)
         if first is None:
@@ -251,7 +196,9 @@
             sending = asyncio.ensure_future(
                 parts.connections.send(first.address, request)
             )
-            reply = await self._patiently(call, path, sending, FIRST_EVENT_PATIENCE_S)
+            reply = await self._patiently(
+                call, path, sending, FIRST_EVENT_PATIENCE_S, speeds=True
+            )
             try:
                 return await self._relay(call, path, reply, progress)
             finally:
@@ -266,7 +213,7 @@
             return self._broke(call, path, repr(error))
 
     async def _relay(
-        self, call: Call, path: LayerPath, reply: Reply, progress: _Progress
+        self, call: Call, path: LayerPath, reply: Reply, progress: Progress
     ) -> Outcome:
         facts = self._parts.dialect.read_reply(reply.status, reply.headers)
         if facts.request_id not in {None, call.facts.id}:
@@ -274,15 +221,17 @@
         if reply.status != 200:
             return await self._refusal(call, path, reply)
         splitter = EventSplitter()
-        patience_s = FIRST_EVENT_PATIENCE_S
+        pace: Pace | None = None
         while True:
             reading = asyncio.ensure_future(reply.read())
-            data = await self._patiently(call, path, reading, patience_s)
+            patience_s = pace.patience_s if pace else FIRST_EVENT_PATIENCE_S
+            data = await self._patiently(call, path, reading, patience_s, pace is None)
             if not data:
                 break
             events = splitter.feed(data)
             if events:
-                patience_s = EVENT_PATIENCE_S
+                pace = pace or Pace()
+                pace.heard(time.monotonic())
                 self._checks.progressed(path.engine_ids, time.monotonic())
                 await self._pass_on(call, path, reply, events, progress)
         if splitter.incomplete or not progress.begun:
@@ -298,7 +247,7 @@
         path: LayerPath,
         reply: Reply,
         events: list[Event],
-        progress: _Progress,
+        progress: Progress,
     ) -> None:
         """Send events that the caller doesn't have yet, each once and in order."""
         fresh = []
@@ -328,30 +277,46 @@
         await call.connection.begin(reply.status, headers, data)
 
     async def _patiently(
-        self, call: Call, path: LayerPath, task: asyncio.Future[Got], patience_s: float
+        self,
+        call: Call,
+        path: LayerPath,
+        task: asyncio.Future[Got],
+        patience_s: float,
+        speeds: bool,
     ) -> Got:
         """Wait for ``task``; ask the path's engines when it takes long.
 
+        Parameters
+        ----------
+        speeds
+            Whether they are asked for their speed too, if it isn't known.
+
         Raises
         ------
         TimeoutError
             The silence is over its limit, or the caller's time is up.
         """
         begun_s = time.monotonic()
+        check: asyncio.Future[list[str]] | None = None
         try:
             while True:
                 silent_s = time.monotonic() - begun_s
                 left_s = min(SILENCE_LIMIT_S - silent_s, call.left_s)
                 if left_s <= 0:
                     raise TimeoutError(f"silent for {silent_s:.3f} s")
-                done, _ = await asyncio.wait({task}, timeout=min(patience_s, left_s))
-                if done:
+                await asyncio.wait({task}, timeout=min(patience_s, left_s))
+                if task.done():
                     return task.result()
-                speeds = patience_s > EVENT_PATIENCE_S
                 patience_s *= 2
-                await self._checks.find_down(path.engine_ids, speeds=speeds)
+                # Beside the wait: what comes meanwhile is passed on at once.
+                if check is None or check.done():
+                    check = asyncio.ensure_future(
+                        self._checks.find_down(path.engine_ids, speeds=speeds)
+                    )
         finally:
             task.cancel()
+            if check is not None:
+                check.cancel()
 
     async def _refusal(self, call: Call, path: LayerPath, reply: Reply) -> Outcome:
         facts = self._parts.dialect.read_reply(reply.status, reply.headers)
@@ -403,7 +368,7 @@
         self._parts.note(call, event, path=_describe(path), reason=reason, again=again)
         return again
 
-    async def _finish(self, call: Call, outcome: Outcome, progress: _Progress) -> None:
+    async def _finish(self, call: Call, outcome: Outcome, progress: Progress) -> None:
         match outcome:
             case Finished():
                 self._parts.histograms.record(
