--- a/libs/cmdline/src/celeryfork_cmdline/check.py
+++ b/libs/cmdline/src/celeryfork_cmdline/check.py
@@ -1,7 +1,8 @@
 """``celeryfork check``."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
+from importlib import import_module
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -15,6 +16,8 @@
 
 EXIT_INPUT_FAULT = 2
 
+FaultsOf = Callable[[Any], list[InputFaultError]]
+
 
 class Checked(StrEnum):
     """What a file is taken for."""
@@ -29,14 +32,21 @@
         Checked | None,
         Option(help="What the file is; told by its content if left out."),
     ] = None,
+    format: Annotated[
+        str | None,
+        Option(help="Module that reads settings of another format."),
+    ] = None,
     json: Annotated[bool, Option("--json", help="Print JSON.")] = False,
 ) -> None:
     """Check a settings file or configuration records; show every fault at once.
 
+    `--format celeryfork_adapter.settings` checks the settings file of an instance on
+    the users' platform. Such a module offers `settings_faults(content)`.
+
     A file of records holds one object with `name`, `schema` and `payload`, or a list
     of them. Exit code 2 if there is a fault.
     """
-    faults = _faults(path, kind)
+    faults = _faults(path, kind, _reader(format) if format else None)
     if json:
         print_json({"file": str(path), "faults": [_as_json(f) for f in faults]})
     else:
@@ -47,13 +57,34 @@
         raise Exit(EXIT_INPUT_FAULT)
 
 
-def _faults(path: Path, kind: Checked | None) -> list[InputFaultError]:
+def _reader(module: str) -> FaultsOf:
+    """Return what tells the faults of another format.
+
+    Raises
+    ------
+    InputFaultError
+        There is no such module, or it reads no settings.
+    """
+    try:
+        reader: FaultsOf = import_module(module).settings_faults
+    except (ImportError, AttributeError) as error:
+        raise InputFaultError(
+            "--format", f"{module!r} reads no settings: {error}.", "name another module"
+        ) from error
+    return reader
+
+
+def _faults(
+    path: Path, kind: Checked | None, reader: FaultsOf | None
+) -> list[InputFaultError]:
     try:
         content = loads(path.read_bytes())
     except OSError as error:
         return [InputFaultError("$", f"can't be read: {error}", "check the path")]
     except JSONDecodeError as error:
         return [InputFaultError("$", f"is no JSON: {error}", "correct the syntax")]
+    if reader is not None:
+        return reader(content)
     match kind or _kind_of(content):
         case Checked.SETTINGS:
             return _settings_faults(path)
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -11,7 +11,6 @@
 )
 from celeryfork_adapter.settings import decode_settings
 from celeryfork_adapter.store import _decode_records
-from celeryfork_base.errors import InputFaultError
 from celeryfork_entry.configuration import Repeatable, RunOnce, Stream
 from celeryfork_entry.ports import StoreUnavailableError
 from celeryfork_routing.layers import LayerRange
@@ -121,7 +120,10 @@
 
 
 def test_a_faulty_setting_is_named_with_its_path():
-    with pytest.raises(InputFaultError, match=r"\$\['ip'\]"):
-        decode_settings({})
-    with pytest.raises(InputFaultError, match="is no str"):
-        decode_settings({"ip": 7})
+    with pytest.raises(ExceptionGroup) as caught:
+        decode_settings({"ip": 7, "listen": {"front": "10.0.0.1:80"}})
+    told = [str(fault) for fault in caught.value.exceptions]
+    assert "$['ip']" in told[0]
+    assert "is no str" in told[0]
+    assert any("$['listen']['ready']" in each for each in told)
+    assert not any("front" in each for each in told)
