The list counts as old until lapsed entries are decided on

As soon as it answered, the pause of engines that go on refusing fell back to 0.3 s, though their entries stay for two seconds more: 92 of 147 refusals in two seconds were by one of them, and 99 repeats had no budget left. Change: the list is old until those two seconds are over. Tried and left: pauses that double whatever the list's age (up to 1.2 s, 4.8 s with an old list), with repeats kept off engines that have just refused.

--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -89,7 +89,7 @@
             now_s = self.list_read_s = time.monotonic()
             if self._store_answered("targets"):
                 self.spare_until_s = now_s + LAPSE_S
-            spare = now_s < self.spare_until_s
+            spare = self._table.list_is_old = now_s < self.spare_until_s
             if changes is None:
                 self._table.replace_all(self._targets.whole(), spare=spare)
             else:
@@ -117,7 +117,7 @@
     async def _store_failed(self, what: str, error: Exception) -> None:
         if what not in self.store_away:
             self.store_away.add(what)
-            self._table.list_is_old = "targets" in self.store_away
+            self._table.list_is_old |= what == "targets"
             self._log.info("store_lost", what=what, reason=str(error))
         self._counters.add("store.failed")
         if what == "configuration" and self.configuration is None:
@@ -129,7 +129,6 @@
         if what not in self.store_away:
             return False
         self.store_away.discard(what)
-        self._table.list_is_old = "targets" in self.store_away
         self._log.info("store_regained", what=what)
         return True
 
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -94,7 +94,7 @@
     Parameters
     ----------
     list_is_old
-        Whether the list can't be read now: it may show engines that have left.
+        Whether the list can't be read, or engines that left may still be in it.
     """
 
     by_id: dict[str, Target] = field(factory=dict)
