--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -106,7 +106,7 @@
             return
         self._asked_by_address[address] = version
         if not await self._ask(address):
-            del self._asked_by_address[address]
+            self._asked_by_address.pop(address, None)
 
     def _take(self, newest: Configuration | None, source: str) -> None:
         if newest is None or newest.version <= self.version:
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -67,3 +67,19 @@
 def test_a_list_that_is_read_is_not_old():
     table, _ = follow(None, [])
     assert not table.list_is_old
+
+
+def test_a_peer_that_does_not_answer_twice_at_a_time_is_asked_again():
+    """The second failure found the note of the first gone and raised."""
+    following = Following(
+        Feed(), Feed(), TargetTable(), TargetConnections(), Logger("test"),
+        Counters(), lambda: [],
+    )  # fmt: skip
+
+    async def hear_twice():
+        await asyncio.gather(
+            following.heard_of(5, "127.0.0.1:1"), following.heard_of(6, "127.0.0.1:1")
+        )
+
+    asyncio.run(hear_twice())
+    assert following._asked_by_address == {}
