Changed settings forget no repeats

Ruled out: the share itself (test_all_instances_together_stay_within_the_budget). Change: the bounds change, the counts stay.

--- a/libs/admission/src/celeryfork_admission/retry_share.py
+++ b/libs/admission/src/celeryfork_admission/retry_share.py
@@ -32,6 +32,10 @@
     _requests_s: deque[float] = field(factory=deque)
     _repeats_s: deque[float] = field(factory=deque)
 
+    def change(self, ratio: float, slack: float, window_s: float) -> None:
+        """Take other bounds; what was counted stays."""
+        self.ratio, self.slack, self.window_s = ratio, slack, window_s
+
     def request(self, now_s: float) -> None:
         """Count a request's first arrival at the target."""
         self._requests_s.append(now_s)
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -260,7 +260,10 @@
     def apply(self, settings: EntrySettings) -> None:
         """Take changed settings; addresses to listen on stay until a restart."""
         self.settings = settings
-        self._budget_by_service.clear()
+        for budget in self._budget_by_service.values():
+            budget.change(
+                settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+            )
         self.log.info("settings_reloaded", store=settings.store, stop_s=settings.stop_s)
 
     def _limits(self) -> CallerLimits:
--- /dev/null
+++ b/libs/entry/tests/test_instance.py
@@ -0,0 +1,43 @@
+"""An instance's parts, without network."""
+
+from types import SimpleNamespace
+
+from attrs import evolve
+from celeryfork_entry.instance import Instance
+from celeryfork_entry.settings import EntrySettings
+from logbook import Logger
+
+SETTINGS = EntrySettings(
+    name="e1", domain="west", listen="127.0.0.1:1", ready="127.0.0.1:2",
+    metrics="127.0.0.1:3", peer_address="127.0.0.1:4", store="127.0.0.1:5",
+    stop_s=8.0, retry_ratio=0.2, retry_slack=20.0, retry_window_s=10.0,
+    usual_instances=10,
+)  # fmt: skip
+
+
+def make_instance():
+    nothing = SimpleNamespace()
+    return Instance(SETTINGS, nothing, nothing, nothing, nothing, Logger("test"))
+
+
+def repeats(instance, now_s):
+    """Return how many repeats the budget of a service still allows."""
+    count = 0
+    while instance._budget_of("llm").may_repeat(now_s, 1):
+        count += 1
+    return count
+
+
+def test_changed_settings_forget_no_repeats():
+    """A signal to each instance within one window doubled the budget of them all."""
+    instance = make_instance()
+    assert repeats(instance, 100.0) == 18
+    instance.apply(evolve(SETTINGS, stop_s=9.0))
+    assert repeats(instance, 101.0) == 0
+
+
+def test_changed_settings_change_the_budget():
+    instance = make_instance()
+    assert repeats(instance, 100.0) == 18
+    instance.apply(evolve(SETTINGS, retry_slack=40.0))
+    assert repeats(instance, 101.0) == 18
