The pause of an engine that refuses for long stays a number

Found on reading the diff: the pause was doubled by 2 to the number of refusals, which after 1,025 refusals without one accepted request is too large for a float. The count stops at four. test_an_engine_may_refuse_for_days fails on the old code (OverflowError).

--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -15,6 +15,8 @@
 """Time that an engine which refused work is left out where others can do it."""
 LONGEST_REFUSAL_PAUSE_S = 2.4
 """Longest such time: it doubles for one that goes on refusing while the list is old."""
+MOST_DOUBLINGS = 4
+"""Doublings after which that time is reached in any case."""
 FAILURE_WEIGHT = 0.2
 """Weight of the newest answer in a target's share of failed answers."""
 
@@ -204,7 +206,7 @@
         pause_s = REFUSAL_PAUSE_S
         if self.list_is_old:
             pause_s = min(LONGEST_REFUSAL_PAUSE_S, pause_s * 2**standing.refusals)
-        standing.refusals += 1
+        standing.refusals = min(MOST_DOUBLINGS, standing.refusals + 1)
         standing.refused_until_s = now_s + pause_s
 
     def accepted(self, target_ids: Iterable[str]) -> None:
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -164,3 +164,11 @@
     refused_until_s(table, [100.0, 101.0, 102.0])
     table.accepted(["t1"])
     assert refused_until_s(table, [110.0]) < 110.5
+
+
+def test_an_engine_may_refuse_for_days():
+    """Two to the number of refusals was too large for a float after 1,025 of them."""
+    table = make_table()
+    refused_until_s(table, [float(second) for second in range(2_000)])
+    table.list_is_old = True
+    assert refused_until_s(table, [3_000.0]) < 3_003.0
