A stand-in that was cut answers nothing on connections that the cut missed

An instance says done for any 200. The one place that gives a 200 with an empty body and no run is a plain service's stand-in that died while a call waited to run: it relied on the cut to reset the call's connection. A connection that the loop has accepted and not made yet isn't among the server's connections, so the cut misses it and the dead target answers. Change: a listener counts its cuts; what came before the last one is reset, not answered. This covers engines and the other stand-ins too. Test: test_a_connection_that_a_cut_misses_gets_no_answer fails on the old code (the client gets 200).

--- a/libs/standin/src/celeryfork_standin/background.py
+++ b/libs/standin/src/celeryfork_standin/background.py
@@ -118,6 +118,7 @@
     _server: web.Server | None = field(default=None, init=False)
     _socket: asyncio.Server | None = field(default=None, init=False)
     _kept: KeptPort | None = field(default=None, init=False)
+    _cuts: int = field(default=0, init=False)
 
     @property
     def address(self) -> str:
@@ -136,15 +137,30 @@
         if self._kept is None:
             self._kept = KeptPort(self.host, self.port)
             self.port = self._kept.number
-        self._server = web.Server(self.handler, handler_cancellation=True)
+        self._server = web.Server(
+            partial(self._answer, self._cuts), handler_cancellation=True
+        )
         self._socket = await asyncio.get_running_loop().create_server(
             self._server, self.host, self.port, backlog=LISTEN_BACKLOG
         )
 
+    async def _answer(self, cuts: int, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer on connections from since the last cut only.
+
+        One that was accepted just before a cut isn't among the server's yet.
+        """
+        answer: web.StreamResponse = web.Response()
+        if cuts == self._cuts:
+            answer = await self.handler(request)
+        if cuts != self._cuts:
+            reset(request.transport)
+        return answer
+
     def cut(self) -> None:
         """Stop listening and reset every open connection."""
         if self._socket is None or self._server is None:
             return
+        self._cuts += 1
         self._socket.close()
         self._socket = None
         for connection in self._server.connections:
--- a/libs/standin/tests/test_background.py
+++ b/libs/standin/tests/test_background.py
@@ -1,4 +1,7 @@
+import asyncio
+import http.client
 import socket
+import threading
 from pathlib import Path
 
 import pytest
@@ -56,3 +59,28 @@
 
 async def answer_nothing(request: web.BaseRequest) -> web.Response:
     return web.Response()
+
+
+def test_a_connection_that_a_cut_misses_gets_no_answer(monkeypatch):
+    """A dead target answered 200 without a body: done, said the instance."""
+    thread = LoopThread("test")
+    thread.start()
+    arrived, released = threading.Event(), asyncio.Event()
+
+    async def answer_late(request: web.BaseRequest) -> web.Response:
+        arrived.set()
+        await released.wait()
+        return web.Response()
+
+    listener = Listener(answer_late, "127.0.0.1")
+    thread.run(listener.open())
+    monkeypatch.setattr(web.Server, "connections", [])  # accepted, not made yet
+    connection = http.client.HTTPConnection(listener.address, timeout=5)
+    connection.request("GET", "/")
+    assert arrived.wait(5)
+    thread.call(listener.cut)
+    thread.call(released.set)
+    with pytest.raises((http.client.HTTPException, ConnectionError)):
+        connection.getresponse()
+    thread.call(listener.close)
+    thread.stop()
