--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -30,10 +30,25 @@
 
 
 @pytest.fixture
-def entry(fleet, tmp_path):
-    entry = Entry(fleet, tmp_path).start().wait_ready()
-    wait_for(lambda: covers(fleet, "west") and covers(fleet, "east"), 10)
-    time.sleep(0.5)
+def start_entry(fleet, tmp_path):
+    """Start an instance before the fleet, once all layers are placed."""
+    started = []
+
+    def start(planted=""):
+        entry = Entry(fleet, tmp_path).start(planted).wait_ready()
+        started.append(entry)
+        wait_for(lambda: covers(fleet, "west") and covers(fleet, "east"), 10)
+        time.sleep(0.5)
+        return entry
+
+    yield start
+    for entry in started:
+        entry.end()
+
+
+@pytest.fixture
+def entry(start_entry):
+    entry = start_entry()
     yield entry
     entry.end()
     assert not entry.events("task_failed")
--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -63,7 +63,12 @@
     def write_settings(self):
         self.path.write_text(json.dumps(self.settings))
 
-    def start(self):
+    def start(self, planted=""):
+        """Start the process; ``planted`` is a program that runs in it before."""
+        command = ["-m", "celeryfork_adapter"]
+        if planted:
+            begin = "import sys\nfrom celeryfork_adapter.__main__ import main\n"
+            command = ["-c", f"{begin}{planted}\nsys.exit(main())"]
         sources = [str(path) for path in (ROOT / "libs").glob("*/src")]
         environment = os.environ | {
             "CELERYFORK_CONFIG": str(self.path),
@@ -71,7 +76,7 @@
         }
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "celeryfork_adapter"],
+                [sys.executable, *command],
                 env=environment,
                 stdout=log,
                 stderr=log,
