--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -124,6 +124,10 @@
     def events(self, name):
         return [event for event in self.log() if event["event"] == name]
 
+    def versions_in_force(self):
+        events = self.events("configuration_in_force")
+        return [event["version"] for event in events]
+
     def request(self, method, path, attempt, *, key="key-1", body=None, **headers):
         sent = {"Host": "shop.example", "X-Attempt-Id": attempt}
         if key is not None:
