--- a/libs/admission/src/celeryfork_admission/admission.py
+++ b/libs/admission/src/celeryfork_admission/admission.py
@@ -8,13 +8,19 @@
 from concurrent.futures import Future
 from typing import Protocol
 
-from attrs import define, field, frozen
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
 
-from celeryfork_admission.fair_queue import FairQueue, Waiting
+from celeryfork_admission.admission_queue import (
+    AdmissionRequest,
+    Admitted,
+    Queue,
+    QueueBounds,
+    Turn,
+)
+from celeryfork_admission.fair_queue import Waiting
 
 LONGEST_SWEEP_WAIT_S = 0.25
 SHORTEST_RETRY_AFTER_S = 1.0
@@ -35,81 +41,6 @@
         """Note that a request with a permit has ended."""
 
 
-@frozen
-class QueueBounds:
-    """How much may wait.
-
-    Parameters
-    ----------
-    most_requests
-        Waiting requests per queue.
-    most_wait_s
-        Longest wait for a slot, in seconds.
-    """
-
-    most_requests: int
-    most_wait_s: float
-
-
-@frozen
-class AdmissionRequest:
-    """A request that wants to start.
-
-    Parameters
-    ----------
-    organisation, weight
-        Whose it is, and the organisation's share relative to others.
-    estimated_tokens
-        Prompt and answer tokens that it will probably cost.
-    priority
-        0 (least) to 9.
-    deadline_s
-        Monotonic time by which the caller wants the answer, in seconds.
-    queue
-        The queue it waits in: one for each model and each plain service.
-    """
-
-    organisation: str
-    weight: float
-    estimated_tokens: float
-    priority: int
-    deadline_s: float
-    queue: str
-
-
-@define(eq=False)
-class Admitted:
-    """A request that was let in; hand it to ``Admission.leave`` exactly once."""
-
-    request: AdmissionRequest
-    entered_s: float
-    waited_s: float = 0.0
-    left: bool = False
-
-
-@define(eq=False)
-class _Turn:
-    """A waiting request with the future that its caller holds."""
-
-    admitted: Admitted
-    future: "Future[Admitted]"
-    refusal: RequestRefusedError | None = None
-
-
-@define(eq=False)
-class _Queue:
-    """One queue with its slots."""
-
-    slots: int
-    running: int = 0
-    tokens_per_s: float = 0.0
-    seconds_per_token: float = 0.0
-    counted_tokens: float = 0.0
-    counted_from_s: float = 0.0
-    fair: FairQueue = field(factory=FairQueue)
-    turns_by_waiting: dict[int, _Turn] = field(factory=dict)
-
-
 class Admission:
     """The gate in front of targets; safe to use from any thread.
 
@@ -139,7 +70,7 @@
         self._counters = counters
         self._first_slots = slots
         self._lock = threading.Lock()
-        self._queues_by_name: dict[str, _Queue] = {}
+        self._queues_by_name: dict[str, Queue] = {}
         self._sweep_wanted = threading.Event()
         self._stopped = False
         self._thread = threading.Thread(
@@ -249,7 +180,7 @@
             return
         with self._lock:
             queue = self._queue(request.queue)
-            self._push(queue, _Turn(admitted, future))
+            self._push(queue, Turn(admitted, future))
             started = self._start_next(queue)
         if not started:
             self._sweep_wanted.set()
@@ -301,7 +232,7 @@
                 wait_s,
             )
 
-    def _push(self, queue: _Queue, turn: _Turn) -> None:
+    def _push(self, queue: Queue, turn: Turn) -> None:
         request = turn.admitted.request
         waiting = Waiting(
             organisation=request.organisation,
@@ -315,9 +246,9 @@
         queue.fair.push(waiting)
         queue.turns_by_waiting[id(waiting)] = turn
 
-    def _start_next(self, queue: _Queue) -> list[_Turn]:
+    def _start_next(self, queue: Queue) -> list[Turn]:
         """Give free slots to those whose turn it is; call with the lock held."""
-        started: list[_Turn] = []
+        started: list[Turn] = []
         while queue.running < queue.slots:
             waiting = queue.fair.pop()
             if waiting is None:
@@ -336,7 +267,7 @@
         return started
 
     def _too_late(
-        self, queue: _Queue, request: AdmissionRequest, now_s: float
+        self, queue: Queue, request: AdmissionRequest, now_s: float
     ) -> RequestRefusedError | None:
         """Return a refusal if a request would be cut by its deadline while it runs."""
         run_s = request.estimated_tokens * queue.seconds_per_token
@@ -352,7 +283,7 @@
             self._expected_wait_s(queue),
         )
 
-    def _tell(self, started: list[_Turn]) -> None:
+    def _tell(self, started: list[Turn]) -> None:
         """Complete futures outside of the lock: their callbacks may call back."""
         for turn in started:
             if turn.future.cancelled():
@@ -364,12 +295,12 @@
                 self._counters.add("admission.started")
                 turn.future.set_result(turn.admitted)
 
-    def _expected_wait_s(self, queue: _Queue) -> float:
+    def _expected_wait_s(self, queue: Queue) -> float:
         if queue.running < queue.slots or queue.tokens_per_s <= 0:
             return 0.0
         return queue.fair.waiting_cost / queue.tokens_per_s
 
-    def _count_tokens(self, queue: _Queue, tokens: float) -> None:
+    def _count_tokens(self, queue: Queue, tokens: float) -> None:
         now_s = self._clock.monotonic()
         queue.counted_tokens += tokens
         elapsed_s = now_s - queue.counted_from_s
@@ -382,7 +313,7 @@
         queue.counted_tokens = 0.0
         queue.counted_from_s = now_s
 
-    def _count_pace(self, queue: _Queue, admitted: Admitted) -> None:
+    def _count_pace(self, queue: Queue, admitted: Admitted) -> None:
         """Learn how long a request runs for each token that it was estimated at."""
         started_s = admitted.entered_s + admitted.waited_s
         ran_s = self._clock.monotonic() - started_s
@@ -391,10 +322,10 @@
             pace = PACE_MEMORY * queue.seconds_per_token + (1 - PACE_MEMORY) * pace
         queue.seconds_per_token = pace
 
-    def _queue(self, name: str) -> _Queue:
+    def _queue(self, name: str) -> Queue:
         queue = self._queues_by_name.get(name)
         if queue is None:
-            queue = _Queue(
+            queue = Queue(
                 slots=self._first_slots, counted_from_s=self._clock.monotonic()
             )
             self._queues_by_name[name] = queue
@@ -422,7 +353,7 @@
     def expire(self) -> None:
         """Refuse the waiting requests whose time is up."""
         now_s = self._clock.monotonic()
-        expired: list[tuple[_Turn, float]] = []
+        expired: list[tuple[Turn, float]] = []
         with self._lock:
             for queue in self._queues_by_name.values():
                 for waiting in queue.fair.pop_expired(now_s):
--- a/libs/admission/tests/test_admission.py
+++ b/libs/admission/tests/test_admission.py
@@ -4,12 +4,8 @@
 
 import pytest
 from attrs import define, field
-from celeryfork_admission.admission import (
-    Admission,
-    AdmissionRequest,
-    QueueBounds,
-    make_admission,
-)
+from celeryfork_admission.admission import Admission, make_admission
+from celeryfork_admission.admission_queue import AdmissionRequest, QueueBounds
 from celeryfork_base.clock import ManualClock
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
--- /dev/null
+++ b/libs/calls/tests/support/fake_service.py
@@ -0,0 +1,84 @@
+"""A service that records what it ran."""
+
+import threading
+from collections import Counter
+from http.server import BaseHTTPRequestHandler
+
+from attrs import define, field
+
+
+@define
+class FakeService:
+    """A plain service on a port of its own; ``answers`` are used up in order."""
+
+    answers: list[str] = field(factory=list)
+    ran: Counter[str] = field(factory=Counter)
+    bodies: list[bytes] = field(factory=list)
+    status_by_key: dict[str, bytes] = field(factory=dict)
+    held: threading.Event = field(factory=threading.Event)
+    address: str = ""
+    connections: int = 0
+
+    def take(self, key: str, body: bytes) -> str:
+        """Run a call, unless the answer is to reject it, and return the answer."""
+        answer = self.answers.pop(0) if self.answers else "done"
+        if answer != "reject":
+            self.ran[key] += 1
+            self.bodies.append(body)
+        self.held.wait(10)
+        return answer
+
+
+# Status, body, length if another one is claimed, and whether it drains.
+ANSWERS = {
+    "half": (200, b"booked", 100),
+    "large": (200, b"x" * 100_000),
+    "reject": (503, b"busy"),
+    "busy": (503, b"busy"),
+    "draining": (503, b"leaving", 0, True),
+    "fail": (422, b"no such day"),
+}
+
+
+def handler_of(service: FakeService) -> type[BaseHTTPRequestHandler]:
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def setup(self) -> None:
+            super().setup()
+            service.connections += 1
+
+        def do_POST(self) -> None:
+            body = self.rfile.read(int(self.headers["Content-Length"]))
+            answer = service.take(self.headers.get("Idempotency-Key", ""), body)
+            if answer in ("cut", "half", "unmarked"):
+                self.close_connection = True
+            match answer:
+                case "cut":
+                    pass
+                case "unmarked":
+                    self.send_response(200)
+                    self.end_headers()
+                    self.wfile.write(b"booked")
+                case _:
+                    self._answer(*ANSWERS.get(answer, (200, b"booked " + body)))
+
+        def do_GET(self) -> None:
+            kept = service.status_by_key.get(self.path.rpartition("/")[2])
+            self._answer(404 if kept is None else 200, kept or b"")
+
+        def _answer(
+            self, status: int, body: bytes, length: int = 0, draining: bool = False
+        ) -> None:
+            self.send_response(status)
+            self.send_header("Content-Type", "text/plain")
+            self.send_header("Content-Length", str(length or len(body)))
+            if draining:
+                self.send_header("X-Draining", "true")
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, format: str, *args: object) -> None:
+            pass
+
+    return Handler
--- a/libs/daemon/src/celeryfork_daemon/assembly.py
+++ b/libs/daemon/src/celeryfork_daemon/assembly.py
@@ -4,7 +4,8 @@
 from secrets import token_hex
 
 from attrs import frozen
-from celeryfork_admission.admission import Admission, QueueBounds, make_admission
+from celeryfork_admission.admission import Admission, make_admission
+from celeryfork_admission.admission_queue import QueueBounds
 from celeryfork_admission.permit_home import Limit
 from celeryfork_admission.permits import PermitOffice, make_permit_office
 from celeryfork_admission.poison import (
--- a/libs/daemon/src/celeryfork_daemon/model_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/model_calls.py
@@ -7,7 +7,8 @@
 from socket import socket
 
 from attrs import frozen
-from celeryfork_admission.admission import Admission, AdmissionRequest, Admitted
+from celeryfork_admission.admission import Admission
+from celeryfork_admission.admission_queue import AdmissionRequest, Admitted
 from celeryfork_admission.poison import PoisonRegister, fingerprint
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
--- a/libs/daemon/src/celeryfork_daemon/plain_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/plain_calls.py
@@ -5,7 +5,8 @@
 from contextlib import ExitStack, contextmanager
 
 from attrs import frozen
-from celeryfork_admission.admission import Admission, AdmissionRequest, Admitted
+from celeryfork_admission.admission import Admission
+from celeryfork_admission.admission_queue import AdmissionRequest, Admitted
 from celeryfork_base.clock import Clock
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import OUTCOME_HEADER, Outcome
