A stream runs on no more first engines than its route allows

Cause: a path that broke counted against the route's bound only if none of its engines was down. What runs the request is the first engine of a path, and it lives when a later engine is lost; a stream that lost later engines twice began on a third first engine.

Ruled out: the retry budget (its counts were within the bound), and refusals that may have run (none in those streams' lines).

Change: first_engines.py keeps the engines on which a stream was begun. While as many of them live as the route allows, paths begin with one of these; else anywhere. A path still changes its later engines freely, so a stream isn't given up. Engines that ended don't count, as before.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -12,6 +12,7 @@
 
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.configuration import Configuration, Route, Service
+from celeryfork_entry.first_engines import FirstEngines
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.ports import Dialect, RequestFacts
 from celeryfork_entry.target_http import TargetConnections
@@ -34,7 +35,9 @@
     sends
         Targets that it was passed on to so far, refusals included.
     runs
-        Those that may have run it and still live; they count against the route's bound.
+        Targets of a plain service that may have run it.
+    first_engines
+        Engines on which a stream was begun.
     may_have_run
         Whether any target may have begun it: then it can't be said not to have run.
     """
@@ -52,6 +55,7 @@
     runs: int = 0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
+    first_engines: FirstEngines = field(factory=lambda: FirstEngines(1))
 
     @property
     def left_s(self) -> float:
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -76,6 +76,7 @@
         """
         self._pressure.arrived(time.monotonic())
         progress = Progress(call.facts.last_event)
+        call.first_engines.most = call.route.most_targets
         last: Outcome = PathRefused("no path")
         while call.sends < MOST_SENDS and call.left_s > 0:
             path = await self._choose(call)
@@ -145,10 +146,17 @@
             if target.held is not None and target.id not in call.avoided
         ]
         request = PathRequest(
-            call.facts.prompt_tokens, _answer_tokens(call), self._parts.domain
+            call.facts.prompt_tokens,
+            _answer_tokens(call),
+            self._parts.domain,
+            call.first_engines.allowed(self._lives),
         )
         return find_path(shape, engines, self._loads.total(now_s), request)
 
+    def _lives(self, engine_id: str) -> bool:
+        table = self._parts.table
+        return engine_id in table.by_id and not table.standing(engine_id).held
+
     async def _attempt(
         self, call: Call, path: LayerPath, progress: Progress
     ) -> Outcome:
@@ -324,7 +332,8 @@
         if facts.not_run:
             self._blame(call, path, facts.at_fault)
             return PathRefused(f"status {reply.status} at {facts.at_fault}")
-        call.runs += 1
+        call.first_engines.begun(path.parts[0].engine_id)
+        call.avoided.add(path.parts[0].engine_id)
         call.may_have_run = True
         if reply.status in PROMISES_NOT_RUN:
             return PathBroke(f"status {reply.status} without the promise")
@@ -338,31 +347,28 @@
         self._parts.table.refused(part.engine_id, time.monotonic())
 
     def _broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
-        down = [
-            engine_id
-            for engine_id in path.engine_ids
-            if engine_id not in self._parts.table.by_id
-            or self._parts.table.standing(engine_id).held
-        ]
+        down = [each for each in path.engine_ids if not self._lives(each)]
         call.may_have_run = True
+        call.first_engines.begun(path.parts[0].engine_id)
         if not down:
-            call.runs += 1
             call.avoided.add(path.parts[0].engine_id)
         return PathBroke(f"{reason}; down: {','.join(down) or 'none'}")
 
     def _again(self, call: Call, outcome: Outcome, path: LayerPath) -> bool:
         kind = call.route.kind
         resumable = isinstance(kind, Stream) and kind.resumable
+        allowed = call.first_engines.allowed(self._lives)
+        may_begin = resumable and (allowed is None or bool(allowed - call.avoided))
         match outcome:
             case Finished():
                 return False
             case PathRefused(reason):
                 again, event = True, "path_refused"
             case PathBroke(reason):
-                again = resumable and call.runs < call.route.most_targets
+                again = may_begin
                 event = "path_broke"
             case EngineFailed(status):
-                again = resumable and call.runs < call.route.most_targets
+                again = may_begin
                 event, reason = "engine_failed", f"status {status}"
         self._parts.counters.add(f"streams.{event}")
         self._parts.note(call, event, path=_describe(path), reason=reason, again=again)
--- a/libs/routing/src/celeryfork_routing/layer_paths.py
+++ b/libs/routing/src/celeryfork_routing/layer_paths.py
@@ -60,17 +60,24 @@
         Tokens to read and expected tokens to write.
     domain
         Failure domain of the caller.
+    first_engines
+        Engines that the path may begin with, None for any.
     """
 
     prompt: float
     answer: float
     domain: str
+    first_engines: frozenset[str] | None = None
 
     @property
     def tokens(self) -> float:
         """Return the tokens that the request holds in memory at its end."""
         return self.prompt + self.answer
 
+    def may_begin_with(self, engine_id: str) -> bool:
+        """Return whether the path may begin with an engine."""
+        return self.first_engines is None or engine_id in self.first_engines
+
 
 @frozen
 class _Candidate:
@@ -173,6 +180,7 @@
         )
         for candidate in candidates
         if candidate.engine.held.first <= 0
+        and request.may_begin_with(candidate.engine.id)
     }
 
 
--- a/libs/routing/tests/test_layer_paths.py
+++ b/libs/routing/tests/test_layer_paths.py
@@ -145,3 +145,13 @@
     for part in path.parts:
         held = by_id[part.engine_id].held
         assert held.first <= part.layers.first < part.layers.last <= held.last
+
+
+def test_a_path_begins_only_where_it_may():
+    engines = [*slow_row("a"), *slow_row("b"), engine("other", 0, 10)]
+    free = find_path(SHAPE, engines, {}, REQUEST).engine_ids[0]
+    assert free != "b0"
+    bound = PathRequest(760, 174, "a", first_engines=frozenset({"b0"}))
+    assert find_path(SHAPE, engines, {}, bound).engine_ids[0] == "b0"
+    nowhere = PathRequest(760, 174, "a", first_engines=frozenset())
+    assert find_path(SHAPE, engines, {}, nowhere) is None
