While the store is away, somebody places layers and knows what engines hold

Ruled out: losses of engines (no engine_down in these seconds).

Change: a holder that the store no longer names goes on until it hears of its successor or for 5 s of the store's answers, also in its planned stop; fences keep it harmless. It asks engines under orders for their reports while the list is old, and instances tell their peers what engines reported and the list doesn't say. An engine that refuses twice in a row meanwhile is asked its health question; 503 there counts as draining until its next entry, for 5 s at most.

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -14,7 +14,7 @@
 
 from celeryfork_entry.ports import Dialect, EngineReport
 from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
-from celeryfork_entry.targets import Target, TargetTable
+from celeryfork_entry.targets import LearntLayers, Target, TargetTable
 
 ANSWER_TIMEOUT_S = 0.08
 """Wait for a report; a live engine answers at once, without a slot."""
@@ -125,6 +125,9 @@
         if standing.held:
             self._log.info("engine_back", engine=target.id, held=standing.reason)
             self._table.ask_domain_now(target.domain, now_s)
+        learnt = LearntLayers(report.held, report.born_ms, now_s, own=True)
+        if self._table.learn_layers(target.id, learnt):
+            self._log.info("layers_learnt", engine=target.id, held=str(report.held))
         standing.slowness = max(1.0, report.slowness)
         standing.reported_s = now_s
         self._table.succeeded(target.id)
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -20,6 +20,7 @@
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.following import Following
 from celeryfork_entry.known import KNOWN_PATH
+from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.metrics import Histograms, metrics_text
 from celeryfork_entry.peer_loads import PeerLoads
 from celeryfork_entry.placement_duty import PlacementDuty, renew_duty
@@ -34,7 +35,7 @@
 from celeryfork_entry.settings import EntrySettings
 from celeryfork_entry.stream_calls import StreamCalls
 from celeryfork_entry.target_http import TargetConnections
-from celeryfork_entry.targets import TargetTable
+from celeryfork_entry.targets import LearntLayers, TargetTable
 
 DUTY_INTERVAL_S = 1.0
 """Pause between two renewals of the membership."""
@@ -100,7 +101,10 @@
             domain=self.settings.domain,
             histograms=self._histograms,
         )
-        streams = StreamCalls(parts, self._checks, self.loads)
+        leaving = LeavingChecks(
+            self.table, self.connections, self._dialect, self.log, self._spawn
+        )
+        streams = StreamCalls(parts, self._checks, leaving, self.loads)
         self._checks.on_down = streams.engine_down
         self._dispatcher = Dispatcher(parts, PlainCalls(parts), streams)
         self._placement = PlacementDuty(
@@ -115,6 +119,8 @@
         self._peers.on_fence = self._placement.heard_of
         self._peers.version = lambda: self._following.version
         self._peers.on_version = self._heard_of_version
+        self._peers.layers = self.table.layers_learnt
+        self._peers.on_layers = self._heard_of_layers
 
     @property
     def configuration(self) -> Configuration | None:
@@ -129,6 +135,10 @@
     def _heard_of_version(self, version: int, address: str) -> None:
         self._spawn(self._following.heard_of(version, address))
 
+    def _heard_of_layers(self, engine_id: str, learnt: LearntLayers) -> None:
+        if self.table.learn_layers(engine_id, learnt):
+            self.log.info("layers_learnt", engine=engine_id, held=str(learnt.held))
+
     def _held_fence(self) -> int | None:
         duty = self._placement.duty
         return duty.fence if duty.held else None
@@ -157,7 +167,7 @@
             self._keep_house,
         ):
             self._spawn(loop())
-        self._spawn(self._placement.run(lambda: self.stopping))
+        self._spawn(self._placement.run())
         self._spawn(self._peers.run(lambda: self.stopping))
         await self._stop_asked.wait()
         await self._stop(server)
@@ -290,10 +300,10 @@
         fence = -1
         while not self.stopping:
             await renew_duty(self._election.renew, self._placement, self.log)
-            if self._placement.duty.fence != fence:
+            if self._placement.generation != fence:
                 with contextlib.suppress(StoreUnavailableError):
                     peers = await self._election.peers()
-                    fence = self._placement.duty.fence
+                    fence = self._placement.generation
                     self._instances = len(peers) + 1
                     self._peers.peers = peers
             await asyncio.sleep(DUTY_INTERVAL_S)
--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/leaving_checks.py
@@ -0,0 +1,69 @@
+"""Whether an engine that goes on refusing is leaving, asked of it directly.
+
+The list says so, but not while the store is away. Without this each request would be
+offered to such an engine, and its layers would not be given to others.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from attrs import define, field
+from logbook import Logger
+
+from celeryfork_entry.ports import Dialect
+from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
+from celeryfork_entry.targets import TargetTable
+
+ANSWER_TIMEOUT_S = 0.5
+"""Wait for an answer; the question may wait for a slot."""
+MOST_ANSWER_BYTES = 1 << 16
+SERVING = 200
+
+
+@define(eq=False)
+class LeavingChecks:
+    """Asks engines whether they leave.
+
+    Parameters
+    ----------
+    spawn
+        Runs a task beside the calls.
+    """
+
+    _table: TargetTable
+    _connections: TargetConnections
+    _dialect: Dialect
+    _log: Logger
+    _spawn: Callable[[Awaitable[None]], None]
+    _asked: set[str] = field(factory=set)
+
+    def suspect(self, engine_id: str, health_path: str) -> None:
+        """Have an engine asked, unless it is being asked."""
+        if engine_id not in self._asked and engine_id in self._table.by_id:
+            self._asked.add(engine_id)
+            self._spawn(self._ask(engine_id, health_path))
+
+    async def _ask(self, engine_id: str, health_path: str) -> None:
+        address = self._table.by_id[engine_id].address
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                status = await self._status(address, health_path)
+        except (NotSentError, LostError, TimeoutError) as error:
+            # Whether it is down is for the engine checks to find.
+            self._log.info("health_unanswered", engine=engine_id, reason=repr(error))
+            return
+        finally:
+            self._asked.discard(engine_id)
+        if status != SERVING and engine_id in self._table.by_id:
+            self._table.says_it_leaves(engine_id, time.monotonic())
+            self._log.info("engine_leaves", engine=engine_id, health_status=status)
+
+    async def _status(self, address: str, health_path: str) -> int:
+        question = self._dialect.ask_health(health_path)
+        reply = await self._connections.send(address, question)
+        try:
+            await reply.read_all(MOST_ANSWER_BYTES)
+            return reply.status
+        finally:
+            reply.drop()
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -5,15 +5,17 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import cast
 
 from attrs import define, field, frozen
 from celeryfork_routing.engine_loads import EngineLoads, Load
+from celeryfork_routing.layers import LayerRange
 from logbook import Logger
 from orjson import JSONDecodeError, dumps, loads
 
 from celeryfork_entry.ports import Peer
+from celeryfork_entry.targets import LearntLayers
 
 INTERVAL_S = 0.25
 """Pause between two reports to peers of the domain; a stream lasts several."""
@@ -54,6 +56,10 @@
         Gives the version of the configuration in force, -1 for none.
     on_version
         Called with a peer's version and address if it is higher.
+    layers
+        Gives what engines reported and the list doesn't say, by engine.
+    on_layers
+        Called with each engine of which a peer passes that on.
     """
 
     name: str
@@ -69,6 +75,8 @@
     on_fence: Callable[[int], None] = lambda fence: None
     version: Callable[[], int] = lambda: -1
     on_version: Callable[[int, str], None] = lambda version, address: None
+    layers: Callable[[], Mapping[str, LearntLayers]] = dict
+    on_layers: Callable[[str, LearntLayers], None] = lambda engine_id, learnt: None
     _reports: int = 0
     _version_told: int = -1
     _version_tellings: int = 0
@@ -94,6 +102,8 @@
             version = report.get("version")
             if isinstance(version, int) and version > self.version():
                 self.on_version(version, at)
+            for engine_id, row in report.get("layers", {}).items():
+                self.on_layers(engine_id, _learnt(row))
         except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as e:
             self._unreadable += 1
             if self._unreadable == 1:
@@ -118,7 +128,8 @@
         if version != self._version_told:
             self._version_told, self._version_tellings = version, 0
         told = self._version_tellings >= VERSION_TELLINGS
-        idle = not own and self._said_idle and fence is None and told
+        layers = self.layers()
+        idle = not (own or layers) and self._said_idle and fence is None and told
         if idle and self._reports % IDLE_REPORTS != 0:
             return
         self._version_tellings += 1
@@ -130,6 +141,7 @@
                 "domain": self.domain,
                 "fence": fence,
                 "version": version,
+                "layers": {key: _row(learnt) for key, learnt in layers.items()},
                 "loads": {
                     key: (load.requests, round(load.token_layers))
                     for key, load in own.items()
@@ -154,3 +166,18 @@
         }
         heard = {at: heard.domain for at, heard in self._heard_by_address.items()}
         return heard | {peer.address: peer.domain for peer in self.peers}
+
+
+def _row(learnt: LearntLayers) -> list[int | None]:
+    """Return what an engine holds, since when, and how long ago it said so in ms."""
+    age_ms = round((time.monotonic() - learnt.at_s) * 1000)
+    if learnt.held is None:
+        return [None, None, learnt.born_ms, age_ms]
+    return [learnt.held.first, learnt.held.last, learnt.born_ms, age_ms]
+
+
+def _learnt(row: Sequence[int | None]) -> LearntLayers:
+    first, last, born_ms, age_ms = row
+    held = None if first is None or last is None else LayerRange(first, last)
+    at_s = time.monotonic() - (age_ms or 0) / 1000
+    return LearntLayers(held, born_ms, at_s, own=False)
--- a/libs/entry/src/celeryfork_entry/placement_duty.py
+++ b/libs/entry/src/celeryfork_entry/placement_duty.py
@@ -43,6 +43,12 @@
 """Time after which it may shift them too; its list and its view of losses are good."""
 WITHHELD_S = 1.0
 """Pause before an engine whose order was withheld is asked again."""
+HANDOVER_S = 5.0
+"""Time that a holder goes on for while the store names another that isn't heard of.
+
+A member that died keeps the duty for the 3 s of its membership; then the next one
+hears of it with its own renewal.
+"""
 FORBIDDEN = 412
 """An engine has seen a higher fence."""
 
@@ -72,10 +78,12 @@
     _changed_s: float = 0.0
     _planned_once: bool = False
     _held_since_s: float = 0.0
+    _passed_on_s: float | None = None
+    generation: int = -1
 
-    async def run(self, stopping: Callable[[], bool]) -> None:
-        """Hold rounds until the instance stops."""
-        while not stopping():
+    async def run(self) -> None:
+        """Hold rounds, also in a planned stop: until a successor is heard of."""
+        while True:
             await asyncio.sleep(ROUND_S)
             if not self.duty.held or self.duty.fence <= self._refused_fence:
                 continue
@@ -87,10 +95,11 @@
                     await self._round(service.name, service.model)
 
     async def _round(self, service: str, shape: ModelShape) -> None:
+        await self._learn_outcomes()
         engines = [
             target
             for target in self._table.by_id.values()
-            if target.service == service and not target.draining
+            if target.service == service and not self._table.leaves(target)
         ]
         if not self._list_is_quiet(engines):
             return
@@ -105,6 +114,14 @@
                 )
             )
 
+    async def _learn_outcomes(self) -> None:
+        """Ask the engines under orders what they hold, while the list can't tell."""
+        if self._table.list_is_old:
+            ordered = [
+                each for each in self._ordered_by_id if each in self._table.by_id
+            ]
+            await asyncio.gather(*(self._checks.ask(each) for each in ordered))
+
     def _repair(self) -> Repair:
         """Return how far engines that hold layers may be changed now.
 
@@ -116,18 +133,36 @@
         return Repair.MOVE if held_s < SHIFT_AFTER_S else Repair.SHIFT
 
     def renewed(self, duty: Duty) -> None:
-        """Take the outcome of a renewal."""
+        """Take the outcome of a renewal.
+
+        A holder that the store no longer names goes on until it hears of its successor:
+        that may be a member that has died, or that the store turns away.
+        Engines refuse the lower fence once they have seen the higher one.
+        """
         now_s = time.monotonic()
+        self.generation = duty.fence
+        if self.duty.held and not duty.held:
+            if self._passed_on_s is None:
+                self._passed_on_s = now_s
+                self._log.info("duty_passed_on", fence=self.duty.fence, to=duty.fence)
+            if now_s - self._passed_on_s < HANDOVER_S:
+                return
+        self._passed_on_s = None
         if duty.held != self.duty.held:
             self._log.info("duty_changed", held=duty.held, fence=duty.fence)
             self._held_since_s = now_s
         self.duty = duty
 
+    def not_renewed(self) -> None:
+        """Take that the store gave no answer: that time counts for no handover."""
+        self._passed_on_s = None
+
     def heard_of(self, fence: int) -> None:
         """Give the duty up if a peer holds it with a higher fence."""
         if self.duty.held and fence > self.duty.fence:
             self._log.info("duty_superseded", fence=self.duty.fence, by=fence)
             self.duty = Duty(False, fence)
+            self._passed_on_s = None
 
     def _list_is_quiet(self, engines: list[Target]) -> bool:
         """Return whether the plan can be made: the first one needs all engines."""
@@ -210,6 +245,7 @@
     try:
         duty = await renew()
     except StoreUnavailableError as error:
+        placement.not_renewed()
         log.info("duty_not_renewed", held=placement.duty.held, reason=str(error))
         return
     placement.renewed(duty)
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -132,6 +132,9 @@
     def read_report(self, body: bytes) -> EngineReport | None:
         """Return the report, None where it can't be read."""
 
+    def ask_health(self, path: str) -> OutgoingRequest:
+        """Return the question whether a target serves and isn't leaving."""
+
     def order_layers(
         self, layers: LayerRange, fence: int, expected_orders: int
     ) -> OutgoingRequest:
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -13,6 +13,7 @@
 from celeryfork_entry.configuration import Stream
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.events import Event, EventSplitter
+from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.path_attempts import (
     EngineFailed,
     Finished,
@@ -57,6 +58,7 @@
 
     _parts: CallParts
     _checks: EngineChecks
+    _leaving: LeavingChecks
     _loads: EngineLoads
     _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
     _pressure: RoomPressure = field(factory=RoomPressure)
@@ -344,7 +346,8 @@
         """Leave the engine at fault out for this call."""
         part = next((p for p in path.parts if p.address == address), path.parts[0])
         call.avoided.add(part.engine_id)
-        self._parts.table.refused(part.engine_id, time.monotonic())
+        if self._parts.table.refused(part.engine_id, time.monotonic()):
+            self._leaving.suspect(part.engine_id, call.service.health_path)
 
     def _broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
         down = [each for each in path.engine_ids if not self._lives(each)]
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from celeryfork_routing.layers import LayerRange
 
 FIRST_HOLD_S = 0.5
@@ -15,6 +15,11 @@
 """Time that an engine which refused work is left out where others can do it."""
 LONGEST_REFUSAL_PAUSE_S = 2.4
 """Longest such time: it doubles for one that goes on refusing while the list is old."""
+REFUSALS_OF_LEAVING = 2
+"""Refusals in a row after which an engine is asked whether it leaves; one that lacks
+memory for one request mostly takes the next."""
+LEAVING_LIFE_S = 5.0
+"""Time that an engine's own word that it leaves counts for; draining takes 2 s."""
 MOST_DOUBLINGS = 4
 """Doublings after which that time is reached in any case."""
 FAILURE_WEIGHT = 0.2
@@ -64,6 +69,26 @@
 ListChange = Listed | Unlisted
 
 
+@frozen
+class LearntLayers:
+    """What an engine holds by its own report, which its entry doesn't say yet.
+
+    Parameters
+    ----------
+    born_ms
+        The start of the engine that reported it.
+    at_s
+        When it reported, by this instance's monotonic clock.
+    own
+        Whether it reported to this instance; else a peer has passed it on.
+    """
+
+    held: LayerRange | None
+    born_ms: int | None
+    at_s: float
+    own: bool
+
+
 @define
 class Standing:
     """What this instance's own requests have shown of one target."""
@@ -77,6 +102,9 @@
     reported_s: float = 0.0
     refused_until_s: float = 0.0
     refusals: int = 0
+    leaving: bool = False
+    leaving_until_s: float = 0.0
+    learnt: LearntLayers | None = None
 
     def slowness_at(self, now_s: float) -> float:
         """Return the slowness last reported, 1 if that is long ago."""
@@ -152,17 +180,62 @@
             self._standing_by_id.pop(target.id, None)
         elif known is not None and target.entry_number < known.entry_number:
             return
+        elif known is not None and target.entry_number > known.entry_number:
+            standing = self.standing(target.id)
+            standing.leaving, standing.learnt = False, None
+        elif known is not None and (learnt := self.standing(target.id).learnt):
+            target = evolve(target, held=learnt.held)
         self.by_id[target.id] = target
         self._lapsed.discard(target.id)
 
+    def learn_layers(self, target_id: str, learnt: LearntLayers) -> bool:
+        """Take what an engine holds while the list can't say it.
+
+        Returns
+        -------
+        bool
+            Whether that is new.
+        """
+        known = self.by_id.get(target_id)
+        if not self.list_is_old or known is None or known.born_ms != learnt.born_ms:
+            return False
+        standing = self.standing(target_id)
+        if standing.learnt is not None and standing.learnt.at_s >= learnt.at_s:
+            return False
+        if known.held == learnt.held and standing.learnt is None:
+            return False
+        standing.learnt = learnt
+        self.by_id[target_id] = evolve(known, held=learnt.held)
+        return known.held != learnt.held
+
+    def layers_learnt(self) -> dict[str, LearntLayers]:
+        """Return what engines reported to this instance and the list doesn't say."""
+        if not self.list_is_old:
+            return {}
+        return {
+            target_id: standing.learnt
+            for target_id, standing in self._standing_by_id.items()
+            if standing.learnt is not None and standing.learnt.own
+        }
+
     def listed(self, service: str) -> list[Target]:
         """Return the targets of a service that aren't leaving."""
         return [
             target
             for target in self.by_id.values()
-            if target.service == service and not target.draining
+            if target.service == service and not self.leaves(target)
         ]
 
+    def leaves(self, target: Target) -> bool:
+        """Return whether a target takes no new work, by the list or its own word."""
+        return target.draining or self.standing(target.id).leaving
+
+    def says_it_leaves(self, target_id: str, now_s: float) -> None:
+        """Record a target's own word; the next entry that it writes replaces it."""
+        standing = self.standing(target_id)
+        standing.leaving = True
+        standing.leaving_until_s = now_s + LEAVING_LIFE_S
+
     def in_choice(self, service: str) -> list[Target]:
         """Return those of them that nothing speaks against."""
         return [
@@ -196,11 +269,15 @@
         standing = self.standing(target_id)
         standing.failed_share += FAILURE_WEIGHT * (1 - standing.failed_share)
 
-    def refused(self, target_id: str, now_s: float) -> None:
+    def refused(self, target_id: str, now_s: float) -> bool:
         """Record that an engine refused work, by its memory or because it leaves.
 
-        One without memory has some again soon. One that leaves refuses on, and only
-        the list could say so.
+        One without memory has some again soon. One that leaves refuses on.
+
+        Returns
+        -------
+        bool
+            Whether it should be asked if it leaves, since the list can't say so.
         """
         standing = self.standing(target_id)
         pause_s = REFUSAL_PAUSE_S
@@ -208,6 +285,7 @@
             pause_s = min(LONGEST_REFUSAL_PAUSE_S, pause_s * 2**standing.refusals)
         standing.refusals = min(MOST_DOUBLINGS, standing.refusals + 1)
         standing.refused_until_s = now_s + pause_s
+        return self.list_is_old and standing.refusals >= REFUSALS_OF_LEAVING
 
     def accepted(self, target_ids: Iterable[str]) -> None:
         """Record that engines have taken work."""
@@ -236,6 +314,7 @@
         lit_domains: set[str] = set()
         for target in self.by_id.values():
             standing = self.standing(target.id)
+            standing.leaving &= now_s < standing.leaving_until_s
             if not standing.held:
                 lit_domains.add(target.domain)
             elif now_s >= standing.held_until_s:
@@ -256,6 +335,6 @@
         """Return the number of targets in choice by service."""
         counts: dict[str, int] = {}
         for target in self.by_id.values():
-            if not target.draining and not self.standing(target.id).held:
+            if not self.leaves(target) and not self.standing(target.id).held:
                 counts[target.service] = counts.get(target.service, 0) + 1
         return counts
--- /dev/null
+++ b/libs/entry/tests/test_leaving_checks.py
@@ -0,0 +1,62 @@
+"""Whether an engine that refuses on says that it leaves."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from celeryfork_entry.leaving_checks import LeavingChecks
+from celeryfork_entry.target_http import LostError
+from celeryfork_entry.targets import Listed, Target, TargetTable
+from logbook import Logger
+
+
+class Engine:
+    """Answers the question by a status, or not at all."""
+
+    def __init__(self, status):
+        self.status = status
+        self.questions = []
+
+    async def send(self, address, question):
+        self.questions.append((address, question))
+        if self.status is None:
+            raise LostError("gone")
+
+        async def read_all(most):
+            return b""
+
+        return SimpleNamespace(status=self.status, read_all=read_all, drop=lambda: None)
+
+    def ask_health(self, path):
+        return path
+
+
+def suspect(engine, times=1):
+    """Return the engines that are still in the list after a suspicion."""
+    table = TargetTable()
+    table.apply([Listed(Target("x", "llm", "x:1", "a"))])
+
+    async def run():
+        tasks = []
+        spawn = lambda work: tasks.append(asyncio.ensure_future(work))  # noqa: E731
+        checks = LeavingChecks(table, engine, engine, Logger("test"), spawn)
+        for _ in range(times):
+            checks.suspect("x", "/healthz")
+        checks.suspect("unknown", "/healthz")
+        await asyncio.gather(*tasks)
+
+    asyncio.run(run())
+    return [target.id for target in table.listed("llm")]
+
+
+@pytest.mark.parametrize(("status", "listed"), [(503, []), (200, ["x"]), (None, ["x"])])
+def test_only_its_own_word_counts(status, listed):
+    engine = Engine(status)
+    assert suspect(engine) == listed
+    assert engine.questions == [("x:1", "/healthz")]
+
+
+def test_it_is_asked_once_at_a_time():
+    engine = Engine(200)
+    suspect(engine, times=3)
+    assert len(engine.questions) == 1
--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -1,8 +1,13 @@
 """Reports to peers and from them."""
 
+import time
+
+import pytest
 from celeryfork_entry.peer_loads import IDLE_REPORTS, VERSION_TELLINGS, PeerLoads
 from celeryfork_entry.ports import Peer
+from celeryfork_entry.targets import LearntLayers
 from celeryfork_routing.engine_loads import EngineLoads
+from celeryfork_routing.layers import LayerRange
 from logbook import Logger
 from orjson import dumps, loads
 
@@ -78,3 +83,24 @@
     for data in (b"", b"[]", b'{"loads": {}}', b'{"from": "e2", "at": 1}'):
         peer_loads.datagram_received(data, ("10.0.0.2", 7))
     assert report(peer_loads, 1) == []
+
+
+def test_layers_that_an_engine_reported_reach_the_peers():
+    """The list can't tell them while the store is away."""
+    told, heard = make_peer_loads(), make_peer_loads("e2", "10.0.0.2:7")
+    told.peers = [NEAR]
+    now_s = time.monotonic()
+    reported = {
+        "x": LearntLayers(LayerRange(2, 5), 1000, now_s - 3.0, own=True),
+        "y": LearntLayers(None, None, now_s, own=True),
+    }
+    told.layers = lambda: reported
+    passed_on = {}
+    heard.on_layers = passed_on.__setitem__
+    ((_, message),) = report(told, 1)
+    heard.datagram_received(dumps(message), ("10.0.0.1", 7))
+    for engine_id, learnt in reported.items():
+        other = passed_on[engine_id]
+        assert (other.held, other.born_ms) == (learnt.held, learnt.born_ms)
+        assert other.at_s == pytest.approx(learnt.at_s, abs=0.5)
+        assert not other.own
--- a/libs/entry/tests/test_placement_duty.py
+++ b/libs/entry/tests/test_placement_duty.py
@@ -43,8 +43,10 @@
             self.table, self, self, self, self, lambda: None, planned_once=True
         )
         self.duty.renewed(Duty(True, 7))
+        self.asked = []
 
     async def ask(self, target_id):
+        self.asked.append(target_id)
         return self.report_by_id[target_id]
 
     async def send(self, address, order, **_):
@@ -134,3 +136,62 @@
     ((address, layers, _, _),) = fleet.orders
     assert address == "z:1"
     assert layers.first == 0
+
+
+def test_a_holder_goes_on_until_it_hears_of_its_successor():
+    """Pattern: troskgille-hosting trouble-3, seed 554110750578.
+
+    The store gave the duty to a member that never heard of it, and failed itself before
+    anyone else got it; for 15 s no layers were placed.
+    """
+    fleet = Fleet(engine("x"))
+    fleet.duty.renewed(Duty(False, 9))
+    assert fleet.duty.duty == Duty(True, 7)
+    assert fleet.duty.generation == 9
+    fleet.duty.heard_of(9)
+    assert not fleet.duty.duty.held
+
+
+def test_a_holder_gives_up_if_the_store_goes_on_naming_another(monkeypatch):
+    fleet, clock = Fleet(engine("x")), SimpleNamespace(now_s=100.0)
+    monkeypatch.setattr(placement_duty.time, "monotonic", lambda: clock.now_s)
+    fleet.duty.renewed(Duty(False, 9))
+    clock.now_s += placement_duty.HANDOVER_S / 2
+    fleet.duty.not_renewed()
+    clock.now_s += placement_duty.HANDOVER_S
+    fleet.duty.renewed(Duty(False, 9))
+    assert fleet.duty.duty.held
+    clock.now_s += placement_duty.HANDOVER_S
+    fleet.duty.renewed(Duty(False, 9))
+    assert not fleet.duty.duty.held
+
+
+def test_a_holder_that_is_named_again_keeps_on():
+    fleet = Fleet(engine("x"))
+    fleet.duty.renewed(Duty(False, 9))
+    fleet.duty.renewed(Duty(True, 10))
+    assert fleet.duty.duty == Duty(True, 10)
+    assert "duty_changed" not in fleet.events[1:]
+
+
+def test_engines_under_orders_are_asked_what_they_hold_while_the_list_is_old():
+    """Pattern: engines shift as the store goes away, and no entry tells the outcome."""
+    fleet = Fleet(engine("x"))
+    fleet.round()
+    assert fleet.asked == ["x"]
+    fleet.round()
+    assert fleet.asked == ["x"]
+    fleet.table.list_is_old = True
+    fleet.round()
+    assert fleet.asked == ["x", "x"]
+
+
+def test_the_layers_of_an_engine_that_says_it_leaves_are_given_to_others():
+    """Pattern: engines drain while the store is away."""
+    fleet = Fleet(engine("x", LayerRange(0, 4)), engine("y", LayerRange(4, 8)))
+    fleet.table.apply([Listed(engine("z"))])
+    fleet.report_by_id["z"] = REPORT
+    fleet.table.says_it_leaves("x", 100.0)
+    fleet.round()
+    ((address, layers, _, _),) = fleet.orders
+    assert (address, layers.first) == ("z:1", 0)
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -2,12 +2,15 @@
 
 from attrs import evolve
 from celeryfork_entry.targets import (
+    LEAVING_LIFE_S,
     LONGEST_HOLD_S,
+    LearntLayers,
     Listed,
     Target,
     TargetTable,
     Unlisted,
 )
+from celeryfork_routing.layers import LayerRange
 
 TARGET = Target("t1", "desk", "10.0.0.1:80", "a", entry_number=3, born_ms=1000)
 
@@ -172,3 +175,90 @@
     refused_until_s(table, [float(second) for second in range(2_000)])
     table.list_is_old = True
     assert refused_until_s(table, [3_000.0]) < 3_003.0
+
+
+def test_an_engine_that_refuses_on_while_the_list_is_old_should_be_asked():
+    """Pattern: wanjiru-descale hunt-0b8a-27, engines drain while the store is away."""
+    table = make_table()
+    assert not any(table.refused("t1", now_s) for now_s in (100.0, 101.0, 102.0))
+    table.list_is_old = True
+    table.accepted(["t1"])
+    assert [table.refused("t1", now_s) for now_s in (103.0, 104.0)] == [False, True]
+
+
+def test_a_target_that_says_it_leaves_gets_no_new_work_until_its_next_entry():
+    table = make_table()
+    table.says_it_leaves("t1", 100.0)
+    assert table.listed("desk") == table.in_choice("desk") == []
+    assert table.counts_by_service() == {}
+    table.apply([Listed(TARGET)])
+    assert table.listed("desk") == []
+    table.apply([Listed(evolve(TARGET, entry_number=4))])
+    assert len(table.listed("desk")) == 1
+
+
+def test_a_targets_word_that_it_leaves_counts_for_a_while():
+    table = make_table()
+    table.says_it_leaves("t1", 100.0)
+    table.to_ask(100.0 + LEAVING_LIFE_S - 0.1)
+    assert table.listed("desk") == []
+    table.to_ask(100.0 + LEAVING_LIFE_S)
+    assert table.listed("desk") == [TARGET]
+
+
+def learnt(first, last, at_s, *, born_ms=1000, own=True):
+    return LearntLayers(LayerRange(first, last), born_ms, at_s, own)
+
+
+def make_old_table():
+    table = make_table()
+    table.list_is_old = True
+    return table
+
+
+def test_reports_tell_what_an_engine_holds_while_the_list_is_old():
+    """Pattern: troskgille-hosting trouble-3, seed 294790781814.
+
+    Engines shifted as the store went away; no path was found for 6 s, since the list
+    had their old layers.
+    """
+    table = make_old_table()
+    assert table.learn_layers("t1", learnt(0, 4, 100.0))
+    assert table.by_id["t1"].held == LayerRange(0, 4)
+    assert not table.learn_layers("t1", learnt(0, 4, 101.0))
+    assert table.learn_layers("t1", learnt(4, 8, 102.0))
+
+
+def test_an_older_report_changes_nothing():
+    table = make_old_table()
+    table.learn_layers("t1", learnt(0, 4, 100.0))
+    assert not table.learn_layers("t1", learnt(4, 8, 99.0, own=False))
+    assert table.by_id["t1"].held == LayerRange(0, 4)
+
+
+def test_a_report_of_another_start_or_of_an_unknown_engine_changes_nothing():
+    table = make_old_table()
+    assert not table.learn_layers("t1", learnt(0, 4, 100.0, born_ms=999))
+    assert not table.learn_layers("t2", learnt(0, 4, 100.0))
+    assert table.by_id == {"t1": TARGET}
+
+
+def test_a_good_list_goes_before_reports():
+    table = make_table()
+    assert not table.learn_layers("t1", learnt(0, 4, 100.0))
+    table.list_is_old = True
+    table.learn_layers("t1", learnt(0, 4, 101.0))
+    table.apply([Listed(TARGET)])
+    assert table.by_id["t1"].held == LayerRange(0, 4)
+    table.apply([Listed(evolve(TARGET, entry_number=4))])
+    assert table.by_id["t1"].held is None
+
+
+def test_only_own_reports_are_passed_on():
+    table = make_old_table()
+    table.learn_layers("t1", learnt(0, 4, 100.0, own=False))
+    assert table.layers_learnt() == {}
+    table.learn_layers("t1", learnt(4, 8, 101.0))
+    assert table.layers_learnt() == {"t1": learnt(4, 8, 101.0)}
+    table.list_is_old = False
+    assert table.layers_learnt() == {}
--- a/tests/adapter/test_store_path.py
+++ b/tests/adapter/test_store_path.py
@@ -1,5 +1,6 @@
 """What an entry instance knows from the store and from peers, as a process."""
 
+import itertools
 import json
 import time
 
@@ -62,6 +63,36 @@
     wait_for(lambda: entry.events("store_regained"), 8)
 
 
+def test_layers_of_an_engine_that_leaves_while_the_store_is_away_are_placed_anew(
+    entry, fleet
+):
+    """Pattern: wanjiru-descale hunt-0b8a-27; engines drain, the list can't say it."""
+    fleet.store.down = True
+    wait_for(lambda: targets_in(entry.events("store_lost")), 8)
+    leaving = fleet.engines["west-big"]
+    orders = sum(len(each.orders) for each in fleet.engines.values())
+
+    async def drain():
+        leaving.state = "draining"
+
+    fleet.call(drain())
+    numbers = itertools.count()
+
+    def left():
+        entry.stream(f"w{next(numbers)}").read()
+        return entry.events("engine_leaves")
+
+    wait_for(left, 8)
+    assert {event["engine"] for event in entry.events("engine_leaves")} == {leaving.id}
+    wait_for(
+        lambda: sum(len(each.orders) for each in fleet.engines.values()) > orders, 8
+    )
+    wait_for(lambda: entry.events("layers_learnt"), 8)
+    before = len(leaving.runs)
+    assert entry.stream("x1").status == 200
+    assert len(leaving.runs) == before
+
+
 def test_entries_that_lapse_while_the_store_is_away_stay_for_two_seconds(entry, fleet):
     fleet.store.down = True
     wait_for(lambda: targets_in(entry.events("store_lost")), 8)
--- a/tests/support/engine_standins.py
+++ b/tests/support/engine_standins.py
@@ -79,6 +79,9 @@
             )
         if request.path == "/-/order":
             return self._order(await request.json())
+        if request.path == "/healthz":
+            status = 503 if self.state == "draining" else 200
+            return web.Response(status=status, headers={"X-Instance-Id": self.id})
         return await self._run(request)
 
     def _order(self, order):
@@ -98,7 +101,7 @@
         attempt = headers["X-Attempt-Id"]
         if headers["X-Expect-Instance"] != self.id:
             return web.Response(status=421)
-        if self.full:
+        if self.full or self.state == "draining":
             return web.Response(status=503, headers={"X-Not-Run": "1"})
         path = self._path(headers["X-Hop-Count"])
         self.runs.append((attempt, path, headers))
