--- a/libs/cmdline/src/celeryfork_cmdline/inspect.py
+++ b/libs/cmdline/src/celeryfork_cmdline/inspect.py
@@ -4,7 +4,7 @@
 
 from typer import Argument, Option
 
-from celeryfork_cmdline.operator_client import read_state
+from celeryfork_cmdline.operator_client import read_entry_state, read_state
 from celeryfork_cmdline.output import print_json, print_table
 
 Address = Annotated[str, Argument(help="HTTP address of an instance, ip:port.")]
@@ -13,12 +13,16 @@
 def dump(
     address: Address,
     part: Annotated[str | None, Option(help="Only this part of the state.")] = None,
+    entry: Annotated[
+        bool, Option("--entry", help="The instance is an entry on a users' platform.")
+    ] = False,
 ) -> None:
     """Print an instance's whole state as JSON.
 
-    Needs the administrator's key in CELERYFORK_ADMINISTRATOR_KEY.
+    Needs the administrator's key in CELERYFORK_ADMINISTRATOR_KEY, but for an entry on a
+    users' platform, whose address is that at which it answers whether it is ready.
     """
-    print_json(read_state(address, part))
+    print_json(read_entry_state(address, part) if entry else read_state(address, part))
 
 
 def targets(
--- a/libs/cmdline/src/celeryfork_cmdline/operator_client.py
+++ b/libs/cmdline/src/celeryfork_cmdline/operator_client.py
@@ -1,6 +1,7 @@
 """What operators' commands reach: the platform, and instances' state dumps."""
 
 import os
+from collections.abc import Mapping
 from typing import Annotated, Any
 
 from celeryfork_base.clock import SystemClock
@@ -62,23 +63,40 @@
     """
     key = os.environ.get(ADMINISTRATOR_KEY_VARIABLE, "")
     query = f"?part={part}" if part else ""
+    headers = {"Authorization": f"Bearer {key}"}
+    remedy = f"set {ADMINISTRATOR_KEY_VARIABLE} to the administrator's key"
+    data = _get(address, f"/debug/state{query}", headers, remedy)
+    return _parse_state(address, data, part)
+
+
+def read_entry_state(address: str, part: str | None = None) -> dict[str, Any]:
+    """Return the state dump of an entry on a users' platform, or one part of it.
+
+    Parameters
+    ----------
+    address
+        Where it answers whether it is ready; it asks for no key there.
+
+    Raises
+    ------
+    InstanceUnreachableError
+        It gave none.
+    """
+    remedy = "give the address at which it answers whether it is ready"
+    return _parse_state(address, _get(address, "/dump", {}, remedy), part)
+
+
+def _get(address: str, path: str, headers: Mapping[str, str], remedy: str) -> bytes:
     with PoolManager(retries=False, timeout=Timeout(total=DUMP_TIMEOUT_S)) as pool:
         try:
-            response = pool.request(
-                "GET",
-                f"http://{address}/debug/state{query}",
-                headers={"Authorization": f"Bearer {key}"},
-            )
+            response = pool.request("GET", f"http://{address}{path}", headers=headers)
         except HTTPError as error:
             raise InstanceUnreachableError(
                 f"{address} gave no state: {error}.", "check that it runs"
             ) from error
     if response.status != 200:
-        raise InstanceUnreachableError(
-            f"{address} answered {response.status}.",
-            f"set {ADMINISTRATOR_KEY_VARIABLE} to the administrator's key",
-        )
-    return _parse_state(address, response.data, part)
+        raise InstanceUnreachableError(f"{address} answered {response.status}.", remedy)
+    return response.data
 
 
 def _parse_state(address: str, data: bytes, part: str | None) -> dict[str, Any]:
@@ -95,7 +113,7 @@
             f"{address} has no part {part!r} in its state.",
             "leave --part out to see which parts there are",
         )
-    if "dump_failed" in state[part]:
+    if isinstance(state[part], dict) and "dump_failed" in state[part]:
         raise InstanceUnreachableError(
             f"{address} could not tell its {part}: {state[part]['dump_failed']}.",
             "read the other parts, and report it as a fault",
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -169,7 +169,7 @@
 
 
 def _row(learnt: LearntLayers) -> list[int | None]:
-    """Return what an engine holds, since when, and how long ago it said so in ms."""
+    """Return what an engine holds, its start, and how long ago it said so in ms."""
     age_ms = round((time.monotonic() - learnt.at_s) * 1000)
     if learnt.held is None:
         return [None, None, learnt.born_ms, age_ms]
--- a/libs/entry/src/celeryfork_entry/placement_duty.py
+++ b/libs/entry/src/celeryfork_entry/placement_duty.py
@@ -62,7 +62,13 @@
 
 @define(eq=False)
 class PlacementDuty:
-    """Places layers while this instance holds the duty."""
+    """Places layers while this instance holds the duty.
+
+    Parameters
+    ----------
+    generation
+        The fence of the last renewal, also where the store names another holder.
+    """
 
     _table: TargetTable
     _connections: TargetConnections
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -156,6 +156,7 @@
         return find_path(shape, engines, self._loads.total(now_s), request)
 
     def _lives(self, engine_id: str) -> bool:
+        """Return whether an engine is listed and not out of choice."""
         table = self._parts.table
         return engine_id in table.by_id and not table.standing(engine_id).held
 
