--- a/libs/bench/src/celeryfork_bench/experiments/queueing.py
+++ b/libs/bench/src/celeryfork_bench/experiments/queueing.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Executor, Future
 from functools import partial
 from heapq import heappop, heappush
@@ -62,6 +62,7 @@
 @define(eq=False)
 class _Engine:
     spec: EngineSpec
+    factor: float
     queue: deque[_Stream] = field(factory=deque)
     batch: list[_Stream] = field(factory=list)
     history: deque[tuple[float, int, int]] = field(
@@ -94,7 +95,7 @@
             spec.last_layer,
             spec.accelerator,
             spec.domain,
-            spec.tokens_per_second,
+            spec.tokens_per_second / self.factor,
         )
 
 
@@ -135,9 +136,22 @@
 
 
 class QueueingRun:
-    """One routing policy on one deployment's first model with one seed."""
-
-    def __init__(self, deployment: Deployment, policy: str, seed: int) -> None:
+    """One routing policy on one deployment's first model with one seed.
+
+    Parameters
+    ----------
+    factor_by_engine
+        By how much engines are slower than they say, by id.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        policy: str,
+        seed: int,
+        factor_by_engine: Mapping[str, float] | None = None,
+    ) -> None:
+        factors = factor_by_engine or {}
         model = deployment.models[0]
         self._model, self._layers = model.name, model.layers
         one_way_s = deployment.latency_s_by_pair
@@ -145,7 +159,7 @@
             pair[::-1]: latency_s for pair, latency_s in one_way_s.items()
         }
         self._engines = [
-            _Engine(spec)
+            _Engine(spec, factors.get(spec.id, 1.0))
             for spec in deployment.engine_specs()
             if spec.model == model.name
         ]
@@ -249,7 +263,7 @@
         if engine.batch:
             shares = [s.chain.hops[s.hop].layers / spec.layers for s in engine.batch]
             step_s = spec.base_s * max(shares) + spec.per_sequence_s * sum(shares)
-            self._at(now_s + step_s, lambda: self._end_step(engine))
+            self._at(now_s + step_s * engine.factor, lambda: self._end_step(engine))
 
     def _end_step(self, engine: _Engine) -> None:
         batch, engine.batch = engine.batch, []
