Test instances listen at addresses of their own; a port in use is named at the start

The fixture asked on though the process had ended and didn't show its output. A test picked free ports, and the instance listened there 0.4 s later; servers of the other test workers take ports from the same range meanwhile. The entry then ended with a traceback.

Ruled out: a slow start (four runs of the two whole-path files with six workers, 0 of 160 tests failed); outgoing connections, which take other ports (6,000 held and renewed: 0 failed).

Change: each test instance has a loopback address of its own; waiting for readiness ends at once with the output of a process that has ended. The product: an address that can't be listened on is a ListenError with its remedy, a line start_failed and exit code 2.

--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -8,6 +8,7 @@
 from attrs import asdict, define, field
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
+from celeryfork_base.errors import CeleryforkError
 from celeryfork_routing.engine_loads import EngineLoads
 from logbook import Logger
 from orjson import OPT_NON_STR_KEYS, dumps
@@ -53,6 +54,16 @@
 ACCEPT_BACKLOG = 1024
 
 
+class ListenError(CeleryforkError):
+    """An address of the settings can't be listened on."""
+
+    def __init__(self, address: str, error: OSError) -> None:
+        super().__init__(
+            f"{address} can't be listened on: {error.strerror or error}.",
+            "End the process that holds it, or correct the settings file.",
+        )
+
+
 @define(eq=False)
 class Instance:
     """One process between callers and engines."""
@@ -154,7 +165,13 @@
         self._stop_asked.set()
 
     async def run(self) -> None:
-        """Serve until the planned stop has ended."""
+        """Serve until the planned stop has ended.
+
+        Raises
+        ------
+        ListenError
+            An address for callers, questions or peers can't be listened on.
+        """
         self.log.info("start", domain=self.settings.domain, listen=self.settings.listen)
         server = await self._listen(self.settings.listen, self._serve_caller)
         await self._listen(self.settings.ready, self._serve_question)
@@ -175,7 +192,7 @@
     async def _listen_for_metrics(self) -> None:
         try:
             await self._listen(self.settings.metrics, self._serve_question)
-        except OSError as error:
+        except ListenError as error:
             self.log.info("metrics_not_served", reason=str(error))
 
     async def _listen(
@@ -188,9 +205,12 @@
             asyncio.get_running_loop().call_soon(lambda: self._spawn(serve(stream)))
             return stream
 
-        return await asyncio.get_running_loop().create_server(
-            make, host, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True
-        )
+        try:
+            return await asyncio.get_running_loop().create_server(
+                make, host, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True
+            )
+        except OSError as error:
+            raise ListenError(address, error) from error
 
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
@@ -292,9 +312,12 @@
     async def _open_peers(self) -> None:
         await self._listen(self.settings.peer_address, self._serve_question)
         host, _, port = self.settings.peer_address.rpartition(":")
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self._peers, local_addr=(host, int(port))
-        )
+        try:
+            await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self._peers, local_addr=(host, int(port))
+            )
+        except OSError as error:
+            raise ListenError(self.settings.peer_address, error) from error
 
     async def _follow_duty(self) -> None:
         fence = -1
--- a/tests/adapter/test_store_path.py
+++ b/tests/adapter/test_store_path.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import socket
 import time
 
 import pytest
@@ -146,7 +147,7 @@
     newcomer.start().wait_ready()
     assert newcomer.stream("v1").status == 200
     (taken,) = newcomer.events("configuration_in_force")
-    assert taken["source"] == f"127.0.0.1:{entry.peer}"
+    assert taken["source"] == f"{entry.ip}:{entry.peer}"
     fleet.store.down = False
     wait_for(lambda: len(newcomer.events("store_regained")) >= 2, 8)
     assert newcomer.request("GET", "/look/1", "v2").status == 200
@@ -161,3 +162,25 @@
     time.sleep(4)  # its membership lapses meanwhile
     version = fleet.configure()["version"]
     wait_for(lambda: newcomer.versions_in_force()[-1] == version, 2)
+
+
+@pytest.mark.parametrize("used", ["front", "ready", "peer"])
+def test_an_address_in_use_ends_the_start_with_its_remedy(platform, tmp_path, used):
+    entry = Entry(platform, tmp_path)
+    with socket.create_server((entry.ip, getattr(entry, used))):
+        assert entry.start().wait(10) == 2
+    (failed,) = entry.events("start_failed")
+    assert f"{entry.ip}:{getattr(entry, used)}" in failed["reason"]
+    assert "Remedy: End the process that holds it" in failed["reason"]
+
+
+def test_a_process_that_ends_at_its_start_is_reported_with_its_output(
+    platform, tmp_path
+):
+    """An error in CI showed 15 s without readiness, and not why."""
+    entry = Entry(platform, tmp_path)
+    with (
+        socket.create_server((entry.ip, entry.front)),
+        pytest.raises(AssertionError, match="(?s)ended with 2:.*start_failed"),
+    ):
+        entry.start().wait_ready()
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -281,7 +281,7 @@
 
 
 def test_requests_on_one_connection(entry):
-    connection = http.client.HTTPConnection("127.0.0.1", entry.front, timeout=5)
+    connection = http.client.HTTPConnection(entry.ip, entry.front, timeout=5)
     for number in range(3):
         headers = {
             "Host": "shop.example",
--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -8,15 +8,29 @@
 import subprocess
 import sys
 import time
+from itertools import count
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_S = 15.0
 
 
-def free_port():
+_NUMBERS = count(1)
+
+
+def own_address():
+    """Return a loopback address that no other process binds to.
+
+    A port that is free when a test picks it may be taken by another test's server
+    before the instance listens there; no two of them share an address here.
+    """
+    high, low = divmod(os.getpid(), 250)
+    return f"127.{1 + high % 250}.{1 + low}.{next(_NUMBERS) % 254 + 1}"
+
+
+def free_port(ip):
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((ip, 0))
         return probe.getsockname()[1]
 
 
@@ -31,9 +45,9 @@
         beside
             Another instance, on whose ports this one listens at another address.
         """
-        self.ip = "127.0.0.1" if beside is None else "127.0.0.2"
+        self.ip = own_address()
         self.front, self.ready, self.peer = (
-            (free_port(), free_port(), free_port())
+            (free_port(self.ip), free_port(self.ip), free_port(self.ip))
             if beside is None
             else (beside.front, beside.ready, beside.peer)
         )
@@ -98,7 +112,16 @@
             return False
 
     def wait_ready(self):
-        wait_for(self.is_ready, READY_S)
+        """Wait until the process is ready, or fail with what it printed."""
+        until = time.monotonic() + READY_S
+        while not self.is_ready():
+            ended = self.process.poll() is not None
+            if ended or time.monotonic() > until:
+                state = f"ended with {self.process.returncode}" if ended else "runs"
+                raise AssertionError(
+                    f"not ready, {state}:\n{self.log_path.read_text()}"
+                )
+            time.sleep(0.05)
         return self
 
     def terminate(self):
