A domain that is cut off leaves paths across the cut, and repairs its own copy

On its side 92 of 107 refusals named one engine behind the cut, which nobody asked; each request went on to no_path after a wait. The domain's copy had a gap, which the holder, on the other side, couldn't close. The gap was there since an order of second 30, whose outcome the list tells 2 to 3 s later, and the repair's second step waited for it.

Ruled out: memory (no_path with 0 to 5 requests in flight), the retry budget (31 repeats refused, all within the first second).

Change: reach_checks asks an engine that is at fault from another domain than the path's first engine, or that lacks its layers, and three engines of a domain in which one went out of choice; if all are silent, the domain is left. stand_in lets the first of a domain's instances place that domain's layers when neither holder nor store is heard (2.6 s; 1.6 s when no engine elsewhere is in reach), with the last fence heard. A report goes before an entry that was read before it, at all times, and engines are asked for the outcome of an order when its load should be over. Layers in peers' reports are checked.

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -49,6 +49,10 @@
         for engine_id in engine_ids:
             self._proved_s_by_id[engine_id] = now_s
 
+    def proved_s(self, engine_id: str) -> float:
+        """Return the steady time of its last sign of life, 0 for none."""
+        return self._proved_s_by_id.get(engine_id, 0.0)
+
     async def find_down(
         self,
         engine_ids: Iterable[str],
@@ -70,7 +74,7 @@
             for engine_id in engine_ids
             if engine_id == doubted
             or (speeds and now_s - self._reported_s(engine_id) > REPORT_LIFE_S)
-            or now_s - self._proved_s_by_id.get(engine_id, 0.0) > PROOF_LIFE_S
+            or now_s - self.proved_s(engine_id) > PROOF_LIFE_S
         ]
         reports = await asyncio.gather(*(self.ask(each) for each in asked))
         return [
--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -100,6 +100,12 @@
                 self._table.apply(changes, spare=spare)
             await asyncio.sleep(LIST_PAUSE_S)
 
+    def away_s(self) -> float:
+        """Return the time since the list was last read, 0 while the store answers."""
+        if "targets" not in self.store_away:
+            return 0.0
+        return time.monotonic() - self.list_read_s
+
     def known(self) -> bytes:
         """Return the message to a peer that asks."""
         return encode_known(self.configuration, self._table.by_id.values())
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -33,7 +33,9 @@
     StoreUnavailableError,
     TargetFeed,
 )
+from celeryfork_entry.reach_checks import ReachChecks
 from celeryfork_entry.settings import EntrySettings
+from celeryfork_entry.stand_in import StandIn
 from celeryfork_entry.stream_calls import StreamCalls
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.targets import LearntLayers, TargetTable
@@ -115,7 +117,10 @@
         leaving = LeavingChecks(
             self.table, self.connections, self._dialect, self.log, self._spawn
         )
-        streams = StreamCalls(parts, self._checks, leaving, self.loads)
+        reach = ReachChecks(
+            self.settings.domain, self.table, self._checks, self.log, self._spawn
+        )
+        streams = StreamCalls(parts, self._checks, leaving, self.loads, reach)
         self._checks.on_down = streams.engine_down
         self._dispatcher = Dispatcher(parts, PlainCalls(parts), streams)
         self._placement = PlacementDuty(
@@ -126,6 +131,11 @@
             self.settings.name, self.settings.domain, self.settings.peer_address,
             self.loads, self.log,
         )  # fmt: skip
+        self._placement.stand_in = StandIn(
+            self.settings.domain, self.settings.peer_address, self._peers,
+            self._following.away_s, reach.cut_off,
+        )  # fmt: skip
+        self._placement.fence_heard = lambda: self._peers.fence_heard
         self._peers.fence = self._held_fence
         self._peers.on_fence = self._placement.heard_of
         self._peers.version = lambda: self._following.version
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -60,6 +60,9 @@
         Gives what engines reported and the list doesn't say, by engine.
     on_layers
         Called with each engine of which a peer passes that on.
+    fence_heard, fence_heard_s
+        The highest fence with which a peer said to place layers, and when the last one
+        said so; the start of this instance before the first.
     """
 
     name: str
@@ -81,6 +84,8 @@
     _version_told: int = -1
     _version_tellings: int = 0
     _heard_by_address: dict[str, _Heard] = field(factory=dict)
+    fence_heard: int = -1
+    fence_heard_s: float = field(factory=time.monotonic)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the socket."""
@@ -98,12 +103,14 @@
             self._heard_by_address[at] = _Heard(str(report["domain"]), time.monotonic())
             fence = report.get("fence")
             if isinstance(fence, int):
+                self.fence_heard = max(self.fence_heard, fence)
+                self.fence_heard_s = time.monotonic()
                 self.on_fence(fence)
             version = report.get("version")
             if isinstance(version, int) and version > self.version():
                 self.on_version(version, at)
             for engine_id, row in report.get("layers", {}).items():
-                self.on_layers(engine_id, _learnt(row))
+                self.on_layers(str(engine_id), _learnt(row))
         except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as e:
             self._unreadable += 1
             if self._unreadable == 1:
@@ -156,6 +163,14 @@
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
+    def heard_of(self, domain: str, since_s: float) -> set[str]:
+        """Return the addresses of a domain's peers that have reported since."""
+        return {
+            address
+            for address, heard in self._heard_by_address.items()
+            if heard.domain == domain and heard.at_s >= since_s
+        }
+
     def _domain_by_address(self) -> dict[str, str]:
         """Return the peers listed and those heard of late."""
         since_s = time.monotonic() - HEARD_LIFE_S
@@ -176,8 +191,22 @@
     return [learnt.held.first, learnt.held.last, learnt.born_ms, age_ms]
 
 
-def _learnt(row: Sequence[int | None]) -> LearntLayers:
-    first, last, born_ms, age_ms = row
-    held = None if first is None or last is None else LayerRange(first, last)
-    at_s = time.monotonic() - (age_ms or 0) / 1000
+def _learnt(row: object) -> LearntLayers:
+    """Return what a peer passes on of an engine.
+
+    Raises
+    ------
+    ValueError
+        The row is no such thing: the peer runs other software, or its bytes are broken.
+    """
+    match row:
+        case [None, None, int() | None as born_ms, int(age_ms)]:
+            held = None
+        case [int(first), int(last), int() | None as born_ms, int(age_ms)] if (
+            0 <= first < last
+        ):
+            held = LayerRange(first, last)
+        case _:
+            raise ValueError(f"no layers of an engine: {row!r}")
+    at_s = time.monotonic() - max(0, age_ms) / 1000
     return LearntLayers(held, born_ms, at_s, own=False)
--- a/libs/entry/src/celeryfork_entry/placement_duty.py
+++ b/libs/entry/src/celeryfork_entry/placement_duty.py
@@ -8,8 +8,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from attrs import define, field
-from celeryfork_routing.layer_placement import plan_placement
+from attrs import define, field, frozen
+from celeryfork_routing.layer_placement import holds_copy, plan_placement
 from celeryfork_routing.layer_repair import PlacedEngine, Repair
 from celeryfork_routing.layers import LayerRange, ModelShape
 from logbook import Logger
@@ -22,6 +22,7 @@
     EngineReport,
     StoreUnavailableError,
 )
+from celeryfork_entry.stand_in import StandIn
 from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
 from celeryfork_entry.targets import Target, TargetTable
 
@@ -55,19 +56,46 @@
 
 @define
 class _Ordered:
+    """An order that an engine carries out.
+
+    Parameters
+    ----------
+    done_s, until_s
+        When it should be done, and when it counts as lost.
+    """
+
     layers: LayerRange
     born_ms: int | None
+    done_s: float
     until_s: float
 
 
+@frozen
+class _Scope:
+    """Which engines this instance places layers on.
+
+    Parameters
+    ----------
+    domain
+        The only failure domain of which it does, None for all.
+    """
+
+    fence: int
+    domain: str | None = None
+
+
 @define(eq=False)
 class PlacementDuty:
-    """Places layers while this instance holds the duty.
+    """Places layers while this instance holds the duty, or stands in for the holder.
 
     Parameters
     ----------
     generation
         The fence of the last renewal, also where the store names another holder.
+    stand_in
+        Tells when this instance places the layers of its own domain.
+    fence_heard
+        Gives the highest fence that peers have told, -1 for none.
     """
 
     _table: TargetTable
@@ -86,53 +114,90 @@
     _held_since_s: float = 0.0
     _passed_on_s: float | None = None
     generation: int = -1
+    stand_in: StandIn | None = None
+    fence_heard: Callable[[], int] = lambda: -1
+    _scope: _Scope | None = None
 
     async def run(self) -> None:
         """Hold rounds, also in a planned stop: until a successor is heard of."""
         while True:
             await asyncio.sleep(ROUND_S)
-            if not self.duty.held or self.duty.fence <= self._refused_fence:
-                continue
+            await self._take_scope()
             configuration = self._configuration()
-            if configuration is None:
+            if configuration is None or self._scope is None:
                 continue
             for service in configuration.services_by_name.values():
                 if service.model is not None:
-                    await self._round(service.name, service.model)
+                    await self._round(service.name, service.model, self._scope)
+
+    async def _take_scope(self) -> None:
+        """Find out what this instance has to place; look around when it stands in."""
+        before, self._scope = self._scope, self._find_scope()
+        if self._scope == before:
+            return
+        if self._scope is not None and self._scope.domain is not None:
+            domain = self._scope.domain
+            self._log.info("stands_in", fence=self._scope.fence, domain=domain)
+            engines = [t for t in self._table.engines() if t.domain == domain]
+            await asyncio.gather(*(self._checks.ask(each.id) for each in engines))
+        elif before is not None and before.domain is not None:
+            self._log.info("stands_in_no_more", domain=before.domain)
+
+    def _find_scope(self) -> _Scope | None:
+        if self.duty.held:
+            scope = _Scope(self.duty.fence)
+        elif self.stand_in is not None and self.stand_in.acts():
+            fence = max(self.generation, self.fence_heard())
+            scope = _Scope(fence, self.stand_in.domain)
+        else:
+            return None
+        return scope if scope.fence > self._refused_fence else None
 
-    async def _round(self, service: str, shape: ModelShape) -> None:
+    async def _round(self, service: str, shape: ModelShape, scope: _Scope) -> None:
         await self._learn_outcomes()
         engines = [
             target
             for target in self._table.by_id.values()
-            if target.service == service and not self._table.leaves(target)
+            if target.service == service
+            and scope.domain in {None, target.domain}
+            and not self._table.leaves(target)
         ]
         if not self._list_is_quiet(engines):
             return
         placed = [self._placed(target) for target in engines]
-        planned = plan_placement(shape, placed, self._repair())
+        if scope.domain is not None and not holds_copy(shape, placed):
+            return
+        planned = plan_placement(shape, placed, self._repair(scope))
         if planned:
             self._planned_once = True
             await asyncio.gather(
                 *(
-                    self._order(self._table.by_id[engine_id], layers, shape)
+                    self._order(
+                        self._table.by_id[engine_id], layers, shape, scope.fence
+                    )
                     for engine_id, layers in planned.items()
                 )
             )
 
     async def _learn_outcomes(self) -> None:
-        """Ask the engines under orders what they hold, while the list can't tell."""
-        if self._table.list_is_old:
-            ordered = [
-                each for each in self._ordered_by_id if each in self._table.by_id
-            ]
-            await asyncio.gather(*(self._checks.ask(each) for each in ordered))
-
-    def _repair(self) -> Repair:
+        """Ask engines what they hold whose orders should be done; the list lags."""
+        now_s = time.monotonic()
+        done = [
+            engine_id
+            for engine_id, ordered in self._ordered_by_id.items()
+            if engine_id in self._table.by_id
+            and (self._table.list_is_old or now_s >= ordered.done_s)
+        ]
+        await asyncio.gather(*(self._checks.ask(each) for each in done))
+
+    def _repair(self, scope: _Scope) -> Repair:
         """Return how far engines that hold layers may be changed now.
 
-        A new holder first lets its predecessor's orders end.
+        A new holder first lets its predecessor's orders end. Who stands in has heard
+        nothing of a holder for longer than that, and has asked the engines itself.
         """
+        if scope.domain is not None:
+            return Repair.SHIFT
         held_s = time.monotonic() - self._held_since_s
         if held_s < TAKE_OVER_S:
             return Repair.NONE
@@ -200,7 +265,7 @@
         )
 
     async def _order(
-        self, target: Target, layers: LayerRange, shape: ModelShape
+        self, target: Target, layers: LayerRange, shape: ModelShape, fence: int
     ) -> None:
         report = await self._checks.ask(target.id)
         if report is None or report.busy or report.held != target.held:
@@ -209,31 +274,32 @@
             )
             self._withheld_until_s[target.id] = time.monotonic() + WITHHELD_S
             return
-        lacking = layers.count - (target.held.count if target.held else 0)
-        duration_s = shape.load_s * lacking / shape.layers
-        until_s = time.monotonic() + max(
-            LEAST_LOAD_PATIENCE_S, LOAD_PATIENCE * duration_s
+        kept = layers.overlap(target.held) if target.held else 0
+        duration_s = shape.load_s * (layers.count - kept) / shape.layers
+        now_s = time.monotonic()
+        until_s = now_s + max(LEAST_LOAD_PATIENCE_S, LOAD_PATIENCE * duration_s)
+        self._ordered_by_id[target.id] = _Ordered(
+            layers, target.born_ms, now_s + duration_s, until_s
         )
-        self._ordered_by_id[target.id] = _Ordered(layers, target.born_ms, until_s)
-        status = await self._send_order(target, layers, report)
+        status = await self._send_order(target, layers, report, fence)
         self._log.info(
             "layers_ordered",
             engine=target.id,
             first=layers.first,
             last=layers.last,
-            fence=self.duty.fence,
+            fence=fence,
             expected_orders=report.orders,
             status=status,
         )
         if status == FORBIDDEN:
-            self._refused_fence = self.duty.fence
+            self._refused_fence = max(self._refused_fence, fence)
         if status is not None and status >= 400:
             self._ordered_by_id.pop(target.id, None)
 
     async def _send_order(
-        self, target: Target, layers: LayerRange, report: EngineReport
+        self, target: Target, layers: LayerRange, report: EngineReport, fence: int
     ) -> int | None:
-        order = self._dialect.order_layers(layers, self.duty.fence, report.orders)
+        order = self._dialect.order_layers(layers, fence, report.orders)
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 reply = await self._connections.send(target.address, order, fresh=True)
--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/stand_in.py
@@ -0,0 +1,101 @@
+"""Who places the layers of a failure domain that no holder of the duty reaches.
+
+The store elects the holder. While it is away, one that dies has no successor, and one
+that is behind a cut can't order anything on this side. Then the instance of a domain
+whose address comes first places the layers of that domain, with the last fence that was
+heard: an engine that has seen a higher one refuses it, and each order fits one state of
+its engine only, so that two instances that both stand in do no harm.
+"""
+
+import time
+from collections.abc import Callable, Set
+
+from attrs import define, frozen
+
+from celeryfork_entry.peer_loads import PeerLoads
+
+HOLDER_SILENCE_S = 2.6
+"""Silence of the holder while the store is away: it tells other domains once a second,
+and two of its datagrams may be lost."""
+HOLDER_SILENCE_CUT_OFF_S = 1.6
+"""The same for a domain that reaches no engine elsewhere; one datagram may be lost."""
+HEARD_WITHIN_S = 2.6
+"""A peer of the domain that is idle is heard of every 2 s."""
+
+
+@frozen
+class DomainView:
+    """What an instance knows of its domain, and of who places layers there.
+
+    Parameters
+    ----------
+    listed, heard
+        Addresses of the domain's other instances: by the last list, and of late.
+    holder_silent_s
+        Time since a peer told that it places layers.
+    store_away_s
+        Time since the store's last answer, 0 while it answers.
+    cut_off
+        Whether no engine of another domain is in reach.
+    """
+
+    address: str
+    listed: Set[str]
+    heard: Set[str]
+    holder_silent_s: float
+    store_away_s: float
+    cut_off: bool
+
+
+def stands_in(view: DomainView) -> bool:
+    """Return whether this instance places the layers of its domain.
+
+    An instance that hears less than half of its domain may itself be cut off.
+    """
+    if view.cut_off:
+        alone = view.holder_silent_s >= HOLDER_SILENCE_CUT_OFF_S
+    else:
+        alone = min(view.holder_silent_s, view.store_away_s) >= HOLDER_SILENCE_S
+    if not alone:
+        return False
+    known = view.listed | {view.address}
+    present = (view.heard & view.listed) | {view.address}
+    return (
+        len(present) > 1
+        and 2 * len(present) > len(known)
+        and view.address == min(present)
+    )
+
+
+@define(eq=False)
+class StandIn:
+    """Tells the duty when this instance places the layers of its own domain.
+
+    Parameters
+    ----------
+    store_away_s
+        Gives the time since the store's last answer, 0 while it answers.
+    cut_off
+        Gives whether no engine of another domain is in reach.
+    """
+
+    domain: str
+    address: str
+    _peers: PeerLoads
+    _store_away_s: Callable[[], float]
+    _cut_off: Callable[[], bool]
+
+    def acts(self) -> bool:
+        """Return whether it does now."""
+        return stands_in(self._view())
+
+    def _view(self) -> DomainView:
+        now_s = time.monotonic()
+        return DomainView(
+            address=self.address,
+            listed={p.address for p in self._peers.peers if p.domain == self.domain},
+            heard=self._peers.heard_of(self.domain, now_s - HEARD_WITHIN_S),
+            holder_silent_s=now_s - self._peers.fence_heard_s,
+            store_away_s=self._store_away_s(),
+            cut_off=self._cut_off(),
+        )
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -24,6 +24,7 @@
 )
 from celeryfork_entry.plain_calls import MOST_REPLY_BYTES, PROMISES_NOT_RUN
 from celeryfork_entry.ports import Handover
+from celeryfork_entry.reach_checks import ReachChecks
 from celeryfork_entry.stream_progress import Pace, Progress
 from celeryfork_entry.target_http import LostError, NotSentError, Reply
 from celeryfork_entry.targets import Target
@@ -40,6 +41,8 @@
 REPEAT_WAIT_S = 1.0
 """The same for a request that may have run, which can't be refused any more."""
 ROOM_POLL_S = 0.02
+LACKS_LAYERS = 421
+"""Status of an engine that doesn't hold its part of the path."""
 MOST_SENDS = 6
 """Most paths that one request is offered to, those that refuse it included."""
 ANSWER_RESERVE = 1.0
@@ -60,11 +63,13 @@
     _checks: EngineChecks
     _leaving: LeavingChecks
     _loads: EngineLoads
+    _reach: ReachChecks
     _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
     _pressure: RoomPressure = field(factory=RoomPressure)
 
     def engine_down(self, engine_id: str) -> None:
         """Take the streams off an engine that has gone out of choice."""
+        self._reach.engine_down(engine_id)
         for attempt in list(self._attempts_by_engine.get(engine_id, ())):
             attempt.interrupt(f"engine {engine_id} is down")
 
@@ -333,7 +338,7 @@
         facts = self._parts.dialect.read_reply(reply.status, reply.headers)
         body = await reply.read_all(MOST_REPLY_BYTES)
         if facts.not_run:
-            self._blame(call, path, facts.at_fault)
+            self._blame(call, path, facts.at_fault, reply.status == LACKS_LAYERS)
             return PathRefused(f"status {reply.status} at {facts.at_fault}")
         call.first_engines.begun(path.parts[0].engine_id)
         call.avoided.add(path.parts[0].engine_id)
@@ -343,12 +348,15 @@
         headers = self._parts.dialect.reply_headers(reply.headers)
         return EngineFailed(reply.status, headers, body)
 
-    def _blame(self, call: Call, path: LayerPath, address: str | None) -> None:
+    def _blame(
+        self, call: Call, path: LayerPath, address: str | None, lacks_layers: bool
+    ) -> None:
         """Leave the engine at fault out for this call."""
         part = next((p for p in path.parts if p.address == address), path.parts[0])
         call.avoided.add(part.engine_id)
         if self._parts.table.refused(part.engine_id, time.monotonic()):
             self._leaving.suspect(part.engine_id, call.service.health_path)
+        self._reach.refused(part.engine_id, path.parts[0].domain, lacks_layers)
 
     def _broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
         down = [each for each in path.engine_ids if not self._lives(each)]
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -1,6 +1,7 @@
 """Targets: what the list says of them and what their requests have shown."""
 
-from collections.abc import Iterable, Mapping
+import time
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, evolve, field, frozen
 from celeryfork_routing.layers import LayerRange
@@ -20,6 +21,8 @@
 memory for one request mostly takes the next."""
 LEAVING_LIFE_S = 5.0
 """Time that an engine's own word that it leaves counts for; draining takes 2 s."""
+LIST_LAG_S = 0.8
+"""Age of an entry when the list shows it, by the platform's own figure."""
 MOST_DOUBLINGS = 4
 """Doublings after which that time is reached in any case."""
 FAILURE_WEIGHT = 0.2
@@ -91,7 +94,13 @@
 
 @define
 class Standing:
-    """What this instance's own requests have shown of one target."""
+    """What this instance's own requests have shown of one target.
+
+    Parameters
+    ----------
+    listed_s
+        When its newest entry was read; what it reports later is newer.
+    """
 
     failed_share: float = 0.0
     held_until_s: float = 0.0
@@ -105,6 +114,7 @@
     leaving: bool = False
     leaving_until_s: float = 0.0
     learnt: LearntLayers | None = None
+    listed_s: float = 0.0
 
     def slowness_at(self, now_s: float) -> float:
         """Return the slowness last reported, 1 if that is long ago."""
@@ -132,6 +142,7 @@
     in_flight_by_id: dict[str, int] = field(factory=dict)
     _lapsed: set[str] = field(factory=set)
     list_is_old: bool = False
+    _clock: Callable[[], float] = time.monotonic
 
     def apply(self, changes: Iterable[ListChange], *, spare: bool = False) -> None:
         """Take changes of the list in their order.
@@ -178,18 +189,28 @@
             if (target.born_ms or 0) < (known.born_ms or 0):
                 return
             self._standing_by_id.pop(target.id, None)
+            self.standing(target.id).listed_s = self._clock()
         elif known is not None and target.entry_number < known.entry_number:
             return
         elif known is not None and target.entry_number > known.entry_number:
             standing = self.standing(target.id)
-            standing.leaving, standing.learnt = False, None
+            standing.leaving = False
+            target = self._renewed(target, standing)
         elif known is not None and (learnt := self.standing(target.id).learnt):
             target = evolve(target, held=learnt.held)
         self.by_id[target.id] = target
         self._lapsed.discard(target.id)
 
+    def _renewed(self, target: Target, standing: Standing) -> Target:
+        """Return a target by its new entry, or by its report where that is newer."""
+        now_s = standing.listed_s = self._clock()
+        if standing.learnt and standing.learnt.at_s > now_s - LIST_LAG_S:
+            return evolve(target, held=standing.learnt.held)
+        standing.learnt = None
+        return target
+
     def learn_layers(self, target_id: str, learnt: LearntLayers) -> bool:
-        """Take what an engine holds while the list can't say it.
+        """Take what an engine holds by its report, if that is newer than its entry.
 
         Returns
         -------
@@ -197,10 +218,11 @@
             Whether that is new.
         """
         known = self.by_id.get(target_id)
-        if not self.list_is_old or known is None or known.born_ms != learnt.born_ms:
+        if known is None or known.born_ms != learnt.born_ms:
             return False
         standing = self.standing(target_id)
-        if standing.learnt is not None and standing.learnt.at_s >= learnt.at_s:
+        newest_s = standing.learnt.at_s if standing.learnt else standing.listed_s
+        if learnt.at_s <= newest_s:
             return False
         if known.held == learnt.held and standing.learnt is None:
             return False
@@ -210,8 +232,6 @@
 
     def layers_learnt(self) -> dict[str, LearntLayers]:
         """Return what engines reported to this instance and the list doesn't say."""
-        if not self.list_is_old:
-            return {}
         return {
             target_id: standing.learnt
             for target_id, standing in self._standing_by_id.items()
@@ -226,6 +246,10 @@
             if target.service == service and not self.leaves(target)
         ]
 
+    def engines(self) -> list[Target]:
+        """Return the listed targets that run models."""
+        return [each for each in self.by_id.values() if each.accelerator is not None]
+
     def leaves(self, target: Target) -> bool:
         """Return whether a target takes no new work, by the list or its own word."""
         return target.draining or self.standing(target.id).leaving
--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -104,3 +104,54 @@
         assert (other.held, other.born_ms) == (learnt.held, learnt.born_ms)
         assert other.at_s == pytest.approx(learnt.at_s, abs=0.5)
         assert not other.own
+
+
+def heard(message):
+    """Return an instance that has got a report, and the engines it was told of."""
+    peer_loads, told = make_peer_loads(), {}
+    peer_loads.on_layers = told.__setitem__
+    whole = {"from": "e2", "at": "10.0.0.2:7", "domain": "west", "loads": {}} | message
+    peer_loads.datagram_received(dumps(whole), ("10.0.0.2", 7))
+    return peer_loads, told
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        [0, 4, 1000],
+        [0, "4", 1000, 0],
+        [4, 4, 1000, 0],
+        [-1, 4, 1000, 0],
+        [0.5, 4, 1000, 0],
+        [0, 4, "1000", 0],
+        [0, None, 1000, 0],
+        [0, 4, 1000, None],
+        "0,4",
+        None,
+    ],
+)
+def test_layers_that_are_none_are_left_out(row):
+    peer_loads, told = heard({"layers": {"i-1": row}})
+    assert told == {}
+    assert peer_loads._unreadable == 1
+
+
+def test_layers_of_a_report_dated_ahead_count_as_of_now():
+    before_s = time.monotonic()
+    _, told = heard({"layers": {"i-1": [0, 4, 1000, -60_000]}})
+    assert before_s <= told["i-1"].at_s <= time.monotonic()
+
+
+def test_the_holder_is_heard_by_its_fence():
+    peer_loads, _ = heard({"fence": 7})
+    assert (peer_loads.fence_heard, peer_loads.heard_of("west", 0.0)) == (
+        7,
+        {"10.0.0.2:7"},
+    )
+    silent_s = peer_loads.fence_heard_s = 1.0
+    peer_loads.datagram_received(
+        dumps({"from": "e3", "at": "10.0.1.3:7", "domain": "east", "loads": {}}),
+        ("10.0.1.3", 7),
+    )
+    assert peer_loads.fence_heard_s == silent_s
+    assert peer_loads.heard_of("west", time.monotonic() + 1) == set()
--- /dev/null
+++ b/libs/entry/tests/test_reach_checks.py
@@ -0,0 +1,157 @@
+"""Engines at fault are asked, and domains out of reach are left as a whole."""
+
+import asyncio
+
+import pytest
+from celeryfork_entry import reach_checks
+from celeryfork_entry.reach_checks import SAMPLE, ReachChecks
+from celeryfork_entry.targets import Listed, Target, TargetTable
+from logbook import Logger
+
+ENGINES_A_DOMAIN = 6
+
+
+class Checks:
+    """Asks engines of which some are silent."""
+
+    def __init__(self, table, silent):
+        self.table = table
+        self.silent = silent
+        self.asked = []
+        self.proved_s_by_id = {}
+
+    def proved_s(self, engine_id):
+        return self.proved_s_by_id.get(engine_id, 0.0)
+
+    async def ask(self, engine_id):
+        self.asked.append(engine_id)
+        if engine_id in self.silent:
+            self.mark_down(engine_id, "silent")
+            return None
+        return "a report"
+
+    async def find_down(self, engine_ids):
+        asked = list(engine_ids)
+        return [each for each in asked if await self.ask(each) is None]
+
+    def mark_down(self, engine_id, reason):
+        if self.table.hold(engine_id, reason, 100.0):
+            self.on_down(engine_id)
+
+
+class Fleet:
+    """Three domains of engines, seen from the first."""
+
+    def __init__(self, silent=()):
+        self.table = TargetTable()
+        for domain in "abc":
+            for number in range(ENGINES_A_DOMAIN):
+                name = f"{domain}{number}"
+                self.table.apply(
+                    [Listed(Target(name, "llm", f"{name}:1", domain, accelerator="k"))]
+                )
+        silent = [each for each in self.table.by_id if each[0] in silent]
+        self.checks = Checks(self.table, set(silent))
+        self.tasks = []
+        self.reach = ReachChecks(
+            "a", self.table, self.checks, Logger("test"), self.spawn
+        )
+        self.checks.on_down = self.reach.engine_down
+
+    def spawn(self, work):
+        self.tasks.append(asyncio.ensure_future(work))
+
+    def run(self, *refused):
+        """Let engines refuse requests; return the domains with engines in choice."""
+
+        async def run():
+            for refusal in refused:
+                self.reach.refused(*refusal)
+            while any(not task.done() for task in self.tasks):
+                await asyncio.gather(*self.tasks)
+
+        asyncio.run(run())
+        return {target.domain for target in self.table.in_choice("llm")}
+
+
+@pytest.fixture(autouse=True)
+def short_proofs(monkeypatch):
+    monkeypatch.setattr(reach_checks, "PROOF_LIFE_S", 0.02)
+
+
+def test_a_domain_behind_a_cut_is_left_after_one_refusal():
+    """Pattern: troskgille-hosting trouble-3, a domain is cut off with gaps in its copy.
+
+    92 of 107 refusals on this side named one engine behind the cut, which no instance
+    asked.
+    """
+    fleet = Fleet(silent="b")
+    assert fleet.run(("b0", "a", False)) == {"a", "c"}
+    assert len(fleet.checks.asked) <= 1 + 2 * SAMPLE
+    assert not fleet.reach.cut_off()
+
+
+def test_a_domain_that_reaches_no_other_knows_that_it_is_cut_off():
+    fleet = Fleet(silent="bc")
+    assert fleet.run(("b0", "a", False), ("c3", "a", False)) == {"a"}
+    assert fleet.reach.cut_off()
+    assert fleet.table.list_is_old
+
+
+def test_a_deployment_with_one_domain_is_never_cut_off():
+    fleet = Fleet()
+    for target_id in list(fleet.table.by_id):
+        if target_id[0] != "a":
+            fleet.table.forget(target_id)
+    assert not fleet.reach.cut_off()
+
+
+def test_one_engine_that_crashed_leaves_its_domain_in_choice():
+    fleet = Fleet()
+    fleet.checks.silent = {"b0"}
+    assert fleet.run(("b0", "a", False)) == {"a", "b", "c"}
+    assert fleet.table.standing("b0").held
+    assert not fleet.table.standing("b1").held
+
+
+def test_engines_that_made_progress_just_before_the_cut_are_left_too():
+    fleet = Fleet(silent="b")
+    now_s = reach_checks.time.monotonic()
+    fleet.checks.proved_s_by_id = dict.fromkeys(fleet.table.by_id, now_s)
+    assert fleet.run(("b0", "a", False)) == {"a", "c"}
+
+
+def test_engines_that_go_on_making_progress_are_not_left():
+    fleet = Fleet(silent="b")
+    far_s = reach_checks.time.monotonic() + 60.0
+    fleet.checks.proved_s_by_id = {f"b{n}": far_s for n in range(3)}
+    assert fleet.run(("b3", "a", False)) == {"a", "b", "c"}
+    assert {t.id for t in fleet.table.in_choice("llm") if t.domain == "b"} == {
+        "b0", "b1", "b2",
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("first_domain", "lacks_layers", "asked"),
+    [("a", False, []), ("b", False, ["a1"]), ("a", True, ["a1"])],
+)
+def test_a_neighbour_that_is_short_of_memory_is_not_asked(
+    first_domain, lacks_layers, asked
+):
+    """Questions are priced, and refusals for memory come by the hundred in a burst."""
+    fleet = Fleet()
+    fleet.run(("a1", first_domain, lacks_layers))
+    assert fleet.checks.asked == asked
+
+
+def test_an_engine_at_fault_is_asked_once_for_many_refusals():
+    fleet = Fleet()
+    fleet.run(*[("b1", "a", False)] * 20)
+    assert fleet.checks.asked == ["b1"]
+
+
+def test_an_unknown_engine_at_fault_is_left_alone():
+    fleet = Fleet()
+    fleet.run(("gone", "a", True))
+    fleet.reach.engine_down("gone")
+    assert fleet.checks.asked == []
--- a/libs/routing/src/celeryfork_routing/layer_placement.py
+++ b/libs/routing/src/celeryfork_routing/layer_placement.py
@@ -75,6 +75,12 @@
     return [*whole, rest] if rest else whole
 
 
+def holds_copy(shape: ModelShape, engines: Sequence[PlacedEngine]) -> bool:
+    """Return whether the engines that aren't lost can hold the whole model."""
+    present = [engine for engine in engines if not engine.lost]
+    return _room_step(shape, present) is not None
+
+
 def layer_counts(shape: ModelShape, cell: Sequence[PlacedEngine]) -> dict[str, int]:
     """Return how many layers each kind of accelerator of a cell takes, by its name."""
     return _counts_at(shape, cell, _wanted_room(shape, cell))
--- a/libs/routing/src/celeryfork_routing/layers.py
+++ b/libs/routing/src/celeryfork_routing/layers.py
@@ -19,6 +19,10 @@
         """Return the number of layers."""
         return self.last - self.first
 
+    def overlap(self, other: "LayerRange") -> int:
+        """Return how many layers are in both."""
+        return max(0, min(self.last, other.last) - max(self.first, other.first))
+
 
 @frozen
 class Accelerator:
