A stream is refused at once when layers, not room, are missing; the choice of paths is a module

What is known not to be servable is to be refused at once.

Ruled out: refusing at the first look, since an engine that hiccups is back within the wait; the layers must have been missing for as long as the wait. A stream that may have run waits on, as it can't be refused any more.

Tests: test_path_choice (the two tests of first engines moved there), looks for a path are counted, no times.

--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -23,6 +23,7 @@
 from celeryfork_entry.known import KNOWN_PATH
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.metrics import Histograms, metrics_text
+from celeryfork_entry.path_choice import PathChoice
 from celeryfork_entry.peer_loads import PeerLoads
 from celeryfork_entry.placement_duty import PlacementDuty, renew_duty
 from celeryfork_entry.plain_calls import PlainCalls
@@ -120,7 +121,8 @@
         reach = ReachChecks(
             self.settings.domain, self.table, self._checks, self.log, self._spawn
         )
-        streams = StreamCalls(parts, self._checks, leaving, self.loads, reach)
+        choice = PathChoice(parts, self.loads)
+        streams = StreamCalls(parts, self._checks, leaving, self.loads, reach, choice)
         self._checks.on_down = streams.engine_down
         self._dispatcher = Dispatcher(parts, PlainCalls(parts), streams)
         self._placement = PlacementDuty(
--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -0,0 +1,137 @@
+"""Which path a stream takes, and when there is none to wait for."""
+
+import asyncio
+import time
+
+from attrs import define
+from celeryfork_routing.engine_loads import EngineLoads, LayerPath
+from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
+from celeryfork_routing.layers import LayerRange, first_missing
+
+from celeryfork_entry.call import Call, CallParts
+from celeryfork_entry.targets import Target
+
+ROOM_WAIT_S = 0.25
+"""Time that a request waits for room before it is refused; half of the usual aim."""
+REPEAT_WAIT_S = 1.0
+"""The same for a request that may have run, which can't be refused any more."""
+ROOM_POLL_S = 0.02
+
+
+@define(eq=False)
+class PathChoice:
+    """Finds paths over engines that nothing speaks against."""
+
+    _parts: CallParts
+    _loads: EngineLoads
+    _missing_since_s: float | None = None
+
+    async def choose(self, call: Call) -> LayerPath | None:
+        """Return a path with room for the call; wait a moment for one."""
+        wait_s = REPEAT_WAIT_S if call.may_have_run else ROOM_WAIT_S
+        until_s = time.monotonic() + min(wait_s, call.left_s)
+        while True:
+            path, now_s = self._find(call), time.monotonic()
+            if path is not None:
+                self._missing_since_s = None
+                return path
+            hopeless = self._is_hopeless(call, now_s) and not call.may_have_run
+            if now_s >= until_s or hopeless:
+                return None
+            await asyncio.sleep(ROOM_POLL_S)
+
+    def _is_hopeless(self, call: Call, now_s: float) -> bool:
+        """Return whether no moment's wait helps: layers are missing, not room.
+
+        They are missing for good if only engines hold them that have refused the call,
+        and for seconds if nobody does for longer than the wait.
+        """
+        shape = call.service.model
+        assert shape is not None
+        held = self._held_by_id(call.service.name)
+        willing = [held[each] for each in held.keys() - call.avoided]
+        if first_missing(shape.layers, willing) is None:
+            return False
+        if first_missing(shape.layers, held.values()) is None:
+            return True
+        if self._missing_since_s is None:
+            self._missing_since_s = now_s
+        return now_s - self._missing_since_s >= ROOM_WAIT_S
+
+    def _held_by_id(self, service: str) -> dict[str, LayerRange]:
+        """Return the layers of the engines in choice."""
+        return {
+            target.id: target.held
+            for target in self._parts.table.in_choice(service)
+            if target.held is not None
+        }
+
+    def _find(self, call: Call) -> LayerPath | None:
+        """Return a path around the engines that have just refused work, if any."""
+        table, now_s = self._parts.table, time.monotonic()
+        listed = table.in_choice(call.service.name)
+        willing = [
+            each for each in listed if table.standing(each.id).refused_until_s < now_s
+        ]
+        path = self._find_over(call, willing)
+        if path is None and len(willing) < len(listed):
+            path = self._find_over(call, listed)
+        return path
+
+    def _find_over(self, call: Call, targets: list[Target]) -> LayerPath | None:
+        shape, now_s = call.service.model, time.monotonic()
+        assert shape is not None
+        engines = [
+            PathEngine(
+                target.id,
+                target.address,
+                target.domain,
+                target.accelerator or "",
+                target.held,
+                self._parts.table.standing(target.id).slowness_at(now_s),
+            )
+            for target in targets
+            if target.held is not None and target.id not in call.avoided
+        ]
+        request = PathRequest(
+            call.facts.prompt_tokens,
+            expected_answer_tokens(call),
+            self._parts.domain,
+            call.first_engines.allowed(self.lives),
+        )
+        return find_path(shape, engines, self._loads.total(now_s), request)
+
+    def lives(self, engine_id: str) -> bool:
+        """Return whether an engine is listed and not out of choice."""
+        table = self._parts.table
+        return engine_id in table.by_id and not table.standing(engine_id).held
+
+    def note_no_path(self, call: Call) -> None:
+        """Log what is known of the engines when none of them took a call."""
+        table, now_s = self._parts.table, time.monotonic()
+        listed = [each for each in table.listed(call.service.name) if each.held]
+        standings = [table.standing(each.id) for each in listed]
+        self._parts.note(
+            call,
+            "no_path",
+            engines=len(listed),
+            missing_layer=first_missing(
+                call.service.model.layers if call.service.model else 0,
+                self._held_by_id(call.service.name).values(),
+            ),
+            down=sum(standing.held for standing in standings),
+            refusing=sum(each.refused_until_s >= now_s for each in standings),
+            requests_in_flight=sum(
+                load.requests for load in self._loads.own().values()
+            ),
+            tokens=round(call.facts.prompt_tokens + expected_answer_tokens(call)),
+            avoided=len(call.avoided),
+        )
+
+
+def expected_answer_tokens(call: Call) -> float:
+    """Return the tokens of a call's answer, by its caller's hint where it gives one."""
+    facts = call.facts
+    if not facts.expected_answer_tokens:
+        return float(facts.most_answer_tokens)
+    return min(float(facts.most_answer_tokens), facts.expected_answer_tokens)
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -7,7 +7,6 @@
 from attrs import define, field
 from celeryfork_admission.room_pressure import RoomPressure
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath
-from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
 
 from celeryfork_entry.call import Call, CallParts, not_run, unknown
 from celeryfork_entry.configuration import Stream
@@ -22,12 +21,12 @@
     PathBroke,
     PathRefused,
 )
+from celeryfork_entry.path_choice import PathChoice, expected_answer_tokens
 from celeryfork_entry.plain_calls import MOST_REPLY_BYTES, PROMISES_NOT_RUN
 from celeryfork_entry.ports import Handover
 from celeryfork_entry.reach_checks import ReachChecks
 from celeryfork_entry.stream_progress import Pace, Progress
 from celeryfork_entry.target_http import LostError, NotSentError, Reply
-from celeryfork_entry.targets import Target
 
 FIRST_EVENT_PATIENCE_S = 0.2
 """Silence before the first event after which the path's engines are asked."""
@@ -36,11 +35,6 @@
 
 Callers leave after 2 s.
 """
-ROOM_WAIT_S = 0.25
-"""Time that a request waits for room before it is refused; half of the usual aim."""
-REPEAT_WAIT_S = 1.0
-"""The same for a request that may have run, which can't be refused any more."""
-ROOM_POLL_S = 0.02
 LACKS_LAYERS = 421
 """Status of an engine that doesn't hold its part of the path."""
 MOST_SENDS = 6
@@ -64,6 +58,7 @@
     _leaving: LeavingChecks
     _loads: EngineLoads
     _reach: ReachChecks
+    _choice: PathChoice
     _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
     _pressure: RoomPressure = field(factory=RoomPressure)
 
@@ -86,9 +81,9 @@
         call.first_engines.most = call.route.most_targets
         last: Outcome = PathRefused("no path")
         while call.sends < MOST_SENDS and call.left_s > 0:
-            path = await self._choose(call)
+            path = await self._choice.choose(call)
             if path is None:
-                self._note_no_path(call)
+                self._choice.note_no_path(call)
                 break
             if not self._parts.may_send(call):
                 break
@@ -97,79 +92,13 @@
                 break
         await self._finish(call, last, progress)
 
-    def _note_no_path(self, call: Call) -> None:
-        """Log what is known of the engines when none of them took a call."""
-        table, now_s = self._parts.table, time.monotonic()
-        listed = [each for each in table.listed(call.service.name) if each.held]
-        standings = [table.standing(each.id) for each in listed]
-        self._parts.note(
-            call,
-            "no_path",
-            engines=len(listed),
-            down=sum(standing.held for standing in standings),
-            refusing=sum(each.refused_until_s >= now_s for each in standings),
-            requests_in_flight=sum(
-                load.requests for load in self._loads.own().values()
-            ),
-            tokens=round(call.facts.prompt_tokens + _answer_tokens(call)),
-            avoided=len(call.avoided),
-        )
-
-    async def _choose(self, call: Call) -> LayerPath | None:
-        """Return a path with room for the call; wait a moment for one."""
-        wait_s = REPEAT_WAIT_S if call.may_have_run else ROOM_WAIT_S
-        until_s = time.monotonic() + min(wait_s, call.left_s)
-        while True:
-            path = self._find(call)
-            if path is not None or time.monotonic() >= until_s:
-                return path
-            await asyncio.sleep(ROOM_POLL_S)
-
-    def _find(self, call: Call) -> LayerPath | None:
-        """Return a path around the engines that have just refused work, if any."""
-        table, now_s = self._parts.table, time.monotonic()
-        listed = table.in_choice(call.service.name)
-        willing = [
-            each for each in listed if table.standing(each.id).refused_until_s < now_s
-        ]
-        path = self._find_over(call, willing)
-        if path is None and len(willing) < len(listed):
-            path = self._find_over(call, listed)
-        return path
-
-    def _find_over(self, call: Call, targets: list[Target]) -> LayerPath | None:
-        shape, now_s = call.service.model, time.monotonic()
-        assert shape is not None
-        engines = [
-            PathEngine(
-                target.id,
-                target.address,
-                target.domain,
-                target.accelerator or "",
-                target.held,
-                self._parts.table.standing(target.id).slowness_at(now_s),
-            )
-            for target in targets
-            if target.held is not None and target.id not in call.avoided
-        ]
-        request = PathRequest(
-            call.facts.prompt_tokens,
-            _answer_tokens(call),
-            self._parts.domain,
-            call.first_engines.allowed(self._lives),
-        )
-        return find_path(shape, engines, self._loads.total(now_s), request)
-
-    def _lives(self, engine_id: str) -> bool:
-        """Return whether an engine is listed and not out of choice."""
-        table = self._parts.table
-        return engine_id in table.by_id and not table.standing(engine_id).held
-
     async def _attempt(
         self, call: Call, path: LayerPath, progress: Progress
     ) -> Outcome:
         attempt = PathAttempt(path)
-        tokens = call.facts.prompt_tokens + _answer_tokens(call) * ANSWER_RESERVE
+        tokens = (
+            call.facts.prompt_tokens + expected_answer_tokens(call) * ANSWER_RESERVE
+        )
         self._loads.begin(path, tokens)
         self._parts.note(
             call,
@@ -359,7 +288,7 @@
         self._reach.refused(part.engine_id, path.parts[0].domain, lacks_layers)
 
     def _broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
-        down = [each for each in path.engine_ids if not self._lives(each)]
+        down = [each for each in path.engine_ids if not self._choice.lives(each)]
         call.may_have_run = True
         call.first_engines.begun(path.parts[0].engine_id)
         if not down:
@@ -369,7 +298,7 @@
     def _again(self, call: Call, outcome: Outcome, path: LayerPath) -> bool:
         kind = call.route.kind
         resumable = isinstance(kind, Stream) and kind.resumable
-        allowed = call.first_engines.allowed(self._lives)
+        allowed = call.first_engines.allowed(self._choice.lives)
         may_begin = resumable and (allowed is None or bool(allowed - call.avoided))
         match outcome:
             case Finished():
@@ -418,13 +347,6 @@
         raise unknown(status, "path_broke", f"The path stopped: {reason}.")
 
 
-def _answer_tokens(call: Call) -> float:
-    facts = call.facts
-    if not facts.expected_answer_tokens:
-        return float(facts.most_answer_tokens)
-    return min(float(facts.most_answer_tokens), facts.expected_answer_tokens)
-
-
 def _describe(path: LayerPath) -> str:
     return " ".join(
         f"{part.domain}/{part.engine_id}={part.layers.first}-{part.layers.last}"
--- /dev/null
+++ b/libs/entry/tests/test_path_choice.py
@@ -0,0 +1,186 @@
+"""Which paths a stream may take, without network."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from attrs import evolve
+from celeryfork_entry import path_choice
+from celeryfork_entry.first_engines import FirstEngines
+from celeryfork_entry.path_choice import PathChoice
+from celeryfork_entry.targets import Listed, Target, TargetTable
+from celeryfork_routing.engine_loads import EngineLoads
+from celeryfork_routing.layers import (
+    Accelerator,
+    LayerRange,
+    ModelShape,
+    first_missing,
+)
+
+SHAPE = ModelShape(
+    layers=8,
+    layer_mb=100.0,
+    token_bytes=80_000.0,
+    step_ms=1.0,
+    sequence_ms=0.0,
+    context_ms_per_thousand=0.0,
+    read_tokens_per_ms=100.0,
+    activation_bytes=0.0,
+    pipe_bytes_per_ms=0.0,
+    usual_prompt=100.0,
+    usual_answer=100.0,
+    load_s=1.0,
+    accelerators_by_name={
+        "fast": Accelerator("fast", 2_000.0),
+        "slow": Accelerator("slow", 2_000.0, step_factor=9.0, read_factor=9.0),
+    },
+)
+
+
+@pytest.fixture
+def table():
+    """Three engines with all layers, of which the third is by far the fastest."""
+    table = TargetTable()
+    for number, kind in enumerate(("slow", "slow", "fast"), 1):
+        table.apply(
+            [
+                Listed(
+                    Target(
+                        f"e{number}",
+                        "llm",
+                        f"10.0.0.{number}:1",
+                        "a",
+                        accelerator=kind,
+                        held=LayerRange(0, 8),
+                    )
+                )
+            ]
+        )
+    return table
+
+
+def make_choice(table):
+    return PathChoice(SimpleNamespace(table=table, domain="a"), EngineLoads())
+
+
+def make_call(*begun, avoided=(), may_have_run=False):
+    """Return a call of a route for two engines, begun on some."""
+    engines = FirstEngines(2)
+    for engine_id in begun:
+        engines.begun(engine_id)
+    return SimpleNamespace(
+        service=SimpleNamespace(name="llm", model=SHAPE),
+        facts=SimpleNamespace(
+            prompt_tokens=100, most_answer_tokens=50, expected_answer_tokens=0.0
+        ),
+        avoided=set(avoided),
+        first_engines=engines,
+        may_have_run=may_have_run,
+        left_s=20.0,
+    )
+
+
+def first_engine(table, *begun):
+    """Return where a stream of a route for two engines would go on."""
+    path = make_choice(table)._find(make_call(*begun))
+    return path and path.engine_ids[0]
+
+
+def test_a_stream_that_broke_twice_goes_on_where_it_has_begun(table):
+    """Pattern: wanjiru-descale scale-1, seed 340203364010.
+
+    Engines behind the first ones were lost twice, and the stream began on a third.
+    """
+    assert first_engine(table) == "e3"
+    assert first_engine(table, "e1") == "e3"
+    assert first_engine(table, "e1", "e2") in {"e1", "e2"}
+
+
+def test_a_first_engine_that_is_down_leaves_room_for_another(table):
+    table.hold("e1", "silent", 100.0)
+    assert first_engine(table, "e1", "e2") == "e3"
+
+
+@pytest.fixture
+def looks_in_vain(monkeypatch):
+    """Return a function that counts the looks for a path until a call is given up."""
+    looks = []
+
+    def look(*known):
+        looks.append(known)
+
+    monkeypatch.setattr(path_choice, "find_path", look)
+
+    def count(choice, call):
+        looks.clear()
+        assert asyncio.run(choice.choose(call)) is None
+        return len(looks)
+
+    return count
+
+
+def lose_layers(table):
+    """Leave the first half of the layers only."""
+    for target in list(table.by_id.values()):
+        table.by_id[target.id] = evolve(target, held=LayerRange(0, 4))
+
+
+def test_a_request_is_refused_at_once_when_layers_are_missing_for_long(
+    table, looks_in_vain
+):
+    """Pattern: a domain is cut off without a whole copy; nothing comes by waiting."""
+    lose_layers(table)
+    choice = make_choice(table)
+    assert looks_in_vain(choice, make_call()) > 1
+    assert looks_in_vain(choice, make_call()) == 1
+    assert looks_in_vain(choice, make_call()) == 1
+
+
+def test_the_wait_begins_anew_once_the_layers_were_there(table):
+    whole = dict(table.by_id)
+    lose_layers(table)
+    choice = make_choice(table)
+    assert asyncio.run(choice.choose(make_call())) is None
+    assert choice._missing_since_s is not None
+    table.by_id |= whole
+    assert asyncio.run(choice.choose(make_call())) is not None
+    assert choice._missing_since_s is None
+
+
+def test_a_request_waits_for_room_where_no_layer_is_missing(table, looks_in_vain):
+    choice = make_choice(table)
+    assert looks_in_vain(choice, make_call()) > 1
+    assert looks_in_vain(choice, make_call()) > 1
+
+
+def test_a_request_is_refused_at_once_when_all_holders_have_refused_it(
+    table, looks_in_vain
+):
+    choice = make_choice(table)
+    assert looks_in_vain(choice, make_call(avoided=table.by_id)) == 1
+    assert looks_in_vain(choice, make_call(avoided=["e1"])) > 1
+
+
+def test_a_stream_that_may_have_run_waits_for_missing_layers(table, looks_in_vain):
+    """It can't be refused any more; an engine may be back within its pause."""
+    lose_layers(table)
+    choice = make_choice(table)
+    looks_in_vain(choice, make_call())
+    assert looks_in_vain(choice, make_call()) == 1
+    assert looks_in_vain(choice, make_call(may_have_run=True)) > 1
+
+
+@pytest.mark.parametrize(
+    ("ranges", "missing"),
+    [
+        ([], 0),
+        ([(0, 8)], None),
+        ([(4, 8), (0, 5)], None),
+        ([(0, 3), (4, 8)], 3),
+        ([(1, 8)], 0),
+        ([(0, 4), (2, 6)], 6),
+        ([(0, 6), (1, 2), (6, 8)], None),
+    ],
+)
+def test_the_first_missing_layer(ranges, missing):
+    assert first_missing(8, [LayerRange(*each) for each in ranges]) == missing
--- a/libs/routing/src/celeryfork_routing/layers.py
+++ b/libs/routing/src/celeryfork_routing/layers.py
@@ -1,6 +1,6 @@
 """What a model takes on an engine: layers, memory and times by accelerator."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from attrs import field, frozen
 
@@ -24,6 +24,16 @@
         return max(0, min(self.last, other.last) - max(self.first, other.first))
 
 
+def first_missing(layers: int, ranges: Iterable[LayerRange]) -> int | None:
+    """Return the first layer that no range has, None if all ``layers`` are there."""
+    reached = 0
+    for held in sorted(ranges, key=lambda each: each.first):
+        if held.first > reached:
+            break
+        reached = max(reached, held.last)
+    return reached if reached < layers else None
+
+
 @frozen
 class Accelerator:
     """One kind of accelerator.
