Peers are told of an engine that is down; engines are asked sooner; paths keep to a domain

Streams of all domains ran over the fastest engines, so that one loss broke nearly all streams in flight (45 in 40 ms).

Ruled out: finding paths (1.6 ms each, and 35 within 16 ms); the retry budget, but for the first second of a cut.

Change: who finds an engine down tells all peers at once; news counts where this instance's streams over the engine are silent too, else it is asked. Engines are asked after 45 ms of silence (70) and have 50 ms to answer (80), once more if this process itself was late. Leaving the caller's domain costs 1,500 ms (600) and each crossing 600 (100).

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from attrs import define, field
 from celeryfork_base.counters import Counters
@@ -16,8 +16,13 @@
 from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
 from celeryfork_entry.targets import LearntLayers, Target, TargetTable
 
-ANSWER_TIMEOUT_S = 0.08
-"""Wait for a report; a live engine answers at once, without a slot."""
+ANSWER_TIMEOUT_S = 0.05
+"""Wait for a report; a live engine answers at once, without a slot, and callers count
+a pause of 0.2 s as late, of which a new path takes about 0.06."""
+LATE_S = 0.02
+"""A wait that ends so much later than it should is of a process that had no time."""
+NEWS_SILENCE_S = 0.04
+"""Silence of an engine in use that makes a peer's news of it credible."""
 PROOF_LIFE_S = 0.06
 """Time that an engine's last sign of life counts for."""
 REPORT_LIFE_S = 3.0
@@ -33,6 +38,12 @@
     ----------
     on_down
         Called with an engine's id when it goes out of choice.
+    tell
+        Called with an engine that this instance itself has found to be down.
+    uses
+        Tells whether a stream of this instance runs over an engine.
+    spawn
+        Runs a task beside the calls.
     """
 
     _table: TargetTable
@@ -41,6 +52,9 @@
     _log: Logger
     _counters: Counters
     on_down: Callable[[str], None] = lambda engine_id: None
+    tell: Callable[[Target], None] = lambda target: None
+    uses: Callable[[str], bool] = lambda engine_id: False
+    spawn: Callable[[Awaitable[object]], None] = lambda work: None
     _proved_s_by_id: dict[str, float] = field(factory=dict)
     _asked_by_id: dict[str, asyncio.Task[EngineReport | None]] = field(factory=dict)
 
@@ -99,22 +113,31 @@
         return await asyncio.shield(asked)
 
     async def _ask(self, target: Target) -> EngineReport | None:
-        self._counters.add("engines.asked")
-        report, reason = None, "no report"
+        report, reason, begun_s = None, "no report", time.monotonic()
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                reply = await self._connections.send(
-                    target.address, self._dialect.ask_report()
-                )
-                try:
-                    body = await reply.read_all(MOST_REPORT_BYTES)
-                finally:
-                    reply.drop()
-            report = self._dialect.read_report(body) if reply.status == 200 else None
+            try:
+                report = await self._question(target)
+            except TimeoutError:
+                if time.monotonic() - begun_s < ANSWER_TIMEOUT_S + LATE_S:
+                    raise
+                self._counters.add("engines.asked_late")
+                report = await self._question(target)
         except (NotSentError, LostError, TimeoutError) as error:
             reason = repr(error)
         return self._judge(target, report, reason)
 
+    async def _question(self, target: Target) -> EngineReport | None:
+        self._counters.add("engines.asked")
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            reply = await self._connections.send(
+                target.address, self._dialect.ask_report()
+            )
+            try:
+                body = await reply.read_all(MOST_REPORT_BYTES)
+            finally:
+                reply.drop()
+        return self._dialect.read_report(body) if reply.status == 200 else None
+
     def _judge(
         self, target: Target, report: EngineReport | None, reason: str
     ) -> EngineReport | None:
@@ -137,8 +160,30 @@
         self._table.succeeded(target.id)
         return report
 
-    def mark_down(self, engine_id: str, reason: str) -> None:
-        """Put an engine out of choice and tell the streams that use it."""
+    def told_down(self, engine_id: str, born_ms: int | None, peer: str) -> None:
+        """Take a peer's news that an engine is down.
+
+        It counts where this instance's own streams over the engine are silent too: the
+        peer alone may be cut off from it. An engine that isn't in use is asked.
+        """
+        target = self._table.by_id.get(engine_id)
+        if target is None or target.born_ms != born_ms:
+            return
+        if self._table.standing(engine_id).held:
+            return
+        if not self.uses(engine_id):
+            self.spawn(self.ask(engine_id))
+        elif time.monotonic() - self.proved_s(engine_id) >= NEWS_SILENCE_S:
+            self.mark_down(engine_id, f"told by {peer}", own=False)
+
+    def mark_down(self, engine_id: str, reason: str, *, own: bool = True) -> None:
+        """Put an engine out of choice and tell the streams that use it.
+
+        Parameters
+        ----------
+        own
+            Whether this instance has found it by asking that engine; peers are told.
+        """
         if engine_id not in self._table.by_id:
             return
         if self._table.hold(engine_id, reason, time.monotonic()):
@@ -148,4 +193,6 @@
                 "engine_down", engine=engine_id, address=target.address, reason=reason
             )
             self._connections.forget(target.address)
+            if own:
+                self.tell(target)
             self.on_down(engine_id)
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -84,7 +84,7 @@
     loads: EngineLoads = field(factory=EngineLoads)
     _callers: set[CallerConnection] = field(factory=set)
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
-    _tasks: set[asyncio.Task[None]] = field(factory=set)
+    _tasks: set[asyncio.Future[object]] = field(factory=set)
     _instances: int = 0
     _stop_asked: asyncio.Event = field(factory=asyncio.Event)
     _histograms: Histograms = field(factory=Histograms)
@@ -124,6 +124,8 @@
         choice = PathChoice(parts, self.loads)
         streams = StreamCalls(parts, self._checks, leaving, self.loads, reach, choice)
         self._checks.on_down = streams.engine_down
+        self._checks.uses = streams.uses
+        self._checks.spawn = self._spawn
         self._dispatcher = Dispatcher(parts, PlainCalls(parts), streams)
         self._placement = PlacementDuty(
             self.table, self.connections, self._dialect, self._checks, self.log,
@@ -138,6 +140,8 @@
             self._following.away_s, reach.cut_off,
         )  # fmt: skip
         self._placement.fence_heard = lambda: self._peers.fence_heard
+        self._checks.tell = self._peers.tell_down
+        self._peers.on_down = self._checks.told_down
         self._peers.fence = self._held_fence
         self._peers.on_fence = self._placement.heard_of
         self._peers.version = lambda: self._following.version
@@ -224,12 +228,12 @@
         except OSError as error:
             raise ListenError(address, error) from error
 
-    def _spawn(self, work: Awaitable[None]) -> None:
+    def _spawn(self, work: Awaitable[object]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
+    def _ended(self, task: asyncio.Future[object]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self.counters.add("tasks.failed")
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -15,7 +15,7 @@
 from orjson import JSONDecodeError, dumps, loads
 
 from celeryfork_entry.ports import Peer
-from celeryfork_entry.targets import LearntLayers
+from celeryfork_entry.targets import LearntLayers, Target
 
 INTERVAL_S = 0.25
 """Pause between two reports to peers of the domain; a stream lasts several."""
@@ -60,6 +60,8 @@
         Gives what engines reported and the list doesn't say, by engine.
     on_layers
         Called with each engine of which a peer passes that on.
+    on_down
+        Called with an engine that a peer has found to be down, its start, and the peer.
     fence_heard, fence_heard_s
         The highest fence with which a peer said to place layers, and when the last one
         said so; the start of this instance before the first.
@@ -84,6 +86,8 @@
     _version_told: int = -1
     _version_tellings: int = 0
     _heard_by_address: dict[str, _Heard] = field(factory=dict)
+    on_down: Callable[[str, int | None, str], None] = lambda engine, born_ms, peer: None
+    _down: list[tuple[str, int | None]] = field(factory=list)
     fence_heard: int = -1
     fence_heard_s: float = field(factory=time.monotonic)
 
@@ -111,6 +115,8 @@
                 self.on_version(version, at)
             for engine_id, row in report.get("layers", {}).items():
                 self.on_layers(str(engine_id), _learnt(row))
+            for engine_id, born_ms in report.get("down", ()):
+                self.on_down(str(engine_id), born_ms, peer)
         except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as e:
             self._unreadable += 1
             if self._unreadable == 1:
@@ -127,6 +133,16 @@
             await asyncio.sleep(INTERVAL_S)
             self._report()
 
+    def tell_down(self, target: Target) -> None:
+        """Tell all peers at once that an engine is down: their streams wait too."""
+        if not self._down:
+            asyncio.get_running_loop().call_soon(self._report_down)
+        self._down.append((target.id, target.born_ms))
+
+    def _report_down(self) -> None:
+        self._send(self._message(down=self._down), to_away=True)
+        self._down = []
+
     def _report(self) -> None:
         own = self._loads.own()
         self._reports += 1
@@ -141,20 +157,26 @@
             return
         self._version_tellings += 1
         self._said_idle = not own and to_away
-        data = dumps(
+        self._send(self._message(), to_away=to_away)
+
+    def _message(self, **news: object) -> bytes:
+        return dumps(
             {
                 "from": self.name,
                 "at": self.address,
                 "domain": self.domain,
-                "fence": fence,
-                "version": version,
-                "layers": {key: _row(learnt) for key, learnt in layers.items()},
+                "fence": self.fence(),
+                "version": self.version(),
+                "layers": {key: _row(learnt) for key, learnt in self.layers().items()},
                 "loads": {
                     key: (load.requests, round(load.token_layers))
-                    for key, load in own.items()
+                    for key, load in self._loads.own().items()
                 },
+                **news,
             }
         )
+
+    def _send(self, data: bytes, *, to_away: bool) -> None:
         if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
             return
         for address, domain in self._domain_by_address().items():
--- a/libs/entry/src/celeryfork_entry/reach_checks.py
+++ b/libs/entry/src/celeryfork_entry/reach_checks.py
@@ -96,7 +96,7 @@
     def _leave(self, domain: str, silent: list[str]) -> None:
         """Put a domain out of choice, but for engines that have made progress."""
         for target in self._unproved(domain):
-            self._checks.mark_down(target.id, OUT_OF_REACH)
+            self._checks.mark_down(target.id, OUT_OF_REACH, own=False)
         cut_off = self.cut_off()
         self._table.list_is_old |= cut_off
         self._log.info(
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -62,6 +62,10 @@
     _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
     _pressure: RoomPressure = field(factory=RoomPressure)
 
+    def uses(self, engine_id: str) -> bool:
+        """Return whether any stream runs over an engine now."""
+        return bool(self._attempts_by_engine.get(engine_id))
+
     def engine_down(self, engine_id: str) -> None:
         """Take the streams off an engine that has gone out of choice."""
         self._reach.engine_down(engine_id)
--- a/libs/entry/src/celeryfork_entry/stream_progress.py
+++ b/libs/entry/src/celeryfork_entry/stream_progress.py
@@ -2,9 +2,9 @@
 
 from attrs import define
 
-EVENT_PATIENCE_S = 0.07
-"""Silence between events after which a path's engines are asked; a third of callers'
-usual bound."""
+EVENT_PATIENCE_S = 0.045
+"""Silence between events after which a path's engines are asked; a quarter of callers'
+usual bound, as a dark engine takes as long to find again and a new path a third."""
 LONGEST_EVENT_PATIENCE_S = 0.15
 """The same over engines that are slow all the time: the bound is near then."""
 USUAL_GAPS = 2.0
--- /dev/null
+++ b/libs/entry/tests/test_engine_checks.py
@@ -0,0 +1,159 @@
+"""Which engines count as down, by their own answers and by peers' news."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from celeryfork_base.counters import Counters
+from celeryfork_entry import engine_checks
+from celeryfork_entry.engine_checks import EngineChecks
+from celeryfork_entry.ports import EngineReport
+from celeryfork_entry.target_http import NotSentError
+from celeryfork_entry.targets import Listed, Target, TargetTable
+from logbook import Logger
+
+REPORT = EngineReport(None, 0, False, 1, 1.0, {})
+
+
+class Engine:
+    """Answers questions for a report; a None among ``answers`` is silence."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = 0
+        self.forgotten = []
+
+    async def send(self, address, question):
+        self.asked += 1
+        answer = self.answers.pop(0) if self.answers else None
+        if answer is None:
+            await asyncio.sleep(60)
+        if isinstance(answer, Exception):
+            raise answer
+
+        async def read_all(most):
+            return b"a report"
+
+        return SimpleNamespace(status=200, read_all=read_all, drop=lambda: None)
+
+    def ask_report(self):
+        return "report?"
+
+    def read_report(self, body):
+        return REPORT
+
+    def forget(self, address):
+        self.forgotten.append(address)
+
+
+def ask(checks):
+    return asyncio.run(checks.ask("x"))
+
+
+@pytest.fixture(autouse=True)
+def short_waits(monkeypatch):
+    monkeypatch.setattr(engine_checks, "ANSWER_TIMEOUT_S", 0.02)
+
+
+def make(engine):
+    """Return checks with what they told peers and streams."""
+    table = TargetTable()
+    table.apply([Listed(Target("x", "llm", "x:1", "a", born_ms=1))])
+    told, downs = [], []
+    checks = EngineChecks(
+        table,
+        engine,
+        engine,
+        Logger("test"),
+        Counters(),
+        on_down=downs.append,
+        tell=lambda target: told.append(target.id),
+    )
+    return checks, table, told, downs
+
+
+@pytest.mark.parametrize("answer", [None, NotSentError("refused")])
+def test_an_engine_that_does_not_answer_is_down_and_peers_are_told(answer, monkeypatch):
+    monkeypatch.setattr(engine_checks, "LATE_S", 60.0)
+    engine = Engine(answer)
+    checks, table, told, downs = make(engine)
+    assert ask(checks) is None
+    assert table.standing("x").held
+    assert (told, downs, engine.asked) == (["x"], ["x"], 1)
+
+
+def test_an_engine_that_answers_is_in_choice():
+    checks, table, told, _ = make(Engine("yes"))
+    assert ask(checks) == REPORT
+    assert not table.standing("x").held
+    assert told == []
+
+
+def test_an_answer_that_waited_for_this_process_does_not_count_against_the_engine(
+    monkeypatch,
+):
+    """Pattern: a cut breaks dozens of streams, and finding their paths takes 50 ms."""
+    monkeypatch.setattr(engine_checks, "LATE_S", -1.0)
+    engine = Engine(None, "yes")
+    checks, table, _, _ = make(engine)
+    assert ask(checks) == REPORT
+    assert engine.asked == 2
+    assert not table.standing("x").held
+
+
+def test_an_engine_is_asked_once_more_at_most(monkeypatch):
+    monkeypatch.setattr(engine_checks, "LATE_S", -1.0)
+    engine = Engine(None, None, "yes")
+    checks, table, _, _ = make(engine)
+    assert ask(checks) is None
+    assert engine.asked == 2
+    assert table.standing("x").held
+
+
+def tell(checks, *, uses, born_ms=1):
+    """Give a peer's news of the engine; run what follows."""
+
+    async def run():
+        tasks = []
+        checks.uses = lambda engine_id: uses
+        checks.spawn = lambda work: tasks.append(asyncio.ensure_future(work))
+        checks.told_down("x", born_ms, "peer")
+        checks.told_down("unknown", 1, "peer")
+        await asyncio.gather(*tasks)
+
+    asyncio.run(run())
+
+
+def test_news_of_an_engine_whose_streams_are_silent_here_too_counts():
+    """Pattern: a dark engine, which each instance found by itself, up to 2 s late."""
+    engine = Engine("yes")
+    checks, table, told, downs = make(engine)
+    tell(checks, uses=True)
+    assert table.standing("x").held
+    assert (told, downs, engine.asked) == ([], ["x"], 0)
+
+
+def test_news_of_an_engine_that_makes_progress_here_does_not_count():
+    """The peer is cut off from it, not this instance."""
+    checks, table, _, _ = make(Engine("yes"))
+    checks.progressed(["x"], engine_checks.time.monotonic() + 60.0)
+    tell(checks, uses=True)
+    assert not table.standing("x").held
+
+
+@pytest.mark.parametrize(("answer", "held"), [("yes", False), (None, True)])
+def test_an_engine_that_is_not_in_use_is_asked_after_news(answer, held, monkeypatch):
+    monkeypatch.setattr(engine_checks, "LATE_S", 60.0)
+    engine = Engine(answer)
+    checks, table, _, _ = make(engine)
+    tell(checks, uses=False)
+    assert engine.asked == 1
+    assert table.standing("x").held == held
+
+
+def test_news_of_an_earlier_start_does_not_count():
+    engine = Engine("yes")
+    checks, table, _, _ = make(engine)
+    tell(checks, uses=True, born_ms=0)
+    assert not table.standing("x").held
+    assert engine.asked == 0
--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -1,11 +1,12 @@
 """Reports to peers and from them."""
 
+import asyncio
 import time
 
 import pytest
 from celeryfork_entry.peer_loads import IDLE_REPORTS, VERSION_TELLINGS, PeerLoads
 from celeryfork_entry.ports import Peer
-from celeryfork_entry.targets import LearntLayers
+from celeryfork_entry.targets import LearntLayers, Target
 from celeryfork_routing.engine_loads import EngineLoads
 from celeryfork_routing.layers import LayerRange
 from logbook import Logger
@@ -155,3 +156,31 @@
     )
     assert peer_loads.fence_heard_s == silent_s
     assert peer_loads.heard_of("west", time.monotonic() + 1) == set()
+
+
+def test_peers_are_told_at_once_of_engines_that_are_down():
+    """Pattern: some instances found a dark engine 1 to 3 s after the first."""
+
+    async def tell():
+        peer_loads = make_peer_loads()
+        peer_loads.peers = [NEAR, FAR]
+        wire = peer_loads._transport = Wire()
+        for engine_id in ("i-1", "i-2"):
+            peer_loads.tell_down(Target(engine_id, "llm", "a:1", "west", born_ms=5))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return wire.sent
+
+    sent = asyncio.run(tell())
+    assert [to for to, _ in sent] == ["10.0.0.2", "10.0.1.3"]
+    told = []
+    receiver = make_peer_loads("e2", "10.0.0.2:7")
+    receiver.on_down = lambda *news: told.append(news)
+    receiver.datagram_received(dumps(sent[0][1]), ("10.0.0.1", 7))
+    assert told == [("i-1", 5, "e1"), ("i-2", 5, "e1")]
+
+
+def test_news_is_told_once():
+    peer_loads = make_peer_loads()
+    peer_loads.peers = [NEAR]
+    assert all("down" not in message for _, message in report(peer_loads, 40))
--- a/libs/routing/src/celeryfork_routing/layer_paths.py
+++ b/libs/routing/src/celeryfork_routing/layer_paths.py
@@ -16,10 +16,11 @@
 """Most engines in one path; the engines' own limit."""
 MOST_CROSSINGS = 2
 """Most changes of failure domain: a detour around one lost range."""
-AWAY_FROM_CALLER_MS = 600.0
+AWAY_FROM_CALLER_MS = 1_500.0
 """Cost of a first engine outside the caller's domain, in ms: its answer crosses."""
-CROSSING_MS = 100.0
-"""Cost of a change of failure domain beside its transfer, in ms: the pipe is shared."""
+CROSSING_MS = 600.0
+"""Cost of a change of failure domain beside its transfer, in ms: the pipe is shared,
+and streams of all domains over the fastest engines would break together."""
 USUAL_STREAM_MS = 3_000.0
 """Duration by which requests in flight are turned into a rate, in ms."""
 MOST_PIPE_SHARE = 0.6
