The cost of a choice is counted in calls; its time is the least of five turns

Cause: test_choice_cost was red once in a whole run beside three busy processes (578 us at 600 engines against 108 us at 40, bound 4 times): one turn of 30 ms of each.

Ruled out before: collections of a large heap. What another process does to caches and clock of a core only adds time, and to one of the two turns by chance.

The timed check keeps both its bounds and compares the least of five turns of each, taken by turns.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,12 +1,18 @@
 #!/bin/sh
 # Puts an entry instance and what it imports into target/deps.
+# What is there stays until the new one is complete: a process may start meanwhile.
 set -eu
 deps=target/deps
-rm -rf "$deps"
-python3 -m pip install -q --disable-pip-version-check --target "$deps" \
+new=target/deps.new
+old=target/deps.old
+rm -rf "$new" "$old"
+python3 -m pip install -q --disable-pip-version-check --target "$new" \
     -r deploy/requirements.txt
 for library in base routing admission entry; do
-    cp -r "libs/$library/src/celeryfork_$library" "$deps/"
+    cp -r "libs/$library/src/celeryfork_$library" "$new/"
 done
-cp -r platform/celeryfork_adapter "$deps/"
-python3 -m compileall -q "$deps"
+cp -r platform/celeryfork_adapter "$new/"
+python3 -m compileall -q "$new"
+if [ -e "$deps" ]; then mv "$deps" "$old"; fi
+mv "$new" "$deps"
+rm -rf "$old"
--- a/libs/routing/tests/test_choice_cost.py
+++ b/libs/routing/tests/test_choice_cost.py
@@ -1,5 +1,6 @@
 """The time that a choice and a plan take; run as a program it prints a table."""
 
+import sys
 import time
 from concurrent.futures import Executor, Future
 from types import SimpleNamespace
@@ -14,7 +15,7 @@
 from celeryfork_membership.targets import make_target_view
 from celeryfork_platform.model import Instance, InstanceList
 from celeryfork_routing.chains import ChainRequest, ChainResult
-from celeryfork_routing.router import make_router
+from celeryfork_routing.router import Router, make_router
 
 LAYERS = 72
 RANGES = ((0, 24), (24, 48), (48, 72), (0, 18), (18, 36), (36, 54), (54, 72), (10, 40))
@@ -36,13 +37,13 @@
     plan_ms: float
 
 
-def measure(engines: int, domains: int, rounds: int = 3000) -> Cost:
+def make_filled_router(engines: int, domains: int) -> Router:
     clock, counters = SystemClock(), Counters()
     view = make_target_view(clock, counters, make_news_board(clock, counters), "d0")
     instances = [instance(number, domains) for number in range(engines)]
     view.update_from_list(InstanceList(1, {i.id: i for i in instances}))
     configuration = SimpleNamespace(accelerators_by_kind={}, links_by_pair={})
-    router = make_router(
+    return make_router(
         view,
         make_load_probe(view, clock, counters),
         lambda: configuration,
@@ -52,6 +53,10 @@
         1,
         NoExecutor(),
     )
+
+
+def measure(engines: int, domains: int, rounds: int = 3000) -> Cost:
+    router = make_filled_router(engines, domains)
     began_s = time.process_time()
     router.choose(ChainRequest("m", LAYERS))
     plan_ms = (time.process_time() - began_s) * 1e3
@@ -88,11 +93,39 @@
     )
 
 
+def calls_of(engines: int, domains: int, choices: int = 50) -> float:
+    """Return the mean number of function calls of one choice, the same each time."""
+    router = make_filled_router(engines, domains)
+    calls = 0
+
+    def count(frame: object, event: str, argument: object) -> None:
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        for _ in range(choices):
+            router.choose(ChainRequest("m", LAYERS))
+    finally:
+        sys.setprofile(None)
+    return calls / choices
+
+
+def test_a_choice_makes_few_more_calls_with_many_engines() -> None:
+    assert calls_of(600, 9) < 4 * calls_of(40, 3)
+
+
 @pytest.mark.slow
 def test_a_choice_stays_cheap_with_many_engines() -> None:
-    few, many = measure(40, 3, 500), measure(600, 9, 500)
-    assert many.choose_us < 4 * few.choose_us
-    assert few.choose_us < 1000
+    """Compare the least of five turns: what else a machine does only adds time.
+
+    One turn of each took 578 us against 108 us once, beside three busy processes.
+    """
+    turns = [(measure(40, 3, 500), measure(600, 9, 500)) for _ in range(5)]
+    few_us = min(few.choose_us for few, _ in turns)
+    many_us = min(many.choose_us for _, many in turns)
+    assert many_us < 4 * few_us
+    assert few_us < 1000
 
 
 if __name__ == "__main__":
