--- a/libs/calls/src/celeryfork_calls/claim_table.py
+++ b/libs/calls/src/celeryfork_calls/claim_table.py
@@ -14,14 +14,20 @@
 import secrets
 import threading
 from collections.abc import Callable, Sequence
-from enum import Enum
 
-from attrs import field, frozen, mutable
 from celeryfork_base.clock import Clock
 from celeryfork_base.counters import Counters
 from celeryfork_base.outcomes import Outcome
 
 from celeryfork_calls import errors
+from celeryfork_calls.claim_attempts import (
+    Attempt,
+    AttemptState,
+    Found,
+    Recorded,
+    WaitFor,
+    replay,
+)
 from celeryfork_calls.claim_coverage import Coverage
 from celeryfork_calls.claim_fold import (
     ClaimFold,
@@ -50,7 +56,6 @@
     ClaimLimits,
     InProgress,
     Refused,
-    Replay,
     Unresolved,
 )
 from celeryfork_calls.group_commit import (
@@ -67,57 +72,6 @@
 HandedOverCallback = Callable[[KeptOutcome], None]
 
 
-class AttemptState(Enum):
-    """How far one claim of this instance has come."""
-
-    WAITING = "waiting"
-    GRANTED = "granted"
-    LOST = "lost"
-    UNPROVEN = "unproven"
-    REFUSED = "refused"
-    GIVEN_UP = "given_up"
-
-
-@mutable(eq=False)
-class Attempt:
-    """One claim of this instance, from its append to its outcome.
-
-    Parameters
-    ----------
-    answer_lost_s
-        Monotonic time at which an append of it went unanswered.
-    decided
-        Set once the state is no longer ``WAITING``.
-    ended
-        Set once the key is this instance's no more, or its outcome is kept.
-    """
-
-    claim: Claim
-    hashed: bytes
-    queued: Queued
-    state: AttemptState = AttemptState.WAITING
-    answer_lost_s: float | None = None
-    decided: threading.Event = field(factory=threading.Event)
-    ended: threading.Event = field(factory=threading.Event)
-
-
-@frozen
-class WaitFor:
-    """The instance's own claim of the key has to end or be freed first."""
-
-    event: threading.Event
-
-
-@frozen
-class Recorded:
-    """The key's outcome stands in the log."""
-
-    held: Held
-
-
-Found = Replay | InProgress | Unresolved | Refused | WaitFor | Recorded
-
-
 class ClaimTable:
     """The claims of one instance and its fold of the stream; for any thread."""
 
@@ -476,15 +430,6 @@
         self._forget(attempt)
 
 
-def replay(kept: KeptOutcome, body_hash: str) -> Replay | Unresolved | Refused:
-    """Return what a kept outcome means to a repeat of the call."""
-    if kept.body_hash and kept.body_hash != body_hash:
-        return Refused(errors.key_reused())
-    if kept.outcome is Outcome.UNKNOWN:
-        return Unresolved("its target gave no whole answer")
-    return Replay(kept)
-
-
 def _says_more(held: Held | None, kept: KeptOutcome) -> bool:
     """Tell whether the log has settled what is kept here as unknown."""
     if held is None or kept.outcome is not Outcome.UNKNOWN:
--- a/libs/calls/src/celeryfork_calls/claims.py
+++ b/libs/calls/src/celeryfork_calls/claims.py
@@ -15,6 +15,13 @@
 from celeryfork_wire.gen.celeryfork import ttypes
 
 from celeryfork_calls import errors
+from celeryfork_calls.claim_attempts import (
+    Attempt,
+    AttemptState,
+    Recorded,
+    WaitFor,
+    replay,
+)
 from celeryfork_calls.claim_fold import Held, birth_ms_of_key
 from celeryfork_calls.claim_follower import READ_TIMEOUT_S, ClaimFollower
 from celeryfork_calls.claim_records import (
@@ -37,15 +44,7 @@
     StopReport,
     Unresolved,
 )
-from celeryfork_calls.claim_table import (
-    Attempt,
-    AttemptState,
-    ClaimTable,
-    HandedOverCallback,
-    Recorded,
-    WaitFor,
-    replay,
-)
+from celeryfork_calls.claim_table import ClaimTable, HandedOverCallback
 from celeryfork_calls.group_commit import Queued
 from celeryfork_calls.kept import KeptOutcome
 from celeryfork_calls.ports import LogPort
--- a/libs/calls/tests/test_claim_table.py
+++ b/libs/calls/tests/test_claim_table.py
@@ -10,9 +10,9 @@
 from celeryfork_base.errors import CeleryforkError
 from celeryfork_base.identity import Incarnation, make_uuid7
 from celeryfork_base.outcomes import Outcome
+from celeryfork_calls.claim_attempts import Attempt, AttemptState
 from celeryfork_calls.claim_fold import hash_body
 from celeryfork_calls.claim_results import Claimed, Refused, Replay
-from celeryfork_calls.claim_table import Attempt, AttemptState
 from celeryfork_calls.claims import make_claim_book
 from celeryfork_calls.kept import KeptOutcome
 from hypothesis import HealthCheck, settings
