--- a/tests/support/trial.py
+++ b/tests/support/trial.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 
-from attrs import frozen
+from attrs import asdict, frozen
 from celeryfork_base.identity import make_uuid7
 from celeryfork_base.outcomes import OUTCOME_HEADER, Outcome
 from celeryfork_bench.callers import CallerOptions
@@ -166,3 +166,8 @@
     """Return the arrivals of several groups by time."""
     together = [arrival for group in groups for arrival in group]
     return sorted(together, key=lambda arrival: arrival.at_s)
+
+
+def described(exchange: Exchange) -> str:
+    """Return an exchange whole, in lines: pytest cuts long objects."""
+    return "".join(f"\n{name}: {value}" for name, value in asdict(exchange).items())
--- a/tests/test_log_faults.py
+++ b/tests/test_log_faults.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 
 import pytest
-from attrs import asdict
 from celeryfork_base.outcomes import Outcome
 from celeryfork_bench.field import Event, Field
 from celeryfork_bench.history import Exchange, PlainAsk
 from celeryfork_bench.rig import Rig, wait_until
 from trial import (
+    described,
     in_order,
     plain_asks,
     run_trial,
@@ -81,11 +81,6 @@
     )
 
 
-def described(exchange: Exchange) -> str:
-    """Return an exchange whole, in lines: pytest cuts long objects."""
-    return "".join(f"\n{name}: {value}" for name, value in asdict(exchange).items())
-
-
 @pytest.fixture
 def rig():
     with small_rig() as made:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 from celeryfork_bench.history import Ask, Ending, PlainAsk
 from celeryfork_bench.rig import wait_until
 from trial import (
+    described,
     in_order,
     model_asks,
     plain_asks,
@@ -61,7 +62,8 @@
         # A ticket that was not used before its instance stopped has expired; that it
         # did not run is among what the checker judges.
         unused = last.outcome is Outcome.NOT_RUN and last.code == "key_expired"
-        assert last.outcome is Outcome.DONE or (is_ticket(last.ask) and unused), last
+        done = last.outcome is Outcome.DONE or (is_ticket(last.ask) and unused)
+        assert done, described(last)
 
 
 def test_a_kill_without_notice_breaks_off_and_never_doubles() -> None:
