--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -103,35 +103,43 @@
     def _reported_s(self, engine_id: str) -> float:
         return self._table.standing(engine_id).reported_s
 
-    async def ask(self, engine_id: str) -> EngineReport | None:
-        """Return an engine's report, None if it doesn't answer as expected."""
+    async def ask(
+        self, engine_id: str, timeout_s: float = ANSWER_TIMEOUT_S
+    ) -> EngineReport | None:
+        """Return an engine's report, None if it doesn't answer as expected.
+
+        Parameters
+        ----------
+        timeout_s
+            Wait for the answer; longer where no stream waits for it.
+        """
         target = self._table.by_id.get(engine_id)
         if target is None:
             return None
         asked = self._asked_by_id.get(engine_id)
         if asked is None:
-            asked = asyncio.ensure_future(self._ask(target))
+            asked = asyncio.ensure_future(self._ask(target, timeout_s))
             self._asked_by_id[engine_id] = asked
             asked.add_done_callback(lambda _: self._asked_by_id.pop(engine_id, None))
         return await asyncio.shield(asked)
 
-    async def _ask(self, target: Target) -> EngineReport | None:
+    async def _ask(self, target: Target, timeout_s: float) -> EngineReport | None:
         report, reason, begun_s = None, "no report", time.monotonic()
         try:
             try:
-                report = await self._question(target)
+                report = await self._question(target, timeout_s)
             except TimeoutError:
-                if time.monotonic() - begun_s < ANSWER_TIMEOUT_S + LATE_S:
+                if time.monotonic() - begun_s < timeout_s + LATE_S:
                     raise
                 self._counters.add("engines.asked_late")
-                report = await self._question(target)
+                report = await self._question(target, timeout_s)
         except (NotSentError, LostError, TimeoutError) as error:
             reason = repr(error)
         return self._judge(target, report, reason)
 
-    async def _question(self, target: Target) -> EngineReport | None:
+    async def _question(self, target: Target, timeout_s: float) -> EngineReport | None:
         self._counters.add("engines.asked")
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             reply = await self._connections.send(
                 target.address, self._dialect.ask_report()
             )
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -20,7 +20,7 @@
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.following import Following
-from celeryfork_entry.known import KNOWN_PATH
+from celeryfork_entry.known import CHANGES_PATH, CONFIGURATION_PATH, KNOWN_PATH
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.metrics import Histograms, metrics_text
 from celeryfork_entry.path_choice import PathChoice
@@ -31,10 +31,12 @@
     ConfigurationFeed,
     Dialect,
     DutyElection,
+    Peer,
     StoreUnavailableError,
     TargetFeed,
 )
 from celeryfork_entry.reach_checks import ReachChecks
+from celeryfork_entry.roster import Roster
 from celeryfork_entry.settings import EntrySettings
 from celeryfork_entry.stand_in import StandIn
 from celeryfork_entry.stream_calls import StreamCalls
@@ -43,6 +45,16 @@
 
 DUTY_INTERVAL_S = 1.0
 """Pause between two renewals of the membership."""
+SETTLED_S = 1.5
+"""Time as a relay after which an instance offers to take the duty: at the start of a
+fleet many are relays for a moment, and one that leaves again holds the duty up."""
+INSTANCES_INTERVAL_S = 2.0
+"""Pause between two looks at the instances that the store names."""
+FIRST_LOOKS = 2
+"""Such looks after the start; machines start within 2 s of each other. Later ones only
+while no relay is heard."""
+MOST_ASKED = 6
+"""Peers that are asked one after the other for the configuration."""
 HOUSEKEEPING_S = 0.25
 """Pause between two looks at targets out of choice and at unused connections."""
 ROTATION_S = 2.3
@@ -85,9 +97,9 @@
     _callers: set[CallerConnection] = field(factory=set)
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
     _tasks: set[asyncio.Future[object]] = field(factory=set)
-    _instances: int = 0
     _stop_asked: asyncio.Event = field(factory=asyncio.Event)
     _histograms: Histograms = field(factory=Histograms)
+    roster: Roster = field(init=False)
     _following: Following = field(init=False)
     _checks: EngineChecks = field(init=False)
     _placement: PlacementDuty = field(init=False)
@@ -96,9 +108,12 @@
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
+        own = self.settings
+        self.roster = Roster(Peer(own.name, own.domain, own.peer_address, own.power))
         self._following = Following(
             self._configurations, self._targets, self.table, self.connections,
             self.log, self.counters, self._peer_addresses,
+            reads_store=self._reads_store, spawn=self._spawn,
         )  # fmt: skip
         self._checks = EngineChecks(
             self.table,
@@ -115,7 +130,9 @@
             log=self.log,
             counters=self.counters,
             configuration=lambda: self.configuration,
-            instances=lambda: max(self._instances, self.settings.usual_instances),
+            instances=lambda: max(
+                self.roster.instances(), self.settings.usual_instances
+            ),
             budget_of=self._budget_of,
             domain=self.settings.domain,
             histograms=self._histograms,
@@ -136,14 +153,10 @@
             self.table, self.connections, self._dialect, self._checks, self.log,
             lambda: self.configuration,
         )  # fmt: skip
-        self._peers = PeerLoads(
-            self.settings.name, self.settings.domain, self.settings.peer_address,
-            self.loads, self.log,
-        )  # fmt: skip
+        self._peers = PeerLoads(self.roster, self.loads, self.log)
         self._placement.stand_in = StandIn(
-            self.settings.domain, self.settings.peer_address, self._peers,
-            self._following.away_s, reach.cut_off,
-        )  # fmt: skip
+            self._peers, self._following.away_s, reach.cut_off
+        )
         self._placement.fence_heard = lambda: self._peers.fence_heard
         self._checks.tell = self._peers.tell_down
         self._peers.on_down = self._checks.told_down
@@ -151,6 +164,9 @@
         self._peers.on_fence = self._placement.heard_of
         self._peers.version = lambda: self._following.version
         self._peers.on_version = self._heard_of_version
+        self._following.on_change = self._peers.tell_changes
+        self._peers.list_state = self._following.list_state
+        self._peers.on_digest = self._following.heard_digest
         self._peers.layers = self.table.layers_learnt
         self._peers.on_layers = self._heard_of_layers
 
@@ -161,8 +177,14 @@
 
     def _peer_addresses(self) -> list[str]:
         """Return where peers may be asked: those known, else those of the settings."""
-        known = [peer.address for peer in self._peers.peers]
-        return known or list(self.settings.seed_addresses)
+        relays = self.roster.relays(self.settings.domain)
+        known = [peer.address for peer in [*relays, *self.roster.peers()]]
+        return known[:MOST_ASKED] or list(self.settings.seed_addresses)
+
+    def _reads_store(self) -> bool:
+        """Return whether to read the store: as a relay, or where no relay is heard."""
+        roster = self.roster
+        return roster.is_relay or not roster.heard_relays(self.settings.domain)
 
     def _heard_of_version(self, version: int, address: str) -> None:
         self._spawn(self._following.heard_of(version, address))
@@ -201,6 +223,7 @@
         for loop in (
             self._following.follow_configuration,
             self._following.follow_targets,
+            self._follow_instances,
             self._follow_duty,
             self._keep_house,
         ):
@@ -268,6 +291,12 @@
                 await connection.answer(200, text, self._metrics())
             case str(path) if path == KNOWN_PATH:
                 await connection.answer(200, JSON_HEADERS, self._following.known())
+            case str(path) if path == CONFIGURATION_PATH:
+                body = self._following.known_configuration()
+                await connection.answer(200, JSON_HEADERS, body)
+            case str(path) if path.startswith(CHANGES_PATH):
+                body = self._following.changes_since(_revision(path))
+                await connection.answer(200, JSON_HEADERS, body)
             case "/dump":
                 data = dumps(self.dump(), option=OPT_NON_STR_KEYS)
                 await connection.answer(200, JSON_HEADERS, data)
@@ -297,7 +326,12 @@
             "list_age_s": round(now_s - self._following.list_read_s, 3),
             "store_away": sorted(self._following.store_away),
             "duty": asdict(self._placement.duty),
-            "peers": sorted(peer.address for peer in self._peers.peers),
+            "peers": sorted(peer.address for peer in self.roster.peers()),
+            "relays": [
+                peer.address for peer in self.roster.relays(self.settings.domain)
+            ],
+            "is_relay": self.roster.is_relay,
+            "instances": self.roster.instances(),
             "targets": {
                 target.id: asdict(target)
                 | {"standing": asdict(self.table.standing(target.id))}
@@ -341,16 +375,37 @@
             raise ListenError(self.settings.peer_address, error) from error
 
     async def _follow_duty(self) -> None:
-        fence = -1
+        relay_since_s = None
         while not self.stopping:
-            await renew_duty(self._election.renew, self._placement, self.log)
-            if self._placement.generation != fence:
-                with contextlib.suppress(StoreUnavailableError):
-                    peers = await self._election.peers()
-                    fence = self._placement.generation
-                    self._instances = len(peers) + 1
-                    self._peers.peers = peers
-            await asyncio.sleep(DUTY_INTERVAL_S)
+            now_s = time.monotonic()
+            if not self.roster.is_relay:
+                relay_since_s = None
+            elif relay_since_s is None:
+                relay_since_s = now_s
+            settled = relay_since_s is not None and now_s - relay_since_s > SETTLED_S
+            if settled or self._placement.duty.held:
+                await renew_duty(self._election.renew, self._placement, self.log)
+                await asyncio.sleep(DUTY_INTERVAL_S)
+            else:
+                await asyncio.sleep(HOUSEKEEPING_S)
+
+    async def _follow_instances(self) -> None:
+        """Make this instance known, and learn of the others."""
+        announced, looks = False, 0
+        while not self.stopping:
+            try:
+                if not announced:
+                    await self._election.announce()
+                    announced = True
+                if looks < FIRST_LOOKS or self._is_alone():
+                    self.roster.listed(await self._election.peers())
+                    looks += 1
+            except StoreUnavailableError as error:
+                self.log.info("instances_not_read", reason=str(error))
+            await asyncio.sleep(INSTANCES_INTERVAL_S)
+
+    def _is_alone(self) -> bool:
+        return not self.roster.heard_relays(self.settings.domain)
 
     async def _keep_house(self) -> None:
         while True:
@@ -358,6 +413,7 @@
             now_s = time.monotonic()
             self.connections.close_idle(now_s)
             spare_until_s = self._following.spare_until_s
+            self._peers.tell_changes()
             if now_s >= spare_until_s and (gone := self.table.drop_lapsed()):
                 self.log.info("targets_lapsed", targets=gone)
             await asyncio.gather(
@@ -393,6 +449,12 @@
         self.log.info("stop", broken_off=left)
 
 
+def _revision(path: str) -> int:
+    """Return the revision that a follower names, -1 where it names none."""
+    text = path.removeprefix(CHANGES_PATH)
+    return int(text) if text.isdecimal() else -1
+
+
 def _where(error: BaseException) -> str:
     trace = error.__traceback__
     while trace is not None and trace.tb_next is not None:
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -1,50 +1,49 @@
-"""Work in flight, who places layers, and the newest configuration, told to the peers.
+"""Work in flight, news of engines, and what the store says, told between instances.
 
-Datagrams: a lost one is replaced by the next within a quarter of a second.
+Each instance reports to the relays of its domain; a relay tells the sum to its domain
+and to the relays of other domains (see :mod:`celeryfork_entry.roster`). Datagrams: a
+lost one is replaced by the next within a quarter of a second.
 """
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from typing import cast
 
-from attrs import define, field, frozen
-from celeryfork_routing.engine_loads import EngineLoads, Load
-from celeryfork_routing.layers import LayerRange
+from attrs import define, evolve, field
+from celeryfork_routing.engine_loads import EngineLoads, Load, less
 from logbook import Logger
-from orjson import JSONDecodeError, dumps, loads
 
+from celeryfork_entry.peer_messages import (
+    DownEngine,
+    Heard,
+    MemberReport,
+    RelayDigest,
+    decode,
+    encode_digest,
+    encode_report,
+)
 from celeryfork_entry.ports import Peer
+from celeryfork_entry.roster import Roster
 from celeryfork_entry.targets import LearntLayers, Target
 
 INTERVAL_S = 0.25
-"""Pause between two reports to peers of the domain; a stream lasts several."""
+"""Pause between two reports within the domain; a stream lasts several."""
 REPORTS_TO_AWAY = 4
-"""Each so many reports, one goes to the peers of other domains too."""
-IDLE_REPORTS = 8
-"""Each so many reports, one goes out though there is nothing to say."""
-HEARD_LIFE_S = 10.0
-"""Time that a peer is told things after its last report though it isn't listed.
-
-One that the store turns away drops off the list within seconds.
-"""
-VERSION_TELLINGS = 8
-"""Reports in which a new version is told though there is nothing else; two are enough
-for the peers of all domains, the others make up for lost datagrams."""
+"""Each so many reports, one goes to the relays of other domains too."""
+IDLE_REPORTS = 2
+"""Each so many reports, one goes out though there is nothing to say: a relay that
+isn't addressed for longer stops relaying."""
+NEWS_LIFE_S = 2.0
+"""Time that news of an engine is remembered, so that it is passed on once."""
+CHANGE_DELAY_S = 0.03
+"""Time in which changes of the list are gathered before the domain is told."""
 MOST_DATAGRAM_BYTES = 60_000
 
 
-@frozen
-class _Heard:
-    """Where a report came from, and when."""
-
-    domain: str
-    at_s: float
-
-
 @define(eq=False)
 class PeerLoads(asyncio.DatagramProtocol):
-    """Sends this instance's loads and takes the peers'.
+    """Sends this instance's reports, relays those of its domain, and takes the peers'.
 
     Parameters
     ----------
@@ -56,6 +55,10 @@
         Gives the version of the configuration in force, -1 for none.
     on_version
         Called with a peer's version and address if it is higher.
+    list_state
+        Gives the revision of the list, its age in s, and whether it may be old.
+    on_digest
+        Called with each digest of a relay of this domain.
     layers
         Gives what engines reported and the list doesn't say, by engine.
     on_layers
@@ -67,12 +70,9 @@
         said so; the start of this instance before the first.
     """
 
-    name: str
-    domain: str
-    address: str
+    roster: Roster
     _loads: EngineLoads
     _log: Logger
-    peers: Sequence[Peer] = ()
     _transport: asyncio.DatagramTransport | None = None
     _unreadable: int = field(default=0)
     _said_idle: bool = False
@@ -80,52 +80,90 @@
     on_fence: Callable[[int], None] = lambda fence: None
     version: Callable[[], int] = lambda: -1
     on_version: Callable[[int, str], None] = lambda version, address: None
+    list_state: Callable[[], tuple[int, float, bool]] = lambda: (0, 0.0, False)
+    on_digest: Callable[[RelayDigest], None] = lambda digest: None
     layers: Callable[[], Mapping[str, LearntLayers]] = dict
     on_layers: Callable[[str, LearntLayers], None] = lambda engine_id, learnt: None
-    _reports: int = 0
-    _version_told: int = -1
-    _version_tellings: int = 0
-    _heard_by_address: dict[str, _Heard] = field(factory=dict)
     on_down: Callable[[str, int | None, str], None] = lambda engine, born_ms, peer: None
-    _down: list[tuple[str, int | None]] = field(factory=list)
+    _reports: int = 0
+    _down: list[DownEngine] = field(factory=list)
+    _down_told_s: dict[DownEngine, float] = field(factory=dict)
+    _learnt_by_member: dict[str, LearntLayers] = field(factory=dict)
+    _told_revision: int = -1
+    _told_version: int = -1
+    _tell_soon: asyncio.TimerHandle | None = None
     fence_heard: int = -1
     fence_heard_s: float = field(factory=time.monotonic)
 
+    @property
+    def domain(self) -> str:
+        """Return this instance's domain."""
+        return self.roster.own.domain
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the socket."""
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
-        """Take a peer's report."""
+        """Take a peer's datagram."""
         try:
-            report = loads(data)
-            load_by_engine = {
-                str(engine_id): Load(int(requests), float(token_layers))
-                for engine_id, (requests, token_layers) in report["loads"].items()
-            }
-            peer, at = str(report["from"]), str(report["at"])
-            self._heard_by_address[at] = _Heard(str(report["domain"]), time.monotonic())
-            fence = report.get("fence")
-            if isinstance(fence, int):
-                self.fence_heard = max(self.fence_heard, fence)
-                self.fence_heard_s = time.monotonic()
-                self.on_fence(fence)
-            version = report.get("version")
-            if isinstance(version, int) and version > self.version():
-                self.on_version(version, at)
-            for engine_id, row in report.get("layers", {}).items():
-                self.on_layers(str(engine_id), _learnt(row))
-            for engine_id, born_ms in report.get("down", ()):
-                self.on_down(str(engine_id), born_ms, peer)
-        except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as e:
+            message = decode(data)
+        except ValueError as error:
             self._unreadable += 1
             if self._unreadable == 1:
-                self._log.info("peer_report_unreadable", peer=address[0], reason=str(e))
+                self._log.info(
+                    "peer_report_unreadable", peer=address[0], reason=str(error)
+                )
             return
-        self._loads.hear(peer, load_by_engine, time.monotonic())
+        self.roster.heard(message.sender)
+        self._take_common(message)
+        match message:
+            case RelayDigest():
+                self._take_digest(message)
+            case MemberReport():
+                self._take_report(message)
 
     def error_received(self, error: Exception) -> None:
-        """Ignore a peer's refusal: it is gone, and the next list says so."""
+        """Ignore a peer's refusal: it is gone, and its silence says so."""
+
+    def _take_common(self, message: Heard) -> None:
+        if message.fence is not None:
+            self.fence_heard = max(self.fence_heard, message.fence)
+            self.fence_heard_s = time.monotonic()
+            self.on_fence(message.fence)
+        if message.version > self.version():
+            self.on_version(message.version, message.sender.address)
+        for engine_id, learnt in message.layers.items():
+            self.on_layers(engine_id, learnt)
+        for engine_id, born_ms in message.down:
+            self.on_down(engine_id, born_ms, message.sender.name)
+
+    def _take_report(self, report: MemberReport) -> None:
+        if report.sender.domain != self.domain:
+            return
+        self.roster.asked_to_relay()
+        self._loads.hear(report.sender.name, report.loads, time.monotonic())
+        self._learnt_by_member.update(report.layers)
+        self._pass_on(report.down, to_away=True)
+
+    def _take_digest(self, digest: RelayDigest) -> None:
+        domain = digest.sender.domain
+        for each, count in digest.counts.items():
+            self.roster.counted(each, count)
+        if domain != self.domain:
+            self._hear_sum(domain, digest.loads)
+            self._pass_on(digest.down, to_away=False)
+            return
+        self.on_digest(digest)
+        if not self.roster.is_relay:
+            # A relay counts each member's report by itself, and its own work beside.
+            self._hear_sum(domain, less(digest.loads, self._loads.own()))
+        for each, load_by_engine in digest.away_loads.items():
+            if each != self.domain:
+                self._hear_sum(each, load_by_engine)
+
+    def _hear_sum(self, domain: str, load_by_engine: Mapping[str, Load]) -> None:
+        self._loads.hear(_sum_key(domain), load_by_engine, time.monotonic())
 
     async def run(self, stopping: Callable[[], bool]) -> None:
         """Report at each interval."""
@@ -133,6 +171,32 @@
             await asyncio.sleep(INTERVAL_S)
             self._report()
 
+    def _report(self) -> None:
+        self._reports += 1
+        own, layers = self._loads.own(), self.layers()
+        idle = not (own or layers) and self._said_idle and self.fence() is None
+        self._said_idle = not own
+        if not idle or self._reports % IDLE_REPORTS == 0:
+            data = encode_report(self._member_report(()))
+            self._send(data, self.roster.relays(self.domain))
+        if self.roster.is_relay:
+            self._loads.forget(_sum_key(self.domain))
+            self._tell(to_away=self._reports % REPORTS_TO_AWAY == 0)
+
+    def tell_changes(self) -> None:
+        """Tell the domain soon that the list or the configuration has changed."""
+        revision, _, _ = self.list_state()
+        state = (revision, self.version())
+        if state == (self._told_revision, self._told_version):
+            return
+        if self._tell_soon is None and self.roster.is_relay:
+            loop = asyncio.get_running_loop()
+            self._tell_soon = loop.call_later(CHANGE_DELAY_S, self._tell_changes)
+
+    def _tell_changes(self) -> None:
+        self._tell_soon = None
+        self._tell(to_away=self.version() != self._told_version)
+
     def tell_down(self, target: Target) -> None:
         """Tell all peers at once that an engine is down: their streams wait too."""
         if not self._down:
@@ -140,95 +204,97 @@
         self._down.append((target.id, target.born_ms))
 
     def _report_down(self) -> None:
-        self._send(self._message(down=self._down), to_away=True)
-        self._down = []
-
-    def _report(self) -> None:
-        own = self._loads.own()
-        self._reports += 1
-        to_away = self._reports % REPORTS_TO_AWAY == 0
-        fence, version = self.fence(), self.version()
-        if version != self._version_told:
-            self._version_told, self._version_tellings = version, 0
-        told = self._version_tellings >= VERSION_TELLINGS
-        layers = self.layers()
-        idle = not (own or layers) and self._said_idle and fence is None and told
-        if idle and self._reports % IDLE_REPORTS != 0:
-            return
-        self._version_tellings += 1
-        self._said_idle = not own and to_away
-        self._send(self._message(), to_away=to_away)
-
-    def _message(self, **news: object) -> bytes:
-        return dumps(
-            {
-                "from": self.name,
-                "at": self.address,
-                "domain": self.domain,
-                "fence": self.fence(),
-                "version": self.version(),
-                "layers": {key: _row(learnt) for key, learnt in self.layers().items()},
-                "loads": {
-                    key: (load.requests, round(load.token_layers))
-                    for key, load in self._loads.own().items()
-                },
-                **news,
-            }
-        )
+        down, self._down = self._down, []
+        data = encode_report(self._member_report(down))
+        self._send(data, self.roster.relays(self.domain))
+        self._pass_on(down, to_away=True)
 
-    def _send(self, data: bytes, *, to_away: bool) -> None:
-        if self._transport is None or len(data) > MOST_DATAGRAM_BYTES:
+    def _pass_on(self, down: Iterable[DownEngine], *, to_away: bool) -> None:
+        """Tell news of engines on, once, if this instance relays."""
+        now_s = time.monotonic()
+        if not down or not self.roster.is_relay:
             return
-        for address, domain in self._domain_by_address().items():
-            if domain != self.domain and not to_away:
-                continue
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
-
-    def heard_of(self, domain: str, since_s: float) -> set[str]:
-        """Return the addresses of a domain's peers that have reported since."""
-        return {
-            address
-            for address, heard in self._heard_by_address.items()
-            if heard.domain == domain and heard.at_s >= since_s
+        self._down_told_s = {
+            each: at_s
+            for each, at_s in self._down_told_s.items()
+            if now_s - at_s < NEWS_LIFE_S
         }
+        new = [each for each in down if each not in self._down_told_s]
+        self._down_told_s.update((each, now_s) for each in new)
+        if new:
+            self._tell(new, to_away=to_away)
 
-    def _domain_by_address(self) -> dict[str, str]:
-        """Return the peers listed and those heard of late."""
-        since_s = time.monotonic() - HEARD_LIFE_S
-        self._heard_by_address = {
-            address: heard
-            for address, heard in self._heard_by_address.items()
-            if heard.at_s >= since_s and address != self.address
-        }
-        heard = {at: heard.domain for at, heard in self._heard_by_address.items()}
-        return heard | {peer.address: peer.domain for peer in self.peers}
+    def _tell(self, down: Iterable[DownEngine] = (), *, to_away: bool) -> None:
+        """Send digests to the members of the domain, and to the relays of others."""
+        now_s = time.monotonic()
+        digest = self._digest(down, now_s)
+        self._told_revision, self._told_version = digest.revision, digest.version
+        relays = {peer.address for peer in self.roster.relays(self.domain)}
+        followers = [p for p in self.roster.members() if p.address not in relays]
+        others = self.roster.domains()
+        if followers:
+            away = {
+                domain: self._loads.reported({_sum_key(domain)}, now_s)
+                for domain in others
+                if to_away
+            }
+            self._send(encode_digest(evolve(digest, away_loads=away)), followers)
+        if relays:
+            quiet = evolve(digest, loads={}, layers={})
+            self._send(encode_digest(quiet), self.roster.relays(self.domain))
+        if to_away:
+            counts = {self.domain: self.roster.count()}
+            data = encode_digest(evolve(digest, counts=counts))
+            for domain in others:
+                self._send(data, self.roster.relays(domain))
 
+    def _member_report(self, down: Iterable[DownEngine]) -> MemberReport:
+        return MemberReport(
+            self.roster.own,
+            self.fence(),
+            self.version(),
+            self._loads.own(),
+            self.layers(),
+            tuple(down),
+        )
 
-def _row(learnt: LearntLayers) -> list[int | None]:
-    """Return what an engine holds, its start, and how long ago it said so in ms."""
-    age_ms = round((time.monotonic() - learnt.at_s) * 1000)
-    if learnt.held is None:
-        return [None, None, learnt.born_ms, age_ms]
-    return [learnt.held.first, learnt.held.last, learnt.born_ms, age_ms]
+    def _digest(self, down: Iterable[DownEngine], now_s: float) -> RelayDigest:
+        revision, list_age_s, list_is_old = self.list_state()
+        members = {peer.name for peer in self.roster.members()}
+        loads = EngineLoads()
+        loads.hear("members", self._loads.reported(members, now_s), now_s)
+        loads.hear("own", self._loads.own(), now_s)
+        layers = {
+            engine_id: learnt
+            for engine_id, learnt in self._learnt_by_member.items()
+            if now_s - learnt.at_s < NEWS_LIFE_S
+        }
+        self._learnt_by_member = layers
+        return RelayDigest(
+            self.roster.own,
+            self.fence(),
+            self.version(),
+            loads.total(now_s),
+            layers | dict(self.layers()),
+            tuple(down),
+            revision=revision,
+            list_age_s=list_age_s,
+            list_is_old=list_is_old,
+            counts=self.roster.counts() | {self.domain: self.roster.count()},
+            away_loads={},
+        )
 
+    def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
+        if self._transport is None:
+            return
+        if len(data) > MOST_DATAGRAM_BYTES:
+            self._log.info("peer_report_too_long", bytes=len(data))
+            return
+        for peer in peers:
+            host, _, port = peer.address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
 
-def _learnt(row: object) -> LearntLayers:
-    """Return what a peer passes on of an engine.
 
-    Raises
-    ------
-    ValueError
-        The row is no such thing: the peer runs other software, or its bytes are broken.
-    """
-    match row:
-        case [None, None, int() | None as born_ms, int(age_ms)]:
-            held = None
-        case [int(first), int(last), int() | None as born_ms, int(age_ms)] if (
-            0 <= first < last
-        ):
-            held = LayerRange(first, last)
-        case _:
-            raise ValueError(f"no layers of an engine: {row!r}")
-    at_s = time.monotonic() - max(0, age_ms) / 1000
-    return LearntLayers(held, born_ms, at_s, own=False)
+def _sum_key(domain: str) -> str:
+    """Return the key of a domain's sum; no instance's name begins so."""
+    return f"domain {domain}"
--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -0,0 +1,212 @@
+"""The datagrams between instances: what a member reports and what a relay tells."""
+
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from attrs import frozen
+from celeryfork_routing.engine_loads import Load
+from celeryfork_routing.layers import LayerRange
+from orjson import dumps, loads
+
+from celeryfork_entry.ports import Peer
+from celeryfork_entry.targets import LearntLayers
+
+DownEngine = tuple[str, int | None]
+"""An engine's id and its start in ms of wall clock, None where that is unknown."""
+
+
+@frozen
+class Heard:
+    """What every datagram says.
+
+    Parameters
+    ----------
+    sender
+        The instance that sent it.
+    fence
+        With which it places layers, None if it doesn't.
+    version
+        Of its configuration, -1 for none.
+    loads
+        A member's own work by engine; a relay's sum over its domain.
+    layers
+        What engines reported and the list doesn't say, by engine.
+    down
+        Engines that were just found to be down.
+    """
+
+    sender: Peer
+    fence: int | None
+    version: int
+    loads: Mapping[str, Load]
+    layers: Mapping[str, LearntLayers]
+    down: Sequence[DownEngine]
+
+
+@frozen
+class MemberReport(Heard):
+    """What an instance tells the relays of its domain."""
+
+
+@frozen
+class RelayDigest(Heard):
+    """What a relay tells the instances of its domain and the relays of others.
+
+    Parameters
+    ----------
+    revision
+        Of its list of targets.
+    list_age_s
+        Time since it has read that.
+    list_is_old
+        Whether the list may name engines that have left.
+    counts
+        Instances that live, by domain.
+    away_loads
+        The sums of other domains, by domain; empty where none is passed on.
+    """
+
+    revision: int
+    list_age_s: float
+    list_is_old: bool
+    counts: Mapping[str, int]
+    away_loads: Mapping[str, Mapping[str, Load]]
+
+
+def encode_report(report: MemberReport) -> bytes:
+    """Return a member's datagram."""
+    return dumps(_common(report))
+
+
+def encode_digest(digest: RelayDigest) -> bytes:
+    """Return a relay's datagram."""
+    return dumps(
+        {
+            **_common(digest),
+            "revision": digest.revision,
+            "age": round(digest.list_age_s, 3),
+            "old": digest.list_is_old,
+            "counts": digest.counts,
+            "away": {
+                domain: _load_rows(rows) for domain, rows in digest.away_loads.items()
+            },
+        }
+    )
+
+
+def decode(data: bytes) -> MemberReport | RelayDigest:
+    """Return a datagram's content.
+
+    Raises
+    ------
+    ValueError
+        It is from other software, or its bytes are broken.
+    """
+    try:
+        fields = loads(data)
+        common = _decode_common(fields)
+        if "revision" not in fields:
+            return MemberReport(**common)
+        return RelayDigest(
+            **common,
+            revision=_whole(fields["revision"]),
+            list_age_s=float(fields["age"]),
+            list_is_old=bool(fields["old"]),
+            counts={str(key): _whole(n) for key, n in fields["counts"].items()},
+            away_loads={
+                str(domain): _decode_loads(rows)
+                for domain, rows in fields["away"].items()
+            },
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"no message of a peer: {error!r}") from error
+
+
+def _common(message: Heard) -> dict[str, Any]:
+    sender = message.sender
+    return {
+        "from": sender.name,
+        "at": sender.address,
+        "domain": sender.domain,
+        "power": sender.power,
+        "fence": message.fence,
+        "version": message.version,
+        "layers": {key: _row(learnt) for key, learnt in message.layers.items()},
+        "loads": _load_rows(message.loads),
+        "down": message.down,
+    }
+
+
+def _decode_common(fields: dict[str, Any]) -> dict[str, Any]:
+    sender = Peer(
+        str(fields["from"]),
+        str(fields["domain"]),
+        _address(fields["at"]),
+        float(fields["power"]),
+    )
+    fence = fields["fence"]
+    return {
+        "sender": sender,
+        "fence": None if fence is None else _whole(fence),
+        "version": _whole(fields["version"]),
+        "loads": _decode_loads(fields["loads"]),
+        "layers": {str(key): _learnt(row) for key, row in fields["layers"].items()},
+        "down": [_down(row) for row in fields["down"]],
+    }
+
+
+def _load_rows(load_by_engine: Mapping[str, Load]) -> dict[str, tuple[int, int]]:
+    return {
+        key: (load.requests, round(load.token_layers))
+        for key, load in load_by_engine.items()
+    }
+
+
+def _decode_loads(rows: dict[str, Any]) -> dict[str, Load]:
+    return {
+        str(engine_id): Load(_whole(requests), float(token_layers))
+        for engine_id, (requests, token_layers) in rows.items()
+    }
+
+
+def _down(row: Any) -> DownEngine:
+    match row:
+        case [str(engine_id), int() | None as born_ms]:
+            return engine_id, born_ms
+    raise ValueError(f"no engine that is down: {row!r}")
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{value!r} is no whole number")
+    return value
+
+
+def _address(value: Any) -> str:
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{value!r} is no address")
+    return f"{host}:{port}"
+
+
+def _row(learnt: LearntLayers) -> list[int | None]:
+    """Return what an engine holds, its start, and how long ago it said so in ms."""
+    age_ms = round((time.monotonic() - learnt.at_s) * 1000)
+    if learnt.held is None:
+        return [None, None, learnt.born_ms, age_ms]
+    return [learnt.held.first, learnt.held.last, learnt.born_ms, age_ms]
+
+
+def _learnt(row: Any) -> LearntLayers:
+    match row:
+        case [None, None, int() | None as born_ms, int(age_ms)]:
+            held = None
+        case [int(first), int(last), int() | None as born_ms, int(age_ms)] if (
+            0 <= first < last
+        ):
+            held = LayerRange(first, last)
+        case _:
+            raise ValueError(f"no layers of an engine: {row!r}")
+    at_s = time.monotonic() - max(0, age_ms) / 1000
+    return LearntLayers(held, born_ms, at_s, own=False)
--- a/libs/entry/src/celeryfork_entry/placement_duty.py
+++ b/libs/entry/src/celeryfork_entry/placement_duty.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from attrs import define, field, frozen
 from celeryfork_routing.layer_placement import holds_copy, plan_placement
@@ -30,6 +30,11 @@
 """Pause between two rounds of the holder."""
 QUIET_S = 1.0
 """The list must not have gained engines for so long before the first plan is made."""
+ASK_TIMEOUT_S = 0.4
+"""Wait for an engine's report before an order; no stream waits for it, and the holder
+may be slow while it asks many."""
+ORDERS_AT_ONCE = 16
+"""Engines that are asked and ordered at the same time."""
 ORDER_TIMEOUT_S = 1.0
 """Wait for an engine's answer to an order."""
 LOAD_PATIENCE = 3.0
@@ -170,14 +175,21 @@
         planned = plan_placement(shape, placed, self._repair(scope))
         if planned:
             self._planned_once = True
-            await asyncio.gather(
-                *(
-                    self._order(
-                        self._table.by_id[engine_id], layers, shape, scope.fence
-                    )
-                    for engine_id, layers in planned.items()
-                )
-            )
+            await self._order_all(planned, shape, scope.fence)
+
+    async def _order_all(
+        self, planned: Mapping[str, LayerRange], shape: ModelShape, fence: int
+    ) -> None:
+        """Give the orders of a plan, a few at a time: asking all at once takes long."""
+        turn = asyncio.Semaphore(ORDERS_AT_ONCE)
+
+        async def order(engine_id: str, layers: LayerRange) -> None:
+            async with turn:
+                target = self._table.by_id.get(engine_id)
+                if target is not None:
+                    await self._order(target, layers, shape, fence)
+
+        await asyncio.gather(*(order(*each) for each in planned.items()))
 
     async def _learn_outcomes(self) -> None:
         """Ask engines what they hold whose orders should be done; the list lags."""
@@ -267,7 +279,7 @@
     async def _order(
         self, target: Target, layers: LayerRange, shape: ModelShape, fence: int
     ) -> None:
-        report = await self._checks.ask(target.id)
+        report = await self._checks.ask(target.id, ASK_TIMEOUT_S)
         if report is None or report.busy or report.held != target.held:
             self._log.info(
                 "order_withheld", engine=target.id, answered=report is not None
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -173,11 +173,19 @@
 
 @frozen
 class Peer:
-    """Another entry instance."""
+    """An entry instance as others know it.
+
+    Parameters
+    ----------
+    power
+        Its processor's speed as a multiple of one usual core; shared work goes to the
+        most powerful.
+    """
 
     name: str
     domain: str
     address: str
+    power: float = 1.0
 
 
 @frozen
@@ -197,10 +205,18 @@
 
 
 class DutyElection(Protocol):
-    """Membership of the instances; one of them at a time places layers."""
+    """The instances that run; one of the relays at a time places layers."""
+
+    async def announce(self) -> None:
+        """Make this instance known to the others; once after each start.
+
+        Raises
+        ------
+        StoreUnavailableError
+        """
 
     async def renew(self) -> Duty:
-        """Stay a member.
+        """Stay a candidate for the duty.
 
         Raises
         ------
@@ -208,7 +224,7 @@
         """
 
     async def peers(self) -> Sequence[Peer]:
-        """Return the other members.
+        """Return the other instances that were announced; some may have left.
 
         Raises
         ------
--- a/libs/entry/src/celeryfork_entry/settings.py
+++ b/libs/entry/src/celeryfork_entry/settings.py
@@ -23,6 +23,8 @@
         Address of the platform's store.
     stop_s
         Time between the request to stop and the kill, in seconds.
+    power
+        Speed of its processor as a multiple of one usual core.
     retry_ratio, retry_slack, retry_window_s
         The retry budget of each service, over all instances.
     """
@@ -40,3 +42,4 @@
     retry_window_s: float
     usual_instances: int
     seed_addresses: tuple[str, ...] = ()
+    power: float = 1.0
--- a/libs/entry/src/celeryfork_entry/stand_in.py
+++ b/libs/entry/src/celeryfork_entry/stand_in.py
@@ -1,7 +1,7 @@
 """Who places the layers of a failure domain that no holder of the duty reaches.
 
 The store elects the holder. While it is away, one that dies has no successor, and one
-that is behind a cut can't order anything on this side. Then the instance of a domain
+that is behind a cut can't order anything on this side. Then the relay of a domain
 whose address comes first places the layers of that domain, with the last fence that was
 heard: an engine that has seen a higher one refuses it, and each order fits one state of
 its engine only, so that two instances that both stand in do no harm.
@@ -19,8 +19,6 @@
 and two of its datagrams may be lost."""
 HOLDER_SILENCE_CUT_OFF_S = 1.6
 """The same for a domain that reaches no engine elsewhere; one datagram may be lost."""
-HEARD_WITHIN_S = 2.6
-"""A peer of the domain that is idle is heard of every 2 s."""
 
 
 @frozen
@@ -30,7 +28,7 @@
     Parameters
     ----------
     listed, heard
-        Addresses of the domain's other instances: by the last list, and of late.
+        Addresses of the domain's other relays: all of them, and those heard of late.
     holder_silent_s
         Time since a peer told that it places layers.
     store_away_s
@@ -50,7 +48,7 @@
 def stands_in(view: DomainView) -> bool:
     """Return whether this instance places the layers of its domain.
 
-    An instance that hears less than half of its domain may itself be cut off.
+    A relay that hears less than half of the others may itself be cut off.
     """
     if view.cut_off:
         alone = view.holder_silent_s >= HOLDER_SILENCE_CUT_OFF_S
@@ -79,23 +77,26 @@
         Gives whether no engine of another domain is in reach.
     """
 
-    domain: str
-    address: str
     _peers: PeerLoads
     _store_away_s: Callable[[], float]
     _cut_off: Callable[[], bool]
 
+    @property
+    def domain(self) -> str:
+        """Return this instance's domain."""
+        return self._peers.domain
+
     def acts(self) -> bool:
-        """Return whether it does now."""
-        return stands_in(self._view())
+        """Return whether it does now; only relays do."""
+        return self._peers.roster.is_relay and stands_in(self._view())
 
     def _view(self) -> DomainView:
-        now_s = time.monotonic()
+        roster = self._peers.roster
         return DomainView(
-            address=self.address,
-            listed={p.address for p in self._peers.peers if p.domain == self.domain},
-            heard=self._peers.heard_of(self.domain, now_s - HEARD_WITHIN_S),
-            holder_silent_s=now_s - self._peers.fence_heard_s,
+            address=roster.own.address,
+            listed={peer.address for peer in roster.relays(self.domain)},
+            heard={peer.address for peer in roster.heard_relays(self.domain)},
+            holder_silent_s=time.monotonic() - self._peers.fence_heard_s,
             store_away_s=self._store_away_s(),
             cut_off=self._cut_off(),
         )
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -6,6 +6,8 @@
 from attrs import define, evolve, field, frozen
 from celeryfork_routing.layers import LayerRange
 
+from celeryfork_entry.list_changes import ListChanges
+
 FIRST_HOLD_S = 0.5
 """Time a target that failed stays out of choice before it is asked again."""
 LONGEST_HOLD_S = 2.0
@@ -143,6 +145,7 @@
     _lapsed: set[str] = field(factory=set)
     list_is_old: bool = False
     _clock: Callable[[], float] = time.monotonic
+    changes: ListChanges = field(factory=ListChanges)
 
     def apply(self, changes: Iterable[ListChange], *, spare: bool = False) -> None:
         """Take changes of the list in their order.
@@ -179,7 +182,8 @@
 
     def forget(self, target_id: str) -> None:
         """Drop a target and what was seen of it."""
-        self.by_id.pop(target_id, None)
+        if self.by_id.pop(target_id, None) is not None:
+            self.changes.left(target_id)
         self._standing_by_id.pop(target_id, None)
         self._lapsed.discard(target_id)
 
@@ -198,9 +202,16 @@
             target = self._renewed(target, standing)
         elif known is not None and (learnt := self.standing(target.id).learnt):
             target = evolve(target, held=learnt.held)
-        self.by_id[target.id] = target
+        self._put(target)
         self._lapsed.discard(target.id)
 
+    def _put(self, target: Target) -> None:
+        """Keep a target; a mere renewal of its entry is no change to others."""
+        known = self.by_id.get(target.id)
+        self.by_id[target.id] = target
+        if known is None or known != evolve(target, entry_number=known.entry_number):
+            self.changes.changed(target.id)
+
     def _renewed(self, target: Target, standing: Standing) -> Target:
         """Return a target by its new entry, or by its report where that is newer."""
         now_s = standing.listed_s = self._clock()
@@ -227,7 +238,7 @@
         if known.held == learnt.held and standing.learnt is None:
             return False
         standing.learnt = learnt
-        self.by_id[target_id] = evolve(known, held=learnt.held)
+        self._put(evolve(known, held=learnt.held))
         return known.held != learnt.held
 
     def layers_learnt(self) -> dict[str, LearntLayers]:
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+import pytest
+from attrs import evolve
 from celeryfork_base.counters import Counters
-from celeryfork_entry.following import Following
-from celeryfork_entry.ports import StoreUnavailableError
-from celeryfork_entry.target_http import TargetConnections
-from celeryfork_entry.targets import Target, TargetTable, Unlisted
+from celeryfork_entry.following import STALE_S, Following
+from celeryfork_entry.known import CHANGES_PATH
+from celeryfork_entry.peer_messages import RelayDigest
+from celeryfork_entry.ports import Peer, StoreUnavailableError
+from celeryfork_entry.target_http import LostError, TargetConnections
+from celeryfork_entry.targets import Listed, Target, TargetTable, Unlisted
 from logbook import Logger
 
 TARGET = Target("t1", "llm", "10.0.0.1:80", "a")
@@ -69,17 +73,168 @@
     assert not table.list_is_old
 
 
+class AskingFollowing(Following):
+    """Asks a function instead of a peer."""
+
+    question = None
+
+    async def _question(self, address, path):
+        return await self.question(address, path)
+
+
+def make_following(table=None, **fields):
+    return AskingFollowing(
+        Feed(), Feed(), table or TargetTable(), TargetConnections(), Logger("test"),
+        Counters(), lambda: [], **fields,
+    )  # fmt: skip
+
+
 def test_a_peer_that_does_not_answer_twice_at_a_time_is_asked_again():
     """The second failure found the note of the first gone and raised."""
-    following = Following(
-        Feed(), Feed(), TargetTable(), TargetConnections(), Logger("test"),
-        Counters(), lambda: [],
-    )  # fmt: skip
+    following = make_following()
+    asked = []
+
+    async def question(address, path):
+        asked.append(address)
+        await asyncio.sleep(0)
+        raise LostError("no answer")
+
+    following.question = question
 
     async def hear_twice():
         await asyncio.gather(
             following.heard_of(5, "127.0.0.1:1"), following.heard_of(6, "127.0.0.1:1")
         )
+        await following.heard_of(6, "127.0.0.1:1")
 
     asyncio.run(hear_twice())
-    assert following._asked_by_address == {}
+    assert len(asked) == 2, "one question at a time, and one after it"
+
+
+class Relay:
+    """A relay that a follower asks, and what it says of its list."""
+
+    def __init__(self, address="10.0.0.2:7"):
+        self.following = make_following()
+        self.peer = Peer("relay", "a", address)
+        self.age_s = 0.0
+        self.old = False
+        self.asked = []
+
+    @property
+    def table(self):
+        return self.following._table
+
+    def digest(self):
+        return RelayDigest(
+            self.peer, None, -1, {}, {}, (),
+            revision=self.table.changes.revision, list_age_s=self.age_s,
+            list_is_old=self.old, counts={}, away_loads={},
+        )  # fmt: skip
+
+
+def follow_relays(*relays, table=None):
+    """Return a follower of relays that it can ask."""
+    by_address = {relay.peer.address: relay for relay in relays}
+
+    async def question(address, path):
+        relay = by_address[address]
+        if relay.asked and relay.asked[-1] == "silent":
+            raise LostError("no answer")
+        relay.asked.append(path)
+        revision = path.removeprefix(CHANGES_PATH)
+        known = int(revision) if revision.isdecimal() else -1
+        return relay.following.changes_since(known)
+
+    following = make_following(table, reads_store=lambda: False)
+    following.question = question
+    return following
+
+
+def hear(following, *relays):
+    async def take():
+        for relay in relays:
+            following.heard_digest(relay.digest())
+            await asyncio.sleep(0.01)
+
+    asyncio.run(take())
+
+
+def test_a_follower_has_the_list_of_its_relay():
+    """Pattern: 88 instances each read each renewal of 98 engines from the store."""
+    relay, table = Relay(), TargetTable()
+    relay.table.apply([Listed(TARGET), Listed(evolve(TARGET, id="t2"))])
+    following = follow_relays(relay, table=table)
+    hear(following, relay)
+    assert table.by_id == relay.table.by_id
+    relay.table.apply(
+        [Unlisted("t2"), Listed(evolve(TARGET, draining=True, entry_number=1))]
+    )
+    hear(following, relay, relay)
+    assert table.by_id == relay.table.by_id
+    assert relay.asked[0] == f"{CHANGES_PATH}-1"
+    assert len(relay.asked) == 2, "nothing is asked where nothing has changed"
+
+
+def test_a_follower_goes_over_to_a_relay_with_a_fresher_list():
+    """Pattern: the store turns away one relay and serves the others."""
+    stale, fresh, table = Relay(), Relay("10.0.0.3:7"), TargetTable()
+    following = follow_relays(stale, fresh, table=table)
+    stale.table.apply([Listed(TARGET)])
+    hear(following, stale)
+    stale.age_s = STALE_S + 0.1
+    fresh.table.apply([Listed(evolve(TARGET, draining=True, entry_number=1))])
+    hear(following, stale, fresh)
+    assert table.by_id[TARGET.id].draining
+
+
+def test_what_a_relay_says_of_the_lists_age_holds_for_its_followers():
+    relay, table = Relay(), TargetTable()
+    relay.old, relay.age_s = True, 0.5
+    following = follow_relays(relay, table=table)
+    hear(following, relay)
+    assert table.list_is_old
+    _, age_s, _ = following.list_state()
+    assert 0.5 <= age_s < 0.9
+
+
+def test_a_relay_that_does_not_answer_is_asked_again():
+    relay, table = Relay(), TargetTable()
+    relay.table.apply([Listed(TARGET)])
+    relay.asked = ["silent"]
+    following = follow_relays(relay, table=table)
+    hear(following, relay)
+    assert table.by_id == {}
+    relay.asked = []
+    hear(following, relay)
+    assert table.by_id == relay.table.by_id
+
+
+def test_an_instance_that_reads_the_store_follows_no_relay_while_it_answers():
+    relay, table = Relay(), TargetTable()
+    relay.table.apply([Listed(TARGET)])
+    following = follow_relays(relay, table=table)
+    following.reads_store = lambda: True
+    hear(following, relay)
+    assert table.by_id == {}
+    following.store_away.add("targets")
+    hear(following, relay)
+    assert table.by_id == relay.table.by_id
+
+
+@pytest.mark.parametrize(
+    "message",
+    [b"", b"[]", b"{}", b'{"revision": 1, "whole": true, "targets": [{}], "gone": []}'],
+)
+def test_an_unreadable_answer_of_a_relay_leaves_the_list_as_it_is(message):
+    relay, table = Relay(), TargetTable()
+    table.apply([Listed(TARGET)])
+    following = follow_relays(relay, table=table)
+
+    async def question(address, path):
+        return message
+
+    following.question = question
+    hear(following, relay)
+    assert list(table.by_id) == [TARGET.id]
+    assert not following._taking_changes
--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -1,105 +1,171 @@
-"""Reports to peers and from them."""
+"""Reports to relays, their digests, and what is made of them."""
 
 import asyncio
 import time
 
 import pytest
-from celeryfork_entry.peer_loads import IDLE_REPORTS, VERSION_TELLINGS, PeerLoads
+from celeryfork_entry.peer_loads import IDLE_REPORTS, REPORTS_TO_AWAY, PeerLoads
 from celeryfork_entry.ports import Peer
+from celeryfork_entry.roster import RELAYS, Roster
 from celeryfork_entry.targets import LearntLayers, Target
-from celeryfork_routing.engine_loads import EngineLoads
+from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Load, Part
 from celeryfork_routing.layers import LayerRange
 from logbook import Logger
 from orjson import dumps, loads
 
-NEAR, FAR = Peer("e2", "west", "10.0.0.2:7"), Peer("e3", "east", "10.0.1.3:7")
+DOMAINS = ("east", "west")
 
 
-class Wire:
-    """Takes datagrams instead of a socket."""
+class Network:
+    """Instances that hear each other's datagrams at once; counts what each sends."""
 
-    def __init__(self):
-        self.sent = []
+    def __init__(self, sizes=(8, 8)):
+        self.by_address = {}
+        self.sent_by_name = {}
+        self.cut = set()
+        peers = [
+            Peer(f"{domain}-{n}", domain, f"10.{zone}.0.{n}:7")
+            for zone, (domain, size) in enumerate(zip(DOMAINS, sizes, strict=True))
+            for n in range(1, size + 1)
+        ]
+        for peer in peers:
+            self.add(peer)
+        for each in self.by_address.values():
+            each.roster.listed(peers)
 
-    def sendto(self, data, address):
-        self.sent.append((address[0], loads(data)))
+    def add(self, peer):
+        instance = PeerLoads(Roster(peer), EngineLoads(), Logger("test"))
+        instance.connection_made(Wire(self, instance))
+        self.by_address[peer.address] = instance
 
+    def __getitem__(self, name):
+        return next(
+            each for each in self.by_address.values() if each.roster.own.name == name
+        )
 
-def make_peer_loads(name="e1", address="10.0.0.1:7"):
-    peer_loads = PeerLoads(name, "west", address, EngineLoads(), Logger("test"))
-    peer_loads.connection_made(Wire())
-    return peer_loads
+    def report(self, times):
+        for _ in range(times):
+            for each in self.by_address.values():
+                if each.roster.own.name not in self.cut:
+                    each._report()
 
+    def counts(self):
+        return {name: len(sent) for name, sent in self.sent_by_name.items()}
 
-def report(peer_loads, times):
-    wire = peer_loads._transport = Wire()
-    for _ in range(times):
-        peer_loads._report()
-    return wire.sent
 
+class Wire:
+    def __init__(self, network, sender):
+        self.network, self.name = network, sender.roster.own.name
 
-def test_a_new_version_is_told_though_nothing_is_in_flight():
-    peer_loads = make_peer_loads()
-    peer_loads.peers = [NEAR, FAR]
-    report(peer_loads, 10 * VERSION_TELLINGS)
-    peer_loads.version = lambda: 5
-    told = report(peer_loads, VERSION_TELLINGS)
-    assert {to for to, message in told if message["version"] == 5} == {
-        "10.0.0.2", "10.0.1.3",
-    }  # fmt: skip
+    def sendto(self, data, address):
+        self.network.sent_by_name.setdefault(self.name, []).append((address[0], data))
+        receiver = self.network.by_address.get(f"{address[0]}:{address[1]}")
+        if receiver is not None and receiver.roster.own.name not in self.network.cut:
+            receiver.datagram_received(data, (address[0], address[1]))
+
+
+def begin(instance, engine_id, tokens=10):
+    path = LayerPath((Part(engine_id, "a:1", LayerRange(0, 4)),))
+    instance._loads.begin(path, tokens)
+
+
+def total(instance, engine_id):
+    return instance._loads.total(time.monotonic()).get(engine_id, Load())
+
+
+def test_each_instance_knows_the_work_of_all():
+    network = Network()
+    for each in network.by_address.values():
+        begin(each, "i-1")
+    network.report(2 * REPORTS_TO_AWAY)
+    for each in network.by_address.values():
+        assert total(each, "i-1") == Load(16, 640)
+
+
+def test_work_that_ended_counts_no_more():
+    network = Network()
+    instance = network["west-7"]
+    begin(instance, "i-1")
+    network.report(2 * REPORTS_TO_AWAY)
+    path = LayerPath((Part("i-1", "a:1", LayerRange(0, 4)),))
+    instance._loads.end(path, 10)
+    network.report(2 * REPORTS_TO_AWAY)
+    for each in network.by_address.values():
+        assert total(each, "i-1") == Load()
+
+
+@pytest.mark.parametrize("size", [8, 29, 138])
+def test_what_a_follower_sends_and_receives_does_not_grow_with_the_fleet(size):
+    """Pattern: at 88 instances each sent 172 datagrams a second, and got as many."""
+    network = Network((size, size))
+    for each in network.by_address.values():
+        begin(each, "i-1")
+    network.report(REPORTS_TO_AWAY)
+    network.sent_by_name.clear()
+    network.report(REPORTS_TO_AWAY)
+    follower = network["west-8"]
+    assert not follower.roster.is_relay
+    assert network.counts()["west-8"] == RELAYS * REPORTS_TO_AWAY
+    own = follower.roster.own.address.partition(":")[0]
+    received = sum(
+        to == own for sent in network.sent_by_name.values() for to, _ in sent
+    )
+    assert received == RELAYS * REPORTS_TO_AWAY
 
 
-def test_an_idle_instance_says_little():
-    peer_loads = make_peer_loads()
-    peer_loads.peers = [NEAR]
-    report(peer_loads, 2 * VERSION_TELLINGS)
-    assert len(report(peer_loads, 10 * IDLE_REPORTS)) == 10
+def test_a_follower_goes_on_while_one_relay_is_left():
+    network = Network()
+    network.report(REPORTS_TO_AWAY)
+    network.cut = {"west-1", "west-2"}
+    begin(network["west-8"], "i-1")
+    network.report(2)
+    assert total(network["west-7"], "i-1") == Load(1, 40)
 
 
-def test_a_peer_that_is_no_longer_listed_is_told_on():
-    """One that the store turns away drops off the list and hears of no change."""
-    peer_loads, turned_away = make_peer_loads(), make_peer_loads("e2", "10.0.0.2:7")
-    peer_loads.peers = []
-    turned_away.peers = [Peer("e1", "west", "10.0.0.1:7")]
-    for _, message in report(turned_away, IDLE_REPORTS):
-        peer_loads.datagram_received(dumps(message), ("10.0.0.2", 7))
-    assert {to for to, _ in report(peer_loads, IDLE_REPORTS)} == {"10.0.0.2"}
+def test_an_idle_instance_says_little():
+    network = Network()
+    network.report(8)
+    network.sent_by_name.clear()
+    network.report(10 * IDLE_REPORTS)
+    assert network.counts()["west-8"] == 10 * RELAYS
 
 
 def test_only_a_higher_version_of_a_peer_is_asked_for():
-    peer_loads, peer = make_peer_loads(), make_peer_loads("e2", "10.0.0.2:7")
-    peer.peers = [Peer("e1", "west", "10.0.0.1:7")]
-    heard = []
-    peer_loads.on_version = lambda version, address: heard.append((version, address))
-    peer_loads.version = lambda: 5
+    network = Network()
+    network.report(1)
+    relay, follower, heard = network["west-1"], network["west-8"], []
+    follower.on_version = lambda version, address: heard.append((version, address))
+    follower.version = lambda: 5
     for version in (4, 5, 6):
-        peer.version = lambda version=version: version
-        for _, message in report(peer, 1):
-            peer_loads.datagram_received(dumps(message), ("10.0.0.2", 7))
-    assert heard == [(6, "10.0.0.2:7")]
-
+        relay.version = lambda version=version: version
+        relay._report()
+    assert heard == [(6, relay.roster.own.address)]
 
-def test_what_is_no_report_is_left_out():
-    peer_loads = make_peer_loads()
-    for data in (b"", b"[]", b'{"loads": {}}', b'{"from": "e2", "at": 1}'):
-        peer_loads.datagram_received(data, ("10.0.0.2", 7))
-    assert report(peer_loads, 1) == []
 
-
-def test_layers_that_an_engine_reported_reach_the_peers():
-    """The list can't tell them while the store is away."""
-    told, heard = make_peer_loads(), make_peer_loads("e2", "10.0.0.2:7")
-    told.peers = [NEAR]
+@pytest.mark.parametrize(
+    "data", [b"", b"[]", b'{"loads": {}}', b'{"from": "e2", "at": 1}', b"\xff{}"]
+)
+def test_what_is_no_report_is_left_out(data):
+    network = Network()
+    instance = network["west-8"]
+    before = instance.roster.peers()
+    instance.datagram_received(data, ("10.0.0.2", 7))
+    assert instance._unreadable == 1
+    assert instance.roster.peers() == before
+
+
+def test_layers_that_an_engine_reported_reach_the_relays_of_all_domains():
+    """The list can't tell them while the store is away; followers get them with it."""
+    network = Network()
     now_s = time.monotonic()
     reported = {
-        "x": LearntLayers(LayerRange(2, 5), 1000, now_s - 3.0, own=True),
+        "x": LearntLayers(LayerRange(2, 5), 1000, now_s - 0.3, own=True),
         "y": LearntLayers(None, None, now_s, own=True),
     }
-    told.layers = lambda: reported
+    network["west-8"].layers = lambda: reported
     passed_on = {}
-    heard.on_layers = passed_on.__setitem__
-    ((_, message),) = report(told, 1)
-    heard.datagram_received(dumps(message), ("10.0.0.1", 7))
+    network["east-1"].on_layers = passed_on.__setitem__
+    network.report(REPORTS_TO_AWAY)
     for engine_id, learnt in reported.items():
         other = passed_on[engine_id]
         assert (other.held, other.born_ms) == (learnt.held, learnt.born_ms)
@@ -109,11 +175,15 @@
 
 def heard(message):
     """Return an instance that has got a report, and the engines it was told of."""
-    peer_loads, told = make_peer_loads(), {}
-    peer_loads.on_layers = told.__setitem__
-    whole = {"from": "e2", "at": "10.0.0.2:7", "domain": "west", "loads": {}} | message
-    peer_loads.datagram_received(dumps(whole), ("10.0.0.2", 7))
-    return peer_loads, told
+    network, told = Network(), {}
+    instance = network["west-1"]
+    instance.on_layers = told.__setitem__
+    whole = {
+        "from": "west-5", "at": "10.1.0.5:7", "domain": "west", "power": 1.0,
+        "fence": None, "version": -1, "loads": {}, "layers": {}, "down": [],
+    }  # fmt: skip
+    instance.datagram_received(dumps(whole | message), ("10.1.0.5", 7))
+    return instance, told
 
 
 @pytest.mark.parametrize(
@@ -132,9 +202,23 @@
     ],
 )
 def test_layers_that_are_none_are_left_out(row):
-    peer_loads, told = heard({"layers": {"i-1": row}})
+    instance, told = heard({"layers": {"i-1": row}})
     assert told == {}
-    assert peer_loads._unreadable == 1
+    assert instance._unreadable == 1
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        {"fence": "7"}, {"version": None}, {"loads": {"i-1": 3}}, {"down": [[1, 2]]},
+        {"at": "nowhere"}, {"power": "x"}, {"loads": {"i-1": [True, 1]}},
+        {"revision": 1}, {"revision": 1, "age": None, "old": 0, "counts": {}},
+    ],
+)  # fmt: skip
+def test_a_message_with_a_faulty_field_is_left_out_whole(message):
+    instance, _ = heard(message)
+    assert instance._unreadable == 1
+    assert instance.fence_heard == -1
 
 
 def test_layers_of_a_report_dated_ahead_count_as_of_now():
@@ -144,43 +228,64 @@
 
 
 def test_the_holder_is_heard_by_its_fence():
-    peer_loads, _ = heard({"fence": 7})
-    assert (peer_loads.fence_heard, peer_loads.heard_of("west", 0.0)) == (
-        7,
-        {"10.0.0.2:7"},
-    )
-    silent_s = peer_loads.fence_heard_s = 1.0
-    peer_loads.datagram_received(
-        dumps({"from": "e3", "at": "10.0.1.3:7", "domain": "east", "loads": {}}),
-        ("10.0.1.3", 7),
-    )
-    assert peer_loads.fence_heard_s == silent_s
-    assert peer_loads.heard_of("west", time.monotonic() + 1) == set()
+    instance, _ = heard({"fence": 7})
+    assert instance.fence_heard == 7
+    silent_s = instance.fence_heard_s = 1.0
+    Network.report(Network(), 1)
+    assert instance.fence_heard_s == silent_s
 
 
-def test_peers_are_told_at_once_of_engines_that_are_down():
+def test_all_instances_are_told_at_once_of_engines_that_are_down():
     """Pattern: some instances found a dark engine 1 to 3 s after the first."""
 
     async def tell():
-        peer_loads = make_peer_loads()
-        peer_loads.peers = [NEAR, FAR]
-        wire = peer_loads._transport = Wire()
+        network = Network((29, 29))
+        network.report(1)
+        told = {}
+        for each in network.by_address.values():
+            name = each.roster.own.name
+            each.on_down = lambda *news, name=name: told.setdefault(name, []).append(
+                news
+            )
+        finder = network["west-29"]
         for engine_id in ("i-1", "i-2"):
-            peer_loads.tell_down(Target(engine_id, "llm", "a:1", "west", born_ms=5))
+            finder.tell_down(Target(engine_id, "llm", "a:1", "west", born_ms=5))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return network, told
+
+    network, told = asyncio.run(tell())
+    assert set(told) >= {e.roster.own.name for e in network.by_address.values()} - {
+        "west-29"
+    }
+    for name, news in told.items():
+        assert {(engine_id, born_ms) for engine_id, born_ms, _ in news} == {
+            ("i-1", 5), ("i-2", 5),
+        }, name  # fmt: skip
+
+
+def test_news_is_passed_on_once():
+    async def tell_twice():
+        network = Network((29, 29))
+        network.report(1)
+        for name in ("west-29", "west-28"):
+            target = Target("i-1", "llm", "a:1", "west", born_ms=5)
+            network[name].tell_down(target)
+        network.sent_by_name.clear()
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        return wire.sent
+        return network
 
-    sent = asyncio.run(tell())
-    assert [to for to, _ in sent] == ["10.0.0.2", "10.0.1.3"]
-    told = []
-    receiver = make_peer_loads("e2", "10.0.0.2:7")
-    receiver.on_down = lambda *news: told.append(news)
-    receiver.datagram_received(dumps(sent[0][1]), ("10.0.0.1", 7))
-    assert told == [("i-1", 5, "e1"), ("i-2", 5, "e1")]
+    network = asyncio.run(tell_twice())
+    relay = network["west-29"].roster.relays("east")[0]
+    sent = network.sent_by_name[relay.name]
+    passed_on = [to for to, data in sent if loads(data)["down"]]
+    assert passed_on
+    assert len(passed_on) == len(set(passed_on))
 
 
-def test_news_is_told_once():
-    peer_loads = make_peer_loads()
-    peer_loads.peers = [NEAR]
-    assert all("down" not in message for _, message in report(peer_loads, 40))
+def test_news_is_not_repeated_in_later_reports():
+    network = Network()
+    network.report(40)
+    for sent in network.sent_by_name.values():
+        assert not any(loads(data)["down"] for _, data in sent)
--- a/libs/entry/tests/test_placement_duty.py
+++ b/libs/entry/tests/test_placement_duty.py
@@ -45,7 +45,7 @@
         self.duty.renewed(Duty(True, 7))
         self.asked = []
 
-    async def ask(self, target_id):
+    async def ask(self, target_id, timeout_s=0.05):
         self.asked.append(target_id)
         return self.report_by_id[target_id]
 
--- a/libs/routing/src/celeryfork_routing/engine_loads.py
+++ b/libs/routing/src/celeryfork_routing/engine_loads.py
@@ -1,6 +1,6 @@
 """Requests in flight at engines: this instance's own, and what its peers said."""
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 
 from attrs import define, field, frozen
 
@@ -63,10 +63,15 @@
 
 @define
 class EngineLoads:
-    """The ledger of work in flight."""
+    """The ledger of work in flight.
+
+    The sum over all reports is kept up to date, so that a choice costs no more with
+    hundreds of peers.
+    """
 
     _own_by_engine: dict[str, list[float]] = field(factory=dict)
     _reports_by_peer: dict[str, _PeerReport] = field(factory=dict)
+    _sum_by_engine: dict[str, list[float]] = field(factory=dict)
 
     def begin(self, path: LayerPath, tokens: float) -> None:
         """Count a request of ``tokens`` tokens on each part and pipe of ``path``."""
@@ -87,26 +92,77 @@
     def own(self) -> dict[str, Load]:
         """Return this instance's own work by engine."""
         return {
-            engine_id: Load(int(requests), token_layers)
+            engine_id: Load(int(requests), round(token_layers))
             for engine_id, (requests, token_layers) in self._own_by_engine.items()
         }
 
     def hear(self, peer: str, load_by_engine: Mapping[str, Load], now_s: float) -> None:
         """Take a peer's report of its own work in place of its last one."""
+        self.forget(peer)
         self._reports_by_peer[peer] = _PeerReport(now_s, load_by_engine)
+        self._add(load_by_engine, 1)
+
+    def forget(self, peer: str) -> None:
+        """Drop a peer's last report."""
+        report = self._reports_by_peer.pop(peer, None)
+        if report is not None:
+            self._add(report.load_by_engine, -1)
+
+    def reported(self, peers: Container[str], now_s: float) -> dict[str, Load]:
+        """Return the work that some peers have told, by engine."""
+        self._drop_old(now_s)
+        total: dict[str, list[float]] = {}
+        for peer, report in self._reports_by_peer.items():
+            if peer in peers:
+                _sum_up(total, report.load_by_engine, 1)
+        return _as_loads(total)
 
     def total(self, now_s: float) -> dict[str, Load]:
         """Return all known work by engine."""
-        total = {key: list(own) for key, own in self._own_by_engine.items()}
+        self._drop_old(now_s)
+        total = {key: list(told) for key, told in self._sum_by_engine.items()}
+        _sum_up(total, self.own(), 1)
+        return _as_loads(total)
+
+    def _drop_old(self, now_s: float) -> None:
         for peer, report in list(self._reports_by_peer.items()):
             if now_s - report.heard_s > PEER_REPORT_LIFE_S:
-                del self._reports_by_peer[peer]
-                continue
-            for engine_id, load in report.load_by_engine.items():
-                entry = total.setdefault(engine_id, [0, 0.0])
-                entry[0] += load.requests
-                entry[1] += load.token_layers
-        return {key: Load(int(n), layers) for key, (n, layers) in total.items()}
+                self.forget(peer)
+
+    def _add(self, load_by_engine: Mapping[str, Load], sign: int) -> None:
+        _sum_up(self._sum_by_engine, load_by_engine, sign)
+        if sign < 0:
+            for engine_id in load_by_engine:
+                if self._sum_by_engine[engine_id][0] <= 0:
+                    del self._sum_by_engine[engine_id]
+
+
+def less(
+    load_by_engine: Mapping[str, Load], own: Mapping[str, Load]
+) -> dict[str, Load]:
+    """Return loads without a part of them that is counted elsewhere."""
+    rest = dict(load_by_engine)
+    for engine_id, part in own.items():
+        whole = rest.get(engine_id)
+        if whole is not None:
+            rest[engine_id] = Load(
+                max(0, whole.requests - part.requests),
+                max(0.0, whole.token_layers - part.token_layers),
+            )
+    return rest
+
+
+def _sum_up(
+    total: dict[str, list[float]], load_by_engine: Mapping[str, Load], sign: int
+) -> None:
+    for engine_id, load in load_by_engine.items():
+        entry = total.setdefault(engine_id, [0, 0.0])
+        entry[0] += sign * load.requests
+        entry[1] += sign * load.token_layers
+
+
+def _as_loads(total: Mapping[str, list[float]]) -> dict[str, Load]:
+    return {key: Load(int(n), layers) for key, (n, layers) in total.items()}
 
 
 def pipe_key(domain: str, other: str) -> str:
--- a/libs/routing/src/celeryfork_routing/layer_paths.py
+++ b/libs/routing/src/celeryfork_routing/layer_paths.py
@@ -5,9 +5,12 @@
 change of engine the delay and the transfer of activations.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import pairwise
+from math import inf
+from operator import itemgetter
 
-from attrs import frozen
+from attrs import define, field, frozen
 
 from celeryfork_routing.engine_loads import LayerPath, Load, Part, pipe_key
 from celeryfork_routing.layers import LayerRange, ModelShape, room_for_requests
@@ -31,6 +34,9 @@
 """Part of an engine's requests that run in one pass: one of about eight engines."""
 FULL_MEMORY_FACTOR = 2.0
 """An engine with full memory counts as this many times slower, plus one."""
+ALTERNATIVES = 2
+"""Partial paths kept for each domain: one may hold the engine that takes over."""
+NO_LOAD = Load()
 
 
 @frozen
@@ -82,20 +88,44 @@
 
 @frozen
 class _Candidate:
+    """An engine as this request sees it.
+
+    Parameters
+    ----------
+    layer_ms
+        Predicted cost of one layer, in ms.
+    most_layers
+        Layers for which it has room, for the request's tokens.
+    """
+
     engine: PathEngine
-    cost_per_layer_ms: float
-    free_token_layers: float
+    layer_ms: float
+    most_layers: float
 
 
-@frozen
+@define(eq=False)
 class _Step:
-    """A partial path: ``candidate`` runs the layers from ``first`` on."""
+    """A partial path whose last engine runs the layers from ``first`` on.
+
+    Parameters
+    ----------
+    begin_ms
+        Cost until ``first``; each layer from there adds the engine's own cost.
+    last
+        Layer before which another engine has to take over.
+    """
 
-    cost_ms: float
     candidate: _Candidate
     first: int
-    before: "_Step | None"
+    begin_ms: float
+    last: float
+    before: "_Step | None" = None
     crossings: int = 0
+    length: int = 1
+
+    def cost_ms(self, point: int) -> float:
+        """Return the cost of the path up to a layer."""
+        return self.begin_ms + (point - self.first) * self.candidate.layer_ms
 
     def uses(self, engine_id: str) -> bool:
         step: _Step | None = self
@@ -105,12 +135,6 @@
             step = step.before
         return False
 
-    def length(self) -> int:
-        count, step = 0, self.before
-        while step is not None:
-            count, step = count + 1, step.before
-        return count + 1
-
 
 def find_path(
     shape: ModelShape,
@@ -119,43 +143,73 @@
     request: PathRequest,
 ) -> LayerPath | None:
     """Return the quickest path, None where no engines with room cover all layers."""
-    candidates = [
+    candidates = _best_of_each_range(
         candidate
         for engine in engines
         if (candidate := _candidate(shape, engine, load_by_engine, request))
-    ]
-    points = sorted(
-        {0, shape.layers}
-        | {c.engine.held.first for c in candidates}
-        | {c.engine.held.last for c in candidates}
     )
-    points = [point for point in points if 0 <= point <= shape.layers]
-    best_by_engine = _first_steps(candidates, request)
-    for point, following in zip(points, points[1:], strict=False):
+    hops = _Hops(shape, load_by_engine, request)
+    starting_by_point: dict[int, list[_Candidate]] = {}
+    for each in candidates:
+        starting_by_point.setdefault(max(0, each.engine.held.first), []).append(each)
+    covering = starting_by_point.get(0, [])
+    steps = _first_steps(covering, request)
+    for point, following in pairwise(_points(shape.layers, candidates)):
         if point:
-            _switch_at(
-                point, best_by_engine, candidates, shape, request, load_by_engine
-            )
-        best_by_engine = _extend(best_by_engine, point, following, request)
-        if not best_by_engine:
+            starting = starting_by_point.get(point, [])
+            _switch_at(point, following, steps, covering, starting, hops)
+            covering = [*covering, *starting]
+        covering = [each for each in covering if each.engine.held.last > following]
+        steps = {key: step for key, step in steps.items() if step.last >= following}
+        if not steps:
             return None
-    final = min(best_by_engine.values(), key=lambda step: step.cost_ms)
+    final = min(steps.values(), key=lambda step: step.cost_ms(shape.layers))
     return _to_path(final, shape.layers)
 
 
+def _points(layers: int, candidates: Sequence[_Candidate]) -> list[int]:
+    """Return the layers at which a path may change engines, with both ends."""
+    held = [each.engine.held for each in candidates]
+    points = {0, layers, *(h.first for h in held), *(h.last for h in held)}
+    return sorted(point for point in points if 0 <= point <= layers)
+
+
+def _best_of_each_range(candidates: Iterable[_Candidate]) -> list[_Candidate]:
+    """Return the cheapest of the engines that hold the same layers in one domain.
+
+    One path never uses two of them. Those with room for all of their layers go first.
+    """
+    best: dict[tuple[str, int, int], _Candidate] = {}
+    for each in candidates:
+        held = each.engine.held
+        key = (each.engine.domain, held.first, held.last)
+        known = best.get(key)
+        if known is None or _rank(each) < _rank(known):
+            best[key] = each
+    return list(best.values())
+
+
+def _rank(candidate: _Candidate) -> tuple[bool, float]:
+    room_is_short = candidate.most_layers < candidate.engine.held.count
+    return room_is_short, candidate.layer_ms
+
+
 def _candidate(
     shape: ModelShape,
     engine: PathEngine,
     load_by_engine: Mapping[str, Load],
     request: PathRequest,
 ) -> _Candidate | None:
-    accelerator = shape.accelerator(engine.accelerator)
-    if accelerator is None or engine.held.count < 1:
+    accelerator = shape.accelerators_by_name.get(engine.accelerator)
+    held = engine.held
+    if accelerator is None or held.count < 1:
+        return None
+    if held.first <= 0 and not request.may_begin_with(engine.id):
         return None
-    load = load_by_engine.get(engine.id, Load())
-    room = room_for_requests(shape, accelerator, engine.held.count)
-    free = room - load.token_layers
-    if free < request.tokens:
+    load = load_by_engine.get(engine.id, NO_LOAD)
+    room = room_for_requests(shape, accelerator, held.count)
+    most_layers = (room - load.token_layers) / max(1.0, request.tokens)
+    if most_layers < 1:
         return None
     context_ms = shape.context_ms_per_thousand * request.tokens / 1000
     batch = 1 + load.requests * REQUESTS_A_PASS
@@ -166,95 +220,139 @@
     )
     fill = load.token_layers / room
     factor = engine.slowness * (1 + FULL_MEMORY_FACTOR * fill**3)
-    return _Candidate(engine, busy_ms * factor / shape.layers, free)
+    return _Candidate(engine, busy_ms * factor / shape.layers, most_layers)
 
 
 def _first_steps(
     candidates: Sequence[_Candidate], request: PathRequest
 ) -> dict[str, _Step]:
-    return {
-        candidate.engine.id: _Step(
-            0.0 if candidate.engine.domain == request.domain else AWAY_FROM_CALLER_MS,
-            candidate,
-            0,
-            None,
-        )
-        for candidate in candidates
-        if candidate.engine.held.first <= 0
-        and request.may_begin_with(candidate.engine.id)
-    }
-
-
-def _extend(
-    steps: Mapping[str, _Step], point: int, following: int, request: PathRequest
-) -> dict[str, _Step]:
-    extended = {}
-    for engine_id, step in steps.items():
-        candidate = step.candidate
-        needed = (following - step.first) * request.tokens
-        if candidate.engine.held.last < following:
-            continue
-        if needed > candidate.free_token_layers:
+    steps = {}
+    for candidate in candidates:
+        engine = candidate.engine
+        if engine.held.first > 0:
             continue
-        cost = step.cost_ms + candidate.cost_per_layer_ms * (following - point)
-        extended[engine_id] = _Step(
-            cost, candidate, step.first, step.before, step.crossings
-        )
-    return extended
+        away_ms = 0.0 if engine.domain == request.domain else AWAY_FROM_CALLER_MS
+        last = min(engine.held.last, candidate.most_layers)
+        steps[engine.id] = _Step(candidate, 0, away_ms, last)
+    return steps
 
 
 def _switch_at(
     point: int,
+    following: int,
     steps: dict[str, _Step],
-    candidates: Sequence[_Candidate],
-    shape: ModelShape,
-    request: PathRequest,
-    load_by_engine: Mapping[str, Load],
+    covering: Iterable[_Candidate],
+    starting: Iterable[_Candidate],
+    hops: "_Hops",
 ) -> None:
-    """Add the paths that go over to another engine at ``point``."""
-    arrived = sorted(steps.values(), key=lambda step: step.cost_ms)
-    for candidate in candidates:
-        engine = candidate.engine
-        if not engine.held.first <= point < engine.held.last:
+    """Add the paths that go over to another engine at ``point``.
+
+    Costs grow evenly with the layers, so that the best place for a change is where one
+    engine's layers end or the other's begin.
+    """
+    arrived = sorted(
+        ((step.cost_ms(point), step) for step in steps.values()), key=itemgetter(0)
+    )
+    ending = [offer for offer in arrived if offer[1].last < following]
+    for offers, joining in ((arrived, starting), (ending, covering)):
+        if not offers:
             continue
-        for step in arrived:
-            known = steps.get(engine.id)
-            if known is not None and step.cost_ms >= known.cost_ms:
-                break
-            if step.uses(engine.id) or step.length() >= MOST_PARTS:
-                continue
-            crosses = step.candidate.engine.domain != engine.domain
-            if step.crossings + crosses > MOST_CROSSINGS:
-                continue
-            hop_ms = _hop_ms(
-                shape, step.candidate.engine, engine, request, load_by_engine
+        best: list[tuple[float, _Step]] | None = None
+        offers_by_domain: dict[str, list[tuple[float, _Step]]] = {}
+        for candidate in joining:
+            domain = candidate.engine.domain
+            if domain not in offers_by_domain:
+                best = best if best is not None else _best_of_each_domain(offers)
+                offers_by_domain[domain] = hops.add(best, domain)
+            step = _best_switch(candidate, point, steps, offers_by_domain[domain])
+            if step is not None:
+                steps[candidate.engine.id] = step
+
+
+def _best_of_each_domain(
+    arrived: Iterable[tuple[float, _Step]],
+) -> list[tuple[float, _Step]]:
+    """Return the cheapest of those that are alike for what follows, in order."""
+    best = []
+    counts: dict[tuple[str, int], int] = {}
+    for offer in arrived:
+        step = offer[1]
+        key = (step.candidate.engine.domain, step.crossings)
+        counts[key] = counts.get(key, 0) + 1
+        if counts[key] <= ALTERNATIVES:
+            best.append(offer)
+    return best
+
+
+def _best_switch(
+    candidate: _Candidate,
+    point: int,
+    steps: Mapping[str, _Step],
+    offers: Iterable[tuple[float, _Step]],
+) -> _Step | None:
+    """Return the cheapest path on which an engine takes over, if that is an advance."""
+    engine = candidate.engine
+    known = steps.get(engine.id)
+    known_ms = known.cost_ms(point) if known is not None else inf
+    for cost_ms, step in offers:
+        if cost_ms >= known_ms:
+            return None
+        if step.uses(engine.id) or step.length >= MOST_PARTS:
+            continue
+        crossings = step.crossings + (step.candidate.engine.domain != engine.domain)
+        if crossings > MOST_CROSSINGS:
+            continue
+        last = min(engine.held.last, point + candidate.most_layers)
+        return _Step(candidate, point, cost_ms, last, step, crossings, step.length + 1)
+    return None
+
+
+@define(eq=False)
+class _Hops:
+    """The cost of a change of engine, by the two domains."""
+
+    _shape: ModelShape
+    _load_by_engine: Mapping[str, Load]
+    _request: PathRequest
+    _ms_by_domains: dict[tuple[str, str], float | None] = field(factory=dict)
+
+    def add(
+        self, arrived: Sequence[tuple[float, _Step]], domain: str
+    ) -> list[tuple[float, _Step]]:
+        """Return what arrived with the cost of going on in ``domain``, in order."""
+        offers = [
+            (cost_ms + hop_ms, step)
+            for cost_ms, step in arrived
+            if (hop_ms := self._ms(step.candidate.engine.domain, domain)) is not None
+        ]
+        offers.sort(key=itemgetter(0))
+        return offers
+
+    def _ms(self, domain: str, following: str) -> float | None:
+        """Return the cost of a change of engine, None where the pipe is full."""
+        key = (domain, following)
+        if key not in self._ms_by_domains:
+            self._ms_by_domains[key] = _hop_ms(
+                self._shape, domain, following, self._request, self._load_by_engine
             )
-            if hop_ms is None:
-                continue
-            cost = step.cost_ms + hop_ms
-            if known is None or cost < known.cost_ms:
-                steps[engine.id] = _Step(
-                    cost, candidate, point, step, step.crossings + crosses
-                )
+        return self._ms_by_domains[key]
 
 
 def _hop_ms(
     shape: ModelShape,
-    engine: PathEngine,
-    following: PathEngine,
+    domain: str,
+    following: str,
     request: PathRequest,
     load_by_engine: Mapping[str, Load],
 ) -> float | None:
-    """Return the cost of a change of engine, None where the pipe is full."""
-    delay_ms = shape.delay_ms(engine.domain, following.domain)
-    hop_ms = request.answer * delay_ms
-    if engine.domain == following.domain:
+    hop_ms = request.answer * shape.delay_ms(domain, following)
+    if domain == following:
         return hop_ms
     hop_ms += CROSSING_MS
     if not shape.pipe_bytes_per_ms:
         return hop_ms
     token_ms = shape.activation_bytes / shape.pipe_bytes_per_ms
-    pipe = load_by_engine.get(pipe_key(engine.domain, following.domain), Load())
+    pipe = load_by_engine.get(pipe_key(domain, following), NO_LOAD)
     busy = pipe.token_layers * token_ms / USUAL_STREAM_MS
     if busy > MOST_PIPE_SHARE:
         return None
@@ -272,4 +370,4 @@
         parts.append(Part(engine.id, engine.address, held, engine.domain))
         following = step.first
         step = step.before
-    return LayerPath(tuple(reversed(parts)), final.cost_ms)
+    return LayerPath(tuple(reversed(parts)), final.cost_ms(layers))
--- a/tests/support/store_standin.py
+++ b/tests/support/store_standin.py
@@ -41,6 +41,8 @@
                 return self._newest(request.query["topic"])
             case "/-/log-read":
                 return await self._read(request.query)
+            case "/-/log-append":
+                return self._append(request.query["topic"], await request.read())
             case "/-/log-join":
                 return self._join(await request.json())
             case "/-/log-leave":
@@ -61,6 +63,18 @@
             {"items": items, "truncated": False, "end": len(records)}
         )
 
+    def _append(self, topic, body):
+        offset = len(self.records_by_topic.get(topic, []))
+        position = 0
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4 : position + 4 + length]
+            position += 4 + length
+            name, value = content[1 : 1 + content[0]], content[1 + content[0] :]
+            self.put(topic, name.decode(), value)
+        end = len(self.records_by_topic[topic])
+        return web.json_response({"offset": offset, "end": end})
+
     async def _read(self, query):
         topic, start = query["topic"], int(query["from"])
         if start < self.lost_before.get(topic, 0):
