Path choice: what the list says of engines is gathered once a change, not a request

Cause: each choice filtered all targets and built an object for each engine of the model.

Tests: the test of the wait that begins anew wrote into the table's dictionary, past its changes; it now renews entries as the list does, the same asserts.

--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 
-from attrs import define
+from attrs import define, evolve, field, frozen
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath
 from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
 from celeryfork_routing.layers import LayerRange, first_missing
 
 from celeryfork_entry.call import Call, CallParts
-from celeryfork_entry.targets import Target
+from celeryfork_entry.targets import Standing
 
 ROOM_WAIT_S = 0.25
 """Time that a request waits for room before it is refused; half of the usual aim."""
@@ -18,6 +19,21 @@
 ROOM_POLL_S = 0.02
 
 
+@frozen(eq=False)
+class _KnownEngine:
+    """An engine as the list describes it, with what this instance has seen of it."""
+
+    engine: PathEngine
+    standing: Standing
+
+    def at(self, now_s: float) -> PathEngine:
+        """Return the engine with its present slowness."""
+        slowness = self.standing.slowness_at(now_s)
+        if slowness == self.engine.slowness:
+            return self.engine
+        return evolve(self.engine, slowness=slowness)
+
+
 @define(eq=False)
 class PathChoice:
     """Finds paths over engines that nothing speaks against."""
@@ -25,6 +41,8 @@
     _parts: CallParts
     _loads: EngineLoads
     _missing_since_s: float | None = None
+    _revision: int = -1
+    _engines_by_service: dict[str, Sequence[_KnownEngine]] = field(factory=dict)
 
     async def choose(self, call: Call) -> LayerPath | None:
         """Return a path with room for the call; wait a moment for one."""
@@ -68,39 +86,62 @@
 
     def _find(self, call: Call) -> LayerPath | None:
         """Return a path around the engines that have just refused work, if any."""
-        table, now_s = self._parts.table, time.monotonic()
-        listed = table.in_choice(call.service.name)
-        willing = [
-            each for each in listed if table.standing(each.id).refused_until_s < now_s
+        now_s = time.monotonic()
+        in_choice = [
+            each
+            for each in self._engines(call.service.name)
+            if not (each.standing.held or each.standing.leaving)
+            and each.engine.id not in call.avoided
         ]
-        path = self._find_over(call, willing)
-        if path is None and len(willing) < len(listed):
-            path = self._find_over(call, listed)
+        willing = [e for e in in_choice if e.standing.refused_until_s < now_s]
+        path = self._find_over(call, willing, now_s)
+        if path is None and len(willing) < len(in_choice):
+            path = self._find_over(call, in_choice, now_s)
         return path
 
-    def _find_over(self, call: Call, targets: list[Target]) -> LayerPath | None:
-        shape, now_s = call.service.model, time.monotonic()
+    def _find_over(
+        self, call: Call, known: Sequence[_KnownEngine], now_s: float
+    ) -> LayerPath | None:
+        shape = call.service.model
         assert shape is not None
-        engines = [
-            PathEngine(
-                target.id,
-                target.address,
-                target.domain,
-                target.accelerator or "",
-                target.held,
-                self._parts.table.standing(target.id).slowness_at(now_s),
-            )
-            for target in targets
-            if target.held is not None and target.id not in call.avoided
-        ]
         request = PathRequest(
             call.facts.prompt_tokens,
             expected_answer_tokens(call),
             self._parts.domain,
             call.first_engines.allowed(self.lives),
         )
+        engines = [each.at(now_s) for each in known]
         return find_path(shape, engines, self._loads.total(now_s), request)
 
+    def _engines(self, service: str) -> Sequence[_KnownEngine]:
+        """Return the listed engines of a service that hold layers.
+
+        They are gathered anew only when the list has changed.
+        """
+        table = self._parts.table
+        if self._revision != table.changes.revision:
+            self._revision = table.changes.revision
+            self._engines_by_service = {}
+        known = self._engines_by_service.get(service)
+        if known is None:
+            known = self._engines_by_service[service] = [
+                _KnownEngine(
+                    PathEngine(
+                        target.id,
+                        target.address,
+                        target.domain,
+                        target.accelerator or "",
+                        target.held,
+                    ),
+                    table.standing(target.id),
+                )
+                for target in table.by_id.values()
+                if target.service == service
+                and target.held is not None
+                and not target.draining
+            ]
+        return known
+
     def lives(self, engine_id: str) -> bool:
         """Return whether an engine is listed and not out of choice."""
         table = self._parts.table
--- a/libs/entry/tests/test_path_choice.py
+++ b/libs/entry/tests/test_path_choice.py
@@ -119,10 +119,15 @@
     return count
 
 
+def renew(table, target, **fields):
+    number = table.by_id[target.id].entry_number + 1
+    table.apply([Listed(evolve(target, entry_number=number, **fields))])
+
+
 def lose_layers(table):
     """Leave the first half of the layers only."""
     for target in list(table.by_id.values()):
-        table.by_id[target.id] = evolve(target, held=LayerRange(0, 4))
+        renew(table, target, held=LayerRange(0, 4))
 
 
 def test_a_request_is_refused_at_once_when_layers_are_missing_for_long(
@@ -142,7 +147,8 @@
     choice = make_choice(table)
     assert asyncio.run(choice.choose(make_call())) is None
     assert choice._missing_since_s is not None
-    table.by_id |= whole
+    for target in whole.values():
+        renew(table, target, held=target.held)
     assert asyncio.run(choice.choose(make_call())) is not None
     assert choice._missing_since_s is None
 
