--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -51,7 +51,10 @@
 FOLLOWER_LOOK_S = 0.2
 """Pause of a follower between two looks whether it has to read the store itself."""
 STALE_S = 2.6
-"""Age of a relay's list at which a relay with a fresher one is followed."""
+"""Age of a relay's list at which another relay, or else the store, is asked; a relay
+reads at least each 2 s."""
+SILENT_RELAY_S = 0.6
+"""Silence of the relay that is followed at which another one is: two of its digests."""
 UNREAD_AGE_S = 3_600.0
 """Age that is told of a list that was never read."""
 PEER_TIMEOUT_S = 0.5
@@ -189,18 +192,30 @@
             self.spawn(self._take_changes(digest.sender.address))
 
     def _relay_to_follow(self, now_s: float) -> str:
-        """Return the relay that is followed on, unless another has a fresher list."""
+        """Return the relay that is followed on, unless it is silent or its list old."""
+        ages = self._ages_by_relay(now_s)
+        if not ages:
+            return ""
+        _, told_s = self._digest_by_relay.get(self._followed, (None, -SILENT_RELAY_S))
+        silent = now_s - told_s >= SILENT_RELAY_S
+        if silent or ages.get(self._followed, STALE_S) >= STALE_S:
+            return min(ages, key=lambda address: (ages[address], address))
+        return self._followed
+
+    def _ages_by_relay(self, now_s: float) -> dict[str, float]:
+        """Return the age of the list of each relay that has told of it lately."""
         ages = {
             address: now_s - at_s + digest.list_age_s
             for address, (digest, at_s) in self._digest_by_relay.items()
             if now_s - at_s < STALE_S
         }
         self._digest_by_relay = {each: self._digest_by_relay[each] for each in ages}
-        if not ages:
-            return ""
-        freshest = min(ages, key=lambda address: (ages[address], address))
-        stale = ages.get(self._followed, STALE_S) >= STALE_S
-        return freshest if stale else self._followed
+        return ages
+
+    def relays_are_stale(self) -> bool:
+        """Return whether no relay of the domain has a fresh list."""
+        ages = self._ages_by_relay(time.monotonic())
+        return min(ages.values(), default=STALE_S) >= STALE_S
 
     async def _take_changes(self, address: str) -> None:
         try:
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -182,9 +182,8 @@
         return known[:MOST_ASKED] or list(self.settings.seed_addresses)
 
     def _reads_store(self) -> bool:
-        """Return whether to read the store: as a relay, or where no relay is heard."""
-        roster = self.roster
-        return roster.is_relay or not roster.heard_relays(self.settings.domain)
+        """Return whether to read the store: as a relay, or where no relay does."""
+        return self.roster.is_relay or self._following.relays_are_stale()
 
     def _heard_of_version(self, version: int, address: str) -> None:
         self._spawn(self._following.heard_of(version, address))
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -171,16 +171,20 @@
             return await self._refusal(call, path, reply)
         splitter = EventSplitter()
         pace: Pace | None = None
+        event_s = time.monotonic()
         while True:
             reading = asyncio.ensure_future(reply.read())
             patience_s = pace.patience_s if pace else FIRST_EVENT_PATIENCE_S
-            data = await self._patiently(call, path, reading, patience_s, pace is None)
+            data = await self._patiently(
+                call, path, reading, patience_s, pace is None, since_s=event_s
+            )
             if not data:
                 break
             events = splitter.feed(data)
             if events:
+                event_s = time.monotonic()
                 pace = pace or Pace()
-                pace.heard(time.monotonic())
+                pace.heard(event_s)
                 self._checks.progressed(path.engine_ids, time.monotonic())
                 await self._pass_on(call, path, reply, events, progress)
         if splitter.incomplete or not progress.begun:
@@ -232,11 +236,15 @@
         task: asyncio.Future[Got],
         patience_s: float,
         speeds: bool,
+        since_s: float | None = None,
     ) -> Got:
         """Wait for ``task``; ask the path's engines when it takes long.
 
         Parameters
         ----------
+        since_s
+            When the last whole event came, None to count from now. Bytes that complete
+            no event don't end a silence.
         speeds
             Whether they are asked for their speed too, if it isn't known.
 
@@ -245,7 +253,7 @@
         TimeoutError
             The silence is over its limit, or the caller's time is up.
         """
-        begun_s = time.monotonic()
+        begun_s = time.monotonic() if since_s is None else since_s
         check: asyncio.Future[list[str]] | None = None
         try:
             while True:
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -25,6 +25,8 @@
 """Time that an engine's own word that it leaves counts for; draining takes 2 s."""
 LIST_LAG_S = 0.8
 """Age of an entry when the list shows it, by the platform's own figure."""
+LEARNT_TOLD_S = 10.0
+"""Time for which what an engine has reported is told to peers: some forty reports."""
 MOST_DOUBLINGS = 4
 """Doublings after which that time is reached in any case."""
 FAILURE_WEIGHT = 0.2
@@ -243,10 +245,13 @@
 
     def layers_learnt(self) -> dict[str, LearntLayers]:
         """Return what engines reported to this instance and the list doesn't say."""
+        since_s = self._clock() - LEARNT_TOLD_S
         return {
             target_id: standing.learnt
             for target_id, standing in self._standing_by_id.items()
-            if standing.learnt is not None and standing.learnt.own
+            if standing.learnt is not None
+            and standing.learnt.own
+            and standing.learnt.at_s > since_s
         }
 
     def listed(self, service: str) -> list[Target]:
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -1,11 +1,12 @@
 """Following the store, and what is believed while it is away."""
 
 import asyncio
+import time
 
 import pytest
 from attrs import evolve
 from celeryfork_base.counters import Counters
-from celeryfork_entry.following import STALE_S, Following
+from celeryfork_entry.following import SILENT_RELAY_S, STALE_S, Following
 from celeryfork_entry.known import CHANGES_PATH
 from celeryfork_entry.peer_messages import RelayDigest
 from celeryfork_entry.ports import Peer, StoreUnavailableError
@@ -188,6 +189,34 @@
     assert table.by_id[TARGET.id].draining
 
 
+def test_a_follower_leaves_a_relay_that_falls_silent():
+    """Pattern: the followed relay dies, and an engine begins to leave right after."""
+    first, second, table = Relay(), Relay("10.0.0.3:7"), TargetTable()
+    following = follow_relays(first, second, table=table)
+    for relay in (first, second):
+        relay.table.apply([Listed(TARGET)])
+    hear(following, first, second)
+    assert following._followed == first.peer.address
+    heard_s = time.monotonic() - SILENT_RELAY_S
+    following._digest_by_relay[first.peer.address] = (first.digest(), heard_s)
+    second.table.apply([Listed(evolve(TARGET, draining=True, entry_number=1))])
+    hear(following, second)
+    assert table.by_id[TARGET.id].draining
+
+
+def test_the_store_is_read_where_no_relay_has_a_fresh_list():
+    """Pattern: the store turns away a third of the machines, all relays among them."""
+    one, other = Relay(), Relay("10.0.0.3:7")
+    following = follow_relays(one, other)
+    assert following.relays_are_stale(), "none is heard"
+    one.age_s = other.age_s = STALE_S
+    hear(following, one, other)
+    assert following.relays_are_stale()
+    other.age_s = 0.1
+    hear(following, other)
+    assert not following.relays_are_stale()
+
+
 def test_what_a_relay_says_of_the_lists_age_holds_for_its_followers():
     relay, table = Relay(), TargetTable()
     relay.old, relay.age_s = True, 0.5
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -4,6 +4,7 @@
 
 from attrs import evolve
 from celeryfork_entry.targets import (
+    LEARNT_TOLD_S,
     LEAVING_LIFE_S,
     LIST_LAG_S,
     LONGEST_HOLD_S,
@@ -282,9 +283,11 @@
     assert table.layers_learnt() == {}
 
 
-def test_only_own_reports_are_passed_on():
-    table = make_old_table()
+def test_only_own_reports_are_passed_on_and_for_a_while():
+    table, clock = table_at(100.0)
     table.learn_layers("t1", learnt(0, 4, 100.0, own=False))
     assert table.layers_learnt() == {}
     table.learn_layers("t1", learnt(4, 8, 101.0))
     assert table.layers_learnt() == {"t1": learnt(4, 8, 101.0)}
+    clock.now_s = 101.0 + LEARNT_TOLD_S
+    assert table.layers_learnt() == {}
