--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -229,13 +229,20 @@
         finally:
             self._taking_changes = False
         self._apply_changes(changes)
+        if address != self._followed:
+            self._log.info(
+                "relay_followed",
+                relay=address,
+                revision=changes.revision,
+                targets=len(self._table.by_id),
+                before=self._followed,
+            )
         self._followed, self._followed_revision = address, changes.revision
 
     def _apply_changes(self, changes: KnownChanges) -> None:
         self._counters.add("peers.changes_taken")
         if changes.whole:
             self._table.replace_all(changes.targets)
-            self._log.info("targets_taken", targets=len(changes.targets))
             return
         self._table.apply([Unlisted(target_id) for target_id in changes.gone])
         self._table.apply([Listed(target) for target in changes.targets])
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -97,6 +97,7 @@
     _callers: set[CallerConnection] = field(factory=set)
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
     _tasks: set[asyncio.Future[object]] = field(factory=set)
+    _relayed: bool = False
     _stop_asked: asyncio.Event = field(factory=asyncio.Event)
     _histograms: Histograms = field(factory=Histograms)
     roster: Roster = field(init=False)
@@ -309,6 +310,8 @@
         }
         gauges["callers.connections"] = float(len(self._callers))
         gauges["targets.connections_opened"] = float(self.connections.opened)
+        gauges["instances.known"] = float(self.roster.instances())
+        gauges["relay"] = float(self.roster.is_relay)
         gauges["duty.held"] = float(self._placement.duty.held)
         if self.configuration is not None:
             gauges["configuration.version"] = float(self.configuration.version)
@@ -413,6 +416,7 @@
             self.connections.close_idle(now_s)
             spare_until_s = self._following.spare_until_s
             self._peers.tell_changes()
+            self._note_role()
             if now_s >= spare_until_s and (gone := self.table.drop_lapsed()):
                 self.log.info("targets_lapsed", targets=gone)
             await asyncio.gather(
@@ -422,6 +426,18 @@
                 )
             )
 
+    def _note_role(self) -> None:
+        """Log when this instance begins or ceases to relay."""
+        if self.roster.is_relay != self._relayed:
+            self._relayed = self.roster.is_relay
+            relays = [p.address for p in self.roster.relays(self.settings.domain)]
+            self.log.info(
+                "relay_role",
+                relays=self._relayed,
+                others=relays,
+                instances=self.roster.instances(),
+            )
+
     async def _ask_again(self, target_id: str, service: str) -> None:
         known = self.configuration and self.configuration.services_by_name.get(service)
         if known and known.model is None:
