--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -1,7 +1,6 @@
 """An entry instance: listening, following the platform, and stopping."""
 
 import asyncio
-import contextlib
 import time
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +15,7 @@
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.call import CallParts
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
+from celeryfork_entry.candidacy import Candidacy
 from celeryfork_entry.configuration import CallerLimits, Configuration
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
@@ -25,14 +25,13 @@
 from celeryfork_entry.metrics import Histograms, metrics_text
 from celeryfork_entry.path_choice import PathChoice
 from celeryfork_entry.peer_loads import PeerLoads
-from celeryfork_entry.placement_duty import PlacementDuty, renew_duty
+from celeryfork_entry.placement_duty import PlacementDuty
 from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import (
     ConfigurationFeed,
     Dialect,
     DutyElection,
     Peer,
-    StoreUnavailableError,
     TargetFeed,
 )
 from celeryfork_entry.reach_checks import ReachChecks
@@ -43,16 +42,6 @@
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.targets import LearntLayers, TargetTable
 
-DUTY_INTERVAL_S = 1.0
-"""Pause between two renewals of the membership."""
-SETTLED_S = 1.5
-"""Time as a relay after which an instance offers to take the duty: at the start of a
-fleet many are relays for a moment, and one that leaves again holds the duty up."""
-INSTANCES_INTERVAL_S = 2.0
-"""Pause between two looks at the instances that the store names."""
-FIRST_LOOKS = 2
-"""Such looks after the start; machines start within 2 s of each other. Later ones only
-while no relay is heard."""
 MOST_ASKED = 6
 """Peers that are asked one after the other for the configuration."""
 HOUSEKEEPING_S = 0.25
@@ -104,6 +93,7 @@
     _following: Following = field(init=False)
     _checks: EngineChecks = field(init=False)
     _placement: PlacementDuty = field(init=False)
+    _candidacy: Candidacy = field(init=False)
     _peers: PeerLoads = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
 
@@ -154,6 +144,13 @@
             self.table, self.connections, self._dialect, self._checks, self.log,
             lambda: self.configuration,
         )  # fmt: skip
+        self._candidacy = Candidacy(
+            self._election,
+            self.roster,
+            self._placement,
+            self.log,
+            lambda: self.stopping,
+        )
         self._peers = PeerLoads(self.roster, self.loads, self.log)
         self._placement.stand_in = StandIn(
             self._peers, self._following.away_s, reach.cut_off
@@ -223,8 +220,8 @@
         for loop in (
             self._following.follow_configuration,
             self._following.follow_targets,
-            self._follow_instances,
-            self._follow_duty,
+            self._candidacy.follow_instances,
+            self._candidacy.follow_duty,
             self._keep_house,
         ):
             self._spawn(loop())
@@ -376,39 +373,6 @@
         except OSError as error:
             raise ListenError(self.settings.peer_address, error) from error
 
-    async def _follow_duty(self) -> None:
-        relay_since_s = None
-        while not self.stopping:
-            now_s = time.monotonic()
-            if not self.roster.is_relay:
-                relay_since_s = None
-            elif relay_since_s is None:
-                relay_since_s = now_s
-            settled = relay_since_s is not None and now_s - relay_since_s > SETTLED_S
-            if settled or self._placement.duty.held:
-                await renew_duty(self._election.renew, self._placement, self.log)
-                await asyncio.sleep(DUTY_INTERVAL_S)
-            else:
-                await asyncio.sleep(HOUSEKEEPING_S)
-
-    async def _follow_instances(self) -> None:
-        """Make this instance known, and learn of the others."""
-        announced, looks = False, 0
-        while not self.stopping:
-            try:
-                if not announced:
-                    await self._election.announce()
-                    announced = True
-                if looks < FIRST_LOOKS or self._is_alone():
-                    self.roster.listed(await self._election.peers())
-                    looks += 1
-            except StoreUnavailableError as error:
-                self.log.info("instances_not_read", reason=str(error))
-            await asyncio.sleep(INSTANCES_INTERVAL_S)
-
-    def _is_alone(self) -> bool:
-        return not self.roster.heard_relays(self.settings.domain)
-
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
@@ -450,9 +414,7 @@
         begun_s = time.monotonic()
         self.stopping = True
         self.log.info("stop_begins", connections=len(self._callers))
-        with contextlib.suppress(StoreUnavailableError, TimeoutError):
-            async with asyncio.timeout(1.0):
-                await self._election.resign()
+        await self._candidacy.resign()
         await asyncio.sleep(max(0.0, begun_s + ROTATION_S - time.monotonic()))
         server.close()
         for connection in list(self._callers):
--- a/libs/entry/src/celeryfork_entry/known.py
+++ b/libs/entry/src/celeryfork_entry/known.py
@@ -13,6 +13,7 @@
 from orjson import dumps, loads
 
 from celeryfork_entry.configuration import Configuration
+from celeryfork_entry.field_values import whole_number
 from celeryfork_entry.targets import Target
 
 KNOWN_PATH = "/known"
@@ -120,7 +121,7 @@
     try:
         fields = loads(message)
         return KnownChanges(
-            int(fields["revision"]),
+            whole_number(fields["revision"]),
             bool(fields["whole"]),
             tuple(_target(each) for each in fields["targets"]),
             tuple(str(each) for each in fields["gone"]),
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -9,6 +9,7 @@
 from celeryfork_routing.layers import LayerRange
 from orjson import dumps, loads
 
+from celeryfork_entry.field_values import address, whole_number
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.targets import LearntLayers
 
@@ -110,10 +111,10 @@
             return MemberReport(**common)
         return RelayDigest(
             **common,
-            revision=_whole(fields["revision"]),
+            revision=whole_number(fields["revision"]),
             list_age_s=float(fields["age"]),
             list_is_old=bool(fields["old"]),
-            counts={str(key): _whole(n) for key, n in fields["counts"].items()},
+            counts={str(key): whole_number(n) for key, n in fields["counts"].items()},
             away_loads={
                 str(domain): _decode_loads(rows)
                 for domain, rows in fields["away"].items()
@@ -142,14 +143,14 @@
     sender = Peer(
         str(fields["from"]),
         str(fields["domain"]),
-        _address(fields["at"]),
+        address(fields["at"]),
         float(fields["power"]),
     )
     fence = fields["fence"]
     return {
         "sender": sender,
-        "fence": None if fence is None else _whole(fence),
-        "version": _whole(fields["version"]),
+        "fence": None if fence is None else whole_number(fence),
+        "version": whole_number(fields["version"]),
         "loads": _decode_loads(fields["loads"]),
         "layers": {str(key): _learnt(row) for key, row in fields["layers"].items()},
         "down": [_down(row) for row in fields["down"]],
@@ -165,7 +166,7 @@
 
 def _decode_loads(rows: dict[str, Any]) -> dict[str, Load]:
     return {
-        str(engine_id): Load(_whole(requests), float(token_layers))
+        str(engine_id): Load(whole_number(requests), float(token_layers))
         for engine_id, (requests, token_layers) in rows.items()
     }
 
@@ -177,19 +178,6 @@
     raise ValueError(f"no engine that is down: {row!r}")
 
 
-def _whole(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{value!r} is no whole number")
-    return value
-
-
-def _address(value: Any) -> str:
-    host, _, port = str(value).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"{value!r} is no address")
-    return f"{host}:{port}"
-
-
 def _row(learnt: LearntLayers) -> list[int | None]:
     """Return what an engine holds, its start, and how long ago it said so in ms."""
     age_ms = round((time.monotonic() - learnt.at_s) * 1000)
