A start without the store takes the newest configuration of several peers

Cause: the first peer that answered was believed, also one that had been cut off; a key withdrawn meanwhile was in use again until the next digest.

--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 from attrs import define, field
 from celeryfork_base.counters import Counters
@@ -57,6 +57,8 @@
 """Silence of the relay that is followed at which another one is: two of its digests."""
 UNREAD_AGE_S = 3_600.0
 """Age that is told of a list that was never read."""
+PEERS_AT_ONCE = 4
+"""Peers that are asked at the same time at a start without the store."""
 PEER_TIMEOUT_S = 0.5
 """Wait for a peer's answer; it is a few round trips."""
 MOST_KNOWN_BYTES = 16 << 20
@@ -283,9 +285,12 @@
         return True
 
     async def _ask_anyone(self) -> None:
-        """Ask peers until one knows a configuration."""
-        for address in self.peers():
-            await self._ask(address, KNOWN_PATH)
+        """Ask peers, a few at a time, until one knows a configuration.
+
+        The newest of theirs counts: one alone may have been cut off for a while.
+        """
+        for addresses in _batched(self.peers(), PEERS_AT_ONCE):
+            await asyncio.gather(*(self._ask(each, KNOWN_PATH) for each in addresses))
             if self.configuration is not None:
                 return
 
@@ -315,3 +320,9 @@
             if reply.status != 200:
                 raise LostError(f"status {reply.status}")
             return body
+
+
+def _batched(addresses: Sequence[str], count: int) -> Iterator[Sequence[str]]:
+    """Yield the addresses in groups of ``count``, the last one maybe smaller."""
+    for first in range(0, len(addresses), count):
+        yield addresses[first : first + count]
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import pytest
 from attrs import evolve
 from celeryfork_base.counters import Counters
 from celeryfork_entry.following import SILENT_RELAY_S, STALE_S, Following
-from celeryfork_entry.known import CHANGES_PATH
+from celeryfork_entry.known import CHANGES_PATH, encode_known
 from celeryfork_entry.peer_messages import RelayDigest
 from celeryfork_entry.ports import Peer, StoreUnavailableError
 from celeryfork_entry.target_http import LostError, TargetConnections
@@ -267,3 +268,32 @@
     hear(following, relay)
     assert list(table.by_id) == [TARGET.id]
     assert not following._taking_changes
+
+
+class Decoding(Feed):
+    """Gives a configuration whose version is what is encoded."""
+
+    def decode(self, encoded):
+        return SimpleNamespace(version=int(encoded), encoded=encoded)
+
+
+def test_an_instance_that_starts_without_the_store_takes_the_newest_of_its_peers():
+    """Operators: after a restart, a withdrawn key was in use again."""
+    versions = {"10.0.0.2:7": b"5", "10.0.0.3:7": b"7", "10.0.0.4:7": b"6"}
+
+    async def question(address, path):
+        return encode_known(SimpleNamespace(encoded=versions[address]), [])
+
+    following = AskingFollowing(
+        Decoding(), Feed(), TargetTable(), TargetConnections(), Logger("test"),
+        Counters(), lambda: ["10.0.0.9:7", *versions],
+    )  # fmt: skip
+
+    async def answer_or_fail(address, path):
+        if address not in versions:
+            raise LostError("no answer")
+        return await question(address, path)
+
+    following.question = answer_or_fail
+    asyncio.run(following._ask_anyone())
+    assert following.version == 7
