Interim replies without end are given up; tests of bytes without end

Cause: an engine that sends 1xx replies for good kept a request until its deadline, parsing all the while; heads, bodies, chunks and trailers were bounded.

--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -17,6 +17,8 @@
 """Kept connections are given up this long before the other end would close them."""
 MOST_KEPT = 32
 """Unused connections kept for one address."""
+MOST_INTERIM_REPLIES = 8
+"""Replies of status 1xx before the final one; more are bytes without end."""
 MOST_HEADER_BYTES = 65_536
 """Largest head of a reply."""
 
@@ -152,7 +154,7 @@
             connection = await self._open(address, connect_timeout_s)
         try:
             await _write(connection, address, request)
-            while True:
+            for _ in range(MOST_INTERIM_REPLIES + 1):
                 event = await connection.next_event()
                 if isinstance(event, h11.Response):
                     return Reply(
@@ -160,6 +162,7 @@
                     )
                 if not isinstance(event, h11.InformationalResponse):
                     raise LostError("the connection ended before a reply")
+            raise LostError(f"over {MOST_INTERIM_REPLIES} interim replies")
         except BaseException:
             connection.stream.abort()
             raise
--- /dev/null
+++ b/libs/entry/tests/test_target_http.py
@@ -0,0 +1,87 @@
+"""Replies that never end: bounded, and their connections closed."""
+
+import asyncio
+
+import pytest
+from celeryfork_entry.target_http import (
+    LostError,
+    OutgoingRequest,
+    TargetConnections,
+)
+
+MOST_BODY_BYTES = 1 << 20
+MOST_SENT_BYTES = 8 << 20
+"""Bounds what an engine can get rid of: limits, and the buffers of both kernels."""
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class EndlessEngine:
+    """Sends a beginning, then the same bytes again until the caller closes."""
+
+    def __init__(self, beginning, repeated):
+        self.beginning, self.repeated = beginning, repeated
+        self.sent = 0
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.beginning)
+        try:
+            while True:
+                writer.write(self.repeated)
+                self.sent += len(self.repeated)
+                await writer.drain()
+        except ConnectionError:
+            self.closed.set()
+        finally:
+            writer.close()
+
+    async def ask(self, connections):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        try:
+            reply = await connections.send(
+                f"{host}:{port}", OutgoingRequest("GET", "/")
+            )
+            try:
+                await reply.read_all(MOST_BODY_BYTES)
+            finally:
+                reply.drop()
+        finally:
+            await asyncio.wait_for(self.closed.wait(), 5)
+            server.close()
+
+
+@pytest.mark.parametrize(
+    ("beginning", "repeated"),
+    [
+        (b"", b"x" * 4096),
+        (b"HTTP/1.1 200 ", b"O" * 4096),
+        (HEAD, b"X-Filler: " + b"y" * 4096 + b"\r\n"),
+        (HEAD + b"X-Filler: ", b"y" * 4096),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+        (HEAD + b"\r\n", b"z" * 4096),
+        (HEAD + b"Content-Length: 999999999999\r\n\r\n", b"z" * 4096),
+        (CHUNKED, b"1000\r\n" + b"z" * 4096 + b"\r\n"),
+        (CHUNKED, b"0" * 4096),
+        (CHUNKED + b"1;", b"e" * 4096),
+        (CHUNKED + b"0\r\n", b"X-Filler: " + b"y" * 4096 + b"\r\n"),
+    ],
+    ids=[
+        "no-head", "status", "headers", "one-header", "interim", "body-to-the-end",
+        "declared", "chunks", "chunk-size", "chunk-extension", "trailers",
+    ],
+)  # fmt: skip
+def test_bytes_without_end_are_given_up(beginning, repeated):
+    """Users: bytes that are no answer may come without end, in a head or a body."""
+
+    async def ask():
+        engine, connections = EndlessEngine(beginning, repeated), TargetConnections()
+        with pytest.raises(LostError):
+            await asyncio.wait_for(engine.ask(connections), 10)
+        return engine, connections
+
+    engine, connections = asyncio.run(ask())
+    assert engine.sent <= MOST_SENT_BYTES
+    assert not connections._kept_by_address
