One relay of a domain tells the sums of work; candidates settle in 0.8 s

The next in rank tells them once the first is silent for 1 s.

Test of the follower with one relay left: it now lets the time pass after which relays count as silent; the sums come from the one that leads.

--- a/libs/entry/src/celeryfork_entry/candidacy.py
+++ b/libs/entry/src/celeryfork_entry/candidacy.py
@@ -16,7 +16,7 @@
 """Pause between two renewals of the candidacy."""
 ROLE_LOOK_S = 0.25
 """Pause between two looks whether this instance has become a relay."""
-SETTLED_S = 1.5
+SETTLED_S = 0.8
 """Time as a relay after which an instance offers to take the duty: at the start of a
 fleet many are relays for a moment, and one that leaves again holds the duty up."""
 INSTANCES_INTERVAL_S = 2.0
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -1,8 +1,8 @@
 """Work in flight, news of engines, and what the store says, told between instances.
 
-Each instance reports to the relays of its domain; a relay tells the sum to its domain
-and to the relays of other domains (see :mod:`celeryfork_entry.roster`). Datagrams: a
-lost one is replaced by the next within a quarter of a second.
+Each instance reports to the relays of its domain (see :mod:`celeryfork_entry.roster`).
+They tell it and the relays of other domains what they know; the one that leads tells
+the sum of the work too. Datagrams: a lost one is replaced within a quarter of a second.
 """
 
 import asyncio
@@ -142,7 +142,7 @@
         if report.sender.domain != self.domain:
             return
         self.roster.asked_to_relay()
-        self._loads.hear(report.sender.name, report.loads, time.monotonic())
+        self._loads.hear(report.sender.name, report.loads or {}, time.monotonic())
         self._learnt_by_member.update(report.layers)
         self._pass_on(report.down, to_away=True)
 
@@ -151,11 +151,12 @@
         for each, count in digest.counts.items():
             self.roster.counted(each, count)
         if domain != self.domain:
-            self._hear_sum(domain, digest.loads)
+            if digest.loads is not None:
+                self._hear_sum(domain, digest.loads)
             self._pass_on(digest.down, to_away=False)
             return
         self.on_digest(digest)
-        if not self.roster.is_relay:
+        if digest.loads is not None and not self.roster.is_relay:
             # A relay counts each member's report by itself, and its own work beside.
             self._hear_sum(domain, less(digest.loads, self._loads.own()))
         for each, load_by_engine in digest.away_loads.items():
@@ -236,11 +237,11 @@
             away = {
                 domain: self._loads.reported({_sum_key(domain)}, now_s)
                 for domain in others
-                if to_away
+                if to_away and digest.loads is not None
             }
             self._send(encode_digest(evolve(digest, away_loads=away)), followers)
         if relays:
-            quiet = evolve(digest, loads={}, layers={})
+            quiet = evolve(digest, loads=None, layers={})
             self._send(encode_digest(quiet), self.roster.relays(self.domain))
         if to_away:
             counts = {self.domain: self.roster.count()}
@@ -260,10 +261,6 @@
 
     def _digest(self, down: Iterable[DownEngine], now_s: float) -> RelayDigest:
         revision, list_age_s, list_is_old = self.list_state()
-        members = {peer.name for peer in self.roster.members()}
-        loads = EngineLoads()
-        loads.hear("members", self._loads.reported(members, now_s), now_s)
-        loads.hear("own", self._loads.own(), now_s)
         layers = {
             engine_id: learnt
             for engine_id, learnt in self._learnt_by_member.items()
@@ -274,7 +271,7 @@
             self.roster.own,
             self.fence(),
             self.version(),
-            loads.total(now_s),
+            self._sum(now_s) if self.roster.leads() else None,
             layers | dict(self.layers()),
             tuple(down),
             revision=revision,
@@ -284,6 +281,14 @@
             away_loads={},
         )
 
+    def _sum(self, now_s: float) -> dict[str, Load]:
+        """Return the work of all instances of the domain."""
+        members = {peer.name for peer in self.roster.members()}
+        loads = EngineLoads()
+        loads.hear("members", self._loads.reported(members, now_s), now_s)
+        loads.hear("own", self._loads.own(), now_s)
+        return loads.total(now_s)
+
     def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
         if self._transport is None:
             return
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -30,7 +30,8 @@
     version
         Of its configuration, -1 for none.
     loads
-        A member's own work by engine; a relay's sum over its domain.
+        A member's own work by engine; the sum over its domain of the relay that leads
+        there, None of the others.
     layers
         What engines reported and the list doesn't say, by engine.
     down
@@ -40,7 +41,7 @@
     sender: Peer
     fence: int | None
     version: int
-    loads: Mapping[str, Load]
+    loads: Mapping[str, Load] | None
     layers: Mapping[str, LearntLayers]
     down: Sequence[DownEngine]
 
@@ -134,7 +135,7 @@
         "fence": message.fence,
         "version": message.version,
         "layers": {key: _row(learnt) for key, learnt in message.layers.items()},
-        "loads": _load_rows(message.loads),
+        "loads": None if message.loads is None else _load_rows(message.loads),
         "down": message.down,
     }
 
@@ -151,7 +152,7 @@
         "sender": sender,
         "fence": None if fence is None else whole_number(fence),
         "version": whole_number(fields["version"]),
-        "loads": _decode_loads(fields["loads"]),
+        "loads": None if fields["loads"] is None else _decode_loads(fields["loads"]),
         "layers": {str(key): _learnt(row) for key, row in fields["layers"].items()},
         "down": [_down(row) for row in fields["down"]],
     }
--- a/libs/entry/src/celeryfork_entry/roster.py
+++ b/libs/entry/src/celeryfork_entry/roster.py
@@ -121,6 +121,11 @@
             if self._is_heard(self._by_address[peer.address], now_s)
         ]
 
+    def leads(self) -> bool:
+        """Return whether this instance ranks before the relays heard in its domain."""
+        others = self.heard_relays(self.own.domain)
+        return self.is_relay and all(_rank(self.own) < _rank(each) for each in others)
+
     def members(self) -> list[Peer]:
         """Return the other instances of this one's domain that may live."""
         return [peer for peer in self.peers() if peer.domain == self.own.domain]
@@ -176,7 +181,7 @@
         ]
         if domain == self.own.domain:
             peers.append(self.own)
-        return sorted(peers, key=lambda peer: (-peer.power, peer.address))
+        return sorted(peers, key=_rank)
 
     def _may_relay(self, entry: _Entry, now_s: float) -> bool:
         if entry.tried_s is None:
@@ -195,3 +200,8 @@
     def _patience_s(self, entry: _Entry) -> float:
         near = entry.peer.domain == self.own.domain
         return SILENT_S if near else SILENT_AWAY_S
+
+
+def _rank(peer: Peer) -> tuple[float, str]:
+    """Return a key that is lower for those that relay first."""
+    return -peer.power, peer.address
--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -6,7 +6,7 @@
 import pytest
 from celeryfork_entry.peer_loads import IDLE_REPORTS, REPORTS_TO_AWAY, PeerLoads
 from celeryfork_entry.ports import Peer
-from celeryfork_entry.roster import RELAYS, Roster
+from celeryfork_entry.roster import RELAYS, SILENT_AWAY_S, Roster
 from celeryfork_entry.targets import LearntLayers, Target
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Load, Part
 from celeryfork_routing.layers import LayerRange
@@ -49,6 +49,14 @@
                 if each.roster.own.name not in self.cut:
                     each._report()
 
+    def silence(self, *names):
+        """Cut instances off, and let the time pass after which that is noticed."""
+        self.cut = set(names)
+        for instance in self.by_address.values():
+            for entry in instance.roster._by_address.values():
+                if entry.peer.name in names and entry.heard_s is not None:
+                    entry.heard_s -= SILENT_AWAY_S
+
     def counts(self):
         return {name: len(sent) for name, sent in self.sent_by_name.items()}
 
@@ -116,12 +124,35 @@
 def test_a_follower_goes_on_while_one_relay_is_left():
     network = Network()
     network.report(REPORTS_TO_AWAY)
-    network.cut = {"west-1", "west-2"}
+    network.silence("west-1", "west-2")
     begin(network["west-8"], "i-1")
     network.report(2)
     assert total(network["west-7"], "i-1") == Load(1, 40)
 
 
+def test_one_relay_tells_the_sums_and_the_next_when_it_falls_silent():
+    """Pattern: three relays told the same sums of 40 engines four times a second."""
+    network = Network()
+    for each in network.by_address.values():
+        begin(each, "i-1")
+    network.report(REPORTS_TO_AWAY)
+
+    def tellers():
+        network.sent_by_name.clear()
+        network.report(REPORTS_TO_AWAY)
+        follower = network["west-8"].roster.own.address.partition(":")[0]
+        return {
+            name
+            for name, sent in network.sent_by_name.items()
+            if any(to == follower and loads(data)["loads"] for to, data in sent)
+        }
+
+    assert tellers() == {"west-1"}
+    network.silence("west-1")
+    assert tellers() == {"west-2"}
+    assert total(network["west-8"], "i-1").requests >= 15
+
+
 def test_an_idle_instance_says_little():
     network = Network()
     network.report(8)
