A follower never goes back to the silent relay; the relayed list is a module

Cause: of the relays the one with the freshest list was chosen, which a silent one can be for as long as the others' lists are quiet (2 s); the test now has such a list, and failed before.

--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -15,11 +15,8 @@
 
 from celeryfork_entry.configuration import Configuration
 from celeryfork_entry.known import (
-    CHANGES_PATH,
     CONFIGURATION_PATH,
     KNOWN_PATH,
-    KnownChanges,
-    decode_changes,
     decode_known,
     encode_changes,
     encode_known,
@@ -30,13 +27,14 @@
     StoreUnavailableError,
     TargetFeed,
 )
+from celeryfork_entry.relayed_list import RelayedList
 from celeryfork_entry.target_http import (
     LostError,
     NotSentError,
     OutgoingRequest,
     TargetConnections,
 )
-from celeryfork_entry.targets import Listed, TargetTable, Unlisted
+from celeryfork_entry.targets import TargetTable
 
 LIST_PAUSE_S = 0.6
 """Pause between two readings of the list, so that its changes come together.
@@ -50,11 +48,6 @@
 """Time after the store's return in which entries that lapsed may come back."""
 FOLLOWER_LOOK_S = 0.2
 """Pause of a follower between two looks whether it has to read the store itself."""
-STALE_S = 2.6
-"""Age of a relay's list at which another relay, or else the store, is asked; a relay
-reads at least each 2 s."""
-SILENT_RELAY_S = 0.6
-"""Silence of the relay that is followed at which another one is: two of its digests."""
 UNREAD_AGE_S = 3_600.0
 """Age that is told of a list that was never read."""
 PEERS_AT_ONCE = 4
@@ -97,10 +90,17 @@
     on_change: Callable[[], None] = lambda: None
     _asking: bool = False
     _encoded: tuple[int, bytes] = (-1, b"")
-    _followed: str = ""
-    _followed_revision: int = -1
-    _taking_changes: bool = False
-    _digest_by_relay: dict[str, tuple[RelayDigest, float]] = field(factory=dict)
+    _relayed: RelayedList = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Follow relays over the same table."""
+        self._relayed = RelayedList(
+            self._table,
+            self._log,
+            self._counters,
+            lambda address, path: self._question(address, path),
+            self.spawn,
+        )
 
     @property
     def version(self) -> int:
@@ -111,6 +111,7 @@
         """Take each new configuration, for good."""
         while True:
             if self.configuration is not None and not self.reads_store():
+                self.store_away.discard("configuration")
                 await asyncio.sleep(FOLLOWER_LOOK_S)
                 continue
             try:
@@ -134,7 +135,7 @@
                 await self._store_failed("targets", error)
                 continue
             now_s = self.list_read_s = time.monotonic()
-            self._followed = ""
+            self._relayed.left()
             if self._store_answered("targets"):
                 self.spare_until_s = now_s + LAPSE_S
             spare = self._table.list_is_old = now_s < self.spare_until_s
@@ -179,75 +180,19 @@
 
     def heard_digest(self, digest: RelayDigest) -> None:
         """Take what a relay of this domain says of its list, unless the store does."""
-        now_s = time.monotonic()
-        self._digest_by_relay[digest.sender.address] = (digest, now_s)
+        self._relayed.heard(digest)
         if self.reads_store() and "targets" not in self.store_away:
             return
-        if digest.sender.address != self._relay_to_follow(now_s):
+        if not self._relayed.is_to_follow(digest):
             return
-        self.list_read_s = max(self.list_read_s, now_s - digest.list_age_s)
+        read_s = time.monotonic() - digest.list_age_s
+        self.list_read_s = max(self.list_read_s, read_s)
         self._table.list_is_old = digest.list_is_old
-        state = (digest.sender.address, digest.revision)
-        followed = (self._followed, self._followed_revision)
-        if state != followed and not self._taking_changes:
-            self._taking_changes = True
-            self.spawn(self._take_changes(digest.sender.address))
-
-    def _relay_to_follow(self, now_s: float) -> str:
-        """Return the relay that is followed on, unless it is silent or its list old."""
-        ages = self._ages_by_relay(now_s)
-        if not ages:
-            return ""
-        _, told_s = self._digest_by_relay.get(self._followed, (None, -SILENT_RELAY_S))
-        silent = now_s - told_s >= SILENT_RELAY_S
-        if silent or ages.get(self._followed, STALE_S) >= STALE_S:
-            return min(ages, key=lambda address: (ages[address], address))
-        return self._followed
-
-    def _ages_by_relay(self, now_s: float) -> dict[str, float]:
-        """Return the age of the list of each relay that has told of it lately."""
-        ages = {
-            address: now_s - at_s + digest.list_age_s
-            for address, (digest, at_s) in self._digest_by_relay.items()
-            if now_s - at_s < STALE_S
-        }
-        self._digest_by_relay = {each: self._digest_by_relay[each] for each in ages}
-        return ages
+        self._relayed.take(digest)
 
     def relays_are_stale(self) -> bool:
         """Return whether no relay of the domain has a fresh list."""
-        ages = self._ages_by_relay(time.monotonic())
-        return min(ages.values(), default=STALE_S) >= STALE_S
-
-    async def _take_changes(self, address: str) -> None:
-        try:
-            known_here = self._followed_revision if address == self._followed else -1
-            path = f"{CHANGES_PATH}{known_here}"
-            changes = decode_changes(await self._question(address, path))
-        except (NotSentError, LostError, TimeoutError, ValueError) as error:
-            self._counters.add("peers.unanswered")
-            self._log.info("peer_unanswered", peer=address, reason=repr(error))
-            return
-        finally:
-            self._taking_changes = False
-        self._apply_changes(changes)
-        if address != self._followed:
-            self._log.info(
-                "relay_followed",
-                relay=address,
-                revision=changes.revision,
-                targets=len(self._table.by_id),
-                before=self._followed,
-            )
-        self._followed, self._followed_revision = address, changes.revision
-
-    def _apply_changes(self, changes: KnownChanges) -> None:
-        self._counters.add("peers.changes_taken")
-        if changes.whole:
-            self._table.replace_all(changes.targets)
-            return
-        self._table.apply([Unlisted(target_id) for target_id in changes.gone])
-        self._table.apply([Listed(target) for target in changes.targets])
+        return self._relayed.is_stale()
 
     async def heard_of(self, version: int, address: str) -> None:
         """Ask a peer that has a newer configuration; the store may be slower."""
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -7,10 +7,11 @@
 import pytest
 from attrs import evolve
 from celeryfork_base.counters import Counters
-from celeryfork_entry.following import SILENT_RELAY_S, STALE_S, Following
+from celeryfork_entry.following import Following
 from celeryfork_entry.known import CHANGES_PATH, encode_known
 from celeryfork_entry.peer_messages import RelayDigest
 from celeryfork_entry.ports import Peer, StoreUnavailableError
+from celeryfork_entry.relayed_list import SILENT_RELAY_S, STALE_S
 from celeryfork_entry.target_http import LostError, TargetConnections
 from celeryfork_entry.targets import Listed, Target, TargetTable, Unlisted
 from logbook import Logger
@@ -197,9 +198,10 @@
     for relay in (first, second):
         relay.table.apply([Listed(TARGET)])
     hear(following, first, second)
-    assert following._followed == first.peer.address
+    assert following._relayed.followed == first.peer.address
+    second.age_s = 1.5
     heard_s = time.monotonic() - SILENT_RELAY_S
-    following._digest_by_relay[first.peer.address] = (first.digest(), heard_s)
+    following._relayed._digest_by_relay[first.peer.address] = (first.digest(), heard_s)
     second.table.apply([Listed(evolve(TARGET, draining=True, entry_number=1))])
     hear(following, second)
     assert table.by_id[TARGET.id].draining
@@ -267,7 +269,7 @@
     following.question = question
     hear(following, relay)
     assert list(table.by_id) == [TARGET.id]
-    assert not following._taking_changes
+    assert not following._relayed._taking
 
 
 class Decoding(Feed):
