--- a/libs/entry/tests/test_placement_duty.py
+++ b/libs/entry/tests/test_placement_duty.py
@@ -6,6 +6,7 @@
 import pytest
 from attrs import evolve
 from celeryfork_entry import placement_duty
+from celeryfork_entry.engine_checks import ANSWER_TIMEOUT_S
 from celeryfork_entry.placement_duty import PlacementDuty
 from celeryfork_entry.ports import Duty, EngineReport
 from celeryfork_entry.targets import Listed, Target, TargetTable
@@ -100,6 +101,28 @@
     assert "order_withheld" in fleet.events
 
 
+def test_a_holder_asks_a_few_engines_at_a_time_and_has_patience():
+    """Pattern: 26 engines asked at once by a weak machine, 20 silent within 50 ms."""
+    fleet = Fleet(*(engine(f"x{number}") for number in range(98)))
+    at_once, timeouts = [], []
+    running = 0
+
+    async def ask(target_id, timeout_s=ANSWER_TIMEOUT_S):
+        nonlocal running
+        running += 1
+        at_once.append(running)
+        timeouts.append(timeout_s)
+        await asyncio.sleep(0)
+        running -= 1
+        return REPORT
+
+    fleet.ask = ask
+    fleet.round()
+    assert len(fleet.orders) == 98
+    assert max(at_once) <= 16
+    assert min(timeouts) > 4 * ANSWER_TIMEOUT_S
+
+
 def test_an_engine_that_refuses_an_order_may_be_ordered_again():
     fleet = Fleet(engine("x"))
     fleet.status = 409
--- /dev/null
+++ b/tests/adapter/test_election.py
@@ -0,0 +1,77 @@
+"""The instances that the store names, and the power that each tells of itself."""
+
+import asyncio
+
+import pytest
+from celeryfork_adapter.election import INSTANCES_TOPIC, StoreElection
+from celeryfork_adapter.settings import decode_settings
+from celeryfork_adapter.store import KeyedRecord
+from celeryfork_entry.ports import Peer
+from logbook import Logger
+
+FIELDS = {
+    "nodeName": "front-1",
+    "zone": "west",
+    "ip": "10.1.0.40",
+    "listen": {"front": "10.1.0.40:80", "ready": "10.1.0.40:81"},
+    "portRange": [7340, 7355],
+    "bounds": {
+        "graceS": 8, "retryBudget": 0.2, "retrySlack": 198, "retryWindowS": 10,
+    },
+    "platform": {"addr": "10.200.1.7:80"},
+}  # fmt: skip
+
+
+class Store:
+    """Keeps the newest record of each key."""
+
+    def __init__(self):
+        self.value_by_key = {}
+
+    async def append_keyed(self, topic, key, value):
+        assert topic == INSTANCES_TOPIC
+        self.value_by_key[key] = value
+
+    async def newest(self, topic):
+        assert topic == INSTANCES_TOPIC
+        records = [KeyedRecord(*item) for item in self.value_by_key.items()]
+        return records, len(records)
+
+
+def election(store, **fields):
+    return StoreElection(store, decode_settings(FIELDS | fields), Logger("test"))
+
+
+def test_an_instance_is_known_by_its_newest_record():
+    store = Store()
+    asyncio.run(election(store).announce())
+    moved = {"ip": "10.1.0.41", "limits": {"cpuShare": 0.717, "cores": 3}}
+    asyncio.run(election(store, **moved).announce())
+    (peer,) = asyncio.run(election(store, nodeName="front-2").peers())
+    assert peer == Peer("front-1", "west", "10.1.0.41:7340", pytest.approx(2.151))
+
+
+def test_an_instance_is_no_peer_of_its_own():
+    store = Store()
+    asyncio.run(election(store).announce())
+    assert asyncio.run(election(store).peers()) == []
+
+
+@pytest.mark.parametrize(
+    "value",
+    [None, b"", b"{", b"[]", b"{}", b'{"domain": "w", "address": "a:1"}', b"\xff",
+     b'{"domain": "w", "address": "a:1", "power": "x"}'],
+)  # fmt: skip
+def test_a_record_that_is_none_is_left_out(value):
+    store = Store()
+    asyncio.run(election(store).announce())
+    store.value_by_key["front-9"] = value
+    peers = asyncio.run(election(store, nodeName="front-2").peers())
+    assert [peer.name for peer in peers] == ["front-1"]
+
+
+@pytest.mark.parametrize(
+    "limits", [None, {}, {"cpuShare": 0.5}, {"cpuShare": "a", "cores": 1}]
+)
+def test_a_machine_whose_power_is_not_told_counts_as_one_core(limits):
+    assert decode_settings(FIELDS | {"limits": limits}).power == 1.0
