--- a/libs/entry/tests/test_target_http.py
+++ b/libs/entry/tests/test_target_http.py
@@ -85,3 +85,49 @@
     engine, connections = asyncio.run(ask())
     assert engine.sent <= MOST_SENT_BYTES
     assert not connections._kept_by_address
+
+
+class RepeatingEngine:
+    """Sends each answer a second time, after its connection has come to rest."""
+
+    def __init__(self, pause_s):
+        self.pause_s = pause_s
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        while True:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            body = f"answer {number}".encode()
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            writer.write(answer)
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+            writer.write(answer)
+        writer.close()
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+def test_a_second_copy_of_an_answer_reaches_nobody(pause_s):
+    """Operators: a late copy, on a connection in use again, was another's answer."""
+
+    async def ask_three_times():
+        engine, connections = RepeatingEngine(pause_s), TargetConnections()
+        server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        bodies = []
+        for _ in range(3):
+            request = OutgoingRequest("GET", "/")
+            reply = await connections.send(f"{host}:{port}", request)
+            bodies.append(await reply.read_all(1000))
+            await asyncio.sleep(2 * pause_s + 0.01)
+        connections.forget(f"{host}:{port}")
+        server.close()
+        return bodies
+
+    bodies = asyncio.run(ask_three_times())
+    assert bodies == [b"answer 1", b"answer 2", b"answer 3"]
