--- a/libs/entry/tests/test_target_http.py
+++ b/libs/entry/tests/test_target_http.py
@@ -1,6 +1,8 @@
 """Replies that never end: bounded, and their connections closed."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 from celeryfork_entry.target_http import (
@@ -131,3 +133,39 @@
 
     bodies = asyncio.run(ask_three_times())
     assert bodies == [b"answer 1", b"answer 2", b"answer 3"]
+
+
+class ResettingEngine(asyncio.Protocol):
+    """Sends part of a body that has no length, and resets the connection."""
+
+    def connection_made(self, transport):
+        self.transport = transport
+        linger = struct.pack("ii", 1, 0)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    def data_received(self, data):
+        self.transport.write(HEAD + b"\r\n" + b"part of an answer")
+        self.transport.abort()
+
+
+def test_a_body_without_length_that_is_reset_is_not_complete():
+    """Pattern: troskgille-hosting-grown fresh-79c6, second 20.8: a target crashes.
+
+    libuv tells the end of the stream where the reset comes together with bytes.
+    """
+
+    async def ask():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(ResettingEngine, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        connections = TargetConnections()
+        for _ in range(20):
+            with pytest.raises(LostError):
+                reply = await connections.send(
+                    f"{host}:{port}", OutgoingRequest("GET", "/")
+                )
+                await reply.read_all(1000)
+        server.close()
+
+    asyncio.run(ask())
