--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -176,8 +176,8 @@
     def _peer_addresses(self) -> list[str]:
         """Return where peers may be asked: those known, else those of the settings."""
         relays = self.roster.relays(self.settings.domain)
-        known = [peer.address for peer in [*relays, *self.roster.peers()]]
-        return known[:MOST_ASKED] or list(self.settings.seed_addresses)
+        known = dict.fromkeys(each.address for each in [*relays, *self.roster.peers()])
+        return list(known)[:MOST_ASKED] or list(self.settings.seed_addresses)
 
     def _reads_store(self) -> bool:
         """Return whether to read the store: as a relay, or where no relay does."""
