--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -138,8 +138,8 @@
     ) -> float:
         """Return what a path that leaves the caller's domain costs at least, in ms.
 
-        Without load, over all engines of other domains; found once a change of the
-        list, so that a choice mostly looks at one domain.
+        By the quickest path over idle engines of other domains, which is found anew only
+        when the list changes; so most choices look at one domain.
         """
         usual = PathRequest(
             max(1.0, shape.usual_prompt), max(1.0, shape.usual_answer), request.domain
@@ -154,6 +154,8 @@
             path = find_path(shape, elsewhere, {}, usual)
             idle_ms = path.predicted_ms - AWAY_FROM_CALLER_MS if path else inf
             self._idle_ms_by_service[service] = idle_ms
+        if idle_ms == inf:
+            return CROSSING_MS
         size = min(request.prompt / usual.prompt, request.answer / usual.answer)
         return min(CROSSING_MS, AWAY_FROM_CALLER_MS + SIZE_MARGIN * size * idle_ms)
 
