--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -138,8 +138,8 @@
     ) -> float:
         """Return what a path that leaves the caller's domain costs at least, in ms.
 
-        By the quickest path over idle engines of other domains, which is found anew only
-        when the list changes; so most choices look at one domain.
+        By the quickest path over idle engines of other domains, which is found anew
+        only when the list changes; so most choices look at one domain.
         """
         usual = PathRequest(
             max(1.0, shape.usual_prompt), max(1.0, shape.usual_answer), request.domain
