--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -43,7 +43,8 @@
 from celeryfork_entry.targets import LearntLayers, TargetTable
 
 MOST_ASKED = 6
-"""Peers that are asked one after the other for the configuration."""
+"""Most peers that are asked for the configuration in one go."""
+MOST_REVISION_DIGITS = 18
 HOUSEKEEPING_S = 0.25
 """Pause between two looks at targets out of choice and at unused connections."""
 ROTATION_S = 2.3
@@ -429,7 +430,8 @@
 def _revision(path: str) -> int:
     """Return the revision that a follower names, -1 where it names none."""
     text = path.removeprefix(CHANGES_PATH)
-    return int(text) if text.isdecimal() else -1
+    readable = text.isdecimal() and len(text) <= MOST_REVISION_DIGITS
+    return int(text) if readable else -1
 
 
 def _where(error: BaseException) -> str:
