An instance that knows few others takes the relays' sums; checks that could not fail

Cause, found by putting back a test that the relays had replaced by a weaker one: an instance that the store turns away at its start, and that knows one peer, took itself for a relay and left the sums of work out, though nobody reported to it. It now takes them unless others report to it.

Put back: a version is told while nothing is in flight, an unlisted instance is told on.

--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -4,25 +4,23 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from attrs import asdict, define, field
+from attrs import define, field
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import CeleryforkError
 from celeryfork_routing.engine_loads import EngineLoads
 from logbook import Logger
-from orjson import OPT_NON_STR_KEYS, dumps
 
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.call import CallParts
-from celeryfork_entry.caller_http import CallerConnection, CallerRequest
+from celeryfork_entry.caller_http import CallerConnection
 from celeryfork_entry.candidacy import Candidacy
 from celeryfork_entry.configuration import CallerLimits, Configuration
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.following import Following
-from celeryfork_entry.known import CHANGES_PATH, CONFIGURATION_PATH, KNOWN_PATH
 from celeryfork_entry.leaving_checks import LeavingChecks
-from celeryfork_entry.metrics import Histograms, metrics_text
+from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.path_choice import PathChoice
 from celeryfork_entry.peer_loads import PeerLoads
 from celeryfork_entry.placement_duty import PlacementDuty
@@ -34,6 +32,7 @@
     Peer,
     TargetFeed,
 )
+from celeryfork_entry.questions import Questions
 from celeryfork_entry.reach_checks import ReachChecks
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.settings import EntrySettings
@@ -44,7 +43,6 @@
 
 MOST_ASKED = 6
 """Most peers that are asked for the configuration in one go."""
-MOST_REVISION_DIGITS = 18
 HOUSEKEEPING_S = 0.25
 """Pause between two looks at targets out of choice and at unused connections."""
 ROTATION_S = 2.3
@@ -55,7 +53,6 @@
     header_bytes=65_536, body_bytes=4 << 20, header_timeout_s=5.0, idle_timeout_s=15.0
 )
 """Limits before the first configuration; requests are refused then."""
-JSON_HEADERS = [("Content-Type", "application/json")]
 ACCEPT_BACKLOG = 1024
 
 
@@ -97,6 +94,7 @@
     _candidacy: Candidacy = field(init=False)
     _peers: PeerLoads = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
+    _questions: Questions = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
@@ -163,6 +161,12 @@
         self._peers.on_fence = self._placement.heard_of
         self._peers.version = lambda: self._following.version
         self._peers.on_version = self._heard_of_version
+        self._questions = Questions(
+            self._following, self._placement, self.table, self.connections,
+            self.loads, self.roster, self.counters, self._histograms,
+            ready=lambda: self.ready, stopping=lambda: self.stopping,
+            callers=lambda: len(self._callers),
+        )  # fmt: skip
         self._following.on_change = self._peers.tell_changes
         self._peers.list_state = self._following.list_state
         self._peers.on_digest = self._following.heard_digest
@@ -277,71 +281,9 @@
 
     async def _serve_question(self, stream: ByteStream) -> None:
         await CallerConnection(
-            stream, lambda: FIRST_LIMITS, self._answer_question, lambda: self.stopping
+            stream, lambda: FIRST_LIMITS, self._questions.answer, lambda: self.stopping
         ).serve()
 
-    async def _answer_question(
-        self, connection: CallerConnection, request: CallerRequest
-    ) -> None:
-        match request.target:
-            case "/metrics":
-                text = [("Content-Type", "text/plain")]
-                await connection.answer(200, text, self._metrics())
-            case str(path) if path == KNOWN_PATH:
-                await connection.answer(200, JSON_HEADERS, self._following.known())
-            case str(path) if path == CONFIGURATION_PATH:
-                body = self._following.known_configuration()
-                await connection.answer(200, JSON_HEADERS, body)
-            case str(path) if path.startswith(CHANGES_PATH):
-                body = self._following.changes_since(_revision(path))
-                await connection.answer(200, JSON_HEADERS, body)
-            case "/dump":
-                data = dumps(self.dump(), option=OPT_NON_STR_KEYS)
-                await connection.answer(200, JSON_HEADERS, data)
-            case _:
-                await connection.answer(200 if self.ready else 503, (), b"")
-
-    def _metrics(self) -> bytes:
-        gauges = {
-            f"targets.in_choice.{service}": float(count)
-            for service, count in self.table.counts_by_service().items()
-        }
-        gauges["callers.connections"] = float(len(self._callers))
-        gauges["targets.connections_opened"] = float(self.connections.opened)
-        gauges["instances.known"] = float(self.roster.instances())
-        gauges["relay"] = float(self.roster.is_relay)
-        gauges["duty.held"] = float(self._placement.duty.held)
-        if self.configuration is not None:
-            gauges["configuration.version"] = float(self.configuration.version)
-        return metrics_text(self.counters, self._histograms, gauges)
-
-    def dump(self) -> dict[str, object]:
-        """Return what this instance knows and believes, for JSON."""
-        now_s = time.monotonic()
-        configuration = self.configuration
-        return {
-            "instance": self.settings.name,
-            "stopping": self.stopping,
-            "configuration": configuration.version if configuration else None,
-            "list_age_s": round(now_s - self._following.list_read_s, 3),
-            "store_away": sorted(self._following.store_away),
-            "duty": asdict(self._placement.duty),
-            "peers": sorted(peer.address for peer in self.roster.peers()),
-            "relays": [
-                peer.address for peer in self.roster.relays(self.settings.domain)
-            ],
-            "is_relay": self.roster.is_relay,
-            "instances": self.roster.instances(),
-            "targets": {
-                target.id: asdict(target)
-                | {"standing": asdict(self.table.standing(target.id))}
-                for target in self.table.by_id.values()
-            },
-            "loads": {
-                key: asdict(load) for key, load in self.loads.total(now_s).items()
-            },
-        }
-
     def apply(self, settings: EntrySettings) -> None:
         """Take changed settings; addresses to listen on stay until a restart."""
         self.settings = settings
@@ -427,13 +369,6 @@
         self.log.info("stop", broken_off=left)
 
 
-def _revision(path: str) -> int:
-    """Return the revision that a follower names, -1 where it names none."""
-    text = path.removeprefix(CHANGES_PATH)
-    readable = text.isdecimal() and len(text) <= MOST_REVISION_DIGITS
-    return int(text) if readable else -1
-
-
 def _where(error: BaseException) -> str:
     trace = error.__traceback__
     while trace is not None and trace.tb_next is not None:
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -156,8 +156,9 @@
             self._pass_on(digest.down, to_away=False)
             return
         self.on_digest(digest)
-        if digest.loads is not None and not self.roster.is_relay:
-            # A relay counts each member's report by itself, and its own work beside.
+        if digest.loads is not None and not self.roster.is_asked:
+            # Who gets the members' reports counts each by itself. One that takes itself
+            # for a relay since it knows few others gets none.
             self._hear_sum(domain, less(digest.loads, self._loads.own()))
         for each, load_by_engine in digest.away_loads.items():
             if each != self.domain:
@@ -180,8 +181,9 @@
         if not idle or self._reports % IDLE_REPORTS == 0:
             data = encode_report(self._member_report(()))
             self._send(data, self.roster.relays(self.domain))
-        if self.roster.is_relay:
+        if self.roster.is_asked:
             self._loads.forget(_sum_key(self.domain))
+        if self.roster.is_relay:
             self._tell(to_away=self._reports % REPORTS_TO_AWAY == 0)
 
     def tell_changes(self) -> None:
--- a/libs/entry/src/celeryfork_entry/roster.py
+++ b/libs/entry/src/celeryfork_entry/roster.py
@@ -91,13 +91,16 @@
         """Note that an instance of the domain takes this one for a relay."""
         self._asked_s = self._clock()
 
+    @property
+    def is_asked(self) -> bool:
+        """Return whether others of the domain take this instance for a relay."""
+        asked_s = self._asked_s
+        return asked_s is not None and self._clock() - asked_s < ASKED_LIFE_S
+
     @property
     def is_relay(self) -> bool:
         """Return whether this instance relays."""
-        asked_s = self._asked_s
-        if asked_s is not None and self._clock() - asked_s < ASKED_LIFE_S:
-            return True
-        return self.own in self._ranked(self.own.domain)[:RELAYS]
+        return self.is_asked or self.own in self._ranked(self.own.domain)[:RELAYS]
 
     def relays(self, domain: str) -> list[Peer]:
         """Return the relays of a domain but for this instance, the first ranked first.
--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -204,16 +204,21 @@
         assert not other.own
 
 
-def heard(message):
-    """Return an instance that has got a report, and the engines it was told of."""
-    network, told = Network(), {}
-    instance = network["west-1"]
-    instance.on_layers = told.__setitem__
+def hear(instance, message):
+    """Have an instance take a report of a peer, with some fields changed."""
     whole = {
         "from": "west-5", "at": "10.1.0.5:7", "domain": "west", "power": 1.0,
         "fence": None, "version": -1, "loads": {}, "layers": {}, "down": [],
     }  # fmt: skip
     instance.datagram_received(dumps(whole | message), ("10.1.0.5", 7))
+
+
+def heard(message):
+    """Return an instance that has got a report, and the engines it was told of."""
+    network, told = Network(), {}
+    instance = network["west-1"]
+    instance.on_layers = told.__setitem__
+    hear(instance, message)
     return instance, told
 
 
@@ -262,8 +267,11 @@
     instance, _ = heard({"fence": 7})
     assert instance.fence_heard == 7
     silent_s = instance.fence_heard_s = 1.0
-    Network.report(Network(), 1)
+    hear(instance, {"fence": None})
     assert instance.fence_heard_s == silent_s
+    hear(instance, {"fence": 6})
+    assert instance.fence_heard == 7
+    assert instance.fence_heard_s > silent_s
 
 
 def test_all_instances_are_told_at_once_of_engines_that_are_down():
@@ -316,7 +324,45 @@
 
 
 def test_news_is_not_repeated_in_later_reports():
-    network = Network()
+    async def tell():
+        network = Network()
+        network.report(1)
+        network["west-8"].tell_down(Target("i-1", "llm", "a:1", "west", born_ms=5))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return network
+
+    def news(network):
+        sent = [data for each in network.sent_by_name.values() for _, data in each]
+        return [data for data in sent if loads(data)["down"]]
+
+    network = asyncio.run(tell())
+    assert news(network)
+    network.sent_by_name.clear()
     network.report(40)
-    for sent in network.sent_by_name.values():
-        assert not any(loads(data)["down"] for _, data in sent)
+    assert news(network) == []
+
+
+def test_a_new_version_is_told_to_all_though_nothing_is_in_flight():
+    network = Network()
+    network.report(20)
+    told = set()
+    for instance in network.by_address.values():
+        name = instance.roster.own.name
+        instance.on_version = lambda version, at, name=name: told.add((name, version))
+    network["west-1"].version = lambda: 5
+    network.report(REPORTS_TO_AWAY)
+    followers = {(f"west-{number}", 5) for number in range(2, 9)}
+    away = {(f"east-{number}", 5) for number in range(1, RELAYS + 1)}
+    assert told >= followers | away
+
+
+def test_an_instance_that_no_other_has_on_its_list_is_told_on():
+    """One that the store turns away drops off the list and hears of no change."""
+    network = Network()
+    unlisted = Peer("west-9", "west", "10.1.0.9:7")
+    network.add(unlisted)
+    network["west-9"].roster.listed([network["west-1"].roster.own])
+    begin(network["west-1"], "i-1")
+    network.report(2 * REPORTS_TO_AWAY)
+    assert total(network["west-9"], "i-1") == Load(1, 40)
--- /dev/null
+++ b/libs/entry/tests/test_questions.py
@@ -0,0 +1,14 @@
+"""What a follower may name in its question."""
+
+import pytest
+from celeryfork_entry.known import CHANGES_PATH
+from celeryfork_entry.questions import _revision
+
+
+@pytest.mark.parametrize(
+    ("text", "revision"),
+    [("0", 0), ("1796387904529", 1796387904529), ("-1", -1), ("", -1), ("x", -1),
+     ("1.5", -1), ("9" * 5000, -1)],
+)  # fmt: skip
+def test_a_revision_that_is_none_stands_for_the_whole_list(text, revision):
+    assert _revision(CHANGES_PATH + text) == revision
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -1,21 +1,39 @@
 """Relays and their followers as processes: five instances of one failure domain."""
 
 import json
+import time
 
 import pytest
+from celeryfork_adapter.feeds import CHANGE_WAIT_S
+from celeryfork_entry.following import LIST_PAUSE_S
 from celeryfork_entry.roster import RELAYS
 from entry_process import Entry, wait_for
 
 FOLLOWERS = 2
+READS_A_SECOND = 1 / LIST_PAUSE_S + 1 / CHANGE_WAIT_S
+"""Most reads of one instance that reads the store itself."""
+CHANGES_LEFT_OUT = """
+from celeryfork_entry.relayed_list import RelayedList
+RelayedList.take = lambda self, digest: None
+"""
+ALL_READ = """
+from celeryfork_entry.instance import Instance
+Instance._reads_store = lambda self: True
+"""
 IN_FORCE_S = 2.0
 """Bound for a change of the configuration and for a target that leaves."""
 
 
 @pytest.fixture
-def domain(entry, fleet, tmp_path):
-    """Relays and followers of one domain, each with what the others tell."""
+def domain(request, start_entry, fleet, tmp_path):
+    """Relays and followers of one domain, each with what the others tell.
+
+    A parameter is a fault that is planted in each of them.
+    """
+    planted = getattr(request, "param", "")
+    entry = start_entry(planted)
     others = [
-        Entry(fleet, tmp_path, f"entry-{number}", "west", beside=entry).start()
+        Entry(fleet, tmp_path, f"entry-{number}", "west", beside=entry).start(planted)
         for number in range(2, RELAYS + FOLLOWERS + 1)
     ]
     instances = [entry, *[other.wait_ready() for other in others]]
@@ -45,6 +63,54 @@
     return relays, [each for each in instances if each not in relays]
 
 
+def ignore_a_leaving_target(followers, fleet):
+    """Return the followers that still choose a target after it began to leave."""
+    fleet.services["west-desk"].state = "draining"
+    fleet.put_entry("west-desk", fleet.services["west-desk"].entry())
+    time.sleep(IN_FORCE_S)
+    return [
+        follower
+        for follower in followers
+        if not dump(follower)["targets"]["west-desk"]["draining"]
+    ]
+
+
+def count_reads(fleet, seconds):
+    """Return how often the store is read while its list changes all the time."""
+    begun = len(fleet.store.calls)
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        fleet.put_entry("west-desk", fleet.services["west-desk"].entry())
+        time.sleep(0.05)
+    return fleet.store.calls[begun:].count("/-/log-read")
+
+
+def most_reads(seconds):
+    """Return what the relays may read, each with one read under way at the begin."""
+    return RELAYS * (READS_A_SECOND * seconds + 2)
+
+
+def test_relays_alone_read_the_store(domain, fleet):
+    """Pattern: 88 instances made 8,000 calls on a quiet day, a tenth of its worth."""
+    assert count_reads(fleet, 4.0) <= most_reads(4.0)
+
+
+@pytest.mark.parametrize("domain", [ALL_READ], indirect=True, ids=["all-read"])
+def test_instances_that_all_read_the_store_are_seen(domain, fleet):
+    assert count_reads(fleet, 4.0) > most_reads(4.0)
+
+
+def test_followers_leave_a_target_that_leaves(domain, fleet):
+    _, followers = domain
+    assert ignore_a_leaving_target(followers, fleet) == []
+
+
+@pytest.mark.parametrize("domain", [CHANGES_LEFT_OUT], indirect=True, ids=["ignored"])
+def test_followers_that_ignore_changes_are_seen(domain, fleet):
+    _, followers = domain
+    assert ignore_a_leaving_target(followers, fleet) == followers
+
+
 def test_followers_get_from_relays_what_the_store_says(domain, fleet):
     """Pattern: 88 instances that each read the store's topics make 8,000 calls."""
     relays, followers = domain
@@ -54,13 +120,7 @@
             lambda: follower.versions_in_force()[-1] == version,  # noqa: B023
             IN_FORCE_S,
         )
-    fleet.services["west-desk"].state = "draining"
-    fleet.put_entry("west-desk", fleet.services["west-desk"].entry())
-    for follower in followers:
-        wait_for(
-            lambda: dump(follower)["targets"]["west-desk"]["draining"],  # noqa: B023
-            IN_FORCE_S,
-        )
+    assert ignore_a_leaving_target(followers, fleet) == []
     fleet.store.down = True
     for relay in relays:
         wait_for(lambda: relay.events("store_lost"), 5)  # noqa: B023
