Test of relays: a waiting read that began before may still end at a follower

Cause: one red of the planted fault: a follower's last read of the store, begun while it still was a relay, brought the change. The fixture waits for its longest duration; the asserts are the same.

--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -38,6 +38,8 @@
     ]
     instances = [entry, *[other.wait_ready() for other in others]]
     wait_for(lambda: is_settled(instances), 15)
+    # A follower's last waiting read of the store may still be under way.
+    time.sleep(CHANGE_WAIT_S + LIST_PAUSE_S)
     yield split(instances)
     for other in others:
         other.end()
