--- a/libs/streams/tests/test_recovery.py
+++ b/libs/streams/tests/test_recovery.py
@@ -108,7 +108,10 @@
 
     def check(self, request, sink, future):
         """Check a stream's whole answer, and return its pauses by kind, in seconds."""
-        result = future.result(timeout=0)
+        try:
+            result = future.result(timeout=0)
+        except StreamRefusedError as error:
+            pytest.fail(f"{request.request_id} after {sink.texts}: {error.result}")
         assert result.outcome is Outcome.DONE
         wanted = expected_tokens(MODEL, request.prompt, request.seed, TOKENS)
         assert sink.texts == wanted
