--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/detours.py
@@ -0,0 +1,69 @@
+"""Running streams led around engines that were lost, without a new run.
+
+The first engine of a path can be ordered to go on over other engines. Only those read
+the request so far; the others keep its memory.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import define
+from celeryfork_routing.engine_loads import LayerPath
+
+from celeryfork_entry.call import Call, CallParts
+from celeryfork_entry.path_choice import PathChoice
+from celeryfork_entry.plain_calls import MOST_REPLY_BYTES
+from celeryfork_entry.target_http import LostError, NotSentError
+
+LONGEST_REASON = 200
+"""Bytes of an engine's refusal that are logged."""
+ORDER_TIMEOUT_S = 0.15
+"""Wait for the first engine's answer; after it the stream is begun anew elsewhere."""
+
+
+@define(eq=False)
+class Detours:
+    """Finds detours and orders them.
+
+    Parameters
+    ----------
+    fence
+        Gives the highest fence known; engines refuse orders with a lower one.
+    """
+
+    _parts: CallParts
+    _choice: PathChoice
+    _fence: Callable[[], int]
+
+    async def take(self, call: Call, path: LayerPath) -> LayerPath | None:
+        """Lead a stream around the lost engines of its path.
+
+        Returns
+        -------
+        LayerPath or None
+            The path on which the first engine goes on, None if it doesn't.
+        """
+        detour = self._choice.detour(call, path)
+        first = self._parts.table.by_id.get(path.parts[0].engine_id)
+        if detour is None or first is None or call.facts.id is None:
+            return None
+        order = self._parts.dialect.order_path(call.facts.id, detour, self._fence())
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                reply = await self._parts.connections.send(first.address, order)
+                body = await reply.read_all(MOST_REPLY_BYTES)
+        except (NotSentError, LostError, TimeoutError) as error:
+            self._note(call, detour, None, repr(error))
+            return None
+        taken = reply.status < 300
+        reason = "" if taken else body[:LONGEST_REASON].decode("latin-1")
+        self._note(call, detour, reply.status, reason)
+        return detour if taken else None
+
+    def _note(
+        self, call: Call, detour: LayerPath, status: int | None, reason: str
+    ) -> None:
+        self._parts.counters.add("streams.detours_ordered")
+        self._parts.note(
+            call, "detour_ordered", path=detour.describe(), status=status, reason=reason
+        )
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -16,6 +16,7 @@
 from celeryfork_entry.caller_http import CallerConnection
 from celeryfork_entry.candidacy import Candidacy
 from celeryfork_entry.configuration import CallerLimits, Configuration
+from celeryfork_entry.detours import Detours
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.following import Following
@@ -134,7 +135,10 @@
             self.settings.domain, self.table, self._checks, self.log, self._spawn
         )
         choice = PathChoice(parts, self.loads)
-        streams = StreamCalls(parts, self._checks, leaving, self.loads, reach, choice)
+        detours = Detours(parts, choice, self._fence_known)
+        streams = StreamCalls(
+            parts, self._checks, leaving, self.loads, reach, choice, detours
+        )
         self._checks.on_down = streams.engine_down
         self._checks.uses = streams.uses
         self._checks.spawn = self._spawn
@@ -195,6 +199,10 @@
         if self.table.learn_layers(engine_id, learnt):
             self.log.info("layers_learnt", engine=engine_id, held=str(learnt.held))
 
+    def _fence_known(self) -> int:
+        """Return the highest fence that the store or a peer has told."""
+        return max(self._placement.generation, self._peers.fence_heard)
+
     def _held_fence(self) -> int | None:
         duty = self._placement.duty
         return duty.fence if duty.held else None
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -5,6 +5,8 @@
 from attrs import define, frozen
 from celeryfork_routing.engine_loads import LayerPath
 
+from celeryfork_entry.call import Call
+
 
 @frozen
 class Finished:
@@ -39,11 +41,23 @@
 
 @define(eq=False)
 class PathAttempt:
-    """A path in use; it can be interrupted from outside."""
+    """A path in use; it can be changed or interrupted from outside.
+
+    Parameters
+    ----------
+    detour
+        The task that leads it around lost engines.
+    reading
+        No event has come, so that the prompt may still have pipes to cross.
+    """
 
+    call: Call
     path: LayerPath
+    tokens: float
     task: asyncio.Task[Outcome] | None = None
     interrupted: str = ""
+    detour: asyncio.Task[None] | None = None
+    reading: bool = True
 
     def interrupt(self, reason: str) -> None:
         """End the attempt, so that the stream goes on over another path."""
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -6,7 +6,8 @@
 from math import inf
 
 from attrs import define, evolve, field, frozen
-from celeryfork_routing.engine_loads import EngineLoads, LayerPath
+from celeryfork_routing.detours import find_detour
+from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Load
 from celeryfork_routing.layer_paths import (
     AWAY_FROM_CALLER_MS,
     CROSSING_MS,
@@ -24,6 +25,12 @@
 REPEAT_WAIT_S = 1.0
 """The same for a request that may have run, which can't be refused any more."""
 ROOM_POLL_S = 0.02
+SEARCH_PAUSE_S = 0.005
+"""Time between the searches of all requests that wait, so that many of them together
+don't take the processor from the streams that run."""
+MOST_UNTOLD = 30
+"""Requests that all instances together may send elsewhere before they hear of each
+other: a fast engine's memory holds some 50."""
 SIZE_MARGIN = 0.95
 """Part of a path's time that shrinks at least as much as the request: the rest is for
 the context of a smaller request."""
@@ -52,6 +59,7 @@
     _loads: EngineLoads
     _missing_since_s: float | None = None
     _revision: int = -1
+    _waiting: int = 0
     _engines_by_service: dict[str, Sequence[_KnownEngine]] = field(factory=dict)
     _idle_ms_by_service: dict[str, float] = field(factory=dict)
 
@@ -67,7 +75,15 @@
             hopeless = self._is_hopeless(call, now_s) and not call.may_have_run
             if now_s >= until_s or hopeless:
                 return None
-            await asyncio.sleep(ROOM_POLL_S)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait before the next search; longer while many wait."""
+        self._waiting += 1
+        try:
+            await asyncio.sleep(max(ROOM_POLL_S, self._waiting * SEARCH_PAUSE_S))
+        finally:
+            self._waiting -= 1
 
     def _is_hopeless(self, call: Call, now_s: float) -> bool:
         """Return whether no moment's wait helps: layers are missing, not room.
@@ -110,6 +126,25 @@
             path = self._find_over(call, in_choice, now_s)
         return path
 
+    def detour(self, call: Call, path: LayerPath) -> LayerPath | None:
+        """Return a path in use with other engines in place of its lost ones."""
+        shape = call.service.model
+        assert shape is not None
+        now_s = time.monotonic()
+        engines = [
+            each.at(now_s)
+            for each in self._engines(call.service.name)
+            if not (each.standing.held or each.standing.leaving)
+            and each.standing.refused_until_s < now_s
+            and each.engine.id not in call.avoided
+        ]
+        lost = {each for each in path.engine_ids if not self.lives(each)}
+        loads = self._known_loads(engines, now_s)
+        request = PathRequest(
+            call.facts.prompt_tokens, expected_answer_tokens(call), self._parts.domain
+        )
+        return find_detour(shape, path, lost, engines, loads, request)
+
     def _find_over(
         self, call: Call, known: Sequence[_KnownEngine], now_s: float
     ) -> LayerPath | None:
@@ -122,17 +157,29 @@
             call.first_engines.allowed(self.lives),
         )
         engines = [each.at(now_s) for each in known]
-        loads = self._loads.total(now_s)
+        loads = self._known_loads(engines, now_s)
         near = [each for each in engines if each.domain == request.domain]
         path = find_path(shape, near, loads, request)
         if len(near) == len(engines):
             return path
-        if path is not None and path.predicted_ms <= self._least_elsewhere_ms(
-            call.service.name, shape, request
+        if path is not None and (
+            # All instances see the same engines idle, and would fill them at once.
+            self._loads.unread * self._parts.instances() > MOST_UNTOLD
+            or path.predicted_ms
+            <= self._least_elsewhere_ms(call.service.name, shape, request)
         ):
             return path
         return find_path(shape, engines, loads, request)
 
+    def _known_loads(
+        self, engines: Sequence[PathEngine], now_s: float
+    ) -> dict[str, Load]:
+        """Return the work in flight; engines are shared within their domain."""
+        instances = self._parts.instances()
+        domains = len({each.domain for each in engines})
+        neighbours = max(1, instances // max(1, domains))
+        return self._loads.total(now_s, instances, neighbours)
+
     def _least_elsewhere_ms(
         self, service: str, shape: ModelShape, request: PathRequest
     ) -> float:
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -140,6 +140,11 @@
     ) -> OutgoingRequest:
         """Return the order to load layers."""
 
+    def order_path(
+        self, request_id: str, path: LayerPath, fence: int
+    ) -> OutgoingRequest:
+        """Return the order to go on with a request over another path."""
+
 
 class ConfigurationFeed(Protocol):
     """The configurations, in their order."""
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -10,6 +10,7 @@
 
 from celeryfork_entry.call import Call, CallParts, not_run, unknown
 from celeryfork_entry.configuration import Stream
+from celeryfork_entry.detours import Detours
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.events import Event, EventSplitter
 from celeryfork_entry.leaving_checks import LeavingChecks
@@ -59,6 +60,7 @@
     _loads: EngineLoads
     _reach: ReachChecks
     _choice: PathChoice
+    _detours: Detours
     _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
     _pressure: RoomPressure = field(factory=RoomPressure)
 
@@ -70,7 +72,47 @@
         """Take the streams off an engine that has gone out of choice."""
         self._reach.engine_down(engine_id)
         for attempt in list(self._attempts_by_engine.get(engine_id, ())):
-            attempt.interrupt(f"engine {engine_id} is down")
+            if attempt.path.parts[0].engine_id == engine_id:
+                attempt.interrupt(f"engine {engine_id} is down")
+            elif attempt.detour is None or attempt.detour.done():
+                attempt.detour = asyncio.ensure_future(self._go_around(attempt))
+                self._checks.spawn(attempt.detour)
+
+    async def _go_around(self, attempt: PathAttempt) -> None:
+        """Lead a stream around lost engines; begin it anew where that fails."""
+        while down := self._down(attempt.path):
+            detour = await self._detours.take(attempt.call, attempt.path)
+            if detour is None:
+                attempt.interrupt(f"engine {down[0]} is down")
+                return
+            self._leave(attempt)
+            attempt.path = detour
+            self._take(attempt)
+
+    def _take(self, attempt: PathAttempt) -> None:
+        """Count an attempt on the engines of its path."""
+        self._loads.begin(attempt.path, attempt.tokens)
+        if attempt.reading:
+            prompt = attempt.call.facts.prompt_tokens
+            self._loads.begin_reading(attempt.path, prompt, attempt.tokens)
+        for engine_id in attempt.path.engine_ids:
+            self._attempts_by_engine.setdefault(engine_id, set()).add(attempt)
+
+    def _leave(self, attempt: PathAttempt) -> None:
+        """Undo :meth:`_take`."""
+        self._loads.end(attempt.path, attempt.tokens)
+        if attempt.reading:
+            prompt = attempt.call.facts.prompt_tokens
+            self._loads.end_reading(attempt.path, prompt, attempt.tokens)
+        for engine_id in attempt.path.engine_ids:
+            self._attempts_by_engine[engine_id].discard(attempt)
+
+    def _end_reading(self, attempt: PathAttempt) -> None:
+        """Count the attempt's prompt as read, if that wasn't done before."""
+        if attempt.reading:
+            attempt.reading = False
+            prompt = attempt.call.facts.prompt_tokens
+            self._loads.end_reading(attempt.path, prompt, attempt.tokens)
 
     async def serve(self, call: Call) -> None:
         """Answer a call for a stream.
@@ -99,36 +141,34 @@
     async def _attempt(
         self, call: Call, path: LayerPath, progress: Progress
     ) -> Outcome:
-        attempt = PathAttempt(path)
         tokens = (
             call.facts.prompt_tokens + expected_answer_tokens(call) * ANSWER_RESERVE
         )
-        self._loads.begin(path, tokens)
+        attempt = PathAttempt(call, path, tokens)
+        self._take(attempt)
         self._parts.note(
             call,
             "path_chosen",
-            path=_describe(path),
+            path=path.describe(),
             predicted_ms=round(path.predicted_ms),
             after=progress.last_event,
         )
-        for engine_id in path.engine_ids:
-            self._attempts_by_engine.setdefault(engine_id, set()).add(attempt)
         try:
-            attempt.task = asyncio.ensure_future(self._run(call, path, progress))
+            attempt.task = asyncio.ensure_future(self._run(attempt, progress))
             return await attempt.task
         except asyncio.CancelledError:
             if not attempt.interrupted or call.connection.stream.ended:
                 raise
             if progress.complete:
                 return Finished()
-            return self._broke(call, path, attempt.interrupted)
+            return self._broke(call, attempt.path, attempt.interrupted)
         finally:
-            self._loads.end(path, tokens)
-            for engine_id in path.engine_ids:
-                self._attempts_by_engine[engine_id].discard(attempt)
+            if attempt.detour is not None:
+                attempt.detour.cancel()
+            self._leave(attempt)
 
-    async def _run(self, call: Call, path: LayerPath, progress: Progress) -> Outcome:
-        parts = self._parts
+    async def _run(self, attempt: PathAttempt, progress: Progress) -> Outcome:
+        parts, call, path = self._parts, attempt.call, attempt.path
         first = parts.table.by_id.get(path.parts[0].engine_id)
         if first is None:
             return PathRefused("its first engine has left")
@@ -146,10 +186,10 @@
                 parts.connections.send(first.address, request)
             )
             reply = await self._patiently(
-                call, path, sending, FIRST_EVENT_PATIENCE_S, speeds=True
+                attempt, sending, FIRST_EVENT_PATIENCE_S, speeds=True
             )
             try:
-                return await self._relay(call, path, reply, progress)
+                return await self._relay(attempt, reply, progress)
             finally:
                 reply.drop()
         except NotSentError as error:
@@ -158,17 +198,18 @@
             loop.call_soon(self._checks.mark_down, first.id, str(error))
             return PathRefused(str(error))
         except (LostError, TimeoutError, ValueError) as error:
-            await self._checks.find_down(path.engine_ids, doubted=first.id)
-            return self._broke(call, path, repr(error))
+            await self._checks.find_down(attempt.path.engine_ids, doubted=first.id)
+            return self._broke(call, attempt.path, repr(error))
 
     async def _relay(
-        self, call: Call, path: LayerPath, reply: Reply, progress: Progress
+        self, attempt: PathAttempt, reply: Reply, progress: Progress
     ) -> Outcome:
+        call = attempt.call
         facts = self._parts.dialect.read_reply(reply.status, reply.headers)
         if facts.request_id not in {None, call.facts.id}:
             raise LostError("the reply belongs to another request")
         if reply.status != 200:
-            return await self._refusal(call, path, reply)
+            return await self._refusal(call, attempt.path, reply)
         splitter = EventSplitter()
         pace: Pace | None = None
         event_s = time.monotonic()
@@ -176,34 +217,34 @@
             reading = asyncio.ensure_future(reply.read())
             patience_s = pace.patience_s if pace else FIRST_EVENT_PATIENCE_S
             data = await self._patiently(
-                call, path, reading, patience_s, pace is None, since_s=event_s
+                attempt, reading, patience_s, pace is None, since_s=event_s
             )
             if not data:
                 break
             events = splitter.feed(data)
             if events:
+                self._end_reading(attempt)
                 event_s = time.monotonic()
                 pace = pace or Pace()
                 pace.heard(event_s)
-                self._checks.progressed(path.engine_ids, time.monotonic())
-                await self._pass_on(call, path, reply, events, progress)
+                self._checks.progressed(attempt.path.engine_ids, time.monotonic())
+                await self._pass_on(attempt, reply, events, progress)
         if splitter.incomplete or not progress.begun:
             raise LostError("the stream ended within an event")
         progress.complete = True
         await call.connection.end()
-        self._parts.table.succeeded(path.parts[0].engine_id)
+        self._parts.table.succeeded(attempt.path.parts[0].engine_id)
         return Finished()
 
     async def _pass_on(
         self,
-        call: Call,
-        path: LayerPath,
+        attempt: PathAttempt,
         reply: Reply,
         events: list[Event],
         progress: Progress,
     ) -> None:
         """Send events that the caller doesn't have yet, each once and in order."""
-        fresh = []
+        call, fresh = attempt.call, []
         for event in events:
             if event.number is not None and progress.last_event is not None:
                 if event.number <= progress.last_event:
@@ -222,7 +263,7 @@
             return
         progress.begun = True
         self._parts.note(call, "first_event", sends=call.sends)
-        self._parts.table.accepted(path.engine_ids)
+        self._parts.table.accepted(attempt.path.engine_ids)
         self._parts.histograms.record(
             "streams.first_event", time.monotonic() - call.request.arrived_s
         )
@@ -231,8 +272,7 @@
 
     async def _patiently(
         self,
-        call: Call,
-        path: LayerPath,
+        attempt: PathAttempt,
         task: asyncio.Future[Got],
         patience_s: float,
         speeds: bool,
@@ -258,7 +298,7 @@
         try:
             while True:
                 silent_s = time.monotonic() - begun_s
-                left_s = min(SILENCE_LIMIT_S - silent_s, call.left_s)
+                left_s = min(SILENCE_LIMIT_S - silent_s, attempt.call.left_s)
                 if left_s <= 0:
                     raise TimeoutError(f"silent for {silent_s:.3f} s")
                 await asyncio.wait({task}, timeout=min(patience_s, left_s))
@@ -268,7 +308,7 @@
                 # Beside the wait: what comes meanwhile is passed on at once.
                 if check is None or check.done():
                     check = asyncio.ensure_future(
-                        self._checks.find_down(path.engine_ids, speeds=speeds)
+                        self._checks.find_down(attempt.path.engine_ids, speeds=speeds)
                     )
         finally:
             task.cancel()
@@ -299,8 +339,12 @@
             self._leaving.suspect(part.engine_id, call.service.health_path)
         self._reach.refused(part.engine_id, path.parts[0].domain, lacks_layers)
 
+    def _down(self, path: LayerPath) -> list[str]:
+        """Return the engines of a path that are out of choice."""
+        return [each for each in path.engine_ids if not self._choice.lives(each)]
+
     def _broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
-        down = [each for each in path.engine_ids if not self._choice.lives(each)]
+        down = self._down(path)
         call.may_have_run = True
         call.first_engines.begun(path.parts[0].engine_id)
         if not down:
@@ -324,7 +368,7 @@
                 again = may_begin
                 event, reason = "engine_failed", f"status {status}"
         self._parts.counters.add(f"streams.{event}")
-        self._parts.note(call, event, path=_describe(path), reason=reason, again=again)
+        self._parts.note(call, event, path=path.describe(), reason=reason, again=again)
         return again
 
     async def _finish(self, call: Call, outcome: Outcome, progress: Progress) -> None:
@@ -357,10 +401,3 @@
             raise not_run("no_path", f"No path took it: {reason}.", after_s)
         status = 504 if call.left_s <= 0 else 502
         raise unknown(status, "path_broke", f"The path stopped: {reason}.")
-
-
-def _describe(path: LayerPath) -> str:
-    return " ".join(
-        f"{part.domain}/{part.engine_id}={part.layers.first}-{part.layers.last}"
-        for part in path.parts
-    )
--- a/libs/entry/tests/test_path_choice.py
+++ b/libs/entry/tests/test_path_choice.py
@@ -63,7 +63,8 @@
 
 
 def make_choice(table):
-    return PathChoice(SimpleNamespace(table=table, domain="a"), EngineLoads())
+    parts = SimpleNamespace(table=table, domain="a", instances=lambda: 7)
+    return PathChoice(parts, EngineLoads())
 
 
 def make_call(*begun, avoided=(), may_have_run=False):
@@ -254,3 +255,54 @@
         choice._find(make_call())
     elsewhere = 64 * (len(domains) - 1)
     assert looked_at == [64, elsewhere, *[64] * 9]
+
+
+def fast_elsewhere():
+    """Return a choice in a slow domain beside a fast one with idle engines."""
+    table = TargetTable()
+    numbers = count(1)
+    for domain, kind in (("a", "slow"), ("b", "fast")):
+        for first in (0, 4):
+            number = next(numbers)
+            target = Target(
+                f"{domain}{first}", "llm", f"10.0.0.{number}:1", domain,
+                accelerator=kind, held=LayerRange(first, first + 4),
+            )  # fmt: skip
+            table.apply([Listed(target)])
+    return make_choice(table)
+
+
+def domain_of(path):
+    (domain,) = {part.domain for part in path.parts}
+    return domain
+
+
+@pytest.mark.parametrize(
+    ("instances", "expected"), [(74, "baaaaa"), (7, "bbbbba"), (1, "bbbbbb")]
+)
+def test_a_burst_stays_in_its_domain(instances, expected):
+    """Pattern: all machines restart, and 330 streams go on within 0.4 s.
+
+    Instances of all domains took the two fastest engines, which seemed idle to each:
+    139 of 358 paths left their domain, 57 of them were silent for 1.2 s.
+    """
+    choice = fast_elsewhere()
+    choice._parts.instances = lambda: instances
+    call = make_call()
+    call.facts.prompt_tokens, call.facts.most_answer_tokens = 900, 400
+    chosen = ""
+    for _ in expected:
+        path = choice._find(call)
+        chosen += domain_of(path)
+        choice._loads.begin_reading(path, 9, 13)
+    assert chosen == expected
+
+
+def test_a_burst_leaves_a_domain_without_a_path():
+    choice = fast_elsewhere()
+    choice._parts.table.hold("a0", "silent", 1.0)
+    call = make_call()
+    for _ in range(4):
+        path = choice._find(call)
+        assert domain_of(path) == "b"
+        choice._loads.begin_reading(path, 10, 20)
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -4,9 +4,19 @@
 from types import SimpleNamespace
 
 import pytest
+from celeryfork_entry.path_attempts import PathAttempt
 from celeryfork_entry.stream_calls import SILENCE_LIMIT_S, StreamCalls
 from celeryfork_entry.targets import Listed, Target, TargetTable
-from celeryfork_routing.engine_loads import EngineLoads
+from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Part
+from celeryfork_routing.layers import LayerRange
+
+PATH = LayerPath(
+    (
+        Part("e1", "10.0.0.1:1", LayerRange(0, 4), "a"),
+        Part("e2", "10.0.0.2:1", LayerRange(4, 8), "a"),
+    )
+)
+AROUND = LayerPath((PATH.parts[0], Part("e3", "10.0.0.3:1", LayerRange(4, 8), "a")))
 
 
 @pytest.fixture
@@ -26,7 +36,7 @@
         read_reply=lambda *_: SimpleNamespace(not_run=True, at_fault="10.0.0.2:1")
     )
     parts = SimpleNamespace(table=table, domain="a", dialect=dialect)
-    streams = StreamCalls(parts, None, None, EngineLoads(), reach, None)
+    streams = StreamCalls(parts, None, None, EngineLoads(), reach, None, None)
     first, second = table.by_id["e1"], table.by_id["e2"]
     path = SimpleNamespace(
         parts=[
@@ -69,13 +79,94 @@
     facts = SimpleNamespace(request_id=None)
     dialect = SimpleNamespace(read_reply=lambda *_: facts)
     parts = SimpleNamespace(dialect=dialect)
-    streams = StreamCalls(parts, LivingChecks(), None, EngineLoads(), None, None)
+    streams = StreamCalls(parts, LivingChecks(), None, EngineLoads(), None, None, None)
     call = SimpleNamespace(left_s=20.0, facts=SimpleNamespace(id="a"))
-    path, reply = SimpleNamespace(engine_ids=("e1",)), TricklingReply()
+    attempt = PathAttempt(call, PATH, 900.0)
+    reply = TricklingReply()
     with pytest.raises(TimeoutError, match="silent for 1"):
         asyncio.run(
-            asyncio.wait_for(
-                streams._relay(call, path, reply, None), 2 * SILENCE_LIMIT_S
-            )
+            asyncio.wait_for(streams._relay(attempt, reply, None), 2 * SILENCE_LIMIT_S)
         )
     assert reply.reads > 5
+
+
+class Around:
+    """Detours that the first engine takes, or refuses."""
+
+    def __init__(self, *detours):
+        self._left = list(detours)
+
+    async def take(self, call, path):
+        await asyncio.sleep(0)
+        return self._left.pop(0)
+
+
+def lose(down, *detours, reading=True):
+    """Lose an engine of a running stream; return its attempt, and the streams."""
+
+    async def run():
+        choice = SimpleNamespace(lives=lambda engine_id: engine_id != down)
+        checks = SimpleNamespace(spawn=lambda work: None)
+        reach = SimpleNamespace(engine_down=lambda engine_id: None)
+        streams = StreamCalls(
+            None, checks, None, EngineLoads(), reach, choice, Around(*detours)
+        )
+        call = SimpleNamespace(facts=SimpleNamespace(prompt_tokens=700))
+        attempt = PathAttempt(call, PATH, 900.0, reading=reading)
+        attempt.task = asyncio.ensure_future(asyncio.sleep(10))
+        streams._take(attempt)
+        streams.engine_down(down)
+        streams.engine_down(down)
+        if attempt.detour is not None:
+            await attempt.detour
+        attempt.task.cancel()
+        return attempt, streams
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("reading", [True, False])
+def test_a_stream_goes_on_around_a_lost_engine(reading):
+    attempt, streams = lose("e2", AROUND, reading=reading)
+    assert not attempt.interrupted
+    assert attempt.path == AROUND
+    assert streams.uses("e3") and not streams.uses("e2")
+    assert set(streams._loads.own()) == {"e1", "e3"}
+    streams._leave(attempt)
+    assert streams._loads.own() == {} == streams._loads.total(0.0)
+
+
+def test_a_stream_without_a_detour_is_begun_anew():
+    attempt, streams = lose("e2", None)
+    assert attempt.interrupted == "engine e2 is down"
+    assert set(streams._loads.own()) == {"e1", "e2"}
+
+
+def test_a_stream_whose_first_engine_is_lost_is_begun_anew():
+    attempt, _ = lose("e1")
+    assert attempt.interrupted == "engine e1 is down"
+    assert attempt.detour is None
+
+
+def test_a_second_loss_during_a_detour_is_gone_around_too():
+    further = LayerPath(
+        (PATH.parts[0], Part("e4", "10.0.0.4:1", LayerRange(4, 8), "a"))
+    )
+
+    async def run():
+        living = {"e1", "e3", "e4"}
+        choice = SimpleNamespace(lives=lambda engine_id: engine_id in living)
+        checks = SimpleNamespace(spawn=lambda work: None)
+        reach = SimpleNamespace(engine_down=lambda engine_id: None)
+        streams = StreamCalls(
+            None, checks, None, EngineLoads(), reach, choice, Around(AROUND, further)
+        )
+        call = SimpleNamespace(facts=SimpleNamespace(prompt_tokens=700))
+        attempt = PathAttempt(call, PATH, 900.0)
+        streams._take(attempt)
+        streams.engine_down("e2")
+        living.discard("e3")
+        await attempt.detour
+        return attempt
+
+    assert asyncio.run(run()).path == further
--- /dev/null
+++ b/libs/routing/src/celeryfork_routing/detours.py
@@ -0,0 +1,112 @@
+"""Other engines for the lost parts of a path whose first engine lives.
+
+The engines that live keep their layers and what they have read; only the new parts read
+the request so far. So a detour stays in the domains on both sides of what was lost.
+"""
+
+from collections.abc import Container, Mapping, Sequence
+
+from celeryfork_routing.engine_loads import LayerPath, Load, Part
+from celeryfork_routing.layer_paths import (
+    CROSSING_MS,
+    MOST_PARTS,
+    Candidate,
+    PathEngine,
+    PathRequest,
+    to_candidate,
+)
+from celeryfork_routing.layers import LayerRange, ModelShape
+
+
+def find_detour(
+    shape: ModelShape,
+    path: LayerPath,
+    lost: Container[str],
+    engines: Sequence[PathEngine],
+    load_by_engine: Mapping[str, Load],
+    request: PathRequest,
+) -> LayerPath | None:
+    """Return ``path`` with other engines in place of the lost ones, None without any.
+
+    Parameters
+    ----------
+    lost
+        Ids of the engines that don't live.
+    engines
+        Engines that may take over; those of the path itself are left out.
+    """
+    parts = path.parts
+    if parts[0].engine_id in lost:
+        return None
+    candidates = [
+        found
+        for engine in engines
+        if engine.id not in path.engine_ids
+        and (found := to_candidate(shape, engine, load_by_engine, request))
+    ]
+    whole: list[Part] = []
+    for index, part in enumerate(parts):
+        if part.engine_id not in lost:
+            whole.append(part)
+            continue
+        following = parts[index + 1] if index + 1 < len(parts) else None
+        bridge = _bridge(shape, part.layers, whole, following, candidates, request)
+        if bridge is None:
+            return None
+        whole.extend(bridge)
+    if len(whole) > MOST_PARTS:
+        return None
+    return LayerPath(tuple(whole), path.predicted_ms)
+
+
+def _bridge(
+    shape: ModelShape,
+    gap: LayerRange,
+    before: Sequence[Part],
+    following: Part | None,
+    candidates: Sequence[Candidate],
+    request: PathRequest,
+) -> tuple[Part, ...] | None:
+    """Return the cheapest parts that run the layers of ``gap``, None without any."""
+    domains = {before[-1].domain, (following or before[-1]).domain}
+    taken = {part.engine_id for part in before}
+    fitting = [
+        each
+        for each in candidates
+        if each.engine.domain in domains
+        and each.engine.id not in taken
+        and each.engine.held.overlap(gap)
+    ]
+    points = _points(gap, fitting)
+    best: dict[int, tuple[float, tuple[Part, ...]]] = {gap.first: (0.0, ())}
+    for point in points:
+        if point not in best:
+            continue
+        cost_ms, so_far = best[point]
+        last = so_far[-1] if so_far else before[-1]
+        used = {part.engine_id for part in so_far}
+        for each in fitting:
+            engine = each.engine
+            if not engine.held.first <= point < engine.held.last or engine.id in used:
+                continue
+            reach = min(engine.held.last, point + each.most_layers)
+            hop_ms = request.answer * shape.delay_ms(last.domain, engine.domain)
+            if engine.domain != last.domain:
+                hop_ms += CROSSING_MS
+            for end in points:
+                if not point < end <= reach:
+                    continue
+                total_ms = cost_ms + hop_ms + (end - point) * each.layer_ms
+                if end not in best or total_ms < best[end][0]:
+                    held = LayerRange(point, end)
+                    part = Part(engine.id, engine.address, held, engine.domain)
+                    best[end] = (total_ms, (*so_far, part))
+    found = best.get(gap.last)
+    return found[1] if found else None
+
+
+def _points(gap: LayerRange, fitting: Sequence[Candidate]) -> list[int]:
+    """Return the layers at which the parts may change, with both ends."""
+    held = [each.engine.held for each in fitting]
+    points = {gap.first, gap.last, *(h.first for h in held), *(h.last for h in held)}
+    return sorted(point for point in points if gap.first <= point <= gap.last)
--- a/libs/routing/src/celeryfork_routing/engine_loads.py
+++ b/libs/routing/src/celeryfork_routing/engine_loads.py
@@ -1,6 +1,7 @@
 """Requests in flight at engines: this instance's own, and what its peers said."""
 
 from collections.abc import Container, Mapping
+from itertools import pairwise
 
 from attrs import define, field, frozen
 
@@ -8,6 +9,8 @@
 
 PEER_REPORT_LIFE_S = 2.5
 """Time after which a peer's report counts no more: two of the longer intervals."""
+READING = "|reading"
+"""End of the keys under which prompts are counted that have yet to cross a pipe."""
 
 
 @frozen
@@ -38,6 +41,13 @@
         """Return the engines' ids in order."""
         return tuple(part.engine_id for part in self.parts)
 
+    def describe(self) -> str:
+        """Return the path for the log."""
+        return " ".join(
+            f"{part.domain}/{part.engine_id}={part.layers.first}-{part.layers.last}"
+            for part in self.parts
+        )
+
 
 @frozen
 class Load:
@@ -67,27 +77,53 @@
 
     The sum over all reports is kept up to date, so that a choice costs no more with
     hundreds of peers.
+
+    Parameters
+    ----------
+    unread
+        Number of this instance's requests that engines have yet to read.
     """
 
+    unread: int = 0
     _own_by_engine: dict[str, list[float]] = field(factory=dict)
+    _unread_by_engine: dict[str, list[float]] = field(factory=dict)
     _reports_by_peer: dict[str, _PeerReport] = field(factory=dict)
     _sum_by_engine: dict[str, list[float]] = field(factory=dict)
 
     def begin(self, path: LayerPath, tokens: float) -> None:
         """Count a request of ``tokens`` tokens on each part and pipe of ``path``."""
         for key, layers in _uses(path):
-            own = self._own_by_engine.setdefault(key, [0, 0.0])
-            own[0] += 1
-            own[1] += tokens * layers
+            _add(self._own_by_engine, key, tokens * layers)
 
     def end(self, path: LayerPath, tokens: float) -> None:
         """Undo one :meth:`begin` with the same arguments."""
         for key, layers in _uses(path):
-            own = self._own_by_engine[key]
-            own[0] -= 1
-            own[1] -= tokens * layers
-            if own[0] <= 0:
-                del self._own_by_engine[key]
+            _take_off(self._own_by_engine, key, tokens * layers)
+
+    def begin_reading(self, path: LayerPath, prompt: float, tokens: float) -> None:
+        """Count a request that engines have yet to read and pipes to carry.
+
+        Peers are told of the pipes only: an engine has read it before they would hear.
+
+        Parameters
+        ----------
+        prompt, tokens
+            Tokens that pipes carry, and those that engines reserve memory for.
+        """
+        self.unread += 1
+        for part in path.parts:
+            _add(self._unread_by_engine, part.engine_id, tokens * part.layers.count)
+        for domain, following in _crossings(path):
+            _add(self._own_by_engine, reading_key(domain, following), prompt)
+
+    def end_reading(self, path: LayerPath, prompt: float, tokens: float) -> None:
+        """Undo one :meth:`begin_reading` with the same arguments."""
+        self.unread -= 1
+        for part in path.parts:
+            held = tokens * part.layers.count
+            _take_off(self._unread_by_engine, part.engine_id, held)
+        for domain, following in _crossings(path):
+            _take_off(self._own_by_engine, reading_key(domain, following), prompt)
 
     def own(self) -> dict[str, Load]:
         """Return this instance's own work by engine."""
@@ -117,11 +153,31 @@
                 _sum_up(total, report.load_by_engine, 1)
         return _as_loads(total)
 
-    def total(self, now_s: float) -> dict[str, Load]:
-        """Return all known work by engine."""
+    def total(
+        self, now_s: float, instances: int = 1, neighbours: int = 1
+    ) -> dict[str, Load]:
+        """Return all known work by engine.
+
+        Where a loss strikes all instances at once, each is taken to have sent as much
+        as this one that it hasn't told yet, and to send one more with it.
+
+        Parameters
+        ----------
+        instances, neighbours
+            Instances that share the pipes, and that share the engines.
+        """
         self._drop_old(now_s)
         total = {key: list(told) for key, told in self._sum_by_engine.items()}
-        _sum_up(total, self.own(), 1)
+        own = self.own()
+        _sum_up(total, own, 1)
+        for key, load in own.items():
+            if key.endswith(READING):
+                total[key][1] = max(total[key][1], load.token_layers * instances)
+        for engine_id, (requests, token_layers) in self._unread_by_engine.items():
+            entry = total.setdefault(engine_id, [0, 0.0])
+            likely = (requests + 1) * (neighbours - 1)
+            entry[0] += likely
+            entry[1] += likely * token_layers / requests
         return _as_loads(total)
 
     def _drop_old(self, now_s: float) -> None:
@@ -137,6 +193,20 @@
                     del self._sum_by_engine[engine_id]
 
 
+def _add(ledger: dict[str, list[float]], key: str, token_layers: float) -> None:
+    entry = ledger.setdefault(key, [0, 0.0])
+    entry[0] += 1
+    entry[1] += token_layers
+
+
+def _take_off(ledger: dict[str, list[float]], key: str, token_layers: float) -> None:
+    entry = ledger[key]
+    entry[0] -= 1
+    entry[1] -= token_layers
+    if entry[0] <= 0:
+        del ledger[key]
+
+
 def less(
     load_by_engine: Mapping[str, Load], own: Mapping[str, Load]
 ) -> dict[str, Load]:
@@ -170,10 +240,22 @@
     return "|".join(sorted((domain, other)))
 
 
+def reading_key(domain: str, other: str) -> str:
+    """Return the key under which prompts that have yet to cross a pipe are counted."""
+    return pipe_key(domain, other) + READING
+
+
 def _uses(path: LayerPath) -> list[tuple[str, int]]:
     """Return the engines and pipes of a path, each with the layers it holds."""
     uses = [(part.engine_id, part.layers.count) for part in path.parts]
-    for part, following in zip(path.parts, path.parts[1:], strict=False):
-        if part.domain != following.domain:
-            uses.append((pipe_key(part.domain, following.domain), 1))
+    uses.extend((pipe_key(*crossing), 1) for crossing in _crossings(path))
     return uses
+
+
+def _crossings(path: LayerPath) -> list[tuple[str, str]]:
+    """Return the domains on both sides of each pipe of a path."""
+    return [
+        (part.domain, following.domain)
+        for part, following in pairwise(path.parts)
+        if part.domain != following.domain
+    ]
--- a/libs/routing/src/celeryfork_routing/layer_paths.py
+++ b/libs/routing/src/celeryfork_routing/layer_paths.py
@@ -12,7 +12,13 @@
 
 from attrs import define, field, frozen
 
-from celeryfork_routing.engine_loads import LayerPath, Load, Part, pipe_key
+from celeryfork_routing.engine_loads import (
+    LayerPath,
+    Load,
+    Part,
+    pipe_key,
+    reading_key,
+)
 from celeryfork_routing.layers import LayerRange, ModelShape, room_for_requests
 
 MOST_PARTS = 32
@@ -28,6 +34,9 @@
 """Duration by which requests in flight are turned into a rate, in ms."""
 MOST_PIPE_SHARE = 0.6
 """A pipe that is busier takes no more requests."""
+MOST_PIPE_WAIT_MS = 500.0
+"""A pipe takes no more requests while the prompts that have yet to cross it take
+longer, in ms: streams that are silent for over a second are given up."""
 PASS_WAIT = 1.5
 """A token waits for half of the pass before its own at each engine."""
 REQUESTS_A_PASS = 0.12
@@ -87,8 +96,8 @@
 
 
 @frozen
-class _Candidate:
-    """An engine as this request sees it.
+class Candidate:
+    """An engine as one request sees it.
 
     Parameters
     ----------
@@ -115,7 +124,7 @@
         Layer before which another engine has to take over.
     """
 
-    candidate: _Candidate
+    candidate: Candidate
     first: int
     begin_ms: float
     last: float
@@ -144,12 +153,12 @@
 ) -> LayerPath | None:
     """Return the quickest path, None where no engines with room cover all layers."""
     candidates = _best_of_each_range(
-        candidate
+        found
         for engine in engines
-        if (candidate := _candidate(shape, engine, load_by_engine, request))
+        if (found := to_candidate(shape, engine, load_by_engine, request))
     )
     hops = _Hops(shape, load_by_engine, request)
-    starting_by_point: dict[int, list[_Candidate]] = {}
+    starting_by_point: dict[int, list[Candidate]] = {}
     for each in candidates:
         starting_by_point.setdefault(max(0, each.engine.held.first), []).append(each)
     covering = starting_by_point.get(0, [])
@@ -167,19 +176,19 @@
     return _to_path(final, shape.layers)
 
 
-def _points(layers: int, candidates: Sequence[_Candidate]) -> list[int]:
+def _points(layers: int, candidates: Sequence[Candidate]) -> list[int]:
     """Return the layers at which a path may change engines, with both ends."""
     held = [each.engine.held for each in candidates]
     points = {0, layers, *(h.first for h in held), *(h.last for h in held)}
     return sorted(point for point in points if 0 <= point <= layers)
 
 
-def _best_of_each_range(candidates: Iterable[_Candidate]) -> list[_Candidate]:
+def _best_of_each_range(candidates: Iterable[Candidate]) -> list[Candidate]:
     """Return the cheapest of the engines that hold the same layers in one domain.
 
     One path never uses two of them. Those with room for all of their layers go first.
     """
-    best: dict[tuple[str, int, int], _Candidate] = {}
+    best: dict[tuple[str, int, int], Candidate] = {}
     for each in candidates:
         held = each.engine.held
         key = (each.engine.domain, held.first, held.last)
@@ -189,17 +198,18 @@
     return list(best.values())
 
 
-def _rank(candidate: _Candidate) -> tuple[bool, float]:
+def _rank(candidate: Candidate) -> tuple[bool, float]:
     room_is_short = candidate.most_layers < candidate.engine.held.count
     return room_is_short, candidate.layer_ms
 
 
-def _candidate(
+def to_candidate(
     shape: ModelShape,
     engine: PathEngine,
     load_by_engine: Mapping[str, Load],
     request: PathRequest,
-) -> _Candidate | None:
+) -> Candidate | None:
+    """Return an engine as a request sees it, None where it can't take part."""
     accelerator = shape.accelerators_by_name.get(engine.accelerator)
     held = engine.held
     if accelerator is None or held.count < 1:
@@ -220,11 +230,11 @@
     )
     fill = load.token_layers / room
     factor = engine.slowness * (1 + FULL_MEMORY_FACTOR * fill**3)
-    return _Candidate(engine, busy_ms * factor / shape.layers, most_layers)
+    return Candidate(engine, busy_ms * factor / shape.layers, most_layers)
 
 
 def _first_steps(
-    candidates: Sequence[_Candidate], request: PathRequest
+    candidates: Sequence[Candidate], request: PathRequest
 ) -> dict[str, _Step]:
     steps = {}
     for candidate in candidates:
@@ -241,8 +251,8 @@
     point: int,
     following: int,
     steps: dict[str, _Step],
-    covering: Iterable[_Candidate],
-    starting: Iterable[_Candidate],
+    covering: Iterable[Candidate],
+    starting: Iterable[Candidate],
     hops: "_Hops",
 ) -> None:
     """Add the paths that go over to another engine at ``point``.
@@ -285,7 +295,7 @@
 
 
 def _best_switch(
-    candidate: _Candidate,
+    candidate: Candidate,
     point: int,
     steps: Mapping[str, _Step],
     offers: Iterable[tuple[float, _Step]],
@@ -356,8 +366,12 @@
     busy = pipe.token_layers * token_ms / USUAL_STREAM_MS
     if busy > MOST_PIPE_SHARE:
         return None
+    reading = load_by_engine.get(reading_key(domain, following), NO_LOAD)
+    reading_ms = reading.token_layers * token_ms
+    if reading_ms > MOST_PIPE_WAIT_MS:
+        return None
     wait_ms = busy / (1 - busy) * request.prompt * token_ms / 2
-    return hop_ms + request.tokens * token_ms + request.answer * wait_ms
+    return hop_ms + reading_ms + request.tokens * token_ms + request.answer * wait_ms
 
 
 def _to_path(final: _Step, layers: int) -> LayerPath:
--- /dev/null
+++ b/libs/routing/tests/test_detours.py
@@ -0,0 +1,120 @@
+"""Detours around lost engines: the rest of the path stays as it is."""
+
+import random
+
+import pytest
+from attrs import evolve
+from celeryfork_routing.detours import find_detour
+from celeryfork_routing.engine_loads import LayerPath, Load, Part
+from celeryfork_routing.layer_paths import PathEngine, PathRequest
+from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
+
+SHAPE = ModelShape(
+    layers=40,
+    layer_mb=1750.0,
+    token_bytes=1_180_000.0,
+    step_ms=0.85,
+    sequence_ms=0.00764,
+    context_ms_per_thousand=0.01024,
+    read_tokens_per_ms=196.0,
+    activation_bytes=59_000.0,
+    pipe_bytes_per_ms=11_000 * 125.0,
+    usual_prompt=772.0,
+    usual_answer=174.0,
+    load_s=14.0,
+    accelerators_by_name={"card": Accelerator("card", 21_600.0, 16.0, 8.2)},
+)
+REQUEST = PathRequest(760, 174, "a")
+
+
+def engine(engine_id, first, last, domain="a"):
+    held = LayerRange(first, last)
+    return PathEngine(engine_id, f"{engine_id}:1", domain, "card", held)
+
+
+def path_over(*engines):
+    return LayerPath(
+        tuple(Part(e.id, e.address, e.held, e.domain) for e in engines), 900.0
+    )
+
+
+ROW = [engine(f"a{first}", first, first + 10) for first in range(0, 40, 10)]
+
+
+def detour(lost, *others, loads=None):
+    return find_detour(SHAPE, path_over(*ROW), lost, others, loads or {}, REQUEST)
+
+
+def layers(path):
+    return [(p.engine_id, p.layers.first, p.layers.last) for p in path.parts]
+
+
+def test_another_holder_takes_the_lost_part():
+    """Pattern: 45 streams over one lost engine all read their prompts again."""
+    found = detour({"a20"}, engine("b", 20, 30))
+    assert layers(found) == [
+        ("a0", 0, 10), ("a10", 10, 20), ("b", 20, 30), ("a30", 30, 40)
+    ]  # fmt: skip
+
+
+def test_several_engines_share_a_lost_part():
+    found = detour({"a10"}, engine("b", 6, 15), engine("c", 12, 21))
+    assert [part[0] for part in layers(found)] == ["a0", "b", "c", "a20", "a30"]
+    assert layers(found)[1][2] == layers(found)[2][1]
+
+
+def test_neighbours_that_are_lost_together_are_both_replaced():
+    found = detour({"a10", "a20"}, engine("b", 10, 20), engine("c", 20, 30))
+    assert [part[0] for part in layers(found)] == ["a0", "b", "c", "a30"]
+
+
+def test_one_engine_takes_over_from_two_only_in_one_piece():
+    """An engine that is named twice in a path is refused."""
+    roomy = evolve(SHAPE, layer_mb=500.0)
+    path = path_over(*ROW)
+    lost = {"a10", "a20"}
+    assert find_detour(roomy, path, lost, [engine("b", 8, 35)], {}, REQUEST) is None
+
+
+def test_no_detour_around_the_first_engine():
+    assert detour({"a0"}, engine("b", 0, 10)) is None
+
+
+def test_no_detour_where_nobody_holds_a_lost_layer():
+    assert detour({"a20"}, engine("b", 20, 29)) is None
+
+
+def test_no_detour_through_another_domain():
+    assert detour({"a20"}, engine("b", 20, 30, "b")) is None
+
+
+def test_an_engine_without_room_takes_nothing_over():
+    full = {"b": Load(90, 1.0e9)}
+    assert detour({"a20"}, engine("b", 20, 30), loads=full) is None
+    found = detour({"a20"}, engine("b", 20, 30), engine("c", 20, 30), loads=full)
+    assert layers(found)[2][0] == "c"
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_detour_is_whole_and_leaves_the_rest_as_it_is(seed):
+    rng = random.Random(seed)
+    others = []
+    for number in range(12):
+        first = rng.randrange(0, 36)
+        last = min(40, first + rng.randrange(2, 12))
+        others.append(engine(f"x{number}", first, last, rng.choice("aab")))
+    lost = set(rng.sample([each.id for each in ROW[1:]], rng.randrange(1, 3)))
+    found = detour(lost, *others)
+    if found is None:
+        return
+    assert [n for p in found.parts for n in range(p.layers.first, p.layers.last)] == (
+        list(range(40))
+    )
+    ids = [part.engine_id for part in found.parts]
+    assert len(set(ids)) == len(ids)
+    kept = [part for part in path_over(*ROW).parts if part.engine_id not in lost]
+    assert [part for part in found.parts if part in kept] == kept
+    held = {each.id: each.held for each in [*ROW, *others]}
+    for part in found.parts:
+        assert held[part.engine_id].overlap(part.layers) == part.layers.count
+        assert part.engine_id not in lost
--- a/libs/routing/tests/test_layer_paths.py
+++ b/libs/routing/tests/test_layer_paths.py
@@ -1,6 +1,8 @@
 """Paths over engines with different layers: every layer once, around what is full."""
 
 import random
+from collections import Counter
+from itertools import pairwise
 from math import inf
 
 import pytest
@@ -8,7 +10,12 @@
 from celeryfork_routing import layer_paths
 from celeryfork_routing.engine_loads import EngineLoads, Load
 from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
-from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
+from celeryfork_routing.layers import (
+    Accelerator,
+    LayerRange,
+    ModelShape,
+    room_for_requests,
+)
 
 SHAPE = ModelShape(
     layers=80,
@@ -193,12 +200,77 @@
     assert {part.domain for part in path.parts} == {"a", "b"}
 
 
+@pytest.mark.parametrize("instances", [1, 7])
+def test_a_burst_does_not_fill_a_pipe_with_prompts(instances):
+    """Pattern: engines are lost in every domain, and all streams go on at once.
+
+    90 streams of seven instances chose paths over the same pipe within 100 ms. Their
+    prompts took over 3 s to cross, so that all were left after 1.2 s of silence, and
+    came back to the same pipe.
+    """
+    engines = [each for each in slow_row("a") if each.id != "a30"]
+    engines += [each for each in slow_row("b") if each.id != "b60"]
+    transfer_ms = REQUEST.prompt * SHAPE.activation_bytes / SHAPE.pipe_bytes_per_ms
+    sent = 0
+    for _ in range(instances):
+        loads, own = EngineLoads(), 0
+        for _ in range(90 // instances):
+            path = find_path(SHAPE, engines, loads.total(0.0, instances), REQUEST)
+            if path is not None:
+                loads.begin(path, REQUEST.tokens)
+                loads.begin_reading(path, REQUEST.prompt, REQUEST.tokens)
+                own += sum(
+                    part.domain != following.domain
+                    for part, following in pairwise(path.parts)
+                )
+        assert own > 0
+        sent += own
+    assert sent * transfer_ms < 1200
+
+
+def test_instances_that_cannot_hear_each_other_keep_within_an_engines_memory():
+    """Pattern: all machines restart, and 330 streams go on within 0.4 s.
+
+    Each of 74 instances, 18 in a domain, knew its own streams only, and all took the
+    same fastest engines. These had no memory for so many, and were silent for 1.2 s.
+    """
+    instances, streams = 18, 4
+    engines = [engine("h100", 0, 29, kind="fast")]
+    for copy in range(4):
+        engines += slow_row("a", prefix=f"{copy}-")
+    held = Counter()
+    for _ in range(instances):
+        loads = EngineLoads()
+        for _ in range(streams):
+            known = loads.total(0.0, instances, instances)
+            path = find_path(SHAPE, engines, known, REQUEST)
+            assert path is not None
+            loads.begin(path, REQUEST.tokens)
+            loads.begin_reading(path, REQUEST.prompt, REQUEST.tokens)
+            for part in path.parts:
+                held[part.engine_id] += REQUEST.tokens * part.layers.count
+    fast = SHAPE.accelerators_by_name["fast"]
+    assert held["h100"] <= room_for_requests(SHAPE, fast, 29)
+
+
+def test_a_pipe_that_has_carried_its_prompts_is_open():
+    engines = [each for each in slow_row("a") if each.id != "a30"]
+    engines += [each for each in slow_row("b") if each.id != "b60"]
+    loads, paths = EngineLoads(), []
+    while (path := find_path(SHAPE, engines, loads.total(0.0), REQUEST)) is not None:
+        loads.begin_reading(path, REQUEST.prompt, REQUEST.tokens)
+        paths.append(path)
+    for path in paths:
+        loads.end_reading(path, REQUEST.prompt, REQUEST.tokens)
+    assert find_path(SHAPE, engines, loads.total(0.0), REQUEST) is not None
+
+
 def cheapest_by_trying_all(shape, engines, loads, request):
     """Return the least cost over all sequences of engines and places to change."""
     candidates = [
         candidate
         for each in engines
-        if (candidate := layer_paths._candidate(shape, each, loads, request))
+        if (candidate := layer_paths.to_candidate(shape, each, loads, request))
     ]
     hop_ms = layer_paths._hop_ms(shape, "a", "a", request, loads)
 
--- a/tests/adapter/test_promises.py
+++ b/tests/adapter/test_promises.py
@@ -20,6 +20,18 @@
         PATHS.format(parts="(*path.parts, path.parts[-1])"),
     ),
     "layers out of order": ("layers", PATHS.format(parts="path.parts[::-1]")),
+    "a detour that leaves layers out": (
+        "layers",
+        """
+from attrs import evolve
+from celeryfork_entry import path_choice
+find = path_choice.find_detour
+def short(*inputs):
+    path = find(*inputs)
+    return path and evolve(path, parts=path.parts[:-1])
+path_choice.find_detour = short
+""",
+    ),
     "another request's answer": (
         "own_whole_answer",
         """
@@ -36,9 +48,9 @@
         """
 from celeryfork_entry.stream_calls import StreamCalls
 pass_on = StreamCalls._pass_on
-async def forget(self, call, path, reply, events, progress):
+async def forget(self, attempt, reply, events, progress):
     progress.last_event = None
-    await pass_on(self, call, path, reply, events, progress)
+    await pass_on(self, attempt, reply, events, progress)
     progress.last_event = None
 StreamCalls._pass_on = forget
 """,
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -108,6 +108,44 @@
     assert time.monotonic() - began < 3.0
 
 
+def lose_the_last_engine(entry, fleet, attempt, refuses=False):
+    """Lose the last engine of a running stream while another one holds its layers.
+
+    Returns the numbers of the stream's events, its path, and the lost engine.
+    """
+    for engine in fleet.engines.values():
+        engine.event_gap_s = 0.03
+        engine.refuses_detours = refuses
+    response = entry.stream(attempt, events=30)
+    response.readline()
+    ((_, path),) = runs_of(fleet, attempt)
+    lost = next(e for e in fleet.engines.values() if e.addr == path[-1][0])
+    spare = fleet.add_engine(f"{attempt}-spare", lost.zone, "big", held=lost.held)
+    wait_for(lambda: spare.id in json.loads(entry.ask("/dump"))["targets"], 5)
+    lost.silent = True
+    return [1, *events_of(response)], path, lost
+
+
+def test_a_stream_is_led_around_an_engine_without_a_new_run(entry, fleet):
+    """Pattern: 45 streams over one lost engine all read their prompts again."""
+    numbers, path, lost = lose_the_last_engine(entry, fleet, "b3")
+    assert numbers == list(range(1, 31))
+    assert len(runs_of(fleet, "b3")) == 1
+    first = next(e for e in fleet.engines.values() if e.addr == path[0][0])
+    order = next(each for each in first.orders if each["op"] == "repath")
+    assert lost.addr not in order["path"]
+    assert order["path"].startswith(f"{path[0][0]}={path[0][1]}-{path[0][2]},")
+    (noted,) = entry.events("detour_ordered")
+    assert noted["status"] == 200 and noted["id"] == "b3"
+
+
+def test_a_stream_whose_detour_is_refused_is_begun_anew(entry, fleet):
+    numbers, _, _ = lose_the_last_engine(entry, fleet, "b4", refuses=True)
+    assert numbers == list(range(1, 31))
+    assert len(runs_of(fleet, "b4")) == 2
+    assert all(each["status"] == 409 for each in entry.events("detour_ordered"))
+
+
 def test_a_stream_that_stops_midway_in_an_event_is_resumed(entry, fleet):
     for engine in fleet.engines.values():
         engine.events_before_cut = 3
--- a/tests/support/engine_standins.py
+++ b/tests/support/engine_standins.py
@@ -25,6 +25,8 @@
         self.state = "ready"
         self.orders = []
         self.runs = []
+        self.paths = {}
+        self.refuses_detours = False
         self.open = 0
         self.event_gap_s = 0.01
         self.events_before_cut = None
@@ -89,6 +91,8 @@
         if order["fence"] < self.fence:
             return web.Response(status=412)
         self.fence = order["fence"]
+        if order["op"] == "repath":
+            return self._repath(order)
         if order.get("precondition") != self.seq:
             return web.Response(status=409)
         self.seq += 1
@@ -96,6 +100,21 @@
         self.listed()
         return web.Response(status=202)
 
+    def _repath(self, order):
+        if order["id"] not in self.paths:
+            return web.Response(status=404)
+        path = self.read_path(order["path"])
+        before = self.paths[order["id"]]
+        for part in path:
+            there = self.platform.alive(part[0]) and self.platform.holds(*part)
+            if self.refuses_detours or not there:
+                return web.json_response({"addr": part[0]}, status=409)
+        if path[0] != before[0]:
+            return web.Response(status=400)
+        self.seq += 1
+        self.paths[order["id"]] = path
+        return web.Response(status=200)
+
     async def _run(self, request):
         headers = request.headers
         attempt = headers["X-Attempt-Id"]
@@ -103,18 +122,20 @@
             return web.Response(status=421)
         if self.full or self.state == "draining":
             return web.Response(status=503, headers={"X-Not-Run": "1"})
-        path = self._path(headers["X-Hop-Count"])
+        path = self.read_path(headers["X-Hop-Count"])
         self.runs.append((attempt, path, headers))
         if self.fills_the_fleet:
             for engine in self.platform.engines.values():
                 engine.full = True
         self.open += 1
+        self.paths[attempt] = path
         try:
-            return await self._stream(request, attempt, path)
+            return await self._stream(request, attempt)
         finally:
             self.open -= 1
+            self.paths.pop(attempt, None)
 
-    def _path(self, header):
+    def read_path(self, header):
         parts = []
         for part in header.split(","):
             address, _, layers = part.partition("=")
@@ -122,7 +143,7 @@
             parts.append((address, int(first), int(last)))
         return parts
 
-    async def _stream(self, request, attempt, path):
+    async def _stream(self, request, attempt):
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         count = int(request.headers["X-Token-Count"].split(",")[1]) // 2
         response = web.StreamResponse(
@@ -132,11 +153,11 @@
                 "X-Server-Stamp": f"stamp.{self.id}",
             }
         )
-        await self.platform.whole(path)
+        await self.platform.whole(lambda: self.paths[attempt])
         await response.prepare(request)
         for number in range(first, count + 1):
             await asyncio.sleep(self.event_gap_s)
-            await self.platform.whole(path)
+            await self.platform.whole(lambda: self.paths[attempt])
             if self.events_before_cut == number - first:
                 await response.write(b"id: 9")
                 request.transport.abort()
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -52,9 +52,10 @@
         port = runner.addresses[0][1]
         return f"127.0.0.1:{port}"
 
-    def add_engine(self, engine_id, zone, kind):
+    def add_engine(self, engine_id, zone, kind, held=None):
         async def add():
             engine = EngineStandin(self, engine_id, zone, kind)
+            engine.held = held
             engine.addr = await self._listen(engine_id, engine.handle)
             self.engines[engine_id] = engine
             engine.listed()
@@ -90,11 +91,22 @@
             for name, engine in self.engines.items()
         )
 
-    async def whole(self, path):
-        """Wait while a part of the path is dead, as engines do."""
-        while not all(self.alive(address) for address, _, _ in path):
+    async def whole(self, path_of):
+        """Wait while a part of a run's path is dead, as engines do.
+
+        ``path_of`` gives the path, which an order may change meanwhile.
+        """
+        while not all(self.alive(address) for address, _, _ in path_of()):
             await asyncio.sleep(0.02)
 
+    def holds(self, address, first, last):
+        return any(
+            engine.addr == address
+            and engine.held is not None
+            and engine.held[0] <= first < last <= engine.held[1]
+            for engine in self.engines.values()
+        )
+
     def configure(self, **changes):
         self.version += 3
         config = make_configuration(self.version) | changes
--- a/tests/support/promises.py
+++ b/tests/support/promises.py
@@ -49,21 +49,39 @@
 def layers_once_and_in_order(entry, platform):
     for engine in platform.engines.values():
         engine.event_gap_s = 0.03
-    response = entry.stream("layers", events=EVENTS)
-    response.readline()
-    for engine, path in engine_runs(platform, "layers")[:1]:
-        others = [e for e in platform.engines.values() if e.addr == path[-1][0]]
-        if others and others[0] is not engine:
-            platform.kill(others[0].id)
-    event_numbers(response)
+    stream_with_a_lost_engine(entry, platform, "around", spare=True)
+    stream_with_a_lost_engine(entry, platform, "layers", spare=False)
+    paths = [path for _, path in engine_runs(platform, "layers")]
+    paths += [path for _, path in engine_runs(platform, "around")]
+    paths += [
+        engine.read_path(order["path"])
+        for engine in platform.engines.values()
+        for order in engine.orders
+        if order["op"] == "repath"
+    ]
     wanted = list(range(LAYERS))
     return [
         path
-        for _, path in engine_runs(platform, "layers")
+        for path in paths
         if [n for _, first, last in path for n in range(first, last)] != wanted
     ]
 
 
+def stream_with_a_lost_engine(entry, platform, attempt, spare):
+    """Lose the last engine of a stream midway, with or without one to take over."""
+    response = entry.stream(attempt, events=EVENTS)
+    response.readline()
+    for engine, path in engine_runs(platform, attempt)[:1]:
+        others = [e for e in platform.engines.values() if e.addr == path[-1][0]]
+        if others and others[0] is not engine:
+            lost = others[0]
+            if spare:
+                platform.add_engine("spare", lost.zone, "big", held=lost.held)
+                wait_for(lambda: b'"spare"' in entry.ask("/dump"), 5)
+            platform.kill(lost.id)
+    event_numbers(response)
+
+
 def own_whole_answer(entry, platform):
     for engine in platform.engines.values():
         engine.events_before_cut = 3
