Busy instances judge no engine; followers stay while all lists are old

Busy with: whole lists, taken from another relay 500 times a second in all, as the youngest of three old digests was followed.

Ruled out: shares of the retry budget (the bound on engines of one request broke); detours (the first engine stays, an order is no request).

Change: a late process asks up to three times and then leaves the engine unjudged; a follower changes relays only for a fresh list; an engine that was found down less than 0.8 s ago may still run what was begun on it.

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -19,8 +19,10 @@
 ANSWER_TIMEOUT_S = 0.05
 """Wait for a report; a live engine answers at once, without a slot, and callers count
 a pause of 0.2 s as late, of which a new path takes about 0.06."""
-LATE_S = 0.02
+LATE_S = 0.01
 """A wait that ends so much later than it should is of a process that had no time."""
+MOST_QUESTIONS = 3
+"""Questions until one isn't late; after them an engine isn't judged at all."""
 BACKLOG_S = 0.01
 """Time for what has arrived while the process had no time, before silence is judged."""
 NEWS_SILENCE_S = 0.04
@@ -126,18 +128,20 @@
         return await asyncio.shield(asked)
 
     async def _ask(self, target: Target, timeout_s: float) -> EngineReport | None:
-        report, reason, begun_s = None, "no report", time.monotonic()
-        try:
+        for _ in range(MOST_QUESTIONS):
+            begun_s = time.monotonic()
             try:
                 report = await self._question(target, timeout_s)
-            except TimeoutError:
+            except TimeoutError as error:
                 if time.monotonic() - begun_s < timeout_s + BACKLOG_S + LATE_S:
-                    raise
+                    return self._judge(target, None, repr(error))
                 self._counters.add("engines.asked_late")
-                report = await self._question(target, timeout_s)
-        except (NotSentError, LostError, TimeoutError) as error:
-            reason = repr(error)
-        return self._judge(target, report, reason)
+            except (NotSentError, LostError) as error:
+                return self._judge(target, None, repr(error))
+            else:
+                return self._judge(target, report, "no report")
+        self._log.info("engine_not_judged", engine=target.id, questions=MOST_QUESTIONS)
+        return None
 
     async def _question(self, target: Target, timeout_s: float) -> EngineReport | None:
         """Ask once; an answer that is there when the time is up still counts."""
--- a/libs/entry/src/celeryfork_entry/first_engines.py
+++ b/libs/entry/src/celeryfork_entry/first_engines.py
@@ -33,7 +33,7 @@
         Parameters
         ----------
         lives
-            Tells whether an engine is listed and answers.
+            Tells whether an engine may still run the stream.
         """
         living = frozenset(each for each in self._begun if lives(each))
         return living if len(living) >= self.most else None
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -24,6 +24,9 @@
 """Time that a request waits for room before it is refused; half of the usual aim."""
 REPEAT_WAIT_S = 1.0
 """The same for a request that may have run, which can't be refused any more."""
+SURELY_ENDED_S = 0.8
+"""Time out of choice after which an engine counts as ended: what this process, when
+late, or a peer took for silence is mended before. Less than a repeat waits."""
 ROOM_POLL_S = 0.02
 SEARCH_PAUSE_S = 0.005
 """Time between the searches of all requests that wait, so that many of them together
@@ -154,7 +157,7 @@
             call.facts.prompt_tokens,
             expected_answer_tokens(call),
             self._parts.domain,
-            call.first_engines.allowed(self.lives),
+            call.first_engines.allowed(self.may_run),
         )
         engines = [each.at(now_s) for each in known]
         loads = self._known_loads(engines, now_s)
@@ -241,6 +244,14 @@
         table = self._parts.table
         return engine_id in table.by_id and not table.standing(engine_id).held
 
+    def may_run(self, engine_id: str) -> bool:
+        """Return whether an engine may still run what was begun on it."""
+        if engine_id not in self._parts.table.by_id:
+            return False
+        standing = self._parts.table.standing(engine_id)
+        out_s = time.monotonic() - standing.marked_s
+        return not standing.held or out_s < SURELY_ENDED_S
+
     def note_no_path(self, call: Call) -> None:
         """Log what is known of the engines when none of them took a call."""
         table, now_s = self._parts.table, time.monotonic()
--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -66,14 +66,20 @@
         return min(ages.values(), default=STALE_S) >= STALE_S
 
     def _relay_to_follow(self, now_s: float) -> str:
-        """Return the relay that is followed on, unless it is silent or its list old."""
+        """Return the relay that is followed on, unless it is silent or its list old.
+
+        Where all lists are old, as while the store is away, another one is no better.
+        """
         ages = self._ages_by_relay(now_s)
         speaking = {
             address: age_s
             for address, age_s in ages.items()
             if now_s - self._digest_by_relay[address][1] < SILENT_RELAY_S
         }
-        if speaking.get(self.followed, STALE_S) < STALE_S:
+        youngest_s = min(speaking.values(), default=STALE_S)
+        if self.followed in speaking and (
+            speaking[self.followed] < STALE_S or youngest_s >= STALE_S
+        ):
             return self.followed
         choice = speaking or ages
         return min(choice, key=lambda each: (choice[each], each), default="")
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -354,7 +354,7 @@
     def _again(self, call: Call, outcome: Outcome, path: LayerPath) -> bool:
         kind = call.route.kind
         resumable = isinstance(kind, Stream) and kind.resumable
-        allowed = call.first_engines.allowed(self._choice.lives)
+        allowed = call.first_engines.allowed(self._choice.may_run)
         may_begin = resumable and (allowed is None or bool(allowed - call.avoided))
         match outcome:
             case Finished():
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -191,6 +191,25 @@
     assert table.by_id[TARGET.id].draining
 
 
+def test_a_follower_stays_where_all_lists_are_old():
+    """Pattern: the store is away, and 85 followers took whole lists 7 times a second.
+
+    Each took the list of the relay whose digest said the least age, one after another.
+    """
+    first, second, table = Relay(), Relay("10.0.0.3:7"), TargetTable()
+    following = follow_relays(first, second, table=table)
+    first.table.apply([Listed(TARGET)])
+    hear(following, first)
+    assert following._relayed.followed == first.peer.address
+    first.age_s, second.age_s = STALE_S + 0.2, STALE_S + 0.1
+    hear(following, second, first)
+    hear(following, second, first)
+    assert following._relayed.followed == first.peer.address
+    second.age_s = 0.1
+    hear(following, second, first)
+    assert following._relayed.followed == second.peer.address
+
+
 def test_a_follower_leaves_a_relay_that_falls_silent():
     """Pattern: the followed relay dies, and an engine begins to leave right after."""
     first, second, table = Relay(), Relay("10.0.0.3:7"), TargetTable()
