Followers turn to the store one after another, and read what is newest

While relays spoke of old lists, each follower tried the store itself; when it was back, all read at the same moment, each all changes since its own start, through a link of 10 Mbit/s; engines' answers waited behind that.

Change: where relays speak, a follower reads the store only after 2.6 to 8.6 s, each at another time; it begins with what is newest. Where none speaks it reads at once, as before.

--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -112,6 +112,7 @@
         while True:
             if self.configuration is not None and not self.reads_store():
                 self.store_away.discard("configuration")
+                self._configurations.start_anew()
                 await asyncio.sleep(FOLLOWER_LOOK_S)
                 continue
             try:
@@ -127,6 +128,7 @@
         while True:
             if self.list_read_s > 0 and not self.reads_store():
                 self.store_away.discard("targets")
+                self._targets.start_anew()
                 await asyncio.sleep(FOLLOWER_LOOK_S)
                 continue
             try:
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -157,6 +157,9 @@
         StoreUnavailableError
         """
 
+    def start_anew(self) -> None:
+        """Have the next call read what is newest, not what changed meanwhile."""
+
     async def decode(self, encoded: bytes) -> Configuration | None:
         """Return a configuration that a peer passed on, None if it can't be read."""
 
@@ -172,6 +175,9 @@
         StoreUnavailableError
         """
 
+    def start_anew(self) -> None:
+        """Have the next call read what is newest, not what changed meanwhile."""
+
     def whole(self) -> Sequence[Target]:
         """Return the list as last taken anew."""
 
--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -1,5 +1,6 @@
 """The list of targets as the relays of the domain have it, for their followers."""
 
+import random
 import time
 from collections.abc import Awaitable, Callable
 
@@ -15,6 +16,9 @@
 STALE_S = 2.6
 """Age of a relay's list at which another relay, or else the store, is asked; a relay
 reads at least each 2 s."""
+STALE_SPREAD_S = 6.0
+"""Time over which followers turn to the store while relays speak whose lists are old:
+mostly the store itself is away, and all would read it at the moment when it is back."""
 SILENT_RELAY_S = 0.6
 """Silence of the relay that is followed at which another one is: two of its digests."""
 
@@ -40,6 +44,9 @@
     _revision: int = -1
     _taking: bool = False
     _digest_by_relay: dict[str, tuple[RelayDigest, float]] = field(factory=dict)
+    _patience_s: float = field(
+        factory=lambda: STALE_S + random.uniform(0.0, STALE_SPREAD_S)
+    )
 
     def heard(self, digest: RelayDigest) -> None:
         """Note what a relay says of its list."""
@@ -61,9 +68,9 @@
             self._spawn(self._take_changes(digest.sender.address))
 
     def is_stale(self) -> bool:
-        """Return whether no relay of the domain has a fresh list."""
+        """Return whether to read the store: no relay speaks, or all lists are old."""
         ages = self._ages_by_relay(time.monotonic())
-        return min(ages.values(), default=STALE_S) >= STALE_S
+        return not ages or min(ages.values()) >= self._patience_s
 
     def _relay_to_follow(self, now_s: float) -> str:
         """Return the relay that is followed on, unless it is silent or its list old.
