--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,4 @@
-"""Trials in real time run one after the other, also where tests run in parallel."""
+"""Which tests run one after the other, also where others run in parallel."""
 
 from pathlib import Path
 
@@ -23,10 +23,14 @@
     )
 )
 """Whole deployments in one process, with bounds in seconds."""
+BINARY = ROOT / "tests/test_binary.py"
+"""Its tests build the same file."""
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Give all trials to one worker."""
+    """Give all trials to one worker, and the tests of the binary."""
     for item in items:
         if item.path in TRIALS:
             item.add_marker(pytest.mark.xdist_group("trials"))
+        elif item.path == BINARY:
+            item.add_marker(pytest.mark.xdist_group("binary"))
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -24,9 +24,9 @@
 """Time that a request waits for room before it is refused; half of the usual aim."""
 REPEAT_WAIT_S = 1.0
 """The same for a request that may have run, which can't be refused any more."""
-SURELY_ENDED_S = 0.8
-"""Time out of choice after which an engine counts as ended: what this process, when
-late, or a peer took for silence is mended before. Less than a repeat waits."""
+SURELY_ENDED_S = 2.0
+"""Time out of choice after which an engine counts as ended. What an instance with a
+full link or without processor time took for silence is mended before."""
 ROOM_POLL_S = 0.02
 SEARCH_PAUSE_S = 0.005
 """Time between the searches of all requests that wait, so that many of them together
