Tests: trials in a pass of their own, two files at a time

Ruled out: the order of hooks (tryfirst changes nothing), the marks (they are set).

Change: a marker, and two passes of `make test`: all but the trials on four workers, then the trials on two, each file in one.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 
 test: $(STAMP)
 	$(BIN)/python tools/known_red.py > $(VENV)/known_red.args
-	$(BIN)/python -m pytest -n 4 --dist loadgroup @$(VENV)/known_red.args
+	$(BIN)/python -m pytest -n 4 -m "not trial" @$(VENV)/known_red.args
+	$(BIN)/python -m pytest -n 2 --dist loadfile -m trial @$(VENV)/known_red.args
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,4 @@
-"""Which tests run one after the other, also where others run in parallel."""
+"""Which tests are trials: bounds in seconds, or files that several would write."""
 
 from pathlib import Path
 
@@ -10,6 +10,7 @@
     for path in (
         "libs/streams/tests/test_formats.py",
         "libs/streams/tests/test_recovery.py",
+        "tests/test_binary.py",
         "tests/test_cut_off_domains.py",
         "tests/test_leaving_targets.py",
         "tests/test_log_faults.py",
@@ -22,15 +23,11 @@
         "tests/test_whole_path.py",
     )
 )
-"""Whole deployments in one process, with bounds in seconds."""
-BINARY = ROOT / "tests/test_binary.py"
-"""Its tests build the same file."""
+"""Whole deployments in one process, and the binary, whose tests build one file."""
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Give all trials to one worker, and the tests of the binary."""
+    """Mark the trials; ``make test`` runs at most two files of them at once."""
     for item in items:
         if item.path in TRIALS:
-            item.add_marker(pytest.mark.xdist_group("trials"))
-        elif item.path == BINARY:
-            item.add_marker(pytest.mark.xdist_group("binary"))
+            item.add_marker(pytest.mark.trial)
--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -16,7 +16,7 @@
 from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
 from celeryfork_entry.targets import LearntLayers, Target, TargetTable
 
-ANSWER_TIMEOUT_S = 0.05
+ANSWER_TIMEOUT_S = 0.04
 """Wait for a report; a live engine answers at once, without a slot, and callers count
 a pause of 0.2 s as late, of which a new path takes about 0.06."""
 LATE_S = 0.01
@@ -25,7 +25,8 @@
 """Questions until silence is judged: one is put again if it was late, or if nothing
 came from any engine meanwhile, as where this instance's own link is full."""
 BACKLOG_S = 0.01
-"""Time for what has arrived while the process had no time, before silence is judged."""
+"""Time for what has arrived while the process had no time, before silence is judged;
+it comes on top of the wait for a report."""
 NEWS_SILENCE_S = 0.04
 """Silence of an engine in use that makes a peer's news of it credible."""
 PROOF_LIFE_S = 0.06
