--- a/libs/entry/tests/test_path_choice.py
+++ b/libs/entry/tests/test_path_choice.py
@@ -10,7 +10,7 @@
 from attrs import evolve
 from celeryfork_entry import path_choice
 from celeryfork_entry.first_engines import FirstEngines
-from celeryfork_entry.path_choice import SURELY_ENDED_S, PathChoice
+from celeryfork_entry.path_choice import MOST_UNTOLD, SURELY_ENDED_S, PathChoice
 from celeryfork_entry.targets import Listed, Target, TargetTable
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Part
 from celeryfork_routing.layer_paths import PathRequest, find_path
@@ -312,9 +312,11 @@
 
 def test_a_burst_leaves_a_domain_without_a_path():
     choice = fast_elsewhere()
+    choice._parts.instances = lambda: 74
     choice._parts.table.hold("a0", "silent", 1.0)
     call = make_call()
     for _ in range(4):
         path = choice._find(call)
         assert domain_of(path) == "b"
         choice._loads.begin_reading(path, 10, 20)
+    assert choice._loads.unread * 74 > MOST_UNTOLD
--- a/libs/routing/tests/test_detours.py
+++ b/libs/routing/tests/test_detours.py
@@ -95,26 +95,54 @@
     assert layers(found)[2][0] == "c"
 
 
+def can_be_covered(point, end, engines, used):
+    """Return whether distinct engines hold all layers from ``point`` to ``end``."""
+    if point >= end:
+        return True
+    return any(
+        can_be_covered(min(end, each.held.last), end, engines, used | {each.id})
+        for each in engines
+        if each.id not in used and each.held.first <= point < each.held.last
+    )
+
+
 @pytest.mark.parametrize("seed", range(40))
-def test_a_detour_is_whole_and_leaves_the_rest_as_it_is(seed):
+def test_a_detour_is_found_where_there_is_one_and_leaves_the_rest_as_it_is(seed):
     rng = random.Random(seed)
     others = []
-    for number in range(12):
+    for number in range(20):
         first = rng.randrange(0, 36)
-        last = min(40, first + rng.randrange(2, 12))
+        last = min(40, first + rng.randrange(4, 10))
         others.append(engine(f"x{number}", first, last, rng.choice("aab")))
-    lost = set(rng.sample([each.id for each in ROW[1:]], rng.randrange(1, 3)))
-    found = detour(lost, *others)
+    lost = rng.choice(ROW[1:])
+    near = [each for each in others if each.domain == "a"]
+    held = lost.held
+    found = detour({lost.id}, *others)
+    assert (found is not None) == can_be_covered(
+        held.first, held.last, near, frozenset()
+    )
     if found is None:
         return
-    assert [n for p in found.parts for n in range(p.layers.first, p.layers.last)] == (
-        list(range(40))
-    )
+    covered = [n for p in found.parts for n in range(p.layers.first, p.layers.last)]
+    assert covered == list(range(40))
     ids = [part.engine_id for part in found.parts]
     assert len(set(ids)) == len(ids)
-    kept = [part for part in path_over(*ROW).parts if part.engine_id not in lost]
+    kept = [part for part in path_over(*ROW).parts if part.engine_id != lost.id]
     assert [part for part in found.parts if part in kept] == kept
-    held = {each.id: each.held for each in [*ROW, *others]}
+    held_by_id = {each.id: each.held for each in [*ROW, *near]}
     for part in found.parts:
-        assert held[part.engine_id].overlap(part.layers) == part.layers.count
-        assert part.engine_id not in lost
+        assert held_by_id[part.engine_id].overlap(part.layers) == part.layers.count
+        assert part.engine_id != lost.id
+
+
+def test_most_of_the_random_fleets_have_a_detour():
+    """Else the test above would look at few detours."""
+    found = 0
+    for seed in range(40):
+        rng = random.Random(seed)
+        near = [
+            engine(f"x{number}", first, min(40, first + rng.randrange(4, 10)))
+            for number, first in enumerate(rng.choices(range(36), k=20))
+        ]
+        found += detour({"a20"}, *near) is not None
+    assert found > 20
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -20,6 +20,22 @@
 from celeryfork_entry.instance import Instance
 Instance._reads_store = lambda self: True
 """
+ANY_CONFIGURATION = """
+from celeryfork_entry.following import CONFIGURATION_PATH, Following
+from celeryfork_entry.peer_loads import PeerLoads
+take_common = PeerLoads._take_common
+def any_version(self, message):
+    if message.version not in (-1, self.version()):
+        self.on_version(message.version, message.sender.address)
+    take_common(self, message)
+async def heard_of(self, version, address):
+    await self._ask(address, CONFIGURATION_PATH)
+def take(self, newest, source):
+    self.configuration = newest or self.configuration
+PeerLoads._take_common = any_version
+Following.heard_of = heard_of
+Following._take = take
+"""
 IN_FORCE_S = 2.0
 """Bound for a change of the configuration and for a target that leaves."""
 
@@ -113,6 +129,35 @@
     assert ignore_a_leaving_target(followers, fleet) == followers
 
 
+def accept_a_withdrawn_key(followers, fleet):
+    """Return the followers that accept a key again that was taken away before."""
+    fleet.configure(tenants=[{"name": "kiosk", "apiKeys": ["key-1"]}])
+
+    def accepting():
+        return [
+            each
+            for each in followers
+            if each.request("GET", "/look/1", "key", key="key-3").status != 401
+        ]
+
+    wait_for(lambda: not accepting(), 2 * IN_FORCE_S)
+    fleet.version -= 6
+    fleet.configure()
+    time.sleep(2 * IN_FORCE_S)
+    return accepting()
+
+
+def test_followers_never_go_back_to_an_older_configuration(domain, fleet):
+    _, followers = domain
+    assert accept_a_withdrawn_key(followers, fleet) == []
+
+
+@pytest.mark.parametrize("domain", [ANY_CONFIGURATION], indirect=True, ids=["any"])
+def test_followers_that_go_back_are_seen(domain, fleet):
+    _, followers = domain
+    assert accept_a_withdrawn_key(followers, fleet) == followers
+
+
 def test_followers_get_from_relays_what_the_store_says(domain, fleet):
     """Pattern: 88 instances that each read the store's topics make 8,000 calls."""
     relays, followers = domain
