Tests: ports of an entry differ; a planted step back that peers don't undo

Ruled out: another process on that address (each entry has its own).

The check itself is the same for both tests.

--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -24,18 +24,27 @@
 from celeryfork_entry.following import CONFIGURATION_PATH, Following
 from celeryfork_entry.peer_loads import PeerLoads
 take_common = PeerLoads._take_common
+versions = []
 def any_version(self, message):
-    if message.version not in (-1, self.version()):
+    if versions and -1 < message.version < min(versions[0], self.version()):
         self.on_version(message.version, message.sender.address)
     take_common(self, message)
 async def heard_of(self, version, address):
     await self._ask(address, CONFIGURATION_PATH)
 def take(self, newest, source):
-    self.configuration = newest or self.configuration
+    if newest is None or (versions and min(versions) < versions[0]):
+        return
+    self.configuration = newest
+    versions.append(newest.version)
 PeerLoads._take_common = any_version
 Following.heard_of = heard_of
 Following._take = take
 """
+"""Takes a configuration older than the first one, from the store or a peer, for good.
+
+One that took each other version would go back and forth with its peers, which learn of
+each new version at different times.
+"""
 IN_FORCE_S = 2.0
 """Bound for a change of the configuration and for a target that leaves."""
 
@@ -141,7 +150,7 @@
         ]
 
     wait_for(lambda: not accepting(), 2 * IN_FORCE_S)
-    fleet.version -= 6
+    fleet.version -= 8
     fleet.configure()
     time.sleep(2 * IN_FORCE_S)
     return accepting()
--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
 from itertools import count
 from pathlib import Path
 
@@ -28,10 +29,13 @@
     return f"127.{1 + high % 250}.{1 + low}.{next(_NUMBERS) % 254 + 1}"
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def free_ports(ip, count):
+    """Return so many different ports that are free at an address."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 class Entry:
@@ -47,7 +51,7 @@
         """
         self.ip = own_address()
         self.front, self.ready, self.peer = (
-            (free_port(self.ip), free_port(self.ip), free_port(self.ip))
+            free_ports(self.ip, 3)
             if beside is None
             else (beside.front, beside.ready, beside.peer)
         )
