Followers ask an absent store less often; slow streams don't have engines asked at each event

Ruled out: relays (3 a domain). Change: a follower's pause doubles up to 3 s, by a share of chance; relays, instances that know no configuration or list, and followers that become relays stay at 0.3 s.

Cause: over engines that are five times slower the usual gap between events is near the longest patience of 0.15 s, so that nearly each event of each stream has all engines of its path asked. Change: patience is at least 1.5 usual gaps; engines of slow streams are asked for their speed each 2.4 s, which the many questions did in passing.

Tests fail with the old rules (longest pause 0.3 s: 40 questions of 12 allowed; without the least patience: 60 of 8).

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -33,6 +33,9 @@
 """Time that an engine's last sign of life counts for."""
 REPORT_LIFE_S = 3.0
 """Time that an engine's report on its speed counts for."""
+SPEED_PAUSE_S = 2.4
+"""Age of such a report at which an engine is asked again while its streams are slow:
+without a new one it would be chosen as if it were sound."""
 MOST_REPORT_BYTES = 1 << 20
 
 
@@ -68,11 +71,25 @@
     _heard_s: float = 0.0
     _asked_by_id: dict[str, asyncio.Task[EngineReport | None]] = field(factory=dict)
 
-    def progressed(self, engine_ids: Iterable[str], now_s: float) -> None:
-        """Record that a stream over these engines has just made progress."""
+    def progressed(
+        self, engine_ids: Iterable[str], now_s: float, *, slow: bool = False
+    ) -> None:
+        """Record that a stream over these engines has just made progress.
+
+        Parameters
+        ----------
+        slow
+            Whether the stream is slow: their speeds are asked for now and then.
+        """
         self._heard_s = now_s
         for engine_id in engine_ids:
             self._proved_s_by_id[engine_id] = now_s
+            if slow and now_s - self._reported_s(engine_id) > SPEED_PAUSE_S:
+                self._ask_speed(engine_id)
+
+    def _ask_speed(self, engine_id: str) -> None:
+        if engine_id not in self._asked_by_id and engine_id in self._table.by_id:
+            self.spawn(self.ask(engine_id))
 
     def proved_s(self, engine_id: str) -> float:
         """Return the steady time of its last sign of life, 0 for none."""
--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import time
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 
@@ -43,7 +44,10 @@
 reads of 690 instances stay below the store's 2,000 a second.
 """
 STORE_RETRY_S = 0.3
-"""Pause after the store gave no answer."""
+"""Pause after the store gave no answer, and between two looks whether to ask again."""
+LONGEST_RETRY_S = 3.0
+"""Longest such pause of a follower, which relays tell what they read meanwhile; it
+doubles with each failure. A change must be in force within 4 s on large sites."""
 LAPSE_S = 2.0
 """Time after the store's return in which entries that lapsed may come back."""
 FOLLOWER_LOOK_S = 0.2
@@ -70,6 +74,8 @@
         Called when the list or the configuration has changed.
     reads_store
         Tells whether this instance reads the store itself, as relays do.
+    relays
+        Tells whether it relays.
     spawn
         Runs a task beside the others.
     """
@@ -86,9 +92,11 @@
     spare_until_s: float = 0.0
     store_away: set[str] = field(factory=set)
     reads_store: Callable[[], bool] = lambda: True
+    relays: Callable[[], bool] = lambda: False
     spawn: Callable[[Awaitable[object]], object] = asyncio.ensure_future
     on_change: Callable[[], None] = lambda: None
     _asking: bool = False
+    _failures_by_feed: dict[str, int] = field(factory=dict)
     _encoded: tuple[int, bytes] = (-1, b"")
     _relayed: RelayedList = field(init=False)
 
@@ -111,7 +119,7 @@
         """Take each new configuration, for good."""
         while True:
             if self.configuration is not None and not self.reads_store():
-                self.store_away.discard("configuration")
+                self._end_outage("configuration")
                 self._configurations.start_anew()
                 await asyncio.sleep(FOLLOWER_LOOK_S)
                 continue
@@ -127,7 +135,7 @@
         """Take each change of the list, for good."""
         while True:
             if self.list_read_s > 0 and not self.reads_store():
-                self.store_away.discard("targets")
+                self._end_outage("targets")
                 self._targets.start_anew()
                 await asyncio.sleep(FOLLOWER_LOOK_S)
                 continue
@@ -221,13 +229,30 @@
         self._counters.add("store.failed")
         if what == "configuration" and self.configuration is None:
             await self._ask_anyone()
-        await asyncio.sleep(STORE_RETRY_S)
+        failures = self._failures_by_feed.get(what, 0) + 1
+        self._failures_by_feed[what] = failures
+        await self._wait_to_retry(failures)
+
+    async def _wait_to_retry(self, failures: int) -> None:
+        """Wait after so many failures in a row, for less long once this one relays."""
+        share, begun_s = random.uniform(0.5, 1.0), time.monotonic()
+        while True:
+            await asyncio.sleep(STORE_RETRY_S)
+            if self.relays() or self.configuration is None or self.list_read_s == 0:
+                return
+            pause_s = min(LONGEST_RETRY_S, STORE_RETRY_S * 2 ** min(failures, 8))
+            if time.monotonic() - begun_s >= share * pause_s:
+                return
+
+    def _end_outage(self, what: str) -> None:
+        self.store_away.discard(what)
+        self._failures_by_feed.pop(what, None)
 
     def _store_answered(self, what: str) -> bool:
         """Note an answer; return whether it is the first after a while without."""
         if what not in self.store_away:
             return False
-        self.store_away.discard(what)
+        self._end_outage(what)
         self._log.info("store_regained", what=what)
         return True
 
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -104,7 +104,8 @@
         self._following = Following(
             self._configurations, self._targets, self.table, self.connections,
             self.log, self.counters, self._peer_addresses,
-            reads_store=self._reads_store, spawn=self._spawn,
+            reads_store=self._reads_store, relays=lambda: self.roster.is_relay,
+            spawn=self._spawn,
         )  # fmt: skip
         self._checks = EngineChecks(
             self.table,
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -227,7 +227,9 @@
                 event_s = time.monotonic()
                 pace = pace or Pace()
                 pace.heard(event_s)
-                self._checks.progressed(attempt.path.engine_ids, time.monotonic())
+                self._checks.progressed(
+                    attempt.path.engine_ids, time.monotonic(), slow=pace.is_slow
+                )
                 await self._pass_on(attempt, reply, events, progress)
         if splitter.incomplete or not progress.begun:
             raise LostError("the stream ended within an event")
--- a/libs/entry/src/celeryfork_entry/stream_progress.py
+++ b/libs/entry/src/celeryfork_entry/stream_progress.py
@@ -9,6 +9,11 @@
 """The same over engines that are slow all the time: the bound is near then."""
 USUAL_GAPS = 2.0
 """Silence that tells something, as a multiple of the path's usual gap."""
+LEAST_USUAL_GAPS = 1.5
+"""The same where the longest patience is near the usual gap or below: it would be over
+at each event."""
+SLOW_GAP_S = 0.1
+"""Usual gap from which a stream counts as slow; it is 8 to 60 ms over sound engines."""
 GAP_WEIGHT = 0.25
 """Weight of the newest gap in the usual one: about the last four."""
 
@@ -53,5 +58,11 @@
     @property
     def patience_s(self) -> float:
         """Return the silence after which the engines are asked."""
-        usual_s = USUAL_GAPS * self._gap_s
-        return min(LONGEST_EVENT_PATIENCE_S, max(EVENT_PATIENCE_S, usual_s))
+        usual_s = max(EVENT_PATIENCE_S, USUAL_GAPS * self._gap_s)
+        least_s = LEAST_USUAL_GAPS * self._gap_s
+        return max(least_s, min(LONGEST_EVENT_PATIENCE_S, usual_s))
+
+    @property
+    def is_slow(self) -> bool:
+        """Return whether engines of the path are slow all the time."""
+        return self._gap_s >= SLOW_GAP_S
--- a/libs/entry/tests/test_engine_checks.py
+++ b/libs/entry/tests/test_engine_checks.py
@@ -7,7 +7,11 @@
 import pytest
 from celeryfork_base.counters import Counters
 from celeryfork_entry import engine_checks
-from celeryfork_entry.engine_checks import EngineChecks
+from celeryfork_entry.engine_checks import (
+    REPORT_LIFE_S,
+    SPEED_PAUSE_S,
+    EngineChecks,
+)
 from celeryfork_entry.ports import EngineReport
 from celeryfork_entry.target_http import NotSentError
 from celeryfork_entry.targets import Listed, Target, TargetTable
@@ -140,6 +144,28 @@
     assert (told, downs) == (["x"], ["x"])
 
 
+@pytest.mark.parametrize("slow", [True, False])
+def test_speeds_of_slow_engines_are_asked_for_now_and_then(slow):
+    """Pattern: engines work five times as long for 8 s; their speeds stay known."""
+    engine = Engine(*[b"ok"] * 100)
+    checks, table, _, _ = make(engine)
+    checks.spawn = lambda work: spawned.append(asyncio.ensure_future(work))
+    spawned = []
+
+    async def run():
+        """Hear 32 events of a slow stream, each 0.25 s later, within no time."""
+        for _ in range(32):
+            checks.progressed(["x"], time.monotonic(), slow=slow)
+            while spawned:
+                await spawned.pop()
+            table.standing("x").reported_s -= 0.25
+
+    asyncio.run(run())
+    assert engine.asked <= (1 + 8.0 / SPEED_PAUSE_S if slow else 0)
+    if slow:
+        assert time.monotonic() - table.standing("x").reported_s < REPORT_LIFE_S
+
+
 class PromptEngine(Engine):
     """Answers 40 ms after a question; this process is busy from 30 to 60 ms."""
 
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -7,7 +7,7 @@
 import pytest
 from attrs import evolve
 from celeryfork_base.counters import Counters
-from celeryfork_entry.following import Following
+from celeryfork_entry.following import STORE_RETRY_S, Following
 from celeryfork_entry.known import CHANGES_PATH, encode_known
 from celeryfork_entry.peer_messages import RelayDigest
 from celeryfork_entry.ports import Peer, StoreUnavailableError
@@ -243,6 +243,74 @@
     assert not following.relays_are_stale()
 
 
+class Away(Feed):
+    """A store that is away, and counts who asks."""
+
+    asked = 0
+
+    async def poll(self):
+        self.asked += 1
+        raise StoreUnavailableError("away")
+
+
+class SteppedTime:
+    """The time of a module, in which waiting takes none."""
+
+    def __init__(self, monkeypatch):
+        self.now_s = 100.0
+        self._yield = asyncio.sleep
+        monkeypatch.setattr("celeryfork_entry.following.time", self)
+        monkeypatch.setattr("celeryfork_entry.following.asyncio.sleep", self.sleep)
+
+    def monotonic(self):
+        return self.now_s
+
+    async def sleep(self, seconds):
+        self.now_s += seconds
+        await self._yield(0)
+
+
+def questions_in_outage(monkeypatch, outage_s, **fields):
+    """Return how often an instance asks a store that is away, for one topic."""
+    stepped = SteppedTime(monkeypatch)
+    following = make_following(**fields)
+    following._targets = feed = Away()
+    following.configuration = SimpleNamespace(version=1)
+    following.list_read_s = stepped.now_s
+    ends_s = stepped.now_s + outage_s
+
+    async def run():
+        task = asyncio.ensure_future(following.follow_targets())
+        while stepped.now_s < ends_s:
+            await asyncio.wait({task}, timeout=0)
+        task.cancel()
+
+    asyncio.run(run())
+    return feed.asked
+
+
+def test_followers_ask_a_store_that_is_away_more_and_more_seldom(monkeypatch):
+    """Pattern: the store is away for 12 s, and 180 followers asked it 7,000 times."""
+    for _ in range(20):
+        asked = questions_in_outage(monkeypatch, 12.0, relays=lambda: False)
+        assert 4 <= asked <= 12
+
+
+def test_relays_ask_a_store_that_is_away_as_before(monkeypatch):
+    """What they read goes to their whole domain; a change is in force within 2 s."""
+    asked = questions_in_outage(monkeypatch, 12.0, relays=lambda: True)
+    assert asked == pytest.approx(12.0 / STORE_RETRY_S, abs=2)
+
+
+def test_a_follower_that_becomes_a_relay_asks_at_once(monkeypatch):
+    """Pattern: the relays of a domain are killed while the store is away."""
+    stepped = SteppedTime(monkeypatch)
+    following = make_following(relays=lambda: stepped.now_s > 101.0)
+    following.configuration, following.list_read_s = SimpleNamespace(version=1), 1.0
+    asyncio.run(following._wait_to_retry(8))
+    assert stepped.now_s <= 101.0 + 2 * STORE_RETRY_S
+
+
 def test_followers_turn_to_the_store_one_after_another():
     """Pattern: the store is away for 4.4 s, and 85 followers read it when it is back.
 
--- a/libs/entry/tests/test_stream_progress.py
+++ b/libs/entry/tests/test_stream_progress.py
@@ -39,6 +39,15 @@
     assert asked(gaps_s) <= 6
 
 
+def test_streams_whose_gaps_are_over_the_longest_patience_are_seldom_asked_about():
+    """Pattern: engines work five times as long, and 74 instances ask 98 of them 4,500
+    times a second, at nearly each event of each stream."""
+    gaps_s = [0.02] * 20 + [0.17, 0.21, 0.19] * 20
+    assert asked(gaps_s) <= 8
+    assert pace_of(gaps_s).is_slow
+    assert not pace_of([0.06] * 20).is_slow
+
+
 def test_a_slow_stream_that_stops_is_asked_about_before_its_callers_bound():
     assert pace_of([0.09] * 40).patience_s <= LONGEST_EVENT_PATIENCE_S < 0.2
 
