Connections that are kept unused are bounded in all

Ruled out: an asking of all engines at once (a holder asks eight at a time); they stay for 4 s each. Change: 512 in all, the one used longest ago is closed first. Nothing changes on sites of up to 500 engines. The new test keeps 60 of 60 on the code before, 20 after (bound set to 20).

--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -17,6 +17,9 @@
 """Kept connections are given up this long before the other end would close them."""
 MOST_KEPT = 32
 """Unused connections kept for one address."""
+MOST_KEPT_IN_ALL = 512
+"""Unused connections kept in all, an eighth of a small machine's descriptors: who
+places layers asks each of 10,000 engines before it orders."""
 MOST_INTERIM_REPLIES = 8
 """Replies of status 1xx before the final one; more are bytes without end."""
 MOST_HEADER_BYTES = 65_536
@@ -128,6 +131,7 @@
     """Connections to other processes, by address."""
 
     _kept_by_address: dict[str, list[_Connection]] = field(factory=dict)
+    _kept_in_order: dict[_Connection, None] = field(factory=dict)
     opened: int = 0
 
     async def send(
@@ -185,33 +189,41 @@
         connection.kept_until_s = time.monotonic() + idle_s
         kept = self._kept_by_address.setdefault(connection.address, [])
         kept.append(connection)
+        self._kept_in_order[connection] = None
         if len(kept) > MOST_KEPT:
-            kept.pop(0).stream.close()
+            self._give_up(kept[0])
+        elif len(self._kept_in_order) > MOST_KEPT_IN_ALL:
+            self._give_up(next(iter(self._kept_in_order)))
+
+    def _give_up(self, connection: _Connection) -> None:
+        """Close a kept connection."""
+        self._take(connection)
+        connection.stream.close()
+
+    def _take(self, connection: _Connection) -> None:
+        """Keep a connection no longer."""
+        kept = self._kept_by_address[connection.address]
+        kept.remove(connection)
+        if not kept:
+            del self._kept_by_address[connection.address]
+        del self._kept_in_order[connection]
 
     def close_idle(self, now_s: float) -> None:
         """Close kept connections whose time is over or that ended."""
-        for address, kept in list(self._kept_by_address.items()):
-            left = []
-            for connection in kept:
-                if self._is_good(connection, now_s):
-                    left.append(connection)
-                else:
-                    connection.stream.close()
-            if left:
-                self._kept_by_address[address] = left
-            else:
-                del self._kept_by_address[address]
+        for connection in list(self._kept_in_order):
+            if not self._is_good(connection, now_s):
+                self._give_up(connection)
 
     def forget(self, address: str) -> None:
         """Close the kept connections to an address."""
         for connection in self._kept_by_address.pop(address, ()):
+            del self._kept_in_order[connection]
             connection.stream.abort()
 
     def _take_kept(self, address: str) -> _Connection | None:
-        kept = self._kept_by_address.get(address)
         now_s = time.monotonic()
-        while kept:
-            connection = kept.pop()
+        for connection in reversed(self._kept_by_address.get(address, [])):
+            self._take(connection)
             if self._is_good(connection, now_s):
                 return connection
             connection.stream.close()
--- a/libs/entry/tests/test_target_http.py
+++ b/libs/entry/tests/test_target_http.py
@@ -3,10 +3,13 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
+from celeryfork_entry import target_http
 from celeryfork_entry.byte_stream import MOST_UNREAD_BYTES, ByteStream
 from celeryfork_entry.target_http import (
+    KEPT_IDLE_S,
     LostError,
     OutgoingRequest,
     TargetConnections,
@@ -177,3 +180,75 @@
         server.close()
 
     asyncio.run(ask())
+
+
+class AnsweringEngine:
+    """Answers each request and keeps its connections open."""
+
+    def __init__(self):
+        self.writers = []
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+async def ask_each(connections, addresses):
+    for address in addresses:
+        reply = await connections.send(address, OutgoingRequest("GET", "/"))
+        assert await reply.read_all(10) == b"ok"
+
+
+def addresses_of(server, count):
+    port = server.sockets[0].getsockname()[1]
+    return [
+        f"127.0.{number // 250}.{number % 250 + 1}:{port}" for number in range(count)
+    ]
+
+
+def test_connections_kept_in_all_are_bounded(monkeypatch):
+    """Pattern: 1,003 engines, and who places layers asks each before it orders.
+
+    A machine that had 4,100 descriptors would keep a connection to each of 10,000.
+    """
+    monkeypatch.setattr(target_http, "MOST_KEPT_IN_ALL", 20)
+
+    async def ask():
+        engine, connections = AnsweringEngine(), TargetConnections()
+        server = await asyncio.start_server(engine.serve, "0.0.0.0", 0)
+        addresses = addresses_of(server, 60)
+        await ask_each(connections, addresses)
+        kept = list(connections._kept_by_address)
+        await ask_each(connections, addresses[-20:])
+        opened = connections.opened
+        for address in kept:
+            connections.forget(address)
+        server.close()
+        return addresses, kept, opened, connections
+
+    addresses, kept, opened, connections = asyncio.run(ask())
+    assert kept == addresses[-20:], "those used last are kept"
+    assert opened == 60, "and used again"
+    assert not connections._kept_in_order
+
+
+def test_connections_whose_time_is_over_are_closed():
+    async def ask():
+        engine, connections = AnsweringEngine(), TargetConnections()
+        server = await asyncio.start_server(engine.serve, "0.0.0.0", 0)
+        await ask_each(connections, addresses_of(server, 5))
+        connections.close_idle(time.monotonic())
+        kept = len(connections._kept_in_order)
+        connections.close_idle(time.monotonic() + KEPT_IDLE_S + 1)
+        await asyncio.sleep(0.05)
+        closed = sum(writer.is_closing() for writer in engine.writers)
+        server.close()
+        return kept, closed, connections
+
+    kept, closed, connections = asyncio.run(ask())
+    assert (kept, closed) == (5, 5)
+    assert not connections._kept_by_address
