Placement compared with an optimum: tools/placement_optimum.py

Memory alone is no measure: without slots the best placement would be one chain of 45 engines. The greedy plan stays; no change of the product.

--- /dev/null
+++ b/tests/test_placement_optimum.py
@@ -0,0 +1,75 @@
+"""The comparison of placements with the best: cases that can be worked out by hand."""
+
+import pytest
+from attrs import evolve
+from celeryfork_routing.layers import Accelerator, LayerRange
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from placement_optimum import (
+    CARDS,
+    DOMAINS,
+    SHAPE,
+    best_without_overlaps,
+    compare,
+    held_at_once,
+    slot_tokens,
+)
+
+CARD = Accelerator("card", 100.0)
+SMALL = evolve(
+    SHAPE,
+    layers=4,
+    layer_mb=10.0,
+    token_bytes=4_000_000.0,
+    accelerators_by_name={"card": CARD},
+)
+"""A token takes 1 MB in each layer, so that 2 layers leave room for 40 tokens."""
+
+
+def hold(*ranges):
+    return held_at_once(SMALL, [(CARD, LayerRange(*each)) for each in ranges])
+
+
+def test_the_engine_with_least_room_decides_in_a_chain():
+    assert hold((0, 2), (2, 4)) == pytest.approx(40.0)
+    assert hold((0, 1), (1, 4)) == pytest.approx(70 / 3)
+
+
+def test_a_second_copy_of_a_part_takes_its_share():
+    assert hold((0, 1), (1, 4), (1, 4)) == pytest.approx(140 / 3)
+    assert hold((0, 2), (1, 3), (2, 4)) == pytest.approx(60.0)
+
+
+def test_a_gap_holds_nothing():
+    assert hold((0, 2), (3, 4)) == 0.0
+
+
+def test_slots_bound_what_an_engine_holds():
+    roomy = {"card": Accelerator("card", 1e9)}
+    shape = evolve(SMALL, accelerators_by_name=roomy)
+    one = [(roomy["card"], LayerRange(0, 4))]
+    assert held_at_once(shape, one) == pytest.approx(slot_tokens(shape))
+    assert held_at_once(shape, one * 3) == pytest.approx(3 * slot_tokens(shape))
+
+
+def test_engines_alike_share_the_layers_evenly_without_overlaps():
+    assert best_without_overlaps(SMALL, [CARD, CARD]) == pytest.approx(40.0)
+
+
+@settings(max_examples=10, deadline=None)
+@given(st.fixed_dictionaries({kind: st.integers(0, 6) for kind in CARDS}))
+def test_no_placement_holds_more_than_the_bound(count_by_kind):
+    if sum(count_by_kind.values()) == 0:
+        return
+    found = compare(SHAPE, count_by_kind)
+    assert found.planned <= found.at_most * 1.001
+    assert found.without_overlaps <= found.at_most + 1.0
+    assert found.planned_after_loss <= found.planned * 1.001
+
+
+@pytest.mark.parametrize("domain", DOMAINS)
+def test_the_plan_holds_more_than_one_chain_where_engines_are_many(domain):
+    """Slots of one chain end at 81,000 tokens, whatever memory its engines have."""
+    found = compare(SHAPE, DOMAINS[domain])
+    if found.at_most > 2 * slot_tokens(SHAPE):
+        assert found.planned > slot_tokens(SHAPE)
--- /dev/null
+++ b/tools/placement_optimum.py
@@ -0,0 +1,212 @@
+"""How far placements of layers are from the best, measured by the requests they hold.
+
+A request holds a slot and memory on each engine of its path, memory for the layers
+that it runs there. The most tokens of requests that a placement holds at once is a
+flow: each engine divides its free memory among its layers, its slots bound each of
+them, and each layer has to hold all tokens.
+
+Run as a program, it compares ``plan_placement`` with two other figures for domains like
+those of a large fleet.
+"""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+import numpy as np
+from attrs import frozen
+from celeryfork_routing.layer_placement import plan_placement
+from celeryfork_routing.layer_repair import PlacedEngine
+from celeryfork_routing.layers import (
+    BYTES_PER_MB,
+    Accelerator,
+    LayerRange,
+    ModelShape,
+    most_layers,
+    room_for_requests,
+)
+from scipy.optimize import linprog
+from scipy.sparse import coo_array
+
+CARDS = {
+    "h100": Accelerator("h100", 72_000.0, 1.4, 1.0),
+    "a100s": Accelerator("a100s", 36_000.0, 3.1, 3.2),
+    "l4": Accelerator("l4", 21_600.0, 16.0, 8.2),
+    "t4": Accelerator("t4", 14_400.0, 15.0, 15.0),
+}
+SHAPE = ModelShape(
+    layers=80,
+    layer_mb=1_750.0,
+    token_bytes=1_180_000.0,
+    step_ms=0.85,
+    sequence_ms=0.00764,
+    context_ms_per_thousand=0.01024,
+    read_tokens_per_ms=236.0,
+    activation_bytes=59_000.0,
+    pipe_bytes_per_ms=6_300 * 125.0,
+    usual_prompt=772.0,
+    usual_answer=144.0,
+    load_s=14.0,
+    accelerators_by_name=CARDS,
+)
+"""A model and cards like those of the stand-ins, in the sizes of the users' sheets."""
+DOMAINS = {
+    "a": {"h100": 1, "a100s": 2, "l4": 17, "t4": 25},
+    "b": {"h100": 1, "a100s": 4, "l4": 25, "t4": 12},
+    "c": {"a100s": 6, "l4": 14, "t4": 24},
+    "small": {"a100s": 1, "l4": 8, "t4": 3},
+}
+SLOTS = 96
+"""Requests that one engine runs at once."""
+TOKEN_STEP = 10.0
+"""Step in tokens in which the best placement without overlaps is looked for."""
+
+
+@frozen
+class Figures:
+    """Tokens of requests that engines of one domain can hold at once.
+
+    Parameters
+    ----------
+    planned
+        By ``plan_placement``.
+    planned_after_loss
+        The same once the engine is lost whose loss costs most, before any repair.
+    without_overlaps
+        By the best placement that holds each layer once.
+    at_most
+        More than any placement can: engines with parts of layers, at the number at
+        which memory and slots end together.
+    """
+
+    planned: float
+    planned_after_loss: float
+    without_overlaps: float
+    at_most: float
+
+
+def held_at_once(
+    shape: ModelShape, engines: Sequence[tuple[Accelerator, LayerRange]]
+) -> float:
+    """Return the most tokens of requests that placed engines hold at once."""
+    rooms_by_key: Counter[tuple[str, int, int]] = Counter(
+        (kind.name, held.first, held.last) for kind, held in engines
+    )
+    cells = [
+        (row, layer)
+        for row, (_, first, last) in enumerate(rooms_by_key)
+        for layer in range(first, last)
+    ]
+    if len({layer for _, layer in cells}) < shape.layers:
+        return 0.0
+    rooms = [
+        count * room_for_requests(shape, shape.accelerators_by_name[name], last - first)
+        for (name, first, last), count in rooms_by_key.items()
+    ]
+    most = [count * slot_tokens(shape) for count in rooms_by_key.values()]
+    return _largest_flow(shape.layers, cells, rooms, most)
+
+
+def slot_tokens(shape: ModelShape) -> float:
+    """Return the tokens of all usual requests that one engine runs, half answered."""
+    return SLOTS * (shape.usual_prompt + shape.usual_answer / 2)
+
+
+def _largest_flow(
+    layers: int,
+    cells: Sequence[tuple[int, int]],
+    rooms: Sequence[float],
+    most: Sequence[float],
+) -> float:
+    """Return the flow through all layers; ``cells`` are pairs of group and layer."""
+    columns = np.arange(len(cells))
+    groups = np.array([row for row, _ in cells])
+    at_layer = np.array([layer for _, layer in cells])
+    within = coo_array(
+        (np.ones(len(cells)), (groups, columns)), (len(rooms), len(cells) + 1)
+    )
+    rows = np.concatenate([at_layer, np.arange(layers)])
+    columns = np.concatenate([columns, np.full(layers, len(cells))])
+    values = np.concatenate([-np.ones(len(cells)), np.ones(layers)])
+    through = coo_array((values, (rows, columns)), (layers, len(cells) + 1))
+    goal = np.zeros(len(cells) + 1)
+    goal[-1] = -1.0
+    found = linprog(
+        goal,
+        A_ub=_stacked(within, through),
+        b_ub=np.concatenate([np.array(rooms), np.zeros(layers)]),
+        bounds=[*((0.0, most[row]) for row, _ in cells), (0.0, None)],
+    )
+    return float(-found.fun)
+
+
+def _stacked(above: coo_array, below: coo_array) -> coo_array:
+    rows = np.concatenate([above.coords[0], below.coords[0] + above.shape[0]])
+    columns = np.concatenate([above.coords[1], below.coords[1]])
+    shape = (above.shape[0] + below.shape[0], above.shape[1])
+    return coo_array((np.concatenate([above.data, below.data]), (rows, columns)), shape)
+
+
+def best_without_overlaps(shape: ModelShape, kinds: Sequence[Accelerator]) -> float:
+    """Return the most tokens that engines can hold if each layer is held once.
+
+    The engine with the least room decides. So the most is the largest room at which the
+    layers that fit on each beside it add up to the model.
+    """
+    tokens = 0.0
+    while sum(most_layers(shape, kind, tokens) for kind in kinds) >= shape.layers:
+        tokens += TOKEN_STEP
+    return min(slot_tokens(shape), max(0.0, tokens - TOKEN_STEP))
+
+
+def bound(shape: ModelShape, kinds: Sequence[Accelerator]) -> float:
+    """Return tokens that no placement can hold more of."""
+    tokens = slot_tokens(shape)
+    request_mb = tokens * shape.token_bytes / shape.layers / BYTES_PER_MB
+    held = sum(kind.memory_mb / (shape.layer_mb + request_mb) for kind in kinds)
+    if held >= shape.layers:
+        return held * tokens / shape.layers
+    free_mb = sum(kind.memory_mb for kind in kinds) - shape.layers * shape.layer_mb
+    return max(0.0, free_mb * BYTES_PER_MB / shape.token_bytes)
+
+
+def compare(shape: ModelShape, count_by_kind: Mapping[str, int]) -> Figures:
+    """Return the figures of one domain's engines."""
+    engines = [
+        PlacedEngine(f"{kind}-{number}", "a", kind, None)
+        for kind, count in count_by_kind.items()
+        for number in range(count)
+    ]
+    planned = plan_placement(shape, engines)
+    kinds = [shape.accelerators_by_name[engine.accelerator] for engine in engines]
+    placed = [
+        (kind, planned[engine.id])
+        for kind, engine in zip(kinds, engines, strict=True)
+        if engine.id in planned
+    ]
+    after_losses = []
+    for lost in set(placed):
+        rest = list(placed)
+        rest.remove(lost)
+        after_losses.append(held_at_once(shape, rest))
+    return Figures(
+        held_at_once(shape, placed),
+        min(after_losses, default=0.0),
+        best_without_overlaps(shape, kinds),
+        bound(shape, kinds),
+    )
+
+
+def main() -> None:
+    """Print the figures of each domain."""
+    print("domain  engines  planned  after one loss  no overlaps  at most  share")
+    for name, count_by_kind in DOMAINS.items():
+        found = compare(SHAPE, count_by_kind)
+        print(
+            f"{name:7} {sum(count_by_kind.values()):7} {found.planned:8,.0f} "
+            f"{found.planned_after_loss:15,.0f} {found.without_overlaps:12,.0f} "
+            f"{found.at_most:8,.0f}  {found.planned / found.at_most:.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
