Slow engines are known to all instances, and stay known while they are slow

Ruled out: slow links (the engines report a pace of 12), prompts of streams that move (no burst at those times). Change: what engines say of their speed is passed on as their layers are, to all instances within half a second, and to other domains within a second and a half; the instance that leads a domain asks its slow engines each second, so that one keeps the knowledge of all. An engine that is sound again is told for 5 s. New log line engine_speed. Messages of an earlier release without speeds are still read.

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -12,6 +12,7 @@
 from celeryfork_base.counters import Counters
 from logbook import Logger
 
+from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.ports import Dialect, EngineReport
 from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
 from celeryfork_entry.targets import LearntLayers, Target, TargetTable
@@ -126,7 +127,7 @@
         ]
 
     def _reported_s(self, engine_id: str) -> float:
-        return self._table.standing(engine_id).reported_s
+        return self._table.speeds.reported_s(engine_id)
 
     async def ask(
         self, engine_id: str, timeout_s: float = ANSWER_TIMEOUT_S
@@ -207,11 +208,20 @@
         learnt = LearntLayers(report.held, report.born_ms, now_s, own=True)
         if self._table.learn_layers(target.id, learnt):
             self._log.info("layers_learnt", engine=target.id, held=str(report.held))
-        standing.slowness = max(1.0, report.slowness)
-        standing.reported_s = now_s
+        self.learn_speed(
+            target.id,
+            Speed(max(1.0, report.slowness), report.born_ms, now_s, own=True),
+        )
         self._table.succeeded(target.id)
         return report
 
+    def learn_speed(self, engine_id: str, speed: Speed) -> None:
+        """Take what an engine said of its speed, to this instance or to a peer."""
+        if self._table.learn_speed(engine_id, speed):
+            self._log.info(
+                "engine_speed", engine=engine_id, slowness=speed.slowness, own=speed.own
+            )
+
     def told_down(self, engine_id: str, born_ms: int | None, peer: str) -> None:
         """Take a peer's news that an engine is down.
 
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -177,6 +177,8 @@
         self._peers.on_digest = self._following.heard_digest
         self._peers.layers = self.table.layers_learnt
         self._peers.on_layers = self._heard_of_layers
+        self._peers.speeds = lambda: self.table.speeds.told(time.monotonic())
+        self._peers.on_speed = self._checks.learn_speed
 
     @property
     def configuration(self) -> Configuration | None:
@@ -333,6 +335,7 @@
             spare_until_s = self._following.spare_until_s
             self._peers.tell_changes()
             self._note_role()
+            self._renew_speeds(now_s)
             if now_s >= spare_until_s and (gone := self.table.drop_lapsed()):
                 self.log.info("targets_lapsed", targets=gone)
             await asyncio.gather(
@@ -342,6 +345,12 @@
                 )
             )
 
+    def _renew_speeds(self, now_s: float) -> None:
+        """Have the domain's slow engines asked again, by one instance for all."""
+        if self.roster.leads():
+            for engine_id in self.table.slow_in(self.settings.domain, now_s):
+                self._spawn(self._checks.ask(engine_id))
+
     def _note_role(self) -> None:
         """Log when this instance begins or ceases to relay."""
         if self.roster.is_relay != self._relayed:
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -18,6 +18,7 @@
 from celeryfork_routing.layers import LayerRange, ModelShape, first_missing
 
 from celeryfork_entry.call import Call, CallParts
+from celeryfork_entry.engine_speeds import EngineSpeeds
 from celeryfork_entry.targets import Standing
 
 ROOM_WAIT_S = 0.25
@@ -45,10 +46,11 @@
 
     engine: PathEngine
     standing: Standing
+    speeds: EngineSpeeds
 
     def at(self, now_s: float) -> PathEngine:
         """Return the engine with its present slowness."""
-        slowness = self.standing.slowness_at(now_s)
+        slowness = self.speeds.slowness(self.engine.id, now_s)
         if slowness == self.engine.slowness:
             return self.engine
         return evolve(self.engine, slowness=slowness)
@@ -231,6 +233,7 @@
                         target.held,
                     ),
                     table.standing(target.id),
+                    table.speeds,
                 )
                 for target in table.by_id.values()
                 if target.service == service
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -14,6 +14,7 @@
 from celeryfork_routing.engine_loads import EngineLoads, Load, less
 from logbook import Logger
 
+from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.peer_messages import (
     DownEngine,
     Heard,
@@ -63,6 +64,10 @@
         Gives what engines reported and the list doesn't say, by engine.
     on_layers
         Called with each engine of which a peer passes that on.
+    speeds
+        Gives what engines said of their speed to this instance, by engine.
+    on_speed
+        Called with each engine of which a peer passes that on.
     on_down
         Called with an engine that a peer has found to be down, its start, and the peer.
     fence_heard, fence_heard_s
@@ -84,11 +89,14 @@
     on_digest: Callable[[RelayDigest], None] = lambda digest: None
     layers: Callable[[], Mapping[str, LearntLayers]] = dict
     on_layers: Callable[[str, LearntLayers], None] = lambda engine_id, learnt: None
+    speeds: Callable[[], Mapping[str, Speed]] = dict
+    on_speed: Callable[[str, Speed], None] = lambda engine_id, speed: None
     on_down: Callable[[str, int | None, str], None] = lambda engine, born_ms, peer: None
     _reports: int = 0
     _down: list[DownEngine] = field(factory=list)
     _down_told_s: dict[DownEngine, float] = field(factory=dict)
     _learnt_by_member: dict[str, LearntLayers] = field(factory=dict)
+    _speed_by_engine: dict[str, Speed] = field(factory=dict)
     _told_revision: int = -1
     _told_version: int = -1
     _tell_soon: asyncio.TimerHandle | None = None
@@ -135,9 +143,18 @@
             self.on_version(message.version, message.sender.address)
         for engine_id, learnt in message.layers.items():
             self.on_layers(engine_id, learnt)
+        for engine_id, speed in message.speeds.items():
+            self._take_speed(engine_id, speed)
         for engine_id, born_ms in message.down:
             self.on_down(engine_id, born_ms, message.sender.name)
 
+    def _take_speed(self, engine_id: str, speed: Speed) -> None:
+        """Take an engine's speed, and keep the newest one to pass on."""
+        known = self._speed_by_engine.get(engine_id)
+        if known is None or speed.at_s > known.at_s:
+            self._speed_by_engine[engine_id] = speed
+        self.on_speed(engine_id, speed)
+
     def _take_report(self, report: MemberReport) -> None:
         if report.sender.domain != self.domain:
             return
@@ -175,8 +192,8 @@
 
     def _report(self) -> None:
         self._reports += 1
-        own, layers = self._loads.own(), self.layers()
-        idle = not (own or layers) and self._said_idle and self.fence() is None
+        own, news = self._loads.own(), self.layers() or self.speeds()
+        idle = not (own or news) and self._said_idle and self.fence() is None
         self._said_idle = not own
         if not idle or self._reports % IDLE_REPORTS == 0:
             data = encode_report(self._member_report(()))
@@ -243,7 +260,7 @@
             }
             self._send(encode_digest(evolve(digest, away_loads=away)), followers)
         if relays:
-            quiet = evolve(digest, loads=None, layers={})
+            quiet = evolve(digest, loads=None, layers={}, speeds={})
             self._send(encode_digest(quiet), self.roster.relays(self.domain))
         if to_away:
             counts = {self.domain: self.roster.count()}
@@ -259,6 +276,7 @@
             self._loads.own(),
             self.layers(),
             tuple(down),
+            self.speeds(),
         )
 
     def _digest(self, down: Iterable[DownEngine], now_s: float) -> RelayDigest:
@@ -276,6 +294,7 @@
             self._sum(now_s) if self.roster.leads() else None,
             layers | dict(self.layers()),
             tuple(down),
+            self._speeds_to_tell(now_s),
             revision=revision,
             list_age_s=list_age_s,
             list_is_old=list_is_old,
@@ -283,6 +302,19 @@
             away_loads={},
         )
 
+    def _speeds_to_tell(self, now_s: float) -> dict[str, Speed]:
+        """Return the newest speeds that this instance knows of, its own among them."""
+        self._speed_by_engine = {
+            engine_id: speed
+            for engine_id, speed in self._speed_by_engine.items()
+            if now_s - speed.at_s < NEWS_LIFE_S
+        }
+        told = dict(self._speed_by_engine)
+        for engine_id, speed in self.speeds().items():
+            if engine_id not in told or speed.at_s > told[engine_id].at_s:
+                told[engine_id] = speed
+        return told
+
     def _sum(self, now_s: float) -> dict[str, Load]:
         """Return the work of all instances of the domain."""
         members = {peer.name for peer in self.roster.members()}
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Mapping, Sequence
+from math import inf
 from typing import Any
 
 from attrs import frozen
@@ -9,6 +10,7 @@
 from celeryfork_routing.layers import LayerRange
 from orjson import dumps, loads
 
+from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.field_values import address, whole_number
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.targets import LearntLayers
@@ -36,6 +38,8 @@
         What engines reported and the list doesn't say, by engine.
     down
         Engines that were just found to be down.
+    speeds
+        Of engines that are or just were slow, by engine.
     """
 
     sender: Peer
@@ -44,6 +48,7 @@
     loads: Mapping[str, Load] | None
     layers: Mapping[str, LearntLayers]
     down: Sequence[DownEngine]
+    speeds: Mapping[str, Speed]
 
 
 @frozen
@@ -137,6 +142,7 @@
         "layers": {key: _row(learnt) for key, learnt in message.layers.items()},
         "loads": None if message.loads is None else _load_rows(message.loads),
         "down": message.down,
+        "speeds": {key: _speed_row(speed) for key, speed in message.speeds.items()},
     }
 
 
@@ -155,6 +161,9 @@
         "loads": None if fields["loads"] is None else _decode_loads(fields["loads"]),
         "layers": {str(key): _learnt(row) for key, row in fields["layers"].items()},
         "down": [_down(row) for row in fields["down"]],
+        "speeds": {
+            str(key): _speed(row) for key, row in fields.get("speeds", {}).items()
+        },
     }
 
 
@@ -181,7 +190,7 @@
 
 def _row(learnt: LearntLayers) -> list[int | None]:
     """Return what an engine holds, its start, and how long ago it said so in ms."""
-    age_ms = round((time.monotonic() - learnt.at_s) * 1000)
+    age_ms = _age_ms(learnt.at_s)
     if learnt.held is None:
         return [None, None, learnt.born_ms, age_ms]
     return [learnt.held.first, learnt.held.last, learnt.born_ms, age_ms]
@@ -197,5 +206,26 @@
             held = LayerRange(first, last)
         case _:
             raise ValueError(f"no layers of an engine: {row!r}")
-    at_s = time.monotonic() - max(0, age_ms) / 1000
-    return LearntLayers(held, born_ms, at_s, own=False)
+    return LearntLayers(held, born_ms, _at_s(age_ms), own=False)
+
+
+def _speed_row(speed: Speed) -> list[float | int | None]:
+    """Return an engine's slowness, its start, and how long ago it said so in ms."""
+    return [speed.slowness, speed.born_ms, _age_ms(speed.at_s)]
+
+
+def _speed(row: Any) -> Speed:
+    match row:
+        case [int() | float() as slowness, int() | None as born_ms, int(age_ms)] if (
+            1 <= slowness < inf
+        ):
+            return Speed(float(slowness), born_ms, _at_s(age_ms), own=False)
+    raise ValueError(f"no speed of an engine: {row!r}")
+
+
+def _age_ms(at_s: float) -> int:
+    return round((time.monotonic() - at_s) * 1000)
+
+
+def _at_s(age_ms: int) -> float:
+    return time.monotonic() - max(0, age_ms) / 1000
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -6,14 +6,13 @@
 from attrs import define, evolve, field, frozen
 from celeryfork_routing.layers import LayerRange
 
+from celeryfork_entry.engine_speeds import EngineSpeeds, Speed
 from celeryfork_entry.list_changes import ListChanges
 
 FIRST_HOLD_S = 0.5
 """Time a target that failed stays out of choice before it is asked again."""
 LONGEST_HOLD_S = 2.0
 """Longest such time; it doubles with each failed question."""
-SLOWNESS_LIFE_S = 3.0
-"""Time after which a slow engine is tried again as if it were sound."""
 REFUSAL_PAUSE_S = 0.3
 """Time that an engine which refused work is left out where others can do it."""
 LONGEST_REFUSAL_PAUSE_S = 2.4
@@ -111,8 +110,6 @@
     hold_s: float = 0.0
     marked_s: float = 0.0
     reason: str = ""
-    slowness: float = 1.0
-    reported_s: float = 0.0
     refused_until_s: float = 0.0
     refusals: int = 0
     leaving: bool = False
@@ -120,11 +117,6 @@
     learnt: LearntLayers | None = None
     listed_s: float = 0.0
 
-    def slowness_at(self, now_s: float) -> float:
-        """Return the slowness last reported, 1 if that is long ago."""
-        recent = now_s - self.reported_s < SLOWNESS_LIFE_S
-        return self.slowness if recent else 1.0
-
     @property
     def held(self) -> bool:
         """Return whether the target is out of choice."""
@@ -148,6 +140,7 @@
     list_is_old: bool = False
     _clock: Callable[[], float] = time.monotonic
     changes: ListChanges = field(factory=ListChanges)
+    speeds: EngineSpeeds = field(factory=EngineSpeeds)
 
     def apply(self, changes: Iterable[ListChange], *, spare: bool = False) -> None:
         """Take changes of the list in their order.
@@ -187,6 +180,7 @@
         if self.by_id.pop(target_id, None) is not None:
             self.changes.left(target_id)
         self._standing_by_id.pop(target_id, None)
+        self.speeds.forget(target_id)
         self._lapsed.discard(target_id)
 
     def _list(self, target: Target) -> None:
@@ -195,6 +189,7 @@
             if (target.born_ms or 0) < (known.born_ms or 0):
                 return
             self._standing_by_id.pop(target.id, None)
+            self.speeds.forget(target.id)
             self.standing(target.id).listed_s = self._clock()
         elif known is not None and target.entry_number < known.entry_number:
             return
@@ -243,6 +238,22 @@
         self._put(evolve(known, held=learnt.held))
         return known.held != learnt.held
 
+    def learn_speed(self, target_id: str, speed: Speed) -> bool:
+        """Take an engine's speed; return whether it has turned slow or sound by it."""
+        known = self.by_id.get(target_id)
+        if known is None or known.born_ms not in {None, speed.born_ms}:
+            return False
+        return self.speeds.learn(target_id, speed)
+
+    def slow_in(self, domain: str, now_s: float) -> list[str]:
+        """Return the slow engines of a domain that are to be asked again."""
+        return [
+            target_id
+            for target_id in self.speeds.to_ask(now_s)
+            if self.by_id[target_id].domain == domain
+            and not self.standing(target_id).held
+        ]
+
     def layers_learnt(self) -> dict[str, LearntLayers]:
         """Return what engines reported to this instance and the list doesn't say."""
         since_s = self._clock() - LEARNT_TOLD_S
--- a/libs/entry/tests/test_engine_checks.py
+++ b/libs/entry/tests/test_engine_checks.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import pytest
+from attrs import evolve
 from celeryfork_base.counters import Counters
 from celeryfork_entry import engine_checks
 from celeryfork_entry.engine_checks import (
@@ -144,6 +145,14 @@
     assert (told, downs) == (["x"], ["x"])
 
 
+def age(table, seconds):
+    """Let the time pass since the engine's last report."""
+    speed = table.speeds._speed_by_id.get("x")
+    if speed is not None:
+        older = evolve(speed, at_s=speed.at_s - seconds)
+        table.speeds._speed_by_id["x"] = older
+
+
 @pytest.mark.parametrize("slow", [True, False])
 def test_speeds_of_slow_engines_are_asked_for_now_and_then(slow):
     """Pattern: engines work five times as long for 8 s; their speeds stay known."""
@@ -158,12 +167,12 @@
             checks.progressed(["x"], time.monotonic(), slow=slow)
             while spawned:
                 await spawned.pop()
-            table.standing("x").reported_s -= 0.25
+            age(table, 0.25)
 
     asyncio.run(run())
     assert engine.asked <= (1 + 8.0 / SPEED_PAUSE_S if slow else 0)
     if slow:
-        assert time.monotonic() - table.standing("x").reported_s < REPORT_LIFE_S
+        assert time.monotonic() - table.speeds.reported_s("x") < REPORT_LIFE_S
 
 
 class PromptEngine(Engine):
--- a/libs/entry/tests/test_following.py
+++ b/libs/entry/tests/test_following.py
@@ -134,7 +134,7 @@
 
     def digest(self):
         return RelayDigest(
-            self.peer, None, -1, {}, {}, (),
+            self.peer, None, -1, {}, {}, (), {},
             revision=self.table.changes.revision, list_age_s=self.age_s,
             list_is_old=self.old, counts={}, away_loads={},
         )  # fmt: skip
--- a/libs/entry/tests/test_instance.py
+++ b/libs/entry/tests/test_instance.py
@@ -2,9 +2,13 @@
 
 from types import SimpleNamespace
 
+import pytest
 from attrs import evolve
+from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.instance import Instance
+from celeryfork_entry.ports import Peer
 from celeryfork_entry.settings import EntrySettings
+from celeryfork_entry.targets import Listed, Target
 from logbook import Logger
 
 SETTINGS = EntrySettings(
@@ -36,6 +40,33 @@
     assert repeats(instance, 101.0) == 0
 
 
+class Asked:
+    """Notes which engines are asked."""
+
+    def __init__(self):
+        self.ids = []
+
+    def ask(self, engine_id):
+        self.ids.append(engine_id)
+
+
+@pytest.mark.parametrize(("power_of_other", "asked"), [(0.5, ["x"]), (2.0, [])])
+def test_one_instance_of_a_domain_renews_the_speeds_of_its_slow_engines(
+    monkeypatch, power_of_other, asked
+):
+    """Pattern: engines are slow for 9 s, and 195 instances know by one's questions."""
+    instance, checks = make_instance(), Asked()
+    instance._checks = checks
+    monkeypatch.setattr(Instance, "_spawn", lambda instance, work: None)
+    other = Peer("e2", "west", "127.0.0.1:9", power_of_other)
+    instance.roster.heard(other)
+    for engine_id, domain in (("x", "west"), ("y", "east")):
+        instance.table.apply([Listed(Target(engine_id, "llm", "x:1", domain))])
+        instance.table.learn_speed(engine_id, Speed(12.0, 1, 100.0, own=False))
+    instance._renew_speeds(101.5)
+    assert checks.ids == asked
+
+
 def test_changed_settings_change_the_budget():
     instance = make_instance()
     assert repeats(instance, 100.0) == 18
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 from attrs import evolve
+from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.targets import (
     LEARNT_TOLD_S,
     LEAVING_LIFE_S,
@@ -111,12 +112,28 @@
     assert table.standing("t1").failed_share < share
 
 
-def test_a_slow_engine_counts_as_slow_for_a_while():
-    """Pattern: engines turn twelve times slower and recover after some seconds."""
-    standing = make_table().standing("t1")
-    standing.slowness, standing.reported_s = 12.0, 100.0
-    assert standing.slowness_at(101.0) == 12.0
-    assert standing.slowness_at(104.0) == 1.0
+def test_the_speed_of_an_engine_is_known_until_it_starts_anew():
+    table = make_table()
+    born = evolve(table.by_id["t1"], born_ms=1000)
+    table.apply([Listed(born)])
+    slow = Speed(12.0, 1000, 100.0, own=True)
+    assert table.learn_speed("t1", slow)
+    assert not table.learn_speed("t1", evolve(slow, born_ms=900, at_s=100.5))
+    assert not table.learn_speed("nobody", slow)
+    assert table.speeds.slowness("t1", 101.0) == 12.0
+    table.apply([Listed(evolve(born, born_ms=2000))])
+    assert table.speeds.slowness("t1", 101.0) == 1.0
+
+
+def test_slow_engines_of_one_domain_are_asked_for_their_speed():
+    table = make_table()
+    domain = table.by_id["t1"].domain
+    born_ms = table.by_id["t1"].born_ms
+    table.learn_speed("t1", Speed(12.0, born_ms, 100.0, own=False))
+    assert table.slow_in(domain, 101.5) == ["t1"]
+    assert table.slow_in("elsewhere", 101.5) == []
+    table.hold("t1", "it is down", 101.0)
+    assert table.slow_in(domain, 101.5) == [], "it is asked whether it is back"
 
 
 def test_an_engine_that_refuses_is_left_out_for_a_moment():
