--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -235,11 +235,14 @@
         assert not known["x"].own
 
 
-def test_the_newest_speed_is_passed_on():
+@pytest.mark.parametrize(
+    ("first", "last"), [("west-7", "west-8"), ("west-8", "west-7")]
+)
+def test_the_newest_speed_is_passed_on(first, last):
     network = Network()
     told, now_s = learn_speeds(network), time.monotonic()
-    network["west-7"].speeds = lambda: {"x": Speed(12.0, 1000, now_s - 1.0, own=True)}
-    network["west-8"].speeds = lambda: {"x": Speed(1.0, 1000, now_s - 0.1, own=True)}
+    network[first].speeds = lambda: {"x": Speed(12.0, 1000, now_s - 1.0, own=True)}
+    network[last].speeds = lambda: {"x": Speed(1.0, 1000, now_s - 0.1, own=True)}
     network.report(2)
     assert told["west-6"]["x"].slowness == 1.0
 
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -118,7 +118,8 @@
     table.apply([Listed(born)])
     slow = Speed(12.0, 1000, 100.0, own=True)
     assert table.learn_speed("t1", slow)
-    assert not table.learn_speed("t1", evolve(slow, born_ms=900, at_s=100.5))
+    earlier_start = Speed(1.0, 900, 100.5, own=False)
+    assert not table.learn_speed("t1", earlier_start)
     assert not table.learn_speed("nobody", slow)
     assert table.speeds.slowness("t1", 101.0) == 12.0
     table.apply([Listed(evolve(born, born_ms=2000))])
