--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -10,6 +10,7 @@
 from celeryfork_cmdline.check import check
 from celeryfork_cmdline.config import config_app
 from celeryfork_cmdline.demo import demo
+from celeryfork_cmdline.explain import explain
 from celeryfork_cmdline.inspect import dump, targets
 from celeryfork_cmdline.load import load
 from celeryfork_cmdline.schema import schema
@@ -22,7 +23,7 @@
 EXIT_FAULT = 1
 EXIT_INPUT_FAULT = 2
 COMMANDS = (
-    *(serve, check, schema, dump, targets),
+    *(serve, check, schema, dump, targets, explain),
     *(demo, load, bench, soak, standin, version),
 )
 
