--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -12,7 +12,7 @@
 from celeryfork_base.counters import Counters
 from logbook import Logger
 
-from celeryfork_entry.engine_speeds import Speed
+from celeryfork_entry.engine_speeds import SLOWNESS_LIFE_S, Speed
 from celeryfork_entry.ports import Dialect, EngineReport
 from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
 from celeryfork_entry.targets import LearntLayers, Target, TargetTable
@@ -32,11 +32,9 @@
 """Silence of an engine in use that makes a peer's news of it credible."""
 PROOF_LIFE_S = 0.06
 """Time that an engine's last sign of life counts for."""
-REPORT_LIFE_S = 3.0
-"""Time that an engine's report on its speed counts for."""
 SPEED_PAUSE_S = 2.4
-"""Age of such a report at which an engine is asked again while its streams are slow:
-without a new one it would be chosen as if it were sound."""
+"""Age of an engine's last word on its speed at which it is asked again while its
+streams are slow. Whoever leads its domain asks sooner, unless it has just died."""
 MOST_REPORT_BYTES = 1 << 20
 
 
@@ -116,7 +114,7 @@
             engine_id
             for engine_id in engine_ids
             if engine_id == doubted
-            or (speeds and now_s - self._reported_s(engine_id) > REPORT_LIFE_S)
+            or (speeds and now_s - self._reported_s(engine_id) > SLOWNESS_LIFE_S)
             or now_s - self.proved_s(engine_id) > PROOF_LIFE_S
         ]
         reports = await asyncio.gather(*(self.ask(each) for each in asked))
--- a/libs/entry/src/celeryfork_entry/engine_speeds.py
+++ b/libs/entry/src/celeryfork_entry/engine_speeds.py
@@ -3,7 +3,8 @@
 from attrs import define, field, frozen
 
 SLOWNESS_LIFE_S = 3.0
-"""Time after which a slow engine is tried again as if it were sound."""
+"""Time that an engine's word on its speed counts for; one that was slow is tried again
+as if it were sound after it."""
 SLOW = 1.2
 """Slowness from which an engine counts as slow; peers are told then."""
 ASK_PAUSE_S = 1.0
--- a/libs/entry/src/celeryfork_entry/field_values.py
+++ b/libs/entry/src/celeryfork_entry/field_values.py
@@ -1,5 +1,6 @@
 """Checks of single fields of decoded messages."""
 
+from math import isfinite
 from typing import Any
 
 
@@ -27,6 +28,20 @@
     return value
 
 
+def finite_number(value: Any) -> float:
+    """Return a number, whole or not, that is neither infinite nor none at all.
+
+    Raises
+    ------
+    ValueError
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{value!r} is no number")
+    if not isfinite(value):
+        raise ValueError(f"{value!r} is not finite")
+    return float(value)
+
+
 def address(value: Any) -> str:
     """Return an address as host and port.
 
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Mapping, Sequence
-from math import inf
 from typing import Any
 
 from attrs import frozen
@@ -11,7 +10,7 @@
 from orjson import dumps, loads
 
 from celeryfork_entry.engine_speeds import Speed
-from celeryfork_entry.field_values import address, whole_number
+from celeryfork_entry.field_values import address, finite_number, whole_number
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.targets import LearntLayers
 
@@ -216,8 +215,8 @@
 
 def _speed(row: Any) -> Speed:
     match row:
-        case [int() | float() as slowness, int() | None as born_ms, int(age_ms)] if (
-            1 <= slowness < inf
+        case [slowness, int() | None as born_ms, int(age_ms)] if (
+            finite_number(slowness) >= 1
         ):
             return Speed(float(slowness), born_ms, _at_s(age_ms), own=False)
     raise ValueError(f"no speed of an engine: {row!r}")
--- a/libs/entry/tests/test_engine_checks.py
+++ b/libs/entry/tests/test_engine_checks.py
@@ -9,10 +9,10 @@
 from celeryfork_base.counters import Counters
 from celeryfork_entry import engine_checks
 from celeryfork_entry.engine_checks import (
-    REPORT_LIFE_S,
     SPEED_PAUSE_S,
     EngineChecks,
 )
+from celeryfork_entry.engine_speeds import SLOWNESS_LIFE_S
 from celeryfork_entry.ports import EngineReport
 from celeryfork_entry.target_http import NotSentError
 from celeryfork_entry.targets import Listed, Target, TargetTable
@@ -172,7 +172,7 @@
     asyncio.run(run())
     assert engine.asked <= (1 + 8.0 / SPEED_PAUSE_S if slow else 0)
     if slow:
-        assert time.monotonic() - table.speeds.reported_s("x") < REPORT_LIFE_S
+        assert time.monotonic() - table.speeds.reported_s("x") < SLOWNESS_LIFE_S
 
 
 class PromptEngine(Engine):
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -132,6 +132,22 @@
         decode_report(value)
 
 
+@pytest.mark.parametrize(
+    "pace", ["1e999", "-1e999", "Infinity", "NaN", '"inf"', '"12"', "true", "[1]", "{}"]
+)
+def test_a_report_whose_speed_is_no_finite_number_is_unreadable(pace):
+    """Peers could not read a message with it, nor anything else that it tells."""
+    report = b'{"seq": 2, "busy": false, "pace": ' + pace.encode() + b"}"
+    with pytest.raises(UnreadableError):
+        decode_report(report)
+
+
+@pytest.mark.parametrize(("pace", "slowness"), [(12, 12.0), (1.5, 1.5), (None, 1.0)])
+def test_a_report_tells_how_slow_the_engine_is(pace, slowness):
+    fields = {"seq": 2, "busy": False, "pace": pace}
+    assert decode_report(encoded(fields)).slowness == slowness
+
+
 def test_a_report_names_the_engine_that_a_request_waits_for():
     fields = {"seq": 2, "busy": False, "stalled": [{"id": "a1", "addr": "10.0.0.2:1"}]}
     report = decode_report(encoded(fields))
