Tests of routing share one model; the comparison of placements lies with them

The model's shape stood in three test files and, since today, in the comparison. Now in libs/routing/tests/support/model_shapes.py; each test states what differs. The comparison moved from tools/ to the same folder, as it is for tests only, and so needs no exception in the type check.

--- a/tools/placement_optimum.py
+++ b/libs/routing/tests/support/placement_optimum.py
@@ -12,8 +12,9 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
+import model_shapes
 import numpy as np
-from attrs import frozen
+from attrs import evolve, frozen
 from celeryfork_routing.layer_placement import plan_placement
 from celeryfork_routing.layer_repair import PlacedEngine
 from celeryfork_routing.layers import (
@@ -27,28 +28,8 @@
 from scipy.optimize import linprog
 from scipy.sparse import coo_array
 
-CARDS = {
-    "h100": Accelerator("h100", 72_000.0, 1.4, 1.0),
-    "a100s": Accelerator("a100s", 36_000.0, 3.1, 3.2),
-    "l4": Accelerator("l4", 21_600.0, 16.0, 8.2),
-    "t4": Accelerator("t4", 14_400.0, 15.0, 15.0),
-}
-SHAPE = ModelShape(
-    layers=80,
-    layer_mb=1_750.0,
-    token_bytes=1_180_000.0,
-    step_ms=0.85,
-    sequence_ms=0.00764,
-    context_ms_per_thousand=0.01024,
-    read_tokens_per_ms=236.0,
-    activation_bytes=59_000.0,
-    pipe_bytes_per_ms=6_300 * 125.0,
-    usual_prompt=772.0,
-    usual_answer=144.0,
-    load_s=14.0,
-    accelerators_by_name=CARDS,
-)
-"""A model and cards like those of the stand-ins, in the sizes of the users' sheets."""
+SHAPE = evolve(model_shapes.SHAPE, usual_answer=144.0)
+"""That of the large site, whose answers are shorter."""
 DOMAINS = {
     "a": {"h100": 1, "a100s": 2, "l4": 17, "t4": 25},
     "b": {"h100": 1, "a100s": 4, "l4": 25, "t4": 12},
--- a/libs/routing/tests/test_detours.py
+++ b/libs/routing/tests/test_detours.py
@@ -2,27 +2,17 @@
 
 import random
 
+import model_shapes
 import pytest
 from attrs import evolve
 from celeryfork_routing.detours import find_detour
 from celeryfork_routing.engine_loads import LayerPath, Load, Part
 from celeryfork_routing.layer_paths import PathEngine, PathRequest
-from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
-
-SHAPE = ModelShape(
-    layers=40,
-    layer_mb=1750.0,
-    token_bytes=1_180_000.0,
-    step_ms=0.85,
-    sequence_ms=0.00764,
-    context_ms_per_thousand=0.01024,
-    read_tokens_per_ms=196.0,
-    activation_bytes=59_000.0,
-    pipe_bytes_per_ms=11_000 * 125.0,
-    usual_prompt=772.0,
-    usual_answer=174.0,
-    load_s=14.0,
-    accelerators_by_name={"card": Accelerator("card", 21_600.0, 16.0, 8.2)},
+from celeryfork_routing.layers import LayerRange
+from model_shapes import CARDS
+
+SHAPE = evolve(
+    model_shapes.SHAPE, layers=40, accelerators_by_name={"card": CARDS["l4"]}
 )
 REQUEST = PathRequest(760, 174, "a")
 
--- a/libs/routing/tests/test_layer_paths.py
+++ b/libs/routing/tests/test_layer_paths.py
@@ -5,35 +5,21 @@
 from itertools import pairwise
 from math import inf
 
+import model_shapes
 import pytest
 from attrs import evolve
 from celeryfork_routing import layer_paths
 from celeryfork_routing.engine_loads import EngineLoads, Load
 from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
 from celeryfork_routing.layers import (
-    Accelerator,
     LayerRange,
-    ModelShape,
     room_for_requests,
 )
+from model_shapes import CARDS
 
-SHAPE = ModelShape(
-    layers=80,
-    layer_mb=1750.0,
-    token_bytes=1_180_000.0,
-    step_ms=0.85,
-    sequence_ms=0.00764,
-    context_ms_per_thousand=0.01024,
-    read_tokens_per_ms=196.0,
-    activation_bytes=59_000.0,
-    pipe_bytes_per_ms=11_000 * 125.0,
-    usual_prompt=772.0,
-    usual_answer=174.0,
-    load_s=14.0,
-    accelerators_by_name={
-        "fast": Accelerator("fast", 72_000.0, 1.4, 1.0),
-        "slow": Accelerator("slow", 21_600.0, 16.0, 8.2),
-    },
+SHAPE = evolve(
+    model_shapes.SHAPE,
+    accelerators_by_name={"fast": CARDS["h100"], "slow": CARDS["l4"]},
     delay_ms_by_domains={frozenset(("a", "b")): 0.25},
 )
 REQUEST = PathRequest(760, 174, "a")
--- a/libs/routing/tests/test_layer_placement.py
+++ b/libs/routing/tests/test_layer_placement.py
@@ -10,33 +10,12 @@
 )
 from celeryfork_routing.layer_repair import PlacedEngine, Repair
 from celeryfork_routing.layers import (
-    Accelerator,
     LayerRange,
-    ModelShape,
     most_layers,
     room_for_requests,
 )
+from model_shapes import SHAPE
 
-SHAPE = ModelShape(
-    layers=80,
-    layer_mb=1750.0,
-    token_bytes=1_180_000.0,
-    step_ms=0.85,
-    sequence_ms=0.00764,
-    context_ms_per_thousand=0.01024,
-    read_tokens_per_ms=196.0,
-    activation_bytes=59_000.0,
-    pipe_bytes_per_ms=11_000 * 125.0,
-    usual_prompt=772.0,
-    usual_answer=174.0,
-    load_s=14.0,
-    accelerators_by_name={
-        "h100": Accelerator("h100", 72_000.0, 1.4, 1.0),
-        "a100s": Accelerator("a100s", 36_000.0, 3.1, 3.2),
-        "l4": Accelerator("l4", 21_600.0, 16.0, 8.2),
-        "t4": Accelerator("t4", 14_400.0, 15.0, 15.0),
-    },
-)
 FLEET = {
     "a": {"h100": 1, "a100s": 1, "l4": 5, "t4": 7},
     "b": {"a100s": 1, "l4": 8, "t4": 3},
--- a/tests/test_placement_optimum.py
+++ b/libs/routing/tests/test_placement_optimum.py
@@ -5,8 +5,8 @@
 from celeryfork_routing.layers import Accelerator, LayerRange
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from model_shapes import CARDS
 from placement_optimum import (
-    CARDS,
     DOMAINS,
     SHAPE,
     best_without_overlaps,
