--- a/libs/routing/tests/test_placement_optimum.py
+++ b/libs/routing/tests/test_placement_optimum.py
@@ -67,9 +67,9 @@
     assert found.planned_after_loss <= found.planned * 1.001
 
 
-@pytest.mark.parametrize("domain", DOMAINS)
+@pytest.mark.parametrize("domain", ["a", "b", "c"])
 def test_the_plan_holds_more_than_one_chain_where_engines_are_many(domain):
     """Slots of one chain end at 81,000 tokens, whatever memory its engines have."""
     found = compare(SHAPE, DOMAINS[domain])
-    if found.at_most > 2 * slot_tokens(SHAPE):
-        assert found.planned > slot_tokens(SHAPE)
+    assert found.at_most > 2 * slot_tokens(SHAPE)
+    assert found.planned > slot_tokens(SHAPE)
