The end of a begun answer tells what ended it and what was left

Cause: `broken_off` gave the last event only. Change: `broken_off` has `ended_by`, the time left, sends, first engines, engines left out and the share's repeats, bound, requests and instances; `repeat_refused` has the share's figures; a counter by cause; `explain` shows them. No decision changes: RetryShare counts as before (its bound is the same whole number, computed at one place).

--- a/libs/admission/src/celeryfork_admission/retry_share.py
+++ b/libs/admission/src/celeryfork_admission/retry_share.py
@@ -6,12 +6,29 @@
 
 from collections import deque
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 KEPT_BACK = 0.1
 """Part of the share that stays unused: instances count windows at other moments."""
 
 
+@frozen
+class ShareState:
+    """How much of a share is used.
+
+    Parameters
+    ----------
+    repeats, allowed
+        Repeats in the window, and how many it has room for.
+    requests
+        Requests in the window, from which a part of that follows.
+    """
+
+    repeats: int
+    allowed: int
+    requests: int
+
+
 @define
 class RetryShare:
     """Repeats allowed to one target in a sliding window.
@@ -48,12 +65,18 @@
         instances
             Number of instances that share the budget.
         """
+        state = self.state(now_s, instances)
+        if state.repeats >= state.allowed:
+            return False
+        self._repeats_s.append(now_s)
+        return True
+
+    def state(self, now_s: float, instances: int) -> ShareState:
+        """Return how much of the share is used."""
         horizon_s = now_s - self.window_s
         for times_s in (self._requests_s, self._repeats_s):
             while times_s and times_s[0] < horizon_s:
                 times_s.popleft()
-        allowed = self.ratio * len(self._requests_s) + self.slack / max(1, instances)
-        if len(self._repeats_s) + 1 > allowed * (1 - KEPT_BACK):
-            return False
-        self._repeats_s.append(now_s)
-        return True
+        requests = len(self._requests_s)
+        share = self.ratio * requests + self.slack / max(1, instances)
+        return ShareState(len(self._repeats_s), int(share * (1 - KEPT_BACK)), requests)
--- a/libs/cmdline/src/celeryfork_cmdline/explain.py
+++ b/libs/cmdline/src/celeryfork_cmdline/explain.py
@@ -35,7 +35,7 @@
 """Trouble that names no engine: any that was lost or ordered before may be it."""
 TOLD_IN_BRIEF = (
     "status", "code", "reason", "target", "missing_layer", "engines", "down",
-    "refusing", "sends", "last",
+    "refusing", "ended_by", "left_ms", "sends", "repeats", "repeats_allowed", "last",
 )  # fmt: skip
 """Fields of a line that say why it was written."""
 
--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -96,11 +96,27 @@
             budget.request(now_s)
         elif not budget.may_repeat(now_s, self.instances()):
             self.counters.add("calls.repeats_refused")
-            self.note(call, "repeat_refused", sends=call.sends)
+            self.note(
+                call,
+                "repeat_refused",
+                sends=call.sends,
+                **self.share_used(call),
+            )
             return False
         call.sends += 1
         return True
 
+    def share_used(self, call: Call) -> dict[str, int]:
+        """Return for the log how much of this instance's retry budget is used."""
+        instances = self.instances()
+        state = self.budget_of(call.service.name).state(time.monotonic(), instances)
+        return {
+            "repeats": state.repeats,
+            "repeats_allowed": state.allowed,
+            "requests": state.requests,
+            "instances": instances,
+        }
+
     def note(self, call: Call, event: str, **inputs: object) -> None:
         """Log one decision about a call."""
         self.log.info(
--- a/libs/entry/src/celeryfork_entry/first_engines.py
+++ b/libs/entry/src/celeryfork_entry/first_engines.py
@@ -27,6 +27,11 @@
         """Note that the stream has begun, or may have begun, on an engine."""
         self._begun.add(engine_id)
 
+    @property
+    def known(self) -> tuple[str, ...]:
+        """Return the engines that have run the stream or may have, for the log."""
+        return tuple(sorted(self._begun))
+
     def allowed(self, lives: Callable[[str], bool]) -> frozenset[str] | None:
         """Return the engines that the next path may begin with, None for any.
 
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -126,17 +126,26 @@
         progress = Progress(call.facts.last_event)
         call.first_engines.most = call.route.most_targets
         last: Outcome = PathRefused("no path")
-        while call.sends < MOST_SENDS and call.left_s > 0:
+        while True:
+            if call.left_s <= 0:
+                ended_by = "time"
+                break
+            if call.sends >= MOST_SENDS:
+                ended_by = "sends"
+                break
             path = await self._choice.choose(call)
             if path is None:
                 self._choice.note_no_path(call)
+                ended_by = "no_path"
                 break
             if not self._parts.may_send(call):
+                ended_by = "retry_budget"
                 break
             last = await self._attempt(call, path, progress)
             if not self._again(call, last, path):
+                ended_by = "first_engines" if _resumable(call) else "kind"
                 break
-        await self._finish(call, last, progress)
+        await self._finish(call, last, progress, ended_by)
 
     async def _attempt(
         self, call: Call, path: LayerPath, progress: Progress
@@ -354,10 +363,10 @@
         return PathBroke(f"{reason}; down: {','.join(down) or 'none'}")
 
     def _again(self, call: Call, outcome: Outcome, path: LayerPath) -> bool:
-        kind = call.route.kind
-        resumable = isinstance(kind, Stream) and kind.resumable
         allowed = call.first_engines.allowed(self._choice.may_run)
-        may_begin = resumable and (allowed is None or bool(allowed - call.avoided))
+        may_begin = _resumable(call) and (
+            allowed is None or bool(allowed - call.avoided)
+        )
         match outcome:
             case Finished():
                 return False
@@ -373,7 +382,9 @@
         self._parts.note(call, event, path=path.describe(), reason=reason, again=again)
         return again
 
-    async def _finish(self, call: Call, outcome: Outcome, progress: Progress) -> None:
+    async def _finish(
+        self, call: Call, outcome: Outcome, progress: Progress, ended_by: str
+    ) -> None:
         match outcome:
             case Finished():
                 self._parts.histograms.record(
@@ -388,8 +399,19 @@
                 )
                 return
             case _ if progress.begun:
-                self._parts.note(call, "broken_off", last=progress.last_event)
+                self._parts.note(
+                    call,
+                    "broken_off",
+                    ended_by=ended_by,
+                    last=progress.last_event,
+                    left_ms=round(call.left_s * 1000),
+                    sends=call.sends,
+                    begun_on=call.first_engines.known,
+                    avoided=len(call.avoided),
+                    **self._parts.share_used(call),
+                )
                 self._parts.counters.add("streams.broken_off")
+                self._parts.counters.add(f"streams.broken_off.{ended_by}")
                 call.connection.break_off()
                 return
             case EngineFailed(status, headers, body):
@@ -403,3 +425,9 @@
             raise not_run("no_path", f"No path took it: {reason}.", after_s)
         status = 504 if call.left_s <= 0 else 502
         raise unknown(status, "path_broke", f"The path stopped: {reason}.")
+
+
+def _resumable(call: Call) -> bool:
+    """Return whether another engine may go on with the stream."""
+    kind = call.route.kind
+    return isinstance(kind, Stream) and kind.resumable
--- /dev/null
+++ b/libs/entry/tests/support/stream_trial.py
@@ -0,0 +1,280 @@
+"""Streams of one instance over scripted engines, without network.
+
+The entry's own parts decide; connections, the dialect and the caller are stand-ins.
+"""
+
+import asyncio
+import time
+from collections import deque
+from types import SimpleNamespace
+
+from attrs import define, field, frozen
+from celeryfork_admission.retry_share import RetryShare
+from celeryfork_base.counters import Counters
+from celeryfork_entry.call import Call, CallParts
+from celeryfork_entry.configuration import Route, Service, Stream
+from celeryfork_entry.engine_checks import EngineChecks
+from celeryfork_entry.path_choice import PathChoice
+from celeryfork_entry.ports import EngineReport, RequestFacts
+from celeryfork_entry.stream_calls import StreamCalls
+from celeryfork_entry.target_http import LostError, NotSentError
+from celeryfork_entry.targets import Listed, Target, TargetTable
+from celeryfork_routing.engine_loads import EngineLoads
+from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
+
+LAYERS = 8
+SHAPE = ModelShape(
+    layers=LAYERS,
+    layer_mb=100.0,
+    token_bytes=80_000.0,
+    step_ms=1.0,
+    sequence_ms=0.0,
+    context_ms_per_thousand=0.0,
+    read_tokens_per_ms=100.0,
+    activation_bytes=0.0,
+    pipe_bytes_per_ms=0.0,
+    usual_prompt=100.0,
+    usual_answer=100.0,
+    load_s=1.0,
+    accelerators_by_name={"card": Accelerator("card", 2_000.0)},
+)
+SERVICE = Service("llm", "/healthz", 100, SHAPE)
+ANSWER_EVENTS = 12
+CALL_S = 20.0
+
+
+@frozen
+class Run:
+    """The engine runs the request.
+
+    Parameters
+    ----------
+    events
+        Events that it sends, None for all that are left.
+    lost
+        Engines that end after the last of them; the stream breaks then.
+    after_s
+        Time between its last event and its break.
+    """
+
+    events: int | None = None
+    lost: tuple[str, ...] = ()
+    after_s: float = 0.07
+
+
+@frozen
+class Refuse:
+    """The engine refuses the request: another one of its path has no memory."""
+
+    at_fault: str
+
+
+@frozen
+class End:
+    """The engine ends with the request in its queue, which it hasn't run."""
+
+
+@define
+class Engine:
+    """An engine whose next sends are scripted; it runs whole answers after them."""
+
+    target: Target
+    script: deque = field(factory=deque)
+    gone: bool = False
+    runs: int = 0
+    arrivals: int = 0
+
+
+class Trial:
+    """One instance before engines."""
+
+    def __init__(self, *, slack=100.0, instances=1, most_targets=2, repeat_window=10.0):
+        self.table = TargetTable()
+        self.engines = {}
+        self.lines = []
+        self.counters = Counters()
+        self.share = RetryShare(0.2, slack, repeat_window)
+        self.route = Route(
+            "advice", "a.example", "/", Stream(True, 0.2), CALL_S, 0.5, 1,
+            (("llm", 1.0),), most_targets, True,
+        )  # fmt: skip
+        log = SimpleNamespace(info=self._note)
+        checks = EngineChecks(self.table, self, self, log, self.counters, domain="a")
+        self.parts = CallParts(
+            table=self.table,
+            connections=self,
+            dialect=self,
+            log=log,
+            counters=self.counters,
+            configuration=lambda: None,
+            instances=lambda: instances,
+            budget_of=lambda service: self.share,
+            domain="a",
+        )
+        loads = EngineLoads()
+        reach = SimpleNamespace(refused=lambda *_: None, engine_down=lambda _: None)
+        leaving = SimpleNamespace(suspect=lambda *_: None)
+        choice = PathChoice(self.parts, loads)
+        self.streams = StreamCalls(
+            self.parts, checks, leaving, loads, reach, choice, self
+        )
+        checks.on_down = self.streams.engine_down
+        checks.uses = self.streams.uses
+        checks.spawn = asyncio.ensure_future
+
+    def _note(self, event, **inputs):
+        self.lines.append((event, inputs))
+
+    def noted(self, event):
+        return [inputs for name, inputs in self.lines if name == event]
+
+    def add(self, engine_id, *script, layers=(0, LAYERS), domain="a"):
+        number = len(self.engines) + 1
+        target = Target(
+            engine_id, "llm", f"10.0.0.{number}:1", domain, accelerator="card",
+            held=LayerRange(*layers), born_ms=1,
+        )  # fmt: skip
+        self.engines[target.address] = Engine(target, deque(script))
+        self.table.apply([Listed(target)])
+        return self.engines[target.address]
+
+    def engine(self, engine_id):
+        return next(e for e in self.engines.values() if e.target.id == engine_id)
+
+    def serve(self, caller=None, within_s=10.0):
+        """Serve one stream; return what its caller got."""
+
+        async def run():
+            return await self.serve_one(caller or Caller())
+
+        return asyncio.run(asyncio.wait_for(run(), within_s))
+
+    async def serve_one(self, caller, request_id="r1"):
+        facts = RequestFacts(
+            request_id, "a.example", "/", None, CALL_S, 100, 40, 40.0, None
+        )
+        call = Call(
+            connection=caller,
+            request=SimpleNamespace(arrived_s=time.monotonic(), method="POST"),
+            facts=facts,
+            route=self.route,
+            service=SERVICE,
+            organisation=None,
+            version=1,
+            ends_s=time.monotonic() + CALL_S,
+        )
+        await self.streams.serve(call)
+        return caller
+
+    # What stands for the detours.
+
+    async def take(self, call, path):
+        return None
+
+    # What stands for the connections and the dialect.
+
+    async def send(self, address, request, **_):
+        engine = self.engines[address]
+        await asyncio.sleep(0)
+        if engine.gone:
+            raise NotSentError("no connection")
+        if request == "report?":
+            return _Reply(200, [b"report"], engine)
+        engine.arrivals += 1
+        step = engine.script.popleft() if engine.script else Run()
+        match step:
+            case Refuse(at_fault):
+                fault = self.engine(at_fault).target.address
+                return _Reply(503, [b""], engine, at_fault=fault)
+            case End():
+                engine.gone = True
+                raise LostError("the connection ended before a reply")
+            case Run():
+                engine.runs += 1
+                return self._run(engine, request.after_event, step)
+
+    def _run(self, engine, after, run):
+        first = (after or 0) + 1
+        last = ANSWER_EVENTS if run.events is None else first + run.events - 1
+        pieces = [b"id: %d\ndata: x\n\n" % n for n in range(first, last + 1)]
+
+        async def end():
+            await asyncio.sleep(run.after_s)
+            for engine_id in run.lost:
+                self.engine(engine_id).gone = True
+            raise LostError("the connection broke in a reply")
+
+        return _Reply(200, pieces, engine, end=None if run.events is None else end)
+
+    def forget(self, address):
+        pass
+
+    def pass_on(self, request, handover):
+        return handover
+
+    def read_reply(self, status, reply_headers):
+        at_fault = dict(reply_headers).get("at fault")
+        return SimpleNamespace(
+            not_run=status == 503, request_id=None, at_fault=at_fault
+        )
+
+    def reply_headers(self, headers):
+        return []
+
+    def ask_report(self):
+        return "report?"
+
+    def read_report(self, body):
+        held = self.engine(body.decode()).target.held
+        return EngineReport(held, 0, False, 1, 1.0, {})
+
+
+class _Reply:
+    def __init__(self, status, pieces, engine, end=None, at_fault=None):
+        self.status = status
+        self.headers = [("at fault", at_fault)]
+        self._pieces = deque(pieces)
+        self._engine = engine
+        self._end = end
+
+    async def read(self):
+        await asyncio.sleep(0)
+        if self._pieces:
+            return self._pieces.popleft()
+        if self._end is not None:
+            await self._end()
+        return b""
+
+    async def read_all(self, most):
+        return self._engine.target.id.encode()
+
+    def drop(self):
+        pass
+
+
+class Caller:
+    """What the caller of a stream got."""
+
+    def __init__(self):
+        self.stream = SimpleNamespace(ended=False)
+        self.events = []
+        self.ending = ""
+        self.status = None
+
+    async def begin(self, status, headers, first):
+        self.status = status
+        await self.more(first)
+
+    async def more(self, data):
+        self.events += [int(line[4:]) for line in data.split(b"\n") if b"id:" in line]
+
+    async def end(self):
+        self.ending = "whole"
+
+    def break_off(self):
+        self.ending = "broken off"
+
+    @property
+    def has_all(self):
+        whole = self.events == list(range(1, ANSWER_EVENTS + 1))
+        return whole and self.ending == "whole"
