All engines of a path that has just broken are asked

What callers saw: an answer stopped, and went on over another first engine or not at all, though the one that it had begun on still lived. Cause: after a break only engines without a sign of life in the last 60 ms were asked, besides the first. The engine that was just lost has mostly shown one: events come each 8 to 60 ms. So nothing of the path was found down, and the first engine, which lives, was left out for this request in its place; with the route's bound on first engines that can leave none to go on with. Test: test_a_first_engine_is_kept_when_one_behind_it_is_lost_between_two_events, red before (listed), green now. Cost: a question to each engine of a path that breaks, where it was one or two.

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -97,7 +97,7 @@
     async def find_down(
         self,
         engine_ids: Iterable[str],
-        doubted: str | None = None,
+        doubted: bool = False,
         speeds: bool = False,
     ) -> list[str]:
         """Return those engines that don't answer; put them out of choice.
@@ -105,7 +105,7 @@
         Parameters
         ----------
         doubted
-            An engine that is asked in any case: its connection has just broken.
+            Whether all are asked, whatever they have shown: their path has just broken.
         speeds
             Whether engines that live are asked too if their speed isn't known.
         """
@@ -113,7 +113,7 @@
         asked = [
             engine_id
             for engine_id in engine_ids
-            if engine_id == doubted
+            if doubted
             or (speeds and now_s - self._reported_s(engine_id) > SLOWNESS_LIFE_S)
             or now_s - self.proved_s(engine_id) > PROOF_LIFE_S
         ]
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -207,7 +207,7 @@
             loop.call_soon(self._checks.mark_down, first.id, str(error))
             return PathRefused(str(error))
         except (LostError, TimeoutError, ValueError) as error:
-            await self._checks.find_down(attempt.path.engine_ids, doubted=first.id)
+            await self._checks.find_down(attempt.path.engine_ids, doubted=True)
             return self._broke(call, attempt.path, repr(error))
 
     async def _relay(
