An engine whose port is closed no longer counts as running a stream

What callers saw: a stream whose first engine ended before it ran it was closed or answered 502 a second later, though other engines could have served it. Cause: an engine out of choice counts against the route's bound on first engines for 2 s, since a silent one may still run the stream. That one which has ended did not count otherwise: a refused connection and a silent one were the same error. Change: PortClosedError says that nobody listens; such an engine, and one whose report shows that it has restarted, has `ended` and leaves its place at once. Silent ones count for 2 s as before. Ruled out: shortening the 2 s (busy instances took engines for dead; its test stays as it is).

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -14,7 +14,12 @@
 
 from celeryfork_entry.engine_speeds import SLOWNESS_LIFE_S, Speed
 from celeryfork_entry.ports import Dialect, EngineReport
-from celeryfork_entry.target_http import LostError, NotSentError, TargetConnections
+from celeryfork_entry.target_http import (
+    LostError,
+    NotSentError,
+    PortClosedError,
+    TargetConnections,
+)
 from celeryfork_entry.targets import LearntLayers, Target, TargetTable
 
 ANSWER_TIMEOUT_S = 0.04
@@ -160,7 +165,8 @@
                 if not late and self._heard_s > begun_s:
                     return self._judge(target, None, repr(error))
             except (NotSentError, LostError) as error:
-                return self._judge(target, None, repr(error))
+                ended = isinstance(error, PortClosedError)
+                return self._judge(target, None, repr(error), ended=ended)
             else:
                 return self._judge(target, report, "no report")
         if not late:
@@ -190,13 +196,18 @@
         return self._dialect.read_report(body) if reply.status == 200 else None
 
     def _judge(
-        self, target: Target, report: EngineReport | None, reason: str
+        self,
+        target: Target,
+        report: EngineReport | None,
+        reason: str,
+        *,
+        ended: bool = False,
     ) -> EngineReport | None:
         now_s = time.monotonic()
         if report is not None and target.born_ms not in {None, report.born_ms}:
-            report, reason = None, "it has restarted"
+            report, reason, ended = None, "it has restarted", True
         if report is None:
-            self.mark_down(target.id, reason)
+            self.mark_down(target.id, reason, ended=ended)
             return None
         self._heard_s = self._proved_s_by_id[target.id] = now_s
         standing = self._table.standing(target.id)
@@ -249,17 +260,21 @@
         if known and self._is_silent(engine_id):
             self.mark_down(engine_id, f"told by {peer}", own=False)
 
-    def mark_down(self, engine_id: str, reason: str, *, own: bool = True) -> None:
+    def mark_down(
+        self, engine_id: str, reason: str, *, own: bool = True, ended: bool = False
+    ) -> None:
         """Put an engine out of choice and tell the streams that use it.
 
         Parameters
         ----------
         own
             Whether this instance has found it by asking that engine; peers are told.
+        ended
+            Whether its process has ended for certain, so that it runs nothing.
         """
         if engine_id not in self._table.by_id:
             return
-        if self._table.hold(engine_id, reason, time.monotonic()):
+        if self._table.hold(engine_id, reason, time.monotonic(), ended=ended):
             self._counters.add("engines.down")
             target = self._table.by_id[engine_id]
             self._log.info(
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -26,8 +26,8 @@
 REPEAT_WAIT_S = 1.0
 """The same for a request that may have run, which can't be refused any more."""
 SURELY_ENDED_S = 2.0
-"""Time out of choice after which an engine counts as ended. What an instance with a
-full link or without processor time took for silence is mended before."""
+"""Time out of choice after which a silent engine counts as ended. What an instance with
+a full link or without processor time took for silence is mended before."""
 ROOM_POLL_S = 0.02
 SEARCH_PAUSE_S = 0.005
 """Time between the searches of all requests that wait, so that many of them together
@@ -253,7 +253,7 @@
             return False
         standing = self._parts.table.standing(engine_id)
         out_s = time.monotonic() - standing.marked_s
-        return not standing.held or out_s < SURELY_ENDED_S
+        return not standing.held or (out_s < SURELY_ENDED_S and not standing.ended)
 
     def note_no_path(self, call: Call) -> None:
         """Log what is known of the engines when none of them took a call."""
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from functools import partial
 from typing import TypeVar
 
 from attrs import define, field
@@ -27,7 +28,12 @@
 from celeryfork_entry.ports import Handover
 from celeryfork_entry.reach_checks import ReachChecks
 from celeryfork_entry.stream_progress import Pace, Progress
-from celeryfork_entry.target_http import LostError, NotSentError, Reply
+from celeryfork_entry.target_http import (
+    LostError,
+    NotSentError,
+    PortClosedError,
+    Reply,
+)
 
 FIRST_EVENT_PATIENCE_S = 0.2
 """Silence before the first event after which the path's engines are asked."""
@@ -204,7 +210,10 @@
         except NotSentError as error:
             # After this attempt's end, which marking would interrupt as a broken one.
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._checks.mark_down, first.id, str(error))
+            ended = isinstance(error, PortClosedError)
+            loop.call_soon(
+                partial(self._checks.mark_down, first.id, str(error), ended=ended)
+            )
             return PathRefused(str(error))
         except (LostError, TimeoutError, ValueError) as error:
             await self._checks.find_down(attempt.path.engine_ids, doubted=True)
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -30,6 +30,10 @@
     """No byte of the request reached the other end."""
 
 
+class PortClosedError(NotSentError):
+    """Nobody listens at the address: the process that did has ended."""
+
+
 class LostError(ConnectionError):
     """The request was sent, in part at least, and no whole reply came."""
 
@@ -240,6 +244,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, stream = await loop.create_connection(ByteStream, host, int(port))
+        except ConnectionRefusedError as error:
+            raise PortClosedError(f"nobody listens at {address}") from error
         except (OSError, ValueError) as error:
             raise NotSentError(f"no connection to {address}: {error!r}") from error
         self.opened += 1
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -103,6 +103,8 @@
     ----------
     listed_s
         When its newest entry was read; what it reports later is newer.
+    ended
+        Whether nobody listens at its address any more: its process runs nothing.
     """
 
     failed_share: float = 0.0
@@ -116,6 +118,7 @@
     leaving_until_s: float = 0.0
     learnt: LearntLayers | None = None
     listed_s: float = 0.0
+    ended: bool = False
 
     @property
     def held(self) -> bool:
@@ -314,6 +317,7 @@
         standing = self.standing(target_id)
         standing.failed_share *= 1 - FAILURE_WEIGHT
         standing.hold_s = 0.0
+        standing.ended = False
 
     def failed(self, target_id: str) -> None:
         """Record that the target answered with a failure, or too late."""
@@ -344,9 +348,18 @@
             if target_id in self._standing_by_id:
                 self._standing_by_id[target_id].refusals = 0
 
-    def hold(self, target_id: str, reason: str, now_s: float) -> bool:
-        """Put a target out of choice; return whether it was in choice before."""
+    def hold(
+        self, target_id: str, reason: str, now_s: float, *, ended: bool = False
+    ) -> bool:
+        """Put a target out of choice; return whether it was in choice before.
+
+        Parameters
+        ----------
+        ended
+            Whether its process has ended for certain.
+        """
         standing = self.standing(target_id)
+        standing.ended |= ended
         was_held = standing.held
         standing.hold_s = min(LONGEST_HOLD_S, standing.hold_s * 2 or FIRST_HOLD_S)
         standing.held_until_s = now_s + standing.hold_s
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -17,7 +17,7 @@
 from celeryfork_entry.path_choice import PathChoice
 from celeryfork_entry.ports import EngineReport, RequestFacts
 from celeryfork_entry.stream_calls import StreamCalls
-from celeryfork_entry.target_http import LostError, NotSentError
+from celeryfork_entry.target_http import LostError, PortClosedError
 from celeryfork_entry.targets import Listed, Target, TargetTable
 from celeryfork_routing.engine_loads import EngineLoads
 from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
@@ -177,7 +177,7 @@
         engine = self.engines[address]
         await asyncio.sleep(0)
         if engine.gone:
-            raise NotSentError("no connection")
+            raise PortClosedError("nobody listens")
         if request == "report?":
             return _Reply(200, [b"report"], engine)
         engine.arrivals += 1
--- a/libs/entry/tests/test_engine_checks.py
+++ b/libs/entry/tests/test_engine_checks.py
@@ -14,7 +14,7 @@
 )
 from celeryfork_entry.engine_speeds import SLOWNESS_LIFE_S
 from celeryfork_entry.ports import EngineReport
-from celeryfork_entry.target_http import NotSentError
+from celeryfork_entry.target_http import NotSentError, PortClosedError
 from celeryfork_entry.targets import Listed, Target, TargetTable
 from logbook import Logger
 
@@ -90,6 +90,26 @@
     assert (told, downs, engine.asked) == (["x"], ["x"], 1)
 
 
+@pytest.mark.parametrize(
+    ("answer", "ended"),
+    [(NotSentError("no route"), False), (PortClosedError("closed"), True)],
+)
+def test_only_a_closed_port_tells_that_an_engine_has_ended(answer, ended):
+    """One that is silent, or behind a cut, may still run what was begun on it."""
+    checks, table, _, _ = make(Engine(answer, "yes"))
+    assert ask(checks) is None
+    assert table.standing("x").ended is ended
+    assert ask(checks) == REPORT
+    assert not table.standing("x").ended
+
+
+def test_an_engine_that_has_restarted_runs_nothing_of_before():
+    checks, table, _, _ = make(Engine("yes"))
+    table.apply([Listed(Target("x", "llm", "x:1", "a", born_ms=7))])
+    assert ask(checks) is None
+    assert table.standing("x").ended
+
+
 def test_an_engine_that_answers_is_in_choice():
     checks, table, told, _ = make(Engine("yes"))
     assert ask(checks) == REPORT
--- a/libs/entry/tests/test_target_http.py
+++ b/libs/entry/tests/test_target_http.py
@@ -12,6 +12,7 @@
     KEPT_IDLE_S,
     LostError,
     OutgoingRequest,
+    PortClosedError,
     TargetConnections,
 )
 
@@ -252,3 +253,13 @@
     kept, closed, connections = asyncio.run(ask())
     assert (kept, closed) == (5, 5)
     assert not connections._kept_by_address
+
+
+def test_a_port_that_nobody_listens_on_is_told_apart():
+    """Its process has ended; one that can't be reached may live."""
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        host, port = free.getsockname()
+        request = OutgoingRequest("GET", "/")
+        with pytest.raises(PortClosedError):
+            asyncio.run(TargetConnections().send(f"{host}:{port}", request))
