A send that reaches nobody counts neither against a request nor the retry budget

What callers saw: an answer closed in the middle after a few milliseconds of sends to engines that were gone. Cause: a request may be offered six times, and each repeat counts in the retry budget. A connection that could not be opened counted like an arrival, so that a loss of many engines, of which each is tried once, used up what a stream may send and the share of the instance. Change: such a send is taken back (`not_reached`): the request's arrivals are bounded, not its tries, and the repeat goes back to the share. Each such engine leaves the choice, so that the tries end.

--- a/libs/admission/src/celeryfork_admission/retry_share.py
+++ b/libs/admission/src/celeryfork_admission/retry_share.py
@@ -29,6 +29,19 @@
     requests: int
 
 
+@frozen
+class Repeat:
+    """One repeat that was taken from a share.
+
+    Parameters
+    ----------
+    at_s
+        When it was taken, by the share's clock.
+    """
+
+    at_s: float
+
+
 @define
 class RetryShare:
     """Repeats allowed to one target in a sliding window.
@@ -57,8 +70,8 @@
         """Count a request's first arrival at the target."""
         self._requests_s.append(now_s)
 
-    def may_repeat(self, now_s: float, instances: int) -> bool:
-        """Count one repeat if the budget has room; return whether it has.
+    def take(self, now_s: float, instances: int) -> Repeat | None:
+        """Count one repeat; return None if the share has no room for it.
 
         Parameters
         ----------
@@ -67,9 +80,14 @@
         """
         state = self.state(now_s, instances)
         if state.repeats >= state.allowed:
-            return False
+            return None
         self._repeats_s.append(now_s)
-        return True
+        return Repeat(now_s)
+
+    def give_back(self, repeat: Repeat) -> None:
+        """Count a repeat no more: it has reached no target."""
+        if repeat.at_s in self._repeats_s:
+            self._repeats_s.remove(repeat.at_s)
 
     def state(self, now_s: float, instances: int) -> ShareState:
         """Return how much of the share is used."""
--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from celeryfork_admission.retry_share import RetryShare
+from celeryfork_admission.retry_share import Repeat, RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
@@ -33,7 +33,13 @@
     priority
         0 is the most urgent; the organisation's, else the route's.
     sends
-        Targets that it was passed on to so far, refusals included.
+        Times that it was passed on so far, or tried to be.
+    arrivals
+        Sends of which a byte may have reached a target, refusals included.
+    counted
+        Whether it is among the requests from which the retry budget follows.
+    repeat
+        What its last send took from the retry budget.
     runs
         Targets of a plain service that may have run it.
     first_engines
@@ -52,6 +58,9 @@
     ends_s: float
     priority: int = 0
     sends: int = 0
+    arrivals: int = 0
+    counted: bool = False
+    repeat: Repeat | None = None
     runs: int = 0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
@@ -92,9 +101,13 @@
         """Count one more send of ``call``; return whether the budget allows it."""
         now_s = time.monotonic()
         budget = self.budget_of(call.service.name)
-        if call.sends == 0:
+        if not call.counted:
             budget.request(now_s)
-        elif not budget.may_repeat(now_s, self.instances()):
+            call.counted = True
+        call.repeat = None
+        if call.arrivals > 0:
+            call.repeat = budget.take(now_s, self.instances())
+        if call.arrivals > 0 and call.repeat is None:
             self.counters.add("calls.repeats_refused")
             self.note(
                 call,
@@ -104,8 +117,16 @@
             )
             return False
         call.sends += 1
+        call.arrivals += 1
         return True
 
+    def not_reached(self, call: Call) -> None:
+        """Count the last send of a call no more: no byte of it reached a target."""
+        call.arrivals -= 1
+        if call.repeat is not None:
+            self.budget_of(call.service.name).give_back(call.repeat)
+            call.repeat = None
+
     def share_used(self, call: Call) -> dict[str, int]:
         """Return for the log how much of this instance's retry budget is used."""
         instances = self.instances()
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -17,7 +17,7 @@
 from celeryfork_entry.targets import Target
 
 MOST_SENDS = 4
-"""Most targets that a call is offered to, those that refuse it included."""
+"""Most targets that get a call, those that refuse it included."""
 FIRST_REPLY_S = 0.3
 """Wait for a repeatable call's first target before another is asked."""
 MOST_REPLY_BYTES = 16 << 20
@@ -77,7 +77,7 @@
         """
         once = isinstance(call.route.kind, RunOnce)
         last: Attempt = Refused("no target")
-        while call.sends < MOST_SENDS and call.left_s > 0:
+        while call.arrivals < MOST_SENDS and call.left_s > 0:
             target = self._choose(call)
             if target is None or not self._parts.may_send(call):
                 break
@@ -113,6 +113,7 @@
                 attempt = await self._exchange(call, target, once)
         except NotSentError as error:
             attempt = Refused(str(error))
+            self._parts.not_reached(call)
             self._parts.table.hold(target.id, "refused", time.monotonic())
         except (LostError, TimeoutError) as error:
             call.runs += 1
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -45,7 +45,7 @@
 LACKS_LAYERS = 421
 """Status of an engine that doesn't hold its part of the path."""
 MOST_SENDS = 6
-"""Most paths that one request is offered to, those that refuse it included."""
+"""Most paths that get one request, those that refuse it included."""
 ANSWER_RESERVE = 1.0
 """Room reserved for an answer, as a part of its expected length.
 
@@ -136,7 +136,7 @@
             if call.left_s <= 0:
                 ended_by = "time"
                 break
-            if call.sends >= MOST_SENDS:
+            if call.arrivals >= MOST_SENDS:
                 ended_by = "sends"
                 break
             path = await self._choice.choose(call)
@@ -186,6 +186,7 @@
         parts, call, path = self._parts, attempt.call, attempt.path
         first = parts.table.by_id.get(path.parts[0].engine_id)
         if first is None:
+            parts.not_reached(call)
             return PathRefused("its first engine has left")
         handover = Handover(
             first,
@@ -208,6 +209,7 @@
             finally:
                 reply.drop()
         except NotSentError as error:
+            parts.not_reached(call)
             # After this attempt's end, which marking would interrupt as a broken one.
             loop = asyncio.get_running_loop()
             ended = isinstance(error, PortClosedError)
