A begun answer is tried on while its caller has time

Cause: the decision to give up was taken by counts of the past, at the moment of a failure, without asking what the next moment may bring: engines free memory within a tenth of a second, and an engine that broke off one answer gives the next. Change (`stream_bounds`): a stream that may have run is bounded by its caller's time and by six runs that failed (one that ends its engines ends no more of them); refusals in a row are spread by pauses from 20 to 300 ms. Engines that the call has met are taken again where nobody else is left. A begun answer waits up to 2 s for a path, after which its caller leaves. A request that nobody has run is refused after six refusals, as before; an engine's own failure is passed on as before, but after the begin of an answer. Ruled out: a larger bound on sends (it ends answers at another count).

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -41,7 +41,7 @@
     repeat
         What its last send took from the retry budget.
     runs
-        Targets of a plain service that may have run it.
+        Targets or paths that may have run it and gave no good answer.
     first_engines
         Engines on which a stream was begun.
     may_have_run
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -25,6 +25,8 @@
 """Time that a request waits for room before it is refused; half of the usual aim."""
 REPEAT_WAIT_S = 1.0
 """The same for a request that may have run, which can't be refused any more."""
+BEGUN_WAIT_S = 2.0
+"""The same where the caller has part of the answer; it leaves after such a pause."""
 SURELY_ENDED_S = 2.0
 """Time out of choice after which a silent engine counts as ended. What an instance with
 a full link or without processor time took for silence is mended before."""
@@ -68,9 +70,17 @@
     _engines_by_service: dict[str, Sequence[_KnownEngine]] = field(factory=dict)
     _idle_ms_by_service: dict[str, float] = field(factory=dict)
 
-    async def choose(self, call: Call) -> LayerPath | None:
-        """Return a path with room for the call; wait a moment for one."""
+    async def choose(self, call: Call, *, begun: bool = False) -> LayerPath | None:
+        """Return a path with room for the call; wait a moment for one.
+
+        Parameters
+        ----------
+        begun
+            Whether the caller has part of the answer.
+        """
         wait_s = REPEAT_WAIT_S if call.may_have_run else ROOM_WAIT_S
+        if begun:
+            wait_s = BEGUN_WAIT_S
         until_s = time.monotonic() + min(wait_s, call.left_s)
         while True:
             path, now_s = self._find(call), time.monotonic()
@@ -117,19 +127,27 @@
         }
 
     def _find(self, call: Call) -> LayerPath | None:
-        """Return a path around the engines that have just refused work, if any."""
+        """Return a path over the engines that speak least against themselves.
+
+        Those that this call has met are left out, and those that have just refused
+        work. A call that may have run takes the former before it takes the latter.
+        """
         now_s = time.monotonic()
         in_choice = [
             each
             for each in self._engines(call.service.name)
             if not (each.standing.held or each.standing.leaving)
-            and each.engine.id not in call.avoided
         ]
         willing = [e for e in in_choice if e.standing.refused_until_s < now_s]
-        path = self._find_over(call, willing, now_s)
-        if path is None and len(willing) < len(in_choice):
-            path = self._find_over(call, in_choice, now_s)
-        return path
+        choices = [_without(willing, call.avoided), _without(in_choice, call.avoided)]
+        if call.may_have_run:
+            choices.insert(1, willing)
+        for number, engines in enumerate(choices):
+            if engines not in choices[:number]:
+                path = self._find_over(call, engines, now_s)
+                if path is not None:
+                    return path
+        return None
 
     def detour(self, call: Call, path: LayerPath) -> LayerPath | None:
         """Return a path in use with other engines in place of its lost ones."""
@@ -284,3 +302,7 @@
     if not facts.expected_answer_tokens:
         return float(facts.most_answer_tokens)
     return min(float(facts.most_answer_tokens), facts.expected_answer_tokens)
+
+
+def _without(known: Sequence[_KnownEngine], left_out: set[str]) -> list[_KnownEngine]:
+    return [each for each in known if each.engine.id not in left_out]
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -27,6 +27,7 @@
 from celeryfork_entry.plain_calls import MOST_REPLY_BYTES, PROMISES_NOT_RUN
 from celeryfork_entry.ports import Handover
 from celeryfork_entry.reach_checks import ReachChecks
+from celeryfork_entry.stream_bounds import exhausted_by, refused_pause_s
 from celeryfork_entry.stream_progress import Pace, Progress
 from celeryfork_entry.target_http import (
     LostError,
@@ -44,8 +45,6 @@
 """
 LACKS_LAYERS = 421
 """Status of an engine that doesn't hold its part of the path."""
-MOST_SENDS = 6
-"""Most paths that get one request, those that refuse it included."""
 ANSWER_RESERVE = 1.0
 """Room reserved for an answer, as a part of its expected length.
 
@@ -132,14 +131,9 @@
         progress = Progress(call.facts.last_event)
         call.first_engines.most = call.route.most_targets
         last: Outcome = PathRefused("no path")
-        while True:
-            if call.left_s <= 0:
-                ended_by = "time"
-                break
-            if call.arrivals >= MOST_SENDS:
-                ended_by = "sends"
-                break
-            path = await self._choice.choose(call)
+        refusals = 0
+        while (ended_by := exhausted_by(call)) is None:
+            path = await self._choice.choose(call, begun=progress.begun)
             if path is None:
                 self._choice.note_no_path(call)
                 ended_by = "no_path"
@@ -148,9 +142,12 @@
                 ended_by = "retry_budget"
                 break
             last = await self._attempt(call, path, progress)
-            if not self._again(call, last, path):
+            if not self._again(call, last, path, progress):
                 ended_by = "first_engines" if _resumable(call) else "kind"
                 break
+            refusals = refusals + 1 if isinstance(last, PathRefused) else 0
+            if call.may_have_run:
+                await asyncio.sleep(refused_pause_s(refusals))
         await self._finish(call, last, progress, ended_by)
 
     async def _attempt(
@@ -346,6 +343,7 @@
         call.first_engines.begun(path.parts[0].engine_id)
         call.avoided.add(path.parts[0].engine_id)
         call.may_have_run = True
+        call.runs += 1
         if reply.status in PROMISES_NOT_RUN:
             return PathBroke(f"status {reply.status} without the promise")
         headers = self._parts.dialect.reply_headers(reply.headers)
@@ -368,26 +366,27 @@
     def _broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
         down = self._down(path)
         call.may_have_run = True
+        call.runs += 1
         call.first_engines.begun(path.parts[0].engine_id)
         if not down:
             call.avoided.add(path.parts[0].engine_id)
         return PathBroke(f"{reason}; down: {','.join(down) or 'none'}")
 
-    def _again(self, call: Call, outcome: Outcome, path: LayerPath) -> bool:
+    def _again(
+        self, call: Call, outcome: Outcome, path: LayerPath, progress: Progress
+    ) -> bool:
         allowed = call.first_engines.allowed(self._choice.may_run)
-        may_begin = _resumable(call) and (
-            allowed is None or bool(allowed - call.avoided)
-        )
+        elsewhere = allowed is None or bool(allowed - call.avoided)
         match outcome:
             case Finished():
                 return False
             case PathRefused(reason):
                 again, event = True, "path_refused"
             case PathBroke(reason):
-                again = may_begin
-                event = "path_broke"
+                again, event = _resumable(call), "path_broke"
             case EngineFailed(status):
-                again = may_begin
+                # The engine's failure is an answer to pass on, unless one has begun.
+                again = _resumable(call) and (progress.begun or elsewhere)
                 event, reason = "engine_failed", f"status {status}"
         self._parts.counters.add(f"streams.{event}")
         self._parts.note(call, event, path=path.describe(), reason=reason, again=again)
--- a/libs/entry/tests/test_begun_answers.py
+++ b/libs/entry/tests/test_begun_answers.py
@@ -6,6 +6,9 @@
 
 import asyncio
 
+import pytest
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_entry.stream_bounds import MOST_ARRIVALS, refused_pause_s
 from stream_trial import Caller, End, Fleet, Refuse, Run, Trial
 
 BACK = (4, 8)
@@ -89,6 +92,34 @@
     assert caller.has_all
 
 
+def test_a_stream_that_no_run_of_which_ends_well_is_ended_after_six():
+    """One that ends its engines doesn't end all of them."""
+    trial = Trial(most_targets=9)
+    for number in range(9):
+        trial.add(f"engine-{number}", Run(1, lost=(f"engine-{number}",)))
+    caller = trial.serve()
+    assert caller.ending == "broken off"
+    assert caller.events == [1, 2, 3, 4, 5, 6]
+    [line] = trial.noted("broken_off")
+    assert line["ended_by"] == "runs"
+
+
+def test_a_request_that_no_engine_has_run_is_refused_after_six_refusals():
+    trial = Trial()
+    for number in range(9):
+        trial.add(f"engine-{number}", Refuse(f"engine-{number}"))
+    with pytest.raises(RequestRefusedError) as refusal:
+        trial.serve()
+    assert refusal.value.status == 503
+    assert sum(engine.arrivals for engine in trial.engines.values()) == MOST_ARRIVALS
+
+
+def test_pauses_between_refusals_of_a_begun_answer_grow_to_a_bound():
+    """Issue 21's play, seed 1: a whole bound was used up within 13 ms."""
+    pauses_s = [refused_pause_s(refusals) for refusals in range(9)]
+    assert pauses_s == [0, 0, 0.02, 0.04, 0.08, 0.16, 0.3, 0.3, 0.3]
+
+
 def test_begun_answers_use_what_other_instances_leave_of_the_retry_budget():
     """Issue 21: 96 answers of one domain ended, with 266 of 600 repeats used in all.
 
