Instances lend each other repeats of the retry budget

Cause: the retry budget is divided evenly over the instances, 6 repeats in 10 s for each of 88, but the loss of an engine strikes those whose streams run over it, with a dozen at a time. A begun answer was closed at the moment at which this fixed share was spent. Change: an instance whose share is spent asks a relay of its domain; the relay lends of its own share, asks members that reported repeats to spare, and a relay of each other domain for the rest. Lenders answer the borrower, half of what they have left at most. Meanwhile the call waits (a begun answer 2 s, as for a path), also for its own window to move on. A loan counts in the lender's share from before it leaves until the borrower can use it no more, so that no window exceeds the budget whatever is lost or late. Only calls that may have run borrow; others are refused with 503, and their callers come back. Weighed: a count of the whole fleet's repeats by the relays' sums (up to 1.25 s old, so that a simultaneous loss overspends); a reserve held by one instance (its successor begins with a full one); a larger share for all (breaks the budget when all need it). Cost: 20 to 30 B more in a member's report; a question and a loan are some 100 B each, one question in 0.1 s an instance at most.

--- a/libs/admission/src/celeryfork_admission/retry_share.py
+++ b/libs/admission/src/celeryfork_admission/retry_share.py
@@ -2,6 +2,8 @@
 
 Each instance allows itself the same part of the fixed allowance and its own requests'
 part of the variable one, so that the sum stays within the budget without any call.
+Repeats may be lent: the lender counts them in its own share until the borrower can use
+them no more, so that the sum stays the same.
 """
 
 from collections import deque
@@ -10,6 +12,8 @@
 
 KEPT_BACK = 0.1
 """Part of the share that stays unused: instances count windows at other moments."""
+LENT_PART = 0.5
+"""Part of what is left of a share that is lent at once; it may need the rest itself."""
 
 
 @frozen
@@ -30,7 +34,7 @@
 
 
 @frozen
-class Repeat:
+class OwnRepeat:
     """One repeat that was taken from a share.
 
     Parameters
@@ -42,6 +46,22 @@
     at_s: float
 
 
+@frozen
+class LentRepeat:
+    """One repeat of another instance's share.
+
+    Parameters
+    ----------
+    until_s
+        When it can't be used any more.
+    """
+
+    until_s: float
+
+
+Repeat = OwnRepeat | LentRepeat
+
+
 @define
 class RetryShare:
     """Repeats allowed to one target in a sliding window.
@@ -61,6 +81,7 @@
     window_s: float
     _requests_s: deque[float] = field(factory=deque)
     _repeats_s: deque[float] = field(factory=deque)
+    _lent_until_s: list[float] = field(factory=list)
 
     def change(self, ratio: float, slack: float, window_s: float) -> None:
         """Take other bounds; what was counted stays."""
@@ -71,23 +92,61 @@
         self._requests_s.append(now_s)
 
     def take(self, now_s: float, instances: int) -> Repeat | None:
-        """Count one repeat; return None if the share has no room for it.
+        """Take one repeat, a lent one first; return None where there is none.
 
         Parameters
         ----------
         instances
             Number of instances that share the budget.
         """
-        state = self.state(now_s, instances)
-        if state.repeats >= state.allowed:
+        if self._usable_loans(now_s):
+            return LentRepeat(self._lent_until_s.pop(0))
+        if self._left(now_s, instances) < 1:
             return None
         self._repeats_s.append(now_s)
-        return Repeat(now_s)
+        return OwnRepeat(now_s)
 
     def give_back(self, repeat: Repeat) -> None:
         """Count a repeat no more: it has reached no target."""
-        if repeat.at_s in self._repeats_s:
-            self._repeats_s.remove(repeat.at_s)
+        match repeat:
+            case OwnRepeat(at_s):
+                if at_s in self._repeats_s:
+                    self._repeats_s.remove(at_s)
+            case LentRepeat(until_s):
+                self.borrow(1, until_s)
+
+    def has_room(self, now_s: float, instances: int) -> bool:
+        """Return whether :meth:`take` would give a repeat."""
+        return self._usable_loans(now_s) or self._left(now_s, instances) >= 1
+
+    def spare(self, now_s: float, instances: int) -> int:
+        """Return how many repeats this instance would lend now."""
+        return max(0, int(self._left(now_s, instances) * LENT_PART))
+
+    def lend(self, now_s: float, instances: int, wanted: int, life_s: float) -> int:
+        """Take repeats for another instance; return how many.
+
+        Parameters
+        ----------
+        life_s
+            Time in which the borrower may use them; they count here from its end on.
+        """
+        lent = min(wanted, self.spare(now_s, instances))
+        self._repeats_s.extend([now_s + life_s] * lent)
+        return lent
+
+    def borrow(self, repeats: int, until_s: float) -> None:
+        """Take repeats that another instance has lent."""
+        self._lent_until_s.extend([until_s] * repeats)
+        self._lent_until_s.sort()
+
+    def _usable_loans(self, now_s: float) -> bool:
+        self._lent_until_s = [each for each in self._lent_until_s if each >= now_s]
+        return bool(self._lent_until_s)
+
+    def _left(self, now_s: float, instances: int) -> int:
+        state = self.state(now_s, instances)
+        return state.allowed - state.repeats
 
     def state(self, now_s: float, instances: int) -> ShareState:
         """Return how much of the share is used."""
--- a/libs/admission/tests/test_retry_share.py
+++ b/libs/admission/tests/test_retry_share.py
@@ -1,5 +1,8 @@
 """Repeats stay within the budget that all instances share."""
 
+import random
+
+import pytest
 from celeryfork_admission.retry_share import RetryShare
 
 
@@ -53,3 +56,64 @@
     assert count_repeats(share, 10.5, 1, 50) == 9
     share.give_back(old)
     assert share.take(10.5, 1) is None
+
+
+LIFE_S = 1.0
+
+
+def test_a_loan_counts_at_its_lender_until_the_borrower_can_use_it_no_more():
+    lender, borrower = (RetryShare(0.0, 20, 10.0) for _ in range(2))
+    assert lender.lend(5.0, 2, 50, LIFE_S) == 4
+    assert lender.spare(15.9, 2) == 2
+    assert lender.spare(16.1, 2) == 4
+    borrower.borrow(4, 6.0)
+    assert count_repeats(borrower, 6.0, 2, 50) == 4 + 9
+
+
+def test_loans_that_are_not_used_in_time_are_lost():
+    borrower = RetryShare(0.0, 20, 10.0)
+    borrower.borrow(4, 6.0)
+    assert count_repeats(borrower, 6.1, 2, 50) == 9
+
+
+def test_a_share_lends_half_of_what_is_left_and_nothing_when_it_is_spent():
+    share = RetryShare(0.0, 20, 10.0)
+    assert [share.lend(0.0, 2, 50, LIFE_S) for _ in range(5)] == [4, 2, 1, 1, 0]
+    assert count_repeats(share, 0.0, 2, 50) == 1
+    assert share.lend(0.0, 2, 50, LIFE_S) == 0
+
+
+def test_a_lent_repeat_that_reached_nobody_can_be_used_again_in_its_time():
+    share = RetryShare(0.0, 0, 10.0)
+    share.borrow(1, 6.0)
+    repeat = share.take(5.0, 1)
+    assert share.take(5.0, 1) is None
+    share.give_back(repeat)
+    assert share.has_room(5.5, 1)
+    assert not share.has_room(6.5, 1)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_shares_that_lend_stay_within_the_budget_in_any_window(seed):
+    """Loans are on their way, lost, used late, and given back."""
+    luck, instances, slack = random.Random(seed), 6, 60
+    shares = [RetryShare(0.0, slack, 10.0) for _ in range(instances)]
+    repeats_s, under_way, now_s = [], [], 0.0
+    for _ in range(4_000):
+        now_s += luck.expovariate(100.0)
+        lender, borrower = luck.sample(shares, 2)
+        asked_s = now_s - luck.uniform(0, 0.3)
+        if lent := lender.lend(now_s, instances, luck.randint(1, 9), LIFE_S):
+            under_way.append((borrower, lent, asked_s + LIFE_S))
+        if under_way and luck.random() < 0.5:
+            borrower, lent, until_s = under_way.pop(luck.randrange(len(under_way)))
+            borrower.borrow(lent, until_s)
+        share = luck.choice(shares[:2])
+        if repeat := share.take(now_s, instances):
+            if luck.random() < 0.1:
+                share.give_back(repeat)
+            else:
+                repeats_s.append(now_s)
+    assert len(repeats_s) > 2 * slack / instances
+    for start_s in repeats_s:
+        assert sum(start_s <= at_s < start_s + 10.0 for at_s in repeats_s) <= slack
--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -10,6 +10,7 @@
 from celeryfork_base.outcomes import Outcome
 from logbook import Logger
 
+from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.configuration import Configuration, Route, Service
 from celeryfork_entry.first_engines import FirstEngines
@@ -83,7 +84,9 @@
     instances
         Gives the number of instances that share the retry budget.
     budget_of
-        Gives the retry budget of a service.
+        Gives this instance's share of the retry budget of a service.
+    loans
+        Brings repeats of other instances' shares.
     """
 
     table: TargetTable
@@ -94,11 +97,12 @@
     configuration: Callable[[], Configuration | None]
     instances: Callable[[], int]
     budget_of: Callable[[str], RetryShare]
+    loans: BudgetLoans
     domain: str
     histograms: Histograms = field(factory=Histograms)
 
     def may_send(self, call: Call) -> bool:
-        """Count one more send of ``call``; return whether the budget allows it."""
+        """Count one more send of ``call``; return whether the share allows it."""
         now_s = time.monotonic()
         budget = self.budget_of(call.service.name)
         if not call.counted:
@@ -108,18 +112,29 @@
         if call.arrivals > 0:
             call.repeat = budget.take(now_s, self.instances())
         if call.arrivals > 0 and call.repeat is None:
-            self.counters.add("calls.repeats_refused")
-            self.note(
-                call,
-                "repeat_refused",
-                sends=call.sends,
-                **self.share_used(call),
-            )
             return False
         call.sends += 1
         call.arrivals += 1
         return True
 
+    async def may_send_later(self, call: Call, wait_s: float) -> bool:
+        """Wait until the share allows another send of a call that may have run.
+
+        One that has not run is refused instead: its caller may come back.
+
+        Parameters
+        ----------
+        wait_s
+            Longest wait.
+        """
+        if call.may_have_run:
+            until_s = time.monotonic() + min(wait_s, call.left_s)
+            if await self.loans.wait_for_room(call.service.name, until_s):
+                return True
+        self.counters.add("calls.repeats_refused")
+        self.note(call, "repeat_refused", sends=call.sends, **self.share_used(call))
+        return False
+
     def not_reached(self, call: Call) -> None:
         """Count the last send of a call no more: no byte of it reached a target."""
         call.arrivals -= 1
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from attrs import define, field
 from celeryfork_admission.retry_share import RetryShare
@@ -11,6 +11,7 @@
 from celeryfork_routing.engine_loads import EngineLoads
 from logbook import Logger
 
+from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.call import CallParts
 from celeryfork_entry.caller_http import CallerConnection
@@ -115,6 +116,14 @@
             self.counters,
             domain=self.settings.domain,
         )
+        self._peers = PeerLoads(self.roster, self.loads, self.log)
+        loans = BudgetLoans(
+            self.roster, self._budget_of, self._instances_known, self._peers.send_to,
+            self.log, self.counters,
+        )  # fmt: skip
+        self._peers.on_loan = loans.heard
+        self._peers.on_spare = loans.heard_spare
+        self._peers.spare = lambda: loans.spare(self._services())
         parts = CallParts(
             table=self.table,
             connections=self.connections,
@@ -122,10 +131,9 @@
             log=self.log,
             counters=self.counters,
             configuration=lambda: self.configuration,
-            instances=lambda: max(
-                self.roster.instances(), self.settings.usual_instances
-            ),
+            instances=self._instances_known,
             budget_of=self._budget_of,
+            loans=loans,
             domain=self.settings.domain,
             histograms=self._histograms,
         )
@@ -155,7 +163,6 @@
             self.log,
             lambda: self.stopping,
         )
-        self._peers = PeerLoads(self.roster, self.loads, self.log)
         self._placement.stand_in = StandIn(
             self._peers, self._following.away_s, reach.cut_off
         )
@@ -185,6 +192,13 @@
         """Return the configuration in force, None before the first."""
         return self._following.configuration
 
+    def _instances_known(self) -> int:
+        """Return the number of instances that share the retry budget."""
+        return max(self.roster.instances(), self.settings.usual_instances)
+
+    def _services(self) -> Iterable[str]:
+        return self.configuration.services_by_name if self.configuration else ()
+
     def _peer_addresses(self) -> list[str]:
         """Return where peers may be asked: those known, else those of the settings."""
         relays = self.roster.relays(self.settings.domain)
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -78,10 +78,7 @@
         begun
             Whether the caller has part of the answer.
         """
-        wait_s = REPEAT_WAIT_S if call.may_have_run else ROOM_WAIT_S
-        if begun:
-            wait_s = BEGUN_WAIT_S
-        until_s = time.monotonic() + min(wait_s, call.left_s)
+        until_s = time.monotonic() + min(patience_s(call, begun=begun), call.left_s)
         while True:
             path, now_s = self._find(call), time.monotonic()
             if path is not None:
@@ -296,6 +293,19 @@
         )
 
 
+def patience_s(call: Call, *, begun: bool) -> float:
+    """Return how long a call waits for a path, or for a repeat, in seconds.
+
+    Parameters
+    ----------
+    begun
+        Whether the caller has part of the answer.
+    """
+    if begun:
+        return BEGUN_WAIT_S
+    return REPEAT_WAIT_S if call.may_have_run else ROOM_WAIT_S
+
+
 def expected_answer_tokens(call: Call) -> float:
     """Return the tokens of a call's answer, by its caller's hint where it gives one."""
     facts = call.facts
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -20,6 +20,8 @@
     Heard,
     MemberReport,
     RelayDigest,
+    RepeatsLent,
+    RepeatsWanted,
     decode,
     encode_digest,
     encode_report,
@@ -70,6 +72,12 @@
         Called with each engine of which a peer passes that on.
     on_down
         Called with an engine that a peer has found to be down, its start, and the peer.
+    spare
+        Gives the repeats that this instance would lend, by service.
+    on_spare
+        Called with a member's address and the same of it.
+    on_loan
+        Called with each question for repeats, and each loan.
     fence_heard, fence_heard_s
         The highest fence with which a peer said to place layers, and when the last one
         said so; the start of this instance before the first.
@@ -92,6 +100,9 @@
     speeds: Callable[[], Mapping[str, Speed]] = dict
     on_speed: Callable[[str, Speed], None] = lambda engine_id, speed: None
     on_down: Callable[[str, int | None, str], None] = lambda engine, born_ms, peer: None
+    spare: Callable[[], Mapping[str, int]] = dict
+    on_spare: Callable[[str, Mapping[str, int]], None] = lambda address, spare: None
+    on_loan: Callable[[RepeatsWanted | RepeatsLent], None] = lambda message: None
     _reports: int = 0
     _down: list[DownEngine] = field(factory=list)
     _down_told_s: dict[DownEngine, float] = field(factory=dict)
@@ -123,18 +134,21 @@
                     "peer_report_unreadable", peer=address[0], reason=str(error)
                 )
             return
-        self.roster.heard(message.sender)
-        self._take_common(message)
         match message:
             case RelayDigest():
+                self._take_common(message)
                 self._take_digest(message)
             case MemberReport():
+                self._take_common(message)
                 self._take_report(message)
+            case RepeatsWanted() | RepeatsLent():
+                self.on_loan(message)
 
     def error_received(self, error: Exception) -> None:
         """Ignore a peer's refusal: it is gone, and its silence says so."""
 
     def _take_common(self, message: Heard) -> None:
+        self.roster.heard(message.sender)
         if message.fence is not None:
             self.fence_heard = max(self.fence_heard, message.fence)
             self.fence_heard_s = time.monotonic()
@@ -161,6 +175,7 @@
         self.roster.asked_to_relay()
         self._loads.hear(report.sender.name, report.loads or {}, time.monotonic())
         self._learnt_by_member.update(report.layers)
+        self.on_spare(report.sender.address, report.spare)
         self._pass_on(report.down, to_away=True)
 
     def _take_digest(self, digest: RelayDigest) -> None:
@@ -277,6 +292,7 @@
             self.layers(),
             tuple(down),
             self.speeds(),
+            self.spare(),
         )
 
     def _digest(self, down: Iterable[DownEngine], now_s: float) -> RelayDigest:
@@ -324,13 +340,17 @@
         return loads.total(now_s)
 
     def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
+        self.send_to(data, (peer.address for peer in peers))
+
+    def send_to(self, data: bytes, addresses: Iterable[str]) -> None:
+        """Send a datagram to instances, once they can be reached at all."""
         if self._transport is None:
             return
         if len(data) > MOST_DATAGRAM_BYTES:
             self._log.info("peer_report_too_long", bytes=len(data))
             return
-        for peer in peers:
-            host, _, port = peer.address.rpartition(":")
+        for address in addresses:
+            host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
 
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -1,10 +1,11 @@
-"""The datagrams between instances: what a member reports and what a relay tells."""
+"""The datagrams between instances: reports, what relays tell, and loans of repeats."""
 
 import time
 from collections.abc import Mapping, Sequence
+from enum import Enum
 from typing import Any
 
-from attrs import frozen
+from attrs import field, frozen
 from celeryfork_routing.engine_loads import Load
 from celeryfork_routing.layers import LayerRange
 from orjson import dumps, loads
@@ -14,6 +15,8 @@
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.targets import LearntLayers
 
+MOST_REPEATS = 256
+"""Most repeats that one datagram asks for or lends."""
 DownEngine = tuple[str, int | None]
 """An engine's id and its start in ms of wall clock, None where that is unknown."""
 
@@ -52,7 +55,15 @@
 
 @frozen
 class MemberReport(Heard):
-    """What an instance tells the relays of its domain."""
+    """What an instance tells the relays of its domain.
+
+    Parameters
+    ----------
+    spare
+        Repeats of its share of the retry budget that it would lend, by service.
+    """
+
+    spare: Mapping[str, int] = field(factory=dict)
 
 
 @frozen
@@ -80,9 +91,74 @@
     away_loads: Mapping[str, Mapping[str, Load]]
 
 
+class Reach(Enum):
+    """Whom a relay may ask for repeats on behalf of another instance."""
+
+    FLEET = "fleet"
+    DOMAIN = "domain"
+    NOBODY = "nobody"
+
+
+@frozen
+class RepeatsWanted:
+    """An instance asks for repeats that others leave of the retry budget.
+
+    Parameters
+    ----------
+    borrower
+        Address to which they are lent.
+    number
+        The borrower's number of this question.
+    """
+
+    borrower: str
+    number: int
+    service: str
+    repeats: int
+    reach: Reach
+
+
+@frozen
+class RepeatsLent:
+    """The answer of one that lends some.
+
+    Parameters
+    ----------
+    lender
+        Its address.
+    number
+        Of the question that it answers.
+    """
+
+    lender: str
+    number: int
+    repeats: int
+
+
+Message = MemberReport | RelayDigest | RepeatsWanted | RepeatsLent
+
+
+def encode_wanted(wanted: RepeatsWanted) -> bytes:
+    """Return the datagram of a question for repeats."""
+    return dumps(
+        {
+            "wants": wanted.repeats,
+            "for": wanted.borrower,
+            "number": wanted.number,
+            "service": wanted.service,
+            "reach": wanted.reach.value,
+        }
+    )
+
+
+def encode_lent(lent: RepeatsLent) -> bytes:
+    """Return the datagram of a loan."""
+    return dumps({"lends": lent.repeats, "at": lent.lender, "number": lent.number})
+
+
 def encode_report(report: MemberReport) -> bytes:
     """Return a member's datagram."""
-    return dumps(_common(report))
+    return dumps({**_common(report), "spare": dict(report.spare)})
 
 
 def encode_digest(digest: RelayDigest) -> bytes:
@@ -101,7 +177,7 @@
     )
 
 
-def decode(data: bytes) -> MemberReport | RelayDigest:
+def decode(data: bytes) -> Message:
     """Return a datagram's content.
 
     Raises
@@ -111,9 +187,15 @@
     """
     try:
         fields = loads(data)
+        if "wants" in fields or "lends" in fields:
+            return _decode_loan(fields)
         common = _decode_common(fields)
         if "revision" not in fields:
-            return MemberReport(**common)
+            spare = {
+                str(service): _repeats(repeats)
+                for service, repeats in fields.get("spare", {}).items()
+            }
+            return MemberReport(**common, spare=spare)
         return RelayDigest(
             **common,
             revision=whole_number(fields["revision"]),
@@ -129,6 +211,26 @@
         raise ValueError(f"no message of a peer: {error!r}") from error
 
 
+def _decode_loan(fields: dict[str, Any]) -> RepeatsWanted | RepeatsLent:
+    number = whole_number(fields["number"])
+    if "lends" in fields:
+        return RepeatsLent(address(fields["at"]), number, _repeats(fields["lends"]))
+    return RepeatsWanted(
+        address(fields["for"]),
+        number,
+        str(fields["service"]),
+        _repeats(fields["wants"]),
+        Reach(fields["reach"]),
+    )
+
+
+def _repeats(value: Any) -> int:
+    repeats = whole_number(value)
+    if not 0 < repeats <= MOST_REPEATS:
+        raise ValueError(f"{repeats} repeats in one datagram")
+    return repeats
+
+
 def _common(message: Heard) -> dict[str, Any]:
     sender = message.sender
     return {
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -79,7 +79,11 @@
         last: Attempt = Refused("no target")
         while call.arrivals < MOST_SENDS and call.left_s > 0:
             target = self._choose(call)
-            if target is None or not self._parts.may_send(call):
+            if target is None:
+                break
+            if not self._parts.may_send(call):
+                if await self._parts.may_send_later(call, call.left_s):
+                    continue
                 break
             last = await self._attempt(call, target, once)
             if not self._again(call, last, once):
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -23,7 +23,11 @@
     PathBroke,
     PathRefused,
 )
-from celeryfork_entry.path_choice import PathChoice, expected_answer_tokens
+from celeryfork_entry.path_choice import (
+    PathChoice,
+    expected_answer_tokens,
+    patience_s,
+)
 from celeryfork_entry.plain_calls import MOST_REPLY_BYTES, PROMISES_NOT_RUN
 from celeryfork_entry.ports import Handover
 from celeryfork_entry.reach_checks import ReachChecks
@@ -139,6 +143,10 @@
                 ended_by = "no_path"
                 break
             if not self._parts.may_send(call):
+                wait_s = patience_s(call, begun=progress.begun)
+                if await self._parts.may_send_later(call, wait_s):
+                    # The path may be gone by now.
+                    continue
                 ended_by = "retry_budget"
                 break
             last = await self._attempt(call, path, progress)
