A plain call that may have run is tried on while its caller has time

What callers saw: a repeatable call whose first answer was lost got 502 with most of its time left, as the other targets had no place at that moment. Cause: its targets were tried once each, and at most four in all, whatever time was left. It can't be refused any more, since it may have run. Change: when all targets that are left have refused it, it goes round again after pauses of 20 to 300 ms, as streams do (`refusal_pauses`), until its time or its route's bound on runs is over. Calls that have not run are refused after four refusals as before; calls that may run once are not sent again. Test: test_a_call_that_may_have_run_is_tried_on_while_its_caller_has_time, red before (502), with four tests of the bounds that stay; there was no test of this module without network.

--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -13,6 +13,7 @@
 from celeryfork_entry.call import Call, CallParts, not_run, unknown
 from celeryfork_entry.configuration import RunOnce
 from celeryfork_entry.ports import Handover
+from celeryfork_entry.refusal_pauses import refused_pause_s
 from celeryfork_entry.target_http import LostError, NotSentError
 from celeryfork_entry.targets import Target
 
@@ -77,10 +78,19 @@
         """
         once = isinstance(call.route.kind, RunOnce)
         last: Attempt = Refused("no target")
-        while call.arrivals < MOST_SENDS and call.left_s > 0:
+        refused: set[str] = set()
+        rounds = 1
+        while call.left_s > 0 and (call.may_have_run or call.arrivals < MOST_SENDS):
             target = self._choose(call)
             if target is None:
-                break
+                if not (call.may_have_run and refused):
+                    break
+                # All that are left have refused it; places get free.
+                rounds += 1
+                await asyncio.sleep(min(call.left_s, refused_pause_s(rounds)))
+                call.avoided -= refused
+                refused.clear()
+                continue
             if not self._parts.may_send(call):
                 if await self._parts.may_send_later(call, call.left_s):
                     continue
@@ -89,6 +99,8 @@
             if not self._again(call, last, once):
                 break
             call.avoided.add(target.id)
+            if isinstance(last, Refused):
+                refused.add(target.id)
         await self._finish(call, last)
 
     def _choose(self, call: Call) -> Target | None:
--- a/libs/entry/src/celeryfork_entry/stream_bounds.py
+++ b/libs/entry/src/celeryfork_entry/stream_bounds.py
@@ -11,10 +11,6 @@
 MOST_RUNS = 6
 """Most runs of one stream that fail, so that a request which ends its engines doesn't
 end many."""
-REFUSED_PAUSE_S = 0.02
-"""Pause after a second refusal in a row, while memory of engines frees; it doubles."""
-LONGEST_REFUSED_PAUSE_S = 0.3
-"""Longest such pause; an engine that has refused is left out for as long."""
 
 
 def exhausted_by(call: Call) -> str | None:
@@ -26,10 +22,3 @@
     if not call.may_have_run and call.arrivals >= MOST_ARRIVALS:
         return "sends"
     return None
-
-
-def refused_pause_s(refusals: int) -> float:
-    """Return the pause after so many refusals in a row, in seconds."""
-    if refusals < 2:
-        return 0.0
-    return min(LONGEST_REFUSED_PAUSE_S, REFUSED_PAUSE_S * 2.0 ** (refusals - 2))
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -31,7 +31,8 @@
 from celeryfork_entry.plain_calls import MOST_REPLY_BYTES, PROMISES_NOT_RUN
 from celeryfork_entry.ports import Handover
 from celeryfork_entry.reach_checks import ReachChecks
-from celeryfork_entry.stream_bounds import exhausted_by, refused_pause_s
+from celeryfork_entry.refusal_pauses import refused_pause_s
+from celeryfork_entry.stream_bounds import exhausted_by
 from celeryfork_entry.stream_progress import Pace, Progress
 from celeryfork_entry.target_http import (
     LostError,
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -77,6 +77,11 @@
     """The engine ends with the request in its queue, which it hasn't run."""
 
 
+@frozen
+class Vanish:
+    """The engine runs the request, and its answer is lost."""
+
+
 @define
 class Engine:
     """An engine whose next sends are scripted; it runs whole answers after them."""
@@ -167,10 +172,14 @@
         return asyncio.run(asyncio.wait_for(run(), within_s))
 
     async def serve_one(self, caller, request_id="r1"):
+        await self.streams.serve(self.call(caller, request_id, CALL_S))
+        return caller
+
+    def call(self, caller, request_id, left_s):
         facts = RequestFacts(
-            request_id, "a.example", "/", None, CALL_S, 100, 40, 40.0, None
+            request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None
         )
-        call = Call(
+        return Call(
             connection=caller,
             request=SimpleNamespace(arrived_s=time.monotonic(), method="POST"),
             facts=facts,
@@ -178,10 +187,8 @@
             service=SERVICE,
             organisation=None,
             version=1,
-            ends_s=time.monotonic() + CALL_S,
+            ends_s=time.monotonic() + left_s,
         )
-        await self.streams.serve(call)
-        return caller
 
     # What stands for the detours.
 
@@ -206,6 +213,9 @@
             case End():
                 engine.gone = True
                 raise LostError("the connection ended before a reply")
+            case Vanish():
+                engine.runs += 1
+                raise LostError("the connection ended before a reply")
             case Run():
                 engine.runs += 1
                 return self._run(engine, request.after_event, step)
@@ -262,6 +272,9 @@
             await self._end()
         return b""
 
+    def header(self, name):
+        return None
+
     async def read_all(self, most):
         return self._engine.target.id.encode()
 
@@ -285,6 +298,9 @@
     async def more(self, data):
         self.events += [int(line[4:]) for line in data.split(b"\n") if b"id:" in line]
 
+    async def answer(self, status, headers, body, *, method="GET"):
+        self.status, self.ending = status, "whole"
+
     async def end(self):
         self.ending = "whole"
 
--- a/libs/entry/tests/test_begun_answers.py
+++ b/libs/entry/tests/test_begun_answers.py
@@ -8,7 +8,8 @@
 
 import pytest
 from celeryfork_base.errors import RequestRefusedError
-from celeryfork_entry.stream_bounds import MOST_ARRIVALS, refused_pause_s
+from celeryfork_entry.refusal_pauses import refused_pause_s
+from celeryfork_entry.stream_bounds import MOST_ARRIVALS
 from stream_trial import Caller, End, Fleet, Refuse, Run, Trial
 
 BACK = (4, 8)
--- /dev/null
+++ b/libs/entry/tests/test_plain_calls.py
@@ -0,0 +1,73 @@
+"""Plain calls whose targets fail or refuse them, without network."""
+
+import asyncio
+
+import pytest
+from attrs import evolve
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_entry.configuration import Repeatable, RunOnce
+from celeryfork_entry.plain_calls import MOST_SENDS, PlainCalls
+from stream_trial import Caller, Refuse, Run, Trial, Vanish
+
+LEFT_S = 1.5
+
+
+def serve(trial, kind=None, left_s=LEFT_S):
+    trial.route = evolve(trial.route, kind=kind or Repeatable())
+    caller = Caller()
+    call = trial.call(caller, "r1", left_s)
+    asyncio.run(asyncio.wait_for(PlainCalls(trial.parts).serve(call), 5.0))
+    return caller
+
+
+def arrivals(trial):
+    return sum(engine.arrivals for engine in trial.engines.values())
+
+
+def test_a_call_that_may_have_run_is_tried_on_while_its_caller_has_time():
+    """Issue 21's class: its answer was lost, and the others had no place just then."""
+    trial = Trial()
+    trial.add("desk-1", Vanish())
+    trial.add("desk-2", *[Refuse("desk-2")] * 3, domain="b")
+    trial.add("desk-3", *[Refuse("desk-3")] * 3, domain="b")
+    assert serve(trial).status == 200
+    assert trial.engine("desk-1").arrivals == 1
+
+
+def test_a_call_that_may_have_run_has_its_failure_when_its_time_is_over():
+    trial = Trial()
+    trial.add("desk-1", Vanish())
+    trial.add("desk-2", *[Refuse("desk-2")] * 99, domain="b")
+    with pytest.raises(RequestRefusedError) as failure:
+        serve(trial, left_s=0.5)
+    assert failure.value.status == 504
+    assert arrivals(trial) < 10, "refusals are spread"
+
+
+def test_a_call_that_has_not_run_is_refused_after_a_few_refusals():
+    trial = Trial()
+    for number in range(MOST_SENDS + 2):
+        trial.add(f"desk-{number}", *[Refuse(f"desk-{number}")] * 99)
+    with pytest.raises(RequestRefusedError) as refusal:
+        serve(trial)
+    assert refusal.value.status == 503
+    assert arrivals(trial) == MOST_SENDS
+
+
+def test_a_call_that_may_run_once_is_not_sent_again_after_its_answer_is_lost():
+    trial = Trial()
+    trial.add("desk-1", Vanish())
+    trial.add("desk-2", Run(), domain="b")
+    with pytest.raises(RequestRefusedError) as failure:
+        serve(trial, RunOnce())
+    assert failure.value.status == 502
+    assert arrivals(trial) == 1
+
+
+def test_a_call_runs_on_no_more_targets_than_its_route_allows():
+    trial = Trial(most_targets=2)
+    for number in range(4):
+        trial.add(f"desk-{number}", Vanish())
+    with pytest.raises(RequestRefusedError):
+        serve(trial)
+    assert arrivals(trial) == 2
