An engine that peers know to be down is the last choice everywhere

Cause: news of a lost engine was dropped by instances of other domains that had no stream over it, so that questions don't grow with the fleet. Where their own domain is short they offer paths over that domain all the same; each request in turn was refused by the dead engine's neighbour. Change: such news makes an engine the last choice for 5 s, without a question; one that refuses nevertheless is asked, by the instance that it refused, once in 0.5 s. Its answer, or work that it takes, ends the doubt. Weighed: asking on each news (88 questions for each loss, 690 at the target's size); believing it (the peer alone may be cut off).

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -236,7 +236,8 @@
 
         It counts where this instance's own streams over the engine are silent too: the
         peer alone may be cut off from it. One that isn't in use is asked if it belongs
-        to this instance's domain, as paths seldom leave that.
+        to this instance's domain, as paths seldom leave that; elsewhere it becomes the
+        last choice, and is asked when it refuses work.
         """
         target = self._table.by_id.get(engine_id)
         if target is None or target.born_ms != born_ms:
@@ -246,6 +247,8 @@
         if not self.uses(engine_id):
             if target.domain == self.domain:
                 self.spawn(self.ask(engine_id))
+            else:
+                self._table.doubt(engine_id, time.monotonic())
         elif self._is_silent(engine_id):
             self.spawn(self._believe(engine_id, born_ms, peer))
 
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -135,7 +135,7 @@
             for each in self._engines(call.service.name)
             if not (each.standing.held or each.standing.leaving)
         ]
-        willing = [e for e in in_choice if e.standing.refused_until_s < now_s]
+        willing = [e for e in in_choice if e.standing.is_willing(now_s)]
         choices = [_without(willing, call.avoided), _without(in_choice, call.avoided)]
         if call.may_have_run:
             choices.insert(1, willing)
@@ -155,7 +155,7 @@
             each.at(now_s)
             for each in self._engines(call.service.name)
             if not (each.standing.held or each.standing.leaving)
-            and each.standing.refused_until_s < now_s
+            and each.standing.is_willing(now_s)
             and each.engine.id not in call.avoided
         ]
         lost = {each for each in path.engine_ids if not self.lives(each)}
@@ -285,6 +285,7 @@
             ),
             down=sum(standing.held for standing in standings),
             refusing=sum(each.refused_until_s >= now_s for each in standings),
+            doubted=sum(each.is_doubted(now_s) for each in standings),
             requests_in_flight=sum(
                 load.requests for load in self._loads.own().values()
             ),
--- a/libs/entry/src/celeryfork_entry/reach_checks.py
+++ b/libs/entry/src/celeryfork_entry/reach_checks.py
@@ -54,14 +54,16 @@
         ----------
         first_domain
             The domain of the engine that the request was sent to. One of the same
-            domain that is short of memory is in reach, and isn't asked.
+            domain that is short of memory is in reach, and isn't asked, unless a peer
+            has said that it is down.
         lacks_layers
             Whether it doesn't hold its part: its entry is older than its report.
         """
         target, now_s = self._table.by_id.get(engine_id), time.monotonic()
         if target is None:
             return
-        if target.domain == first_domain and not lacks_layers:
+        doubted = self._table.standing(engine_id).is_doubted(now_s)
+        if target.domain == first_domain and not (lacks_layers or doubted):
             return
         if now_s - self._asked_s_by_id.get(engine_id, -ENGINE_PAUSE_S) < ENGINE_PAUSE_S:
             return
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -20,6 +20,9 @@
 REFUSALS_OF_LEAVING = 2
 """Refusals in a row after which an engine is asked whether it leaves; one that lacks
 memory for one request mostly takes the next."""
+DOUBTED_S = 5.0
+"""Time for which a peer's word that an engine is down makes it the last choice; the
+list drops one that is gone within 3 s, its usual lag included."""
 LEAVING_LIFE_S = 5.0
 """Time that an engine's own word that it leaves counts for; draining takes 2 s."""
 LIST_LAG_S = 0.8
@@ -103,6 +106,8 @@
     ----------
     listed_s
         When its newest entry was read; what it reports later is newer.
+    doubted_until_s
+        To when a peer's word that it is down makes it the last choice.
     ended
         Whether nobody listens at its address any more: its process runs nothing.
     """
@@ -119,12 +124,21 @@
     learnt: LearntLayers | None = None
     listed_s: float = 0.0
     ended: bool = False
+    doubted_until_s: float = 0.0
 
     @property
     def held(self) -> bool:
         """Return whether the target is out of choice."""
         return self.hold_s > 0
 
+    def is_doubted(self, now_s: float) -> bool:
+        """Return whether a peer has just said that the target is down."""
+        return now_s <= self.doubted_until_s
+
+    def is_willing(self, now_s: float) -> bool:
+        """Return whether nothing speaks against offering it work just now."""
+        return self.refused_until_s < now_s and not self.is_doubted(now_s)
+
 
 @define
 class TargetTable:
@@ -316,7 +330,7 @@
         """Record that the target has answered."""
         standing = self.standing(target_id)
         standing.failed_share *= 1 - FAILURE_WEIGHT
-        standing.hold_s = 0.0
+        standing.hold_s = standing.doubted_until_s = 0.0
         standing.ended = False
 
     def failed(self, target_id: str) -> None:
@@ -346,7 +360,12 @@
         """Record that engines have taken work."""
         for target_id in target_ids:
             if target_id in self._standing_by_id:
-                self._standing_by_id[target_id].refusals = 0
+                standing = self._standing_by_id[target_id]
+                standing.refusals, standing.doubted_until_s = 0, 0.0
+
+    def doubt(self, target_id: str, now_s: float) -> None:
+        """Record a peer's word that a target is down, which isn't asked itself."""
+        self.standing(target_id).doubted_until_s = now_s + DOUBTED_S
 
     def hold(
         self, target_id: str, reason: str, now_s: float, *, ended: bool = False
--- a/libs/entry/tests/test_engine_checks.py
+++ b/libs/entry/tests/test_engine_checks.py
@@ -15,7 +15,7 @@
 from celeryfork_entry.engine_speeds import SLOWNESS_LIFE_S
 from celeryfork_entry.ports import EngineReport
 from celeryfork_entry.target_http import NotSentError, PortClosedError
-from celeryfork_entry.targets import Listed, Target, TargetTable
+from celeryfork_entry.targets import DOUBTED_S, Listed, Target, TargetTable
 from logbook import Logger
 
 REPORT = EngineReport(None, 0, False, 1, 1.0, {})
@@ -279,6 +279,30 @@
     assert engine.asked == 0
 
 
+def test_an_engine_of_another_domain_that_peers_know_to_be_down_is_the_last_choice():
+    """Issue 21's day: 487 of 711 refusals came of engines that peers knew to be down.
+
+    Each of 60 instances offered them requests, until the list dropped them.
+    """
+    checks, table, _, _ = make(Engine("yes"))
+    checks.domain = "b"
+    tell(checks, uses=False)
+    now_s = time.monotonic()
+    assert not table.standing("x").is_willing(now_s)
+    assert not table.standing("x").held
+    assert table.standing("x").is_willing(now_s + DOUBTED_S + 1)
+
+
+def test_an_engine_that_answers_or_takes_work_is_doubted_no_longer():
+    checks, table, _, _ = make(Engine("yes"))
+    table.doubt("x", time.monotonic())
+    assert ask(checks) == REPORT
+    assert table.standing("x").is_willing(time.monotonic())
+    table.doubt("x", time.monotonic())
+    table.accepted(["x"])
+    assert table.standing("x").is_willing(time.monotonic())
+
+
 def test_news_of_an_earlier_start_does_not_count():
     engine = Engine("yes")
     checks, table, _, _ = make(engine)
--- a/libs/entry/tests/test_path_choice.py
+++ b/libs/entry/tests/test_path_choice.py
@@ -101,6 +101,15 @@
     assert first_engine(table, "e1", "e2") in {"e1", "e2"}
 
 
+def test_an_engine_that_peers_know_to_be_down_is_the_last_choice(table):
+    """Issue 21's day: instances of other domains offered it request after request."""
+    table.doubt("e3", time.monotonic())
+    assert first_engine(table) in {"e1", "e2"}
+    for engine_id in ("e1", "e2"):
+        table.hold(engine_id, "silent", time.monotonic())
+    assert first_engine(table) == "e3"
+
+
 def test_a_first_engine_that_is_down_leaves_room_for_another(table):
     table.hold("e1", "silent", time.monotonic() - SURELY_ENDED_S)
     assert first_engine(table, "e1", "e2") == "e3"
--- a/libs/entry/tests/test_reach_checks.py
+++ b/libs/entry/tests/test_reach_checks.py
@@ -1,6 +1,7 @@
 """Engines at fault are asked, and domains out of reach are left as a whole."""
 
 import asyncio
+import time
 
 import pytest
 from celeryfork_entry import reach_checks
@@ -144,6 +145,16 @@
     assert fleet.checks.asked == asked
 
 
+def test_a_neighbour_that_peers_know_to_be_down_is_asked_when_it_refuses():
+    """Issue 21's day: it counted as short of memory, and was offered each request."""
+    fleet = Fleet(silent="b")
+    fleet.table.doubt("b1", time.monotonic())
+    fleet.run(*[("b1", "b", False)] * 20)
+    assert fleet.checks.asked[0] == "b1"
+    assert fleet.checks.asked.count("b1") == 1
+    assert fleet.table.standing("b1").held
+
+
 def test_an_engine_at_fault_is_asked_once_for_many_refusals():
     fleet = Fleet()
     fleet.run(*[("b1", "a", False)] * 20)
