A stream that failed is tried again for one bounded time, refusals included

Change: one time for a recovery, from the failure on: 2 s for a begun answer, since its caller leaves then, 1 s for one that has not begun; the search, the wait for a repeat and the refusals share it. Test: test_a_begun_answer_that_all_refuse_is_ended_when_its_caller_leaves_too.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -117,20 +117,19 @@
         call.arrivals += 1
         return True
 
-    async def may_send_later(self, call: Call, wait_s: float) -> bool:
+    async def may_send_later(self, call: Call, until_s: float | None) -> bool:
         """Wait until the share allows another send of a call that may have run.
 
-        One that has not run is refused instead: its caller may come back.
-
         Parameters
         ----------
-        wait_s
-            Longest wait.
+        until_s
+            Steady time at which to give up. None for a call that has not run: it is
+            refused at once, and its caller comes back.
         """
-        if call.may_have_run:
-            until_s = time.monotonic() + min(wait_s, call.left_s)
-            if await self.loans.wait_for_room(call.service.name, until_s):
-                return True
+        if until_s is not None and await self.loans.wait_for_room(
+            call.service.name, until_s
+        ):
+            return True
         self.counters.add("calls.repeats_refused")
         self.note(call, "repeat_refused", sends=call.sends, **self.share_used(call))
         return False
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -23,10 +23,6 @@
 
 ROOM_WAIT_S = 0.25
 """Time that a request waits for room before it is refused; half of the usual aim."""
-REPEAT_WAIT_S = 1.0
-"""The same for a request that may have run, which can't be refused any more."""
-BEGUN_WAIT_S = 2.0
-"""The same where the caller has part of the answer; it leaves after such a pause."""
 SURELY_ENDED_S = 2.0
 """Time out of choice after which a silent engine counts as ended. What an instance with
 a full link or without processor time took for silence is mended before."""
@@ -70,15 +66,18 @@
     _engines_by_service: dict[str, Sequence[_KnownEngine]] = field(factory=dict)
     _idle_ms_by_service: dict[str, float] = field(factory=dict)
 
-    async def choose(self, call: Call, *, begun: bool = False) -> LayerPath | None:
+    async def choose(
+        self, call: Call, until_s: float | None = None
+    ) -> LayerPath | None:
         """Return a path with room for the call; wait a moment for one.
 
         Parameters
         ----------
-        begun
-            Whether the caller has part of the answer.
+        until_s
+            Steady time at which to give up, None for the usual wait for room.
         """
-        until_s = time.monotonic() + min(patience_s(call, begun=begun), call.left_s)
+        if until_s is None:
+            until_s = time.monotonic() + min(ROOM_WAIT_S, call.left_s)
         while True:
             path, now_s = self._find(call), time.monotonic()
             if path is not None:
@@ -294,19 +293,6 @@
         )
 
 
-def patience_s(call: Call, *, begun: bool) -> float:
-    """Return how long a call waits for a path, or for a repeat, in seconds.
-
-    Parameters
-    ----------
-    begun
-        Whether the caller has part of the answer.
-    """
-    if begun:
-        return BEGUN_WAIT_S
-    return REPEAT_WAIT_S if call.may_have_run else ROOM_WAIT_S
-
-
 def expected_answer_tokens(call: Call) -> float:
     """Return the tokens of a call's answer, by its caller's hint where it gives one."""
     facts = call.facts
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -92,7 +92,8 @@
                 refused.clear()
                 continue
             if not self._parts.may_send(call):
-                if await self._parts.may_send_later(call, call.left_s):
+                until_s = call.ends_s if call.may_have_run else None
+                if await self._parts.may_send_later(call, until_s):
                     continue
                 break
             last = await self._attempt(call, target, once)
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -23,16 +23,12 @@
     PathBroke,
     PathRefused,
 )
-from celeryfork_entry.path_choice import (
-    PathChoice,
-    expected_answer_tokens,
-    patience_s,
-)
+from celeryfork_entry.path_choice import PathChoice, expected_answer_tokens
 from celeryfork_entry.plain_calls import MOST_REPLY_BYTES, PROMISES_NOT_RUN
 from celeryfork_entry.ports import Handover
 from celeryfork_entry.reach_checks import ReachChecks
 from celeryfork_entry.refusal_pauses import refused_pause_s
-from celeryfork_entry.stream_bounds import exhausted_by
+from celeryfork_entry.stream_bounds import exhausted_by, recovers_until_s
 from celeryfork_entry.stream_progress import Pace, Progress
 from celeryfork_entry.target_http import (
     LostError,
@@ -137,15 +133,15 @@
         call.first_engines.most = call.route.most_targets
         last: Outcome = PathRefused("no path")
         refusals = 0
+        until_s: float | None = None
         while (ended_by := exhausted_by(call)) is None:
-            path = await self._choice.choose(call, begun=progress.begun)
+            path = await self._choice.choose(call, until_s)
             if path is None:
                 self._choice.note_no_path(call)
                 ended_by = "no_path"
                 break
             if not self._parts.may_send(call):
-                wait_s = patience_s(call, begun=progress.begun)
-                if await self._parts.may_send_later(call, wait_s):
+                if await self._parts.may_send_later(call, until_s):
                     # The path may be gone by now.
                     continue
                 ended_by = "retry_budget"
@@ -154,8 +150,13 @@
             if not self._again(call, last, path, progress):
                 ended_by = "first_engines" if _resumable(call) else "kind"
                 break
-            refusals = refusals + 1 if isinstance(last, PathRefused) else 0
-            if call.may_have_run:
+            if not isinstance(last, PathRefused):
+                refusals, until_s = 0, recovers_until_s(call, begun=progress.begun)
+            elif until_s is not None:
+                refusals += 1
+                if time.monotonic() >= until_s:
+                    ended_by = "refusals"
+                    break
                 await asyncio.sleep(refused_pause_s(refusals))
         await self._finish(call, last, progress, ended_by)
 
--- a/libs/entry/tests/test_begun_answers.py
+++ b/libs/entry/tests/test_begun_answers.py
@@ -9,7 +9,7 @@
 import pytest
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_entry.refusal_pauses import refused_pause_s
-from celeryfork_entry.stream_bounds import MOST_ARRIVALS
+from celeryfork_entry.stream_bounds import MOST_ARRIVALS, RESUME_WAIT_S
 from stream_trial import Caller, End, Fleet, Refuse, Run, Trial
 
 BACK = (4, 8)
@@ -105,6 +105,18 @@
     assert line["ended_by"] == "runs"
 
 
+def test_a_begun_answer_that_all_refuse_is_ended_when_its_caller_leaves_too():
+    """Refusals are repeats: they end after 2 s, and are spread over that time."""
+    trial = Trial(most_targets=1)
+    trial.add("first", Run(3), *[Refuse("first")] * 99)
+    caller = trial.serve()
+    assert caller.ending == "broken off"
+    [line] = trial.noted("broken_off")
+    assert line["ended_by"] == "refusals"
+    assert RESUME_WAIT_S <= 20 - line["left_ms"] / 1000 < RESUME_WAIT_S + 1
+    assert trial.engine("first").arrivals <= 12
+
+
 def test_a_request_that_no_engine_has_run_is_refused_after_six_refusals():
     trial = Trial()
     for number in range(9):
--- a/libs/entry/tests/test_budget_loans.py
+++ b/libs/entry/tests/test_budget_loans.py
@@ -157,9 +157,7 @@
     trial = Fleet(INSTANCES, SLACK).trials[0]
     spend(trial)
     call = SimpleNamespace(
-        may_have_run=False,
         sends=1,
-        left_s=20.0,
         service=SimpleNamespace(name="llm"),
         facts=SimpleNamespace(id="r1"),
         route=SimpleNamespace(name="advice"),
@@ -167,7 +165,7 @@
         version=1,
     )
     begun_s = time.monotonic()
-    assert not asyncio.run(trial.parts.may_send_later(call, 2.0))
+    assert not asyncio.run(trial.parts.may_send_later(call, None))
     assert time.monotonic() - begun_s < 0.1
     assert trial.loans._number == 0
 
