--- a/libs/entry/src/celeryfork_entry/budget_loans.py
+++ b/libs/entry/src/celeryfork_entry/budget_loans.py
@@ -9,9 +9,8 @@
 
 import asyncio
 import time
-from collections import Counter
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from contextlib import suppress
 
 from attrs import define, evolve, field
 from celeryfork_admission.retry_share import RetryShare
@@ -85,10 +84,9 @@
     _counters: Counters
     _number: int = 0
     _questions_by_number: dict[int, _Question] = field(factory=dict)
-    _waiting_by_service: Counter[str] = field(factory=Counter)
+    _waiters_by_service: dict[str, deque[asyncio.Future[None]]] = field(factory=dict)
     _to_ask: set[str] = field(factory=set)
     _spare_by_address: dict[str, _Spare] = field(factory=dict)
-    _lent: asyncio.Event = field(factory=asyncio.Event)
 
     async def wait_for_room(self, service: str, until_s: float) -> bool:
         """Wait until the own share has a repeat, lent ones among them.
@@ -104,20 +102,19 @@
             Whether it has one now.
         """
         share = self._share_of(service)
-        self._waiting_by_service[service] += 1
-        try:
-            while True:
-                now_s = time.monotonic()
-                if share.has_room(now_s, self._instances()):
-                    return True
-                if now_s >= until_s:
-                    return False
-                self._ask_soon(service)
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(min(ASK_PAUSE_S, until_s - now_s)):
-                        await self._lent.wait()
-        finally:
-            self._waiting_by_service[service] -= 1
+        waiters = self._waiters_by_service.setdefault(service, deque())
+        while not share.has_room(now_s := time.monotonic(), self._instances()):
+            if now_s >= until_s:
+                return False
+            lent = asyncio.get_running_loop().create_future()
+            waiters.append(lent)
+            self._ask_soon(service)
+            try:
+                await asyncio.wait({lent}, timeout=min(ASK_PAUSE_S, until_s - now_s))
+            finally:
+                if lent in waiters:
+                    waiters.remove(lent)
+        return True
 
     def spare(self, services: Iterable[str]) -> dict[str, int]:
         """Return the repeats that this instance would lend, by service."""
@@ -163,7 +160,7 @@
             for question in self._questions_by_number.values()
             if question.service == service and now_s - question.asked_s < ASK_PAUSE_S
         )
-        wanted = min(MOST_REPEATS, self._waiting_by_service[service] - coming)
+        wanted = min(MOST_REPEATS, len(self._waiters_by_service[service]) - coming)
         if wanted <= 0:
             return
         self._number += 1
@@ -268,5 +265,6 @@
             missing=question.missing,
             after_ms=round((now_s - question.asked_s) * 1000, 1),
         )
-        lent, self._lent = self._lent, asyncio.Event()
-        lent.set()
+        waiters = self._waiters_by_service[question.service]
+        for _ in range(min(loan.repeats, len(waiters))):
+            waiters.popleft().set_result(None)
--- a/libs/entry/tests/test_budget_loans.py
+++ b/libs/entry/tests/test_budget_loans.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 import pytest
-from celeryfork_entry.budget_loans import ASK_PAUSE_S, LOAN_LIFE_S
+from celeryfork_entry.budget_loans import ASK_PAUSE_S, LOAN_LIFE_S, MOST_LENDERS
 from celeryfork_entry.peer_messages import (
     MOST_REPEATS,
     Reach,
@@ -106,6 +106,20 @@
     assert 2 <= borrower.loans._number <= 6
 
 
+def test_a_question_brings_a_bounded_number_of_datagrams():
+    """Nothing grows with the fleet: three domains of 40, where each lends one."""
+    fleet = Fleet(120, 480.0)
+    borrower = fleet.trials[0]
+    delivered = []
+
+    def count(*addresses):
+        delivered.append(addresses)
+        return False
+
+    assert wait_for_repeats(fleet, borrower, 200, ASK_PAUSE_S / 2, count) > 60
+    assert len(delivered) <= borrower.loans._number * 2 * 3 * (MOST_LENDERS + 1)
+
+
 def wanted_message(repeats=2, number=1):
     return RepeatsWanted("10.0.0.0:7", number, "llm", repeats, Reach.FLEET)
 
