The last line of a request names its organisation

Change: `answered`, `broken_off` and `refused` have `organisation`. Test: test_the_end_of_a_request_tells_whose_it_was, red before (KeyError).

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -152,6 +152,12 @@
             "instances": instances,
         }
 
+    def note_end(self, call: Call, event: str, **inputs: object) -> None:
+        """Log how a call ended, and whose it was."""
+        self.note(
+            call, event, organisation=call.organisation, sends=call.sends, **inputs
+        )
+
     def note(self, call: Call, event: str, **inputs: object) -> None:
         """Log one decision about a call."""
         self.log.info(
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -37,6 +37,7 @@
     ) -> None:
         """Answer one request; every outcome is logged."""
         facts: RequestFacts | None = None
+        call: Call | None = None
         try:
             facts = self._parts.dialect.read_request(request)
             call = self._admit(connection, request, facts)
@@ -47,7 +48,8 @@
                 error.status, (), f"{error.message}\n".encode(), method=request.method
             )
         except RequestRefusedError as error:
-            await self._refuse(connection, request, facts, error)
+            organisation = call.organisation if call else None
+            await self._refuse(connection, request, facts, organisation, error)
         except (CallerGoneError, CancelledError):
             self._log("caller_left", facts)
             raise
@@ -99,12 +101,14 @@
         connection: CallerConnection,
         request: CallerRequest,
         facts: RequestFacts | None,
+        organisation: str | None,
         error: RequestRefusedError,
     ) -> None:
         self._parts.counters.add(f"refused.{error.code}")
         self._log(
             "refused",
             facts,
+            organisation=organisation,
             status=error.status,
             code=error.code,
             reason=error.message,
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -190,7 +190,7 @@
                 self._parts.histograms.record(
                     "calls.answer", time.monotonic() - call.request.arrived_s
                 )
-                self._parts.note(call, "answered", status=status, sends=call.sends)
+                self._parts.note_end(call, "answered", status=status)
             case Refused(reason) if not call.may_have_run:
                 after_s = BUSY_RETRY_AFTER_S if call.sends else ABSENT_RETRY_AFTER_S
                 raise not_run(
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -410,22 +410,20 @@
                 self._parts.histograms.record(
                     "streams.longest_pause", progress.longest_pause_s
                 )
-                self._parts.note(
+                self._parts.note_end(
                     call,
                     "answered",
                     status=200,
-                    sends=call.sends,
                     longest_pause_ms=round(progress.longest_pause_s * 1000),
                 )
                 return
             case _ if progress.begun:
-                self._parts.note(
+                self._parts.note_end(
                     call,
                     "broken_off",
                     ended_by=ended_by,
                     last=progress.last_event,
                     left_ms=round(call.left_s * 1000),
-                    sends=call.sends,
                     begun_on=call.first_engines.known,
                     avoided=len(call.avoided),
                     **self._parts.share_used(call),
@@ -436,7 +434,7 @@
                 return
             case EngineFailed(status, headers, body):
                 await call.connection.answer(status, headers, body)
-                self._parts.note(call, "answered", status=status, sends=call.sends)
+                self._parts.note_end(call, "answered", status=status)
                 return
             case PathRefused(reason) | PathBroke(reason):
                 pass
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -368,3 +368,19 @@
     for attempt in ("u0", "u1", "u2", "u3", "u9"):
         lines = [line for line in entry.log() if line.get("id") == attempt]
         assert sum(line["event"] in ends for line in lines) == 1
+
+
+def test_the_end_of_a_request_tells_whose_it_was(entry, fleet):
+    """A hot organisation could not be told from the others by logs alone."""
+    entry.stream("v1").read()
+    entry.request("GET", "/look/1", "v2").read()
+    for engine in fleet.engines.values():
+        engine.full = True
+    entry.stream("v3").read()
+    ends = {
+        line["id"]: (line["event"], line["organisation"])
+        for line in entry.log()
+        if line["event"] in {"answered", "refused"}
+    }
+    assert ends["v1"] == ends["v2"] == ("answered", "kiosk")
+    assert ends["v3"] == ("refused", "kiosk")
