An instance lends only what it knows to be its own

Cause: a share that is overstated was spent by its own instance's losses only; by loans it could be spent by all. A domain that is cut off counted itself alone after 10 s, and took the whole budget, as did the others. Beside that: requests that had not run took lent repeats; questions for unknown services left a share each behind; numbers of questions began at 1 after a restart. Change: nothing is lent within one window of the start; the budget is shared by the most instances counted within a minute (`most_instances`); lent repeats go to calls that may have run only; questions for services that aren't configured are dropped; the first number is drawn. Tests: test_an_instance_that_has_just_started_lends_nothing, test_a_domain_that_is_cut_off_does_not_take_all_of_the_retry_budget and three beside them.

--- a/libs/admission/src/celeryfork_admission/retry_share.py
+++ b/libs/admission/src/celeryfork_admission/retry_share.py
@@ -91,15 +91,17 @@
         """Count a request's first arrival at the target."""
         self._requests_s.append(now_s)
 
-    def take(self, now_s: float, instances: int) -> Repeat | None:
+    def take(self, now_s: float, instances: int, *, lent: bool = True) -> Repeat | None:
         """Take one repeat, a lent one first; return None where there is none.
 
         Parameters
         ----------
         instances
             Number of instances that share the budget.
+        lent
+            Whether it may be a lent one.
         """
-        if self._usable_loans(now_s):
+        if lent and self._usable_loans(now_s):
             return LentRepeat(self._lent_until_s.pop(0))
         if self._left(now_s, instances) < 1:
             return None
--- a/libs/entry/src/celeryfork_entry/budget_loans.py
+++ b/libs/entry/src/celeryfork_entry/budget_loans.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
+from random import randrange
 
 from attrs import define, evolve, field
 from celeryfork_admission.retry_share import RetryShare
@@ -34,6 +35,9 @@
 """Time after which what a question didn't bring is asked for again."""
 SPARE_LIFE_S = 1.0
 """Age to which a member's word of its spare repeats counts; it reports each 0.25 s."""
+MOST_FIRST_NUMBER = 1 << 31
+"""Bound of an instance's first question's number, which is drawn: loans for an earlier
+start of it answer none."""
 MOST_LENDERS = 32
 """Most members that a relay asks on behalf of one question."""
 
@@ -72,6 +76,8 @@
         Gives this instance's share of a service's retry budget.
     instances
         Gives the number of instances that share it.
+    services
+        Gives the services that are configured.
     send
         Sends a datagram to addresses.
     """
@@ -79,10 +85,12 @@
     _roster: Roster
     _share_of: Callable[[str], RetryShare]
     _instances: Callable[[], int]
+    _services: Callable[[], Iterable[str]]
     _send: Callable[[bytes, Iterable[str]], None]
     _log: Logger
     _counters: Counters
-    _number: int = 0
+    _begun_s: float = field(factory=time.monotonic)
+    _number: int = field(factory=lambda: randrange(MOST_FIRST_NUMBER))
     _questions_by_number: dict[int, _Question] = field(factory=dict)
     _waiters_by_service: dict[str, deque[asyncio.Future[None]]] = field(factory=dict)
     _to_ask: set[str] = field(factory=set)
@@ -116,17 +124,22 @@
                     waiters.remove(lent)
         return True
 
-    def spare(self, services: Iterable[str]) -> dict[str, int]:
+    def spare(self) -> dict[str, int]:
         """Return the repeats that this instance would lend, by service."""
         now_s, instances = time.monotonic(), self._instances()
-        spare = {
-            each: self._share_of(each).spare(now_s, instances) for each in services
-        }
-        return {
-            service: min(MOST_REPEATS, repeats)
-            for service, repeats in spare.items()
-            if repeats
-        }
+        spare = {}
+        for service in self._services():
+            share = self._share_of(service)
+            if self._may_lend(share, now_s) and (left := share.spare(now_s, instances)):
+                spare[service] = min(MOST_REPEATS, left)
+        return spare
+
+    def _may_lend(self, share: RetryShare, now_s: float) -> bool:
+        """Return whether the share knows all that this instance used in its window.
+
+        One that has just started may have used its part before, and knows few others.
+        """
+        return now_s - self._begun_s >= share.window_s
 
     def heard_spare(self, address: str, repeats_by_service: Mapping[str, int]) -> None:
         """Take what a member of the domain would lend."""
@@ -178,10 +191,13 @@
             self._send(encode_wanted(question), [relay.address])
 
     def _answer(self, question: RepeatsWanted) -> None:
-        now_s = time.monotonic()
-        lent = self._share_of(question.service).lend(
-            now_s, self._instances(), question.repeats, LOAN_LIFE_S
-        )
+        now_s, lent = time.monotonic(), 0
+        if question.service in self._services():
+            share = self._share_of(question.service)
+            if self._may_lend(share, now_s):
+                lent = share.lend(
+                    now_s, self._instances(), question.repeats, LOAN_LIFE_S
+                )
         if lent:
             loan = RepeatsLent(self._roster.own.address, question.number, lent)
             self._send(encode_lent(loan), [question.borrower])
--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -45,6 +45,10 @@
         Targets or paths that may have run it and gave no good answer.
     first_engines
         Engines on which a stream was begun.
+    avoided
+        Targets that it has met, and takes again where nobody else is left.
+    failed_on
+        Engines that answered it with a failure of their own, which don't get it again.
     may_have_run
         Whether any target may have begun it: then it can't be said not to have run.
     """
@@ -65,6 +69,7 @@
     runs: int = 0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
+    failed_on: set[str] = field(factory=set)
     first_engines: FirstEngines = field(factory=lambda: FirstEngines(1))
 
     @property
@@ -82,6 +87,8 @@
     configuration
         Gives the configuration in force, None before the first.
     instances
+        Gives the number of instances that live.
+    sharers
         Gives the number of instances that share the retry budget.
     budget_of
         Gives this instance's share of the retry budget of a service.
@@ -96,6 +103,7 @@
     counters: Counters
     configuration: Callable[[], Configuration | None]
     instances: Callable[[], int]
+    sharers: Callable[[], int]
     budget_of: Callable[[str], RetryShare]
     loans: BudgetLoans
     domain: str
@@ -110,7 +118,7 @@
             call.counted = True
         call.repeat = None
         if call.arrivals > 0:
-            call.repeat = budget.take(now_s, self.instances())
+            call.repeat = budget.take(now_s, self.sharers(), lent=call.may_have_run)
         if call.arrivals > 0 and call.repeat is None:
             return False
         call.sends += 1
@@ -143,7 +151,7 @@
 
     def share_used(self, call: Call) -> dict[str, int]:
         """Return for the log how much of this instance's retry budget is used."""
-        instances = self.instances()
+        instances = self.sharers()
         state = self.budget_of(call.service.name).state(time.monotonic(), instances)
         return {
             "repeats": state.repeats,
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -118,12 +118,12 @@
         )
         self._peers = PeerLoads(self.roster, self.loads, self.log)
         loans = BudgetLoans(
-            self.roster, self._budget_of, self._instances_known, self._peers.send_to,
-            self.log, self.counters,
+            self.roster, self._budget_of, self._sharers, self._services,
+            self._peers.send_to, self.log, self.counters,
         )  # fmt: skip
         self._peers.on_loan = loans.heard
         self._peers.on_spare = loans.heard_spare
-        self._peers.spare = lambda: loans.spare(self._services())
+        self._peers.spare = loans.spare
         parts = CallParts(
             table=self.table,
             connections=self.connections,
@@ -131,7 +131,10 @@
             log=self.log,
             counters=self.counters,
             configuration=lambda: self.configuration,
-            instances=self._instances_known,
+            instances=lambda: max(
+                self.roster.instances(), self.settings.usual_instances
+            ),
+            sharers=self._sharers,
             budget_of=self._budget_of,
             loans=loans,
             domain=self.settings.domain,
@@ -192,9 +195,9 @@
         """Return the configuration in force, None before the first."""
         return self._following.configuration
 
-    def _instances_known(self) -> int:
+    def _sharers(self) -> int:
         """Return the number of instances that share the retry budget."""
-        return max(self.roster.instances(), self.settings.usual_instances)
+        return max(self.roster.most_instances(), self.settings.usual_instances)
 
     def _services(self) -> Iterable[str]:
         return self.configuration.services_by_name if self.configuration else ()
--- a/libs/entry/src/celeryfork_entry/roster.py
+++ b/libs/entry/src/celeryfork_entry/roster.py
@@ -7,6 +7,7 @@
 """
 
 import time
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from attrs import define, field
@@ -23,6 +24,9 @@
 """Time after which a silent instance is tried as a relay again."""
 ASKED_LIFE_S = 1.5
 """Time that an instance goes on as a relay after it was last addressed as one."""
+COUNT_LIFE_S = 60.0
+"""Time for which instances that are counted no more keep their part of what all share;
+a cut of a domain mostly lasts less."""
 LISTED_LIFE_S = 10.0
 """Time that an instance is told things though nothing is heard from it.
 
@@ -65,6 +69,7 @@
     _by_address: dict[str, _Entry] = field(factory=dict)
     _asked_s: float | None = None
     _count_by_domain: dict[str, tuple[int, float]] = field(factory=dict)
+    _counted: deque[tuple[float, int]] = field(factory=deque)
 
     def listed(self, peers: Iterable[Peer]) -> None:
         """Take the instances that the store names."""
@@ -175,6 +180,20 @@
             counts[self.own.domain] = self.count()
         return max(1, sum(counts.values()))
 
+    def most_instances(self) -> int:
+        """Return the most instances counted of late.
+
+        Those that died have used the retry budget of the last seconds, and those behind
+        a cut use it on.
+        """
+        now_s, count = self._clock(), self.instances()
+        while self._counted and self._counted[-1][1] <= count:
+            self._counted.pop()
+        self._counted.append((now_s, count))
+        while self._counted[0][0] < now_s - COUNT_LIFE_S:
+            self._counted.popleft()
+        return self._counted[0][1]
+
     def _ranked(self, domain: str) -> list[Peer]:
         now_s = self._clock()
         peers = [
