A plain call is told what is known of it at once, and what reached nobody has not run

Cause: 1. trying on held a target's own failure back, and lost it (504 after 3 s for a 500 in hand). 2. A call whose answer was lost was tried on until its deadline, so that its caller had no time to come back. 3. A call that reached nobody was tried until its deadline (504 for 503). 4. The wait for a first reply (0.3 s) ends before a connection that never opens (0.6 s), and counted as a run. 5. Change: a failure in hand is passed on when nobody else can answer; others are looked for during 0.5 s; four sends for a call that has not run, those that reach nobody included; `send` tells when the first byte leaves (`on_sent`); streams that can't be resumed run once.

--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -7,18 +7,22 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from attrs import define, field, frozen
 
 from celeryfork_entry.call import Call, CallParts, not_run, unknown
-from celeryfork_entry.configuration import RunOnce
+from celeryfork_entry.configuration import Kind, RunOnce, Stream
 from celeryfork_entry.ports import Handover
 from celeryfork_entry.refusal_pauses import refused_pause_s
 from celeryfork_entry.target_http import LostError, NotSentError
 from celeryfork_entry.targets import Target
 
 MOST_SENDS = 4
-"""Most targets that get a call, those that refuse it included."""
+"""Most targets that a call is offered to which none has run."""
+RECOVERY_S = 0.5
+"""Time in which another target is looked for after one may have run a call; its caller
+needs the rest of its time to come back."""
 FIRST_REPLY_S = 0.3
 """Wait for a repeatable call's first target before another is asked."""
 MOST_REPLY_BYTES = 16 << 20
@@ -61,6 +65,54 @@
 Attempt = Answered | Refused | Vanished
 
 
+@define
+class _Tries:
+    """What a call has met.
+
+    Parameters
+    ----------
+    failure
+        A target's own failure, to be passed on if nobody gives a better answer.
+    refused
+        Targets that have refused it in this round.
+    until_s
+        Steady time to which another target is looked for, once one may have run it.
+    """
+
+    failure: Answered | None = None
+    refused: set[str] = field(factory=set)
+    until_s: float | None = None
+    rounds: int = 1
+
+    @property
+    def waits_until_s(self) -> float | None:
+        """Return the steady time to which it waits for others, None for not at all."""
+        return self.until_s if self.failure is None else None
+
+    def note(self, call: Call, target: Target, attempt: Attempt) -> None:
+        """Note an attempt after which another target is looked for."""
+        call.avoided.add(target.id)
+        match attempt:
+            case Refused():
+                self.refused.add(target.id)
+            case Answered():
+                self.failure = attempt
+        if self.until_s is None and call.may_have_run:
+            self.until_s = time.monotonic() + min(RECOVERY_S, call.left_s)
+
+    async def wait_for_places(self, call: Call) -> bool:
+        """Wait a moment, and let those be tried again that have refused the call."""
+        until_s = self.waits_until_s
+        left_s = 0.0 if until_s is None else until_s - time.monotonic()
+        if left_s <= 0 or not self.refused:
+            return False
+        self.rounds += 1
+        await asyncio.sleep(min(left_s, refused_pause_s(self.rounds)))
+        call.avoided -= self.refused
+        self.refused.clear()
+        return True
+
+
 @define(eq=False)
 class PlainCalls:
     """Sends calls to the targets of plain services."""
@@ -76,32 +128,24 @@
         RequestRefusedError
             No target gave an answer.
         """
-        once = isinstance(call.route.kind, RunOnce)
+        once = _runs_once(call.route.kind)
+        tries = _Tries()
         last: Attempt = Refused("no target")
-        refused: set[str] = set()
-        rounds = 1
-        while call.left_s > 0 and (call.may_have_run or call.arrivals < MOST_SENDS):
+        while call.left_s > 0 and (call.may_have_run or call.sends < MOST_SENDS):
             target = self._choose(call)
             if target is None:
-                if not (call.may_have_run and refused):
+                if not await tries.wait_for_places(call):
+                    break
+            elif not self._parts.may_send(call):
+                if not await self._parts.may_send_later(call, tries.waits_until_s):
+                    break
+            else:
+                last = await self._attempt(call, target, once)
+                if not self._again(call, last, once):
                     break
-                # All that are left have refused it; places get free.
-                rounds += 1
-                await asyncio.sleep(min(call.left_s, refused_pause_s(rounds)))
-                call.avoided -= refused
-                refused.clear()
-                continue
-            if not self._parts.may_send(call):
-                until_s = call.ends_s if call.may_have_run else None
-                if await self._parts.may_send_later(call, until_s):
-                    continue
-                break
-            last = await self._attempt(call, target, once)
-            if not self._again(call, last, once):
-                break
-            call.avoided.add(target.id)
-            if isinstance(last, Refused):
-                refused.add(target.id)
+                tries.note(call, target, last)
+        if tries.failure is not None and not isinstance(last, Answered):
+            last = tries.failure
         await self._finish(call, last)
 
     def _choose(self, call: Call) -> Target | None:
@@ -120,6 +164,7 @@
         return in_flight + away + failing + self._random.random()
 
     async def _attempt(self, call: Call, target: Target, once: bool) -> Attempt:
+        sent: list[bool] = []
         in_flight = self._parts.table.in_flight_by_id
         in_flight[target.id] = in_flight.get(target.id, 0) + 1
         wait_s = call.left_s
@@ -127,28 +172,38 @@
             wait_s = min(wait_s, FIRST_REPLY_S)
         try:
             async with asyncio.timeout(wait_s):
-                attempt = await self._exchange(call, target, once)
+                attempt = await self._exchange(
+                    call, target, once, on_sent=lambda: sent.append(True)
+                )
         except NotSentError as error:
             attempt = Refused(str(error))
             self._parts.not_reached(call)
             self._parts.table.hold(target.id, "refused", time.monotonic())
         except (LostError, TimeoutError) as error:
-            call.runs += 1
-            call.may_have_run = True
-            attempt = Vanished(repr(error))
             self._parts.table.failed(target.id)
+            if sent:
+                call.runs += 1
+                call.may_have_run = True
+                attempt = Vanished(repr(error))
+            else:
+                self._parts.not_reached(call)
+                attempt = Refused(repr(error))
         finally:
             in_flight[target.id] -= 1
         self._note(call, target, attempt)
         return attempt
 
-    async def _exchange(self, call: Call, target: Target, once: bool) -> Attempt:
+    async def _exchange(
+        self, call: Call, target: Target, once: bool, on_sent: Callable[[], None]
+    ) -> Attempt:
         parts = self._parts
         handover = Handover(
             target, call.organisation, call.left_s, priority=call.priority
         )
         request = parts.dialect.pass_on(call.request, handover)
-        reply = await parts.connections.send(target.address, request, fresh=once)
+        reply = await parts.connections.send(
+            target.address, request, fresh=once, on_sent=on_sent
+        )
         try:
             facts = parts.dialect.read_reply(reply.status, reply.headers)
             if facts.request_id not in {None, call.facts.id}:
@@ -210,3 +265,11 @@
                 event = "reply_lost"
         self._parts.counters.add(f"calls.{event}")
         self._parts.note(call, event, target=target.id, reason=reason)
+
+
+def _runs_once(kind: Kind) -> bool:
+    match kind:
+        case RunOnce() | Stream(resumable=False):
+            return True
+        case _:
+            return False
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import h11
 from attrs import define, field, frozen
@@ -145,6 +145,7 @@
         *,
         fresh: bool = False,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> Reply:
         """Send a request and return the reply once its head has arrived.
 
@@ -152,6 +153,8 @@
         ----------
         fresh
             Use a new connection, so that a kept one's end can't lose the request.
+        on_sent
+            Called before the first byte leaves; until then nobody can run the request.
 
         Raises
         ------
@@ -161,6 +164,7 @@
         if connection is None:
             connection = await self._open(address, connect_timeout_s)
         try:
+            on_sent()
             await _write(connection, address, request)
             for _ in range(MOST_INTERIM_REPLIES + 1):
                 event = await connection.next_event()
--- a/libs/entry/tests/test_plain_calls.py
+++ b/libs/entry/tests/test_plain_calls.py
@@ -1,13 +1,14 @@
 """Plain calls whose targets fail or refuse them, without network."""
 
 import asyncio
+import time
 
 import pytest
 from attrs import evolve
 from celeryfork_base.errors import RequestRefusedError
-from celeryfork_entry.configuration import Repeatable, RunOnce
-from celeryfork_entry.plain_calls import MOST_SENDS, PlainCalls
-from stream_trial import Caller, Refuse, Run, Trial, Vanish
+from celeryfork_entry.configuration import Repeatable, RunOnce, Stream
+from celeryfork_entry.plain_calls import MOST_SENDS, RECOVERY_S, PlainCalls
+from stream_trial import Caller, Fail, Refuse, Run, Trial, Vanish
 
 LEFT_S = 1.5
 
@@ -44,6 +45,27 @@
     assert arrivals(trial) < 10, "refusals are spread"
 
 
+def test_a_call_whose_answer_is_lost_leaves_its_caller_time_to_come_back():
+    trial = Trial()
+    trial.add("desk-1", Vanish())
+    trial.add("desk-2", *[Refuse("desk-2")] * 99, domain="b")
+    begun_s = time.monotonic()
+    with pytest.raises(RequestRefusedError) as failure:
+        serve(trial, left_s=3.0)
+    assert failure.value.status == 502
+    assert RECOVERY_S <= time.monotonic() - begun_s < RECOVERY_S + 0.4
+
+
+@pytest.mark.parametrize("slack", [0.0, 100.0], ids=["no budget", "no places"])
+def test_a_targets_own_failure_is_passed_on_when_nobody_else_can_answer(slack):
+    trial = Trial(slack=slack)
+    trial.add("desk-1", Fail())
+    trial.add("desk-2", *[Refuse("desk-2")] * 99, domain="b")
+    begun_s = time.monotonic()
+    assert serve(trial, left_s=3.0).status == 500
+    assert time.monotonic() - begun_s < 0.3
+
+
 def test_a_call_that_has_not_run_is_refused_after_a_few_refusals():
     trial = Trial()
     for number in range(MOST_SENDS + 2):
@@ -54,12 +76,15 @@
     assert arrivals(trial) == MOST_SENDS
 
 
-def test_a_call_that_may_run_once_is_not_sent_again_after_its_answer_is_lost():
+@pytest.mark.parametrize(
+    "kind", [RunOnce(), Stream(False, 0.2)], ids=["call", "stream"]
+)
+def test_a_call_that_may_run_once_is_not_sent_again_after_its_answer_is_lost(kind):
     trial = Trial()
     trial.add("desk-1", Vanish())
     trial.add("desk-2", Run(), domain="b")
     with pytest.raises(RequestRefusedError) as failure:
-        serve(trial, RunOnce())
+        serve(trial, kind)
     assert failure.value.status == 502
     assert arrivals(trial) == 1
 
