--- a/libs/entry/src/celeryfork_entry/first_engines.py
+++ b/libs/entry/src/celeryfork_entry/first_engines.py
@@ -9,6 +9,10 @@
 
 from attrs import define, field
 
+MOST_LOST = 3
+"""First engines that end under one stream, after which it is given up: it may be what
+ends them."""
+
 
 @define
 class FirstEngines:
@@ -18,27 +22,42 @@
     ----------
     most
         Most such engines; those that have ended meanwhile don't count.
+    lost
+        How many of them went down while they ran it.
     """
 
     most: int
-    _begun: set[str] = field(factory=set)
+    lost: int = 0
+    _born_ms_by_id: dict[str, int | None] = field(factory=dict)
+
+    def begun(self, engine_id: str, born_ms: int | None = None) -> None:
+        """Note that the stream has begun, or may have begun, on an engine.
 
-    def begun(self, engine_id: str) -> None:
-        """Note that the stream has begun, or may have begun, on an engine."""
-        self._begun.add(engine_id)
+        Parameters
+        ----------
+        born_ms
+            The engine's start: a later one under its id hasn't run the stream.
+        """
+        self._born_ms_by_id[engine_id] = born_ms
 
     @property
     def known(self) -> tuple[str, ...]:
         """Return the engines that have run the stream or may have, for the log."""
-        return tuple(sorted(self._begun))
+        return tuple(sorted(self._born_ms_by_id))
 
-    def allowed(self, lives: Callable[[str], bool]) -> frozenset[str] | None:
+    def allowed(
+        self, lives: Callable[[str, int | None], bool]
+    ) -> frozenset[str] | None:
         """Return the engines that the next path may begin with, None for any.
 
         Parameters
         ----------
         lives
-            Tells whether an engine may still run the stream.
+            Tells whether an engine of a given start may still run the stream.
         """
-        living = frozenset(each for each in self._begun if lives(each))
+        living = frozenset(
+            engine_id
+            for engine_id, born_ms in self._born_ms_by_id.items()
+            if lives(engine_id, born_ms)
+        )
         return living if len(living) >= self.most else None
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -15,9 +15,16 @@
 
 @frozen
 class PathRefused:
-    """The path has not run the request."""
+    """The path has not run the request.
+
+    Parameters
+    ----------
+    answered
+        Whether an engine said so; else nobody was reached.
+    """
 
     reason: str
+    answered: bool = False
 
 
 @frozen
@@ -49,6 +56,8 @@
         The task that leads it around lost engines.
     reading
         No event has come, so that the prompt may still have pipes to cross.
+    sent
+        A byte of the request may have reached the first engine.
     """
 
     call: Call
@@ -58,6 +67,11 @@
     interrupted: str = ""
     detour: asyncio.Task[None] | None = None
     reading: bool = True
+    sent: bool = False
+
+    def note_sent(self) -> None:
+        """Note that the request leaves."""
+        self.sent = True
 
     def interrupt(self, reason: str) -> None:
         """End the attempt, so that the stream goes on over another path."""
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -133,6 +133,7 @@
             each
             for each in self._engines(call.service.name)
             if not (each.standing.held or each.standing.leaving)
+            and each.engine.id not in call.failed_on
         ]
         willing = [e for e in in_choice if e.standing.is_willing(now_s)]
         choices = [_without(willing, call.avoided), _without(in_choice, call.avoided)]
@@ -261,9 +262,10 @@
         table = self._parts.table
         return engine_id in table.by_id and not table.standing(engine_id).held
 
-    def may_run(self, engine_id: str) -> bool:
-        """Return whether an engine may still run what was begun on it."""
-        if engine_id not in self._parts.table.by_id:
+    def may_run(self, engine_id: str, born_ms: int | None) -> bool:
+        """Return whether an engine of that start may still run what was begun on it."""
+        target = self._parts.table.by_id.get(engine_id)
+        if target is None or target.born_ms != born_ms:
             return False
         standing = self._parts.table.standing(engine_id)
         out_s = time.monotonic() - standing.marked_s
--- a/libs/entry/src/celeryfork_entry/stream_bounds.py
+++ b/libs/entry/src/celeryfork_entry/stream_bounds.py
@@ -7,19 +7,24 @@
 import time
 
 from celeryfork_entry.call import Call
+from celeryfork_entry.configuration import Stream
+from celeryfork_entry.first_engines import MOST_LOST
 
-MOST_ARRIVALS = 6
-"""Most paths that refuse a request which none has run."""
+MOST_SENDS = 6
+"""Most paths that a request is offered to which none has run."""
 MOST_RUNS = 6
-"""Most runs of one stream that fail, so that a request which ends its engines doesn't
-end many."""
+"""Most runs of one stream that fail."""
 
 
 RESTART_WAIT_S = 1.0
 """Time in which another path is looked for after one has failed a stream that may have
 run, which can't be refused any more."""
 RESUME_WAIT_S = 2.0
-"""The same where the caller has part of the answer; it leaves after such a pause."""
+"""The least such time where the caller has part of the answer: callers leave after a
+pause of 2 s, four times the route's aim, or eight times its longest pause, whichever is
+longest."""
+AIMS = 4
+PAUSES = 8
 
 
 def recovers_until_s(call: Call, *, begun: bool) -> float:
@@ -30,16 +35,27 @@
     begun
         Whether the caller has part of the answer.
     """
-    wait_s = RESUME_WAIT_S if begun else RESTART_WAIT_S
+    wait_s = _caller_waits_s(call) if begun else RESTART_WAIT_S
     return time.monotonic() + min(wait_s, call.left_s)
 
 
+def _caller_waits_s(call: Call) -> float:
+    match call.route.kind:
+        case Stream(_, longest_pause_s):
+            pauses_s = PAUSES * longest_pause_s
+        case _:
+            pauses_s = 0.0
+    return max(RESUME_WAIT_S, AIMS * call.route.aim_s, pauses_s)
+
+
 def exhausted_by(call: Call) -> str | None:
     """Return what forbids another try of a stream, None where nothing does."""
     if call.left_s <= 0:
         return "time"
     if call.runs >= MOST_RUNS:
         return "runs"
-    if not call.may_have_run and call.arrivals >= MOST_ARRIVALS:
+    if call.first_engines.lost >= MOST_LOST:
+        return "lost_engines"
+    if not call.may_have_run and call.sends >= MOST_SENDS:
         return "sends"
     return None
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -153,11 +153,13 @@
             if not isinstance(last, PathRefused):
                 refusals, until_s = 0, recovers_until_s(call, begun=progress.begun)
             elif until_s is not None:
-                refusals += 1
-                if time.monotonic() >= until_s:
+                left_s = until_s - time.monotonic()
+                if left_s <= 0:
                     ended_by = "refusals"
                     break
-                await asyncio.sleep(refused_pause_s(refusals))
+                if last.answered:
+                    refusals += 1
+                    await asyncio.sleep(min(left_s, refused_pause_s(refusals)))
         await self._finish(call, last, progress, ended_by)
 
     async def _attempt(
@@ -183,6 +185,9 @@
                 raise
             if progress.complete:
                 return Finished()
+            if not attempt.sent:
+                self._parts.not_reached(call)
+                return PathRefused(attempt.interrupted)
             return self._broke(call, attempt.path, attempt.interrupted)
         finally:
             if attempt.detour is not None:
@@ -206,15 +211,19 @@
         request = parts.dialect.pass_on(call.request, handover)
         try:
             sending = asyncio.ensure_future(
-                parts.connections.send(first.address, request)
-            )
-            reply = await self._patiently(
-                attempt, sending, FIRST_EVENT_PATIENCE_S, speeds=True
+                parts.connections.send(
+                    first.address, request, on_sent=attempt.note_sent
+                )
             )
             try:
+                reply = await self._patiently(
+                    attempt, sending, FIRST_EVENT_PATIENCE_S, speeds=True
+                )
                 return await self._relay(attempt, reply, progress)
             finally:
-                reply.drop()
+                # Also a reply that came in the turn in which the attempt was ended.
+                if _has_result(sending):
+                    sending.result().drop()
         except NotSentError as error:
             parts.not_reached(call)
             # After this attempt's end, which marking would interrupt as a broken one.
@@ -226,6 +235,9 @@
             return PathRefused(str(error))
         except (LostError, TimeoutError, ValueError) as error:
             await self._checks.find_down(attempt.path.engine_ids, doubted=True)
+            if not attempt.sent:
+                parts.not_reached(call)
+                return PathRefused(repr(error))
             return self._broke(call, attempt.path, repr(error))
 
     async def _relay(
@@ -349,13 +361,13 @@
         body = await reply.read_all(MOST_REPLY_BYTES)
         if facts.not_run:
             self._blame(call, path, facts.at_fault, reply.status == LACKS_LAYERS)
-            return PathRefused(f"status {reply.status} at {facts.at_fault}")
-        call.first_engines.begun(path.parts[0].engine_id)
+            reason = f"status {reply.status} at {facts.at_fault}"
+            return PathRefused(reason, answered=True)
+        self._note_run(call, path)
         call.avoided.add(path.parts[0].engine_id)
-        call.may_have_run = True
-        call.runs += 1
         if reply.status in PROMISES_NOT_RUN:
             return PathBroke(f"status {reply.status} without the promise")
+        call.failed_on.add(path.parts[0].engine_id)
         headers = self._parts.dialect.reply_headers(reply.headers)
         return EngineFailed(reply.status, headers, body)
 
@@ -375,13 +387,21 @@
 
     def _broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
         down = self._down(path)
-        call.may_have_run = True
-        call.runs += 1
-        call.first_engines.begun(path.parts[0].engine_id)
+        self._note_run(call, path)
+        if path.parts[0].engine_id in down:
+            call.first_engines.lost += 1
         if not down:
             call.avoided.add(path.parts[0].engine_id)
         return PathBroke(f"{reason}; down: {','.join(down) or 'none'}")
 
+    def _note_run(self, call: Call, path: LayerPath) -> None:
+        """Note that a path has run the call, or may have, and gave no good answer."""
+        first = self._parts.table.by_id.get(path.parts[0].engine_id)
+        born_ms = first.born_ms if first else None
+        call.first_engines.begun(path.parts[0].engine_id, born_ms)
+        call.may_have_run = True
+        call.runs += 1
+
     def _again(
         self, call: Call, outcome: Outcome, path: LayerPath, progress: Progress
     ) -> bool:
@@ -449,3 +469,7 @@
     """Return whether another engine may go on with the stream."""
     kind = call.route.kind
     return isinstance(kind, Stream) and kind.resumable
+
+
+def _has_result(task: asyncio.Future[Got]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
--- a/libs/entry/tests/test_path_choice.py
+++ b/libs/entry/tests/test_path_choice.py
@@ -79,6 +79,7 @@
             prompt_tokens=100, most_answer_tokens=50, expected_answer_tokens=0.0
         ),
         avoided=set(avoided),
+        failed_on=set(),
         first_engines=engines,
         may_have_run=may_have_run,
         left_s=20.0,
