--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/attempt_ledger.py
@@ -0,0 +1,45 @@
+"""Which attempts run over which engines, and what they add to the work in flight."""
+
+from collections.abc import Set
+
+from attrs import define, field
+from celeryfork_routing.engine_loads import EngineLoads
+
+from celeryfork_entry.path_attempts import PathAttempt
+
+
+@define(eq=False)
+class AttemptLedger:
+    """The attempts in progress, by engine."""
+
+    _loads: EngineLoads
+    _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
+
+    def over(self, engine_id: str) -> Set[PathAttempt]:
+        """Return the attempts whose paths include an engine."""
+        return self._attempts_by_engine.get(engine_id, set())
+
+    def take(self, attempt: PathAttempt) -> None:
+        """Count an attempt on the engines of its path."""
+        self._loads.begin(attempt.path, attempt.tokens)
+        if attempt.reading:
+            prompt = attempt.call.facts.prompt_tokens
+            self._loads.begin_reading(attempt.path, prompt, attempt.tokens)
+        for engine_id in attempt.path.engine_ids:
+            self._attempts_by_engine.setdefault(engine_id, set()).add(attempt)
+
+    def leave(self, attempt: PathAttempt) -> None:
+        """Undo :meth:`take`."""
+        self._loads.end(attempt.path, attempt.tokens)
+        if attempt.reading:
+            prompt = attempt.call.facts.prompt_tokens
+            self._loads.end_reading(attempt.path, prompt, attempt.tokens)
+        for engine_id in attempt.path.engine_ids:
+            self._attempts_by_engine[engine_id].discard(attempt)
+
+    def end_reading(self, attempt: PathAttempt) -> None:
+        """Count the attempt's prompt as read, if that wasn't done before."""
+        if attempt.reading:
+            attempt.reading = False
+            prompt = attempt.call.facts.prompt_tokens
+            self._loads.end_reading(attempt.path, prompt, attempt.tokens)
--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -14,13 +14,14 @@
 
 from celeryfork_entry.engine_speeds import SLOWNESS_LIFE_S, Speed
 from celeryfork_entry.ports import Dialect, EngineReport
+from celeryfork_entry.standings import LearntLayers
 from celeryfork_entry.target_http import (
     LostError,
     NotSentError,
     PortClosedError,
     TargetConnections,
 )
-from celeryfork_entry.targets import LearntLayers, Target, TargetTable
+from celeryfork_entry.targets import Target, TargetTable
 
 ANSWER_TIMEOUT_S = 0.04
 """Wait for a report; a live engine answers at once, without a slot, and callers count
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -39,9 +39,10 @@
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.settings import EntrySettings
 from celeryfork_entry.stand_in import StandIn
+from celeryfork_entry.standings import LearntLayers
 from celeryfork_entry.stream_calls import StreamCalls
 from celeryfork_entry.target_http import TargetConnections
-from celeryfork_entry.targets import LearntLayers, TargetTable
+from celeryfork_entry.targets import TargetTable
 
 MOST_ASKED = 6
 """Most peers that are asked for the configuration in one go."""
--- a/libs/entry/src/celeryfork_entry/path_choice.py
+++ b/libs/entry/src/celeryfork_entry/path_choice.py
@@ -19,7 +19,7 @@
 
 from celeryfork_entry.call import Call, CallParts
 from celeryfork_entry.engine_speeds import EngineSpeeds
-from celeryfork_entry.targets import Standing
+from celeryfork_entry.standings import Standing
 
 ROOM_WAIT_S = 0.25
 """Time that a request waits for room before it is refused; half of the usual aim."""
--- a/libs/entry/src/celeryfork_entry/peer_loads.py
+++ b/libs/entry/src/celeryfork_entry/peer_loads.py
@@ -28,7 +28,8 @@
 )
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.roster import Roster
-from celeryfork_entry.targets import LearntLayers, Target
+from celeryfork_entry.standings import LearntLayers
+from celeryfork_entry.targets import Target
 
 INTERVAL_S = 0.25
 """Pause between two reports within the domain; a stream lasts several."""
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -13,7 +13,7 @@
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.field_values import address, finite_number, whole_number
 from celeryfork_entry.ports import Peer
-from celeryfork_entry.targets import LearntLayers
+from celeryfork_entry.standings import LearntLayers
 
 MOST_REPEATS = 256
 """Most repeats that one datagram asks for or lends."""
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -9,6 +9,7 @@
 from celeryfork_admission.room_pressure import RoomPressure
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath
 
+from celeryfork_entry.attempt_ledger import AttemptLedger
 from celeryfork_entry.call import Call, CallParts, not_run, unknown
 from celeryfork_entry.configuration import Stream
 from celeryfork_entry.detours import Detours
@@ -67,17 +68,21 @@
     _reach: ReachChecks
     _choice: PathChoice
     _detours: Detours
-    _attempts_by_engine: dict[str, set[PathAttempt]] = field(factory=dict)
+    _ledger: AttemptLedger = field(init=False)
     _pressure: RoomPressure = field(factory=RoomPressure)
 
+    def __attrs_post_init__(self) -> None:
+        """Count the attempts in the work in flight."""
+        self._ledger = AttemptLedger(self._loads)
+
     def uses(self, engine_id: str) -> bool:
         """Return whether any stream runs over an engine now."""
-        return bool(self._attempts_by_engine.get(engine_id))
+        return bool(self._ledger.over(engine_id))
 
     def engine_down(self, engine_id: str) -> None:
         """Take the streams off an engine that has gone out of choice."""
         self._reach.engine_down(engine_id)
-        for attempt in list(self._attempts_by_engine.get(engine_id, ())):
+        for attempt in list(self._ledger.over(engine_id)):
             if attempt.path.parts[0].engine_id == engine_id:
                 attempt.interrupt(f"engine {engine_id} is down")
             elif attempt.detour is None or attempt.detour.done():
@@ -91,34 +96,9 @@
             if detour is None:
                 attempt.interrupt(f"engine {down[0]} is down")
                 return
-            self._leave(attempt)
+            self._ledger.leave(attempt)
             attempt.path = detour
-            self._take(attempt)
-
-    def _take(self, attempt: PathAttempt) -> None:
-        """Count an attempt on the engines of its path."""
-        self._loads.begin(attempt.path, attempt.tokens)
-        if attempt.reading:
-            prompt = attempt.call.facts.prompt_tokens
-            self._loads.begin_reading(attempt.path, prompt, attempt.tokens)
-        for engine_id in attempt.path.engine_ids:
-            self._attempts_by_engine.setdefault(engine_id, set()).add(attempt)
-
-    def _leave(self, attempt: PathAttempt) -> None:
-        """Undo :meth:`_take`."""
-        self._loads.end(attempt.path, attempt.tokens)
-        if attempt.reading:
-            prompt = attempt.call.facts.prompt_tokens
-            self._loads.end_reading(attempt.path, prompt, attempt.tokens)
-        for engine_id in attempt.path.engine_ids:
-            self._attempts_by_engine[engine_id].discard(attempt)
-
-    def _end_reading(self, attempt: PathAttempt) -> None:
-        """Count the attempt's prompt as read, if that wasn't done before."""
-        if attempt.reading:
-            attempt.reading = False
-            prompt = attempt.call.facts.prompt_tokens
-            self._loads.end_reading(attempt.path, prompt, attempt.tokens)
+            self._ledger.take(attempt)
 
     async def serve(self, call: Call) -> None:
         """Answer a call for a stream.
@@ -169,7 +149,7 @@
             call.facts.prompt_tokens + expected_answer_tokens(call) * ANSWER_RESERVE
         )
         attempt = PathAttempt(call, path, tokens)
-        self._take(attempt)
+        self._ledger.take(attempt)
         self._parts.note(
             call,
             "path_chosen",
@@ -192,7 +172,7 @@
         finally:
             if attempt.detour is not None:
                 attempt.detour.cancel()
-            self._leave(attempt)
+            self._ledger.leave(attempt)
 
     async def _run(self, attempt: PathAttempt, progress: Progress) -> Outcome:
         parts, call, path = self._parts, attempt.call, attempt.path
@@ -262,7 +242,7 @@
                 break
             events = splitter.feed(data)
             if events:
-                self._end_reading(attempt)
+                self._ledger.end_reading(attempt)
                 event_s = time.monotonic()
                 pace = pace or Pace()
                 pace.heard(event_s)
--- a/libs/entry/tests/test_peer_loads.py
+++ b/libs/entry/tests/test_peer_loads.py
@@ -13,7 +13,8 @@
 )
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.roster import RELAYS, SILENT_AWAY_S, Roster
-from celeryfork_entry.targets import LearntLayers, Target
+from celeryfork_entry.standings import LearntLayers
+from celeryfork_entry.targets import Target
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Load, Part
 from celeryfork_routing.layers import LayerRange
 from logbook import Logger
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -114,7 +114,7 @@
         call = SimpleNamespace(facts=SimpleNamespace(prompt_tokens=700))
         attempt = PathAttempt(call, PATH, 900.0, reading=reading)
         attempt.task = asyncio.ensure_future(asyncio.sleep(10))
-        streams._take(attempt)
+        streams._ledger.take(attempt)
         streams.engine_down(down)
         streams.engine_down(down)
         if attempt.detour is not None:
@@ -132,7 +132,7 @@
     assert attempt.path == AROUND
     assert streams.uses("e3") and not streams.uses("e2")
     assert set(streams._loads.own()) == {"e1", "e3"}
-    streams._leave(attempt)
+    streams._ledger.leave(attempt)
     assert streams._loads.own() == {} == streams._loads.total(0.0)
 
 
@@ -163,7 +163,7 @@
         )
         call = SimpleNamespace(facts=SimpleNamespace(prompt_tokens=700))
         attempt = PathAttempt(call, PATH, 900.0)
-        streams._take(attempt)
+        streams._ledger.take(attempt)
         streams.engine_down("e2")
         living.discard("e3")
         await attempt.detour
