A begun answer outlives engines that break off answers and live

Cause: the same class once more: six failed runs, counted over the whole stream, ended it. Change: failures since the last event are counted; a run that brings events advances the stream, whose events are finite.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -42,7 +42,9 @@
     repeat
         What its last send took from the retry budget.
     runs
-        Targets or paths that may have run it and gave no good answer.
+        Targets of a plain service that may have run it.
+    failures
+        Runs of a stream that failed since its caller's last event.
     first_engines
         Engines on which a stream was begun.
     avoided
@@ -67,6 +69,7 @@
     counted: bool = False
     repeat: Repeat | None = None
     runs: int = 0
+    failures: int = 0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
     failed_on: set[str] = field(factory=set)
--- a/libs/entry/src/celeryfork_entry/stream_bounds.py
+++ b/libs/entry/src/celeryfork_entry/stream_bounds.py
@@ -12,8 +12,8 @@
 
 MOST_SENDS = 6
 """Most paths that a request is offered to which none has run."""
-MOST_RUNS = 6
-"""Most runs of one stream that fail."""
+MOST_FAILURES = 6
+"""Most runs of one stream that fail since its caller's last event."""
 
 
 RESTART_WAIT_S = 1.0
@@ -52,7 +52,7 @@
     """Return what forbids another try of a stream, None where nothing does."""
     if call.left_s <= 0:
         return "time"
-    if call.runs >= MOST_RUNS:
+    if call.failures >= MOST_FAILURES:
         return "runs"
     if call.first_engines.lost >= MOST_LOST:
         return "lost_engines"
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -278,6 +278,7 @@
         if not fresh:
             return
         data = b"".join(fresh)
+        call.failures = 0
         progress.passed(time.monotonic())
         if progress.begun:
             await call.connection.more(data)
@@ -380,7 +381,7 @@
         born_ms = first.born_ms if first else None
         call.first_engines.begun(path.parts[0].engine_id, born_ms)
         call.may_have_run = True
-        call.runs += 1
+        call.failures += 1
 
     def _again(
         self, call: Call, outcome: Outcome, path: LayerPath, progress: Progress
