--- a/libs/entry/tests/test_begun_answers.py
+++ b/libs/entry/tests/test_begun_answers.py
@@ -11,7 +11,7 @@
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_entry.first_engines import MOST_LOST
 from celeryfork_entry.refusal_pauses import refused_pause_s
-from celeryfork_entry.stream_bounds import MOST_SENDS, MOST_FAILURES, RESUME_WAIT_S
+from celeryfork_entry.stream_bounds import MOST_FAILURES, MOST_SENDS, RESUME_WAIT_S
 from celeryfork_entry.targets import Listed
 from stream_trial import Caller, End, Fail, Fleet, Refuse, Run, Trial
 
