--- /dev/null
+++ b/libs/entry/tests/support/instance_network.py
@@ -0,0 +1,87 @@
+"""Instances that hear each other's datagrams, for tests of what they tell."""
+
+import time
+
+from celeryfork_entry.peer_loads import PeerLoads
+from celeryfork_entry.ports import Peer
+from celeryfork_entry.roster import SILENT_AWAY_S, Roster
+from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Load, Part
+from celeryfork_routing.layers import LayerRange
+from logbook import Logger
+from orjson import dumps
+
+DOMAINS = ("east", "west")
+
+
+class Network:
+    """Instances that hear each other's datagrams at once; counts what each sends."""
+
+    def __init__(self, sizes=(8, 8)):
+        self.by_address = {}
+        self.sent_by_name = {}
+        self.cut = set()
+        peers = [
+            Peer(f"{domain}-{n}", domain, f"10.{zone}.0.{n}:7")
+            for zone, (domain, size) in enumerate(zip(DOMAINS, sizes, strict=True))
+            for n in range(1, size + 1)
+        ]
+        for peer in peers:
+            self.add(peer)
+        for each in self.by_address.values():
+            each.roster.listed(peers)
+
+    def add(self, peer):
+        instance = PeerLoads(Roster(peer), EngineLoads(), Logger("test"))
+        instance.connection_made(Wire(self, instance))
+        self.by_address[peer.address] = instance
+
+    def __getitem__(self, name):
+        return next(
+            each for each in self.by_address.values() if each.roster.own.name == name
+        )
+
+    def report(self, times):
+        for _ in range(times):
+            for each in self.by_address.values():
+                if each.roster.own.name not in self.cut:
+                    each._report()
+
+    def silence(self, *names):
+        """Cut instances off, and let the time pass after which that is noticed."""
+        self.cut = set(names)
+        for instance in self.by_address.values():
+            for entry in instance.roster._by_address.values():
+                if entry.peer.name in names and entry.heard_s is not None:
+                    entry.heard_s -= SILENT_AWAY_S
+
+    def counts(self):
+        return {name: len(sent) for name, sent in self.sent_by_name.items()}
+
+
+class Wire:
+    def __init__(self, network, sender):
+        self.network, self.name = network, sender.roster.own.name
+
+    def sendto(self, data, address):
+        self.network.sent_by_name.setdefault(self.name, []).append((address[0], data))
+        receiver = self.network.by_address.get(f"{address[0]}:{address[1]}")
+        if receiver is not None and receiver.roster.own.name not in self.network.cut:
+            receiver.datagram_received(data, (address[0], address[1]))
+
+
+def begin(instance, engine_id, tokens=10):
+    path = LayerPath((Part(engine_id, "a:1", LayerRange(0, 4)),))
+    instance._loads.begin(path, tokens)
+
+
+def total(instance, engine_id):
+    return instance._loads.total(time.monotonic()).get(engine_id, Load())
+
+
+def hear(instance, message):
+    """Have an instance take a report of a peer, with some fields changed."""
+    whole = {
+        "from": "west-5", "at": "10.1.0.5:7", "domain": "west", "power": 1.0,
+        "fence": None, "version": -1, "loads": {}, "layers": {}, "down": [],
+    }  # fmt: skip
+    instance.datagram_received(dumps(whole | message), ("10.1.0.5", 7))
