Drawn datagrams of peers, and event streams cut at any places

Cause: datagrams were tested with chosen faults only, the event splitter with one stream. Change: drawn reports and digests are read as they were written; any bytes and changed datagrams give a message or ValueError; the same events come however bytes are cut; the bound of an event holds.

--- a/libs/entry/tests/test_events.py
+++ b/libs/entry/tests/test_events.py
@@ -1,7 +1,14 @@
 """Whole events out of bytes that arrive in any pieces."""
 
+import contextlib
+import time
+from itertools import pairwise
+
 import pytest
 from celeryfork_entry.events import MOST_EVENT_BYTES, Event, EventSplitter
+from fuzzing import examples, pieces
+from hypothesis import given
+from hypothesis import strategies as st
 
 DATA = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: no id\n\n"
 EVENTS = [
@@ -36,3 +43,67 @@
 def test_an_endless_event_is_refused():
     with pytest.raises(ValueError, match="exceeds"):
         EventSplitter().feed(b"x" * (MOST_EVENT_BYTES + 1))
+
+
+def events_of(splitter, data_in_pieces):
+    return [event for piece in data_in_pieces for event in splitter.feed(piece)]
+
+
+PARTS = st.sampled_from(
+    [b"\n", b"\r\n", b"\r", b"\n\n", b"\r\n\r\n", b"id: 7", b"id:8", b"id: x",
+     b"data: a", b": note", b"\xff\x00", b" "]
+)  # fmt: skip
+ANY_BYTES = st.lists(PARTS | st.binary(max_size=4), max_size=24).map(b"".join)
+
+
+@examples(300)
+@given(data=st.data(), stream=ANY_BYTES)
+def test_however_bytes_are_cut_the_same_events_come(data, stream):
+    whole, cut = EventSplitter(), EventSplitter()
+    events = whole.feed(stream)
+    assert events_of(cut, data.draw(pieces(stream))) == events
+    assert cut.incomplete == whole.incomplete
+    single = [stream[n : n + 1] for n in range(len(stream))]
+    assert events_of(EventSplitter(), single) == events
+    assert stream.startswith(b"".join(event.data for event in events))
+
+
+def times_taken(length):
+    """Return how often an event is taken, of four ways to cut it."""
+    event = b"x" * (length - 2) + b"\n\n"
+    taken = 0
+    for places in ([], [9], [length - 1], [length - 2, length - 1]):
+        cut = [event[first:last] for first, last in pairwise([0, *places, length])]
+        with contextlib.suppress(ValueError):
+            taken += len(events_of(EventSplitter(), cut))
+    return taken
+
+
+@pytest.mark.parametrize("short_by", [0, 1, 2, 1000])
+def test_an_event_within_its_bound_is_taken_however_it_is_cut(short_by):
+    assert times_taken(MOST_EVENT_BYTES - short_by) == 4
+
+
+@pytest.mark.parametrize("over_by", [1, 2, 1000])
+def test_an_event_over_its_bound_is_refused_however_it_is_cut(over_by):
+    """An answer must not depend on how the network cut it."""
+    assert times_taken(MOST_EVENT_BYTES + over_by) == 0
+
+
+SEGMENT_BYTES = 1448
+"""Payload of a usual TCP segment."""
+MOST_LONG_EVENT_S = 0.5
+"""Processor time for the longest event: the loop serves nobody meanwhile."""
+
+
+def test_a_long_event_in_segments_does_not_hold_up_other_streams():
+    splitter = EventSplitter()
+    begun_s = time.process_time()
+    for _ in range(MOST_EVENT_BYTES // SEGMENT_BYTES):
+        splitter.feed(b"x" * SEGMENT_BYTES)
+    assert time.process_time() - begun_s <= MOST_LONG_EVENT_S
+
+
+def test_an_event_whose_number_has_too_many_digits_is_refused():
+    with pytest.raises(ValueError, match="digits"):
+        EventSplitter().feed(b"id: " + b"1" * 5000 + b"\n\n")
--- /dev/null
+++ b/libs/entry/tests/test_peer_messages.py
@@ -0,0 +1,234 @@
+"""Datagrams of peers: what one writes another reads, and nothing else is taken."""
+
+import asyncio
+import time
+from math import isfinite
+
+import pytest
+from celeryfork_entry.engine_speeds import Speed
+from celeryfork_entry.peer_loads import IDLE_REPORTS, PeerLoads
+from celeryfork_entry.peer_messages import (
+    MemberReport,
+    RelayDigest,
+    decode,
+    encode_digest,
+    encode_report,
+)
+from celeryfork_entry.ports import Peer
+from celeryfork_entry.roster import Roster
+from celeryfork_entry.targets import LearntLayers
+from celeryfork_routing.engine_loads import EngineLoads, Load
+from celeryfork_routing.layers import LayerRange
+from fuzzing import altered, any_json, examples
+from hypothesis import given
+from hypothesis import strategies as st
+from logbook import Logger
+from orjson import dumps, loads
+
+OWN = Peer("west-8", "west", "10.1.0.8:7")
+LARGEST = (1 << 63) - 1
+"""Largest number that every reader of JSON takes."""
+CLOCK_ERROR_S = 0.1
+"""Rounding to a ms, and the time between writing and reading."""
+REPORT = {
+    "from": "west-5", "at": "10.1.0.5:7", "domain": "west", "power": 1.0,
+    "fence": 3, "version": 4, "loads": {"i-1": [2, 80]}, "down": [["i-2", 5]],
+    "layers": {"i-1": [0, 4, 1000, 20], "i-2": [None, None, None, 0]},
+    "speeds": {"i-1": [12.0, 1000, 20]},
+}  # fmt: skip
+DIGEST = REPORT | {
+    "revision": 7, "age": 0.25, "old": False, "counts": {"east": 3},
+    "away": {"east": {"i-9": [1, 40]}},
+}  # fmt: skip
+
+names = st.text(min_size=1, max_size=8)
+numbers = st.integers(0, LARGEST)
+starts = st.none() | numbers
+ages_s = st.floats(0, 3600)
+loads_by_engine = st.dictionaries(
+    names, st.builds(Load, numbers, st.integers(0, 1 << 50).map(float)), max_size=3
+)
+ranges = st.tuples(st.integers(0, 500), st.integers(1, 500)).map(
+    lambda pair: LayerRange(pair[0], pair[0] + pair[1])
+)
+
+
+def at_age(age_s):
+    return time.monotonic() - age_s
+
+
+learnt = st.builds(
+    LearntLayers, st.none() | ranges, starts, ages_s.map(at_age), own=st.just(False)
+)
+speeds = st.builds(
+    Speed, st.floats(1, 1e6), starts, ages_s.map(at_age), own=st.just(False)
+)
+senders = st.builds(
+    Peer,
+    names,
+    names,
+    st.tuples(names, st.integers(1, 65_535)).map(lambda at: f"{at[0]}:{at[1]}"),
+    st.floats(0, 1e9),
+)
+common = {
+    "sender": senders,
+    "fence": starts,
+    "version": st.integers(-1, LARGEST),
+    "loads": st.none() | loads_by_engine,
+    "layers": st.dictionaries(names, learnt, max_size=3),
+    "down": st.lists(st.tuples(names, starts), max_size=3),
+    "speeds": st.dictionaries(names, speeds, max_size=3),
+}
+reports = st.builds(MemberReport, **common)
+digests = st.builds(
+    RelayDigest,
+    **common,
+    revision=numbers,
+    list_age_s=st.integers(0, 10**9).map(lambda age_ms: age_ms / 1000),
+    list_is_old=st.booleans(),
+    counts=st.dictionaries(names, numbers, max_size=3),
+    away_loads=st.dictionaries(names, loads_by_engine, max_size=3),
+)
+
+
+def timeless(by_id, field):
+    """Return what was said of engines without the time, which is rounded."""
+    return {
+        key: (getattr(each, field), each.born_ms, each.own)
+        for key, each in by_id.items()
+    }
+
+
+def assert_same(found, sent):
+    assert type(found) is type(sent)
+    for name in ("sender", "fence", "version", "loads", "down"):
+        assert getattr(found, name) == getattr(sent, name), name
+    for name, field in (("layers", "held"), ("speeds", "slowness")):
+        here, there = getattr(found, name), getattr(sent, name)
+        assert timeless(here, field) == timeless(there, field)
+        for key, each in here.items():
+            assert each.at_s == pytest.approx(there[key].at_s, abs=CLOCK_ERROR_S)
+
+
+@examples(120)
+@given(reports)
+def test_a_members_report_is_read_as_it_was_written(report):
+    assert_same(decode(encode_report(report)), report)
+
+
+@examples(120)
+@given(digests)
+def test_a_relays_digest_is_read_as_it_was_written(digest):
+    found = decode(encode_digest(digest))
+    assert_same(found, digest)
+    for name in ("revision", "list_age_s", "list_is_old", "counts", "away_loads"):
+        assert getattr(found, name) == getattr(digest, name), name
+
+
+def taken(data):
+    """Return a datagram's message, None where it is refused."""
+    try:
+        return decode(data)
+    except ValueError:
+        return None
+
+
+def written(value):
+    """Return a value as orjson writes it, nothing where a number is too large."""
+    try:
+        return dumps(value)
+    except TypeError:
+        return b""
+
+
+@examples(200)
+@given(
+    st.binary(max_size=80)
+    | any_json().map(written)
+    | altered(REPORT).map(written)
+    | altered(DIGEST).map(written)
+)
+def test_any_datagram_gives_a_message_or_a_value_error(data):
+    found = taken(data)
+    assert found is None or isinstance(found, MemberReport | RelayDigest)
+
+
+def numbers_of(message):
+    """Return the numbers of a message that are summed or compared."""
+    found = [message.sender.power]
+    by_engine = [message.loads or {}]
+    if isinstance(message, RelayDigest):
+        found.append(message.list_age_s)
+        by_engine += message.away_loads.values()
+    found += (load.token_layers for each in by_engine for load in each.values())
+    return found
+
+
+@examples(200)
+@given(altered(REPORT).map(written) | altered(DIGEST).map(written))
+def test_the_numbers_of_a_message_are_finite(data):
+    """A sum that was once no number stays so after the peer has gone."""
+    found = taken(data)
+    assert found is None or all(map(isfinite, numbers_of(found)))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda number: {"power": number},
+        lambda number: {"loads": {"i-1": [1, number]}},
+        lambda number: {"age": number},
+        lambda number: {"away": {"east": {"i-9": [1, number]}}},
+    ],
+    ids=["power", "loads", "age", "away"],
+)
+def test_a_number_that_is_none_is_refused(change):
+    for number in ("nan", "inf", "-inf", "1e999"):
+        found = taken(dumps(DIGEST | change(number)))
+        assert found is None or all(map(isfinite, numbers_of(found)))
+
+
+@pytest.mark.parametrize(
+    "at",
+    ["10.1.0.5:\xb2", "10.1.0.5:99999", "10.1.0.5:" + "9" * 5000, "\0:7"],
+    ids=["superscript", "too-large", "many-digits", "null-byte"],
+)
+def test_an_instance_reports_on_after_a_peer_named_no_address(at):
+    """Else it tells nobody anything, until that peer is forgotten or for good."""
+
+    async def hear_and_report():
+        instance = PeerLoads(Roster(OWN), EngineLoads(), Logger("test"))
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: instance, local_addr=("127.0.0.1", 0)
+        )
+        instance.datagram_received(
+            dumps(REPORT | {"at": at, "down": []}), ("127.0.0.1", 7)
+        )
+        for _ in range(2 * IDLE_REPORTS):
+            instance._report()
+        closed = transport.is_closing()
+        transport.close()
+        return closed
+
+    assert not asyncio.run(hear_and_report())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"\x00", b"\xef\xbb\xbf{}", b"null", b"[]", b'""', b"1" * 400, b"[" * 5000,
+     b'{"from":' * 5000, b'{"from": "\\ud800"}', b'{"from": "w", "from": 7}',
+     dumps(REPORT)[:-1], dumps(REPORT) * 2, dumps(DIGEST)[1:]],
+    ids=["empty", "null-byte", "byte-order-mark", "null", "list", "text",
+         "many-digits", "deep-lists", "deep-objects", "half-a-surrogate",
+         "twice-a-key", "cut-off", "two", "without-a-begin"],
+)  # fmt: skip
+def test_a_faulty_datagram_is_refused(data):
+    with pytest.raises(ValueError):  # noqa: PT011
+        decode(data)
+
+
+def test_usual_datagrams_are_taken():
+    """Else the tests above would look at refusals only."""
+    assert isinstance(decode(dumps(REPORT)), MemberReport)
+    assert isinstance(decode(dumps(DIGEST)), RelayDigest)
+    assert loads(encode_report(decode(dumps(REPORT))))["down"] == REPORT["down"]
