Drawn bytes of callers and engines, and streams of bytes without end

Cause: the HTTP sides were tested with chosen faults; nothing showed that no bytes raise another error, hang, or fill memory.

--- a/tests/support/fuzzing.py
+++ b/tests/support/fuzzing.py
@@ -107,3 +107,8 @@
             for first, last in zip([0, *places], [*places, len(data)], strict=True)
         ]
     )
+
+
+def repeated(part: bytes, size: int) -> bytes:
+    """Return ``part`` some times whole, of at most ``size`` bytes if it is shorter."""
+    return part * max(1, size // len(part))
