The tests of held bytes and of paths see two faults planted by hand

Cause: with the numbers they had landed with, a caller who floods a busy connection sent less than the bound (1.4 of 2.1 MB), and no drawn path was found to exceed an engine's memory when its room was doubled. Change: 700 pieces instead of 400; 300 drawn fleets for paths instead of 120.

--- a/libs/entry/tests/test_any_caller.py
+++ b/libs/entry/tests/test_any_caller.py
@@ -187,7 +187,7 @@
 @pytest.mark.parametrize("part", [LONG_GET, b"x"], ids=["requests", "nothing"])
 def test_what_a_caller_sends_while_it_is_answered_is_held_in_bounded_memory(part):
     piece = repeated(part, MOST_PIECE_BYTES)
-    answering = serve([GET] + [piece] * 400, first_takes_s=10.0)
+    answering = serve([GET] + [piece] * 700, first_takes_s=10.0)
     # One such buffer is read at once and parsed, while the next one fills.
     most = 2 * (MOST_UNREAD_BYTES + MOST_PIECE_BYTES)
     assert MOST_PIECE_BYTES < answering.most_held <= most
--- a/libs/routing/tests/test_any_fleet.py
+++ b/libs/routing/tests/test_any_fleet.py
@@ -222,7 +222,7 @@
     assert max(1.0, request.tokens) * part.layers.count <= room * (1 + ROUNDING)
 
 
-@examples(120)
+@examples(300)
 @given(path_fleets())
 def test_every_path_runs_each_layer_once_and_begins_where_it_may(fleet):
     shape, engines, loads, request = fleet
