Values of callers, engines, the list and peers are held to what can be used and told on

What was seen: drawn messages that were taken and failed later, some in a real entry process. A datagram whose sender names a port above 65,535 closed the socket between instances for good.

--- a/libs/entry/src/celeryfork_entry/field_values.py
+++ b/libs/entry/src/celeryfork_entry/field_values.py
@@ -3,9 +3,15 @@
 from math import isfinite
 from typing import Any
 
+LARGEST_NUMBER = (1 << 63) - 1
+"""Largest whole number that a message to peers can hold."""
+LARGEST_PORT = 65_535
+LONGEST_PORT = 5
+"""Digits of the largest port."""
+
 
 def text(value: Any) -> str:
-    """Return a text that isn't empty.
+    """Return a text that isn't empty and can be written as UTF-8.
 
     Raises
     ------
@@ -13,6 +19,7 @@
     """
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is no name")
+    value.encode()
     return value
 
 
@@ -25,6 +32,8 @@
     """
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{value!r} is no whole number")
+    if abs(value) > LARGEST_NUMBER:
+        raise ValueError("a whole number has more than 64 bits")
     return value
 
 
@@ -37,9 +46,13 @@
     """
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"{value!r} is no number")
-    if not isfinite(value):
+    try:
+        number = float(value)
+    except OverflowError as error:
+        raise ValueError("a number is too large") from error
+    if not isfinite(number):
         raise ValueError(f"{value!r} is not finite")
-    return float(value)
+    return number
 
 
 def address(value: Any) -> str:
@@ -50,6 +63,7 @@
     ValueError
     """
     host, _, port = text(value).rpartition(":")
-    if not host or not port.isdigit():
+    digits = port.isascii() and port.isdigit() and len(port) <= LONGEST_PORT
+    if not host or "\0" in host or not digits or int(port) > LARGEST_PORT:
         raise ValueError(f"{value!r} is no address")
     return f"{host}:{port}"
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -199,7 +199,7 @@
         return RelayDigest(
             **common,
             revision=whole_number(fields["revision"]),
-            list_age_s=float(fields["age"]),
+            list_age_s=finite_number(fields["age"]),
             list_is_old=bool(fields["old"]),
             counts={str(key): whole_number(n) for key, n in fields["counts"].items()},
             away_loads={
@@ -252,7 +252,7 @@
         str(fields["from"]),
         str(fields["domain"]),
         address(fields["at"]),
-        float(fields["power"]),
+        finite_number(fields["power"]),
     )
     fence = fields["fence"]
     return {
@@ -277,7 +277,7 @@
 
 def _decode_loads(rows: dict[str, Any]) -> dict[str, Load]:
     return {
-        str(engine_id): Load(whole_number(requests), float(token_layers))
+        str(engine_id): Load(whole_number(requests), finite_number(token_layers))
         for engine_id, (requests, token_layers) in rows.items()
     }
 
