Headers keep their bytes, a refused HEAD is answered, odd keep-alive times lose no reply

What callers saw: a byte above 0x7f in a header of theirs, such as a name with an accent, gave 502 after six sends, or a closed connection; the same byte in an engine's header broke its whole answer. A HEAD request that was refused got no answer. An engine's `Keep-Alive: timeout=` with a superscript or thousands of digits lost a whole reply. Cause: values went through text that h11 writes as ASCII; the answer's form was chosen without the request's method where that wasn't handed on; `isdigit` takes superscripts. Change: values are passed on as the bytes that came (`raw_headers`); a connection knows its request's method; digits are ASCII and few; a port that is none is not sent to.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -9,13 +9,15 @@
 
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.configuration import CallerLimits
+from celeryfork_entry.raw_headers import raw_headers
 
 LINGER_S = 0.5
 """Time that an answered connection is still read, so that its answer isn't reset."""
 HEAD_SLACK_BYTES = 4_096
 """Bytes above the head's limit that are still parsed, to answer with the reason."""
 
-Headers = Sequence[tuple[str, str]]
+Headers = Sequence[tuple[str, str | bytes]]
+"""Names and values; a value in bytes is sent as it is."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -88,6 +90,7 @@
     http: h11.Connection = field(init=False)
     busy: bool = False
     _close_after: bool = False
+    _method: bytes = b""
 
     def __attrs_post_init__(self) -> None:
         """Bound the head by the limits in force."""
@@ -149,6 +152,7 @@
         if first is None:
             return None
         arrived_s = asyncio.get_running_loop().time()
+        self._method = first.method
         size = sum(len(name) + len(value) + 4 for name, value in first.headers)
         if size + len(first.target) > limits.header_bytes:
             raise BadRequestError(
@@ -231,16 +235,14 @@
             self._close_after = True
             await self.answer(error.status, (), f"{error.message}\n".encode())
 
-    async def answer(
-        self, status: int, headers: Headers, body: bytes, *, method: str = "GET"
-    ) -> None:
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer."""
         framing = [("Content-Length", str(len(body)))]
         if status in {204, 304} or status < 200:
             framing, body = [], b""
         head = self._head(status, [*headers, *framing])
         sent = self.http.send(head)
-        if body and method != "HEAD":
+        if body and self._method != b"HEAD":
             sent += self.http.send(h11.Data(data=body))
         sent += self.http.send(h11.EndOfMessage())
         await self.stream.write(sent)
@@ -275,7 +277,7 @@
         if self._close_after or self.closing():
             self._close_after = True
             sent.append(("Connection", "close"))
-        return h11.Response(status_code=status, headers=sent)
+        return h11.Response(status_code=status, headers=raw_headers(sent))
 
     async def _linger(self) -> None:
         """Read on for a moment: closing with unread bytes would reset the answer."""
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -44,9 +44,7 @@
             await self._serve(call)
         except BadRequestError as error:
             self._log("rejected", facts, status=error.status, reason=error.message)
-            await connection.answer(
-                error.status, (), f"{error.message}\n".encode(), method=request.method
-            )
+            await connection.answer(error.status, (), f"{error.message}\n".encode())
         except RequestRefusedError as error:
             organisation = call.organisation if call else None
             await self._refuse(connection, request, facts, organisation, error)
@@ -118,9 +116,7 @@
         headers = []
         if error.retry_after_s is not None:
             headers.append(("Retry-After", f"{error.retry_after_s:g}"))
-        await connection.answer(
-            error.status, headers, f"{error}\n".encode(), method=request.method
-        )
+        await connection.answer(error.status, headers, f"{error}\n".encode())
 
     def _log(self, event: str, facts: RequestFacts | None, **inputs: object) -> None:
         self._parts.counters.add(f"requests.{event}")
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -39,7 +39,7 @@
     """The engine's own failure, to be passed on if nothing else helps."""
 
     status: int
-    headers: list[tuple[str, str]]
+    headers: list[tuple[str, bytes]]
     body: bytes
 
 
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -44,7 +44,7 @@
     """The target's whole reply."""
 
     status: int
-    headers: list[tuple[str, str]]
+    headers: list[tuple[str, bytes]]
     body: bytes
 
 
@@ -239,9 +239,7 @@
     async def _finish(self, call: Call, attempt: Attempt) -> None:
         match attempt:
             case Answered(status, headers, body):
-                await call.connection.answer(
-                    status, headers, body, method=call.request.method
-                )
+                await call.connection.answer(status, headers, body)
                 self._parts.histograms.record(
                     "calls.answer", time.monotonic() - call.request.arrived_s
                 )
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -123,7 +123,7 @@
 
     def reply_headers(
         self, headers: Sequence[tuple[bytes, bytes]]
-    ) -> list[tuple[str, str]]:
+    ) -> list[tuple[str, bytes]]:
         """Return a reply's headers for the caller."""
 
     def ask_report(self) -> OutgoingRequest:
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 
 from celeryfork_entry.byte_stream import ByteStream
+from celeryfork_entry.raw_headers import raw_headers
 
 CONNECT_TIMEOUT_S = 0.6
 """Time for a connection to open; above it the other end counts as unreachable."""
@@ -15,6 +16,8 @@
 """Time that an unused connection is kept where the other end doesn't say."""
 KEPT_MARGIN_S = 1.0
 """Kept connections are given up this long before the other end would close them."""
+LONGEST_TIME = 9
+"""Digits that are read of the other end's time in seconds."""
 MOST_KEPT = 32
 """Unused connections kept for one address."""
 MOST_KEPT_IN_ALL = 512
@@ -44,7 +47,7 @@
 
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...] = ()
+    headers: tuple[tuple[str, str | bytes], ...] = ()
     body: bytes = b""
 
 
@@ -250,7 +253,7 @@
                 _, stream = await loop.create_connection(ByteStream, host, int(port))
         except ConnectionRefusedError as error:
             raise PortClosedError(f"nobody listens at {address}") from error
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise NotSentError(f"no connection to {address}: {error!r}") from error
         self.opened += 1
         http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEADER_BYTES)
@@ -261,14 +264,16 @@
     connection: _Connection, address: str, request: OutgoingRequest
 ) -> None:
     names = {name.lower() for name, _ in request.headers}
-    headers: list[tuple[str, str]] = list(request.headers)
+    headers: list[tuple[str, str | bytes]] = list(request.headers)
     if "host" not in names:
         headers.insert(0, ("Host", address))
     if request.body or request.method in {"POST", "PUT", "PATCH"}:
         headers.append(("Content-Length", str(len(request.body))))
     http = connection.http
     sent = http.send(
-        h11.Request(method=request.method, target=request.target, headers=headers)
+        h11.Request(
+            method=request.method, target=request.target, headers=raw_headers(headers)
+        )
     )
     if request.body:
         sent += http.send(h11.Data(data=request.body))
@@ -282,8 +287,11 @@
 def _idle_s(reply: Reply) -> float:
     for value in _tokens(reply.headers, b"keep-alive"):
         name, _, seconds = value.partition("=")
-        if name.strip() == "timeout" and seconds.strip().isdigit():
-            return min(KEPT_IDLE_S, int(seconds) - KEPT_MARGIN_S)
+        seconds = seconds.strip()
+        digits = seconds.isascii() and seconds.isdigit()
+        if name.strip() == "timeout" and digits:
+            # More digits than a time has only say that it is long.
+            return min(KEPT_IDLE_S, int(seconds[:LONGEST_TIME]) - KEPT_MARGIN_S)
     return KEPT_IDLE_S
 
 
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -312,7 +312,7 @@
         self.at_s.append(time.monotonic())
         self.events += [int(line[4:]) for line in data.split(b"\n") if b"id:" in line]
 
-    async def answer(self, status, headers, body, *, method="GET"):
+    async def answer(self, status, headers, body):
         self.status, self.ending = status, "whole"
 
     async def end(self):
--- a/libs/entry/tests/test_any_caller.py
+++ b/libs/entry/tests/test_any_caller.py
@@ -80,7 +80,7 @@
         self.requests.append(request)
         takes_s, self.first_takes_s = self.first_takes_s, 0.0
         await asyncio.sleep(takes_s)
-        await connection.answer(200, [], request.body, method=request.method)
+        await connection.answer(200, [], request.body)
 
     def note_held(self):
         held = self.stream.unread + len(self.connection.http.trailing_data[0])
