--- /dev/null
+++ b/tests/support/planted_faults.py
@@ -0,0 +1,102 @@
+"""Faults that are planted in an entry process before it starts.
+
+Each changes one function of the entry and breaks the promise that it is listed with.
+"""
+
+PATHS = """
+from attrs import evolve
+from celeryfork_adapter import dialect
+whole = dialect.encode_path
+dialect.encode_path = lambda path: whole(evolve(path, parts={parts}))
+"""
+PLANTED = {
+    "layers left out": ("layers", PATHS.format(parts="path.parts[:-1]")),
+    "layers run twice": (
+        "layers",
+        PATHS.format(parts="(*path.parts, path.parts[-1])"),
+    ),
+    "layers out of order": ("layers", PATHS.format(parts="path.parts[::-1]")),
+    "a detour that leaves layers out": (
+        "layers",
+        """
+from attrs import evolve
+from celeryfork_entry import path_choice
+find = path_choice.find_detour
+def short(*inputs):
+    path = find(*inputs)
+    return path and evolve(path, parts=path.parts[:-1])
+path_choice.find_detour = short
+""",
+    ),
+    "another request's answer": (
+        "own_whole_answer",
+        """
+from attrs import evolve
+from celeryfork_adapter.dialect import PlatformDialect
+read = PlatformDialect.read_reply
+PlatformDialect.read_reply = lambda self, status, headers: evolve(
+    read(self, status, headers), request_id=None
+)
+""",
+    ),
+    "a resumed stream from its begin": (
+        "own_whole_answer",
+        """
+from celeryfork_entry.stream_calls import StreamCalls
+pass_on = StreamCalls._pass_on
+async def forget(self, attempt, reply, events, progress):
+    progress.last_event = None
+    await pass_on(self, attempt, reply, events, progress)
+    progress.last_event = None
+StreamCalls._pass_on = forget
+""",
+    ),
+    "a promise that no target made": (
+        "not_run",
+        """
+from celeryfork_entry import plain_calls
+plain_calls.PROMISES_NOT_RUN = frozenset()
+""",
+    ),
+    "a lost answer is taken for not run": (
+        "not_run",
+        """
+from celeryfork_entry import plain_calls
+plain_calls.unknown = lambda status, code, message: plain_calls.not_run(
+    code, message, 1.0
+)
+""",
+    ),
+    "sent again whatever became of it": (
+        "at_most_once",
+        """
+from celeryfork_entry.plain_calls import PlainCalls
+PlainCalls._again = staticmethod(lambda call, attempt, once: True)
+""",
+    ),
+    "what leaves is chosen on": (
+        "leaving",
+        """
+from celeryfork_entry.targets import TargetTable
+TargetTable.listed = lambda self, service: [
+    target for target in self.by_id.values() if target.service == service
+]
+""",
+    ),
+    "a stop that waits for nobody": (
+        "planned_stop",
+        """
+from celeryfork_entry import instance
+instance.EXIT_MARGIN_S = 8.0
+""",
+    ),
+    "any configuration is taken": (
+        "configuration",
+        """
+from celeryfork_entry.following import Following
+def take(self, newest, source):
+    self.configuration = newest or self.configuration
+Following._take = take
+""",
+    ),
+}
