A seeded soak of entry processes while faults overlap

Sixteen callers keep their connections; what they and the back ends saw is judged by the promises. An answer that breaks off between two chunks looks whole to the readline of http.client, so that callers read pieces.

--- /dev/null
+++ b/tests/support/soak_callers.py
@@ -0,0 +1,141 @@
+"""Callers of a soak, which keep using connections until their process is gone."""
+
+import http.client
+import random
+import threading
+import time
+from contextlib import suppress
+
+from attrs import define, field
+from promises import CUT_OFF
+
+STREAM_S = 4.5
+"""Time of a stream: one that comes until callers go elsewhere ends within the stop."""
+PLAIN_S = 1.5
+MOST_EVENTS = 100
+LATE_S = 3.0
+"""Time over a call's own after which its caller leaves; a process may be paused."""
+PAUSE_S = 2.0
+"""Pause of a begun answer after which its caller leaves."""
+ASKS = (
+    ("stream", "POST", "/advice/x", "key-1"),
+    ("stream", "POST", "/advice/x", "key-2"),
+    ("stream", "POST", "/advice/x", "key-1"),
+    ("once", "POST", "/book/1", "key-1"),
+    ("repeatable", "GET", "/look/1", "key-1"),
+    ("withdrawn", "GET", "/look/1", "key-3"),
+)
+
+
+@define(eq=False)
+class Ask:
+    """One request to a process, and what its caller got.
+
+    ``reused`` tells whether its connection had carried another request before.
+    """
+
+    kind: str
+    attempt: str
+    life: object
+    reused: bool
+    events: int
+    begun_s: float = field(factory=time.monotonic)
+    ended_s: float = 0.0
+    status: int | None = None
+    body: bytes = b""
+    whole: bool = False
+    error: Exception | None = None
+
+    @property
+    def limit_s(self):
+        return STREAM_S if self.kind == "stream" else PLAIN_S
+
+    @property
+    def left_s(self):
+        """The time that it had left at its end."""
+        return self.begun_s + self.limit_s - self.ended_s
+
+    @property
+    def own_answer(self):
+        if self.kind != "stream":
+            return f"done {self.attempt}".encode()
+        events = range(1, self.events + 1)
+        return "".join(
+            f"id: {n}\ndata: {self.attempt}-{n}\n\n" for n in events
+        ).encode()
+
+    def send(self, connection, method, path, key):
+        headers = {
+            "Host": "shop.example",
+            "Authorization": f"Bearer {key}",
+            "X-Attempt-Id": self.attempt,
+        }
+        if self.kind == "stream":
+            headers["X-Token-Count"] = f"100,{self.events * 2}"
+            headers["X-Deadline-Ms"] = str(int(STREAM_S * 1000))
+        sock = connection.sock
+        sock.settimeout(self.limit_s + LATE_S)
+        connection.request(method, path, b"" if method == "GET" else b"body", headers)
+        response = connection.getresponse()
+        self.status = response.status
+        sock.settimeout(PAUSE_S)
+        # Its readline takes an answer that breaks off between two chunks for whole.
+        while piece := response.read1():
+            self.body += piece
+        response.close()
+        self.whole = True
+
+    def __str__(self):
+        return (
+            f"{self.attempt} at {self.life.entry.path.stem}: status {self.status}, "
+            f"{self.body.count(b'data')} of {self.events} events, {self.left_s:.2f} of "
+            f"{self.limit_s} s left, {self.error!r}"
+        )
+
+
+class Caller(threading.Thread):
+    """Sends one request after the other; every second caller on new connections."""
+
+    def __init__(self, soak, number):
+        super().__init__(name=f"caller-{number}", daemon=True)
+        self.soak, self.number, self.sent = soak, number, 0
+        self.random = random.Random(f"{soak.seed}.{number}")
+
+    def run(self):
+        while not self.soak.over.is_set():
+            life = self.random.choice(list(self.soak.life_by_name.values()))
+            with suppress(*CUT_OFF):
+                if life.entry.is_ready():
+                    self._use(life)
+                    continue
+            time.sleep(0.1)
+
+    def _use(self, life):
+        connection = http.client.HTTPConnection(
+            life.entry.ip, life.entry.front, timeout=LATE_S
+        )
+        connection.connect()
+        connection.auto_open, reused = 0, False
+        while connection.sock is not None and not self.soak.over.is_set():
+            self._ask(connection, life, reused)
+            reused = True
+            if self.number % 2:
+                connection.close()
+            time.sleep(self.random.uniform(0, 0.1))
+        connection.close()
+
+    def _ask(self, connection, life, reused):
+        kind, *how = self.random.choice(ASKS)
+        self.sent += 1
+        attempt, events = (
+            f"{kind}-{self.number}-{self.sent}",
+            self.random.randint(1, MOST_EVENTS),
+        )
+        ask = Ask(kind, attempt, life, reused, events)
+        try:
+            ask.send(connection, *how)
+        except CUT_OFF as error:
+            ask.error = error
+            connection.close()
+        ask.ended_s = time.monotonic()
+        self.soak.asks.append(ask)
--- /dev/null
+++ b/tests/support/soak_checks.py
@@ -0,0 +1,133 @@
+"""What a soak's callers and back ends saw, judged by the entry's promises.
+
+Each check yields a promise and an incident; the promises' names are those of promises.
+"""
+
+import time
+
+from entry_process import READY_S
+from promises import LAYERS, SAYS_NOT_RUN, desk_runs, engine_runs
+
+LEAVING_S = 2.0
+"""Time after which a leaving target gets nothing new."""
+NEWS_LAG_S = 4.0
+"""The same after the store or an instance was away: their pauses have grown."""
+STOP_S = 9.0
+"""Time within which a planned stop ends: its grace and a second."""
+TIME_OVER_S = 0.1
+"""Time left to an answer that ended with its caller's time."""
+
+
+def paths(soak):
+    for engine in soak.platform.engines.values():
+        detours = [order for order in engine.orders if order["op"] == "repath"]
+        for attempt, path in [
+            *((attempt, path) for attempt, path, _ in engine.runs),
+            *((each["id"], engine.read_path(each["path"])) for each in detours),
+        ]:
+            ran = [n for _, first, last in path for n in range(first, last)]
+            if ran != list(range(LAYERS)):
+                yield "layers", f"{attempt}: {path}"
+
+
+def answers(soak):
+    for ask in soak.asks:
+        due = ask.own_answer if ask.whole else ask.own_answer[: len(ask.body)]
+        if ask.status == 200 and ask.body != due:
+            yield "own_whole_answer", f"{ask}: {ask.body[-50:]}"
+        if ask.status in SAYS_NOT_RUN and _ran(soak, ask):
+            yield "not_run", ask
+        if ask.kind == "once" and desk_runs(soak.platform, ask.attempt) > 1:
+            yield "at_most_once", ask
+
+
+def _ran(soak, ask):
+    runs = engine_runs(soak.platform, ask.attempt)
+    return bool(runs) or desk_runs(soak.platform, ask.attempt) > 0
+
+
+def ends(soak):
+    """Judge answers that ended before their end, by what ended them."""
+    for ask in soak.asks:
+        life, begun = ask.life, ask.status is not None
+        left = begun and isinstance(ask.error, TimeoutError)
+        if ask.whole or life.killed or left or ask.left_s < TIME_OVER_S:
+            continue
+        if life.stop_asked_s is not None and ask.ended_s > life.stop_asked_s:
+            # An idle connection may close while a request is on its way to it.
+            if begun or not ask.reused or _ran(soak, ask):
+                yield "planned_stop", ask
+        elif begun and ask.left_s > ask.limit_s / 2:
+            yield "begun", f"{ask}; {_told_end(ask)}"
+        elif not begun:
+            yield "answered", ask
+    for caller in soak.callers:
+        if caller.is_alive():
+            yield "answered", f"{caller.name} hangs"
+
+
+def _told_end(ask):
+    lines = ask.life.entry.events("broken_off")
+    return [line["ended_by"] for line in lines if line["id"] == ask.attempt]
+
+
+def leaving_targets(soak):
+    for target, begun_s in soak.leavings:
+        for at_s, target_id, attempt, addresses in soak.platform.arrivals:
+            meant = target_id == target.id or target.addr in addresses
+            late_s = at_s - begun_s
+            if meant and late_s > LEAVING_S and not _news_late(soak, at_s, target_id):
+                yield "leaving", f"{attempt}: {target.id} after {late_s:.2f} s"
+
+
+def _news_late(soak, at_s, target_id):
+    """Return whether a fault delays the news of targets, or what is on its way."""
+    others = soak.platform.targets().keys() - {target_id}
+    return any(
+        begun_s < at_s < ended_s + NEWS_LAG_S
+        for place, begun_s, ended_s in soak.windows
+        if place not in others
+    )
+
+
+def planned_stops(soak):
+    for life in soak.lives:
+        if life.stop_asked_s is not None:
+            took_s = life.ended_s - life.stop_asked_s
+            if life.exit_code != 0 or took_s > STOP_S:
+                yield "planned_stop", f"{life} after {took_s:.1f} s"
+
+
+def configurations(soak):
+    for life in soak.lives:
+        asks = [a for a in soak.asks if a.life is life and a.kind == "withdrawn"]
+        known_s = [ask.ended_s for ask in asks if ask.status == 401]
+        for ask in asks:
+            late = known_s and ask.begun_s > min(known_s)
+            if late and ask.status not in {None, 401}:
+                yield "configuration", f"a withdrawn key is valid again: {ask}"
+
+
+def processes(soak):
+    for life in soak.life_by_name.values():
+        if life.entry.process.poll() is not None:
+            yield "processes", f"{life} has ended by itself"
+    for entry in soak.entries:
+        for line in entry.events("task_failed") + entry.events("unstructured"):
+            yield "processes", line
+    until_s = time.monotonic() + READY_S
+    waiting = soak.entries
+    while waiting and time.monotonic() < until_s:
+        waiting = [entry for entry in waiting if not soak.serves(entry)]
+    for entry in waiting:
+        yield "processes", f"{entry.path.stem} doesn't serve again"
+
+
+CHECKS = (
+    processes, paths, answers, ends, leaving_targets, planned_stops, configurations,
+)  # fmt: skip
+
+
+def judge(soak):
+    """Return what was broken, as pairs of a promise and an incident."""
+    return [(name, str(what)) for check in CHECKS for name, what in check(soak)]
