Failing test of a begun answer that living engines break off six times

Its route allows two first engines; both broke off each answer after three events and lived, and the runs followed each other without a pause: six in 0.72 s. The bound on runs is meant for a request that ends its engines.

--- a/libs/entry/tests/test_begun_answers.py
+++ b/libs/entry/tests/test_begun_answers.py
@@ -104,6 +104,18 @@
     assert line["ended_by"] == "runs"
 
 
+def test_a_begun_answer_outlives_engines_that_break_off_answers_and_live():
+    """Entry soak, seed 6: six runs of three events each ended it after 0.7 s.
+
+    Its route allows two first engines; both broke off answers for a second or so.
+    """
+    trial = Trial()
+    trial.add("first", *[Run(1)] * 6)
+    trial.add("second", *[Run(1)] * 6)
+    caller = trial.serve()
+    assert caller.has_all
+
+
 def test_a_request_that_no_engine_has_run_is_refused_after_six_refusals():
     trial = Trial()
     for number in range(9):
