A soak of entries judges ends by time, and says how late it was itself

Cause: a request that was never answered counted as over its time, and a process killed late excused what it had ended long before. Change: a call whose caller gave up before any answer is a broken promise; a kill excuses what ended after it. The driver prints how late its latest step was; SIGTERM to the command ends its entry processes.

--- a/tests/support/entry_soak.py
+++ b/tests/support/entry_soak.py
@@ -15,6 +15,8 @@
 from contextlib import suppress
 from functools import partial
 from heapq import heappop, heappush
+from math import inf
+from shutil import rmtree
 
 from attrs import define
 from entry_process import Entry, wait_for
@@ -74,7 +76,7 @@
     """One process of an instance, from its start to its end."""
 
     entry: Entry
-    killed: bool = False
+    killed_s: float = inf
     stop_asked_s: float | None = None
     exit_code: int | None = None
     ended_s: float | None = None
@@ -93,6 +95,7 @@
         self.asks, self.lives, self.windows, self.leavings = [], [], [], []
         self.life_by_name, self.entries, self.counts = {}, [], Counter()
         self.callers = [Caller(self, number) for number in range(CALLERS)]
+        self.latest_s = 0.0  # Far above 1: the machine had no time for the soak.
         self._kept, self._engaged, self._agenda = {}, set(), []
         for number, zone in enumerate(ZONES, 1):
             beside = self.entries[0] if self.entries else None
@@ -152,6 +155,7 @@
         while self._agenda:
             at_s, _, work = heappop(self._agenda)
             time.sleep(max(0.0, at_s - time.monotonic()))
+            self.latest_s = max(self.latest_s, time.monotonic() - at_s)
             work()
 
     def _later(self, after_s, work):
@@ -209,7 +213,8 @@
         """Stop, kill or pause a process; see to what follows."""
         if number == signal.SIGTERM:
             life.stop_asked_s = time.monotonic()
-        life.killed = number == signal.SIGKILL
+        if number == signal.SIGKILL:
+            life.killed_s = time.monotonic()
         self._engaged.add(life.entry)
         life.entry.process.send_signal(number)
         follow = self._restart
@@ -262,21 +267,28 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--retry-slack", type=int, default=RETRY_SLACK)
     given = parser.parse_args()
+    # Its entry processes end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     first, _, last = given.seeds.partition("-")
     failed = False
     for seed in range(int(first), int(last or first) + 1):
         directory = tempfile.mkdtemp(prefix=f"entry-soak-{seed}-")
         soak = Soak(seed, given.seconds, directory, slack=given.retry_slack)
         broken = soak.run()
-        counts = soak.counts + Counter(f"status {ask.status}" for ask in soak.asks)
-        print(f"seed {seed}: {'broken' if broken else 'held'}; {dict(counts)}")
+        counts = soak.counts + Counter(ask.outcome for ask in soak.asks)
+        verdict = "broken" if broken else "held"
+        print(f"seed {seed}: {verdict}; {soak.latest_s:.1f} s late; {dict(counts)}")
         shown = Counter()
         for promise, what in broken:
             shown[promise] += 1
             if shown[promise] <= SHOWN:
                 print(f"  {promise}: {what}")
-        print(f"  {dict(shown)}, logs in {directory}", flush=True)
-        failed |= bool(broken)
+        if broken:
+            failed = True
+            print(f"  {dict(shown)}, logs in {directory}")
+        else:
+            rmtree(directory)
+        sys.stdout.flush()
     return int(failed)
 
 
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -65,6 +65,12 @@
             f"id: {n}\ndata: {self.attempt}-{n}\n\n" for n in events
         ).encode()
 
+    @property
+    def outcome(self):
+        left = isinstance(self.error, TimeoutError)
+        how = "" if self.whole else ", caller left" if left else ", cut"
+        return f"status {self.status}{how}"
+
     def send(self, connection, method, path, key):
         headers = {
             "Host": "shop.example",
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -48,25 +48,32 @@
 
 
 def ends(soak):
-    """Judge answers that ended before their end, by what ended them."""
     for ask in soak.asks:
-        life, begun = ask.life, ask.status is not None
-        left = begun and isinstance(ask.error, TimeoutError)
-        if ask.whole or life.killed or left or ask.left_s < TIME_OVER_S:
-            continue
-        if life.stop_asked_s is not None and ask.ended_s > life.stop_asked_s:
-            # An idle connection may close while a request is on its way to it.
-            if begun or not ask.reused or _ran(soak, ask):
-                yield "planned_stop", ask
-        elif begun and ask.left_s > ask.limit_s / 2:
-            yield "begun", f"{ask}; {_told_end(ask)}"
-        elif not begun:
-            yield "answered", ask
+        if promise := _broken_by_end(soak, ask):
+            yield promise, f"{ask}; {_told_end(ask)}"
     for caller in soak.callers:
         if caller.is_alive():
             yield "answered", f"{caller.name} hangs"
 
 
+def _broken_by_end(soak, ask):
+    """Return the promise that is broken by how an answer ended, None for none."""
+    begun, stop_asked_s = ask.status is not None, ask.life.stop_asked_s
+    if ask.whole or ask.ended_s > ask.life.killed_s:
+        return None
+    if isinstance(ask.error, TimeoutError):
+        return None if begun else "answered"
+    if ask.left_s < TIME_OVER_S:
+        return None
+    if stop_asked_s is not None and ask.ended_s > stop_asked_s:
+        # An idle connection may close while a request is on its way to it.
+        unseen = ask.reused and not begun and not _ran(soak, ask)
+        return None if unseen else "planned_stop"
+    if not begun:
+        return "answered"
+    return "begun" if ask.left_s > ask.limit_s / 2 else None
+
+
 def _told_end(ask):
     lines = ask.life.entry.events("broken_off")
     return [line["ended_by"] for line in lines if line["id"] == ask.attempt]
