A chain that would miss its deadline where others wouldn't is left

Cause: a stall is a silence beyond 8 usual gaps and 4 deviations, and every gap is learned. A link that makes gaps longer by less than that (0.035 to 0.3 s; 0.1 to 0.8 s) is within it, and each slow token raises the allowance (0.34 s at first, 2.5 s at the end), so that the chain is never left. Nothing compared the pace with the deadline. Change: at every eighth token, and after a silence of the floor or more, the pace is judged. A chain is left if the rest would miss the deadline and the model's other chains are twice as quick and would be in time (new kind of recovery: too_slow, for which nobody is blamed). A model that is slow as a whole, or a chain that is slow but in time, is kept; each leaving draws on the retry budget. Ruled out: a lower gap factor or learning less of slow gaps (stalls are noticed, pace still isn't; busy processes would leave healthy engines).

--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -12,10 +12,12 @@
     EngineNotReachedError,
     EngineRejectedError,
     EngineStalledError,
+    EngineTooSlowError,
 )
 from celeryfork_streams.events import Ended, EventReader, Faulted
 from celeryfork_streams.gap_watch import GapWatch
 from celeryfork_streams.lost import Lost, Progress
+from celeryfork_streams.pace import Pace
 from celeryfork_streams.parts import StreamParts
 from celeryfork_streams.ports import Chain
 from celeryfork_streams.requests import BatchingSink, RecoveryKind, Sink
@@ -38,7 +40,7 @@
     Parameters
     ----------
     may_give_up
-        Asked before a silent engine is left.
+        Asked before a silent engine or a slow chain is left.
     on_passed
         Told after each batch of tokens how many this attempt has passed.
     """
@@ -66,7 +68,9 @@
         self._address = first.address
         load = parts.load_of(first.id)
         gap_s = parts.gaps.first_gap_s(chain, self._to_compute, load, self._policy)
+        self._may_give_up = may_give_up
         self._watch = GapWatch(first.address, gap_s, may_give_up)
+        self._pace = Pace()
         self._first_position = len(progress.emitted)
         self._noted_tokens = 0
         self.started_s = parts.clock.monotonic()
@@ -96,6 +100,8 @@
             return Lost(RecoveryKind.CUT, first, error.message)
         except EngineStalledError as error:
             return Lost(RecoveryKind.STALLED, frozenset(), error.message)
+        except EngineTooSlowError as error:
+            return Lost(RecoveryKind.TOO_SLOW, frozenset(), error.message)
         except EngineAnswerError as error:
             self._parts.counters.add(f"streams.{error.kind}_events")
             return Lost(RecoveryKind.MALFORMED, first, error.message)
@@ -128,7 +134,8 @@
 
     async def _relay(self, stream: EngineStream) -> Ended | Lost:
         progress, watch, sink = self._progress, self._watch, self._sink
-        batching = self._batching
+        batching, pace = self._batching, self._pace
+        slow_s = self._policy.token_gap_floor_s
         emitted = progress.emitted
         reader = EventReader(
             progress.attempts,
@@ -142,6 +149,7 @@
             watch.listen()
             lines = await stream.lines()
             gap_s = watch.hold()
+            pace.waited_s += gap_s
             if batching is not None and len(lines) > 1:
                 batching.hold()
             for line in lines:
@@ -155,8 +163,11 @@
                     return await self._end(event)
             if batching is not None and len(lines) > 1:
                 batching.flush()
-            if self.tokens >= self._noted_tokens + TOKENS_PER_NOTE:
+            noted = self.tokens >= self._noted_tokens + TOKENS_PER_NOTE
+            if noted:
                 self._note(gap_s)
+            if noted or gap_s >= slow_s:
+                self._check_pace(noted)
 
     @property
     def tokens(self) -> int:
@@ -169,6 +180,7 @@
         gaps, gap_s = self._parts.gaps, self.first_s - self.started_s
         gaps.heard_first(self._chain, self._to_compute, gap_s)
         self._watch.allow(gaps.token_gap_s(self._chain, self._policy))
+        self._pace.begin(self.tokens)
         self._on_passed(1)
 
     def _note(self, gap_s: float) -> None:
@@ -179,6 +191,23 @@
         self._count()
         self._on_passed(self._noted_tokens)
 
+    def _check_pace(self, noted: bool) -> None:
+        """Raise EngineTooSlowError if another chain is to give the rest in time."""
+        progress, pace = self._progress, self._pace
+        tokens_left = progress.request.max_tokens - len(progress.emitted)
+        left_s = progress.request.deadline_s - self._parts.clock.monotonic()
+        late = pace.too_slow(
+            self.tokens, tokens_left, left_s, self._parts.gaps, self._chain
+        )
+        if late and self._may_give_up():
+            raise EngineTooSlowError(
+                self._address,
+                f"would be late with {tokens_left} tokens, {left_s:.3f} s are left",
+                "resume on another chain",
+            )
+        if late or noted:
+            pace.begin(self.tokens)
+
     def _count(self) -> None:
         self._parts.counters.add("streams.tokens", self.tokens - self._noted_tokens)
         self._noted_tokens = self.tokens
--- a/libs/streams/src/celeryfork_streams/errors.py
+++ b/libs/streams/src/celeryfork_streams/errors.py
@@ -68,3 +68,7 @@
 
 class EngineStalledError(EngineError):
     """The engine sent nothing for longer than its chain's gap allows."""
+
+
+class EngineTooSlowError(EngineError):
+    """The engine sends, but its chain would miss the deadline; others wouldn't."""
--- a/libs/streams/src/celeryfork_streams/gaps.py
+++ b/libs/streams/src/celeryfork_streams/gaps.py
@@ -4,6 +4,7 @@
 """
 
 from collections import OrderedDict
+from statistics import median
 
 from attrs import define
 
@@ -14,16 +15,24 @@
 MEAN_GAIN = 1 / 8
 DEVIATION_GAIN = 1 / 4
 DEVIATIONS = 4
+MOST_OTHERS = 8
 # Gives up exactness of short prompts for a bound that holds when there is no prompt.
 PROMPT_BASE_TOKENS = 100
 
 
 @define
 class _Learned:
-    """Mean and deviation of a duration, in seconds."""
+    """Mean and deviation of a duration, in seconds.
+
+    Parameters
+    ----------
+    chain_of
+        The model whose chain this is of; None for what a whole model has shown.
+    """
 
     mean_s: float
     deviation_s: float
+    chain_of: str | None
 
     def add(self, seconds: float) -> None:
         error = seconds - self.mean_s
@@ -77,6 +86,22 @@
         expected_s = (policy.first_token_floor_s + expected_s) * (1 + load)
         return _bounded(expected_s, policy.first_token_floor_s, policy)
 
+    def others_gap_s(self, chain: Chain) -> float | None:
+        """Return the usual gap of the model's chains that share no engine with this.
+
+        Of those that were heard last, the median, in seconds; None where there are
+        none.
+        """
+        engines, model = frozenset(_engines(chain)), chain.hops[0].target.target
+        means_s: list[float] = []
+        for key in reversed(self._between):
+            other = self._between[key]
+            if other.chain_of == model and engines.isdisjoint(key):
+                means_s.append(other.mean_s)
+                if len(means_s) == MOST_OTHERS:
+                    break
+        return median(means_s) if means_s else None
+
     def heard(self, chain: Chain, gap_s: float) -> None:
         """Learn a silence between tokens."""
         _learn(self._between, chain, gap_s)
@@ -103,13 +128,14 @@
 
 
 def _learn(book: _Book, chain: Chain, seconds: float) -> None:
-    for key in (_engines(chain), _model(chain)):
+    model = chain.hops[0].target.target
+    for key, chain_of in ((_engines(chain), model), (_model(chain), None)):
         learned = book.get(key)
         if learned is not None:
             learned.add(seconds)
             book.move_to_end(key)
             continue
-        book[key] = _Learned(seconds, seconds / 2)
+        book[key] = _Learned(seconds, seconds / 2, chain_of)
         if len(book) > MOST_CHAINS:
             book.popitem(last=False)
 
--- a/libs/streams/src/celeryfork_streams/requests.py
+++ b/libs/streams/src/celeryfork_streams/requests.py
@@ -67,6 +67,7 @@
     LEAVING = "leaving"
     OVERLOADED = "overloaded"
     STALLED = "stalled"
+    TOO_SLOW = "too_slow"
     MALFORMED = "malformed"
 
 
--- a/libs/streams/src/celeryfork_streams/run.py
+++ b/libs/streams/src/celeryfork_streams/run.py
@@ -46,8 +46,10 @@
     RecoveryKind.MALFORMED: Reset(),
 }
 # Nothing was sent, so that the next attempt adds no load; or the budget was asked
-# before the silent attempt was given up.
-_NEED_NO_RETRY = frozenset({RecoveryKind.NOT_REACHED, RecoveryKind.STALLED})
+# before the silent or slow attempt was given up.
+_NEED_NO_RETRY = frozenset(
+    {RecoveryKind.NOT_REACHED, RecoveryKind.STALLED, RecoveryKind.TOO_SLOW}
+)
 
 
 class StreamRun:
@@ -269,7 +271,7 @@
             raise self._gave_up(lost)
 
     def _may_give_up(self) -> bool:
-        """Return whether a silent attempt may be left for another one."""
+        """Return whether a silent or slow attempt may be left for another one."""
         if self._counted_attempts + 1 >= self._policy.most_attempts:
             return False
         return self._take_retry()
--- a/libs/streams/tests/conftest.py
+++ b/libs/streams/tests/conftest.py
@@ -20,6 +20,7 @@
 from celeryfork_streams.ports import Chain, Hop, Target
 from celeryfork_streams.serve import serve_generate
 from celeryfork_streams.streams import GenerateRequest, make_stream_runner
+from virtual_time import LoopClock, PacedEngine, PacedSession, VirtualLoop
 
 LAYERS = 24
 WAIT_S = 10.0
@@ -291,6 +292,49 @@
         self.thread.stop()
 
 
+class PacedWorld:
+    """A runner in virtual time, over engines that send at a pace."""
+
+    def __init__(self):
+        self.loop = VirtualLoop()
+        self.counters = Counters()
+        self.router, self.view = FakeRouter(), FakeView()
+        self.budget = FakeBudget()
+        self.session = PacedSession()
+        self.policy = StreamPolicy()
+        self.runner = make_stream_runner(
+            self.router, self.view, self.budget, FakePoison(),
+            LoopClock(self.loop), self.counters, self.session,
+            layers_of=lambda model: LAYERS, domain="westlands",
+            policy=lambda: self.policy,
+        )  # fmt: skip
+
+    def chain(self, *names, **pace):
+        """Add a chain of new engines; the first sets its pace."""
+        share = LAYERS // len(names)
+        hops = [
+            Hop(make_target(name, f"{name}:1"), index * share, (index + 1) * share)
+            for index, name in enumerate(names)
+        ]
+        self.router.chains.append(Chain(tuple(hops), "+".join(names)))
+        engine = self.session.engines_by_address[f"{names[0]}:1"] = PacedEngine(**pace)
+        return engine
+
+    def run(self, tokens, deadline_s):
+        """Run a stream; return its result, its texts and the seconds that it took."""
+        began_s = self.loop.time()
+        request = GenerateRequest(
+            request_id="r1", stream_id="r1.1", organisation="kiosk",
+            model="reminder-writer", prompt="Hard water in Nairobi",
+            max_tokens=tokens, priority=5, seed=0,
+            deadline_s=began_s + deadline_s, fingerprint="f1",
+        )  # fmt: skip
+        sink = ListSink()
+        result = self.loop.run_until_complete(self.runner.run(request, sink))
+        assert self.router.in_flight == 0
+        return result, sink.texts, self.loop.time() - began_s
+
+
 def make_target(name, address):
     return Target(name, "engine", "reminder-writer", "westlands", address, 1)
 
@@ -341,6 +385,13 @@
     made.stop()
 
 
+@pytest.fixture
+def paced():
+    made = PacedWorld()
+    yield made
+    made.loop.close()
+
+
 @pytest.fixture
 def eventually():
     return wait_until
