A model call that waits for its turn is cut off with its instance, not left silent

What callers saw: after a kill without notice one caller never got an answer, nor an end of its connection (test_a_kill_without_notice_breaks_off_and_never_doubles: time-out after 60 s, all workers idle, one caller reading). Cause: a call whose task was cancelled while it waited for its turn gave up its place, but nobody closed its connection: the loop keeps a transport open as long as it runs, and a rig's instances share one loop. A call always passes this wait, mostly for one turn of the loop, so that it takes a busy loop or a permit of a peer to be met by a kill there. Two more ways beside it, without a hang: a task cancelled before its first step kept its place in the queue; a call handed over just after all were cut off ran on. Change: a task that ends by an error aborts its connection; a call that never began, or comes after all were cut off, is closed at its end and gives its place back. Ruled out: that the socket of a task that never began stays open (it was closed at once, with the collector of cycles off).

--- a/libs/daemon/src/celeryfork_daemon/model_calls.py
+++ b/libs/daemon/src/celeryfork_daemon/model_calls.py
@@ -67,15 +67,34 @@
     admission: AdmissionRequest
 
 
+class _Accepted:
+    """A connection, owned by whoever takes it first: its task, or the end of its call.
+
+    A task that is cancelled before its first step never runs.
+    """
+
+    def __init__(self, connection: socket) -> None:
+        self._connections = [connection]
+
+    def take(self) -> socket | None:
+        """Return the connection, None if it was taken; from any thread."""
+        try:
+            return self._connections.pop()
+        except IndexError:
+            return None
+
+
 class ModelCalls:
     """Serves ``/v1/completions`` and ``/v1/chat/completions``."""
 
     def __init__(self, parts: ModelCallParts) -> None:
         self._parts = parts
         self._served: set[Future[None]] = set()
+        self._cut_off = False
 
     def cancel_all(self) -> None:
-        """Cut off the calls that run."""
+        """Cut off the calls that run, and all that still come."""
+        self._cut_off = True
         for served in self._served.copy():
             served.cancel()
 
@@ -137,25 +156,59 @@
             request.request_id, request.organisation, prepared.admission.queue
         )
         entered = self._parts.admission.enter(prepared.admission)
+        accepted = _Accepted(connection)
         served = self._parts.loop_thread.submit(
-            self._serve(connection, prepared, entered)
+            self._serve(accepted, prepared, entered)
         )
         self._served.add(served)
-        served.add_done_callback(lambda _: self._end(served, number))
+        served.add_done_callback(lambda _: self._end(served, number, accepted, entered))
+        if self._cut_off:
+            # It may have come too late for cancel_all to see it.
+            served.cancel()
 
-    def _end(self, served: "Future[None]", number: int) -> None:
+    def _end(
+        self,
+        served: "Future[None]",
+        number: int,
+        accepted: _Accepted,
+        entered: "Future[Admitted]",
+    ) -> None:
+        connection = accepted.take()
+        if connection is not None:
+            connection.close()
+            self._give_up(entered)
         self._served.discard(served)
         self._parts.in_flight.end(number)
 
     async def _serve(
         self,
-        connection: socket,
+        accepted: _Accepted,
+        prepared: _Prepared,
+        entered: "Future[Admitted]",
+    ) -> None:
+        connection = accepted.take()
+        if connection is None:
+            return
+        try:
+            caller = await take_over(
+                connection, self._parts.stream_policy(), self._parts.counters
+            )
+        except BaseException:
+            self._give_up(entered)
+            raise
+        try:
+            await self._answer(caller, prepared, entered)
+        except BaseException:
+            # The loop would keep the connection open, with nobody to answer it.
+            caller.abort()
+            raise
+
+    async def _answer(
+        self,
+        caller: CallerConnection,
         prepared: _Prepared,
         entered: "Future[Admitted]",
     ) -> None:
-        caller = await take_over(
-            connection, self._parts.stream_policy(), self._parts.counters
-        )
         admitted = await self._wait_for_turn(caller, prepared, entered)
         if admitted is None:
             await caller.close()
