The pace of a chain counts no lateness of the loop

It judged after two tokens, and took all the time between reads for the chain's; others' usual pace doesn't know of the late moment. Change: a gap counts at most what the chain is allowed in silence (more would be a stall, had the loop been in time), and the pace is judged at every eighth token only. Ruled out: two late windows before a chain is left (a chain too slow for 5 s is then left too late for others to be in time).

--- a/libs/streams/src/celeryfork_streams/attempt.py
+++ b/libs/streams/src/celeryfork_streams/attempt.py
@@ -135,7 +135,6 @@
     async def _relay(self, stream: EngineStream) -> Ended | Lost:
         progress, watch, sink = self._progress, self._watch, self._sink
         batching, pace = self._batching, self._pace
-        slow_s = self._policy.token_gap_floor_s
         emitted = progress.emitted
         reader = EventReader(
             progress.attempts,
@@ -149,7 +148,8 @@
             watch.listen()
             lines = await stream.lines()
             gap_s = watch.hold()
-            pace.waited_s += gap_s
+            # A longer gap that was heard is the loop's own lateness, not the chain's.
+            pace.waited_s += min(gap_s, watch.allowed_s)
             if batching is not None and len(lines) > 1:
                 batching.hold()
             for line in lines:
@@ -163,11 +163,9 @@
                     return await self._end(event)
             if batching is not None and len(lines) > 1:
                 batching.flush()
-            noted = self.tokens >= self._noted_tokens + TOKENS_PER_NOTE
-            if noted:
+            if self.tokens >= self._noted_tokens + TOKENS_PER_NOTE:
                 self._note(gap_s)
-            if noted or gap_s >= slow_s:
-                self._check_pace(noted)
+                self._check_pace()
 
     @property
     def tokens(self) -> int:
@@ -191,7 +189,7 @@
         self._count()
         self._on_passed(self._noted_tokens)
 
-    def _check_pace(self, noted: bool) -> None:
+    def _check_pace(self) -> None:
         """Raise EngineTooSlowError if another chain is to give the rest in time."""
         progress, pace = self._progress, self._pace
         tokens_left = progress.request.max_tokens - len(progress.emitted)
@@ -205,8 +203,7 @@
                 f"would be late with {tokens_left} tokens, {left_s:.3f} s are left",
                 "resume on another chain",
             )
-        if late or noted:
-            pace.begin(self.tokens)
+        pace.begin(self.tokens)
 
     def _count(self) -> None:
         self._parts.counters.add("streams.tokens", self.tokens - self._noted_tokens)
--- a/libs/streams/src/celeryfork_streams/pace.py
+++ b/libs/streams/src/celeryfork_streams/pace.py
@@ -9,8 +9,8 @@
 from celeryfork_streams.gaps import GapBook
 from celeryfork_streams.ports import Chain
 
-# One late token is no pace.
-FEWEST_TOKENS = 2
+# Some late tokens are no pace.
+FEWEST_TOKENS = 4
 # Less is what chains that run well differ by.
 SLOWER_BY = 2.0
 
--- a/libs/streams/tests/support/virtual_time.py
+++ b/libs/streams/tests/support/virtual_time.py
@@ -33,6 +33,10 @@
     def time(self):
         return self._jumping.now_s
 
+    def be_late(self, seconds):
+        """Let time pass in which the loop has no turn."""
+        self._jumping.now_s += seconds
+
 
 @define
 class LoopClock:
@@ -66,6 +70,9 @@
         if position == self.limit:
             return [self._event(p=position, end="length")]
         await asyncio.sleep(self.engine.gap_s(position))
+        late_s = self.engine.loop_late_s_by_position.get(position)
+        if late_s is not None:
+            asyncio.get_running_loop().be_late(late_s)
         self.position += 1
         return [self._event(p=position, x=f" t{position}", l=self.spans)]
 
@@ -83,6 +90,7 @@
     usual_s: float = 0.035
     slow_s: float = 0.035
     slow_from: int = 0
+    loop_late_s_by_position: dict = field(factory=dict)
     attempts: int = 0
 
     def gap_s(self, position):
