--- a/libs/streams/tests/test_gaps.py
+++ b/libs/streams/tests/test_gaps.py
@@ -1,6 +1,7 @@
 """Tests of celeryfork_streams.gaps."""
 
 import pytest
+from attrs import evolve
 from celeryfork_streams.gaps import MOST_CHAINS, GapBook
 from celeryfork_streams.policy import StreamPolicy
 from celeryfork_streams.ports import Chain, Hop
@@ -38,6 +39,15 @@
     assert book.token_gap_s(chain("e2"), POLICY) == pytest.approx(0.8, rel=0.2)
 
 
+def test_one_odd_gap_of_a_new_chain_is_not_its_usual_one(chain):
+    """A chain that began with a late token was allowed 1.1 s of silence."""
+    book = GapBook()
+    for _ in range(50):
+        book.heard(chain("e1"), 0.02)
+    book.heard(chain("e2"), 0.25)
+    assert book.token_gap_s(chain("e2"), evolve(POLICY, gap_factor=2.5)) < 0.5
+
+
 def test_the_first_gap_grows_with_prompt_and_load(chain):
     book = GapBook()
     first = book.first_gap_s(chain("e1"), 10, 0.0, POLICY)
--- a/libs/streams/tests/test_pace.py
+++ b/libs/streams/tests/test_pace.py
@@ -94,3 +94,18 @@
     paced.budget.left = 0
     paced.policy = evolve(paced.policy, free_resumptions=0)
     assert refused_with(paced, 10) == 1
+
+
+# The 32nd token is an eighth one, whose gap is learned.
+@pytest.mark.parametrize("late_s_by_position", [{}, {31: 0.8}], ids=["in time", "late"])
+def test_a_loop_that_was_late_notices_the_next_stall_as_soon(paced, late_s_by_position):
+    """Its lateness was learned as the chain's: the stall took 1.1 s to notice."""
+    paced.policy = evolve(paced.policy, gap_factor=2.5)
+    paced.chain("e1", usual_s=0.02, slow_s=60.0, slow_from=40)
+    engine = paced.session.engines_by_address["e1:1"]
+    engine.loop_late_s_by_position = late_s_by_position
+    paced.chain("e2", usual_s=0.02, slow_s=0.02)
+    result, _, _ = paced.run(TOKENS, 30)
+    [stall] = result.recoveries
+    assert stall.kind is RecoveryKind.STALLED
+    assert stall.silent_s < 0.5
