A gap between engines without room is left, not divided by nothing

Cause: a lost range was shared out over its neighbours by what each can hold, which is nothing where a layer leaves no memory for a request; the holder's plan ended in ZeroDivisionError. Test: test_engines_without_room_around_a_gap_are_left_as_they_are, red before (listed).

--- a/libs/routing/src/celeryfork_routing/layer_repair.py
+++ b/libs/routing/src/celeryfork_routing/layer_repair.py
@@ -176,8 +176,13 @@
 
 
 def _share_out(members: Sequence[_Holder], span: LayerRange) -> dict[str, LayerRange]:
-    """Return contiguous ranges over ``span``, in proportion to what each can hold."""
+    """Return contiguous ranges over ``span``, in proportion to what each can hold.
+
+    None where they can hold nothing beside the memory for requests.
+    """
     total = sum(each.most for each in members)
+    if total == 0:
+        return {}
     ranges: dict[str, LayerRange] = {}
     first, most_so_far = span.first, 0
     for each in members:
