--- a/libs/entry/src/celeryfork_entry/stream_bounds.py
+++ b/libs/entry/src/celeryfork_entry/stream_bounds.py
@@ -14,17 +14,29 @@
 """Most paths that a request is offered to which none has run."""
 MOST_FAILURES = 6
 """Most runs of one stream that fail since its caller's last event."""
-
-
 RESTART_WAIT_S = 1.0
 """Time in which another path is looked for after one has failed a stream that may have
 run, which can't be refused any more."""
 RESUME_WAIT_S = 2.0
-"""The least such time where the caller has part of the answer: callers leave after a
-pause of 2 s, four times the route's aim, or eight times its longest pause, whichever is
-longest."""
-AIMS = 4
-PAUSES = 8
+"""The same where the caller has part of the answer, as the users' page has it: callers
+leave after such a pause, or after the next two if those are longer."""
+RESUME_WAIT_AIMS = 4
+"""The same as a multiple of the route's aim."""
+RESUME_WAIT_PAUSES = 8
+"""The same as a multiple of the longest pause that the route allows."""
+
+
+def exhausted_by(call: Call) -> str | None:
+    """Return what forbids another try of a stream, None where nothing does."""
+    if call.left_s <= 0:
+        return "time"
+    if call.failures >= MOST_FAILURES:
+        return "runs"
+    if call.first_engines.lost >= MOST_LOST:
+        return "lost_engines"
+    if not call.may_have_run and call.sends >= MOST_SENDS:
+        return "sends"
+    return None
 
 
 def recovers_until_s(call: Call, *, begun: bool) -> float:
@@ -42,20 +54,7 @@
 def _caller_waits_s(call: Call) -> float:
     match call.route.kind:
         case Stream(_, longest_pause_s):
-            pauses_s = PAUSES * longest_pause_s
+            pauses_s = RESUME_WAIT_PAUSES * longest_pause_s
         case _:
             pauses_s = 0.0
-    return max(RESUME_WAIT_S, AIMS * call.route.aim_s, pauses_s)
-
-
-def exhausted_by(call: Call) -> str | None:
-    """Return what forbids another try of a stream, None where nothing does."""
-    if call.left_s <= 0:
-        return "time"
-    if call.failures >= MOST_FAILURES:
-        return "runs"
-    if call.first_engines.lost >= MOST_LOST:
-        return "lost_engines"
-    if not call.may_have_run and call.sends >= MOST_SENDS:
-        return "sends"
-    return None
+    return max(RESUME_WAIT_S, RESUME_WAIT_AIMS * call.route.aim_s, pauses_s)
