--- a/tests/adapter/test_entry_soak.py
+++ b/tests/adapter/test_entry_soak.py
@@ -14,7 +14,7 @@
 SEEN_SECONDS = 4.0
 ONE_RUN = """
 from celeryfork_entry import stream_bounds
-stream_bounds.MOST_RUNS = 1
+stream_bounds.MOST_FAILURES = 1
 """
 SOAKED = PLANTED | {"a begun answer ends with its first path": ("begun", ONE_RUN)}
 SEEN = {
