--- /dev/null
+++ b/libs/entry/tests/support/small_model.py
@@ -0,0 +1,19 @@
+"""A model of few layers and one kind of card, for tests of the entry."""
+
+from celeryfork_routing.layers import Accelerator, ModelShape
+
+SHAPE = ModelShape(
+    layers=8,
+    layer_mb=100.0,
+    token_bytes=80_000.0,
+    step_ms=1.0,
+    sequence_ms=0.0,
+    context_ms_per_thousand=0.0,
+    read_tokens_per_ms=100.0,
+    activation_bytes=0.0,
+    pipe_bytes_per_ms=0.0,
+    usual_prompt=100.0,
+    usual_answer=100.0,
+    load_s=1.0,
+    accelerators_by_name={"card": Accelerator("card", 1_000.0)},
+)
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -9,7 +9,8 @@
 from itertools import pairwise
 from types import SimpleNamespace
 
-from attrs import define, field, frozen
+import small_model
+from attrs import define, evolve, field, frozen
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_entry.budget_loans import BudgetLoans
@@ -24,24 +25,11 @@
 from celeryfork_entry.target_http import LostError, PortClosedError
 from celeryfork_entry.targets import Listed, Target, TargetTable
 from celeryfork_routing.engine_loads import EngineLoads
-from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
-
-LAYERS = 8
-SHAPE = ModelShape(
-    layers=LAYERS,
-    layer_mb=100.0,
-    token_bytes=80_000.0,
-    step_ms=1.0,
-    sequence_ms=0.0,
-    context_ms_per_thousand=0.0,
-    read_tokens_per_ms=100.0,
-    activation_bytes=0.0,
-    pipe_bytes_per_ms=0.0,
-    usual_prompt=100.0,
-    usual_answer=100.0,
-    load_s=1.0,
-    accelerators_by_name={"card": Accelerator("card", 2_000.0)},
-)
+from celeryfork_routing.layers import Accelerator, LayerRange
+
+LAYERS = small_model.SHAPE.layers
+CARDS = {"card": Accelerator("card", 2_000.0)}
+SHAPE = evolve(small_model.SHAPE, accelerators_by_name=CARDS)
 SERVICE = Service("llm", "/healthz", 100, SHAPE)
 ANSWER_EVENTS = 12
 CALL_S = 20.0
--- a/libs/entry/tests/test_path_choice.py
+++ b/libs/entry/tests/test_path_choice.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 import pytest
+import small_model
 from attrs import evolve
 from celeryfork_entry import path_choice
 from celeryfork_entry.first_engines import FirstEngines
@@ -17,23 +18,11 @@
 from celeryfork_routing.layers import (
     Accelerator,
     LayerRange,
-    ModelShape,
     first_missing,
 )
 
-SHAPE = ModelShape(
-    layers=8,
-    layer_mb=100.0,
-    token_bytes=80_000.0,
-    step_ms=1.0,
-    sequence_ms=0.0,
-    context_ms_per_thousand=0.0,
-    read_tokens_per_ms=100.0,
-    activation_bytes=0.0,
-    pipe_bytes_per_ms=0.0,
-    usual_prompt=100.0,
-    usual_answer=100.0,
-    load_s=1.0,
+SHAPE = evolve(
+    small_model.SHAPE,
     accelerators_by_name={
         "fast": Accelerator("fast", 2_000.0),
         "slow": Accelerator("slow", 2_000.0, step_factor=9.0, read_factor=9.0),
--- a/libs/entry/tests/test_placement_duty.py
+++ b/libs/entry/tests/test_placement_duty.py
@@ -10,23 +10,9 @@
 from celeryfork_entry.placement_duty import PlacementDuty
 from celeryfork_entry.ports import Duty, EngineReport
 from celeryfork_entry.targets import Listed, Target, TargetTable
-from celeryfork_routing.layers import Accelerator, LayerRange, ModelShape
-
-SHAPE = ModelShape(
-    layers=8,
-    layer_mb=100.0,
-    token_bytes=80_000.0,
-    step_ms=1.0,
-    sequence_ms=0.0,
-    context_ms_per_thousand=0.0,
-    read_tokens_per_ms=100.0,
-    activation_bytes=0.0,
-    pipe_bytes_per_ms=0.0,
-    usual_prompt=100.0,
-    usual_answer=100.0,
-    load_s=1.0,
-    accelerators_by_name={"card": Accelerator("card", 1_000.0)},
-)
+from celeryfork_routing.layers import LayerRange
+from small_model import SHAPE
+
 REPORT = EngineReport(None, 0, False, 1, 1.0, {})
 
 
