--- a/libs/entry/tests/test_store_outages.py
+++ b/libs/entry/tests/test_store_outages.py
@@ -5,7 +5,7 @@
 
 import pytest
 from celeryfork_base.counters import Counters
-from celeryfork_entry.following import STORE_RETRY_S, Following
+from celeryfork_entry.following import STORE_RETRY_S, UNREAD_AGE_S, Following
 from celeryfork_entry.known import encode_known
 from celeryfork_entry.ports import StoreUnavailableError
 from celeryfork_entry.relayed_list import STALE_S
@@ -172,3 +172,43 @@
     following.question = answer_or_fail
     asyncio.run(following._ask_anyone())
     assert following.version == 7
+
+
+def test_a_relay_that_has_read_no_list_is_not_followed():
+    """Entry soak, seed 115: it had just started while the store was away.
+
+    Instances that knew the list took the empty one.
+    """
+    fresh, table = Relay(), TargetTable()
+    fresh.age_s = UNREAD_AGE_S
+    table.replace_all([TARGET])
+    following = follow_relays(fresh, table=table)
+    hear(following, fresh, fresh)
+    assert list(table.by_id) == [TARGET.id]
+    assert fresh.asked == []
+
+
+def test_the_stores_list_replaces_a_relays_when_the_store_is_back():
+    """Entry soak, seed 115: only changes were taken, and the list stayed empty."""
+    relay = Relay()
+    following = make_following()
+    following._targets = Feed(None, StoreUnavailableError("away"), [])
+
+    async def question(address, path):
+        return relay.following.changes_since(-1)
+
+    async def run():
+        following.question = question
+        task = asyncio.ensure_future(following.follow_targets())
+        while "targets" not in following.store_away:
+            await asyncio.sleep(0.01)
+        following.heard_digest(relay.digest())
+        await asyncio.sleep(0.05)
+        assert following._table.by_id == {}
+        while following.store_away:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(run())
+    assert list(following._table.by_id) == [TARGET.id]
