--- a/libs/entry/src/celeryfork_entry/following.py
+++ b/libs/entry/src/celeryfork_entry/following.py
@@ -145,10 +145,7 @@
                 await self._store_failed("targets", error)
                 continue
             now_s = self.list_read_s = time.monotonic()
-            if self._relayed.followed:
-                # What the store tells has changed since is not since the relay's list.
-                self._relayed.left()
-                changes = None
+            self._relayed.left()
             if self._store_answered("targets"):
                 self.spare_until_s = now_s + LAPSE_S
             spare = self._table.list_is_old = now_s < self.spare_until_s
@@ -193,8 +190,6 @@
 
     def heard_digest(self, digest: RelayDigest) -> None:
         """Take what a relay of this domain says of its list, unless the store does."""
-        if digest.list_age_s >= UNREAD_AGE_S:
-            return
         self._relayed.heard(digest)
         if self.reads_store() and "targets" not in self.store_away:
             return
