Entry: path_broke tells the shared parts of the prompt and whether events had come

Why: the logs of the incident of crashing engines could not tell a request that ends its engine as it begins to write from one that was cut off beside it, nor what such requests share. No decision changes.

--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -29,9 +29,16 @@
 
 @frozen
 class PathBroke:
-    """The path has run the request, or may have, and stopped before its end."""
+    """The path has run the request, or may have, and stopped before its end.
+
+    Parameters
+    ----------
+    begun
+        True if it had sent an event.
+    """
 
     reason: str
+    begun: bool = False
 
 
 @frozen
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -37,6 +37,9 @@
         has none.
     host, path
         Requested host without its port, and path without the query.
+    shared_parts
+        Ids of the parts of the prompt that other requests may share, in their order;
+        not the last part, which belongs to this request alone.
     """
 
     id: str | None
@@ -48,6 +51,7 @@
     max_answer_tokens: int
     expected_answer_tokens: float
     last_event: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 @frozen
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -178,7 +178,7 @@
             if not attempt.sent:
                 self._context.release_send(call)
                 return PathRefused(attempt.interrupted)
-            return self._path_broke(call, attempt.path, attempt.interrupted)
+            return self._path_broke(attempt, attempt.interrupted)
         finally:
             if attempt.detour is not None:
                 attempt.detour.cancel()
@@ -230,7 +230,7 @@
             if not attempt.sent:
                 context.release_send(call)
                 return PathRefused(repr(error))
-            return self._path_broke(call, attempt.path, repr(error))
+            return self._path_broke(attempt, repr(error))
 
     async def _relay(
         self, attempt: PathAttempt, reply: Reply, progress: StreamProgress
@@ -394,14 +394,16 @@
             each for each in path.engine_ids if not self._selector.is_available(each)
         ]
 
-    def _path_broke(self, call: Call, path: LayerPath, reason: str) -> PathBroke:
+    def _path_broke(self, attempt: PathAttempt, reason: str) -> PathBroke:
+        call, path = attempt.call, attempt.path
         down = self._unavailable_engines(path)
         self._record_failed_run(call, path)
         if path.parts[0].engine_id in down:
             call.first_engines.lost += 1
         if not down:
             call.avoided.add(path.parts[0].engine_id)
-        return PathBroke(f"{reason}; down: {','.join(down) or 'none'}")
+        reason = f"{reason}; down: {','.join(down) or 'none'}"
+        return PathBroke(reason, begun=not attempt.prefilling)
 
     def _record_failed_run(self, call: Call, path: LayerPath) -> None:
         """Count a failure of a path that may have run the call."""
@@ -416,20 +418,23 @@
     ) -> bool:
         allowed = call.first_engines.allowed(self._selector.may_still_run)
         elsewhere = allowed is None or bool(allowed - call.avoided)
+        inputs: dict[str, object] = {}
         match outcome:
             case Finished():
                 return False
             case PathRefused(reason):
                 again, event = True, "path_refused"
-            case PathBroke(reason):
+            case PathBroke(reason, begun):
                 again, event = _is_resumable(call), "path_broke"
+                inputs["begun"] = begun
+                inputs["parts"] = call.metadata.shared_parts
             case EngineFailed(status):
                 # The error reply can be forwarded unless the caller has events already.
                 again = _is_resumable(call) and (progress.started or elsewhere)
                 event, reason = "engine_failed", f"status {status}"
         self._context.counters.add(f"streams.{event}")
         self._context.log_event(
-            call, event, path=path.describe(), reason=reason, again=again
+            call, event, path=path.describe(), reason=reason, again=again, **inputs
         )
         return again
 
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -100,7 +100,15 @@
 
 
 class Trial:
-    """One entry instance in front of fake engines."""
+    """One entry instance in front of fake engines.
+
+    Attributes
+    ----------
+    shared_parts
+        Ids of the parts that the prompts of its requests share.
+    """
+
+    shared_parts = ("common",)
 
     def __init__(self, *, slack=100.0, instances=1, max_targets=2, peer=None):
         self.table = TargetTable()
@@ -186,10 +194,11 @@
         await self.streams.serve(self.call(caller, request_id, CALL_S))
         return caller
 
-    def call(self, caller, request_id, left_s):
+    def call(self, caller, request_id, left_s, shared_parts=()):
         metadata = RequestMetadata(
-            request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None
-        )
+            request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None,
+            shared_parts or self.shared_parts,
+        )  # fmt: skip
         return Call(
             connection=caller,
             request=SimpleNamespace(arrived_s=time.monotonic(), method="POST"),
--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -46,6 +46,18 @@
     assert trial.counters.count("streams.broken_off.retry_budget") == 1
 
 
+def test_log_of_a_broken_path_tells_if_it_had_sent_events_and_the_shared_parts():
+    """Runs that crash engines at their start couldn't be told from interrupted ones."""
+    trial = Trial()
+    trial.add("first", Run(0, lost=("first",)))
+    trial.add("second", Run(3, lost=("second",)))
+    trial.add("third")
+    assert trial.serve().has_complete_answer
+    lines = trial.logged("path_broke")
+    assert [line["begun"] for line in lines] == [False, True]
+    assert lines[0]["parts"] == trial.shared_parts
+
+
 def test_sends_to_terminated_engines_do_not_exhaust_a_stream():
     """Issue 21: sends that reached no engine counted towards the limit of sends."""
     trial = Trial(max_targets=9)
--- /dev/null
+++ b/tests/adapter/test_dialect.py
@@ -0,0 +1,50 @@
+"""Metadata of requests as read from the platform's headers."""
+
+import pytest
+from celeryfork_adapter.dialect import (
+    MAX_SHARED_PARTS,
+    PROMPT_PARTS_HEADER,
+    PlatformDialect,
+)
+from celeryfork_entry.caller_http import CallerRequest
+from logbook import Logger
+
+DIALECT = PlatformDialect(Logger("test"))
+
+
+def shared_parts(value):
+    headers = (("host", "x"), (PROMPT_PARTS_HEADER, value))
+    request = CallerRequest("POST", "/a", headers, b"", 0.0)
+    return DIALECT.read_request(request).shared_parts
+
+
+def test_all_parts_of_a_prompt_but_the_last_are_shared():
+    assert shared_parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250") == (
+        "5c1e07a2",
+        "91bd3f06",
+    )
+
+
+def test_a_request_without_parts_shares_none():
+    request = CallerRequest("POST", "/a", (("host", "x"),), b"", 0.0)
+    assert DIALECT.read_request(request).shared_parts == ()
+
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        ("", ()),
+        ("a:1", ()),
+        (",,a:1", ()),
+        ("a:1,a:1,b:2", ("a",)),
+        ("a,b,c:x", ("a", "b")),
+        (":5,b:2", ()),
+    ],
+)
+def test_malformed_entries_of_a_prompt_are_tolerated(value, parts):
+    assert shared_parts(value) == parts
+
+
+def test_the_number_of_parts_read_is_bounded():
+    value = ",".join(f"{n}:1" for n in range(100_000))
+    assert len(shared_parts(value)) == MAX_SHARED_PARTS
