Entry: engines lost while a stream has long been writing don't count as crashed by it

Callers saw: a begun answer broken off (`ended_by` lost_engines) with most of its time left, where several first engines were lost one after the other.

Cause: `first_engines.lost` counted each first engine that went down under the stream. A request that crashes engines does so as its answer begins; one that has been writing for longer is not what ended the engine.

Ruled out: raising the limit of three, which would let a request that crashes engines end more of them. The time is taken from the first to the last event of the run, so that the time until a loss is noticed doesn't count (second test, passes before and after).

--- a/libs/entry/src/celeryfork_entry/first_engines.py
+++ b/libs/entry/src/celeryfork_entry/first_engines.py
@@ -12,6 +12,9 @@
 MAX_LOST_ENGINES = 3
 """Number of first engines that may go down during one stream before it is given up, as
 the stream itself may be what crashes them."""
+CRASH_ONSET_S = 0.25
+"""Seconds of writing after which a stream isn't what crashes its engine: a request that
+crashes engines does so as its answer begins."""
 
 
 @define
@@ -23,7 +26,7 @@
     max_engines
         Maximum number of such engines; those that have terminated don't count.
     lost
-        Number of them that went down while they ran the stream.
+        Number of them that went down within :data:`CRASH_ONSET_S` of writing.
     """
 
     max_engines: int
@@ -41,6 +44,17 @@
         """
         self._born_ms_by_id[engine_id] = born_ms
 
+    def record_loss(self, writing_s: float) -> None:
+        """Record that a first engine went down while it ran the stream.
+
+        Parameters
+        ----------
+        writing_s
+            Seconds from the first to the last event of this run.
+        """
+        if writing_s <= CRASH_ONSET_S:
+            self.lost += 1
+
     @property
     def engine_ids(self) -> tuple[str, ...]:
         """Return the sorted ids of the recorded engines, for the log."""
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -77,6 +77,10 @@
         engines.
     sent
         True if a byte of the request may have reached the first engine.
+    first_event_s
+        Monotonic time of the first event of this attempt, None before it.
+    last_event_s
+        Monotonic time of its last event, None before the first one.
     """
 
     call: Call
@@ -87,11 +91,26 @@
     detour: asyncio.Task[None] | None = None
     prefilling: bool = True
     sent: bool = False
+    first_event_s: float | None = None
+    last_event_s: float | None = None
 
     def mark_sent(self) -> None:
         """Record that sending of the request has started."""
         self.sent = True
 
+    def record_events(self, now_s: float) -> None:
+        """Record that events arrived."""
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        self.last_event_s = now_s
+
+    @property
+    def writing_s(self) -> float:
+        """Return the seconds from the first to the last event, 0 before the first."""
+        if self.first_event_s is None or self.last_event_s is None:
+            return 0.0
+        return self.last_event_s - self.first_event_s
+
     def interrupt(self, reason: str) -> None:
         """Cancel the attempt, so that the stream is continued over another path."""
         if self.task is not None and not self.task.done():
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -256,6 +256,7 @@
             if events:
                 self._attempts.end_prefill(attempt)
                 last_event_s = time.monotonic()
+                attempt.record_events(last_event_s)
                 gaps = gaps or EventGaps()
                 gaps.record_event(last_event_s)
                 self._checks.record_progress(
@@ -399,7 +400,7 @@
         down = self._unavailable_engines(path)
         self._record_failed_run(call, path)
         if path.parts[0].engine_id in down:
-            call.first_engines.lost += 1
+            call.first_engines.record_loss(attempt.writing_s)
         if not down:
             call.avoided.add(path.parts[0].engine_id)
         reason = f"{reason}; down: {','.join(down) or 'none'}"
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -47,11 +47,14 @@
         Ids of engines that terminate after the last event, which breaks the stream.
     after_s
         Seconds between the last event and the break.
+    gap_s
+        Seconds before each event after the first.
     """
 
     events: int | None = None
     lost: tuple[str, ...] = ()
     after_s: float = 0.07
+    gap_s: float = 0.0
 
 
 @frozen
@@ -254,7 +257,8 @@
                 self.engine(engine_id).gone = True
             raise LostError("the connection broke in a reply")
 
-        return _Reply(200, pieces, engine, end=None if run.events is None else end)
+        end_of_run = None if run.events is None else end
+        return _Reply(200, pieces, engine, end=end_of_run, gap_s=run.gap_s)
 
     def forget(self, address):
         pass
@@ -280,16 +284,19 @@
 
 
 class _Reply:
-    def __init__(self, status, pieces, engine, end=None, at_fault=None):
+    def __init__(self, status, pieces, engine, end=None, at_fault=None, gap_s=0.0):
         self.status = status
         self.headers = [("at fault", at_fault)]
         self._pieces = deque(pieces)
         self._engine = engine
         self._end = end
+        self._gap_s = gap_s
+        self._next_gap_s = 0.0
 
     async def read(self):
-        await asyncio.sleep(0)
+        await asyncio.sleep(self._next_gap_s if self._pieces else 0)
         if self._pieces:
+            self._next_gap_s = self._gap_s
             return self._pieces.popleft()
         if self._end is not None:
             await self._end()
--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -9,7 +9,7 @@
 import pytest
 from attrs import evolve
 from celeryfork_base.errors import RequestRefusedError
-from celeryfork_entry.first_engines import MAX_LOST_ENGINES
+from celeryfork_entry.first_engines import CRASH_ONSET_S, MAX_LOST_ENGINES
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
 from celeryfork_entry.stream_limits import MAX_FAILURES, MAX_SENDS, RESUME_WAIT_S
 from celeryfork_entry.targets import Listed
@@ -149,6 +149,28 @@
     assert (caller.ending, line["ended_by"]) == ("broken off", "lost_engines")
 
 
+def test_engines_lost_while_a_stream_has_long_been_writing_do_not_end_it():
+    """Three engines lost under a stream ended it, though it had not crashed them."""
+    trial = Trial(max_targets=9)
+    for number in range(MAX_LOST_ENGINES + 1):
+        name = f"engine-{number}"
+        trial.add(name, Run(2, lost=(name,), gap_s=CRASH_ONSET_S + 0.05))
+    trial.add("last", domain="b")
+    caller = trial.serve()
+    assert caller.has_complete_answer
+
+
+def test_an_engine_found_down_long_after_its_only_event_counts_as_crashed():
+    """The time until a loss is noticed is no time in which the stream was writing."""
+    trial = Trial(max_targets=9)
+    for number in range(MAX_LOST_ENGINES + 1):
+        name = f"engine-{number}"
+        trial.add(name, Run(1, lost=(name,), after_s=CRASH_ONSET_S + 0.05))
+    caller = trial.serve()
+    [line] = trial.logged("broken_off")
+    assert (caller.ending, line["ended_by"]) == ("broken off", "lost_engines")
+
+
 def test_terminated_engines_do_not_delay_a_stream():
     trial = Trial(max_targets=9)
     trial.add("first", Run(3, lost=("first",)))
