Entry: caller_left tells whether the answer had begun, its silence and what was awaited

A caller that left a begun answer for want of a path looked like one that had lost interest: the line had the id and the path only. It now has the last event, how long the caller had got nothing, the time left and what the request waited for (path, retry_budget, engine, target, pause). Counter streams.left_begun.* by what was awaited; a caller that leaves while a path is sought gets the no_path line as well, with the missing layer.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -1,7 +1,8 @@
 """The state of one request in progress, and what all kinds of calls share."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from attrs import define, field
 from celeryfork_admission.retry_share import Retry, RetryShare
@@ -16,6 +17,7 @@
 from celeryfork_entry.first_engines import FirstEngines
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.ports import Dialect, RequestMetadata
+from celeryfork_entry.stream_progress import StreamProgress
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.targets import TargetTable
 
@@ -65,6 +67,11 @@
     may_have_run
         True if any target may have started the request. The caller can't be told then
         that it was not run.
+    progress
+        Events forwarded to the caller of a stream, None before its first attempt.
+    waiting_for
+        What the call is waiting for, for the log: ``path``, ``retry_budget``,
+        ``engine``, ``target``, or ``pause`` between two sends.
     """
 
     connection: CallerConnection
@@ -86,12 +93,24 @@
     avoided: set[str] = field(factory=set)
     failed_on: set[str] = field(factory=set)
     first_engines: FirstEngines = field(factory=lambda: FirstEngines(1))
+    progress: StreamProgress | None = None
+    waiting_for: str = "pause"
 
     @property
     def left_s(self) -> float:
         """Return the seconds left until the final answer must be sent."""
         return self.deadline_s - time.monotonic()
 
+    @contextmanager
+    def waiting(self, what: str) -> Iterator[None]:
+        """Set :attr:`waiting_for` during a wait.
+
+        A cancelled wait leaves it set, for the log line of a caller that left.
+        """
+        before, self.waiting_for = self.waiting_for, what
+        yield
+        self.waiting_for = before
+
 
 @define(eq=False)
 class CallContext:
@@ -153,10 +172,11 @@
             Monotonic time at which to give up. None to give up at once, as for a call
             that has not run: it is refused, and the caller retries.
         """
-        if until_s is not None and await self.loans.wait_for_retry(
-            call.service.name, until_s
-        ):
-            return True
+        if until_s is not None:
+            with call.waiting("retry_budget"):
+                acquired = await self.loans.wait_for_retry(call.service.name, until_s)
+            if acquired:
+                return True
         self.counters.add("calls.repeats_refused")
         self.log_event(
             call, "repeat_refused", sends=call.sends, **self.retry_budget_usage(call)
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -53,7 +53,7 @@
             organisation = call.organisation if call else None
             await self._refuse(connection, request, metadata, organisation, error)
         except (CallerGoneError, CancelledError):
-            self._log("caller_left", metadata)
+            self._caller_left(call, metadata)
             raise
 
     def _admit(
@@ -129,13 +129,37 @@
             headers.append(("Retry-After", f"{error.retry_after_s:g}"))
         await connection.answer(error.status, headers, f"{error}\n".encode())
 
+    def _caller_left(self, call: Call | None, metadata: RequestMetadata | None) -> None:
+        """Log what a caller that left had received, and what its request waited for."""
+        if call is None:
+            self._log("caller_left", metadata)
+            return
+        progress = call.progress
+        begun = progress is not None and progress.started
+        last_s = progress.last_event_s if progress and begun else call.request.arrived_s
+        self._count("caller_left")
+        if begun:
+            self._context.counters.add(f"streams.left_begun.{call.waiting_for}")
+        self._context.log_end(
+            call,
+            "caller_left",
+            begun=begun,
+            last=progress.last_event if progress else None,
+            silent_ms=round((time.monotonic() - last_s) * 1000),
+            left_ms=round(call.left_s * 1000),
+            waiting_for=call.waiting_for,
+        )
+
     def _log(
         self, event: str, metadata: RequestMetadata | None, **inputs: object
     ) -> None:
-        self._context.counters.add(f"requests.{event}")
+        self._count(event)
         known = {"id": metadata.id, "path": metadata.path} if metadata else {}
         self._context.log.info(event, **known, **inputs)
 
+    def _count(self, event: str) -> None:
+        self._context.counters.add(f"requests.{event}")
+
 
 def _priority(route: Route, organisation: Organisation | None) -> int:
     if organisation is not None and organisation.priority is not None:
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -105,7 +105,12 @@
             cannot_succeed = self._cannot_succeed(call, now_s) and not call.may_have_run
             if now_s >= until_s or cannot_succeed:
                 return None
-            await self._pause()
+            with call.waiting("path"):
+                try:
+                    await self._pause()
+                except asyncio.CancelledError:
+                    self.log_no_path(call)
+                    raise
 
     async def _pause(self) -> None:
         """Wait before the next search, longer the more calls are waiting."""
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -168,7 +168,8 @@
                 ):
                     break
             else:
-                last = await self._attempt(call, target, at_most_once)
+                with call.waiting("target"):
+                    last = await self._attempt(call, target, at_most_once)
                 if not self._should_retry(call, last, at_most_once):
                     break
                 history.record(call, target, last)
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -159,6 +159,7 @@
             + expected_answer_tokens(call) * ANSWER_RESERVE_FACTOR
         )
         attempt = PathAttempt(call, path, tokens)
+        call.progress = progress
         self._attempts.add(attempt)
         self._context.log_event(
             call,
@@ -167,6 +168,12 @@
             predicted_ms=round(path.predicted_ms),
             after=progress.last_event,
         )
+        with call.waiting("engine"):
+            return await self._outcome(attempt, progress)
+
+    async def _outcome(self, attempt: PathAttempt, progress: StreamProgress) -> Outcome:
+        """Run an attempt until its end or its interruption."""
+        call = attempt.call
         try:
             attempt.task = asyncio.ensure_future(self._run(attempt, progress))
             return await attempt.task
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -15,10 +15,18 @@
 from celeryfork_base.counters import Counters
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.call import Call, CallContext
-from celeryfork_entry.configuration import Route, Service, Stream
+from celeryfork_entry.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    Service,
+    Stream,
+)
+from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.path_selector import PathSelector
 from celeryfork_entry.peer_protocol import REMOTE_REPORT_PERIOD, PeerProtocol
+from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import EngineReport, Peer, RequestMetadata
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.stream_calls import StreamCalls
@@ -33,6 +41,10 @@
 SERVICE = Service("llm", "/healthz", 100, SHAPE)
 ANSWER_EVENTS = 12
 CALL_S = 20.0
+BACK = (4, LAYERS)
+"""Layers of the last engine of a path."""
+FRONT = (0, 4)
+"""Layers of the first engine of a path."""
 
 
 @frozen
@@ -79,6 +91,11 @@
     """The engine runs the request, and its reply is lost."""
 
 
+@frozen
+class Stall:
+    """The engine accepts the request and never replies."""
+
+
 @define
 class Engine:
     """A fake engine that follows a script, and then sends complete answers.
@@ -197,15 +214,35 @@
         await self.streams.serve(self.call(caller, request_id, CALL_S))
         return caller
 
-    def call(self, caller, request_id, left_s, shared_parts=()):
+    def request(self, request_id, left_s, shared_parts=()):
+        """Return a caller's request that :meth:`read_request` reads."""
         metadata = RequestMetadata(
             request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None,
             shared_parts or self.shared_parts,
         )  # fmt: skip
+        return SimpleNamespace(
+            arrived_s=time.monotonic(), method="POST", metadata=metadata
+        )
+
+    def dispatcher(self):
+        """Return the dispatcher, with a configuration of the trial's route."""
+        configuration = Configuration(
+            version=1,
+            routes_by_host={self.route.host: (self.route,)},
+            services_by_name={SERVICE.name: SERVICE},
+            organisation_by_key={},
+            needs_key=False,
+            limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
+        )
+        self.context.configuration = lambda: configuration
+        return Dispatcher(self.context, PlainCalls(self.context), self.streams)
+
+    def call(self, caller, request_id, left_s, shared_parts=()):
+        request = self.request(request_id, left_s, shared_parts)
         return Call(
             connection=caller,
-            request=SimpleNamespace(arrived_s=time.monotonic(), method="POST"),
-            metadata=metadata,
+            request=request,
+            metadata=request.metadata,
             route=self.route,
             service=SERVICE,
             organisation=None,
@@ -239,6 +276,8 @@
                 raise LostError("the connection ended before a reply")
             case ReplyWithError():
                 return _Reply(500, [b"its own failure"], engine)
+            case Stall():
+                return await asyncio.get_running_loop().create_future()
             case LoseReply():
                 engine.runs += 1
                 raise LostError("the connection ended before a reply")
@@ -263,6 +302,9 @@
     def forget(self, address):
         pass
 
+    def read_request(self, request):
+        return request.metadata
+
     def build_target_request(self, request, options):
         return options
 
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from contextlib import nullcontext
 from itertools import count
 from types import SimpleNamespace
 
@@ -67,6 +68,7 @@
     for engine_id in started:
         engines.record_run(engine_id)
     return SimpleNamespace(
+        waiting=nullcontext,
         service=SimpleNamespace(name="llm", model=SHAPE),
         metadata=SimpleNamespace(
             prompt_tokens=100, max_answer_tokens=50, expected_answer_tokens=0.0
--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -13,12 +13,17 @@
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
 from celeryfork_entry.stream_limits import MAX_FAILURES, MAX_SENDS, RESUME_WAIT_S
 from celeryfork_entry.targets import Listed
-from stream_trial import Caller, Fleet, Refuse, ReplyWithError, Run, Terminate, Trial
-
-BACK = (4, 8)
-"""Layers of the last engine of a path."""
-FRONT = (0, 4)
-"""Layers of the first engine of a path."""
+from stream_trial import (
+    BACK,
+    FRONT,
+    Caller,
+    Fleet,
+    Refuse,
+    ReplyWithError,
+    Run,
+    Terminate,
+    Trial,
+)
 
 
 def trial_losing_paths(**bounds):
