Entry: a request that crosses the close of a kept connection is not read

Callers saw: a request on a kept connection ended without an answer, though the process had read it, so that they could not know that it was not run. It happened at the idle timeout, and at a planned stop after a streamed answer whose head was sent before the stop.

Cause: after each end of a connection the process read on for 0.5 s and discarded the bytes, so that the last answer isn't lost to a reset. It is needed only after an answer that announced the close.

Now a close without notice leaves what arrives unread: the kernel resets the connection, and the caller sees that its request was not read.

Ruled out: half-closing and answering what comes; nothing can be sent after the half-close. Evidence: test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_read and test_a_request_after_an_answer_that_did_not_announce_the_close_is_not_discarded failed before (no error on the caller's socket) and pass now, over real sockets. test_an_answer_that_announces_the_close_survives_bytes_sent_after_it passes before and after.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -114,7 +114,8 @@
         try:
             while await self._serve_one():
                 pass
-            await self._linger()
+            if self.http.our_state is h11.MUST_CLOSE:
+                await self._linger()
         except (ConnectionError, h11.LocalProtocolError):
             self.stream.abort()
         finally:
@@ -299,7 +300,11 @@
         return h11.Response(status_code=status, headers=raw_headers(sent))
 
     async def _linger(self) -> None:
-        """Read on briefly, as closing with unread bytes would send a TCP reset."""
+        """Read on briefly, as closing with unread bytes would send a TCP reset.
+
+        Only after an answer that announced the close: a caller that had no notice can't
+        tell whether a request that is read here was run.
+        """
         if self.stream.ended or self.stream.transport is None:
             return
         if self.stream.transport.can_write_eof():
--- /dev/null
+++ b/libs/entry/tests/test_kept_connections.py
@@ -0,0 +1,150 @@
+"""Closing of kept connections: each request that is read is answered.
+
+A request that crosses the close of its connection stays unread, so that its caller sees
+a reset and knows that it was not run (issue 27).
+"""
+
+import asyncio
+import contextlib
+import errno
+import socket
+import time
+
+from celeryfork_entry.byte_stream import ByteStream
+from celeryfork_entry.caller_http import CallerConnection
+from celeryfork_entry.configuration import CallerLimits
+
+LIMITS = CallerLimits(
+    header_bytes=1000, body_bytes=500, header_timeout_s=0.3, idle_timeout_s=0.2
+)
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+UNREAD_ERRORS = {errno.ECONNRESET, errno.EPIPE}
+"""Errors of a socket whose peer has closed it without reading all bytes."""
+
+
+class Server:
+    """Answers requests; one for ``/stream`` gets an answer that ends with ``end``."""
+
+    def __init__(self):
+        self.limits = LIMITS
+        self.stopping = False
+        self.targets = []
+        self.begun = asyncio.Event()
+        self.end = asyncio.Event()
+        self.connection = None
+
+    async def handle(self, connection, request):
+        self.targets.append(request.target)
+        if request.target != "/stream":
+            await connection.answer(200, [], request.body)
+            return
+        await connection.begin_stream(200, [], b"first")
+        self.begun.set()
+        await self.end.wait()
+        await connection.end_stream()
+
+    def _make(self):
+        stream = ByteStream()
+
+        def begin():
+            self.connection = CallerConnection(
+                stream, lambda: self.limits, self.handle, lambda: self.stopping
+            )
+            self.task = asyncio.ensure_future(self.connection.serve())
+
+        asyncio.get_running_loop().call_soon(begin)
+        return stream
+
+    @contextlib.asynccontextmanager
+    async def caller(self):
+        """Return a caller with an open connection."""
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(self._make, "127.0.0.1", 0)
+        with socket.create_connection(listening.sockets[0].getsockname()) as sock:
+            sock.setblocking(False)
+            yield Caller(sock)
+        listening.close()
+
+
+class Caller:
+    def __init__(self, sock):
+        self.sock = sock
+
+    async def send(self, data):
+        await asyncio.get_running_loop().sock_sendall(self.sock, data)
+
+    async def receive(self, end=b"", within_s=2.0):
+        """Return the bytes received up to ``end``, or to the end of the connection."""
+        received = b""
+        async with asyncio.timeout(within_s):
+            while not (end and received.endswith(end)):
+                data = await asyncio.get_running_loop().sock_recv(self.sock, 65_536)
+                if not data:
+                    break
+                received += data
+        return received
+
+    async def error(self, within_s=0.3):
+        """Return the error of the socket, 0 if it has none in time."""
+        until_s = time.monotonic() + within_s
+        while time.monotonic() < until_s:
+            if error := self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return error
+            await asyncio.sleep(0.01)
+        return 0
+
+
+def run(scenario):
+    async def within_time():
+        server = Server()
+        async with asyncio.timeout(8.0), server.caller() as caller:
+            await scenario(server, caller)
+
+    asyncio.run(within_time())
+
+
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_read():
+    """It was read for half a second, discarded and never answered."""
+
+    async def scenario(server, caller):
+        assert await caller.receive() == b""
+        await caller.send(GET)
+        assert await caller.error() in UNREAD_ERRORS
+        assert server.targets == []
+
+    run(scenario)
+
+
+def test_a_request_after_an_answer_that_did_not_announce_the_close_is_not_discarded():
+    """At a planned stop it was read for half a second, discarded and never answered.
+
+    The answer had begun before the stop, so that it could not announce the close.
+    """
+
+    async def scenario(server, caller):
+        await caller.send(b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+        await server.begun.wait()
+        server.stopping = True
+        server.connection.close_when_idle()
+        server.end.set()
+        assert b"connection: close" not in (await caller.receive()).lower()
+        await caller.send(GET)
+        assert await caller.error() in UNREAD_ERRORS
+        assert server.targets == ["/stream"]
+
+    run(scenario)
+
+
+def test_an_answer_that_announces_the_close_survives_bytes_sent_after_it():
+    """Closing with unread bytes sends a reset, which discards the answer."""
+
+    async def scenario(server, caller):
+        server.stopping = True
+        await caller.send(GET)
+        await caller.send(GET)
+        await asyncio.sleep(0.05)
+        await caller.send(GET)
+        answer = await caller.receive()
+        assert answer.count(b"HTTP/1.1 200 ") == 1
+
+    run(scenario)
