Entry: a request received before the end of an unannounced last answer is answered

Callers saw: at a planned stop, a request sent while a streamed answer on its connection was still running ended without an answer.

Cause: close_when_idle closes a busy connection after its current answer, also if that answer's head was sent before and the next request had been received meanwhile.

The next request is now answered, and that answer announces the close.

Evidence: test_a_request_received_before_the_end_of_such_an_answer_is_answered failed before (one answer instead of two) and passes now.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -135,13 +135,18 @@
             await self._handle_until_closed(request)
         finally:
             self.busy = False
-        if self._close_after or self.http.our_state is not h11.DONE:
+        if {self.http.our_state, self.http.their_state} != {h11.DONE}:
             return False
-        if self.http.their_state is not h11.DONE:
+        if self._close_after and not self._has_unread_bytes:
             return False
         self.http.start_next_cycle()
         return True
 
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return True if part of the next request has been received."""
+        return bool(self.stream.unread or self.http.trailing_data[0])
+
     async def _handle_until_closed(self, request: CallerRequest) -> None:
         handling = asyncio.ensure_future(self.handle(self, request))
         if self.stream.ended:
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -135,6 +135,23 @@
     run(scenario)
 
 
+def test_a_request_received_before_the_end_of_such_an_answer_is_answered():
+    async def scenario(server, caller):
+        await caller.send(b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+        await server.begun.wait()
+        server.stopping = True
+        server.connection.close_when_idle()
+        await caller.send(GET)
+        await asyncio.sleep(0.05)
+        server.end.set()
+        answer = await caller.receive()
+        assert answer.count(b"HTTP/1.1 200 ") == 2
+        assert b"connection: close" in answer.lower()
+        assert server.targets == ["/stream", "/a"]
+
+    run(scenario)
+
+
 def test_an_answer_that_announces_the_close_survives_bytes_sent_after_it():
     """Closing with unread bytes sends a reset, which discards the answer."""
 
