Admission: crash evidence counts an engine's end once, and relays can forward it

Cause: an engine's end with many runs that begin to write counted each of them, so that one end convicted a part that they share. Times that went round between instances never grew old, as each message makes them look later by its transit.

Change: record_crash takes engine_end; runs on it count once together, here and at the peers. Two times within half a second are one. forwards lets a relay announce what it merged.

Weighed: joining crashes that are close in time needs no id, but the eight newest records of a trait would then be those of one end, and merges depend on their order.

--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -1,18 +1,19 @@
 """Evidence of what crashes engines, shared by instances, and its judgement.
 
 A crash is counted against the traits of each run that was beginning to write on the
-engine. Innocent traits are soon cleared by sound runs that share them. One that stays
-suspected runs as a probe, one at a time in the fleet as far as messages tell, and is
-refused when enough crashes are counted.
+engine. Innocent traits are soon cleared by sound runs that share them. Requests with
+one that stays suspected run as probes, one at a time in the fleet as far as messages
+tell, and are refused when enough crashes are counted.
 """
 
 import time
 from collections.abc import Callable, Iterable
-from enum import Enum
+from typing import Any
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from celeryfork_admission.crash_records import (
+    ECHO_S,
     FIRST_HOLD_S,
     MAX_CRASHES,
     MAX_HOLD_S,
@@ -20,9 +21,14 @@
     CrashRecord,
     TraitRecord,
     latest,
-    merge_records,
 )
+from celeryfork_admission.judgement import CLEAR, Judgement, Verdict, judge_record
 from celeryfork_admission.probes import PROBE_S, Probes
+from celeryfork_admission.trait_records import (
+    MAX_TRAITS,
+    RECORD_TTL_S,
+    TraitRecords,
+)
 from celeryfork_admission.traits import (
     MAX_VALUE_CHARS,
     Trait,
@@ -33,9 +39,11 @@
 )
 
 __all__ = [
+    "ECHO_S",
     "FIRST_HOLD_S",
     "MAX_CRASHES",
     "MAX_HOLD_S",
+    "MAX_RUNS",
     "MAX_SOUND",
     "MAX_TRAITS",
     "MAX_VALUE_CHARS",
@@ -55,49 +63,18 @@
     "make_trait",
 ]
 
-RECORD_TTL_S = 7200.0
-MAX_TRAITS = 1_000
 MAX_SOUND = 10_000
-DROPPED_TOGETHER = 50
-"""Records dropped at once beyond ``MAX_TRAITS``, since each drop sorts them all."""
-
-
-class Verdict(Enum):
-    """What may be done with a request."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    """May run as a probe."""
-    REFUSE = "refuse"
-
-
-@frozen
-class Judgement:
-    """Verdict on a request.
-
-    Parameters
-    ----------
-    trait
-        The trait that decided; None if the request is clear.
-    crashes
-        Crashes counted against it, of all organisations.
-    retry_after_s
-        Seconds until the next probe may begin.
-    """
-
-    verdict: Verdict
-    trait: Trait | None = None
-    crashes: int = 0
-    retry_after_s: float = 0.0
-
-
-CLEAR = Judgement(Verdict.CLEAR)
+MAX_RUNS = 1_000
 
 
 def _ignore_change() -> None:
     pass
 
 
+def _never() -> bool:
+    return False
+
+
 @define
 class CrashEvidence:
     """What this instance knows of traits, by its own runs and its peers' records.
@@ -106,17 +83,20 @@
     ----------
     on_change
         Called when records have changed that peers lack; see :meth:`take_changes`.
+    forwards
+        Returns True if this instance forwards its peers' news, as a relay does: they
+        are then changes too, each once.
     """
 
     _clock: Callable[[], float]
     on_change: Callable[[], None] = _ignore_change
-    _record_by_trait: dict[Trait, TraitRecord] = field(factory=dict)
-    _sound_s_by_trait: dict[Trait, float] = field(factory=dict)
+    forwards: Callable[[], bool] = _never
+    _records: TraitRecords = field(factory=TraitRecords)
     _probes: Probes = field(factory=Probes)
+    _sound_s_by_trait: dict[Trait, float] = field(factory=dict)
+    _traits_by_run: dict[str, set[Trait]] = field(factory=dict)
+    """Those against which a run was counted."""
     _changed: dict[Trait, None] = field(factory=dict)
-    _turn_by_trait: dict[Trait, int] = field(factory=dict)
-    _turn: int = 0
-    _suspect_services: frozenset[str] | None = frozenset()
 
     def record_crash(
         self,
@@ -125,6 +105,7 @@
         organisation: str | None,
         *,
         probe: bool,
+        engine_end: str | None = None,
     ) -> tuple[Trait, ...]:
         """Count an engine's crash against the traits of a run that began to write.
 
@@ -134,12 +115,16 @@
         Parameters
         ----------
         run
-            Id of the run, unique in the fleet; it counts once, however many engines
+            Id of the run, another for each send; it counts once, however many engines
             it ended.
         organisation
             Organisation of the caller, if known.
         probe
             True if the run was a probe.
+        engine_end
+            Id of the engine's end, the same at all instances, such as the engine's id
+            and start. All runs on it with a trait count once together, since one crash
+            has one cause; without it each run counts.
 
         Returns
         -------
@@ -147,19 +132,20 @@
             The traits against which it was counted.
         """
         now_s = self._clock()
-        crash = CrashRecord(run, organisation, now_s, probe)
+        crash = CrashRecord(engine_end or run, organisation, now_s, probe)
         suspects = [each for each in traits if not self._is_sound(each, now_s)]
         convicted = [
             each
             for each in suspects
-            if (record := self._live_record(each, now_s))
-            and record.conviction_s(organisation) is not None
+            if (record := self._records.get(each, now_s))
+            and record.hold_end_s(organisation) is not None
         ]
         counted = []
         for trait in convicted or suspects:
-            record = self._record(trait)
-            if not record.has_run(run):
-                self._store(record.with_crash(crash))
+            record = self._known(trait, now_s)
+            merged = record.with_crash(crash)
+            if merged.crashes != record.crashes and self._add_run(run, trait):
+                self._records.store(merged)
                 counted.append(trait)
         self._announce(counted)
         return tuple(counted)
@@ -171,14 +157,16 @@
         for trait in traits:
             if trait.kind is TraitKind.PART:
                 self._keep_sound(trait, now_s)
-            record = self._record_by_trait.get(trait)
+            if not self._records:
+                continue
+            record = self._records.get(trait, now_s)
             if record is None:
                 continue
             if record.crashes:
-                self._store(record.with_sound(now_s))
+                self._records.store(record.with_sound(now_s))
                 cleared.append(trait)
             else:
-                self._record_by_trait[trait] = evolve(record, sound_s=now_s)
+                self._records.renew_sound(record, now_s)
         self._announce(cleared)
 
     def has_unknown(self, traits: Iterable[Trait]) -> bool:
@@ -187,25 +175,26 @@
         A run with such a part may be what crashes its engine.
         """
         horizon_s = self._clock() - SOUND_TTL_S
-        sound_s_by_trait = self._sound_s_by_trait
         for trait in traits:
             if trait.kind is TraitKind.PART:
-                sound_s = sound_s_by_trait.get(trait)
+                sound_s = self._sound_s_by_trait.get(trait)
                 if sound_s is None or sound_s < horizon_s:
                     return True
         return False
 
     def judge(self, traits: Iterable[Trait], organisation: str | None) -> Judgement:
         """Return whether a request may run, by the worst of its traits."""
-        if not self._record_by_trait:
-            return CLEAR
         worst = CLEAR
+        if not self._records:
+            return worst
+        now_s = self._clock()
         for trait in traits:
-            record = self._record_by_trait.get(trait)
-            if record is not None and record.crashes:
-                judgement = self._judge_record(record, organisation)
-                if _severity(judgement) > _severity(worst):
-                    worst = judgement
+            record = self._records.get(trait, now_s)
+            if record is None or not record.crashes:
+                continue
+            probe_left_s = self._probes.left_s(record, now_s)
+            judgement = judge_record(record, organisation, now_s, probe_left_s)
+            worst = max(worst, judgement, key=lambda each: each.severity)
         return worst
 
     def begin_probe(self, traits: Iterable[Trait], run: str) -> bool:
@@ -220,14 +209,14 @@
         records = [
             record
             for trait in traits
-            if (record := self._live_record(trait, now_s)) and record.suspected
+            if (record := self._records.get(trait, now_s)) and record.is_suspected
         ]
         if self._probes.is_running(run) or not records:
             return True
         if any(self._probes.left_s(each, now_s) > 0 for each in records):
             return False
         for record in records:
-            self._store(evolve(record, probe_s=now_s))
+            self._records.store(evolve(record, probe_s=now_s))
         probed = [each.trait for each in records]
         self._probes.begin(run, probed, now_s)
         self._announce(probed)
@@ -246,49 +235,45 @@
             True if it was suspected here.
         """
         now_s = self._clock()
-        record = self._record(trait)
+        record = self._known(trait, now_s)
         if trait.kind is TraitKind.PART:
             self._keep_sound(trait, now_s)
-        self._store(record.with_sound(now_s))
+        self._records.store(record.with_sound(now_s))
         self._announce([trait])
         return bool(record.crashes)
 
     def has_request_suspects(self, service: str) -> bool:
         """Return True if a request's own trait has crashes at a service."""
-        if self._suspect_services is None:
-            self._suspect_services = frozenset(
-                trait.service
-                for trait, record in self._record_by_trait.items()
-                if trait.kind is TraitKind.REQUEST and record.crashes
-            )
-        return service in self._suspect_services
+        return self._records.has_request_suspects(service)
 
     def merge(self, records: Iterable[TraitRecord]) -> None:
         """Add records of a peer; their order and repetition don't matter.
 
-        Suspicion of a part that was sound here is answered: the peer gets this
+        Suspicion of a trait that was sound here is answered: the peer gets this
         instance's record by :meth:`take_changes`.
         """
         now_s = self._clock()
-        answered = []
+        forwards = self.forwards()
+        announced = []
         for received in records:
             if received.news_s <= now_s - RECORD_TTL_S:
                 continue
             trait = received.trait
-            # Leaves out the crashes that the peer's own sound runs discard.
-            received = merge_records(received, TraitRecord(trait))
-            merged = merge_records(self._record(trait), received)
-            self._store(merged)
+            known = self._known(trait, now_s)
+            merged = known.merge(received)
+            if merged != self._records.get(trait, now_s):
+                self._records.store(merged)
             if merged.sound_s is not None and trait.kind is TraitKind.PART:
                 self._keep_sound(trait, merged.sound_s)
-            if received.with_sound(merged.sound_s).crashes != received.crashes:
-                answered.append(trait)
-        self._announce(answered)
+            if _answers(merged, received) or (forwards and _has_news(known, merged)):
+                announced.append(trait)
+        self._announce(announced)
 
     def take_changes(self) -> list[TraitRecord]:
         """Return the records changed here since the last call, to be sent at once."""
         changed, self._changed = self._changed, {}
-        records = (self._record_by_trait.get(trait) for trait in changed)
+        now_s = self._clock()
+        records = (self._records.get(trait, now_s) for trait in changed)
         return [record for record in records if record is not None]
 
     def records(self, limit: int) -> list[TraitRecord]:
@@ -300,86 +285,31 @@
             Most records. Half are those with the newest evidence, suspected ones first;
             the others take turns.
         """
-        self._drop_expired()
-        ranked = sorted(
-            self._record_by_trait.values(),
-            key=lambda each: (bool(each.crashes), each.news_s),
-            reverse=True,
-        )
-        if len(ranked) > limit:
-            newest = limit // 2
-            rest = sorted(
-                ranked[newest:], key=lambda each: self._turn_by_trait.get(each.trait, 0)
-            )
-            ranked = ranked[:newest] + rest[: limit - newest]
-        self._turn += 1
-        self._turn_by_trait.update((each.trait, self._turn) for each in ranked)
-        return ranked
+        return self._records.select(limit, self._clock())
 
     def dump(self) -> list[dict[str, object]]:
         """Return all records for the state dump, with ages in seconds."""
-        self._drop_expired()
-        now_s = self._clock()
-        return [each.describe(now_s) for each in self._record_by_trait.values()]
-
-    def _judge_record(self, record: TraitRecord, organisation: str | None) -> Judgement:
         now_s = self._clock()
-        crashes = len(record.crashes)
-        if record.news_s <= now_s - RECORD_TTL_S:
-            return CLEAR
-        end_s = record.conviction_s(organisation)
-        if end_s is not None and end_s > now_s:
-            return Judgement(Verdict.REFUSE, record.trait, crashes, end_s - now_s)
-        if not record.suspected:
-            return CLEAR
-        left_s = self._probes.left_s(record, now_s)
-        return Judgement(Verdict.SUSPECT, record.trait, crashes, left_s)
+        return [each.describe(now_s) for each in self._records.all(now_s)]
 
     def _is_sound(self, trait: Trait, now_s: float) -> bool:
-        record = self._record_by_trait.get(trait)
-        sound_s = latest(
-            self._sound_s_by_trait.get(trait), record.sound_s if record else None
-        )
+        sound_s = self._known(trait, now_s).sound_s
         return sound_s is not None and sound_s >= now_s - SOUND_TTL_S
 
-    def _record(self, trait: Trait) -> TraitRecord:
-        """Return what is known of a trait, as a record."""
-        record = self._live_record(trait, self._clock()) or TraitRecord(trait)
-        return record.with_sound(self._sound_s_by_trait.get(trait))
-
-    def _live_record(self, trait: Trait, now_s: float) -> TraitRecord | None:
-        record = self._record_by_trait.get(trait)
-        if record is not None and record.news_s <= now_s - RECORD_TTL_S:
-            return None
-        return record
-
-    def _store(self, record: TraitRecord) -> None:
-        self._record_by_trait[record.trait] = record
-        self._suspect_services = None
-        if len(self._record_by_trait) > MAX_TRAITS:
-            by_rank = sorted(
-                self._record_by_trait.values(),
-                key=lambda each: (each.convicted, each.news_s),
-            )
-            for each in by_rank[:DROPPED_TOGETHER]:
-                self._drop(each.trait)
-
-    def _drop(self, trait: Trait) -> None:
-        del self._record_by_trait[trait]
-        self._probes.forget(trait)
-        self._turn_by_trait.pop(trait, None)
-        self._changed.pop(trait, None)
-        self._suspect_services = None
-
-    def _drop_expired(self) -> None:
-        horizon_s = self._clock() - RECORD_TTL_S
-        expired = [
-            trait
-            for trait, record in self._record_by_trait.items()
-            if record.news_s <= horizon_s
-        ]
-        for trait in expired:
-            self._drop(trait)
+    def _known(self, trait: Trait, now_s: float) -> TraitRecord:
+        """Return what is known of any trait, as a record."""
+        record = self._records.get(trait, now_s) or TraitRecord(trait)
+        sound_s = self._sound_s_by_trait.get(trait)
+        return record if sound_s is None else record.with_sound(sound_s)
+
+    def _add_run(self, run: str, trait: Trait) -> bool:
+        """Add that a run counts against a trait; return False if it did before."""
+        traits = self._traits_by_run.setdefault(run, set())
+        if trait in traits:
+            return False
+        traits.add(trait)
+        _drop_oldest(self._traits_by_run, MAX_RUNS)
+        return True
 
     def _keep_sound(self, trait: Trait, sound_s: float) -> None:
         """Keep when a part was sound, the latest at the end."""
@@ -388,20 +318,33 @@
             return
         self._sound_s_by_trait.pop(trait, None)
         self._sound_s_by_trait[trait] = sound_s
-        if len(self._sound_s_by_trait) > MAX_SOUND:
-            del self._sound_s_by_trait[next(iter(self._sound_s_by_trait))]
+        _drop_oldest(self._sound_s_by_trait, MAX_SOUND)
 
-    def _announce(self, traits: Iterable[Trait]) -> None:
-        changed = dict.fromkeys(traits)
-        if changed:
-            self._changed.update(changed)
+    def _announce(self, traits: list[Trait]) -> None:
+        if traits:
+            self._changed.update(dict.fromkeys(traits))
+            _drop_oldest(self._changed, MAX_TRAITS)
             self.on_change()
 
 
-def _severity(judgement: Judgement) -> tuple[int, float, int]:
-    order = (Verdict.CLEAR, Verdict.SUSPECT, Verdict.REFUSE)
-    rank = order.index(judgement.verdict)
-    return rank, judgement.retry_after_s, judgement.crashes
+def _answers(merged: TraitRecord, received: TraitRecord) -> bool:
+    """Return True if this instance's sound runs discard crashes of a peer's record."""
+    believed = received.with_sound(received.sound_s)
+    return believed.with_sound(merged.sound_s).crashes != believed.crashes
+
+
+def _has_news(known: TraitRecord, merged: TraitRecord) -> bool:
+    """Return True if a merge has added more than other times of what was known."""
+    runs = [{each.run for each in record.crashes} for record in (known, merged)]
+    probe_s = merged.open_probe_s
+    has_new_probe = probe_s is not None and latest(probe_s, known.probe_s) == probe_s
+    return runs[0] != runs[1] or (has_new_probe and probe_s != known.probe_s)
+
+
+def _drop_oldest(value_by_key: dict[Any, Any], limit: int) -> None:
+    """Drop the keys added first, beyond a limit."""
+    while len(value_by_key) > limit:
+        del value_by_key[next(iter(value_by_key))]
 
 
 def make_crash_evidence(
--- a/libs/admission/src/celeryfork_admission/crash_records.py
+++ b/libs/admission/src/celeryfork_admission/crash_records.py
@@ -1,8 +1,9 @@
 """Records of crashes by trait, as instances exchange them, and what they prove."""
 
+import math
 from collections.abc import Iterable
 
-from attrs import evolve, frozen
+from attrs import frozen
 
 from celeryfork_admission.traits import Trait, TraitKind
 
@@ -13,16 +14,19 @@
 SOUND_TTL_S = 60.0
 FIRST_HOLD_S = 60.0
 MAX_HOLD_S = 3600.0
+ECHO_S = 0.5
+"""Two times so close are one, reported twice. Each message makes a time look later by
+its transit, so that a record sent round and round would otherwise never grow old."""
 
 
 @frozen
 class CrashRecord:
-    """An engine's crash while a run with the trait began to write on it.
+    """An engine's crash while runs with the trait began to write on it.
 
     Parameters
     ----------
     run
-        Id of the run, unique in the fleet.
+        Id of the run, or of the engine's end where it is known, unique in the fleet.
     organisation
         Organisation of the caller, if known.
     at_s
@@ -65,41 +69,66 @@
     @property
     def news_s(self) -> float:
         """Time of the newest evidence, in seconds of the monotonic clock."""
-        crash_s = self.crashes[-1].at_s if self.crashes else None
-        return latest(crash_s, self.sound_s, self.probe_s) or 0.0
+        news_s = self.crashes[-1].at_s if self.crashes else -math.inf
+        if self.sound_s is not None and self.sound_s > news_s:
+            news_s = self.sound_s
+        if self.probe_s is not None and self.probe_s > news_s:
+            news_s = self.probe_s
+        return news_s
+
+    def merge(self, other: "TraitRecord") -> "TraitRecord":
+        """Return what this record and another one of the trait say together.
+
+        The order of merges doesn't matter, but for times closer than ``ECHO_S``. A
+        crash doesn't count if the trait was sound after it, or within ``SOUND_TTL_S``
+        before it.
+        """
+        sound_s = _merge_times(self.sound_s, other.sound_s)
+        crash_by_run: dict[str, CrashRecord] = {}
+        for each in (*self.crashes, *other.crashes):
+            known = crash_by_run.setdefault(each.run, each)
+            crash_by_run[each.run] = _merge_crashes(known, each)
+        counted = [
+            each
+            for each in crash_by_run.values()
+            if sound_s is None or each.at_s > sound_s + SOUND_TTL_S
+        ]
+        counted.sort(key=lambda each: (each.at_s, each.run))
+        return TraitRecord(
+            self.trait,
+            tuple(counted[-MAX_CRASHES:]),
+            sound_s,
+            _merge_times(self.probe_s, other.probe_s),
+        )
 
     def with_crash(self, crash: CrashRecord) -> "TraitRecord":
         """Return the record with one more crash."""
-        return merge_records(self, TraitRecord(self.trait, (crash,)))
+        return self.merge(TraitRecord(self.trait, (crash,)))
 
     def with_sound(self, sound_s: float | None) -> "TraitRecord":
         """Return the record with a later time at which the trait was sound."""
-        return merge_records(self, TraitRecord(self.trait, sound_s=sound_s))
-
-    def has_run(self, run: str) -> bool:
-        """Return True if a crash of the run is counted."""
-        return any(each.run == run for each in self.crashes)
+        return self.merge(TraitRecord(self.trait, sound_s=sound_s))
 
     @property
-    def suspected(self) -> bool:
+    def is_suspected(self) -> bool:
         """True if requests with the trait may only run as probes, for some callers.
 
         A request's own trait isn't below conviction: innocent requests are on crashed
         engines too, and a request that isn't repeated crashes no more engines.
         """
         if self.trait.kind is TraitKind.REQUEST:
-            return self.conviction_s(None) is not None
+            return self.hold_end_s(None) is not None
         return bool(self.crashes)
 
     @property
-    def convicted(self) -> bool:
+    def is_convicted(self) -> bool:
         """True if any caller's requests with the trait are or were refused."""
-        if sum(each.weight for each in self.crashes) < CONVICTION_WEIGHT:
+        if len(self.crashes) * PROBE_WEIGHT < CONVICTION_WEIGHT:
             return False
         organisations = {each.organisation for each in self.crashes}
-        return any(self.conviction_s(each) is not None for each in organisations)
+        return any(self.hold_end_s(each) is not None for each in organisations)
 
-    def conviction_s(self, organisation: str | None) -> float | None:
+    def hold_end_s(self, organisation: str | None) -> float | None:
         """Return when a conviction's hold ends for an organisation; None if none.
 
         A part is convicted for an organisation by that organisation's crashes, and for
@@ -108,18 +137,18 @@
         one, since any organisation can also come without its key.
         """
         if self.trait.kind is TraitKind.REQUEST:
-            return hold_end_s(self.crashes)
+            return _hold_end_s(self.crashes)
         own = [each for each in self.crashes if each.organisation == organisation]
-        end_s = hold_end_s(own)
+        end_s = _hold_end_s(own)
         known = {each.organisation for each in self.crashes} - {None}
         if len(known) >= 2:
-            end_s = latest(end_s, hold_end_s(self.crashes))
+            end_s = latest(end_s, _hold_end_s(self.crashes))
         return end_s
 
     @property
     def open_probe_s(self) -> float | None:
         """Time at which the last probe began; None if its outcome is known."""
-        if self.probe_s is None or (self.sound_s or 0.0) >= self.probe_s:
+        if self.probe_s is None or latest(self.sound_s, self.probe_s) == self.sound_s:
             return None
         crashed = any(each.probe and each.at_s >= self.probe_s for each in self.crashes)
         return None if crashed else self.probe_s
@@ -130,7 +159,7 @@
             "service": self.trait.service,
             "kind": self.trait.kind.value,
             "value": self.trait.value,
-            "convicted": self.convicted,
+            "convicted": self.is_convicted,
             "sound_age_s": _age_s(self.sound_s, now_s),
             "probe_age_s": _age_s(self.probe_s, now_s),
             "crashes": [
@@ -150,7 +179,7 @@
     return max((each for each in times_s if each is not None), default=None)
 
 
-def hold_end_s(crashes: Iterable[CrashRecord]) -> float | None:
+def _hold_end_s(crashes: Iterable[CrashRecord]) -> float | None:
     """Return when the hold of a conviction ends; None if the crashes don't convict.
 
     The hold doubles with each crash after its end, which is one of a new probe. A crash
@@ -166,41 +195,36 @@
         weight += each.weight
         if weight < CONVICTION_WEIGHT:
             continue
-        if end_s is not None and each.at_s >= end_s:
+        if end_s is not None and each.at_s > end_s - ECHO_S:
             hold_s = min(2 * hold_s, MAX_HOLD_S)
         end_s = each.at_s + hold_s
     return end_s
 
 
-def merge_records(one: TraitRecord, other: TraitRecord) -> TraitRecord:
-    """Return what two records of a trait say together.
+def _merge_crashes(one: CrashRecord, other: CrashRecord) -> CrashRecord:
+    """Return what two reports of a crash say together.
 
-    The order of merges doesn't matter. Messages make a crash look later than it was, by
-    the time of their transit, so that of one run's records the earliest is kept.
-    A crash doesn't count if the trait was sound after it or within ``SOUND_TTL_S``
-    before it.
+    The earlier time has had the shorter transit. The organisation is any of them, as
+    long as all instances choose the same.
     """
-    sound_s = latest(one.sound_s, other.sound_s)
-    crash_by_run: dict[str, CrashRecord] = {}
-    for each in (*one.crashes, *other.crashes):
-        known = crash_by_run.setdefault(each.run, each)
-        crash_by_run[each.run] = min(known, each, key=_crash_order)
-    counted = [
-        each
-        for each in crash_by_run.values()
-        if sound_s is None or each.at_s > sound_s + SOUND_TTL_S
+    if one == other:
+        return one
+    known = [
+        each for each in (one.organisation, other.organisation) if each is not None
     ]
-    counted.sort(key=_crash_order)
-    return evolve(
-        one,
-        crashes=tuple(counted[-MAX_CRASHES:]),
-        sound_s=sound_s,
-        probe_s=latest(one.probe_s, other.probe_s),
+    return CrashRecord(
+        one.run,
+        min(known, default=None),
+        min(one.at_s, other.at_s),
+        one.probe or other.probe,
     )
 
 
-def _crash_order(crash: CrashRecord) -> tuple[float, str, str, bool]:
-    return crash.at_s, crash.run, crash.organisation or "", not crash.probe
+def _merge_times(one_s: float | None, other_s: float | None) -> float | None:
+    if one_s is None or other_s is None:
+        return latest(one_s, other_s)
+    pick = min if abs(one_s - other_s) <= ECHO_S else max
+    return pick(one_s, other_s)
 
 
 def _age_s(at_s: float | None, now_s: float) -> float | None:
--- a/libs/admission/src/celeryfork_admission/probes.py
+++ b/libs/admission/src/celeryfork_admission/probes.py
@@ -27,10 +27,16 @@
 
     def begin(self, run: str, traits: Iterable[Trait], now_s: float) -> None:
         """Add a probe."""
+        horizon_s = now_s - PROBE_S
         self._probe_by_run = {
             each: probe
             for each, probe in self._probe_by_run.items()
-            if now_s < probe.began_s + PROBE_S
+            if probe.began_s > horizon_s
+        }
+        self._ended_s_by_trait = {
+            trait: began_s
+            for trait, began_s in self._ended_s_by_trait.items()
+            if began_s > horizon_s
         }
         self._probe_by_run[run] = _Probe(tuple(traits), now_s)
 
@@ -55,7 +61,3 @@
         if began_s is None or (ended_s is not None and began_s <= ended_s):
             return 0.0
         return max(0.0, began_s + PROBE_S - now_s)
-
-    def forget(self, trait: Trait) -> None:
-        """Drop what is kept of a trait."""
-        self._ended_s_by_trait.pop(trait, None)
