Entry: evidence of crashes travels in the peers' messages

Cause: each instance knew only its own crashes, so that each of a fleet lets a deadly part of a prompt end some engines before it refuses it.

Change: reports and digests carry records of the evidence (field `crashes`). Changed records are sent at once over the relays, each once unless it changed; the lead relay sends suspected ones again each 2 s, to its domain and to one relay of each other domain, and the other instances tell what the relays don't repeat. A peer that knows a part to be sound answers. The dump and two gauges show the evidence, and POST /crash-evidence/clear frees a part by hand, at the address for peers only, since the ready and metrics addresses may be open to callers.

Weighed: the evidence announces what was found here and answers, not what it merged, so a relay queues what it received and CrashExchange decides what others lack. That compares runs, not times: each message makes a mark newer by its transit, and would be news for ever. Relays gather for 50 ms, or each crash that many instances find gives as many messages from each relay. Cleared traits aren't sent again, which would cost 2 KB/s for two hours after each crash; who still suspects one says so and is answered. Evidence goes in digests without loads, since these may fill a datagram.

--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 from attrs import define, field
+from celeryfork_admission.crash_evidence import CrashEvidence, make_crash_evidence
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import CeleryforkError
@@ -15,7 +16,7 @@
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.call import CallContext
-from celeryfork_entry.caller_http import CallerConnection
+from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.configuration import CallerLimits, Configuration
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.dispatcher import Dispatcher
@@ -84,6 +85,7 @@
     table: TargetTable = field(factory=TargetTable)
     connections: TargetConnections = field(factory=TargetConnections)
     loads: EngineLoads = field(factory=EngineLoads)
+    crash_evidence: CrashEvidence = field(factory=make_crash_evidence)
     _callers: set[CallerConnection] = field(factory=set)
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
     _tasks: set[asyncio.Future[object]] = field(factory=set)
@@ -182,6 +184,7 @@
             self.loads, self.roster, self.counters, self._histograms,
             ready=lambda: self.ready, stopping=lambda: self.stopping,
             callers=lambda: len(self._callers),
+            crash_evidence=self.crash_evidence, log=self.log,
         )  # fmt: skip
         self._store_follower.on_change = self._peers.announce_changes
         self._peers.list_state = self._store_follower.list_state
@@ -190,6 +193,13 @@
         self._peers.on_layers = self._record_peer_layers
         self._peers.speeds = lambda: self.table.speeds.own_slow(time.monotonic())
         self._peers.on_speed = self._checks.record_speed
+        self._share_crash_evidence()
+
+    def _share_crash_evidence(self) -> None:
+        self.crash_evidence.on_change = self._peers.announce_crashes
+        self._peers.crashes = self.crash_evidence.records
+        self._peers.crash_changes = self.crash_evidence.take_changes
+        self._peers.on_crashes = self.crash_evidence.merge
 
     @property
     def configuration(self) -> Configuration | None:
@@ -314,11 +324,18 @@
             self._callers.discard(connection)
 
     async def _serve_status(self, stream: ByteStream) -> None:
+        await self._serve_requests(stream, self._status_endpoints.answer)
+
+    async def _serve_peer(self, stream: ByteStream) -> None:
+        await self._serve_requests(stream, self._status_endpoints.answer_peer)
+
+    async def _serve_requests(
+        self,
+        stream: ByteStream,
+        answer: Callable[[CallerConnection, CallerRequest], Awaitable[None]],
+    ) -> None:
         await CallerConnection(
-            stream,
-            lambda: DEFAULT_LIMITS,
-            self._status_endpoints.answer,
-            lambda: self.stopping,
+            stream, lambda: DEFAULT_LIMITS, answer, lambda: self.stopping
         ).serve()
 
     def apply(self, settings: EntrySettings) -> None:
@@ -344,7 +361,7 @@
         return budget
 
     async def _listen_for_peers(self) -> None:
-        await self._listen(self.settings.peer_address, self._serve_status)
+        await self._listen(self.settings.peer_address, self._serve_peer)
         host, _, port = self.settings.peer_address.rpartition(":")
         try:
             await asyncio.get_running_loop().create_datagram_endpoint(
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -9,20 +9,39 @@
 import time
 from collections.abc import Mapping, Sequence
 from enum import Enum
+from math import ceil, floor
 from typing import Any
 
 from attrs import field, frozen
+from celeryfork_admission.crash_evidence import (
+    MAX_CRASHES,
+    MAX_VALUE_CHARS,
+    CrashRecord,
+    Trait,
+    TraitKind,
+    TraitRecord,
+)
 from celeryfork_routing.engine_loads import Load
 from celeryfork_routing.layers import LayerRange
 from orjson import dumps, loads
 
 from celeryfork_entry.engine_speeds import Speed
-from celeryfork_entry.field_parsers import parse_address, parse_finite_float, parse_int
+from celeryfork_entry.field_parsers import (
+    parse_address,
+    parse_finite_float,
+    parse_int,
+    parse_text,
+)
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.target_health import ReportedLayers
 
 MAX_LOAN_RETRIES = 256
 """Maximum number of retries that one datagram requests or lends."""
+MAX_CRASH_RECORDS = 32
+"""Maximum number of records of crash evidence in one datagram."""
+MAX_NAME_CHARS = 200
+"""Maximum length of the name of a service, an organisation or a run in crash evidence;
+what has a longer one is left out, as peers reject the whole datagram."""
 DownEngine = tuple[str, int | None]
 """Id of an engine that is down, and its wall-clock start in ms, None if unknown."""
 
@@ -48,6 +67,9 @@
         Engines that were just found to be down.
     speeds
         Speeds of engines that are slow or were slow recently, by engine.
+    crashes
+        Evidence of what requests that crash engines have in common, at most
+        ``MAX_CRASH_RECORDS``.
     """
 
     sender: Peer
@@ -57,6 +79,7 @@
     layers: Mapping[str, ReportedLayers]
     down: Sequence[DownEngine]
     speeds: Mapping[str, Speed]
+    crashes: Sequence[TraitRecord] = field(default=(), kw_only=True)
 
 
 @frozen
@@ -184,6 +207,11 @@
     )
 
 
+def crash_rows_size(records: Sequence[TraitRecord]) -> int:
+    """Return the number of bytes that records of crash evidence take in a datagram."""
+    return len(dumps(_crash_rows(records)))
+
+
 def decode(data: bytes) -> Message:
     """Return the message of a datagram.
 
@@ -242,6 +270,7 @@
 
 def _common_fields(message: PeerMessage) -> dict[str, Any]:
     sender = message.sender
+    crashes = _crash_rows(message.crashes)
     return {
         "from": sender.name,
         "at": sender.address,
@@ -253,6 +282,7 @@
         "loads": None if message.loads is None else _load_rows(message.loads),
         "down": message.down,
         "speeds": {key: _speed_row(speed) for key, speed in message.speeds.items()},
+        **({"crashes": crashes} if crashes else {}),
     }
 
 
@@ -276,6 +306,7 @@
         "speeds": {
             str(key): _parse_speed(row) for key, row in fields.get("speeds", {}).items()
         },
+        "crashes": _parse_crashes(fields.get("crashes", [])),
     }
 
 
@@ -335,6 +366,87 @@
     raise ValueError(f"malformed speed of an engine: {row!r}")
 
 
+def _crash_rows(records: Sequence[TraitRecord]) -> list[list[Any]]:
+    """Return service, kind, value, crashes and the ages of the marks, by record."""
+    rows = []
+    for record in records:
+        crashes = [
+            [crash.run, crash.organisation, _crash_age_ms(crash), crash.probe]
+            for crash in record.crashes
+            if _is_name(crash.run) and _is_organisation(crash.organisation)
+        ]
+        marks = [_mark_age_ms(record.sound_s), _mark_age_ms(record.probe_s)]
+        trait = record.trait
+        if _is_name(trait.service) and (crashes or marks != [None, None]):
+            rows.append([trait.service, trait.kind.value, trait.value, crashes, *marks])
+    return rows
+
+
+def _parse_crashes(rows: Any) -> tuple[TraitRecord, ...]:
+    if not isinstance(rows, list) or len(rows) > MAX_CRASH_RECORDS:
+        raise ValueError("the crash evidence in a datagram is no list, or is too long")
+    return tuple(_parse_trait_record(row) for row in rows)
+
+
+def _parse_trait_record(row: Any) -> TraitRecord:
+    match row:
+        case [service, kind, str(value), [*crashes], sound_ms, probe_ms] if (
+            _is_name(service)
+            and 0 < len(value) <= MAX_VALUE_CHARS
+            and value.isascii()
+            and value.isprintable()
+            and len(crashes) <= MAX_CRASHES
+        ):
+            return TraitRecord(
+                Trait(service, TraitKind(kind), value),
+                tuple(sorted(map(_parse_crash, crashes), key=_crash_time_s)),
+                _parse_age(sound_ms),
+                _parse_age(probe_ms),
+            )
+    raise ValueError(f"malformed crash evidence: {row!r}")
+
+
+def _parse_crash(row: Any) -> CrashRecord:
+    match row:
+        case [run, organisation, int(age_ms), bool(probe)] if _is_name(
+            run
+        ) and _is_organisation(organisation):
+            return CrashRecord(run, organisation, _at_s(parse_int(age_ms)), probe)
+    raise ValueError(f"malformed crash of an engine: {row!r}")
+
+
+def _crash_time_s(crash: CrashRecord) -> float:
+    return crash.at_s
+
+
+def _parse_age(age_ms: Any) -> float | None:
+    return None if age_ms is None else _at_s(parse_int(age_ms))
+
+
+def _is_name(value: Any) -> bool:
+    """Return True for a text that peers accept as a name."""
+    try:
+        return len(parse_text(value)) <= MAX_NAME_CHARS
+    except ValueError:
+        return False
+
+
+def _is_organisation(value: Any) -> bool:
+    return value is None or _is_name(value)
+
+
+def _crash_age_ms(crash: CrashRecord) -> int:
+    """Return a crash's age rounded down: peers keep the earliest time of each crash."""
+    return max(0, floor((time.monotonic() - crash.at_s) * 1000))
+
+
+def _mark_age_ms(at_s: float | None) -> int | None:
+    """Return the age of a mark rounded up: peers keep the latest time of each mark."""
+    if at_s is None:
+        return None
+    return max(0, ceil((time.monotonic() - at_s) * 1000))
+
+
 def _age_ms(at_s: float) -> int:
     return round((time.monotonic() - at_s) * 1000)
 
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -10,21 +10,27 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from itertools import chain, islice
 from typing import cast
 
 from attrs import define, evolve, field
+from celeryfork_admission.crash_evidence import Trait, TraitRecord
+from celeryfork_admission.crash_records import merge_records
 from celeryfork_routing.engine_loads import EngineLoads, Load, subtract_loads
 from logbook import Logger
 
+from celeryfork_entry.crash_exchange import CrashExchange
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.peer_messages import (
+    MAX_CRASH_RECORDS,
     DownEngine,
     MemberReport,
     PeerMessage,
     RelayDigest,
     RetryLoan,
     RetryLoanRequest,
+    crash_rows_size,
     decode,
     encode_digest,
     encode_report,
@@ -46,6 +52,16 @@
 so that it is forwarded only once."""
 CHANGE_DELAY_S = 0.03
 """Seconds for which changes of the target list are gathered before they are sent."""
+CRASH_RESEND_PERIOD = 8
+"""Number of reports (2 s) of which one is followed by evidence of crashes again."""
+CRASH_INTERVAL_S = 0.05
+"""Least seconds between two messages with changed evidence: many instances find the
+same crash within some ms, and a relay gathers what they tell."""
+MAX_CRASH_BYTES = 16_000
+"""Bound in bytes of changed evidence in one message."""
+CRASH_RESEND_BYTES = 4_000
+"""Bound in bytes of the evidence that is sent again each time: at a period of 2 s it
+takes half of the 4 KB/s that an instance may spend on control."""
 MAX_DATAGRAM_BYTES = 60_000
 
 
@@ -85,6 +101,13 @@
         Called with a member's address and the retries that it would lend.
     on_loan
         Called with each loan request and each loan of retries.
+    crashes
+        Returns the evidence of crashes to send again, at most as many records as given;
+        they take turns.
+    crash_changes
+        Returns the evidence that changed since the last call.
+    on_crashes
+        Called with the evidence of a peer.
     highest_peer_fence, peer_fence_received_s
         Highest fencing token of peers that place layers, and the time of the last such
         message; the start of this instance before the first.
@@ -112,6 +135,9 @@
         None
     )
     on_loan: Callable[[RetryLoanRequest | RetryLoan], None] = lambda message: None
+    crashes: Callable[[int], list[TraitRecord]] = lambda limit: []
+    crash_changes: Callable[[], list[TraitRecord]] = list
+    on_crashes: Callable[[Sequence[TraitRecord]], None] = lambda records: None
     _reports: int = 0
     _down: list[DownEngine] = field(factory=list)
     _forwarded_down_s: dict[DownEngine, float] = field(factory=dict)
@@ -120,6 +146,12 @@
     _sent_revision: int = -1
     _sent_version: int = -1
     _pending_send: asyncio.TimerHandle | None = None
+    _crash_exchange: CrashExchange = field(factory=CrashExchange)
+    _changed_crashes: dict[Trait, TraitRecord] = field(factory=dict)
+    _pending_crashes: asyncio.TimerHandle | None = None
+    _crashes_sent_s: float = 0.0
+    _next_resend: int = 0
+    _resend_limit: int = MAX_CRASH_RECORDS
     highest_peer_fence: int = -1
     peer_fence_received_s: float = field(factory=time.monotonic)
 
@@ -147,9 +179,11 @@
             case RelayDigest():
                 self._handle_common(message)
                 self._handle_digest(message)
+                self._handle_crashes(message)
             case MemberReport():
                 self._handle_common(message)
                 self._handle_report(message)
+                self._handle_crashes(message)
             case RetryLoanRequest() | RetryLoan():
                 self.on_loan(message)
 
@@ -171,6 +205,24 @@
         for engine_id, born_ms in message.down:
             self.on_down(engine_id, born_ms, message.sender.name)
 
+    def _handle_crashes(self, message: PeerMessage) -> None:
+        """Apply a peer's evidence of crashes; a relay sends on what others lack."""
+        if not message.crashes:
+            return
+        records, is_relay = message.crashes, self.roster.is_relay
+        if message.sender.domain != self.domain:
+            self._crash_exchange.record_remote_digest(records)
+        elif isinstance(message, RelayDigest):
+            self._crash_exchange.record_domain_digest(
+                records, self._reports, is_relay=is_relay
+            )
+        else:
+            self._crash_exchange.record_report(records)
+        self.on_crashes(records)
+        if is_relay:
+            self._queue_crashes(records)
+            self.announce_crashes()
+
     def _record_speed(self, engine_id: str, speed: Speed) -> None:
         """Apply an engine's speed, and keep the newest one for forwarding."""
         known = self._speed_by_engine.get(engine_id)
@@ -233,6 +285,7 @@
             self._loads.drop_peer_report(_sum_key(self.domain))
         if self.roster.is_relay:
             self._send_digests(to_remote=self._reports % REMOTE_REPORT_PERIOD == 0)
+        self._resend_crashes()
 
     def announce_changes(self) -> None:
         """Schedule digests after a change of the target list or the configuration."""
@@ -275,6 +328,98 @@
         if new:
             self._send_digests(new, to_remote=to_remote)
 
+    def announce_crashes(self) -> None:
+        """Send changed evidence of crashes, at once unless some was just sent."""
+        if self._pending_crashes is None:
+            loop = asyncio.get_running_loop()
+            wait_s = self._crashes_sent_s + CRASH_INTERVAL_S - loop.time()
+            self._pending_crashes = loop.call_later(
+                max(0.0, wait_s), self._send_changed_crashes
+            )
+
+    def _queue_crashes(self, records: Iterable[TraitRecord]) -> None:
+        for record in records:
+            queued = self._changed_crashes.get(record.trait, record)
+            self._changed_crashes[record.trait] = merge_records(queued, record)
+
+    def _send_changed_crashes(self) -> None:
+        self._pending_crashes = None
+        self._queue_crashes(self.crash_changes())
+        queued = list(islice(self._changed_crashes.values(), MAX_CRASH_RECORDS))
+        if not queued:
+            return
+        records = _fitting(queued, MAX_CRASH_BYTES)
+        for record in records:
+            del self._changed_crashes[record.trait]
+        near, far = self._crash_exchange.lacking_in_domain(records), []
+        if self.roster.is_relay:
+            far = self._crash_exchange.lacking_elsewhere(records)
+            self._send_crash_digest(near, self.roster.members())
+            relays = (self.roster.relays(each) for each in self.roster.domains())
+            self._send_crash_digest(far, list(chain.from_iterable(relays)))
+        else:
+            self._send_crash_report(near)
+        if near or far:
+            self._crashes_sent_s = asyncio.get_running_loop().time()
+        if self._changed_crashes:
+            self.announce_crashes()
+
+    def _resend_crashes(self) -> None:
+        """Send evidence again, for lost messages and for instances that have started.
+
+        The lead relay sends to its domain, and to the relays of each other domain in
+        turn, which send on what they lacked. Other instances send to the relays of
+        their domain what these don't repeat.
+        """
+        if self._reports < self._next_resend or not (records := self._crashes_due()):
+            return
+        if self.roster.is_lead_relay():
+            self._send_crash_digest(records, self.roster.members())
+            turn = self._reports // CRASH_RESEND_PERIOD
+            self._send_crash_digest(records, self._remote_relays_in_turn(turn))
+        else:
+            records = self._crash_exchange.unheard(
+                records, self._reports, is_relay=self.roster.is_relay
+            )
+            self._send_crash_report(records)
+        if records:
+            self._next_resend = self._reports + CRASH_RESEND_PERIOD
+
+    def _crashes_due(self) -> Sequence[TraitRecord]:
+        """Return the evidence whose turn it is, within the bound in bytes.
+
+        Traits that were cleared aren't sent again: who suspects one still is answered.
+        """
+        records = [each for each in self.crashes(self._resend_limit) if each.crashes]
+        size = crash_rows_size(records)
+        if size > CRASH_RESEND_BYTES:
+            self._resend_limit = max(1, self._resend_limit // 2)
+        elif size < CRASH_RESEND_BYTES // 2:
+            self._resend_limit = min(MAX_CRASH_RECORDS, 2 * self._resend_limit)
+        return _fitting(records, CRASH_RESEND_BYTES)
+
+    def _remote_relays_in_turn(self, turn: int) -> list[Peer]:
+        """Return one relay of each other domain, a live one if possible."""
+        found = []
+        for domain in self.roster.domains():
+            relays = self.roster.live_relays(domain) or self.roster.relays(domain)
+            if relays:
+                found.append(relays[turn % len(relays)])
+        return found
+
+    def _send_crash_report(self, crashes: Sequence[TraitRecord]) -> None:
+        if crashes:
+            report = evolve(self._member_report(()), crashes=crashes)
+            self._send(encode_report(report), self.roster.relays(self.domain))
+
+    def _send_crash_digest(
+        self, crashes: Sequence[TraitRecord], peers: Sequence[Peer]
+    ) -> None:
+        """Send evidence in a digest without loads, which may fill a datagram."""
+        if crashes and peers:
+            digest = evolve(self._digest_without_loads(()), crashes=crashes)
+            self._send(encode_digest(digest), peers)
+
     def _send_digests(
         self, down: Iterable[DownEngine] = (), *, to_remote: bool
     ) -> None:
@@ -314,21 +459,30 @@
         )
 
     def _digest(self, down: Iterable[DownEngine], now_s: float) -> RelayDigest:
-        revision, list_age_s, list_is_stale = self.list_state()
         layers = {
             engine_id: learnt
             for engine_id, learnt in self._layers_by_engine.items()
             if now_s - learnt.at_s < FORWARDING_TTL_S
         }
         self._layers_by_engine = layers
+        return evolve(
+            self._digest_without_loads(down),
+            loads=self._sum(now_s) if self.roster.is_lead_relay() else None,
+            layers=layers | dict(self.layers()),
+            speeds=self._recent_speeds(now_s),
+        )
+
+    def _digest_without_loads(self, down: Iterable[DownEngine]) -> RelayDigest:
+        """Return a digest without what is known of engines in use."""
+        revision, list_age_s, list_is_stale = self.list_state()
         return RelayDigest(
             self.roster.own,
             self.fence(),
             self.version(),
-            self._sum(now_s) if self.roster.is_lead_relay() else None,
-            layers | dict(self.layers()),
+            None,
+            {},
             tuple(down),
-            self._recent_speeds(now_s),
+            {},
             revision=revision,
             list_age_s=list_age_s,
             list_is_stale=list_is_stale,
@@ -374,6 +528,13 @@
             self._transport.sendto(data, (host, int(port)))
 
 
+def _fitting(records: Sequence[TraitRecord], max_bytes: int) -> Sequence[TraitRecord]:
+    """Return the first records, as many as fit into a number of bytes, at least one."""
+    while len(records) > 1 and crash_rows_size(records) > max_bytes:
+        records = records[: len(records) // 2]
+    return records
+
+
 def _sum_key(domain: str) -> str:
     """Return the key of a domain's summed loads; no instance's name has this prefix."""
     return f"domain {domain}"
--- a/libs/entry/src/celeryfork_entry/status_endpoints.py
+++ b/libs/entry/src/celeryfork_entry/status_endpoints.py
@@ -1,11 +1,21 @@
 """HTTP endpoints for peers, operators and readiness checks of the platform."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any, cast
+from urllib.parse import parse_qs
 
 from attrs import asdict, define
+from celeryfork_admission.crash_evidence import (
+    CrashEvidence,
+    Trait,
+    TraitKind,
+    Verdict,
+    make_part_trait,
+)
 from celeryfork_base.counters import Counters
 from celeryfork_routing.engine_loads import EngineLoads
+from logbook import Logger
 from orjson import OPT_NON_STR_KEYS, dumps
 
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
@@ -17,6 +27,8 @@
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.targets import TargetTable
 
+CLEAR_PATH = "/crash-evidence/clear"
+MAX_QUERY_FIELDS = 10
 MAX_REVISION_DIGITS = 18
 JSON_HEADERS = [("Content-Type", "application/json")]
 TEXT_HEADERS = [("Content-Type", "text/plain")]
@@ -46,12 +58,52 @@
     _ready: Callable[[], bool]
     _stopping: Callable[[], bool]
     _callers: Callable[[], int]
+    _crash_evidence: CrashEvidence
+    _log: Logger
+
+    async def answer_peer(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        """Answer one request at the address for peers, which callers don't reach."""
+        if _path(request) != CLEAR_PATH:
+            await self.answer(connection, request)
+            return
+        allowed = [("Allow", "POST")] if request.method != "POST" else []
+        status, text = self._clear(request)
+        body = dumps({"cleared" if status == 200 else "message": text})
+        await connection.answer(status, [*JSON_HEADERS, *allowed], body)
+
+    def _clear(self, request: CallerRequest) -> tuple[int, object]:
+        """Free a part of prompts from suspicion; return a status and what was done."""
+        if request.method != "POST":
+            return 405, "Evidence is cleared by POST only."
+        match _query_fields(request):
+            case {"service": [service], "part": [part], **rest} if not rest:
+                pass
+            case _:
+                return 400, "Name one service and one part: ?service=S&part=P."
+        # The dump shows a hash in place of a long or odd name.
+        for trait in (
+            make_part_trait(service, part),
+            Trait(service, TraitKind.PART, part),
+        ):
+            if self._crash_evidence.judge([trait], None).trait is not None:
+                self._crash_evidence.clear(trait)
+                self._log.info("crash_cleared", service=service, part=trait.value)
+                return 200, {"service": service, "part": trait.value}
+        return (
+            404,
+            "No crash is counted against this part: see crash_evidence in /dump.",
+        )
 
     async def answer(
         self, connection: CallerConnection, request: CallerRequest
     ) -> None:
         """Answer one request."""
         match request.target:
+            case _ if _path(request) == CLEAR_PATH:
+                body = dumps({"message": "Send this to the address for peers."})
+                await connection.answer(403, JSON_HEADERS, body)
             case "/metrics":
                 await connection.answer(200, TEXT_HEADERS, self._metrics())
             case str(path) if path == STATE_PATH:
@@ -77,12 +129,40 @@
         gauges["targets.connections_opened"] = float(self._connections.opened)
         gauges["instances.known"] = float(self._roster.instances())
         gauges["relay"] = float(self._roster.is_relay)
+        gauges |= self._crash_gauges()
         gauges["duty.held"] = float(self._placement.leadership.held)
         configuration = self._store_follower.configuration
         if configuration is not None:
             gauges["configuration.version"] = float(configuration.version)
         return metrics_text(self._counters, self._histograms, gauges)
 
+    def _crash_gauges(self) -> dict[str, float]:
+        verdicts = [row["verdict"] for row in self._crash_rows()]
+        return {
+            "crashes.suspected": float(verdicts.count(Verdict.SUSPECT.value)),
+            "crashes.convicted": float(verdicts.count(Verdict.REFUSE.value)),
+        }
+
+    def _crash_rows(self) -> list[dict[str, object]]:
+        """Return the evidence of crashes, with the verdict on the worst judged caller.
+
+        A part may be refused to some organisations only; the hold is the longest one.
+        """
+        rows = []
+        for row in cast(list[dict[str, Any]], self._crash_evidence.dump()):
+            trait = Trait(row["service"], TraitKind(row["kind"]), row["value"])
+            organisations = {None, *(each["organisation"] for each in row["crashes"])}
+            found = [self._crash_evidence.judge([trait], o) for o in organisations]
+            verdicts = [each.verdict for each in found]
+            hold_s = max(
+                (f.retry_after_s for f in found if f.verdict is Verdict.REFUSE),
+                default=0.0,
+            )
+            rows.append(
+                row | {"verdict": _worst(verdicts).value, "hold_s": round(hold_s, 3)}
+            )
+        return rows
+
     def dump(self) -> dict[str, object]:
         """Return the state of this instance, for JSON."""
         now_s = time.monotonic()
@@ -107,9 +187,27 @@
                 key: asdict(load)
                 for key, load in self._loads.total_loads(now_s).items()
             },
+            "crash_evidence": self._crash_rows(),
         }
 
 
+def _path(request: CallerRequest) -> str:
+    return request.target.partition("?")[0]
+
+
+def _worst(verdicts: Iterable[Verdict]) -> Verdict:
+    return max(verdicts, key=list(Verdict).index)
+
+
+def _query_fields(request: CallerRequest) -> dict[str, list[str]]:
+    """Return the fields of a request's query, none if it is malformed."""
+    query = request.target.partition("?")[2]
+    try:
+        return parse_qs(query, strict_parsing=True, max_num_fields=MAX_QUERY_FIELDS)
+    except ValueError:
+        return {}
+
+
 def _revision(path: str) -> int:
     """Return the revision in a follower's request, -1 if there is no valid one."""
     text = path.removeprefix(CHANGES_PATH)
--- a/libs/entry/tests/test_instance.py
+++ b/libs/entry/tests/test_instance.py
@@ -1,9 +1,11 @@
-"""Reloading of settings, and checks of slow engines by the lead relay."""
+"""Reloading of settings, checks of slow engines, and wiring of crash evidence."""
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
 from attrs import evolve
+from celeryfork_admission.crash_evidence import Verdict, make_part_trait
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.instance import Instance
 from celeryfork_entry.ports import Peer
@@ -72,3 +74,27 @@
     assert remaining_retries(instance, 100.0) == 18
     instance.apply(evolve(SETTINGS, retry_slack=40.0))
     assert remaining_retries(instance, 101.0) == 18
+
+
+def test_evidence_of_crashes_reaches_the_evidence_of_a_peer():
+    """Evidence that isn't connected to the peers' messages stays where it was found."""
+    first = make_instance()
+    own = evolve(SETTINGS, name="e2", peer_address="127.0.0.1:9")
+    second = Instance(own, *[SimpleNamespace()] * 4, Logger("test"))
+    deadly = make_part_trait("llm", "deadly")
+
+    class Wire:
+        def sendto(self, data, address):
+            second._peers.datagram_received(data, address)
+
+    async def crash():
+        first._peers.connection_made(Wire())
+        first.roster.record_message(second.roster.own)
+        first.crash_evidence.record_crash([deadly], "r1", "xaka200", probe=False)
+        await asyncio.sleep(0.01)
+
+    asyncio.run(crash())
+    assert second.crash_evidence.judge([deadly], None).verdict is Verdict.SUSPECT
+    assert [row["value"] for row in second._status_endpoints._crash_rows()] == [
+        "deadly"
+    ]
--- a/libs/entry/tests/test_peer_messages.py
+++ b/libs/entry/tests/test_peer_messages.py
@@ -5,8 +5,19 @@
 from math import isfinite
 
 import pytest
+from attrs import evolve
+from celeryfork_admission.crash_evidence import (
+    MAX_CRASHES,
+    MAX_VALUE_CHARS,
+    CrashRecord,
+    Trait,
+    TraitKind,
+    TraitRecord,
+)
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.peer_messages import (
+    MAX_CRASH_RECORDS,
+    MAX_NAME_CHARS,
     MemberReport,
     RelayDigest,
     decode,
@@ -35,6 +46,11 @@
     "fence": 3, "version": 4, "loads": {"i-1": [2, 80]}, "down": [["i-2", 5]],
     "layers": {"i-1": [0, 4, 1000, 20], "i-2": [None, None, None, 0]},
     "speeds": {"i-1": [12.0, 1000, 20]},
+    "crashes": [
+        ["llm", "part", "p-1", [["r1", "xaka200", 900, False],
+                                ["r2", None, 20, True]], None, 30],
+        ["llm", "request", "0f", [], 40, None],
+    ],
 }  # fmt: skip
 DIGEST = REPORT | {
     "revision": 7, "age": 0.25, "old": False, "counts": {"east": 3},
@@ -64,6 +80,25 @@
 speeds = st.builds(
     Speed, st.floats(1, 1e6), starts, ages_s.map(at_age), own=st.just(False)
 )
+values = st.text(
+    st.characters(min_codepoint=32, max_codepoint=126),
+    min_size=1,
+    max_size=MAX_VALUE_CHARS,
+)
+marks = st.none() | ages_s.map(at_age)
+trait_records = st.builds(
+    TraitRecord,
+    st.builds(Trait, names, st.sampled_from(TraitKind), values),
+    st.lists(
+        st.builds(
+            CrashRecord, names, st.none() | names, ages_s.map(at_age), st.booleans()
+        ),
+        min_size=1,
+        max_size=MAX_CRASHES,
+    ).map(tuple),
+    marks,
+    marks,
+)
 senders = st.builds(
     Peer,
     names,
@@ -79,6 +114,7 @@
     "layers": st.dictionaries(names, learnt, max_size=3),
     "down": st.lists(st.tuples(names, starts), max_size=3),
     "speeds": st.dictionaries(names, speeds, max_size=3),
+    "crashes": st.lists(trait_records, max_size=3),
 }
 reports = st.builds(MemberReport, **common)
 digests = st.builds(
@@ -109,6 +145,27 @@
         assert without_times(here, field) == without_times(there, field)
         for key, each in here.items():
             assert each.at_s == pytest.approx(there[key].at_s, abs=CLOCK_ERROR_S)
+    for here, there in zip(found.crashes, sent.crashes, strict=True):
+        assert_same_evidence(here, there)
+
+
+def assert_same_evidence(found, sent):
+    assert found.trait == sent.trait
+    for name in ("sound_s", "probe_s"):
+        here, there = getattr(found, name), getattr(sent, name)
+        assert here == (there and pytest.approx(there, abs=CLOCK_ERROR_S))
+    assert sorted(map(without_time, found.crashes)) == sorted(
+        map(without_time, sent.crashes)
+    )
+    times = [each.at_s for each in found.crashes]
+    assert times == sorted(times)
+    assert times == pytest.approx(
+        sorted(each.at_s for each in sent.crashes), abs=CLOCK_ERROR_S
+    )
+
+
+def without_time(crash):
+    return crash.run, crash.organisation or "", crash.probe
 
 
 @examples(120)
@@ -162,6 +219,9 @@
         found.append(message.list_age_s)
         by_engine += message.remote_loads.values()
     found += (load.token_layers for each in by_engine for load in each.values())
+    for record in message.crashes:
+        times = [record.sound_s, record.probe_s, *(c.at_s for c in record.crashes)]
+        found += (at_s for at_s in times if at_s is not None)
     return found
 
 
@@ -233,3 +293,93 @@
     assert isinstance(decode(dumps(REPORT)), MemberReport)
     assert isinstance(decode(dumps(DIGEST)), RelayDigest)
     assert loads(encode_report(decode(dumps(REPORT))))["down"] == REPORT["down"]
+
+
+def crash_row(*, service="llm", kind="part", value="p", crashes=(), marks=(1, None)):
+    return [service, kind, value, list(crashes), *marks]
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        None, {}, "rows", [None], [[]], ["row"],
+        [crash_row()[:-1]], [[*crash_row(), None]],
+        [crash_row()] * (MAX_CRASH_RECORDS + 1),
+        [crash_row(service="")], [crash_row(service=7)], [crash_row(service=None)],
+        [crash_row(service="s" * (MAX_NAME_CHARS + 1))],
+        [crash_row(kind="engine")], [crash_row(kind=None)], [crash_row(kind=[])],
+        [crash_row(value="")], [crash_row(value=7)], [crash_row(value="\xe9")],
+        [crash_row(value="a\n")], [crash_row(value="v" * (MAX_VALUE_CHARS + 1))],
+        [crash_row(crashes=[["r", None, 1, False]] * (MAX_CRASHES + 1))],
+        [crash_row(crashes=[None])], [crash_row(crashes=[["r", None, 1]])],
+        [crash_row(crashes=[["", None, 1, False]])],
+        [crash_row(crashes=[[7, None, 1, False]])],
+        [crash_row(crashes=[["r" * (MAX_NAME_CHARS + 1), None, 1, False]])],
+        [crash_row(crashes=[["r", 7, 1, False]])],
+        [crash_row(crashes=[["r", "o" * (MAX_NAME_CHARS + 1), 1, False]])],
+        [crash_row(crashes=[["r", None, "1", False]])],
+        [crash_row(crashes=[["r", None, True, False]])],
+        [crash_row(crashes=[["r", None, 1.5, False]])],
+        [crash_row(crashes=[["r", None, 1 << 63, False]])],
+        [crash_row(crashes=[["r", None, 1, 0]])],
+        [crash_row(crashes=[["r", None, 1, None]])],
+        [crash_row(marks=("1", None))], [crash_row(marks=(True, None))],
+        [crash_row(marks=(None, 1.5))], [crash_row(marks=(None, []))],
+        [crash_row(marks=(None, 1 << 63))],
+    ],
+)  # fmt: skip
+@pytest.mark.parametrize("message", [REPORT, DIGEST], ids=["report", "digest"])
+def test_malformed_crash_evidence_is_rejected(message, rows):
+    """An odd row in the evidence would end the loop that judges each request by it."""
+    with pytest.raises(ValueError):  # noqa: PT011
+        decode(dumps(message | {"crashes": rows}))
+
+
+@pytest.mark.parametrize("message", [REPORT, DIGEST], ids=["report", "digest"])
+def test_a_message_of_an_earlier_release_without_crash_evidence_is_accepted(message):
+    """During a rolling replacement some instances don't send the field yet."""
+    earlier = {key: value for key, value in message.items() if key != "crashes"}
+    assert decode(dumps(earlier)).crashes == ()
+
+
+def test_an_earlier_release_reads_a_message_with_crash_evidence():
+    """Instances that aren't replaced yet would lose the loads and the list's revision.
+
+    An earlier release takes the fields that it knows, and ignores others.
+    """
+    for message, encode in ((REPORT, encode_report), (DIGEST, encode_digest)):
+        known = set(message) - {"crashes"}
+        with_evidence = loads(encode(decode(dumps(message))))
+        without = loads(encode(decode(dumps(message | {"crashes": []}))))
+        assert with_evidence["crashes"]
+        assert "crashes" not in without
+        assert known <= set(without) <= set(with_evidence)
+        for key in set(without) - {"layers", "speeds"}:
+            assert with_evidence[key] == without[key]
+
+
+def test_times_of_evidence_do_not_move_by_rounding():
+    """Peers keep the earliest time of a crash and the latest of a mark: rounded the
+    other way, each message between two instances would move them, and be news."""
+    now_s = time.monotonic()
+    crash = CrashRecord("r", None, now_s - 10.0004, False)
+    sent = TraitRecord(
+        Trait("llm", TraitKind.PART, "p"), (crash,), now_s - 5.0004, now_s - 3.0004
+    )
+    report = decode(dumps(REPORT | {"crashes": []}))
+    for _ in range(50):
+        received = decode(encode_report(evolve(report, crashes=[sent]))).crashes[0]
+        assert received.crashes[0].at_s >= crash.at_s
+    row = loads(encode_report(evolve(report, crashes=[sent])))["crashes"][0]
+    assert row[3][0][2] >= 10_000
+    assert row[4] >= 5_001
+    assert row[5] >= 3_001
+
+
+def test_a_crash_dated_in_the_future_counts_as_of_now():
+    """A date in the future would hold a conviction for as long as a peer likes."""
+    before_s = time.monotonic()
+    row = crash_row(crashes=[["r", None, -60_000, False]], marks=(-60_000, -60_000))
+    (record,) = decode(dumps(REPORT | {"crashes": [row]})).crashes
+    for at_s in (record.crashes[0].at_s, record.sound_s, record.probe_s):
+        assert before_s <= at_s <= time.monotonic()
