--- a/libs/entry/src/celeryfork_entry/crash_exchange.py
+++ b/libs/entry/src/celeryfork_entry/crash_exchange.py
@@ -11,7 +11,6 @@
 
 from attrs import define, field, frozen
 from celeryfork_admission.crash_evidence import Trait, TraitRecord
-from celeryfork_admission.crash_records import merge_records
 
 MAX_TRACKED = 2_000
 """Number of traits whose exchange is remembered, twice what an instance keeps."""
@@ -57,7 +56,7 @@
         """
         for record in records:
             known = self._domain.get(record.trait)
-            if known and not _runs(record) <= _runs(merge_records(record, known)):
+            if known and not _runs(record) <= _runs(record.merge(known)):
                 del self._domain[record.trait]
 
     def record_domain_digest(
@@ -115,7 +114,7 @@
     for record in records:
         sent = known.get(record.trait)
         if sent is None or _lacks(sent, record):
-            merged = record if sent is None else merge_records(sent, record)
+            merged = record if sent is None else sent.merge(record)
             _keep(known, record.trait, merged)
             lacking.append(record)
     return lacking
@@ -123,7 +122,7 @@
 
 def _lacks(known: TraitRecord, record: TraitRecord) -> bool:
     """Return True if a record adds to the known one, or clears it."""
-    merged = merge_records(known, record)
+    merged = known.merge(record)
     return (
         {crash.run for crash in merged.crashes}
         != {crash.run for crash in known.crashes}
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -16,7 +16,6 @@
 
 from attrs import define, evolve, field
 from celeryfork_admission.crash_evidence import Trait, TraitRecord
-from celeryfork_admission.crash_records import merge_records
 from celeryfork_routing.engine_loads import EngineLoads, Load, subtract_loads
 from logbook import Logger
 
@@ -340,7 +339,7 @@
     def _queue_crashes(self, records: Iterable[TraitRecord]) -> None:
         for record in records:
             queued = self._changed_crashes.get(record.trait, record)
-            self._changed_crashes[record.trait] = merge_records(queued, record)
+            self._changed_crashes[record.trait] = queued.merge(record)
 
     def _send_changed_crashes(self) -> None:
         self._pending_crashes = None
