Admission: parts convicted by the same crashes are told apart by a probe

Cause: in a simulated fleet that has seen nothing sound yet, the part that deadly requests share with sound ones was convicted with the deadly one by the same two crashes, and refused for the whole hold as nothing with it could run any more.

Change: a conviction that a convicted trait outside the request explains (it has all the same crashes) leaves the request a suspect, which may run as a probe. Tests of the fleet, of merges in any order and of instances that get all records late.

Weighed: not counting the shared part needs to know the cause first; refusing the tie costs sound requests, probing it at most one more engine.

--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -22,7 +22,13 @@
     TraitRecord,
     latest,
 )
-from celeryfork_admission.judgement import CLEAR, Judgement, Verdict, judge_record
+from celeryfork_admission.judgement import (
+    CLEAR,
+    Judgement,
+    Verdict,
+    judge_record,
+    make_suspicion,
+)
 from celeryfork_admission.probes import PROBE_S, Probes
 from celeryfork_admission.trait_records import (
     MAX_TRAITS,
@@ -183,17 +189,26 @@
         return False
 
     def judge(self, traits: Iterable[Trait], organisation: str | None) -> Judgement:
-        """Return whether a request may run, by the worst of its traits."""
+        """Return whether a request may run, by the worst of its traits.
+
+        Traits of the same crashed runs are convicted together, though one of them is
+        the cause. Requests with only some of these may run as probes: a sound one
+        clears its traits, and a crash leaves them without the other explanation.
+        """
         worst = CLEAR
         if not self._records:
             return worst
-        now_s = self._clock()
+        now_s, traits = self._clock(), tuple(traits)
         for trait in traits:
             record = self._records.get(trait, now_s)
             if record is None or not record.crashes:
                 continue
             probe_left_s = self._probes.left_s(record, now_s)
             judgement = judge_record(record, organisation, now_s, probe_left_s)
+            if judgement.verdict is Verdict.REFUSE and self._records.is_explained(
+                record, traits
+            ):
+                judgement = make_suspicion(record, probe_left_s)
             worst = max(worst, judgement, key=lambda each: each.severity)
         return worst
 
@@ -335,10 +350,9 @@
 
 def _has_news(known: TraitRecord, merged: TraitRecord) -> bool:
     """Return True if a merge has added more than other times of what was known."""
-    runs = [{each.run for each in record.crashes} for record in (known, merged)]
     probe_s = merged.open_probe_s
     has_new_probe = probe_s is not None and latest(probe_s, known.probe_s) == probe_s
-    return runs[0] != runs[1] or (has_new_probe and probe_s != known.probe_s)
+    return known.runs != merged.runs or (has_new_probe and probe_s != known.probe_s)
 
 
 def _drop_oldest(value_by_key: dict[Any, Any], limit: int) -> None:
--- a/libs/admission/src/celeryfork_admission/crash_records.py
+++ b/libs/admission/src/celeryfork_admission/crash_records.py
@@ -76,6 +76,11 @@
             news_s = self.probe_s
         return news_s
 
+    @property
+    def runs(self) -> frozenset[str]:
+        """Ids of the counted crashes."""
+        return frozenset(each.run for each in self.crashes)
+
     def merge(self, other: "TraitRecord") -> "TraitRecord":
         """Return what this record and another one of the trait say together.
 
--- a/libs/admission/src/celeryfork_admission/judgement.py
+++ b/libs/admission/src/celeryfork_admission/judgement.py
@@ -57,9 +57,13 @@
         Seconds for which a probe of the trait still counts as running.
     """
     hold_end_s = record.hold_end_s(organisation)
-    crashes = len(record.crashes)
     if hold_end_s is not None and hold_end_s > now_s:
-        return Judgement(Verdict.REFUSE, record.trait, crashes, hold_end_s - now_s)
-    if record.is_suspected:
-        return Judgement(Verdict.SUSPECT, record.trait, crashes, probe_left_s)
-    return CLEAR
+        left_s = hold_end_s - now_s
+        return Judgement(Verdict.REFUSE, record.trait, len(record.crashes), left_s)
+    return make_suspicion(record, probe_left_s) if record.is_suspected else CLEAR
+
+
+def make_suspicion(record: TraitRecord, probe_left_s: float) -> Judgement:
+    """Return that requests with a trait may run as probes; see :func:`judge_record`."""
+    crashes = len(record.crashes)
+    return Judgement(Verdict.SUSPECT, record.trait, crashes, probe_left_s)
--- a/libs/admission/src/celeryfork_admission/trait_records.py
+++ b/libs/admission/src/celeryfork_admission/trait_records.py
@@ -1,5 +1,7 @@
 """The records of suspected traits, within a bound of memory."""
 
+from collections.abc import Collection
+
 from attrs import define, field
 
 from celeryfork_admission.crash_records import TraitRecord
@@ -23,6 +25,7 @@
     """When :meth:`select` returned it last, by the count of calls."""
     _turn: int = 0
     _suspect_services: frozenset[str] | None = frozenset()
+    _convicted: tuple[TraitRecord, ...] | None = ()
 
     def __bool__(self) -> bool:
         """Return True if there is any record."""
@@ -42,7 +45,7 @@
         convicted ones last.
         """
         self._record_by_trait[record.trait] = record
-        self._suspect_services = None
+        self._suspect_services = self._convicted = None
         if len(self._record_by_trait) > MAX_TRAITS:
             ranked = sorted(
                 self._record_by_trait.values(),
@@ -67,6 +70,29 @@
             )
         return service in self._suspect_services
 
+    def is_explained(self, record: TraitRecord, traits: Collection[Trait]) -> bool:
+        """Return True if a convicted trait that a request lacks explains its record.
+
+        That is one with all the crashes of the record, of any organisation: engines
+        run the requests of all.
+
+        Parameters
+        ----------
+        traits
+            Those of the request.
+        """
+        if self._convicted is None:
+            self._convicted = tuple(
+                each for each in self._record_by_trait.values() if each.is_convicted
+            )
+        runs = record.runs
+        return any(
+            other.trait not in traits
+            and other.trait.service == record.trait.service
+            and runs <= other.runs
+            for other in self._convicted
+        )
+
     def select(self, limit: int, now_s: float) -> list[TraitRecord]:
         """Return the records to be sent, at most ``limit``.
 
@@ -98,4 +124,4 @@
     def _drop(self, trait: Trait) -> None:
         del self._record_by_trait[trait]
         self._turn_by_trait.pop(trait, None)
-        self._suspect_services = None
+        self._suspect_services = self._convicted = None
--- a/libs/admission/tests/test_crash_evidence.py
+++ b/libs/admission/tests/test_crash_evidence.py
@@ -1,6 +1,9 @@
 """Tests of celeryfork_admission.crash_evidence."""
 
+import itertools
+
 import pytest
+from attrs import evolve
 from celeryfork_admission.crash_evidence import (
     FIRST_HOLD_S,
     MAX_HOLD_S,
@@ -17,6 +20,8 @@
     make_part_trait,
     make_request_trait,
 )
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 SERVICE = "menu-plan"
 DEADLY, SHARED, OTHER = (
@@ -46,10 +51,12 @@
     def count_change(self):
         self.changes += 1
 
-    def crash(self, *traits, organisation="chumo", probe=False, run=None):
+    def crash(self, *traits, organisation="chumo", probe=False, run=None, end=None):
         self.runs += 1
         run = run or f"{id(self)}-{self.runs}"
-        return self.evidence.record_crash(traits, run, organisation, probe=probe)
+        return self.evidence.record_crash(
+            traits, run, organisation, probe=probe, engine_end=end
+        )
 
     def verdict(self, *traits, organisation="chumo"):
         return self.evidence.judge(traits, organisation).verdict
@@ -96,6 +103,75 @@
     assert one.evidence.judge([DEADLY], "chumo").crashes == 1
 
 
+def test_end_of_an_engine_counts_once_at_all_instances(one, two):
+    """Many runs begin to write on one engine, but its end proves little."""
+    for instance in (one, two):
+        for _ in range(10):
+            instance.crash(SHARED, end="engine/1")
+            one.clock.now_s += 0.001
+    one.send_to(two)
+    two.send_to(one)
+    for instance in (one, two):
+        judgement = instance.evidence.judge([SHARED], "chumo")
+        assert (judgement.verdict, judgement.crashes) == (Verdict.SUSPECT, 1)
+    two.crash(SHARED, end="engine/1", probe=True)
+    two.send_to(one)
+    one.crash(SHARED, end="engine/2")
+    assert one.verdict(SHARED) is Verdict.REFUSE
+
+
+def test_end_of_an_engine_is_no_evidence_of_two_organisations(one):
+    """Whoever crashes an engine must not get the other callers on it refused."""
+    one.crash(SHARED, organisation="mallory")
+    one.crash(SHARED, organisation="mallory")
+    for organisation in ("mallory", "chumo", "wanjiru"):
+        one.crash(SHARED, organisation=organisation, end="engine/1")
+        one.clock.now_s += 0.001
+    records = one.evidence.records(MAX_TRAITS)
+    assert len(records[0].crashes) == 3
+
+
+def test_run_counts_once_though_the_ends_of_its_engines_differ(one):
+    assert one.crash(DEADLY, run="a", end="engine/1") == (DEADLY,)
+    assert one.crash(DEADLY, run="a", end="engine/2") == ()
+    assert one.crash(DEADLY, OTHER, run="a", end="engine/2") == (OTHER,)
+
+
+def test_parts_convicted_together_are_told_apart_by_a_probe(one):
+    """Nothing sound has run yet; the innocent part must not wait for its hold."""
+    one.crash(DEADLY, SHARED)
+    one.crash(DEADLY, SHARED, probe=True)
+    one.clock.now_s += 0.1
+    assert one.verdict(DEADLY, SHARED) is Verdict.REFUSE
+    assert one.verdict(SHARED, OTHER) is Verdict.SUSPECT
+    assert one.evidence.begin_probe([SHARED, OTHER], "probe")
+    assert not one.evidence.begin_probe([SHARED, OTHER], "second")
+    one.evidence.record_sound([SHARED, OTHER])
+    assert one.verdict(SHARED) is Verdict.CLEAR
+    assert one.verdict(DEADLY) is Verdict.REFUSE
+
+
+def test_crashed_probe_leaves_a_part_without_another_explanation(one):
+    one.crash(DEADLY, SHARED)
+    one.crash(DEADLY, SHARED, probe=True)
+    assert one.crash(DEADLY, OTHER, probe=True) == (DEADLY,)
+    assert one.verdict(DEADLY, OTHER) is Verdict.REFUSE
+    assert one.verdict(SHARED, OTHER) is Verdict.SUSPECT
+
+
+def test_parts_on_the_same_crashed_engines_are_told_apart_by_a_probe(one):
+    """Runs of another caller began to write on each engine that the part ended."""
+    for end, probe in (("engine/1", False), ("engine/2", True)):
+        one.crash(OTHER, organisation="b", end=end, probe=probe)
+        one.crash(DEADLY, organisation="a", end=end, probe=probe)
+        one.clock.now_s += 0.1
+    assert one.verdict(OTHER, organisation="b") is Verdict.SUSPECT
+    assert one.verdict(DEADLY, organisation="a") is Verdict.SUSPECT
+    one.crash(DEADLY, organisation="a", end="engine/3", probe=True)
+    assert one.verdict(OTHER, organisation="b") is Verdict.SUSPECT
+    assert one.verdict(DEADLY, organisation="a") is Verdict.REFUSE
+
+
 def test_part_seen_sound_is_not_counted_against(one):
     one.evidence.record_sound([SHARED])
     for _ in range(5):
@@ -372,3 +448,116 @@
     for _ in range(50):
         seen |= {record.trait.value for record in one.evidence.records(4)}
     assert len(seen) == 100
+
+
+CRASHES = [
+    CrashRecord(f"run-{n}", [None, "a", "b"][n % 3], 1000.0 + 7 * n, n % 4 == 0)
+    for n in range(24)
+]
+WHOLE_SECONDS = st.none() | st.integers(930, 1200).map(float)
+"""Times closer than ``ECHO_S`` are taken for one, and may be merged in any way."""
+RECORDS = st.builds(
+    TraitRecord,
+    st.sampled_from([DEADLY, REQUEST]),
+    st.lists(st.sampled_from(CRASHES), unique=True, max_size=8).map(
+        lambda crashes: tuple(sorted(crashes, key=lambda each: each.at_s))
+    ),
+    WHOLE_SECONDS,
+    WHOLE_SECONDS,
+)
+
+
+def merged(records):
+    instance = Instance()
+    instance.clock.now_s = 1200.0
+    for record in records:
+        instance.evidence.merge([record])
+    return sorted(
+        instance.evidence.records(MAX_TRAITS), key=lambda each: each.trait.value
+    )
+
+
+@given(st.lists(RECORDS, max_size=8), st.randoms(use_true_random=False))
+@settings(deadline=None)
+def test_merge_is_commutative_associative_and_idempotent(records, rng):
+    shuffled = [*records, *rng.choices(records, k=4)] if records else []
+    rng.shuffle(shuffled)
+    expected = merged(records)
+    assert merged(shuffled) == expected
+    assert merged([*expected, *records]) == expected
+    half = len(shuffled) // 2
+    assert merged([*merged(shuffled[:half]), *merged(shuffled[half:])]) == expected
+
+
+NUMBERS = st.integers(0, 2)
+SOME_TRAITS = st.lists(
+    st.sampled_from([DEADLY, SHARED, OTHER, REQUEST]), min_size=1, unique=True
+)
+STEPS = st.one_of(
+    st.tuples(
+        st.just("crash"),
+        NUMBERS,
+        SOME_TRAITS,
+        st.sampled_from([None, "a", "b"]),
+        st.booleans(),
+        st.none() | st.sampled_from(["engine/1", "engine/2", "engine/3"]),
+    ),
+    st.tuples(st.just("sound"), NUMBERS, SOME_TRAITS),
+    st.tuples(st.just("probe"), NUMBERS, SOME_TRAITS),
+    st.tuples(st.just("wait"), st.integers(1, 90)),
+    st.tuples(st.just("send"), NUMBERS),
+    st.tuples(st.just("receive"), NUMBERS, st.integers(0, 9)),
+)
+
+
+def play(instances, steps):
+    """Play crashes, sound runs, probes and messages; some of these never arrive."""
+    messages = []
+    for number, step in enumerate(steps):
+        match step:
+            case "crash", who, traits, organisation, probe, end:
+                one = instances[who]
+                one.crash(*traits, organisation=organisation, probe=probe, end=end)
+            case "sound", who, traits:
+                instances[who].evidence.record_sound(traits)
+            case "probe", who, traits:
+                instances[who].evidence.begin_probe(traits, f"probe-{number}")
+            case "wait", seconds:
+                instances[0].clock.now_s += seconds
+            case "send", who:
+                evidence = instances[who].evidence
+                messages.append(evidence.take_changes() or evidence.records(2))
+            case "receive", who, which if messages:
+                instances[who].evidence.merge(messages[which % len(messages)])
+
+
+def judgements(instance):
+    """Return the judgements that all instances with the same records share."""
+    found = []
+    for size in (1, 2):
+        for traits in itertools.combinations([DEADLY, SHARED, OTHER, REQUEST], size):
+            for organisation in (None, "a", "b", "c"):
+                judgement = instance.evidence.judge(traits, organisation)
+                if judgement.verdict is not Verdict.REFUSE:
+                    # The end of its own probe is known to an instance alone.
+                    judgement = evolve(
+                        judgement, trait=None, retry_after_s=0, crashes=0
+                    )
+                found.append(judgement)
+    return found
+
+
+@given(st.lists(STEPS, max_size=60))
+@settings(deadline=None, suppress_health_check=[HealthCheck.too_slow])
+def test_instances_agree_once_all_records_are_exchanged(steps):
+    instances = [Instance()]
+    instances += [Instance(instances[0].clock) for _ in range(2)]
+    play(instances, steps)
+    for _ in range(2):
+        for one, other in itertools.permutations(instances, 2):
+            one.send_to(other)
+    expected = judgements(instances[0])
+    assert all(judgements(each) == expected for each in instances)
+    late_joiner = Instance(instances[0].clock)
+    instances[1].send_to(late_joiner)
+    assert judgements(late_joiner) == expected
