Tests: requests that crash engines, as whole processes and without a network

Why: no test showed what the incident of crashing engines did. Change: the stand-ins' platform has sets of deadly parts and of deadly whole requests, empty by default. Such a request ends its target 20 ms after it begins to answer; the target is back after 2 s as a new start, every fourth time under a new id. The scripted trial has a step CrashOn.

--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -6,6 +6,7 @@
 import asyncio
 import time
 from collections import deque
+from contextlib import suppress
 from itertools import pairwise
 from types import SimpleNamespace
 
@@ -33,6 +34,8 @@
 SERVICE = Service("llm", "/healthz", 100, SHAPE)
 ANSWER_EVENTS = 12
 CALL_S = 20.0
+CRASH_AFTER_S = 0.02
+"""Seconds from the begin of a run to the crash that it causes."""
 
 
 @frozen
@@ -76,6 +79,17 @@
     """The engine runs the request, and its reply is lost."""
 
 
+@frozen
+class CrashOn:
+    """The engine terminates as it begins to run a request with a shared part.
+
+    Its other streams break off at the same moment. The step stays in the script:
+    requests without the part run whole.
+    """
+
+    part: str
+
+
 @define
 class Engine:
     """A fake engine that follows a script, and then sends complete answers.
@@ -90,6 +104,8 @@
         Number of requests that it has run.
     arrivals
         Number of requests that have reached it.
+    crashed
+        Set once a request has crashed it, which breaks its streams.
     """
 
     target: Target
@@ -97,6 +113,7 @@
     gone: bool = False
     runs: int = 0
     arrivals: int = 0
+    crashed: asyncio.Event = field(factory=asyncio.Event)
 
 
 class Trial:
@@ -201,7 +218,11 @@
         )  # fmt: skip
         return Call(
             connection=caller,
-            request=SimpleNamespace(arrived_s=time.monotonic(), method="POST"),
+            request=SimpleNamespace(
+                arrived_s=time.monotonic(),
+                method="POST",
+                parts=metadata.shared_parts,
+            ),
             metadata=metadata,
             route=self.route,
             service=SERVICE,
@@ -228,6 +249,11 @@
         engine.arrivals += 1
         step = engine.script.popleft() if engine.script else Run()
         match step:
+            case CrashOn(part):
+                engine.script.appendleft(step)
+                engine.runs += 1
+                run = Run() if part not in request.parts else Run(0)
+                return self._run(engine, request.after_event, run, crashes=run != Run())
             case Refuse(at_fault):
                 fault = self.engine(at_fault).target.address
                 return _Reply(503, [b""], engine, at_fault=fault)
@@ -243,13 +269,18 @@
                 engine.runs += 1
                 return self._run(engine, request.after_event, step)
 
-    def _run(self, engine, after, run):
+    def _run(self, engine, after, run, crashes=False):
         first = (after or 0) + 1
         last = ANSWER_EVENTS if run.events is None else first + run.events - 1
         pieces = [b"id: %d\ndata: x\n\n" % n for n in range(first, last + 1)]
 
         async def end():
-            await asyncio.sleep(run.after_s)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CRASH_AFTER_S if crashes else run.after_s):
+                    await engine.crashed.wait()
+            if crashes:
+                engine.gone = True
+                engine.crashed.set()
             for engine_id in run.lost:
                 self.engine(engine_id).gone = True
             raise LostError("the connection broke in a reply")
@@ -260,7 +291,7 @@
         pass
 
     def build_target_request(self, request, options):
-        return options
+        return SimpleNamespace(after_event=options.after_event, parts=request.parts)
 
     def read_reply(self, status, reply_headers):
         at_fault = dict(reply_headers).get("at fault")
--- a/tests/support/engine_standins.py
+++ b/tests/support/engine_standins.py
@@ -5,10 +5,27 @@
 
 import asyncio
 import time
+from copy import copy
 
 from aiohttp import web
 
 
+def shared_parts(headers):
+    """Return the ids of the parts of a prompt but the last."""
+    entries = headers.get("X-Prompt-Prefix", "").split(",")[:-1]
+    return {entry.partition(":")[0].strip() for entry in entries}
+
+
+def started_anew(target, under_new_id):
+    """Return the next start of a target, which shares the record of its runs."""
+    anew = copy(target)
+    anew.born = max(int(time.time() * 1000), target.born + 1)
+    anew.beats = anew.open = 0
+    if under_new_id:
+        anew.id, anew.runs = f"{target.id}-{anew.born}", []
+    return anew
+
+
 class EngineStandin:
     """One model engine."""
 
@@ -51,6 +68,15 @@
             "born": self.born,
         }
 
+    def started_anew(self, under_new_id):
+        anew = started_anew(self, under_new_id)
+        anew.held, anew.seq, anew.fence, anew.paths = None, 0, -1, {}
+        anew.silent = anew.full = False
+        anew.events_before_cut = None
+        if under_new_id:
+            anew.orders = []
+        return anew
+
     def layers(self):
         if self.held is None:
             return None
@@ -118,9 +144,13 @@
     async def _run(self, request):
         headers = request.headers
         attempt = headers["X-Attempt-Id"]
+        deadly = bool(self.platform.deadly_parts & shared_parts(headers))
         if headers["X-Expect-Instance"] != self.id:
             return web.Response(status=421)
-        if self.full or self.state == "draining":
+        runs = not (self.full or self.state == "draining")
+        if deadly:
+            self.platform.note_deadly(self, attempt, ran=runs)
+        if not runs:
             return web.Response(status=503, headers={"X-Not-Run": "1"})
         path = self.read_path(headers["X-Hop-Count"])
         self.runs.append((attempt, path, headers))
@@ -130,7 +160,7 @@
         self.open += 1
         self.paths[attempt] = path
         try:
-            return await self._stream(request, attempt)
+            return await self._stream(request, attempt, deadly)
         finally:
             self.open -= 1
             self.paths.pop(attempt, None)
@@ -143,7 +173,7 @@
             parts.append((address, int(first), int(last)))
         return parts
 
-    async def _stream(self, request, attempt):
+    async def _stream(self, request, attempt, deadly):
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         count = int(request.headers["X-Token-Count"].split(",")[1]) // 2
         response = web.StreamResponse(
@@ -155,6 +185,8 @@
         )
         await self.platform.whole(lambda: self.paths[attempt])
         await response.prepare(request)
+        if deadly:
+            await self.platform.crash(self)
         for number in range(first, count + 1):
             await asyncio.sleep(self.event_gap_s)
             await self.platform.whole(lambda: self.paths[attempt])
@@ -179,8 +211,14 @@
         self.behaviour = "answer"
         self.state = "ready"
         self.beats = 0
+        self.born = 1
         self.open = 0
 
+    def started_anew(self, under_new_id):
+        anew = started_anew(self, under_new_id)
+        anew.behaviour = "answer"
+        return anew
+
     def entry(self):
         self.beats += 1
         return {
@@ -192,7 +230,7 @@
             "state": self.state,
             "coldLeftMs": 0,
             "seq": self.beats,
-            "born": 1,
+            "born": self.born,
         }
 
     def listed(self):
@@ -204,10 +242,17 @@
         if request.headers["X-Expect-Instance"] != self.id:
             return web.Response(status=421)
         headers = {"X-Attempt-Id": attempt, "X-Server-Stamp": f"stamp.{self.id}"}
-        if self.behaviour == "full":
+        caller = request.headers.get("X-Tenant")
+        deadly = (request.path_qs, caller, body) in self.platform.deadly_requests
+        runs = self.behaviour != "full"
+        if deadly:
+            self.platform.note_deadly(self, attempt, ran=runs)
+        if not runs:
             return web.Response(status=503, headers={"X-Not-Run": "1"})
         self.runs.append((attempt, request.method, request.path_qs, body))
         self.headers = dict(request.headers)
+        if deadly:
+            await self.platform.crash(self)
         match self.behaviour:
             case "lose":
                 request.transport.abort()
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -5,11 +5,19 @@
 
 import asyncio
 import threading
+import time
 
 from aiohttp import web
+from attrs import frozen
 from engine_standins import EngineStandin, ServiceStandin
 from store_standin import StoreStandin
 
+CRASH_AFTER_S = 0.02
+"""Seconds from the begin of a deadly run to the crash of its target."""
+UNLISTED_AFTER_S = 1.0
+"""Seconds after which the list leaves out a target that has crashed."""
+NEW_ID_EVERY = 4
+"""One crash in so many is followed by a start under a new id."""
 LAYERS = 8
 LAYER_MB = 100.0
 KINDS = [
@@ -18,8 +26,45 @@
 ]
 
 
+@frozen
+class DeadlyArrival:
+    """A request that crashes targets, as it reached one.
+
+    Parameters
+    ----------
+    at_s
+        Monotonic time.
+    ran
+        True if the target began to run it.
+    """
+
+    at_s: float
+    target_id: str
+    attempt: str
+    ran: bool
+
+
 class Platform:
-    """The store and a fleet, on a thread of their own."""
+    """The store and a fleet, on a thread of their own.
+
+    Attributes
+    ----------
+    deadly_parts
+        Ids of parts of prompts. An engine crashes as it begins to write an answer to a
+        request that shares one of them; the last part of a prompt isn't shared.
+    deadly_requests
+        Path, caller and body of requests that crash each plain service's target.
+    restart_s
+        Seconds from the crash of a target to its next start.
+    deadly_arrivals
+        Arrivals of deadly requests, in order.
+    crashes
+        Monotonic time of each crash and the id of its target, in order.
+    """
+
+    deadly_parts = frozenset()
+    deadly_requests = frozenset()
+    restart_s = 2.0
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
@@ -27,7 +72,10 @@
         self.thread.start()
         self.engines = {}
         self.services = {}
+        self.deadly_arrivals = []
+        self.crashes = []
         self._runners = {}
+        self._restarts = set()
         self.version = 0
         self.store = self.call(self._start())
 
@@ -53,37 +101,61 @@
         return f"127.0.0.1:{port}"
 
     def add_engine(self, engine_id, zone, kind, held=None):
-        async def add():
-            engine = EngineStandin(self, engine_id, zone, kind)
-            engine.held = held
-            engine.addr = await self._listen(engine_id, engine.handle)
-            self.engines[engine_id] = engine
-            engine.listed()
-            return engine
-
-        return self.call(add())
+        engine = EngineStandin(self, engine_id, zone, kind)
+        engine.held = held
+        return self.call(self._begin(self.engines, engine))
 
     def add_service(self, target_id, zone):
-        async def add():
-            service = ServiceStandin(self, target_id, zone)
-            service.addr = await self._listen(target_id, service.handle)
-            self.services[target_id] = service
-            service.listed()
-            return service
+        service = ServiceStandin(self, target_id, zone)
+        return self.call(self._begin(self.services, service))
 
-        return self.call(add())
+    async def _begin(self, targets, target):
+        target.addr = await self._listen(target.id, target.handle)
+        targets[target.id] = target
+        target.listed()
+        return target
 
     def kill(self, name):
-        async def kill():
-            runner = self._runners.pop(name)
-            for site in list(runner.sites):
-                await site.stop()
-            for connection in list(runner.server.connections):
-                if connection.transport is not None:
-                    connection.transport.abort()
-            await runner.cleanup()
+        self.call(self._end(name))
+
+    async def _end(self, name):
+        runner = self._runners.pop(name, None)
+        if runner is None:
+            return
+        for site in list(runner.sites):
+            await site.stop()
+        for connection in list(runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await runner.cleanup()
+
+    def note_deadly(self, target, attempt, *, ran):
+        arrival = DeadlyArrival(time.monotonic(), target.id, attempt, ran)
+        self.deadly_arrivals.append(arrival)
+
+    async def crash(self, target):
+        """End a target during a run, and start it anew later.
+
+        The run waits for the crash, which cuts it off with all others.
+        """
+        await asyncio.sleep(CRASH_AFTER_S)
+        restart = asyncio.ensure_future(self._crash_and_restart(target))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+        await asyncio.Event().wait()
 
-        self.call(kill())
+    async def _crash_and_restart(self, target):
+        if target.id not in self._runners:
+            return
+        self.crashes.append((time.monotonic(), target.id))
+        anew = target.started_anew(len(self.crashes) % NEW_ID_EVERY == 0)
+        await self._end(target.id)
+        await asyncio.sleep(UNLISTED_AFTER_S)
+        self.store.put("keyed.servers", target.id, None)
+        await asyncio.sleep(self.restart_s - UNLISTED_AFTER_S)
+        if target.state == "ready":
+            is_engine = target.id in self.engines
+            await self._begin(self.engines if is_engine else self.services, anew)
 
     def alive(self, address):
         return any(
@@ -125,6 +197,8 @@
 
     def stop(self):
         async def stop():
+            for restart in self._restarts:
+                restart.cancel()
             for runner in self._runners.values():
                 await runner.cleanup()
 
--- a/tests/support/soak_platform.py
+++ b/tests/support/soak_platform.py
@@ -144,9 +144,9 @@
     async def _put(self, topic, key, value):
         self.store.put(topic, key, value)
 
-    def kill(self, name):
-        self.call(self.proxies[name].close())
-        super().kill(name)
+    async def _end(self, name):
+        await self.proxies[name].close()
+        await super()._end(name)
 
     def stop(self):
         for proxy in self.proxies.values():
