Admission: a crash that a convicted part explains doesn't count against others

After the first crashes the engines that are left hold dozens of streams without an event; several suspects ran as probes on one engine at once, and one deadly request ended them all. Change: the traits with the most crashes explain these (explanations), the others keep what is left; one probe at a time for a service rather than a trait; where several parts explain the same crashes, a request needs more than half of them to be refused; the first hold is 30 s, so that an innocent part is free sooner, and ten crashes are kept, so that the hold still reaches its maximum. Ruled out: counting only the first suspect of a crash, as the order of reports says nothing.

--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -143,7 +143,7 @@
         convicted = [
             each
             for each in suspects
-            if (record := self._records.get(each, now_s))
+            if (record := self._counting(each, now_s))
             and record.hold_end_s(organisation) is not None
         ]
         counted = []
@@ -191,29 +191,32 @@
     def judge(self, traits: Iterable[Trait], organisation: str | None) -> Judgement:
         """Return whether a request may run, by the worst of its traits.
 
-        Traits of the same crashed runs are convicted together, though one of them is
-        the cause. Requests with only some of these may run as probes: a sound one
-        clears its traits, and a crash leaves them without the other explanation.
+        Crashes that a convicted trait explains don't count against others. Where several
+        explain the same crashes, requests with half of them or fewer may run as probes:
+        a sound one clears its traits, and a crash tells them apart.
         """
         worst = CLEAR
         if not self._records:
             return worst
         now_s, traits = self._clock(), tuple(traits)
         for trait in traits:
-            record = self._records.get(trait, now_s)
+            record = self._counting(trait, now_s)
             if record is None or not record.crashes:
                 continue
             probe_left_s = self._probes.left_s(record, now_s)
             judgement = judge_record(record, organisation, now_s, probe_left_s)
-            if judgement.verdict is Verdict.REFUSE and self._records.is_explained(
-                record, traits
+            if (
+                judgement.verdict is Verdict.REFUSE
+                and not self._records.explanation.is_likely_cause(trait, traits)
             ):
                 judgement = make_suspicion(record, probe_left_s)
             worst = max(worst, judgement, key=lambda each: each.severity)
         return worst
 
     def begin_probe(self, traits: Iterable[Trait], run: str) -> bool:
-        """Begin a probe, unless another one of a suspected trait is running.
+        """Begin a probe, unless another one at the same service is running.
+
+        Two probes on one engine would count as two suspects of its crash.
 
         Returns
         -------
@@ -224,14 +227,20 @@
         records = [
             record
             for trait in traits
-            if (record := self._records.get(trait, now_s)) and record.is_suspected
+            if (record := self._counting(trait, now_s)) and record.is_suspected
         ]
         if self._probes.is_running(run) or not records:
             return True
-        if any(self._probes.left_s(each, now_s) > 0 for each in records):
+        services = {each.trait.service for each in records}
+        if any(
+            self._probes.left_s(each, now_s) > 0
+            for each in self._records.open_probes(now_s)
+            if each.trait.service in services
+        ):
             return False
         for record in records:
-            self._records.store(evolve(record, probe_s=now_s))
+            known = self._known(record.trait, now_s)
+            self._records.store(evolve(known, probe_s=now_s))
         probed = [each.trait for each in records]
         self._probes.begin(run, probed, now_s)
         self._announce(probed)
@@ -305,12 +314,22 @@
     def dump(self) -> list[dict[str, object]]:
         """Return all records for the state dump, with ages in seconds."""
         now_s = self._clock()
-        return [each.describe(now_s) for each in self._records.all(now_s)]
+        explanation = self._records.explanation
+        return [
+            each.describe(now_s)
+            | {"convicted": explanation.unexplained(each).is_convicted}
+            for each in self._records.all(now_s)
+        ]
 
     def _is_sound(self, trait: Trait, now_s: float) -> bool:
         sound_s = self._known(trait, now_s).sound_s
         return sound_s is not None and sound_s >= now_s - SOUND_TTL_S
 
+    def _counting(self, trait: Trait, now_s: float) -> TraitRecord | None:
+        """Return a trait's record with the crashes that no other trait explains."""
+        record = self._records.get(trait, now_s)
+        return record and self._records.explanation.unexplained(record)
+
     def _known(self, trait: Trait, now_s: float) -> TraitRecord:
         """Return what is known of any trait, as a record."""
         record = self._records.get(trait, now_s) or TraitRecord(trait)
--- a/libs/admission/src/celeryfork_admission/crash_records.py
+++ b/libs/admission/src/celeryfork_admission/crash_records.py
@@ -7,12 +7,12 @@
 
 from celeryfork_admission.traits import Trait, TraitKind
 
-MAX_CRASHES = 8
+MAX_CRASHES = 10
 PROBE_WEIGHT = 2
 """A probe ran with fewer others, so that its crash says more than an ordinary one."""
 CONVICTION_WEIGHT = 3
 SOUND_TTL_S = 60.0
-FIRST_HOLD_S = 60.0
+FIRST_HOLD_S = 30.0
 MAX_HOLD_S = 3600.0
 ECHO_S = 0.5
 """Two times so close are one, reported twice. Each message makes a time look later by
@@ -76,6 +76,11 @@
             news_s = self.probe_s
         return news_s
 
+    @property
+    def weight(self) -> int:
+        """What all counted crashes count towards a conviction."""
+        return sum(each.weight for each in self.crashes)
+
     @property
     def runs(self) -> frozenset[str]:
         """Ids of the counted crashes."""
@@ -128,7 +133,7 @@
     @property
     def is_convicted(self) -> bool:
         """True if any caller's requests with the trait are or were refused."""
-        if len(self.crashes) * PROBE_WEIGHT < CONVICTION_WEIGHT:
+        if self.weight < CONVICTION_WEIGHT:
             return False
         organisations = {each.organisation for each in self.crashes}
         return any(self.hold_end_s(each) is not None for each in organisations)
--- a/libs/admission/src/celeryfork_admission/trait_records.py
+++ b/libs/admission/src/celeryfork_admission/trait_records.py
@@ -1,10 +1,10 @@
 """The records of suspected traits, within a bound of memory."""
 
-from collections.abc import Collection
-
 from attrs import define, field
 
-from celeryfork_admission.crash_records import TraitRecord
+from celeryfork_admission.crash_records import CONVICTION_WEIGHT, TraitRecord
+from celeryfork_admission.explanations import Explanation, explain_crashes
+from celeryfork_admission.probes import PROBE_S
 from celeryfork_admission.traits import Trait, TraitKind
 
 RECORD_TTL_S = 7200.0
@@ -25,7 +25,9 @@
     """When :meth:`select` returned it last, by the count of calls."""
     _turn: int = 0
     _suspect_services: frozenset[str] | None = frozenset()
-    _convicted: tuple[TraitRecord, ...] | None = ()
+    _explanation: Explanation | None = field(factory=Explanation)
+    _probed: dict[Trait, None] = field(factory=dict)
+    """Traits with a probe that may still run."""
 
     def __bool__(self) -> bool:
         """Return True if there is any record."""
@@ -45,7 +47,9 @@
         convicted ones last.
         """
         self._record_by_trait[record.trait] = record
-        self._suspect_services = self._convicted = None
+        if record.open_probe_s is not None:
+            self._probed[record.trait] = None
+        self._suspect_services = self._explanation = None
         if len(self._record_by_trait) > MAX_TRAITS:
             ranked = sorted(
                 self._record_by_trait.values(),
@@ -70,28 +74,29 @@
             )
         return service in self._suspect_services
 
-    def is_explained(self, record: TraitRecord, traits: Collection[Trait]) -> bool:
-        """Return True if a convicted trait that a request lacks explains its record.
-
-        That is one with all the crashes of the record, of any organisation: engines
-        run the requests of all.
-
-        Parameters
-        ----------
-        traits
-            Those of the request.
-        """
-        if self._convicted is None:
-            self._convicted = tuple(
-                each for each in self._record_by_trait.values() if each.is_convicted
+    @property
+    def explanation(self) -> Explanation:
+        """Traits that explain crashes, of all services."""
+        if self._explanation is None:
+            self._explanation = explain_crashes(
+                each
+                for each in self._record_by_trait.values()
+                if each.weight >= CONVICTION_WEIGHT
             )
-        runs = record.runs
-        return any(
-            other.trait not in traits
-            and other.trait.service == record.trait.service
-            and runs <= other.runs
-            for other in self._convicted
-        )
+        return self._explanation
+
+    def open_probes(self, now_s: float) -> list[TraitRecord]:
+        """Return the records of the traits whose last probe may still run."""
+        records = [self.get(trait, now_s) for trait in self._probed]
+        running = [
+            each
+            for each in records
+            if each is not None
+            and each.open_probe_s is not None
+            and each.open_probe_s > now_s - PROBE_S
+        ]
+        self._probed = {each.trait: None for each in running}
+        return running
 
     def select(self, limit: int, now_s: float) -> list[TraitRecord]:
         """Return the records to be sent, at most ``limit``.
@@ -124,4 +129,5 @@
     def _drop(self, trait: Trait) -> None:
         del self._record_by_trait[trait]
         self._turn_by_trait.pop(trait, None)
-        self._suspect_services = self._convicted = None
+        self._probed.pop(trait, None)
+        self._suspect_services = self._explanation = None
--- /dev/null
+++ b/libs/entry/tests/test_crash_guard.py
@@ -0,0 +1,231 @@
+"""Requests that crash engines, and sound ones beside them, without a network.
+
+The failures follow issue 27: a part of a prompt crashes each engine that begins to
+write an answer on it.
+"""
+
+import asyncio
+import time
+
+import pytest
+from attrs import evolve
+from celeryfork_admission.crash_evidence import Verdict, make_part_trait
+from celeryfork_base.errors import RequestRefusedError
+from celeryfork_entry.configuration import AtMostOnce
+from celeryfork_entry.crash_guard import PROBE_DELAY_S, PROBE_WAIT_S
+from celeryfork_entry.first_engines import CRASH_ONSET_S
+from celeryfork_entry.plain_calls import PlainCalls
+from stream_trial import Caller, LoseReply, Run, Trial
+
+BACK = (4, 8)
+FRONT = (0, 4)
+DEADLY = ("common", "deadly")
+CALL_S = 20.0
+
+
+def add_crashing(trial, *names):
+    """Add engines that end as they begin to write their first answer."""
+    for name in names:
+        trial.add(name, Run(0, lost=(name,), after_s=0.02))
+
+
+async def serve(trial, request_id, parts, organisation="org", left_s=CALL_S):
+    """Serve one stream; return its caller, or the refusal."""
+    caller = Caller()
+    call = trial.call(caller, request_id, left_s, parts)
+    call.organisation = organisation
+    try:
+        await trial.streams.serve(call)
+    except RequestRefusedError as error:
+        return error
+    return caller
+
+
+def verdict(trial, part="deadly", organisation="org"):
+    trait = make_part_trait("llm", part)
+    return trial.evidence.judge((trait,), organisation).verdict
+
+
+def arrivals(trial):
+    return sum(engine.arrivals for engine in trial.engines.values())
+
+
+def know_sound(trial, *parts):
+    trial.evidence.record_sound([make_part_trait("llm", part) for part in parts])
+
+
+def test_a_request_whose_probe_crashes_too_is_refused_with_all_of_its_part():
+    """Each request with the part ended three engines."""
+    trial = Trial(max_targets=9)
+    know_sound(trial, "common")
+    add_crashing(trial, "e1", "e2", "e3", "e4")
+
+    async def run():
+        first = await serve(trial, "r1", DEADLY)
+        assert (first.status, first.code) == (502, "crashes_engines")
+        assert arrivals(trial) == 2
+        second = await serve(trial, "r2", DEADLY)
+        assert (second.status, second.code) == (503, "crashes_engines")
+        assert second.retry_after_s > 1
+        assert arrivals(trial) == 2
+
+    trial.run(run())
+    assert verdict(trial) is Verdict.REFUSE
+    assert verdict(trial, "common") is Verdict.CLEAR
+    [line] = trial.logged("crash_convicted")
+    assert (line["value"], line["kind"]) == ("deadly", "part")
+    assert [line["probe"] for line in trial.logged("crash_suspect")] == [False, True]
+
+
+def test_an_innocent_request_completes_as_a_probe():
+    """A request is on an engine that ends for another reason."""
+    trial = Trial(max_targets=9)
+    trial.add("e1", Run(0, lost=("e1",), after_s=0.02))
+    trial.add("e2")
+
+    async def run():
+        started_s = time.monotonic()
+        caller = await serve(trial, "r1", ("common", "rare"))
+        assert caller.has_complete_answer
+        assert time.monotonic() - started_s >= PROBE_DELAY_S
+
+    trial.run(run())
+    assert verdict(trial, "rare") is Verdict.CLEAR
+    assert len(trial.logged("crash_probe")) == 1
+
+
+def test_a_request_with_sound_parts_is_retried_at_once():
+    trial = Trial(max_targets=9)
+    know_sound(trial, "common")
+    trial.add("e1", Run(0, lost=("e1",), after_s=0.02))
+    trial.add("e2")
+
+    async def run():
+        started_s = time.monotonic()
+        caller = await serve(trial, "r1", ("common",))
+        assert caller.has_complete_answer
+        assert time.monotonic() - started_s < PROBE_DELAY_S
+
+    trial.run(run())
+    assert trial.logged("crash_probe") == []
+    assert verdict(trial, "common") is Verdict.CLEAR
+
+
+def test_a_request_without_parts_is_retried_at_once():
+    trial = Trial(max_targets=9)
+    trial.add("e1", Run(0, lost=("e1",), after_s=0.02))
+    trial.add("e2")
+    caller = trial.run(serve(trial, "r1", ()))
+    assert caller.has_complete_answer
+    assert trial.logged("crash_probe") == []
+
+
+def test_engines_that_end_under_a_writing_stream_are_no_evidence():
+    """All streams of an engine were suspects, also those that had written for long."""
+    trial = Trial(max_targets=9)
+    trial.add("e1", Run(4, lost=("e1",), gap_s=CRASH_ONSET_S / 2))
+    trial.add("e2")
+    caller = trial.run(serve(trial, "r1", ("rare",)))
+    assert caller.has_complete_answer
+    assert verdict(trial, "rare") is Verdict.CLEAR
+    assert trial.logged("crash_suspect") == []
+
+
+def test_a_connection_that_breaks_while_its_engine_lives_is_no_evidence():
+    trial = Trial(max_targets=9)
+    trial.add("e1", Run(0, lost=(), after_s=0.02))
+    trial.add("e2")
+    caller = trial.run(serve(trial, "r1", ("rare",)))
+    assert caller.has_complete_answer
+    assert trial.logged("crash_suspect") == []
+
+
+def test_a_suspect_is_refused_with_503_while_another_probe_runs():
+    """Each instance would run the suspects of the moment at engines of their own."""
+    trial = Trial(max_targets=9)
+    add_crashing(trial, "e1")
+    trial.add("e2", Run(after_s=0.0))
+    deadly = make_part_trait("llm", "deadly")
+    trial.evidence.record_crash([deadly], "elsewhere", "org", probe=False)
+    assert trial.evidence.begin_probe([deadly], "probe elsewhere")
+
+    async def run():
+        started_s = time.monotonic()
+        refusal = await serve(trial, "r1", DEADLY)
+        assert (refusal.status, refusal.code) == (503, "crashes_engines")
+        assert 0.5 <= refusal.retry_after_s <= 1.5
+        assert PROBE_WAIT_S <= time.monotonic() - started_s < 2 * PROBE_WAIT_S
+
+    trial.run(run())
+    assert arrivals(trial) == 0
+
+
+def test_a_probe_that_ends_without_a_verdict_frees_its_place():
+    """A caller that left, or a refusal, would have blocked probes for seconds."""
+    trial = Trial(max_targets=9)
+    trial.add("e1", Run(0, after_s=5.0))
+    deadly = make_part_trait("llm", "deadly")
+    trial.evidence.record_crash([deadly], "elsewhere", "org", probe=False)
+
+    async def run():
+        leaving = asyncio.ensure_future(serve(trial, "r1", DEADLY))
+        await asyncio.sleep(0.1)
+        leaving.cancel()
+        await asyncio.wait({leaving})
+
+    trial.run(run())
+    assert trial.evidence.begin_probe([deadly], "next")
+
+
+def test_a_suspect_is_not_carried_on_over_a_detour():
+    """A detour takes the request to the next engine without a run that is judged."""
+    trial = Trial(max_targets=9)
+    trial.add("front", Run(0, after_s=0.5), Run(), layers=FRONT)
+    trial.add("back-1", layers=BACK)
+    trial.add("back-2", layers=BACK)
+    rerouted = []
+
+    async def reroute(call, path):
+        rerouted.append(path)
+
+    trial.reroute = reroute
+
+    async def run():
+        serving = asyncio.ensure_future(serve(trial, "r1", ("rare",)))
+        await asyncio.sleep(0.05)
+        [attempt] = trial.streams._attempts.on_engine("front")
+        back = attempt.path.parts[1].engine_id
+        trial.engine(back).gone = True
+        trial.checks.mark_down(back, "reported down by a peer", own=False)
+        await asyncio.sleep(0.1)
+        assert rerouted == []
+        assert verdict(trial, "rare") is Verdict.SUSPECT
+        caller = await serving
+        assert caller.has_complete_answer
+
+    trial.run(run())
+
+
+def test_a_whole_request_that_crashes_plain_targets_is_refused_at_the_third():
+    """The same request comes again, and ends a target of a plain service each time."""
+    trial = Trial(max_targets=9)
+    trial.route = evolve(trial.route, kind=AtMostOnce())
+    for number in range(5):
+        trial.add(f"desk-{number}", LoseReply(crash=True))
+    plain = PlainCalls(trial.context, trial.guard)
+
+    async def ask(body):
+        call = trial.call(Caller(), "r1", 1.5)
+        call.request.body = body
+        with pytest.raises(RequestRefusedError) as refusal:
+            await plain.serve(call)
+        return refusal.value.status
+
+    async def run():
+        for _ in range(3):
+            assert await ask(b"deadly") == 502
+        assert await ask(b"deadly") == 503
+        assert arrivals(trial) == 3
+        assert await ask(b"sound") == 502, "another request is sent"
+
+    trial.run(run())
