Entry: requests that crash engines are found by their shared parts and refused

Cause: the instance counted lost engines for each stream alone and forgot them with it, so that each request with the part ended up to three engines. Class: what one request learns at the cost of others is not kept for the next.

Change: before each send the guard asks the evidence of crashes. A run that broke as it began to write, over an engine that has certainly ended (port closed, or restarted), counts against its parts that nobody saw sound within a minute and against its fingerprint. A suspect runs again as a probe on the first engine with the fewest requests, 0.3 s later, so that peers can clear its parts; a convicted one is refused at once with 503 and Retry-After if it hasn't run, else ended. Streams that may be the cause take no detour. Plain calls count by their fingerprint where the target's port is closed after a broken reply.

Ruled out: refusing by caller or by first part, which sound requests share; 4xx, since a part may be convicted by mistake and is freed by a probe. Tests of streams and plain calls get the guard; the trial's requests name no parts unless a test gives them.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 
 from attrs import define, field
+from celeryfork_admission.crash_evidence import Trait
 from celeryfork_admission.retry_share import Retry, RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
@@ -64,6 +65,16 @@
     failed_on
         Ids of engines that answered with an error of their own. They are never sent
         the request again.
+    part_traits, request_trait
+        Shared parts and fingerprint of the request by which crashes are counted, None
+        until they are needed.
+    probe
+        Id of the probe that the call holds, None if it isn't one.
+    was_sound
+        True once a run of the call has written, or ended, without a crash.
+    crashed_s
+        Monotonic time at which a target last ended as it began to run the call, 0 for
+        never.
     may_have_run
         True if any target may have started the request. The caller can't be told then
         that it was not run.
@@ -89,6 +100,11 @@
     retry: Retry | None = None
     runs: int = 0
     failures: int = 0
+    part_traits: tuple[Trait, ...] | None = None
+    request_trait: Trait | None = None
+    probe: str | None = None
+    was_sound: bool = False
+    crashed_s: float = 0.0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
     failed_on: set[str] = field(factory=set)
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -18,6 +18,7 @@
 from celeryfork_entry.call import CallContext
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.configuration import CallerLimits, Configuration
+from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
@@ -151,13 +152,15 @@
         )
         selector = PathSelector(context, self.loads)
         detours = Detours(context, selector, self._highest_known_fence)
+        guard = CrashGuard(self.crash_evidence, context)
         streams = StreamCalls(
-            context, self._checks, leaving, self.loads, reachability, selector, detours
-        )
+            context, self._checks, leaving, self.loads, reachability, selector, detours,
+            guard,
+        )  # fmt: skip
         self._checks.on_down = streams.engine_down
         self._checks.is_in_use = streams.uses
         self._checks.spawn = self._spawn
-        self._dispatcher = Dispatcher(context, PlainCalls(context), streams)
+        self._dispatcher = Dispatcher(context, PlainCalls(context, guard), streams)
         self._placement = PlacementLeader(
             self.table, self.connections, self._dialect, self._checks, self.log,
             lambda: self.configuration,
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -6,6 +6,7 @@
 from celeryfork_routing.engine_loads import LayerPath
 
 from celeryfork_entry.call import Call
+from celeryfork_entry.first_engines import CRASH_ONSET_S
 
 
 @frozen
@@ -111,6 +112,11 @@
             return 0.0
         return self.last_event_s - self.first_event_s
 
+    @property
+    def is_starting(self) -> bool:
+        """Return True if the attempt may still be what crashes its engines."""
+        return self.writing_s <= CRASH_ONSET_S
+
     def interrupt(self, reason: str) -> None:
         """Cancel the attempt, so that the stream is continued over another path."""
         if self.task is not None and not self.task.done():
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from math import inf
 
 from attrs import define, evolve, field, frozen
@@ -214,6 +214,13 @@
         )
         engines = [each.at(now_s) for each in known]
         loads = self._known_loads(engines, now_s)
+        if call.probe is not None and request.first_engines is None:
+            quiet = _least_loaded_first(engines, loads)
+            path = find_path(
+                shape, engines, loads, evolve(request, first_engines=quiet)
+            )
+            if path is not None:
+                return path
         own_domain_engines = [each for each in engines if each.domain == request.domain]
         path = find_path(shape, own_domain_engines, loads, request)
         if len(own_domain_engines) == len(engines):
@@ -353,5 +360,14 @@
     return min(float(metadata.max_answer_tokens), metadata.expected_answer_tokens)
 
 
+def _least_loaded_first(
+    engines: Sequence[PathEngine], loads: Mapping[str, Load]
+) -> frozenset[str]:
+    """Return the engine with the first layer that runs the fewest requests."""
+    first = [each.id for each in engines if each.held.first == 0]
+    first.sort(key=lambda engine_id: loads.get(engine_id, Load()).requests)
+    return frozenset(first[:1])
+
+
 def _excluding(known: Sequence[_EngineView], left_out: set[str]) -> list[_EngineView]:
     return [each for each in known if each.engine.id not in left_out]
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -18,6 +18,7 @@
     outcome_unknown_error,
 )
 from celeryfork_entry.configuration import AtMostOnce, Kind, Stream
+from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
 from celeryfork_entry.target_http import LostError, NotSentError
@@ -144,6 +145,7 @@
     """Sends calls to targets of plain services and retries them within their limits."""
 
     _context: CallContext
+    _guard: CrashGuard
     _random: random.Random = field(factory=random.Random)
 
     async def serve(self, call: Call) -> None:
@@ -154,10 +156,18 @@
         RequestRefusedError
             No target sent a reply that can be forwarded.
         """
+        try:
+            await self._serve(call)
+        finally:
+            self._guard.end_probe(call)
+
+    async def _serve(self, call: Call) -> None:
         at_most_once = _runs_once(call.route.kind)
         history = _AttemptHistory()
         last: AttemptResult = Refused("no target")
         while call.left_s > 0 and (call.may_have_run or call.sends < MAX_SENDS):
+            if not await self._guard.wait_until_allowed(call, history.until_s):
+                break
             target = self._choose(call)
             if target is None:
                 if not await history.wait_for_capacity(call):
@@ -218,6 +228,8 @@
                 call.runs += 1
                 call.may_have_run = True
                 attempt = ReplyLost(repr(error))
+                if isinstance(error, LostError):
+                    await self._guard.record_broken_call(call, target)
             else:
                 self._context.release_send(call)
                 attempt = Refused(repr(error))
@@ -260,6 +272,7 @@
             return ReplyLost(
                 f"status {reply.status} without the header that the call was not run"
             )
+        self._guard.record_sound(call)
         if reply.status >= 500:
             context.table.failed(target.id)
         else:
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -17,6 +17,7 @@
     outcome_unknown_error,
 )
 from celeryfork_entry.configuration import Stream
+from celeryfork_entry.crash_guard import REFUSAL_CODE, CrashGuard
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.events import Event, EventSplitter
@@ -74,6 +75,7 @@
     _reachability: ReachabilityChecks
     _selector: PathSelector
     _detours: Detours
+    _guard: CrashGuard
     _attempts: AttemptRegistry = field(init=False)
     _retry_after_estimator: RetryAfterEstimator = field(factory=RetryAfterEstimator)
 
@@ -91,6 +93,9 @@
         for attempt in list(self._attempts.on_engine(engine_id)):
             if attempt.path.parts[0].engine_id == engine_id:
                 attempt.interrupt(f"engine {engine_id} is down")
+            elif self._guard.may_crash(attempt):
+                # A detour would carry the request to the next engine.
+                attempt.interrupt(f"engine {engine_id} is down")
             elif attempt.detour is None or attempt.detour.done():
                 attempt.detour = asyncio.ensure_future(self._reroute(attempt))
                 self._checks.spawn(attempt.detour)
@@ -114,6 +119,12 @@
         RequestRefusedError
             The call was refused, or failed before its first event.
         """
+        try:
+            await self._serve(call)
+        finally:
+            self._guard.end_probe(call)
+
+    async def _serve(self, call: Call) -> None:
         self._retry_after_estimator.record_arrival(time.monotonic())
         progress = StreamProgress(call.metadata.last_event)
         call.first_engines.max_engines = call.route.max_targets
@@ -121,10 +132,9 @@
         refusals = 0
         until_s: float | None = None
         while (ended_by := exhausted_limit(call)) is None:
-            path = await self._selector.choose(call, until_s)
-            if path is None:
-                self._selector.log_no_path(call)
-                ended_by = "no_path"
+            path = await self._find_path(call, until_s)
+            if isinstance(path, str):
+                ended_by = path
                 break
             if not self._context.acquire_send(call):
                 if await self._context.wait_for_retry_budget(call, until_s):
@@ -151,6 +161,19 @@
                     await asyncio.sleep(min(left_s, refusal_backoff_s(refusals)))
         await self._finish(call, last, progress, ended_by)
 
+    async def _find_path(self, call: Call, until_s: float | None) -> LayerPath | str:
+        """Return a path over which a call may be sent, else the reason for its end."""
+        while True:
+            if not await self._guard.wait_until_allowed(call, until_s):
+                return REFUSAL_CODE
+            path = await self._selector.choose(call, until_s)
+            if path is None:
+                self._selector.log_no_path(call)
+                return "no_path"
+            if self._guard.is_allowed(call):
+                return path
+            # A crash was reported during the wait.
+
     async def _attempt(
         self, call: Call, path: LayerPath, progress: StreamProgress
     ) -> Outcome:
@@ -185,6 +208,10 @@
             if not attempt.sent:
                 self._context.release_send(call)
                 return PathRefused(attempt.interrupted)
+            if self._guard.may_crash(attempt):
+                # A peer's report doesn't tell if an engine has ended.
+                down = self._unavailable_engines(attempt.path)
+                await self._checks.find_down(down, ask_all=True)
             return self._path_broke(attempt, attempt.interrupted)
         finally:
             if attempt.detour is not None:
@@ -263,7 +290,10 @@
             if events:
                 self._attempts.end_prefill(attempt)
                 last_event_s = time.monotonic()
+                was_starting = attempt.is_starting
                 attempt.record_events(last_event_s)
+                if was_starting and not attempt.is_starting:
+                    self._guard.record_sound(call)
                 gaps = gaps or EventGaps()
                 gaps.record_event(last_event_s)
                 self._checks.record_progress(
@@ -275,6 +305,8 @@
                 "the stream ended before its first event or within an event"
             )
         progress.complete = True
+        if attempt.is_starting:
+            self._guard.record_sound(call)
         await call.connection.end_stream()
         self._context.table.succeeded(attempt.path.parts[0].engine_id)
         return Finished()
@@ -402,10 +434,21 @@
             each for each in path.engine_ids if not self._selector.is_available(each)
         ]
 
+    def _ended_engines(self, path: LayerPath) -> list[str]:
+        """Return the engines of a path whose processes have certainly ended."""
+        table = self._context.table
+        return [
+            each
+            for each in path.engine_ids
+            if each in table.by_id and table.health(each).ended
+        ]
+
     def _path_broke(self, attempt: PathAttempt, reason: str) -> PathBroke:
         call, path = attempt.call, attempt.path
         down = self._unavailable_engines(path)
         self._record_failed_run(call, path)
+        if attempt.is_starting and (ended := self._ended_engines(path)):
+            self._guard.record_crash(call, ended)
         if path.parts[0].engine_id in down:
             call.first_engines.record_loss(attempt.writing_s)
         if not down:
@@ -487,6 +530,8 @@
             raise not_run_error(
                 "no_path", f"No path accepted the request: {reason}.", after_s
             )
+        if ended_by == REFUSAL_CODE:
+            raise self._guard.refusal(reason)
         status = 504 if call.left_s <= 0 else 502
         raise outcome_unknown_error(
             status, "path_broke", f"The stream stopped before its end: {reason}."
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -198,6 +198,15 @@
             connection.stream.abort()
             raise
 
+    async def is_refused(self, address: str, timeout_s: float) -> bool:
+        """Return True if nothing listens at an address, so its process has ended."""
+        try:
+            connection = await self._open(address, timeout_s)
+        except NotSentError as error:
+            return isinstance(error, PortClosedError)
+        connection.stream.close()
+        return False
+
     def release(self, connection: _Connection, reply: Reply) -> None:
         """Return the connection of a complete reply to the pool, or close it."""
         http, stream = connection.http, connection.stream
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -12,6 +12,7 @@
 
 import small_model
 from attrs import define, evolve, field, frozen
+from celeryfork_admission.crash_evidence import make_crash_evidence
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_entry.budget_loans import BudgetLoans
@@ -23,6 +24,7 @@
     Service,
     Stream,
 )
+from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.path_selector import PathSelector
@@ -91,7 +93,15 @@
 
 @frozen
 class LoseReply:
-    """The engine runs the request, and its reply is lost."""
+    """The engine runs the request, and its reply is lost.
+
+    Parameters
+    ----------
+    crash
+        True if the engine terminates.
+    """
+
+    crash: bool = False
 
 
 @frozen
@@ -145,7 +155,7 @@
         Ids of the parts that the prompts of its requests share.
     """
 
-    shared_parts = ("common",)
+    shared_parts = ()
 
     def __init__(self, *, slack=100.0, instances=1, max_targets=2, peer=None):
         self.table = TargetTable()
@@ -159,6 +169,7 @@
         )  # fmt: skip
         log = SimpleNamespace(info=self._record_line)
         checks = EngineChecks(self.table, self, self, log, self.counters, domain="a")
+        self.checks = checks
         self.roster = Roster(peer or Peer("i1", "a", "10.1.0.1:7"))
         self.peers = PeerProtocol(self.roster, EngineLoads(), log)
         self.loans = BudgetLoans(
@@ -193,9 +204,12 @@
         )
         leaving = SimpleNamespace(check=lambda *_: None)
         selector = PathSelector(self.context, loads)
+        self.evidence = make_crash_evidence()
+        self.guard = CrashGuard(self.evidence, self.context)
         self.streams = StreamCalls(
-            self.context, checks, leaving, loads, reachability, selector, self
-        )
+            self.context, checks, leaving, loads, reachability, selector, self,
+            self.guard,
+        )  # fmt: skip
         checks.on_down = self.streams.engine_down
         checks.is_in_use = self.streams.uses
         checks.spawn = asyncio.ensure_future
@@ -231,14 +245,18 @@
         await self.streams.serve(self.call(caller, request_id, CALL_S))
         return caller
 
-    def request(self, request_id, left_s, shared_parts=()):
+    def request(self, request_id, left_s, shared_parts=None):
         """Return a caller's request that :meth:`read_request` reads."""
         metadata = RequestMetadata(
             request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None,
-            shared_parts or self.shared_parts,
+            self.shared_parts if shared_parts is None else shared_parts,
         )  # fmt: skip
         return SimpleNamespace(
-            arrived_s=time.monotonic(), method="POST", metadata=metadata
+            arrived_s=time.monotonic(),
+            method="POST",
+            target="/",
+            body=request_id.encode(),
+            metadata=metadata,
         )
 
     def dispatcher(self):
@@ -252,9 +270,11 @@
             limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
         )
         self.context.configuration = lambda: configuration
-        return Dispatcher(self.context, PlainCalls(self.context), self.streams)
+        return Dispatcher(
+            self.context, PlainCalls(self.context, self.guard), self.streams
+        )
 
-    def call(self, caller, request_id, left_s, shared_parts=()):
+    def call(self, caller, request_id, left_s, shared_parts=None):
         request = self.request(request_id, left_s, shared_parts)
         return Call(
             connection=caller,
@@ -300,8 +320,9 @@
                 return _Reply(500, [b"its own failure"], engine)
             case Stall():
                 return await asyncio.get_running_loop().create_future()
-            case LoseReply():
+            case LoseReply(crash):
                 engine.runs += 1
+                engine.gone = crash
                 raise LostError("the connection ended before a reply")
             case Run():
                 engine.runs += 1
@@ -326,6 +347,9 @@
         end_of_run = None if run.events is None else end
         return _Reply(200, pieces, engine, end=end_of_run, gap_s=run.gap_s)
 
+    async def is_refused(self, address, timeout_s):
+        return self.engines[address].gone
+
     def forget(self, address):
         pass
 
@@ -333,7 +357,9 @@
         return request.metadata
 
     def build_target_request(self, request, options):
-        return SimpleNamespace(after_event=options.after_event, parts=request.metadata.shared_parts)
+        return SimpleNamespace(
+            after_event=options.after_event, parts=request.metadata.shared_parts
+        )
 
     def read_reply(self, status, reply_headers):
         at_fault = dict(reply_headers).get("at fault")
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -76,6 +76,7 @@
         avoided=set(avoided),
         failed_on=set(),
         first_engines=engines,
+        probe=None,
         may_have_run=may_have_run,
         left_s=20.0,
     )
--- a/libs/entry/tests/test_plain_calls.py
+++ b/libs/entry/tests/test_plain_calls.py
@@ -17,7 +17,9 @@
     trial.route = evolve(trial.route, kind=kind or Idempotent())
     caller = Caller()
     call = trial.call(caller, "r1", left_s)
-    asyncio.run(asyncio.wait_for(PlainCalls(trial.context).serve(call), 5.0))
+    asyncio.run(
+        asyncio.wait_for(PlainCalls(trial.context, trial.guard).serve(call), 5.0)
+    )
     return caller
 
 
--- a/libs/entry/tests/test_status_endpoints.py
+++ b/libs/entry/tests/test_status_endpoints.py
@@ -6,6 +6,7 @@
 
 import pytest
 from celeryfork_admission.crash_evidence import (
+    FIRST_HOLD_S,
     TraitKind,
     make_crash_evidence,
     make_part_trait,
@@ -115,7 +116,7 @@
     assert [crash["age_s"] for crash in row["crashes"]] == [0.3, 0.2, 0.1]
     assert {crash["organisation"] for crash in row["crashes"]} == {"xaka200"}
     assert row["verdict"] == "refuse"
-    assert row["hold_s"] == pytest.approx(59.9)
+    assert row["hold_s"] == pytest.approx(FIRST_HOLD_S - 0.1)
     status.now_s += 60.0
     (row,) = status.endpoints.dump()["crash_evidence"]
     assert (row["verdict"], row["hold_s"]) == ("suspect", 0.0)
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -18,6 +18,9 @@
 )
 DETOUR = LayerPath((PATH.parts[0], Part("e3", "10.0.0.3:1", LayerRange(4, 8), "a")))
 
+GUARD = SimpleNamespace(may_crash=lambda attempt: False)
+"""A guard without suspects."""
+
 
 @pytest.fixture
 def table():
@@ -36,7 +39,9 @@
         read_reply=lambda *_: SimpleNamespace(not_run=True, at_fault="10.0.0.2:1")
     )
     context = SimpleNamespace(table=table, domain="a", dialect=dialect)
-    streams = StreamCalls(context, None, None, EngineLoads(), reachability, None, None)
+    streams = StreamCalls(
+        context, None, None, EngineLoads(), reachability, None, None, GUARD
+    )
     first, second = table.by_id["e1"], table.by_id["e2"]
     path = SimpleNamespace(
         parts=[
@@ -80,7 +85,7 @@
     dialect = SimpleNamespace(read_reply=lambda *_: metadata)
     context = SimpleNamespace(dialect=dialect)
     streams = StreamCalls(
-        context, HealthyChecks(), None, EngineLoads(), None, None, None
+        context, HealthyChecks(), None, EngineLoads(), None, None, None, GUARD
     )
     call = SimpleNamespace(left_s=20.0, metadata=SimpleNamespace(id="a"))
     attempt = PathAttempt(call, PATH, 900.0)
@@ -118,6 +123,7 @@
             reachability,
             selector,
             FakeDetours(*detours),
+            GUARD,
         )
         call = SimpleNamespace(metadata=SimpleNamespace(prompt_tokens=700))
         attempt = PathAttempt(call, PATH, 900.0, prefilling=prefilling)
@@ -174,6 +180,7 @@
             reachability,
             selector,
             FakeDetours(DETOUR, further),
+            GUARD,
         )
         call = SimpleNamespace(metadata=SimpleNamespace(prompt_tokens=700))
         attempt = PathAttempt(call, PATH, 900.0)
--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -8,6 +8,7 @@
 
 import pytest
 from attrs import evolve
+from celeryfork_admission.crash_evidence import make_part_trait
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_entry.first_engines import CRASH_ONSET_S, MAX_LOST_ENGINES
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
@@ -54,6 +55,10 @@
 def test_log_of_a_broken_path_tells_if_it_had_sent_events_and_the_shared_parts():
     """Runs that crash engines at their start couldn't be told from interrupted ones."""
     trial = Trial()
+    trial.shared_parts = ("common", "rare")
+    trial.evidence.record_sound(
+        make_part_trait("llm", part) for part in trial.shared_parts
+    )
     trial.add("first", Run(0, lost=("first",)))
     trial.add("second", Run(3, lost=("second",)))
     trial.add("third")
--- a/libs/entry/tests/test_unreachable_targets.py
+++ b/libs/entry/tests/test_unreachable_targets.py
@@ -64,7 +64,9 @@
 
     async def run():
         caller = Caller()
-        await PlainCalls(trial.context).serve(trial.call(caller, "r1", left_s))
+        await PlainCalls(trial.context, trial.guard).serve(
+            trial.call(caller, "r1", left_s)
+        )
 
     begun_s = time.monotonic()
     with pytest.raises(RequestRefusedError) as refusal:
