Entry: bytes that arrive as a caller's timeout expires are read

Callers saw: a request on a kept connection ended without an answer if it arrived in the iteration of the event loop in which the idle timeout expired, and a complete request was refused with 408 if the rest of its body did.

Cause: the event loop runs received bytes and expired timers in one iteration; the timer cancels the reader, and the bytes stayed in the buffer of a connection that was then closed.

Evidence: test_a_request_that_arrives_as_the_idle_timeout_expires_is_answered (b"" instead of an answer) and test_the_rest_of_a_body_that_arrives_as_the_timeout_expires_is_read (408) failed before and pass now.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -213,6 +213,10 @@
                 async with asyncio.timeout(max(0.0, wait_s)):
                     data = await self.stream.read()
             except TimeoutError:
+                if self.stream.unread:
+                    # They arrived in the iteration of the event loop in which the
+                    # timeout expired.
+                    continue
                 if begun_s is None:
                     return None
                 raise BadRequestError(
@@ -238,6 +242,8 @@
                 async with asyncio.timeout(limits.idle_timeout_s):
                     data = await self.stream.read()
             except TimeoutError:
+                if self.stream.unread:
+                    continue
                 raise BadRequestError(
                     408, f"No body byte for {limits.idle_timeout_s:g} s: send faster."
                 ) from None
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -115,6 +115,33 @@
     run(scenario)
 
 
+def test_a_request_that_arrives_as_the_idle_timeout_expires_is_answered():
+    """Its bytes were received, and the connection closed in the same loop iteration."""
+
+    async def scenario(server, caller):
+        await caller.send(GET)
+        await caller.receive(b"\r\n\r\n")
+        # The iteration after this pause has both the bytes and the expired timeout.
+        caller.sock.send(GET)
+        time.sleep(LIMITS.idle_timeout_s + 0.05)
+        assert b" 200 " in await caller.receive(b"\r\n\r\n")
+
+    run(scenario)
+
+
+def test_the_rest_of_a_body_that_arrives_as_the_timeout_expires_is_read():
+    """The request was refused with 408 although it was complete."""
+
+    async def scenario(server, caller):
+        await caller.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na")
+        await asyncio.sleep(0.05)
+        caller.sock.send(b"bc")
+        time.sleep(LIMITS.idle_timeout_s + 0.05)
+        assert (await caller.receive(b"abc")).startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
 def test_a_request_after_an_answer_that_did_not_announce_the_close_is_not_discarded():
     """At a planned stop it was read for half a second, discarded and never answered.
 
