Entry: a raised idle timeout holds for connections that are idle already

Callers saw: after a change of idleTimeoutMs a kept connection was closed although it had been idle for less than four fifths of the limit in force.

Cause: the limit was read once, at the start of the wait. It is now read again when the wait ends. A lowered limit takes effect at the end of the wait that has begun; until then a connection stays open for longer than the limit, which costs callers nothing.

Evidence: test_a_raised_idle_timeout_holds_for_connections_that_are_idle_already failed before (the connection was closed after the old limit) and passes now.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -164,7 +164,7 @@
 
     async def _next_request(self) -> CallerRequest | None:
         limits = self.limits()
-        first = await self._next_event(limits.idle_timeout_s, limits.header_timeout_s)
+        first = await self._next_event()
         if first is None:
             return None
         arrived_s = asyncio.get_running_loop().time()
@@ -191,10 +191,13 @@
             arrived_s,
         )
 
-    async def _next_event(
-        self, idle_timeout_s: float, head_timeout_s: float
-    ) -> h11.Request | None:
+    async def _next_event(self) -> h11.Request | None:
+        """Return the head of the next request, None if the connection is to be closed.
+
+        The limits in force apply, which may change while the connection is idle.
+        """
         loop = asyncio.get_running_loop()
+        idle_since_s = loop.time()
         begun_s: float | None = None
         while True:
             event = self._parse()
@@ -204,27 +207,34 @@
                 return None
             if self.http.trailing_data[0] and begun_s is None:
                 begun_s = loop.time()
-            wait_s = (
-                idle_timeout_s
-                if begun_s is None
-                else begun_s + head_timeout_s - loop.time()
-            )
             try:
-                async with asyncio.timeout(max(0.0, wait_s)):
+                async with asyncio.timeout_at(
+                    self._head_deadline_s(idle_since_s, begun_s)
+                ):
                     data = await self.stream.read()
             except TimeoutError:
                 if self.stream.unread:
                     # They arrived in the iteration of the event loop in which the
                     # timeout expired.
                     continue
+                if loop.time() < self._head_deadline_s(idle_since_s, begun_s):
+                    continue
                 if begun_s is None:
                     return None
+                head_timeout_s = self.limits().header_timeout_s
                 raise BadRequestError(
                     408,
                     f"The headers took over {head_timeout_s:g} s: send them faster.",
                 ) from None
             self.http.receive_data(data)
 
+    def _head_deadline_s(self, idle_since_s: float, begun_s: float | None) -> float:
+        """Return the time of the event loop until which the next head may take."""
+        limits = self.limits()
+        if begun_s is None:
+            return idle_since_s + limits.idle_timeout_s
+        return begun_s + limits.header_timeout_s
+
     async def _body(self, limits: CallerLimits) -> bytes:
         pieces: list[bytes] = []
         length = 0
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -10,6 +10,7 @@
 import socket
 import time
 
+from attrs import evolve
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.caller_http import CallerConnection
 from celeryfork_entry.configuration import CallerLimits
@@ -142,6 +143,23 @@
     run(scenario)
 
 
+def test_a_raised_idle_timeout_holds_for_connections_that_are_idle_already():
+    """They were closed after the old one, though callers go by the one in force."""
+
+    async def scenario(server, caller):
+        await caller.send(GET)
+        await caller.receive(b"\r\n\r\n")
+        server.limits = evolve(LIMITS, idle_timeout_s=1.0)
+        await asyncio.sleep(0.8)
+        await caller.send(GET)
+        assert b" 200 " in await caller.receive(b"\r\n\r\n")
+        begun_s = time.monotonic()
+        assert await caller.receive() == b""
+        assert 0.9 < time.monotonic() - begun_s < 1.3
+
+    run(scenario)
+
+
 def test_a_request_after_an_answer_that_did_not_announce_the_close_is_not_discarded():
     """At a planned stop it was read for half a second, discarded and never answered.
 
