Entry: raised size limits hold for connections that are idle already

Callers saw: a request within the limits in force refused with 413 or 431 on a connection that had been idle since before the change.

Cause: the limits of body and headers were read at the start of the idle wait, and the parser's limit at the start of the connection. They are now read once the head is complete; the parser is replaced while it holds no bytes if its limit has changed.

Evidence: both variants of test_raised_size_limits_hold_for_connections_that_are_idle_already failed before (413, 431) and pass now.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -100,13 +100,18 @@
     busy: bool = False
     _close_after: bool = False
     _method: bytes = b""
+    _header_bytes: int = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the parser, with the head limited by the limits in force."""
+        """Create the parser."""
+        self._make_parser()
+
+    def _make_parser(self) -> None:
+        """Create a parser whose size limit of the head is that in force."""
+        self._header_bytes = self.limits().header_bytes
         self.http = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self.limits().header_bytes
-            + HEAD_PARSE_MARGIN_BYTES,
+            max_incomplete_event_size=self._header_bytes + HEAD_PARSE_MARGIN_BYTES,
         )
 
     async def serve(self) -> None:
@@ -163,10 +168,10 @@
             handling.cancel()
 
     async def _next_request(self) -> CallerRequest | None:
-        limits = self.limits()
         first = await self._next_event()
         if first is None:
             return None
+        limits = self.limits()
         arrived_s = asyncio.get_running_loop().time()
         self._method = first.method
         size = sum(len(name) + len(value) + 4 for name, value in first.headers)
@@ -226,6 +231,9 @@
                     408,
                     f"The headers took over {head_timeout_s:g} s: send them faster.",
                 ) from None
+            if begun_s is None and self._header_bytes != self.limits().header_bytes:
+                # h11 can't change the limit of a parser; this one holds no bytes yet.
+                self._make_parser()
             self.http.receive_data(data)
 
     def _head_deadline_s(self, idle_since_s: float, begun_s: float | None) -> float:
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -10,6 +10,7 @@
 import socket
 import time
 
+import pytest
 from attrs import evolve
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.caller_http import CallerConnection
@@ -160,6 +161,37 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("request_bytes", "end"),
+    [
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n" + b"b" * 900,
+            b"b" * 900,
+        ),
+        (
+            b"GET /a HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 7_000 + b"\r\n\r\n",
+            b"\r\n\r\n",
+        ),
+    ],
+    ids=["body", "headers"],
+)
+def test_raised_size_limits_hold_for_connections_that_are_idle_already(
+    request_bytes, end
+):
+    """A request within the limits in force was refused by those of its connection."""
+
+    async def scenario(server, caller):
+        await caller.send(GET)
+        await caller.receive(b"\r\n\r\n")
+        server.limits = evolve(LIMITS, body_bytes=1_000, header_bytes=8_000)
+        await caller.send(request_bytes[:6_000])
+        await asyncio.sleep(0.05)
+        await caller.send(request_bytes[6_000:])
+        assert (await caller.receive(end)).startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
 def test_a_request_after_an_answer_that_did_not_announce_the_close_is_not_discarded():
     """At a planned stop it was read for half a second, discarded and never answered.
 
