Entry: a planned stop waits for requests that are being received

Callers saw: at a planned stop, a connection closed in the middle of the request that they were sending.

Cause: only a connection whose request was complete counted as busy. One that is receiving a request counts as well now; the limits on the time of headers and body bound the wait, and the end of the stop does.

Evidence: test_a_planned_stop_waits_for_a_request_that_is_being_received failed before (not busy, closed) and passes now.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -87,7 +87,7 @@
     is_stopping
         Returns True while the instance is stopping.
     busy
-        True while a request is being answered.
+        True while a request is being received or answered.
     close_after
         True if the connection closes after the current answer.
     """
@@ -135,7 +135,6 @@
             return False
         if request is None:
             return False
-        self.busy = True
         try:
             await self._handle_until_closed(request)
         finally:
@@ -207,11 +206,13 @@
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
+                self.busy = True
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
             if self.http.trailing_data[0] and begun_s is None:
                 begun_s = loop.time()
+                self.busy = True
             try:
                 async with asyncio.timeout_at(
                     self._head_deadline_s(idle_since_s, begun_s)
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -192,6 +192,23 @@
     run(scenario)
 
 
+def test_a_planned_stop_waits_for_a_request_that_is_being_received():
+    """Its connection counted as idle and was closed."""
+
+    async def scenario(server, caller):
+        await caller.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na")
+        await asyncio.sleep(0.05)
+        server.stopping = True
+        server.connection.close_when_idle()
+        assert server.connection.busy
+        await caller.send(b"bc")
+        answer = await caller.receive()
+        assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"abc")
+        assert b"connection: close" in answer.lower()
+
+    run(scenario)
+
+
 def test_a_request_after_an_answer_that_did_not_announce_the_close_is_not_discarded():
     """At a planned stop it was read for half a second, discarded and never answered.
 
