Entry: tests of the ends of replies without length or chunks

Close and reset before the head, in the head, in the body, within an event and between events, and the death of the engine's process, over real sockets. All 14 pass on the code as it was: an end within an event and each reset is a break, an orderly close between events or in a plain body is the end. A killed process whose reply has neither length nor chunks looks like such an end, as its kernel closes the connection in order; the users' page says that a stream is broken off if it ends inside an event, so that no fix follows.

--- /dev/null
+++ b/libs/entry/tests/test_unframed_replies.py
@@ -0,0 +1,187 @@
+"""Ends of replies that have neither a length nor chunks, over real sockets.
+
+Such a reply ends with its connection. An orderly close is its end, but in the head or
+within an event; a reset is never (issue 27).
+"""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import struct
+import subprocess
+import sys
+
+import pytest
+from attrs import evolve
+from celeryfork_entry.target_http import (
+    LostError,
+    OutgoingRequest,
+    TargetConnections,
+)
+from celeryfork_entry.targets import Listed
+from stream_trial import ANSWER_EVENTS, Caller, Engine, Trial
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+EVENTS = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 4))
+ANSWER_WAIT_S = 0.1
+"""Seconds before the end of a reply, so that its bytes have been read by then."""
+
+
+def close(writer):
+    writer.close()
+
+
+def reset(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def engine(answers, end):
+    """Return the address of an engine that sends one of ``answers``, then ends."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answers.pop(0))
+        await writer.drain()
+        await asyncio.sleep(ANSWER_WAIT_S)
+        end(writer)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.close()
+
+
+def read_reply(answer, end):
+    """Return the body of a reply."""
+
+    async def ask():
+        async with asyncio.timeout(5.0), engine([answer], end) as address:
+            request = OutgoingRequest("GET", "/")
+            reply = await TargetConnections().send(address, request)
+            return await reply.read_all(1_000)
+
+    return asyncio.run(ask())
+
+
+def test_a_reply_whose_connection_is_closed_after_its_body_is_complete():
+    assert read_reply(HEAD + b"\r\nwhole", close) == b"whole"
+
+
+@pytest.mark.parametrize(
+    ("answer", "end"),
+    [
+        (b"", close),
+        (b"", reset),
+        (HEAD[:-9], close),
+        (HEAD[:-9], reset),
+        (HEAD + b"\r\n", reset),
+        (HEAD + b"\r\npart", reset),
+    ],
+    ids=[
+        "close-before-head", "reset-before-head", "close-in-head", "reset-in-head",
+        "reset-after-head", "reset-in-body",
+    ],
+)  # fmt: skip
+def test_a_reply_whose_connection_ends_otherwise_is_lost(answer, end):
+    """A truncated reply would have been taken for the whole one."""
+    with pytest.raises(LostError):
+        read_reply(answer, end)
+
+
+def serve_stream(beginning, end):
+    """Serve a stream whose first engine ends its reply; return its caller and trial.
+
+    The second engine sends the events that follow ``EVENTS``.
+    """
+    trial = Trial()
+    trial.context.connections = TargetConnections()
+    trial.build_target_request = lambda request, options: OutgoingRequest("POST", "/")
+    rest = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(4, ANSWER_EVENTS + 1))
+
+    def add(name, address, domain):
+        target = evolve(trial.add(name, domain=domain).target, address=address)
+        trial.engines[address] = Engine(target)
+        trial.table.apply([Listed(target)])
+
+    async def run():
+        first = engine([HEAD + b"\r\n" + beginning], end)
+        second = engine([HEAD + b"\r\n" + rest], close)
+        async with first as address, second as other:
+            add("first", address, "a")
+            add("second", other, "b")
+            return await trial.serve_one(Caller())
+
+    return trial.run(run()), trial
+
+
+@pytest.mark.parametrize("end", [close, reset])
+def test_a_stream_that_ends_within_an_event_is_resumed(end):
+    """Its caller would have got a truncated answer that looks complete."""
+    caller, trial = serve_stream(EVENTS + b"id: 4\ndata:", end)
+    assert caller.has_complete_answer
+    assert len(trial.logged("path_broke")) == 1
+
+
+def test_a_stream_that_ends_within_the_line_that_ends_an_event_is_resumed():
+    caller, _ = serve_stream(EVENTS + b"id: 4\ndata: x\n", close)
+    assert caller.has_complete_answer
+
+
+def test_a_stream_that_is_reset_between_events_is_resumed():
+    caller, trial = serve_stream(EVENTS, reset)
+    assert caller.has_complete_answer
+    assert len(trial.logged("path_broke")) == 1
+
+
+def test_a_stream_whose_connection_is_closed_between_events_is_complete():
+    caller, trial = serve_stream(EVENTS, close)
+    assert (caller.events, caller.ending) == ([1, 2, 3], "whole")
+    assert not trial.logged("path_broke")
+
+
+KILLED_ENGINE = """
+import os, signal, socket, sys, time
+listening = socket.create_server(("127.0.0.1", 0))
+print(listening.getsockname()[1], flush=True)
+connection, _ = listening.accept()
+connection.recv(65_536)
+connection.sendall(bytes.fromhex(sys.argv[1]))
+time.sleep(0.1)
+os.kill(os.getpid(), signal.SIGKILL)
+"""
+
+
+def read_reply_of_killed_engine(answer):
+    command = [sys.executable, "-c", KILLED_ENGINE, answer.hex()]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        port = int(process.stdout.readline())
+
+        async def ask():
+            async with asyncio.timeout(5.0):
+                request = OutgoingRequest("GET", "/")
+                reply = await TargetConnections().send(f"127.0.0.1:{port}", request)
+                return await reply.read_all(1_000)
+
+        try:
+            return asyncio.run(ask())
+        finally:
+            assert process.wait(5) == -signal.SIGKILL
+
+
+def test_the_death_of_an_engine_in_the_head_of_its_reply_loses_it():
+    with pytest.raises(LostError):
+        read_reply_of_killed_engine(HEAD)
+
+
+def test_the_death_of_an_engine_in_an_unframed_body_looks_like_its_end():
+    """The kernel closes the connection of a killed process in an orderly way.
+
+    The users' page counts an end between events as the end of the answer.
+    """
+    assert read_reply_of_killed_engine(HEAD + b"\r\npart") == b"part"
