Entry: an unexpected error is answered and logged as the end of its request

Callers saw: the connection closed, with neither an answer nor a refusal.

Cause: the dispatcher answered three kinds of errors. Any other ended the task of the connection, which closed it; the log had `task_failed` without the request's id and no end of the request. One way there: a route to a service that the configuration lacks (KeyError).

The request is now answered with 500, or 502 if it was sent to a target, and logged as `failed` with the error and its place; a begun answer is aborted. A connection that breaks while the answer is written ends the request as `caller_left`; it had no end in the log.

Ruled out: swallowing it; it counts in requests.failed, which METRICS names a fault of celeryfork itself.

Evidence: three tests of test_dispatcher failed before (KeyError, RuntimeError got out) and pass now. instance._where moved to decision_log.error_location.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -280,8 +280,13 @@
                 error.error_status_hint, f"Not an HTTP/1.1 request: {error}."
             ) from error
 
+    @property
+    def can_answer(self) -> bool:
+        """Return True if no byte of an answer to the current request was sent."""
+        return self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
     async def _refuse(self, error: BadRequestError) -> None:
-        if self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+        if self.can_answer:
             self._close_after = True
             await self.answer(error.status, (), f"{error.message}\n".encode())
 
--- a/libs/entry/src/celeryfork_entry/decision_log.py
+++ b/libs/entry/src/celeryfork_entry/decision_log.py
@@ -72,6 +72,16 @@
             self.budget.dropped += 1
 
 
+def error_location(error: BaseException) -> str:
+    """Return the file and line where an error was raised."""
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return ""
+    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
+
+
 def make_decision_log(instance: str, descriptor: int = 1) -> Logger:
     """Return the logger whose records go to ``descriptor`` as JSON lines."""
     logger = Logger("celeryfork")
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -19,6 +19,7 @@
     CallerRequest,
 )
 from celeryfork_entry.configuration import Configuration, Organisation, Route, Stream
+from celeryfork_entry.decision_log import error_location
 from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import RequestMetadata
 from celeryfork_entry.stream_calls import StreamCalls
@@ -52,9 +53,12 @@
         except RequestRefusedError as error:
             organisation = call.organisation if call else None
             await self._refuse(connection, request, metadata, organisation, error)
-        except (CallerGoneError, CancelledError):
+        except (CallerGoneError, ConnectionResetError, CancelledError):
             self._caller_left(call, metadata)
             raise
+        except Exception as error:
+            # Otherwise the caller would get neither an answer nor a refusal.
+            await self._fail(connection, call, metadata, error)
 
     def _admit(
         self,
@@ -129,6 +133,28 @@
             headers.append(("Retry-After", f"{error.retry_after_s:g}"))
         await connection.answer(error.status, headers, f"{error}\n".encode())
 
+    async def _fail(
+        self,
+        connection: CallerConnection,
+        call: Call | None,
+        metadata: RequestMetadata | None,
+        error: Exception,
+    ) -> None:
+        """Log an unexpected error, and answer the request if that is still possible."""
+        status = 502 if call and call.delivered_sends else 500
+        self._log(
+            "failed",
+            metadata,
+            status=status if connection.can_answer else None,
+            error=repr(error),
+            where=error_location(error),
+        )
+        if connection.can_answer:
+            message = b"Internal error: the request's log line has the cause.\n"
+            await connection.answer(status, (), message)
+        else:
+            connection.abort()
+
     def _caller_left(self, call: Call | None, metadata: RequestMetadata | None) -> None:
         """Log what a caller that left had received, and what its request waited for."""
         if call is None:
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -17,6 +17,7 @@
 from celeryfork_entry.call import CallContext
 from celeryfork_entry.caller_http import CallerConnection
 from celeryfork_entry.configuration import CallerLimits, Configuration
+from celeryfork_entry.decision_log import error_location
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
@@ -301,7 +302,8 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self.counters.add("tasks.failed")
-            self.log.info("task_failed", error=repr(error), where=_where(error))
+            where = error_location(error)
+            self.log.info("task_failed", error=repr(error), where=where)
 
     async def _serve_caller(self, stream: ByteStream) -> None:
         connection = CallerConnection(
@@ -415,12 +417,3 @@
             await asyncio.sleep(0.05)
         left = sum(connection.busy for connection in self._callers)
         self.log.info("stop", broken_off=left)
-
-
-def _where(error: BaseException) -> str:
-    trace = error.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    if trace is None:
-        return ""
-    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -378,6 +378,10 @@
     async def end_stream(self):
         self.ending = "whole"
 
+    @property
+    def can_answer(self):
+        return self.status is None
+
     def abort(self):
         self.ending = "broken off"
 
--- a/libs/entry/tests/test_dispatcher.py
+++ b/libs/entry/tests/test_dispatcher.py
@@ -63,3 +63,49 @@
     trial.route = evolve(trial.route, kind=Idempotent())
     trial.add("desk", Stall())
     assert serve_until_left(trial, 0.1)["waiting_for"] == "target"
+
+
+def test_an_unexpected_error_is_answered_and_logged():
+    """The connection was closed without an answer, and the log had no end event."""
+    trial = Trial()
+    trial.add("first")
+
+    def fail(request, options):
+        raise KeyError("a service that is gone")
+
+    trial.build_target_request = fail
+    caller = Caller()
+    trial.run(trial.dispatcher().handle(caller, trial.request("r1", 20.0)))
+    assert (caller.status, caller.ending) == (502, "whole")
+    [line] = trial.logged("failed")
+    assert line["id"] == "r1" and line["status"] == 502
+    assert "a service that is gone" in line["error"]
+    assert "test_dispatcher.py" in line["where"]
+    assert trial.counters.count("requests.failed") == 1
+
+
+def test_an_unexpected_error_after_the_start_of_an_answer_aborts_it():
+    """An answer that ends early must not look complete."""
+    trial = Trial()
+    trial.add("first", Run(3, after_s=9.0))
+    caller = Caller()
+    send_chunk = caller.send_chunk
+
+    async def fail(data):
+        await send_chunk(data)
+        if caller.events[-1] == 2:
+            raise RuntimeError("a fault")
+
+    caller.send_chunk = fail
+    trial.run(trial.dispatcher().handle(caller, trial.request("r1", 20.0)))
+    assert caller.ending == "broken off"
+    assert len(trial.logged("failed")) == 1
+
+
+def test_a_service_that_the_configuration_lacks_is_answered():
+    """A route to it closed the connection of each of its callers."""
+    trial = Trial()
+    trial.route = evolve(trial.route, weight_by_service=(("renamed", 1.0),))
+    caller = Caller()
+    trial.run(trial.dispatcher().handle(caller, trial.request("r1", 20.0)))
+    assert (caller.status, caller.ending) == (500, "whole")
