Adapter: targets whose id or address can't be sent in a header are rejected

Callers saw: the connection closed without an answer, for each request that chose such a target.

Cause: the id goes into X-Expect-Instance and the address into X-Hop-Count; h11 refuses line breaks, control characters and outer spaces with an error that nobody handled. Entries of the list may come from other writers, and any non-empty string was accepted.

Ruled out: taking the error for a failed connection: it would mark targets as down, one after the other, if the request were at fault.

--- a/libs/entry/src/celeryfork_entry/field_parsers.py
+++ b/libs/entry/src/celeryfork_entry/field_parsers.py
@@ -23,6 +23,19 @@
     return value
 
 
+def parse_header_text(value: Any) -> str:
+    """Return a string after checking that it can be the value of an HTTP header.
+
+    Raises
+    ------
+    ValueError
+    """
+    text = parse_text(value)
+    if not text.isprintable() or text != text.strip():
+        raise ValueError(f"{text!r} can't be the value of a header")
+    return text
+
+
 def parse_int(value: Any) -> int:
     """Return an integer after checking its type and range; booleans are rejected.
 
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -127,6 +127,15 @@
         decode_target("i-1", encode_json(TARGET_ENTRY | change))
 
 
+@pytest.mark.parametrize("text", ["i\n1", "i\r\nX: 1", " i-1", "i\0", ""])
+def test_target_whose_id_or_address_cannot_be_sent_in_a_header_is_rejected(text):
+    """Each request that chose it ended with a closed connection and no answer."""
+    with pytest.raises(UnreadableError):
+        decode_target(text, encode_json(TARGET_ENTRY))
+    with pytest.raises(UnreadableError):
+        decode_target("i-1", encode_json(TARGET_ENTRY | {"addr": f"{text}:80"}))
+
+
 @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"7", b"{}"])
 def test_bytes_that_encode_no_message_are_rejected(value):
     with pytest.raises(UnreadableError):
