--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -87,7 +87,7 @@
     is_stopping
         Returns True while the instance is stopping.
     busy
-        True while a request is being answered.
+        True while a request is being received or answered.
     close_after
         True if the connection closes after the current answer.
     """
@@ -100,13 +100,18 @@
     busy: bool = False
     _close_after: bool = False
     _method: bytes = b""
+    _header_bytes: int = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the parser, with the head limited by the limits in force."""
+        """Create the parser."""
+        self._make_parser()
+
+    def _make_parser(self) -> None:
+        """Create a parser whose size limit of the head is that in force."""
+        self._header_bytes = self.limits().header_bytes
         self.http = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self.limits().header_bytes
-            + HEAD_PARSE_MARGIN_BYTES,
+            max_incomplete_event_size=self._header_bytes + HEAD_PARSE_MARGIN_BYTES,
         )
 
     async def serve(self) -> None:
@@ -130,7 +135,6 @@
             return False
         if request is None:
             return False
-        self.busy = True
         try:
             await self._handle_until_closed(request)
         finally:
@@ -163,10 +167,10 @@
             handling.cancel()
 
     async def _next_request(self) -> CallerRequest | None:
-        limits = self.limits()
-        first = await self._next_event(limits.idle_timeout_s, limits.header_timeout_s)
+        first = await self._next_event()
         if first is None:
             return None
+        limits = self.limits()
         arrived_s = asyncio.get_running_loop().time()
         self._method = first.method
         size = sum(len(name) + len(value) + 4 for name, value in first.headers)
@@ -191,36 +195,55 @@
             arrived_s,
         )
 
-    async def _next_event(
-        self, idle_timeout_s: float, head_timeout_s: float
-    ) -> h11.Request | None:
+    async def _next_event(self) -> h11.Request | None:
+        """Return the head of the next request, None if the connection is to be closed.
+
+        The limits in force apply, which may change while the connection is idle.
+        """
         loop = asyncio.get_running_loop()
+        idle_since_s = loop.time()
         begun_s: float | None = None
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
+                self.busy = True
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
             if self.http.trailing_data[0] and begun_s is None:
                 begun_s = loop.time()
-            wait_s = (
-                idle_timeout_s
-                if begun_s is None
-                else begun_s + head_timeout_s - loop.time()
-            )
+                self.busy = True
             try:
-                async with asyncio.timeout(max(0.0, wait_s)):
+                async with asyncio.timeout_at(
+                    self._head_deadline_s(idle_since_s, begun_s)
+                ):
                     data = await self.stream.read()
             except TimeoutError:
+                if self.stream.unread:
+                    # They arrived in the iteration of the event loop in which the
+                    # timeout expired.
+                    continue
+                if loop.time() < self._head_deadline_s(idle_since_s, begun_s):
+                    continue
                 if begun_s is None:
                     return None
+                head_timeout_s = self.limits().header_timeout_s
                 raise BadRequestError(
                     408,
                     f"The headers took over {head_timeout_s:g} s: send them faster.",
                 ) from None
+            if begun_s is None and self._header_bytes != self.limits().header_bytes:
+                # h11 can't change the limit of a parser; this one holds no bytes yet.
+                self._make_parser()
             self.http.receive_data(data)
 
+    def _head_deadline_s(self, idle_since_s: float, begun_s: float | None) -> float:
+        """Return the time of the event loop until which the next head may take."""
+        limits = self.limits()
+        if begun_s is None:
+            return idle_since_s + limits.idle_timeout_s
+        return begun_s + limits.header_timeout_s
+
     async def _body(self, limits: CallerLimits) -> bytes:
         pieces: list[bytes] = []
         length = 0
@@ -238,6 +261,8 @@
                 async with asyncio.timeout(limits.idle_timeout_s):
                     data = await self.stream.read()
             except TimeoutError:
+                if self.stream.unread:
+                    continue
                 raise BadRequestError(
                     408, f"No body byte for {limits.idle_timeout_s:g} s: send faster."
                 ) from None
@@ -255,8 +280,13 @@
                 error.error_status_hint, f"Not an HTTP/1.1 request: {error}."
             ) from error
 
+    @property
+    def can_answer(self) -> bool:
+        """Return True if no byte of an answer to the current request was sent."""
+        return self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
     async def _refuse(self, error: BadRequestError) -> None:
-        if self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+        if self.can_answer:
             self._close_after = True
             await self.answer(error.status, (), f"{error.message}\n".encode())
 
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -10,6 +10,8 @@
 import socket
 import time
 
+import pytest
+from attrs import evolve
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.caller_http import CallerConnection
 from celeryfork_entry.configuration import CallerLimits
@@ -115,6 +117,98 @@
     run(scenario)
 
 
+def test_a_request_that_arrives_as_the_idle_timeout_expires_is_answered():
+    """Its bytes were received, and the connection closed in the same loop iteration."""
+
+    async def scenario(server, caller):
+        await caller.send(GET)
+        await caller.receive(b"\r\n\r\n")
+        # The iteration after this pause has both the bytes and the expired timeout.
+        caller.sock.send(GET)
+        time.sleep(LIMITS.idle_timeout_s + 0.05)
+        assert b" 200 " in await caller.receive(b"\r\n\r\n")
+
+    run(scenario)
+
+
+def test_the_rest_of_a_body_that_arrives_as_the_timeout_expires_is_read():
+    """The request was refused with 408 although it was complete."""
+
+    async def scenario(server, caller):
+        await caller.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na")
+        await asyncio.sleep(0.05)
+        caller.sock.send(b"bc")
+        time.sleep(LIMITS.idle_timeout_s + 0.05)
+        assert (await caller.receive(b"abc")).startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
+def test_a_raised_idle_timeout_holds_for_connections_that_are_idle_already():
+    """They were closed after the old one, though callers go by the one in force."""
+
+    async def scenario(server, caller):
+        await caller.send(GET)
+        await caller.receive(b"\r\n\r\n")
+        server.limits = evolve(LIMITS, idle_timeout_s=1.0)
+        await asyncio.sleep(0.8)
+        await caller.send(GET)
+        assert b" 200 " in await caller.receive(b"\r\n\r\n")
+        begun_s = time.monotonic()
+        assert await caller.receive() == b""
+        assert 0.9 < time.monotonic() - begun_s < 1.3
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "end"),
+    [
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n" + b"b" * 900,
+            b"b" * 900,
+        ),
+        (
+            b"GET /a HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 7_000 + b"\r\n\r\n",
+            b"\r\n\r\n",
+        ),
+    ],
+    ids=["body", "headers"],
+)
+def test_raised_size_limits_hold_for_connections_that_are_idle_already(
+    request_bytes, end
+):
+    """A request within the limits in force was refused by those of its connection."""
+
+    async def scenario(server, caller):
+        await caller.send(GET)
+        await caller.receive(b"\r\n\r\n")
+        server.limits = evolve(LIMITS, body_bytes=1_000, header_bytes=8_000)
+        await caller.send(request_bytes[:6_000])
+        await asyncio.sleep(0.05)
+        await caller.send(request_bytes[6_000:])
+        assert (await caller.receive(end)).startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
+def test_a_planned_stop_waits_for_a_request_that_is_being_received():
+    """Its connection counted as idle and was closed."""
+
+    async def scenario(server, caller):
+        await caller.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na")
+        await asyncio.sleep(0.05)
+        server.stopping = True
+        server.connection.close_when_idle()
+        assert server.connection.busy
+        await caller.send(b"bc")
+        answer = await caller.receive()
+        assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"abc")
+        assert b"connection: close" in answer.lower()
+
+    run(scenario)
+
+
 def test_a_request_after_an_answer_that_did_not_announce_the_close_is_not_discarded():
     """At a planned stop it was read for half a second, discarded and never answered.
 
