Target list: an entry that turns malformed no longer leaves the old one in use

What callers would see: requests go on to an engine whose entry was overwritten by another writer, until the next full read of the list, by the instances that followed the change only; instances that read it in full dropped the engine at once. The log gets a line for each renewal of a malformed entry, of any length. Cause: a malformed change was skipped. PROTOCOL says that it names no engine to use. Change: it removes the target of its id, as a deletion does; within a page the last row of an id counts. Ruled out: other entries of the same read were applied before as well.

--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -5,12 +5,38 @@
 import json
 
 import pytest
-from celeryfork_adapter.store import Store
+from celeryfork_adapter.feeds import (
+    MAX_LOGGED_CHARACTERS,
+    MAX_UNREADABLE_KEYS,
+    StoreTargetFeed,
+)
+from celeryfork_adapter.store import KeyedRecord, Store
+from celeryfork_base.counters import Counters
 from celeryfork_entry.ports import StoreUnavailableError
+from celeryfork_entry.targets import TargetTable
 
+ENTRY = {
+    "service": "llm", "addr": "10.0.0.1:80", "zone": "west", "slots": 8,
+    "state": "ready", "seq": 4, "layers": {"from": 0, "to": 8}, "kind": "big",
+    "born": 17,
+}  # fmt: skip
 DEEPLY_NESTED = b"[" * 100_000
 
 
+def encode(entry):
+    return json.dumps(entry).encode()
+
+
+class RecordingLog:
+    """A log that keeps its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def info(self, event, **inputs):
+        self.lines.append((event, inputs))
+
+
 class ScriptedConnections:
     """Connections to a store that sends these responses one after the other."""
 
@@ -126,3 +152,82 @@
     store = Store("a:1", ScriptedConnections(body))
     with pytest.raises(StoreUnavailableError):
         asyncio.run(store.join("g", "m", "t", 3.0, 0))
+
+
+class ScriptedStore:
+    """A store that returns these records: first the newest ones, then changes."""
+
+    def __init__(self, *reads):
+        self.reads = list(reads)
+
+    async def newest(self, topic):
+        return self.reads.pop(0), 1
+
+    async def read(self, topic, start, wait_s):
+        return self.reads.pop(0), start + 1
+
+
+def follow(*reads):
+    """Return the target table after these reads, the log's lines, and the counters."""
+    log, counters, table = RecordingLog(), Counters(), TargetTable()
+    feed = StoreTargetFeed(ScriptedStore(*reads), log, counters)
+
+    async def run():
+        for _ in reads:
+            changes = await feed.poll()
+            if changes is None:
+                table.replace_all(feed.full_list())
+            else:
+                table.apply(changes)
+
+    asyncio.run(run())
+    return table, log.lines, counters
+
+
+GOOD = KeyedRecord("i-1", encode(ENTRY))
+MALFORMED = {
+    "nested": DEEPLY_NESTED,
+    "not-utf-8": b"\xff\xfe",
+    "empty-object": b"{}",
+    "port-out-of-range": encode(ENTRY | {"addr": "10.0.0.1:70000"}),
+    "number-too-large": encode(ENTRY | {"seq": 10**400}),
+    "unknown-state": encode(ENTRY | {"state": "asleep"}),
+}
+
+
+@pytest.mark.parametrize("value", MALFORMED.values(), ids=MALFORMED)
+@pytest.mark.parametrize("in_full", [True, False], ids=["full-read", "change"])
+def test_a_malformed_entry_replaces_the_good_one_of_its_id(value, in_full):
+    """The old entry stayed in use until the next full read of the list."""
+    other = KeyedRecord("i-2", encode(ENTRY | {"addr": "10.0.0.2:80"}))
+    odd = KeyedRecord("i-1", value)
+    reads = [[GOOD, odd, other]] if in_full else [[GOOD, other], [odd]]
+    table, _, counters = follow(*reads)
+    assert set(table.by_id) == {"i-2"}
+    assert counters.count("targets.unreadable") == 1
+
+
+def test_an_entry_is_used_again_once_it_is_readable():
+    table, lines, _ = follow([GOOD], [KeyedRecord("i-1", b"{}")], [GOOD])
+    assert table.by_id["i-1"].address == "10.0.0.1:80"
+    assert [event for event, _ in lines] == ["target_unreadable"]
+
+
+def test_a_malformed_entry_is_logged_once_until_it_is_readable():
+    """An engine's entry is written each second; each malformed one was logged."""
+    odd = KeyedRecord("i-1", b"{}")
+    _, lines, counters = follow([odd], [odd, odd], [odd], [GOOD], [odd])
+    assert len(lines) == 2
+    assert counters.count("targets.unreadable") == 5
+
+
+def test_malformed_entries_of_many_ids_leave_a_bounded_log():
+    odd = [KeyedRecord(f"i-{n}" + "k" * 10_000, b"{}") for n in range(5_000)]
+    _, lines, counters = follow([GOOD, *odd], odd)
+    assert len(lines) == MAX_UNREADABLE_KEYS
+    assert counters.count("targets.unreadable") == 10_000
+    assert all(
+        len(text) <= MAX_LOGGED_CHARACTERS
+        for _, inputs in lines
+        for text in inputs.values()
+    )
