Entries and reports: ids, addresses and numbers out of range are rejected

What callers would see: requests over a path with such an engine, or sent to such a target, end without an answer or with an engine's 400: an id or address with a line break, a space or a letter outside ASCII can't be a header value (h11 raises), one with a comma adds a part to X-Hop-Count; a `pace` of 1e308 makes the predicted time infinite, which can't be rounded for the log. An entry whose `born` or `seq` is huge hides all later ones of its id. A peer's address with a label over 63 letters outside ASCII closed the datagram socket for good, and the instance reported no more. Cause: an id wasn't checked at all, a host was any text, integers were anything up to 64 bits, layers up to 10^18. Change: ids are 1 to 255 visible ASCII characters, hosts letters, digits and `._:[]-`, ports 1 to 65,535, layers up to 10,000, slots and renewals 0 to 10^9, a start up to the year 2248, slowness is capped at 1,000. Ruled out: no list or loop is made of a range of layers; placement and path search bound theirs by the model. Nested and over-long values raised UnreadableError before. Open: a `born` that is in the future, but before 2248, still hides later entries of its id, as an earlier start's may still come from a slower list.

--- a/tests/adapter/test_arbitrary_messages.py
+++ b/tests/adapter/test_arbitrary_messages.py
@@ -3,6 +3,7 @@
 import json
 import time
 
+import h11
 import orjson
 import pytest
 from celeryfork_adapter.decode import (
@@ -12,12 +13,15 @@
     decode_target,
 )
 from celeryfork_adapter.dialect import PlatformDialect
+from celeryfork_entry.caller_http import CallerRequest
 from celeryfork_entry.configuration import Configuration
 from celeryfork_entry.peer_messages import MemberReport, decode, encode_report
 from celeryfork_entry.peer_state import decode_state, encode_state
-from celeryfork_entry.ports import EngineReport, Peer
+from celeryfork_entry.ports import EngineReport, ForwardingOptions, Peer
+from celeryfork_entry.raw_headers import raw_headers
 from celeryfork_entry.target_health import ReportedLayers
 from celeryfork_entry.targets import Target
+from celeryfork_routing.engine_loads import LayerPath, Part
 from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
 from celeryfork_routing.layer_placement import plan_placement
 from celeryfork_routing.layer_repair import PlacedEngine
@@ -248,6 +252,103 @@
         assert decode_state(encode_state(None, [target])).targets == (target,)
 
 
+ODD_TARGETS = {
+    "port-zero": ("i-1", {"addr": "10.0.0.1:0"}),
+    "port-too-large": ("i-1", {"addr": "10.0.0.1:70000"}),
+    "port-negative": ("i-1", {"addr": "10.0.0.1:-1"}),
+    "address-with-a-line-break": ("i-1", {"addr": "10.0.0.1\r\nx: y:80"}),
+    "address-with-a-comma": ("i-1", {"addr": "10.0.0.9:1=0-8,10.0.0.1:80"}),
+    "address-not-ascii": ("i-1", {"addr": "\u00e9:80"}),
+    "address-too-long": ("i-1", {"addr": "a" * 200_000 + ":80"}),
+    "slots-negative": ("i-1", {"slots": -5}),
+    "slots-too-large": ("i-1", {"slots": 10**18}),
+    "renewals-negative": ("i-1", {"seq": -1}),
+    "renewals-too-large": ("i-1", {"seq": 10**18}),
+    "start-negative": ("i-1", {"born": -1}),
+    "start-too-large": ("i-1", {"born": 10**18}),
+    "layers-too-large": ("i-1", {"layers": {"from": 0, "to": 10**18}}),
+    "id-empty": ("", {}),
+    "id-with-a-line-break": ("i-1\r\nx: y", {}),
+    "id-with-a-space": ("i 1", {}),
+    "id-not-ascii": ("i-\ufffd", {}),
+    "id-with-a-lone-surrogate": ("i-\udcff", {}),
+    "id-too-long": ("i" * 200_000, {}),
+}
+
+
+@pytest.mark.parametrize(("target_id", "change"), ODD_TARGETS.values(), ids=ODD_TARGETS)
+def test_target_entry_with_a_value_out_of_range_is_rejected(target_id, change):
+    """Such a target made requests of others fail, or hid its id's later entries."""
+    with pytest.raises(UnreadableError):
+        decode_target(target_id, encode_json(TARGET_ENTRY | change))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"layers": {"from": 0, "to": 10**18}}, {"born": 10**18}, {"born": -1}],
+    ids=["layers", "start", "negative-start"],
+)
+def test_report_with_a_value_out_of_range_is_rejected(change):
+    with pytest.raises(UnreadableError):
+        decode_report(encode_json(REPORT | change))
+
+
+CALLER_REQUEST = CallerRequest("POST", "/advice/1", (("x-attempt-id", "a1"),), b"", 0.0)
+
+
+def assert_requests_can_be_sent(target):
+    """Assert that a request to a target, over a path that it is on, is valid HTTP."""
+    layers = target.held or LayerRange(0, 1)
+    path = LayerPath(
+        (
+            Part("i-9", "10.0.0.9:80", LayerRange(0, 1)),
+            Part(target.id, target.address, layers),
+        )
+    )
+    options = ForwardingOptions(target, None, 1.0, path)
+    request = DIALECT.build_target_request(CALLER_REQUEST, options)
+    headers = raw_headers((("Host", target.address), *request.headers))
+    h11.Request(method=request.method, target=request.target, headers=headers)
+    sent = dict(request.headers)["x-hop-count"]
+    assert len(sent.split(",")) == len(path.parts)
+
+
+@examples(150)
+@given(
+    st.just("i-1") | st.text(max_size=6),
+    altered(TARGET_ENTRY).map(encode_json)
+    | st.text(max_size=8).map(
+        lambda host: encode_json(TARGET_ENTRY | {"addr": f"{host}:80"})
+    ),
+)
+def test_accepted_target_can_be_sent_requests(target_id, message):
+    """A path over it made requests fail with an error of this program, or with 400."""
+    try:
+        target = decode_target(target_id, message)
+    except UnreadableError:
+        return
+    assert_requests_can_be_sent(target)
+
+
+def test_predicted_time_over_the_slowest_accepted_engine_is_finite():
+    """The time is logged as a whole number, which infinity can't be converted to."""
+    report = decode_report(encode_json(REPORT | {"pace": 1e308}))
+    shape = (
+        decode_configuration(encode_json(make_configuration(9)))
+        .services_by_name["llm"]
+        .model
+    )
+    kind = next(iter(shape.accelerators_by_name))
+    engines = [
+        PathEngine(f"i-{n}", f"a:{n}", "west", kind, held, report.slowness)
+        for n, held in enumerate((LayerRange(0, 4), LayerRange(4, 8)), 1)
+    ]
+    path = find_path(shape, engines, {}, PathRequest(1e12, 1e12, "west"))
+    assert path is None or round(path.predicted_ms) > 0
+    path = find_path(shape, engines, {}, PathRequest(10, 10, "west"))
+    assert round(path.predicted_ms) > 0
+
+
 @examples(100)
 @given(st.binary(max_size=60) | altered(REPORT).map(encode_json))
 def test_dialect_returns_no_report_for_malformed_bytes(body):
