Peers' datagrams: a range of layers or an age out of range is rejected

What callers would see: an engine counts as a holder of up to 10^18 layers after one faulty datagram, and a list with a negative age counts as fresh for as long as that, so that nobody switches to another relay or the store. Cause: the layers' end had no bound, and an age no sign check. Ruled out: deeply nested and over-long values raised ValueError before (orjson); numbers over 64 bits arrive as floats and were rejected. Open: loads and counts of instances are still any integer of 64 bits.

--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -13,11 +13,15 @@
 
 from attrs import field, frozen
 from celeryfork_routing.engine_loads import Load
-from celeryfork_routing.layers import LayerRange
 from orjson import dumps, loads
 
 from celeryfork_entry.engine_speeds import Speed
-from celeryfork_entry.field_parsers import parse_address, parse_finite_float, parse_int
+from celeryfork_entry.field_parsers import (
+    parse_address,
+    parse_finite_float,
+    parse_int,
+    parse_layers,
+)
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.target_health import ReportedLayers
 
@@ -206,7 +210,7 @@
         return RelayDigest(
             **common,
             revision=parse_int(fields["revision"]),
-            list_age_s=parse_finite_float(fields["age"]),
+            list_age_s=_parse_age(fields["age"]),
             list_is_stale=bool(fields["old"]),
             counts={str(key): parse_int(n) for key, n in fields["counts"].items()},
             remote_loads={
@@ -233,6 +237,13 @@
     )
 
 
+def _parse_age(value: Any) -> float:
+    age_s = parse_finite_float(value)
+    if age_s < 0:
+        raise ValueError(f"an age is below 0: {age_s}")
+    return age_s
+
+
 def _parse_retries(value: Any) -> int:
     retries = parse_int(value)
     if not 0 < retries <= MAX_LOAN_RETRIES:
@@ -313,9 +324,9 @@
         case [None, None, int() | None as born_ms, int(age_ms)]:
             held = None
         case [int(first), int(last), int() | None as born_ms, int(age_ms)] if (
-            0 <= first < last
+            first < last
         ):
-            held = LayerRange(first, last)
+            held = parse_layers(first, last)
         case _:
             raise ValueError(f"malformed layers of an engine: {row!r}")
     return ReportedLayers(held, born_ms, _at_s(age_ms), own=False)
--- a/libs/entry/tests/test_peer_messages.py
+++ b/libs/entry/tests/test_peer_messages.py
@@ -250,6 +250,26 @@
         decode(data)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"at": "10.1.0.5:0"},
+        {"at": "10.1.0.5 :7"},
+        {"at": ";:7"},
+        {"layers": {"i-1": [0, 10**18, 1000, 20]}},
+        {"layers": {"i-1": [-1, 4, 1000, 20]}},
+        {"layers": {"i-1": [False, True, 1000, 20]}},
+        {"age": -1e9},
+    ],
+    ids=["port-zero", "space", "semicolon", "layers-too-large", "layers-negative",
+         "layers-of-booleans", "age-negative"],
+)  # fmt: skip
+def test_a_datagram_with_a_value_out_of_range_is_rejected(change):
+    """A list of a negative age counts as fresh for as long, whatever its real age."""
+    with pytest.raises(ValueError):  # noqa: PT011
+        decode(dumps(DIGEST | change))
+
+
 def test_valid_datagrams_are_accepted():
     """Otherwise the tests above would cover rejections only."""
     assert isinstance(decode(dumps(REPORT)), MemberReport)
