Decision log: a text with a lone surrogate no longer loses its line

What operators would see: a traceback instead of the line `target_unreadable` for an entry whose key isn't UTF-8, at each read. Cause: orjson rejects lone surrogates and integers over 64 bits. Change: such a line is encoded by the standard library, which escapes them. Ruled out: the error didn't end the caller's task; logbook prints it. Evidence: the new test failed before.

--- a/libs/entry/src/celeryfork_entry/decision_log.py
+++ b/libs/entry/src/celeryfork_entry/decision_log.py
@@ -3,6 +3,7 @@
 It is limited in rate and size.
 """
 
+import json
 import os
 import time
 
@@ -61,10 +62,10 @@
         }
         if self.budget.dropped:
             line["lines_dropped"] = self.budget.dropped
-        data = dumps(line, default=str)
+        data = _encode(line)
         if len(data) > MAX_LINE_BYTES:
             line = {"event": record.msg, "instance": self._instance, "cut": len(data)}
-            data = dumps(line, default=str)
+            data = _encode(line)
         try:
             os.write(self._descriptor, data + b"\n")
             self.budget.dropped = 0
@@ -72,6 +73,14 @@
             self.budget.dropped += 1
 
 
+def _encode(line: dict[str, object]) -> bytes:
+    try:
+        return dumps(line, default=str)
+    except TypeError:
+        # Texts with lone surrogates and integers over 64 bits, which orjson rejects.
+        return json.dumps(line, default=str).encode()
+
+
 def make_decision_log(instance: str, descriptor: int = 1) -> Logger:
     """Return the logger whose records go to ``descriptor`` as JSON lines."""
     logger = Logger("celeryfork")
--- a/libs/entry/tests/test_decision_log.py
+++ b/libs/entry/tests/test_decision_log.py
@@ -57,3 +57,12 @@
     line = os.read(reading, 65_536)
     assert len(line) < MAX_LINE_BYTES
     assert json.loads(line)["cut"] > 10_000
+
+
+def test_a_line_with_a_value_that_orjson_rejects_is_written():
+    """Otherwise a traceback takes its place, which hides the odd entry it names."""
+    reading, writing = os.pipe()
+    log = make_decision_log("entry-1", writing)
+    log.info("target_unreadable", target="i-\udcff", number=1 << 70)
+    line = json.loads(os.read(reading, 65_536))
+    assert (line["target"], line["number"]) == ("i-\udcff", 1 << 70)
