Relayed list: an odd target of a relay is left out, and the others hold

What callers would see: with an odd row in a relay's list, path search or requests fail at all followers of the relay (layers that are text, an address with a space). Cause: a peer's targets were used as they came, of any type and range. Change: the fields are checked as those of the store's entries. A row with a value out of range is left out and its id removed, since a relay of an earlier version may accept it; a message that lacks fields is rejected as before. Ruled out: nested messages and numbers over 64 bits can't be encoded by a relay, and orjson raises ValueError, which the follower handles.

--- a/libs/entry/src/celeryfork_entry/peer_state.py
+++ b/libs/entry/src/celeryfork_entry/peer_state.py
@@ -10,11 +10,18 @@
 from typing import Any
 
 from attrs import asdict, frozen
-from celeryfork_routing.layers import LayerRange
 from orjson import dumps, loads
 
 from celeryfork_entry.configuration import Configuration
-from celeryfork_entry.field_parsers import parse_int
+from celeryfork_entry.field_parsers import (
+    parse_address,
+    parse_count,
+    parse_id,
+    parse_int,
+    parse_layers,
+    parse_start_ms,
+    parse_text,
+)
 from celeryfork_entry.targets import Target
 
 STATE_PATH = "/known"
@@ -65,7 +72,7 @@
     """
     try:
         fields = loads(message)
-        targets = tuple(_target(each) for each in fields["targets"])
+        targets, _ = _decode_targets(fields["targets"])
         return PeerState(_decompress(fields["configuration"]), targets)
     except (KeyError, TypeError, AttributeError, zlib.error) as error:
         raise ValueError(f"malformed state message of a peer: {error!r}") from error
@@ -123,16 +130,42 @@
     """
     try:
         fields = loads(message)
+        targets, unusable = _decode_targets(fields["targets"])
         return TargetChanges(
             parse_int(fields["revision"]),
             bool(fields["whole"]),
-            tuple(_target(each) for each in fields["targets"]),
-            tuple(str(each) for each in fields["gone"]),
+            targets,
+            (*(str(each) for each in fields["gone"]), *unusable),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed changes message of a relay: {error!r}") from error
 
 
-def _target(fields: dict[str, Any]) -> Target:
-    held = fields.pop("held")
-    return Target(held=LayerRange(**held) if held else None, **fields)
+def _decode_targets(rows: list[Any]) -> tuple[tuple[Target, ...], tuple[str, ...]]:
+    """Return the targets of a peer, and the ids of those with a value out of range.
+
+    The others of the message hold. The peer may run a version with other limits.
+    """
+    targets, unusable = [], []
+    for row in rows:
+        try:
+            targets.append(_decode_target(row))
+        except ValueError:
+            unusable.append(str(row["id"]))
+    return tuple(targets), tuple(unusable)
+
+
+def _decode_target(fields: Any) -> Target:
+    held, accelerator = fields["held"], fields["accelerator"]
+    return Target(
+        id=parse_id(fields["id"]),
+        service=parse_text(fields["service"]),
+        address=parse_address(fields["address"]),
+        domain=parse_text(fields["domain"]),
+        draining=bool(fields["draining"]),
+        accelerator=None if accelerator is None else parse_text(accelerator),
+        held=parse_layers(held["first"], held["last"]) if held else None,
+        entry_number=parse_count(fields["entry_number"]),
+        born_ms=parse_start_ms(fields["born_ms"]),
+        slots=parse_count(fields["slots"]),
+    )
