Placement: an entry with layers beyond the model hides no missing layer

What callers would see: after a loss of layers, requests wait for capacity and are refused for as long as one entry claims layers 0 to 10^18 (or one too many): it counts as a holder of all layers, so that the leader moves no engine to the gap. Cause: neither placement nor the search for missing layers compared an entry's range with the model's layers. Change: both leave such an entry out. Ruled out: path search chose no such engine for long; an engine that is asked for layers that it doesn't hold answers 421 and is asked for its report. Evidence: the 6 new tests failed before.

--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -18,6 +18,7 @@
 from celeryfork_routing.layers import LayerRange, ModelShape, first_missing_layer
 
 from celeryfork_entry.call import Call, CallContext
+from celeryfork_entry.configuration import Service
 from celeryfork_entry.engine_speeds import EngineSpeeds
 from celeryfork_entry.target_health import TargetHealth
 
@@ -123,7 +124,7 @@
         """
         shape = call.service.model
         assert shape is not None
-        held = self._held_by_id(call.service.name)
+        held = self._held_by_id(call.service)
         willing = [held[each] for each in held.keys() - call.avoided]
         if first_missing_layer(shape.layers, willing) is None:
             return False
@@ -133,12 +134,16 @@
             self._missing_since_s = now_s
         return now_s - self._missing_since_s >= CAPACITY_WAIT_S
 
-    def _held_by_id(self, service: str) -> dict[str, LayerRange]:
-        """Return the layers of each available engine of a service."""
+    def _held_by_id(self, service: Service) -> dict[str, LayerRange]:
+        """Return the layers of each available engine of a service.
+
+        An entry with layers beyond the model is wrong, and hides no missing layer.
+        """
+        layers = service.model.layers if service.model else 0
         return {
             target.id: target.held
-            for target in self._context.table.available(service)
-            if target.held is not None
+            for target in self._context.table.available(service.name)
+            if target.held is not None and target.held.within(layers)
         }
 
     def _find(self, call: Call) -> LayerPath | None:
@@ -323,7 +328,7 @@
             engines=len(listed),
             missing_layer=first_missing_layer(
                 call.service.model.layers if call.service.model else 0,
-                self._held_by_id(call.service.name).values(),
+                self._held_by_id(call.service).values(),
             ),
             down=sum(health.excluded for health in health_states),
             refusing=sum(each.refused_until_s >= now_s for each in health_states),
--- a/libs/entry/src/celeryfork_entry/placement_leader.py
+++ b/libs/entry/src/celeryfork_entry/placement_leader.py
@@ -174,6 +174,8 @@
             if target.service == service
             and scope.domain in {None, target.domain}
             and not self._table.is_leaving(target)
+            # An entry with layers beyond the model is wrong.
+            and (target.held is None or target.held.within(shape.layers))
         ]
         if not self._list_is_stable(engines):
             return
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -164,6 +164,18 @@
     assert count_searches(selector, make_call()) == 1
 
 
+@pytest.mark.parametrize("last", [9, 10_000, 10**18])
+def test_an_entry_with_layers_beyond_the_model_hides_no_missing_layer(
+    table, count_searches, last
+):
+    """Each request waited for capacity, which no engine had."""
+    lose_layers(table)
+    renew(table, table.by_id["e1"], held=LayerRange(4, last), accelerator="none")
+    selector = make_selector(table)
+    count_searches(selector, make_call())
+    assert count_searches(selector, make_call()) == 1
+
+
 def test_the_wait_for_missing_layers_restarts_after_they_were_present(table):
     whole = dict(table.by_id)
     lose_layers(table)
--- a/libs/entry/tests/test_placement_leader.py
+++ b/libs/entry/tests/test_placement_leader.py
@@ -1,6 +1,7 @@
 """Placement leadership, and the orders that the leader sends."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -146,6 +147,23 @@
     assert len(fleet.orders) >= 1
 
 
+@pytest.mark.parametrize("last", [9, 10_000, 10**18])
+def test_an_entry_with_layers_beyond_the_model_hides_no_missing_layer(last):
+    """It counted as a holder of all layers, so that the others were never placed."""
+    fleet = Fleet(
+        engine("x", LayerRange(4, 8)),
+        engine("y", LayerRange(4, 8)),
+        engine("odd", LayerRange(0, last)),
+    )
+    for engine_id, target in fleet.table.by_id.items():
+        fleet.report_by_id[engine_id] = evolve(REPORT, held=target.held)
+    fleet.leader._leader_since_s = time.monotonic() - 10.0
+    fleet.round()
+    ((address, layers, _, _),) = fleet.orders
+    assert address in {"x:1", "y:1"}
+    assert layers == LayerRange(0, 4)
+
+
 def test_layers_of_a_silent_engine_are_placed_on_others():
     fleet = Fleet(engine("x", LayerRange(0, 4)), engine("y", LayerRange(4, 8)))
     fleet.table.apply([Listed(engine("z"))])
--- a/libs/routing/src/celeryfork_routing/layers.py
+++ b/libs/routing/src/celeryfork_routing/layers.py
@@ -19,6 +19,10 @@
         """Return the number of layers."""
         return self.last - self.first
 
+    def within(self, layers: int) -> bool:
+        """Return True if a model with so many layers has all of the range."""
+        return self.first >= 0 and self.last <= layers
+
     def overlap(self, other: "LayerRange") -> int:
         """Return the number of layers that are in both ranges."""
         return max(0, min(self.last, other.last) - max(self.first, other.first))
