Configuration: numbers that others can't carry are rejected when it is decoded

What callers would see: after a version over 64 bits, peers get no more reports from the instance (the task that sends them ends with a TypeError of orjson) and nobody follows it; with a text as a tenant's priority each request of the tenant ends without an answer; a negative timeout refuses a route's requests at once. Cause: these values were taken unchecked. The store accepts only valid configurations, so that such a one is unlikely; a peer's bytes take the same way. Ruled out: nesting and invalid UTF-8 were rejected before.

--- a/tests/adapter/test_arbitrary_messages.py
+++ b/tests/adapter/test_arbitrary_messages.py
@@ -232,6 +232,32 @@
     assert path is None or path.parts
 
 
+CONFIGURATION_CHANGES = {
+    "version-over-64-bits": lambda fields: fields.update(version=1 << 70),
+    "goal-a-boolean": lambda fields: fields["routes"][0].update(sloMs=True),
+    "tenant-priority-a-text": lambda fields: fields["tenants"][0].update(priority="x"),
+    "tenant-priority-a-list": lambda fields: fields["tenants"][0].update(priority=[1]),
+    "tenant-name-a-number": lambda fields: fields["tenants"][0].update(name=7),
+    "timeout-a-boolean": lambda fields: fields["routes"][0].update(timeoutMs=True),
+    "timeout-negative": lambda fields: fields["routes"][0].update(timeoutMs=-1),
+    "idle-timeout-zero": lambda fields: fields["limits"].update(idleTimeoutMs=0),
+}
+
+
+@pytest.mark.parametrize(
+    "change", CONFIGURATION_CHANGES.values(), ids=CONFIGURATION_CHANGES
+)
+def test_configuration_with_an_odd_value_is_rejected(change):
+    """A version over 64 bits ended the task that reports to peers.
+
+    The other values made the requests that they concern fail one by one.
+    """
+    fields = make_configuration(9)
+    change(fields)
+    with pytest.raises(UnreadableError):
+        decode_configuration(encode_json(fields))
+
+
 @examples(150)
 @given(altered(TARGET_ENTRY).map(encode_json))
 def test_accepted_target_entry_can_be_sent_to_peers(message):
