--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -12,7 +12,11 @@
     decode_report,
     decode_target,
 )
-from celeryfork_adapter.settings import decode_settings
+from celeryfork_adapter.settings import (
+    decode_settings,
+    read_settings,
+    settings_faults,
+)
 from celeryfork_adapter.store import _decode_records
 from celeryfork_entry.configuration import AtMostOnce, Idempotent, Stream
 from celeryfork_entry.ports import StoreUnavailableError
@@ -169,6 +173,28 @@
         _decode_records(b"short", 7)
 
 
+@pytest.mark.parametrize(
+    "text",
+    [b"[" * 100_000, b"\xff\xfe", b"9" * 5_000, b'{"bounds": {"graceS": 1e999}}'],
+    ids=["nested", "not-utf-8", "many-digits", "infinite"],
+)
+def test_unreadable_settings_file_is_reported(tmp_path, text):
+    """A nested file ended the task that follows the settings, without a line."""
+    path = tmp_path / "settings.json"
+    path.write_bytes(text)
+    with pytest.raises(ExceptionGroup):
+        read_settings(str(path))
+
+
+@pytest.mark.parametrize(
+    "number", [float("inf"), float("nan"), 10**400], ids=["inf", "nan", "digits"]
+)
+def test_settings_with_a_number_out_of_range_are_refused(number):
+    """An infinite retry budget, or a NaN that no comparison finds exceeded."""
+    faults = settings_faults({"bounds": {"retryBudget": number}})
+    assert any("retryBudget" in str(f) and "Expected float" in str(f) for f in faults)
+
+
 def test_invalid_settings_are_reported_with_their_paths():
     with pytest.raises(ExceptionGroup) as caught:
         decode_settings({"ip": 7, "listen": {"front": "10.0.0.1:80"}})
