Kept connections: a reply that is written once more is not taken for a later one

What callers would see: 'not run, try again' (REFUSED) for a request that an engine runs, or a second run of it elsewhere (TWICE). A request that was refused and is sent again over the same connection has the same id, so that its earlier refusal, written once more, looked new; an error without an id was taken for the reply of any request. The refusal of an order (421 by status alone) or a report without id could come in place of a request's reply on the same pool, and a report's 200 as a plain answer. Cause: only a reply with another request's id counted as lost. Change: the pool knows the header that replies share with their request. A connection with a failed request is not used for that request again; one with an error that names no request is used for orders and reports only; a success that names no request is lost on a connection that had requests before. Connections with a refusal are kept for other requests, as new ones are priced. Why a refusal without id is still believed: no request's connection had an earlier one, so that it can't be a repetition, and rejecting it would turn each refusal of an engine that doesn't echo the id into a run. Ruled out: extra bytes, replies and interim replies after a complete reply end their connection; bytes that are no reply lose the request; an interim reply is skipped.

--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -28,6 +28,10 @@
 MAX_INTERIM_REPLIES = 8
 """Maximum number of 1xx replies before the final one, so that an endless series of them
 is detected."""
+FIRST_ERROR_STATUS = 400
+MAX_FAILED_REQUESTS = 16
+"""Maximum number of failed requests that are remembered for a connection; with more of
+them, it counts as one whose errors name no request."""
 MAX_HEADER_BYTES = 65_536
 """Maximum size of the head of a reply."""
 
@@ -52,12 +56,16 @@
     ----------
     target
         Path and query.
+    identity
+        Header, as name in lower case and value, that replies to this request have in
+        common with no other reply; None if there is none.
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str | bytes], ...] = ()
     body: bytes = b""
+    identity: tuple[bytes, bytes] | None = None
 
 
 @define
@@ -68,8 +76,14 @@
     headers: list[tuple[bytes, bytes]]
     _connection: "_Connection"
     _pool: "TargetConnections"
+    identity: tuple[bytes, bytes] | None = None
     _done: bool = False
 
+    @property
+    def is_identified(self) -> bool:
+        """Return True if the reply names the request that it belongs to."""
+        return self.identity is not None and self.identity in self.headers
+
     def header(self, name: bytes) -> str | None:
         """Return the first header with a name, which must be in lower case."""
         for key, value in self.headers:
@@ -125,6 +139,27 @@
     stream: ByteStream
     http: h11.Connection
     idle_deadline_s: float = 0.0
+    reused: bool = False
+    failed: set[tuple[bytes, bytes]] = field(factory=set)
+    had_unnamed_error: bool = False
+
+    def record_reply(self, reply: Reply) -> None:
+        """Record a complete reply, which the peer may write once more."""
+        if reply.status < FIRST_ERROR_STATUS:
+            return
+        if reply.identity is not None and reply.is_identified:
+            self.failed.add(reply.identity)
+        if not reply.is_identified or len(self.failed) > MAX_FAILED_REQUESTS:
+            self.had_unnamed_error = True
+
+    def suits(self, identity: tuple[bytes, bytes] | None) -> bool:
+        """Return True if no earlier error can be taken for the reply to a request.
+
+        A repeated error would say of a request in progress that it was not run.
+        """
+        if identity is None:
+            return True
+        return not self.had_unnamed_error and identity not in self.failed
 
     async def next_event(self) -> h11.Event:
         while True:
@@ -179,7 +214,7 @@
         ------
         NotSentError, LostError
         """
-        connection = None if fresh else self._acquire_idle(address)
+        connection = None if fresh else self._acquire_idle(address, request.identity)
         if connection is None:
             connection = await self._open(address, connect_timeout_s)
         try:
@@ -188,9 +223,15 @@
             for _ in range(MAX_INTERIM_REPLIES + 1):
                 event = await connection.next_event()
                 if isinstance(event, h11.Response):
-                    return Reply(
-                        event.status_code, list(event.headers), connection, self
+                    reply = Reply(
+                        event.status_code,
+                        list(event.headers),
+                        connection,
+                        self,
+                        request.identity,
                     )
+                    _require_identity(reply, connection)
+                    return reply
                 if not isinstance(event, h11.InformationalResponse):
                     raise LostError("the connection ended before a reply")
             raise LostError(f"over {MAX_INTERIM_REPLIES} interim replies")
@@ -213,6 +254,8 @@
             stream.close()
             return
         http.start_next_cycle()
+        connection.reused = True
+        connection.record_reply(reply)
         connection.idle_deadline_s = time.monotonic() + idle_s
         kept = self._idle_by_address.setdefault(connection.address, [])
         kept.append(connection)
@@ -247,9 +290,13 @@
             del self._idle_in_order[connection]
             connection.stream.abort()
 
-    def _acquire_idle(self, address: str) -> _Connection | None:
+    def _acquire_idle(
+        self, address: str, identity: tuple[bytes, bytes] | None
+    ) -> _Connection | None:
         now_s = time.monotonic()
         for connection in reversed(self._idle_by_address.get(address, [])):
+            if not connection.suits(identity):
+                continue
             self._remove_idle(connection)
             if self._is_usable(connection, now_s):
                 return connection
@@ -278,6 +325,24 @@
         return _Connection(address, stream, http)
 
 
+def _require_identity(reply: Reply, connection: _Connection) -> None:
+    """Raise an error if an earlier request may be the one that was answered.
+
+    Raises
+    ------
+    LostError
+        The reply is a success on a connection that had requests before, and doesn't
+        name its request.
+    """
+    if (
+        connection.reused
+        and reply.identity is not None
+        and not reply.is_identified
+        and reply.status < FIRST_ERROR_STATUS
+    ):
+        raise LostError("the reply doesn't name its request")
+
+
 async def _write(
     connection: _Connection, address: str, request: OutgoingRequest
 ) -> None:
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -7,6 +7,8 @@
     PlatformDialect,
 )
 from celeryfork_entry.caller_http import CallerRequest
+from celeryfork_entry.ports import ForwardingOptions
+from celeryfork_entry.targets import Target
 from logbook import Logger
 
 DIALECT = PlatformDialect(Logger("test"))
@@ -48,3 +50,15 @@
 def test_the_number_of_parts_read_is_bounded():
     value = ",".join(f"{n}:1" for n in range(100_000))
     assert len(shared_parts(value)) == MAX_SHARED_PARTS
+
+
+@pytest.mark.parametrize(
+    ("headers", "identity"),
+    [((("x-attempt-id", "a\xe9"),), (b"x-attempt-id", b"a\xe9")), ((), None)],
+    ids=["with-id", "without-id"],
+)
+def test_replies_are_told_apart_by_the_id_of_the_request(headers, identity):
+    """Without it a repeated refusal of another request would count as the reply."""
+    request = CallerRequest("POST", "/a", headers, b"", 0.0)
+    options = ForwardingOptions(Target("i-1", "desk", "10.0.0.1:80", "a"), None, 1.0)
+    assert DIALECT.build_target_request(request, options).identity == identity
