Entry: relays forward what the crash evidence says it merged

Cause: the evidence tells a relay by now what a merge has changed (forwards), and takes close times for one, so that the exchange need do neither.

Change: the queue of received records and the tolerance for the beginning of a probe are gone; a relay announces the merged record, not each sender's part.

Weighed: forwarding each received record as it came needs no merge, but sends a suspicion on that this relay knows to be cleared.

--- a/libs/entry/src/celeryfork_entry/crash_exchange.py
+++ b/libs/entry/src/celeryfork_entry/crash_exchange.py
@@ -11,13 +11,9 @@
 
 from attrs import define, field, frozen
 from celeryfork_admission.crash_evidence import Trait, TraitRecord
-from celeryfork_admission.crash_records import merge_records
 
 MAX_TRACKED = 2_000
 """Number of traits whose exchange is remembered, twice what an instance keeps."""
-SAME_TIME_S = 0.25
-"""Difference in seconds up to which two beginnings of a probe are taken for the same
-one, since each message makes it newer by the time of its transit."""
 RELAY_PATIENCE = 10
 """Number of reports after which a relay tells the others evidence that the lead relay
 doesn't repeat, as the lead relay may have restarted; longer than one resend period."""
@@ -57,7 +53,7 @@
         """
         for record in records:
             known = self._domain.get(record.trait)
-            if known and not _runs(record) <= _runs(merge_records(record, known)):
+            if known and not _runs(record) <= _runs(record.merge(known)):
                 del self._domain[record.trait]
 
     def record_domain_digest(
@@ -115,27 +111,28 @@
     for record in records:
         sent = known.get(record.trait)
         if sent is None or _lacks(sent, record):
-            merged = record if sent is None else merge_records(sent, record)
+            merged = record if sent is None else sent.merge(record)
             _keep(known, record.trait, merged)
             lacking.append(record)
     return lacking
 
 
 def _lacks(known: TraitRecord, record: TraitRecord) -> bool:
-    """Return True if a record adds to the known one, or clears it."""
-    merged = merge_records(known, record)
+    """Return True if a record adds to the known one, or clears it.
+
+    Other times of what is known are no news, since each message moves them.
+    """
+    merged = known.merge(record)
+    has_first_sound = known.sound_s is None and merged.sound_s is not None
     return (
-        {crash.run for crash in merged.crashes}
-        != {crash.run for crash in known.crashes}
-        or _is_newer_probe(merged.probe_s, known.probe_s)
-        or (known.sound_s is None and merged.sound_s is not None)
+        _runs(merged) != _runs(known)
+        or has_first_sound
+        or _began_later(merged.probe_s, known.probe_s)
     )
 
 
-def _is_newer_probe(began_s: float | None, known_s: float | None) -> bool:
-    if began_s is None or known_s is None:
-        return began_s is not None
-    return began_s - known_s > SAME_TIME_S
+def _began_later(probe_s: float | None, known_s: float | None) -> bool:
+    return probe_s is not None and (known_s is None or probe_s > known_s)
 
 
 def _runs(record: TraitRecord) -> set[str]:
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -197,6 +197,7 @@
 
     def _share_crash_evidence(self) -> None:
         self.crash_evidence.on_change = self._peers.announce_crashes
+        self.crash_evidence.forwards = lambda: self.roster.is_relay
         self._peers.crashes = self.crash_evidence.records
         self._peers.crash_changes = self.crash_evidence.take_changes
         self._peers.on_crashes = self.crash_evidence.merge
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -16,7 +16,6 @@
 
 from attrs import define, evolve, field
 from celeryfork_admission.crash_evidence import Trait, TraitRecord
-from celeryfork_admission.crash_records import merge_records
 from celeryfork_routing.engine_loads import EngineLoads, Load, subtract_loads
 from logbook import Logger
 
@@ -105,7 +104,8 @@
         Returns the evidence of crashes to send again, at most as many records as given;
         they take turns.
     crash_changes
-        Returns the evidence that changed since the last call.
+        Returns the evidence that changed since the last call, at a relay also by that
+        of peers.
     on_crashes
         Called with the evidence of a peer.
     highest_peer_fence, peer_fence_received_s
@@ -206,7 +206,7 @@
             self.on_down(engine_id, born_ms, message.sender.name)
 
     def _handle_crashes(self, message: PeerMessage) -> None:
-        """Apply a peer's evidence of crashes; a relay sends on what others lack."""
+        """Apply a peer's evidence of crashes; what it changes here is announced."""
         if not message.crashes:
             return
         records, is_relay = message.crashes, self.roster.is_relay
@@ -219,9 +219,6 @@
         else:
             self._crash_exchange.record_report(records)
         self.on_crashes(records)
-        if is_relay:
-            self._queue_crashes(records)
-            self.announce_crashes()
 
     def _record_speed(self, engine_id: str, speed: Speed) -> None:
         """Apply an engine's speed, and keep the newest one for forwarding."""
@@ -337,17 +334,11 @@
                 max(0.0, wait_s), self._send_changed_crashes
             )
 
-    def _queue_crashes(self, records: Iterable[TraitRecord]) -> None:
-        for record in records:
-            queued = self._changed_crashes.get(record.trait, record)
-            self._changed_crashes[record.trait] = merge_records(queued, record)
-
     def _send_changed_crashes(self) -> None:
         self._pending_crashes = None
-        self._queue_crashes(self.crash_changes())
+        changes = self.crash_changes()
+        self._changed_crashes.update((each.trait, each) for each in changes)
         queued = list(islice(self._changed_crashes.values(), MAX_CRASH_RECORDS))
-        if not queued:
-            return
         records = _fitting(queued, MAX_CRASH_BYTES)
         for record in records:
             del self._changed_crashes[record.trait]
--- a/libs/entry/tests/support/crash_fleet.py
+++ b/libs/entry/tests/support/crash_fleet.py
@@ -97,6 +97,7 @@
         peers = PeerProtocol(Roster(peer), EngineLoads(), Logger("test"))
         member = Member(peers, make_crash_evidence())
         member.evidence.on_change = peers.announce_crashes
+        member.evidence.forwards = lambda: peers.roster.is_relay
         peers.crashes = member.evidence.records
         peers.crash_changes = member.evidence.take_changes
         peers.on_crashes = member.evidence.merge
