--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -114,7 +114,8 @@
         try:
             while await self._serve_one():
                 pass
-            await self._linger()
+            if self.http.our_state is h11.MUST_CLOSE:
+                await self._linger()
         except (ConnectionError, h11.LocalProtocolError):
             self.stream.abort()
         finally:
@@ -134,13 +135,18 @@
             await self._handle_until_closed(request)
         finally:
             self.busy = False
-        if self._close_after or self.http.our_state is not h11.DONE:
+        if {self.http.our_state, self.http.their_state} != {h11.DONE}:
             return False
-        if self.http.their_state is not h11.DONE:
+        if self._close_after and not self._has_unread_bytes:
             return False
         self.http.start_next_cycle()
         return True
 
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return True if part of the next request has been received."""
+        return bool(self.stream.unread or self.http.trailing_data[0])
+
     async def _handle_until_closed(self, request: CallerRequest) -> None:
         handling = asyncio.ensure_future(self.handle(self, request))
         if self.stream.ended:
@@ -299,7 +305,11 @@
         return h11.Response(status_code=status, headers=raw_headers(sent))
 
     async def _linger(self) -> None:
-        """Read on briefly, as closing with unread bytes would send a TCP reset."""
+        """Read on briefly, as closing with unread bytes would send a TCP reset.
+
+        Only after an answer that announced the close: a caller that had no notice can't
+        tell whether a request that is read here was run.
+        """
         if self.stream.ended or self.stream.transport is None:
             return
         if self.stream.transport.can_write_eof():
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -159,6 +159,7 @@
             + expected_answer_tokens(call) * ANSWER_RESERVE_FACTOR
         )
         attempt = PathAttempt(call, path, tokens)
+        call.progress = progress
         self._attempts.add(attempt)
         self._context.log_event(
             call,
@@ -167,6 +168,12 @@
             predicted_ms=round(path.predicted_ms),
             after=progress.last_event,
         )
+        with call.waiting("engine"):
+            return await self._outcome(attempt, progress)
+
+    async def _outcome(self, attempt: PathAttempt, progress: StreamProgress) -> Outcome:
+        """Run an attempt until its end or its interruption."""
+        call = attempt.call
         try:
             attempt.task = asyncio.ensure_future(self._run(attempt, progress))
             return await attempt.task
@@ -256,6 +263,7 @@
             if events:
                 self._attempts.end_prefill(attempt)
                 last_event_s = time.monotonic()
+                attempt.record_events(last_event_s)
                 gaps = gaps or EventGaps()
                 gaps.record_event(last_event_s)
                 self._checks.record_progress(
@@ -399,7 +407,7 @@
         down = self._unavailable_engines(path)
         self._record_failed_run(call, path)
         if path.parts[0].engine_id in down:
-            call.first_engines.lost += 1
+            call.first_engines.record_loss(attempt.writing_s)
         if not down:
             call.avoided.add(path.parts[0].engine_id)
         reason = f"{reason}; down: {','.join(down) or 'none'}"
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -15,10 +15,18 @@
 from celeryfork_base.counters import Counters
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.call import Call, CallContext
-from celeryfork_entry.configuration import Route, Service, Stream
+from celeryfork_entry.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    Service,
+    Stream,
+)
+from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.path_selector import PathSelector
 from celeryfork_entry.peer_protocol import REMOTE_REPORT_PERIOD, PeerProtocol
+from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import EngineReport, Peer, RequestMetadata
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.stream_calls import StreamCalls
@@ -33,6 +41,10 @@
 SERVICE = Service("llm", "/healthz", 100, SHAPE)
 ANSWER_EVENTS = 12
 CALL_S = 20.0
+BACK = (4, LAYERS)
+"""Layers of the last engine of a path."""
+FRONT = (0, 4)
+"""Layers of the first engine of a path."""
 
 
 @frozen
@@ -47,11 +59,14 @@
         Ids of engines that terminate after the last event, which breaks the stream.
     after_s
         Seconds between the last event and the break.
+    gap_s
+        Seconds before each event after the first.
     """
 
     events: int | None = None
     lost: tuple[str, ...] = ()
     after_s: float = 0.07
+    gap_s: float = 0.0
 
 
 @frozen
@@ -76,6 +91,11 @@
     """The engine runs the request, and its reply is lost."""
 
 
+@frozen
+class Stall:
+    """The engine accepts the request and never replies."""
+
+
 @define
 class Engine:
     """A fake engine that follows a script, and then sends complete answers.
@@ -194,15 +214,35 @@
         await self.streams.serve(self.call(caller, request_id, CALL_S))
         return caller
 
-    def call(self, caller, request_id, left_s, shared_parts=()):
+    def request(self, request_id, left_s, shared_parts=()):
+        """Return a caller's request that :meth:`read_request` reads."""
         metadata = RequestMetadata(
             request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None,
             shared_parts or self.shared_parts,
         )  # fmt: skip
+        return SimpleNamespace(
+            arrived_s=time.monotonic(), method="POST", metadata=metadata
+        )
+
+    def dispatcher(self):
+        """Return the dispatcher, with a configuration of the trial's route."""
+        configuration = Configuration(
+            version=1,
+            routes_by_host={self.route.host: (self.route,)},
+            services_by_name={SERVICE.name: SERVICE},
+            organisation_by_key={},
+            needs_key=False,
+            limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
+        )
+        self.context.configuration = lambda: configuration
+        return Dispatcher(self.context, PlainCalls(self.context), self.streams)
+
+    def call(self, caller, request_id, left_s, shared_parts=()):
+        request = self.request(request_id, left_s, shared_parts)
         return Call(
             connection=caller,
-            request=SimpleNamespace(arrived_s=time.monotonic(), method="POST"),
-            metadata=metadata,
+            request=request,
+            metadata=request.metadata,
             route=self.route,
             service=SERVICE,
             organisation=None,
@@ -236,6 +276,8 @@
                 raise LostError("the connection ended before a reply")
             case ReplyWithError():
                 return _Reply(500, [b"its own failure"], engine)
+            case Stall():
+                return await asyncio.get_running_loop().create_future()
             case LoseReply():
                 engine.runs += 1
                 raise LostError("the connection ended before a reply")
@@ -254,11 +296,15 @@
                 self.engine(engine_id).gone = True
             raise LostError("the connection broke in a reply")
 
-        return _Reply(200, pieces, engine, end=None if run.events is None else end)
+        end_of_run = None if run.events is None else end
+        return _Reply(200, pieces, engine, end=end_of_run, gap_s=run.gap_s)
 
     def forget(self, address):
         pass
 
+    def read_request(self, request):
+        return request.metadata
+
     def build_target_request(self, request, options):
         return options
 
@@ -280,16 +326,19 @@
 
 
 class _Reply:
-    def __init__(self, status, pieces, engine, end=None, at_fault=None):
+    def __init__(self, status, pieces, engine, end=None, at_fault=None, gap_s=0.0):
         self.status = status
         self.headers = [("at fault", at_fault)]
         self._pieces = deque(pieces)
         self._engine = engine
         self._end = end
+        self._gap_s = gap_s
+        self._next_gap_s = 0.0
 
     async def read(self):
-        await asyncio.sleep(0)
+        await asyncio.sleep(self._next_gap_s if self._pieces else 0)
         if self._pieces:
+            self._next_gap_s = self._gap_s
             return self._pieces.popleft()
         if self._end is not None:
             await self._end()
