Entry: three more planted faults in the exchange of crash evidence are found

Cause: tests passed with evidence of a second crash never sent again, with records above the bound in bytes, and with one relay of another domain told always.

Change: one new test; two had set up less than they said (150 parts whose names were cut to 15, and a first announcement that reached all).

--- a/libs/entry/tests/test_peer_crashes.py
+++ b/libs/entry/tests/test_peer_crashes.py
@@ -92,6 +92,24 @@
     fleet.run(work())
 
 
+def test_a_second_crash_survives_the_loss_of_its_first_datagrams():
+    """What the relays repeat of a part may lack the crash that convicts it."""
+    fleet = Fleet()
+
+    async def work():
+        fleet["a6"].crash()
+        await fleet.report(CRASH_RESEND_PERIOD)
+        fleet.is_lost = lambda sender, receiver: True
+        fleet["a6"].crash(run="r2")
+        await fleet.settle()
+        fleet.is_lost = lambda sender, receiver: False
+        await fleet.report(CRASH_RESEND_PERIOD + 1)
+        for each in fleet:
+            assert each.evidence.judge([PART], None).crashes == 2
+
+    fleet.run(work())
+
+
 def test_a_late_joiner_learns_the_evidence_within_the_resend_interval():
     """An instance that starts in an incident would send the part to engines again."""
     fleet = Fleet()
@@ -365,11 +383,12 @@
 @pytest.mark.parametrize("deaf", ["b1", "b2", "b3"])
 def test_evidence_is_sent_again_to_the_relays_of_a_domain_in_turn(deaf):
     """One relay that gets nothing would keep its whole domain ignorant."""
-    fleet = Fleet(is_lost=lambda sender, receiver: True)
+    fleet = Fleet(is_lost=lambda sender, receiver: sender[0] != receiver[0])
 
     async def work():
         fleet["a6"].crash()
         await fleet.settle()
+        assert fleet.suspecting() == fleet.names("a")
         fleet.is_lost = lambda sender, receiver: receiver == deaf and sender[0] != "b"
         await fleet.report(3 * CRASH_RESEND_PERIOD)
         assert fleet.suspecting() == fleet.names()
@@ -406,7 +425,7 @@
     """An engine's crash gives a record for each of its runs; a digest of all of them
     would be dropped for its size, or take more than the 4 KB/s for control."""
     fleet = Fleet(size=4)
-    parts = [make_part_trait("llm", f"part-{n:060}"[:64]) for n in range(150)]
+    parts = [make_part_trait("llm", f"{n:064}") for n in range(150)]
 
     async def work():
         fleet["a4"].crash(*parts, run="r" * 60)
