--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -104,7 +104,8 @@
         Returns the evidence of crashes to send again, at most as many records as given;
         they take turns.
     crash_changes
-        Returns the evidence that changed since the last call.
+        Returns the evidence that changed since the last call, at a relay also by that
+        of peers.
     on_crashes
         Called with the evidence of a peer.
     highest_peer_fence, peer_fence_received_s
@@ -205,7 +206,7 @@
             self.on_down(engine_id, born_ms, message.sender.name)
 
     def _handle_crashes(self, message: PeerMessage) -> None:
-        """Apply a peer's evidence of crashes; a relay sends on what others lack."""
+        """Apply a peer's evidence of crashes; what it changes here is announced."""
         if not message.crashes:
             return
         records, is_relay = message.crashes, self.roster.is_relay
@@ -218,9 +219,6 @@
         else:
             self._crash_exchange.record_report(records)
         self.on_crashes(records)
-        if is_relay:
-            self._queue_crashes(records)
-            self.announce_crashes()
 
     def _record_speed(self, engine_id: str, speed: Speed) -> None:
         """Apply an engine's speed, and keep the newest one for forwarding."""
@@ -336,17 +334,11 @@
                 max(0.0, wait_s), self._send_changed_crashes
             )
 
-    def _queue_crashes(self, records: Iterable[TraitRecord]) -> None:
-        for record in records:
-            queued = self._changed_crashes.get(record.trait, record)
-            self._changed_crashes[record.trait] = queued.merge(record)
-
     def _send_changed_crashes(self) -> None:
         self._pending_crashes = None
-        self._queue_crashes(self.crash_changes())
+        changes = self.crash_changes()
+        self._changed_crashes.update((each.trait, each) for each in changes)
         queued = list(islice(self._changed_crashes.values(), MAX_CRASH_RECORDS))
-        if not queued:
-            return
         records = _fitting(queued, MAX_CRASH_BYTES)
         for record in records:
             del self._changed_crashes[record.trait]
@@ -398,13 +390,9 @@
         return _fitting(records, CRASH_RESEND_BYTES)
 
     def _remote_relays_in_turn(self, turn: int) -> list[Peer]:
-        """Return one relay of each other domain, a live one if possible."""
-        found = []
-        for domain in self.roster.domains():
-            relays = self.roster.live_relays(domain) or self.roster.relays(domain)
-            if relays:
-                found.append(relays[turn % len(relays)])
-        return found
+        """Return one relay of each other domain."""
+        domains = map(self.roster.relays, self.roster.domains())
+        return [relays[turn % len(relays)] for relays in domains if relays]
 
     def _send_crash_report(self, crashes: Sequence[TraitRecord]) -> None:
         if crashes:
