--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -191,9 +191,9 @@
     def judge(self, traits: Iterable[Trait], organisation: str | None) -> Judgement:
         """Return whether a request may run, by the worst of its traits.
 
-        Crashes that a convicted trait explains don't count against others. Where several
-        explain the same crashes, requests with half of them or fewer may run as probes:
-        a sound one clears its traits, and a crash tells them apart.
+        Crashes that a convicted trait explains don't count against others. Where
+        several explain the same crashes, requests with half of them or fewer may run
+        as probes: a sound one clears its traits, and a crash tells them apart.
         """
         worst = CLEAR
         if not self._records:
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -407,8 +407,8 @@
             return TraitRecord(
                 Trait(service, TraitKind(kind), value),
                 tuple(sorted(map(_parse_crash, crashes), key=_crash_time_s)),
-                _parse_age(sound_ms),
-                _parse_age(probe_ms),
+                _parse_mark(sound_ms),
+                _parse_mark(probe_ms),
             )
     raise ValueError(f"malformed crash evidence: {row!r}")
 
@@ -426,7 +426,7 @@
     return crash.at_s
 
 
-def _parse_age(age_ms: Any) -> float | None:
+def _parse_mark(age_ms: Any) -> float | None:
     return None if age_ms is None else _at_s(parse_int(age_ms))
 
 
