Streams: an error's text is no longer forwarded as an event of a begun stream

Cause: anything up to an empty line was an event, and one without id was forwarded anywhere. So were the body of an error whose status is 200, and a head that an engine wrote after its events. A 200 without any event ended a begun stream. When a read had an event that doesn't come next, the ones before it were dropped, but counted as those that the caller has: the next engine continued after them. Change: an event has fields and comments only; one without id is forwarded only from the reply that began the stream; a reply that continues a stream has the content type of the first one; events before a wrong one are forwarded, then the path counts as broken. stream_calls.py is changed in `_relay` only. Open: the first event of a stream may have any id, as the protocol doesn't say that ids begin at 1; an empty continuation of the same type ends a stream, as the first engine may have broken off after its last event. Changed test: test_bytes_without_an_event_do_not_reset_the_timeout passes a real StreamProgress, and its reply has headers, as `_relay` reads both from the start.

--- a/libs/entry/src/celeryfork_entry/events.py
+++ b/libs/entry/src/celeryfork_entry/events.py
@@ -11,6 +11,8 @@
 """Length of the longest event terminator, CRLF CRLF."""
 _ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _TERMINATOR = re.compile(rb"\r?\n\r?\n")
+_LINES = re.compile(rb"(?:(?:[a-z][a-z0-9-]*+)?:[^\n]*+\n|(?:data)?\r?\n)++")
+"""Fields with names in lower case, comments and empty lines."""
 
 
 @frozen
@@ -26,6 +28,15 @@
     number: int | None
     data: bytes
 
+    @property
+    def is_well_formed(self) -> bool:
+        """Return True if all lines are fields or comments.
+
+        Other text that ends with an empty line, such as the head of a reply, isn't an
+        event.
+        """
+        return _LINES.fullmatch(self.data) is not None
+
 
 @define
 class EventSplitter:
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -241,6 +241,11 @@
             raise LostError("the reply carries the id of another request")
         if reply.status != 200:
             return await self._handle_refusal(call, attempt.path, reply)
+        continued = progress.started
+        content_type = reply.header(b"content-type")
+        if continued and content_type != progress.content_type:
+            raise LostError(f"the reply that continues a stream is {content_type!r}")
+        progress.content_type = content_type
         splitter = EventSplitter()
         gaps: EventGaps | None = None
         last_event_s = time.monotonic()
@@ -261,7 +266,12 @@
                 self._checks.record_progress(
                     attempt.path.engine_ids, time.monotonic(), slow=gaps.is_slow
                 )
-                await self._forward_events(attempt, reply, events, progress)
+                # Events before a wrong one are forwarded, as the next engine continues
+                # after the last event that the caller has.
+                following, fault = progress.next_events(events, continued=continued)
+                await self._forward_events(attempt, reply, following, progress)
+                if fault is not None:
+                    raise LostError(fault)
         if splitter.incomplete or not progress.started:
             raise LostError(
                 "the stream ended before its first event or within an event"
--- a/libs/entry/src/celeryfork_entry/stream_progress.py
+++ b/libs/entry/src/celeryfork_entry/stream_progress.py
@@ -1,7 +1,11 @@
 """Events forwarded to the caller of a stream, and the gaps between them."""
 
+from collections.abc import Iterable
+
 from attrs import define
 
+from celeryfork_entry.events import Event
+
 EVENT_CHECK_DELAY_S = 0.045
 """Seconds without an event after which the path's engines are checked: a quarter of the
 maximum event gap that routes usually allow. Finding an unreachable engine takes about
@@ -37,6 +41,9 @@
         Monotonic time at which the last events were forwarded.
     max_event_gap_s
         Longest time in seconds between two events forwarded by this instance.
+    content_type
+        Content type of the reply that began the stream; those that continue it have the
+        same.
     """
 
     last_event: int | None
@@ -44,6 +51,42 @@
     complete: bool = False
     last_event_s: float = 0.0
     max_event_gap_s: float = 0.0
+    content_type: str | None = None
+
+    def next_events(
+        self, events: Iterable[Event], *, continued: bool
+    ) -> tuple[list[Event], str | None]:
+        """Return the events that come next, and why the rest can't be forwarded.
+
+        Events that the caller has are left out.
+
+        Parameters
+        ----------
+        continued
+            True if the events are of another reply than the first one. An event without
+            a number can't be placed then.
+
+        Returns
+        -------
+        tuple of list of Event, and str or None
+            The reason is None if no event is wrong.
+        """
+        following: list[Event] = []
+        last = self.last_event
+        for event in events:
+            if not event.is_well_formed:
+                return following, f"text that is no event follows event {last}"
+            if event.number is None:
+                if continued:
+                    return following, f"an event without number follows event {last}"
+            elif last is not None and event.number <= last:
+                continue
+            elif last is not None and event.number != last + 1:
+                return following, f"event {event.number} follows event {last}"
+            else:
+                last = event.number
+            following.append(event)
+        return following, None
 
     def record_forwarded(self, now_s: float) -> None:
         """Record that events were forwarded to the caller."""
--- a/libs/entry/tests/test_events.py
+++ b/libs/entry/tests/test_events.py
@@ -107,3 +107,24 @@
 def test_an_event_id_with_too_many_digits_is_rejected():
     with pytest.raises(ValueError, match="digits"):
         EventSplitter().feed(b"id: " + b"1" * 5000 + b"\n\n")
+
+
+@pytest.mark.parametrize(
+    ("data", "is_well_formed"),
+    [
+        (b"id: 1\ndata: HTTP/1.1 500 X\n\n", True),
+        (b"x-weight-versions: 3\r\nid: 1\r\ndata: x\r\n\r\n", True),
+        (b": comment\n\n", True),
+        (b"data\n\n", True),
+        (b"data: \xff\xfe\x00\n\n", True),
+        (b"HTTP/1.1 500 X\r\nid: 4\r\n\r\n", False),
+        (b"id: 4\nContent-Type: text/plain\n\n", False),
+        (b"the engine failed\n\n", False),
+        (b'{"error": "x"}\n\n', False),
+        (b"<html>\n\n", False),
+        (b"id: 4\nid 5\n\n", False),
+    ],
+)
+def test_text_that_is_no_event_is_recognised(data, is_well_formed):
+    """The text of an error that ends with an empty line was taken for an event."""
+    assert Event(None, data).is_well_formed == is_well_formed
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -6,6 +6,7 @@
 import pytest
 from celeryfork_entry.path_attempts import PathAttempt
 from celeryfork_entry.stream_calls import SILENCE_LIMIT_S, StreamCalls
+from celeryfork_entry.stream_progress import StreamProgress
 from celeryfork_entry.targets import Listed, Target, TargetTable
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Part
 from celeryfork_routing.layers import LayerRange
@@ -68,6 +69,9 @@
         await asyncio.sleep(0.1)
         return b":"
 
+    def header(self, name):
+        return None
+
 
 class HealthyChecks:
     async def find_down(self, *_, **__):
@@ -87,7 +91,10 @@
     reply = TricklingReply()
     with pytest.raises(TimeoutError, match="silent for 1"):
         asyncio.run(
-            asyncio.wait_for(streams._relay(attempt, reply, None), 2 * SILENCE_LIMIT_S)
+            asyncio.wait_for(
+                streams._relay(attempt, reply, StreamProgress(None)),
+                2 * SILENCE_LIMIT_S,
+            )
         )
     assert reply.reads > 5
 
--- a/libs/entry/tests/test_stream_progress.py
+++ b/libs/entry/tests/test_stream_progress.py
@@ -1,5 +1,7 @@
 """Delay without an event after which the engines of a stream are checked."""
 
+import pytest
+from celeryfork_entry.events import Event
 from celeryfork_entry.stream_progress import (
     EVENT_CHECK_DELAY_S,
     MAX_EVENT_CHECK_DELAY_S,
@@ -68,3 +70,36 @@
     for now_s in (5.1, 5.4, 5.5):
         progress.record_forwarded(now_s)
     assert round(progress.max_event_gap_s, 3) == 0.3
+
+
+def numbered(*numbers):
+    return [Event(n, b"id: %d\ndata: x\n\n" % n) for n in numbers]
+
+
+UNNUMBERED = Event(None, b"data: x\n\n")
+TEXT = Event(None, b"HTTP/1.1 500 Internal Server Error\r\nX: y\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("events", "continued", "following", "wrong"),
+    [
+        (numbered(4, 5), True, [4, 5], False),
+        (numbered(2, 3, 4), True, [4], False),
+        (numbered(4, 6), True, [4], True),
+        (numbered(4, 5, 3, 6), True, [4, 5, 6], False),
+        ([*numbered(4), UNNUMBERED, *numbered(5)], True, [4], True),
+        ([*numbered(4), UNNUMBERED, *numbered(5)], False, [4, None, 5], False),
+        ([*numbered(4), TEXT, *numbered(5)], False, [4], True),
+        ([TEXT], True, [], True),
+        ([], True, [], False),
+    ],
+)
+def test_events_up_to_the_first_wrong_one_come_next(
+    events, continued, following, wrong
+):
+    """An error's text was forwarded as an event, and events before a gap were lost."""
+    progress = StreamProgress(3, started=True)
+    found, fault = progress.next_events(events, continued=continued)
+    assert [each.number for each in found] == following
+    assert (fault is not None) == wrong
+    assert progress.last_event == 3
