--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -18,6 +18,8 @@
 from celeryfork_entry.call import CallContext
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.configuration import CallerLimits, Configuration
+from celeryfork_entry.crash_guard import CrashGuard
+from celeryfork_entry.decision_log import error_location
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
@@ -151,13 +153,15 @@
         )
         selector = PathSelector(context, self.loads)
         detours = Detours(context, selector, self._highest_known_fence)
+        guard = CrashGuard(self.crash_evidence, context)
         streams = StreamCalls(
-            context, self._checks, leaving, self.loads, reachability, selector, detours
-        )
+            context, self._checks, leaving, self.loads, reachability, selector, detours,
+            guard,
+        )  # fmt: skip
         self._checks.on_down = streams.engine_down
         self._checks.is_in_use = streams.uses
         self._checks.spawn = self._spawn
-        self._dispatcher = Dispatcher(context, PlainCalls(context), streams)
+        self._dispatcher = Dispatcher(context, PlainCalls(context, guard), streams)
         self._placement = PlacementLeader(
             self.table, self.connections, self._dialect, self._checks, self.log,
             lambda: self.configuration,
@@ -312,7 +316,8 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self.counters.add("tasks.failed")
-            self.log.info("task_failed", error=repr(error), where=_where(error))
+            where = error_location(error)
+            self.log.info("task_failed", error=repr(error), where=where)
 
     async def _serve_caller(self, stream: ByteStream) -> None:
         connection = CallerConnection(
@@ -433,12 +438,3 @@
             await asyncio.sleep(0.05)
         left = sum(connection.busy for connection in self._callers)
         self.log.info("stop", broken_off=left)
-
-
-def _where(error: BaseException) -> str:
-    trace = error.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    if trace is None:
-        return ""
-    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from math import inf
 
 from attrs import define, evolve, field, frozen
@@ -18,6 +18,7 @@
 from celeryfork_routing.layers import LayerRange, ModelShape, first_missing_layer
 
 from celeryfork_entry.call import Call, CallContext
+from celeryfork_entry.configuration import Service
 from celeryfork_entry.engine_speeds import EngineSpeeds
 from celeryfork_entry.target_health import TargetHealth
 
@@ -128,7 +129,7 @@
         """
         shape = call.service.model
         assert shape is not None
-        held = self._held_by_id(call.service.name)
+        held = self._held_by_id(call.service)
         willing = [held[each] for each in held.keys() - call.avoided]
         if first_missing_layer(shape.layers, willing) is None:
             return False
@@ -138,12 +139,16 @@
             self._missing_since_s = now_s
         return now_s - self._missing_since_s >= CAPACITY_WAIT_S
 
-    def _held_by_id(self, service: str) -> dict[str, LayerRange]:
-        """Return the layers of each available engine of a service."""
+    def _held_by_id(self, service: Service) -> dict[str, LayerRange]:
+        """Return the layers of each available engine of a service.
+
+        An entry with layers beyond the model is wrong, and hides no missing layer.
+        """
+        layers = service.model.layers if service.model else 0
         return {
             target.id: target.held
-            for target in self._context.table.available(service)
-            if target.held is not None
+            for target in self._context.table.available(service.name)
+            if target.held is not None and target.held.within(layers)
         }
 
     def _find(self, call: Call) -> LayerPath | None:
@@ -214,6 +219,13 @@
         )
         engines = [each.at(now_s) for each in known]
         loads = self._known_loads(engines, now_s)
+        if call.probe is not None and request.first_engines is None:
+            quiet = _least_loaded_first(engines, loads)
+            path = find_path(
+                shape, engines, loads, evolve(request, first_engines=quiet)
+            )
+            if path is not None:
+                return path
         own_domain_engines = [each for each in engines if each.domain == request.domain]
         path = find_path(shape, own_domain_engines, loads, request)
         if len(own_domain_engines) == len(engines):
@@ -328,7 +340,7 @@
             engines=len(listed),
             missing_layer=first_missing_layer(
                 call.service.model.layers if call.service.model else 0,
-                self._held_by_id(call.service.name).values(),
+                self._held_by_id(call.service).values(),
             ),
             down=sum(health.excluded for health in health_states),
             refusing=sum(each.refused_until_s >= now_s for each in health_states),
@@ -353,5 +365,14 @@
     return min(float(metadata.max_answer_tokens), metadata.expected_answer_tokens)
 
 
+def _least_loaded_first(
+    engines: Sequence[PathEngine], loads: Mapping[str, Load]
+) -> frozenset[str]:
+    """Return the engine with the first layer that runs the fewest requests."""
+    first = [each.id for each in engines if each.held.first == 0]
+    first.sort(key=lambda engine_id: loads.get(engine_id, Load()).requests)
+    return frozenset(first[:1])
+
+
 def _excluding(known: Sequence[_EngineView], left_out: set[str]) -> list[_EngineView]:
     return [each for each in known if each.engine.id not in left_out]
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -6,11 +6,13 @@
 import asyncio
 import time
 from collections import deque
+from contextlib import suppress
 from itertools import pairwise
 from types import SimpleNamespace
 
 import small_model
 from attrs import define, evolve, field, frozen
+from celeryfork_admission.crash_evidence import make_crash_evidence
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_entry.budget_loans import BudgetLoans
@@ -22,6 +24,7 @@
     Service,
     Stream,
 )
+from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.path_selector import PathSelector
@@ -41,6 +44,8 @@
 SERVICE = Service("llm", "/healthz", 100, SHAPE)
 ANSWER_EVENTS = 12
 CALL_S = 20.0
+CRASH_AFTER_S = 0.02
+"""Seconds from the begin of a run to the crash that it causes."""
 BACK = (4, LAYERS)
 """Layers of the last engine of a path."""
 FRONT = (0, 4)
@@ -88,7 +93,15 @@
 
 @frozen
 class LoseReply:
-    """The engine runs the request, and its reply is lost."""
+    """The engine runs the request, and its reply is lost.
+
+    Parameters
+    ----------
+    crash
+        True if the engine terminates.
+    """
+
+    crash: bool = False
 
 
 @frozen
@@ -96,6 +109,17 @@
     """The engine accepts the request and never replies."""
 
 
+@frozen
+class CrashOn:
+    """The engine terminates as it begins to run a request with a shared part.
+
+    Its other streams break off at the same moment. The step stays in the script:
+    requests without the part run whole.
+    """
+
+    part: str
+
+
 @define
 class Engine:
     """A fake engine that follows a script, and then sends complete answers.
@@ -110,6 +134,8 @@
         Number of requests that it has run.
     arrivals
         Number of requests that have reached it.
+    crashed
+        Set once a request has crashed it, which breaks its streams.
     """
 
     target: Target
@@ -117,6 +143,7 @@
     gone: bool = False
     runs: int = 0
     arrivals: int = 0
+    crashed: asyncio.Event = field(factory=asyncio.Event)
 
 
 class Trial:
@@ -128,7 +155,7 @@
         Ids of the parts that the prompts of its requests share.
     """
 
-    shared_parts = ("common",)
+    shared_parts = ()
 
     def __init__(self, *, slack=100.0, instances=1, max_targets=2, peer=None):
         self.table = TargetTable()
@@ -142,6 +169,7 @@
         )  # fmt: skip
         log = SimpleNamespace(info=self._record_line)
         checks = EngineChecks(self.table, self, self, log, self.counters, domain="a")
+        self.checks = checks
         self.roster = Roster(peer or Peer("i1", "a", "10.1.0.1:7"))
         self.peers = PeerProtocol(self.roster, EngineLoads(), log)
         self.loans = BudgetLoans(
@@ -176,9 +204,12 @@
         )
         leaving = SimpleNamespace(check=lambda *_: None)
         selector = PathSelector(self.context, loads)
+        self.evidence = make_crash_evidence()
+        self.guard = CrashGuard(self.evidence, self.context)
         self.streams = StreamCalls(
-            self.context, checks, leaving, loads, reachability, selector, self
-        )
+            self.context, checks, leaving, loads, reachability, selector, self,
+            self.guard,
+        )  # fmt: skip
         checks.on_down = self.streams.engine_down
         checks.is_in_use = self.streams.uses
         checks.spawn = asyncio.ensure_future
@@ -214,14 +245,18 @@
         await self.streams.serve(self.call(caller, request_id, CALL_S))
         return caller
 
-    def request(self, request_id, left_s, shared_parts=()):
+    def request(self, request_id, left_s, shared_parts=None):
         """Return a caller's request that :meth:`read_request` reads."""
         metadata = RequestMetadata(
             request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None,
-            shared_parts or self.shared_parts,
+            self.shared_parts if shared_parts is None else shared_parts,
         )  # fmt: skip
         return SimpleNamespace(
-            arrived_s=time.monotonic(), method="POST", metadata=metadata
+            arrived_s=time.monotonic(),
+            method="POST",
+            target="/",
+            body=request_id.encode(),
+            metadata=metadata,
         )
 
     def dispatcher(self):
@@ -235,9 +270,11 @@
             limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
         )
         self.context.configuration = lambda: configuration
-        return Dispatcher(self.context, PlainCalls(self.context), self.streams)
+        return Dispatcher(
+            self.context, PlainCalls(self.context, self.guard), self.streams
+        )
 
-    def call(self, caller, request_id, left_s, shared_parts=()):
+    def call(self, caller, request_id, left_s, shared_parts=None):
         request = self.request(request_id, left_s, shared_parts)
         return Call(
             connection=caller,
@@ -268,6 +305,11 @@
         engine.arrivals += 1
         step = engine.script.popleft() if engine.script else Run()
         match step:
+            case CrashOn(part):
+                engine.script.appendleft(step)
+                engine.runs += 1
+                run = Run() if part not in request.parts else Run(0)
+                return self._run(engine, request.after_event, run, crashes=run != Run())
             case Refuse(at_fault):
                 fault = self.engine(at_fault).target.address
                 return _Reply(503, [b""], engine, at_fault=fault)
@@ -278,20 +320,26 @@
                 return _Reply(500, [b"its own failure"], engine)
             case Stall():
                 return await asyncio.get_running_loop().create_future()
-            case LoseReply():
+            case LoseReply(crash):
                 engine.runs += 1
+                engine.gone = crash
                 raise LostError("the connection ended before a reply")
             case Run():
                 engine.runs += 1
                 return self._run(engine, request.after_event, step)
 
-    def _run(self, engine, after, run):
+    def _run(self, engine, after, run, crashes=False):
         first = (after or 0) + 1
         last = ANSWER_EVENTS if run.events is None else first + run.events - 1
         pieces = [b"id: %d\ndata: x\n\n" % n for n in range(first, last + 1)]
 
         async def end():
-            await asyncio.sleep(run.after_s)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CRASH_AFTER_S if crashes else run.after_s):
+                    await engine.crashed.wait()
+            if crashes:
+                engine.gone = True
+                engine.crashed.set()
             for engine_id in run.lost:
                 self.engine(engine_id).gone = True
             raise LostError("the connection broke in a reply")
@@ -299,6 +347,9 @@
         end_of_run = None if run.events is None else end
         return _Reply(200, pieces, engine, end=end_of_run, gap_s=run.gap_s)
 
+    async def is_refused(self, address, timeout_s):
+        return self.engines[address].gone
+
     def forget(self, address):
         pass
 
@@ -306,7 +357,9 @@
         return request.metadata
 
     def build_target_request(self, request, options):
-        return options
+        return SimpleNamespace(
+            after_event=options.after_event, parts=request.metadata.shared_parts
+        )
 
     def read_reply(self, status, reply_headers):
         at_fault = dict(reply_headers).get("at fault")
@@ -378,6 +431,10 @@
     async def end_stream(self):
         self.ending = "whole"
 
+    @property
+    def can_answer(self):
+        return self.status is None
+
     def abort(self):
         self.ending = "broken off"
 
