Admission: suspects of one crash are probed one after the other

Change: no probe begins beside one of a trait with the same counted crash, and a trait with a further crashed probe isn't explained by another any more.

--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -215,6 +215,9 @@
     def begin_probe(self, traits: Iterable[Trait], run: str) -> bool:
         """Begin a probe, unless another one of a suspected trait is running.
 
+        Nor does it begin beside one of a trait with the same crash: if they met on an
+        engine, the deadly one would end the other's probe.
+
         Returns
         -------
         bool
@@ -228,7 +231,12 @@
         ]
         if self._probes.is_running(run) or not records:
             return True
-        if any(self._probes.left_s(each, now_s) > 0 for each in records):
+        runs = frozenset[str]().union(*(each.runs for each in records))
+        if any(
+            self._probes.left_s(each, now_s) > 0
+            for each in self._records.probed_since(now_s - PROBE_S)
+            if not runs.isdisjoint(each.runs)
+        ):
             return False
         for record in records:
             self._records.store(evolve(record, probe_s=now_s))
--- a/libs/admission/src/celeryfork_admission/crash_records.py
+++ b/libs/admission/src/celeryfork_admission/crash_records.py
@@ -76,6 +76,11 @@
             news_s = self.probe_s
         return news_s
 
+    @property
+    def weight(self) -> int:
+        """Sum of the weights of the counted crashes."""
+        return sum(each.weight for each in self.crashes)
+
     @property
     def runs(self) -> frozenset[str]:
         """Ids of the counted crashes."""
--- a/libs/admission/src/celeryfork_admission/trait_records.py
+++ b/libs/admission/src/celeryfork_admission/trait_records.py
@@ -4,11 +4,16 @@
 
 from attrs import define, field
 
-from celeryfork_admission.crash_records import TraitRecord
+from celeryfork_admission.crash_records import (
+    CONVICTION_WEIGHT,
+    PROBE_WEIGHT,
+    TraitRecord,
+)
 from celeryfork_admission.traits import Trait, TraitKind
 
 RECORD_TTL_S = 7200.0
 MAX_TRAITS = 1_000
+EXPLAINED_WEIGHT = CONVICTION_WEIGHT + PROBE_WEIGHT
 DROPPED_TOGETHER = 50
 """Records dropped at once beyond ``MAX_TRAITS``, since each drop sorts them all."""
 
@@ -74,13 +79,16 @@
         """Return True if a convicted trait that a request lacks explains its record.
 
         That is one with all the crashes of the record, of any organisation: engines
-        run the requests of all.
+        run the requests of all. After a further crash of a probe a trait isn't
+        explained any more: others may share every crash of the cause.
 
         Parameters
         ----------
         traits
             Those of the request.
         """
+        if record.weight >= EXPLAINED_WEIGHT:
+            return False
         if self._convicted is None:
             self._convicted = tuple(
                 each for each in self._record_by_trait.values() if each.is_convicted
@@ -93,6 +101,14 @@
             for other in self._convicted
         )
 
+    def probed_since(self, horizon_s: float) -> list[TraitRecord]:
+        """Return the records with a probe that began after a time."""
+        return [
+            each
+            for each in self._record_by_trait.values()
+            if each.probe_s is not None and each.probe_s > horizon_s
+        ]
+
     def select(self, limit: int, now_s: float) -> list[TraitRecord]:
         """Return the records to be sent, at most ``limit``.
 
