--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -218,6 +218,9 @@
 
         Two probes on one engine would count as two suspects of its crash.
 
+        Nor does it begin beside one of a trait with the same crash: if they met on an
+        engine, the deadly one would end the other's probe.
+
         Returns
         -------
         bool
