--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -214,9 +214,7 @@
         return worst
 
     def begin_probe(self, traits: Iterable[Trait], run: str) -> bool:
-        """Begin a probe, unless another one at the same service is running.
-
-        Two probes on one engine would count as two suspects of its crash.
+        """Begin a probe, unless another one of a suspected trait is running.
 
         Nor does it begin beside one of a trait with the same crash: if they met on an
         engine, the deadly one would end the other's probe.
@@ -234,11 +232,11 @@
         ]
         if self._probes.is_running(run) or not records:
             return True
-        services = {each.trait.service for each in records}
+        runs = frozenset[str]().union(*(each.runs for each in records))
         if any(
             self._probes.left_s(each, now_s) > 0
             for each in self._records.open_probes(now_s)
-            if each.trait.service in services
+            if not runs.isdisjoint(each.runs)
         ):
             return False
         for record in records:
--- a/libs/admission/src/celeryfork_admission/explanations.py
+++ b/libs/admission/src/celeryfork_admission/explanations.py
@@ -10,9 +10,17 @@
 
 from attrs import evolve, field, frozen
 
-from celeryfork_admission.crash_records import CONVICTION_WEIGHT, TraitRecord
+from celeryfork_admission.crash_records import (
+    CONVICTION_WEIGHT,
+    PROBE_WEIGHT,
+    TraitRecord,
+)
 from celeryfork_admission.traits import Trait, TraitKind
 
+CERTAIN_WEIGHT = CONVICTION_WEIGHT + PROBE_WEIGHT
+"""Sum of the weights of crashes from which a trait is refused whatever else explains
+them."""
+
 
 @frozen
 class Explanation:
@@ -38,8 +46,9 @@
         """Return True if a request probably has the trait that caused the crashes.
 
         Parts that explain the same crashes are equally likely; the request needs more
-        than half of them. A request's own trait is on all of its crashes, and doesn't
-        count beside its parts.
+        than half of them, until the crash of a further probe. Else parts that share
+        every crash of the cause would hide it. A request's own trait is on all of its
+        crashes, and doesn't count beside its parts.
 
         Parameters
         ----------
@@ -48,11 +57,13 @@
         traits
             Those of the request.
         """
-        runs = self.record_by_trait[trait].runs
+        record = self.record_by_trait[trait]
+        if record.weight >= CERTAIN_WEIGHT:
+            return True
         equal = [
             other.trait
             for other in self.record_by_trait.values()
-            if other.runs == runs and other.trait.kind is TraitKind.PART
+            if other.runs == record.runs and other.trait.kind is TraitKind.PART
         ]
         return 2 * sum(each in traits for each in equal) > len(equal) or not equal
 
--- a/libs/admission/src/celeryfork_admission/trait_records.py
+++ b/libs/admission/src/celeryfork_admission/trait_records.py
@@ -9,7 +9,6 @@
 
 RECORD_TTL_S = 7200.0
 MAX_TRAITS = 1_000
-EXPLAINED_WEIGHT = CONVICTION_WEIGHT + PROBE_WEIGHT
 DROPPED_TOGETHER = 50
 """Records dropped at once beyond ``MAX_TRAITS``, since each drop sorts them all."""
 
@@ -99,14 +98,6 @@
         self._probed = {each.trait: None for each in running}
         return running
 
-    def probed_since(self, horizon_s: float) -> list[TraitRecord]:
-        """Return the records with a probe that began after a time."""
-        return [
-            each
-            for each in self._record_by_trait.values()
-            if each.probe_s is not None and each.probe_s > horizon_s
-        ]
-
     def select(self, limit: int, now_s: float) -> list[TraitRecord]:
         """Return the records to be sent, at most ``limit``.
 
--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -35,8 +35,9 @@
 PROBE_WAIT_S = 0.25
 """Seconds that a suspect that has not run waits for a probe to end: half of the usual
 latency goal."""
-PROBE_POLL_S = 0.03
-"""Seconds between two judgements of a waiting suspect."""
+PROBE_POLL_S = (0.02, 0.08)
+"""Range of the seconds between two judgements of a waiting suspect. Those of several
+instances would otherwise begin their probes within the transit of a message."""
 PROBE_DELAY_S = 0.3
 """Seconds after its crash at which a request may run again as a probe. Peers that know
 its parts to be sound answer sooner, and the other streams of the engine have started
@@ -94,7 +95,7 @@
                     after_s = self._random.uniform(*PROBE_RETRY_AFTER_S)
             if time.monotonic() >= until_s:
                 break
-            await asyncio.sleep(PROBE_POLL_S)
+            await asyncio.sleep(self._random.uniform(*PROBE_POLL_S))
         self._log_refusal(call, judgement.trait, judgement.verdict, judgement.crashes)
         if not call.may_have_run:
             raise not_run_error(
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -295,15 +295,8 @@
             if events:
                 self._attempts.end_prefill(attempt)
                 last_event_s = time.monotonic()
-                was_starting = attempt.is_starting
-                attempt.record_events(last_event_s)
-                if was_starting and not attempt.is_starting:
-                    self._guard.record_sound(call)
                 gaps = gaps or EventGaps()
-                gaps.record_event(last_event_s)
-                self._checks.record_progress(
-                    attempt.path.engine_ids, time.monotonic(), slow=gaps.is_slow
-                )
+                self._record_events(attempt, gaps, last_event_s)
                 # Events before a wrong one are forwarded, as the next engine continues
                 # after the last event that the caller has.
                 following, fault = progress.next_events(events, continued=continued)
@@ -321,6 +314,17 @@
         self._context.table.succeeded(attempt.path.parts[0].engine_id)
         return Finished()
 
+    def _record_events(
+        self, attempt: PathAttempt, gaps: EventGaps, now_s: float
+    ) -> None:
+        """Record that events have arrived, and what that tells of the engines."""
+        was_starting = attempt.is_starting
+        attempt.record_events(now_s)
+        if was_starting and not attempt.is_starting:
+            self._guard.record_sound(attempt.call)
+        gaps.record_event(now_s)
+        self._checks.record_progress(attempt.path.engine_ids, now_s, slow=gaps.is_slow)
+
     async def _forward_events(
         self,
         attempt: PathAttempt,
