--- a/libs/entry/src/celeryfork_entry/events.py
+++ b/libs/entry/src/celeryfork_entry/events.py
@@ -15,6 +15,13 @@
 """Fields with names in lower case, comments and empty lines."""
 
 
+def media_type(content_type: str | None) -> str | None:
+    """Return the type that a Content-Type header names, without its parameters."""
+    if content_type is None:
+        return None
+    return content_type.partition(";")[0].strip().lower()
+
+
 @frozen
 class Event:
     """One event, including the blank line that terminates it.
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -19,7 +19,7 @@
 from celeryfork_entry.configuration import Stream
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.engine_checks import EngineChecks
-from celeryfork_entry.events import Event, EventSplitter
+from celeryfork_entry.events import Event, EventSplitter, media_type
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.path_attempts import (
     EngineFailed,
@@ -242,7 +242,7 @@
         if reply.status != 200:
             return await self._handle_refusal(call, attempt.path, reply)
         continued = progress.started
-        content_type = reply.header(b"content-type")
+        content_type = media_type(reply.header(b"content-type"))
         if continued and content_type != progress.content_type:
             raise LostError(f"the reply that continues a stream is {content_type!r}")
         progress.content_type = content_type
--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -284,6 +284,13 @@
     assert b"last-event-id: 3" in second.requests[0]
 
 
+def test_a_continuation_may_name_its_character_set():
+    rest = head(content_type="Text/Event-Stream; charset=utf-8")
+    first, second = begun(), SocketEngine(rest + chunks(events(4, LAST)))
+    assert stream_over(first, second) == (events(1, LAST), True)
+    assert (len(first.requests), len(second.requests)) == (1, 1)
+
+
 def test_an_empty_continuation_ends_a_stream():
     """The first engine broke off after its last event: nothing is left to send."""
     first = SocketEngine(head() + chunks(events(1, LAST), end=False))
