Detours: the connection of an order whose reply doesn't end is closed

What operators would see: a connection for each such order that nobody uses and nobody closes; it counts at the engine. Cause: the reply wasn't dropped after its timeout. Ruled out: a reply whose head doesn't arrive was aborted by the pool. Evidence: the new test failed before. The fake of the connections counts dropped replies; no existing test is changed otherwise.

--- a/libs/entry/src/celeryfork_entry/detours.py
+++ b/libs/entry/src/celeryfork_entry/detours.py
@@ -55,7 +55,10 @@
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 reply = await self._context.connections.send(first.address, order)
-                body = await reply.read_all(MAX_REPLY_BYTES)
+                try:
+                    body = await reply.read_all(MAX_REPLY_BYTES)
+                finally:
+                    reply.drop()
         except (NotSentError, LostError, TimeoutError) as error:
             self._log_order(call, detour, None, repr(error))
             return None
--- a/libs/entry/tests/test_detours.py
+++ b/libs/entry/tests/test_detours.py
@@ -24,11 +24,14 @@
 class Connections:
     """Fake connections on which the first engine replies to orders.
 
-    ``answer`` is the status of its reply, the error raised, or None for no reply.
+    ``answer`` is the status of its reply, the error raised, or None for no reply. The
+    body of an ``endless`` reply doesn't end.
     """
 
-    def __init__(self, answer):
+    def __init__(self, answer, endless=False):
         self._answer = answer
+        self.endless = endless
+        self.dropped = 0
         self.sent = []
 
     async def send(self, address, order):
@@ -37,15 +40,22 @@
             raise self._answer
         if self._answer is None:
             await asyncio.sleep(10)
-        return SimpleNamespace(status=self._answer, read_all=self._body)
+        return SimpleNamespace(
+            status=self._answer, read_all=self._body, drop=self._drop
+        )
+
+    def _drop(self):
+        self.dropped += 1
 
     async def _body(self, max_bytes):
+        if self.endless:
+            await asyncio.sleep(10)
         return b'{"addr":"10.0.0.3:1"}' * 100
 
 
-def reroute_with(answer, call=CALL, detour=DETOUR):
+def reroute_with(answer, call=CALL, detour=DETOUR, connections=None):
     logged = []
-    connections = Connections(answer)
+    connections = connections or Connections(answer)
     first = SimpleNamespace(address="10.0.0.1:1")
     context = SimpleNamespace(
         table=SimpleNamespace(by_id={"e1": first}),
@@ -89,6 +99,14 @@
     assert reroute_with(None)[0] is None
 
 
+def test_the_connection_of_an_endless_reply_is_closed(monkeypatch):
+    """It stayed open, and the engine's late bytes were read into its buffer."""
+    monkeypatch.setattr(detours, "ORDER_TIMEOUT_S", 0.01)
+    connections = Connections(200, endless=True)
+    assert reroute_with(200, connections=connections)[0] is None
+    assert connections.dropped == 1
+
+
 def test_no_order_is_sent_without_a_detour_or_a_request_id():
     assert reroute_with(200, detour=None)[:2] == (None, [])
     without_id = SimpleNamespace(metadata=SimpleNamespace(id=None))
