Instances: a record with an odd address no longer ends the reports to peers

What callers would see: an instance that reads a record with an address such as 'nowhere' sends no more reports or digests until its restart (int() of the port raises in the task that sends them), so that its peers don't count its load or follow it. Cause: the fields of the records were taken unchecked. Each read also logged each malformed record. Ruled out: nested records and invalid UTF-8 were skipped before. Only this program writes to the topic, so that it takes a faulty writer of its kind.

--- a/tests/adapter/test_election.py
+++ b/tests/adapter/test_election.py
@@ -1,6 +1,7 @@
 """Instance records in the store, and the processor speed that they contain."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from celeryfork_adapter.election import INSTANCES_TOPIC, StoreElection
@@ -60,7 +61,14 @@
 @pytest.mark.parametrize(
     "value",
     [None, b"", b"{", b"[]", b"{}", b'{"domain": "w", "address": "a:1"}', b"\xff",
-     b'{"domain": "w", "address": "a:1", "power": "x"}'],
+     b'{"domain": "w", "address": "a:1", "power": "x"}',
+     b'{"domain": "w", "address": "nowhere", "power": 1}',
+     b'{"domain": "w", "address": "a:70000", "power": 1}',
+     b'{"domain": "w", "address": "a:0", "power": 1}',
+     b'{"domain": "w", "address": 7, "power": 1}',
+     b'{"domain": [1], "address": "a:1", "power": 1}',
+     b'{"domain": "w", "address": "a:1", "power": true}',
+     b"[" * 100_000],
 )  # fmt: skip
 def test_malformed_instance_record_is_skipped(value):
     store = FakeStore()
@@ -70,6 +78,17 @@
     assert [peer.name for peer in peers] == ["front-1"]
 
 
+def test_a_malformed_instance_record_is_logged_once():
+    """Each read of the instances logged it, by each of them."""
+    store, lines = FakeStore(), []
+    store.value_by_key["front-9"] = b"{}"
+    election = make_election(store)
+    election._log = SimpleNamespace(info=lambda event, **_: lines.append(event))
+    for _ in range(3):
+        assert asyncio.run(election.peers()) == []
+    assert lines == ["instance_unreadable"]
+
+
 @pytest.mark.parametrize(
     "limits", [None, {}, {"cpuShare": 0.5}, {"cpuShare": "a", "cores": 1}]
 )
