Admission: a suspect's retry_after_s counts probes of all suspects of its crash

Cause: judge told 0 s while begin_probe refused for a probe of another suspect of the same crash, so that callers would ask again at once. Change: both ask the same question.

--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -203,13 +203,15 @@
             record = self._records.get(trait, now_s)
             if record is None or not record.crashes:
                 continue
-            probe_left_s = self._probes.left_s(record, now_s)
-            judgement = judge_record(record, organisation, now_s, probe_left_s)
+            judgement = judge_record(record, organisation, now_s)
             if judgement.verdict is Verdict.REFUSE and self._records.is_explained(
                 record, traits
             ):
-                judgement = make_suspicion(record, probe_left_s)
+                judgement = make_suspicion(record)
             worst = max(worst, judgement, key=lambda each: each.severity)
+        if worst.verdict is Verdict.SUSPECT:
+            left_s = self._probe_left_s(self._suspected(traits, now_s), now_s)
+            return evolve(worst, retry_after_s=left_s)
         return worst
 
     def begin_probe(self, traits: Iterable[Trait], run: str) -> bool:
@@ -224,19 +226,10 @@
             False while another probe runs here or at a peer, as far as messages tell.
         """
         now_s = self._clock()
-        records = [
-            record
-            for trait in traits
-            if (record := self._records.get(trait, now_s)) and record.is_suspected
-        ]
+        records = self._suspected(traits, now_s)
         if self._probes.is_running(run) or not records:
             return True
-        runs = frozenset[str]().union(*(each.runs for each in records))
-        if any(
-            self._probes.left_s(each, now_s) > 0
-            for each in self._records.probed_since(now_s - PROBE_S)
-            if not runs.isdisjoint(each.runs)
-        ):
+        if self._probe_left_s(records, now_s) > 0:
             return False
         for record in records:
             self._records.store(evolve(record, probe_s=now_s))
@@ -315,6 +308,25 @@
         now_s = self._clock()
         return [each.describe(now_s) for each in self._records.all(now_s)]
 
+    def _suspected(self, traits: Iterable[Trait], now_s: float) -> list[TraitRecord]:
+        records = (self._records.get(trait, now_s) for trait in traits)
+        return [each for each in records if each is not None and each.is_suspected]
+
+    def _probe_left_s(self, records: Iterable[TraitRecord], now_s: float) -> float:
+        """Return the seconds for which a probe of such a trait still runs; 0 if none.
+
+        Such a trait has one of the records, or shares a crash with one.
+        """
+        runs = frozenset[str]().union(*(each.runs for each in records))
+        return max(
+            (
+                self._probes.left_s(each, now_s)
+                for each in self._records.probed_since(now_s - PROBE_S)
+                if not runs.isdisjoint(each.runs)
+            ),
+            default=0.0,
+        )
+
     def _is_sound(self, trait: Trait, now_s: float) -> bool:
         sound_s = self._known(trait, now_s).sound_s
         return sound_s is not None and sound_s >= now_s - SOUND_TTL_S
--- a/libs/admission/src/celeryfork_admission/judgement.py
+++ b/libs/admission/src/celeryfork_admission/judgement.py
@@ -47,23 +47,19 @@
 
 
 def judge_record(
-    record: TraitRecord, organisation: str | None, now_s: float, probe_left_s: float
+    record: TraitRecord, organisation: str | None, now_s: float
 ) -> Judgement:
     """Return the verdict on an organisation's requests with a trait.
 
-    Parameters
-    ----------
-    probe_left_s
-        Seconds for which a probe of the trait still counts as running.
+    A suspicion doesn't say yet whether a probe is running.
     """
     hold_end_s = record.hold_end_s(organisation)
     if hold_end_s is not None and hold_end_s > now_s:
         left_s = hold_end_s - now_s
         return Judgement(Verdict.REFUSE, record.trait, len(record.crashes), left_s)
-    return make_suspicion(record, probe_left_s) if record.is_suspected else CLEAR
+    return make_suspicion(record) if record.is_suspected else CLEAR
 
 
-def make_suspicion(record: TraitRecord, probe_left_s: float) -> Judgement:
-    """Return that requests with a trait may run as probes; see :func:`judge_record`."""
-    crashes = len(record.crashes)
-    return Judgement(Verdict.SUSPECT, record.trait, crashes, probe_left_s)
+def make_suspicion(record: TraitRecord) -> Judgement:
+    """Return that requests with a trait may run as probes."""
+    return Judgement(Verdict.SUSPECT, record.trait, len(record.crashes))
--- a/libs/admission/tests/test_crash_evidence.py
+++ b/libs/admission/tests/test_crash_evidence.py
@@ -436,6 +436,7 @@
     one.send_to(two)
     for instance in (one, two):
         assert not instance.evidence.begin_probe([SHARED], "b")
+        assert instance.evidence.judge([SHARED], "chumo").retry_after_s == PROBE_S
     assert one.evidence.begin_probe([OTHER], "c")
     one.evidence.end_probe("a")
     one.clock.now_s += 0.1
