--- a/libs/admission/src/celeryfork_admission/trait_records.py
+++ b/libs/admission/src/celeryfork_admission/trait_records.py
@@ -26,6 +26,8 @@
     _turn: int = 0
     _suspect_services: frozenset[str] | None = frozenset()
     _explanation: Explanation | None = field(factory=Explanation)
+    _explaining: dict[Trait, None] = field(factory=dict)
+    """Traits with enough crashes to explain others."""
     _probed: dict[Trait, None] = field(factory=dict)
     """Traits with a probe that may still run."""
 
@@ -47,6 +49,10 @@
         convicted ones last.
         """
         self._record_by_trait[record.trait] = record
+        if record.weight >= CONVICTION_WEIGHT:
+            self._explaining[record.trait] = None
+        else:
+            self._explaining.pop(record.trait, None)
         if record.open_probe_s is not None:
             self._probed[record.trait] = None
         self._suspect_services = self._explanation = None
@@ -79,9 +85,7 @@
         """Traits that explain crashes, of all services."""
         if self._explanation is None:
             self._explanation = explain_crashes(
-                each
-                for each in self._record_by_trait.values()
-                if each.weight >= CONVICTION_WEIGHT
+                self._record_by_trait[trait] for trait in self._explaining
             )
         return self._explanation
 
@@ -129,5 +133,6 @@
     def _drop(self, trait: Trait) -> None:
         del self._record_by_trait[trait]
         self._turn_by_trait.pop(trait, None)
+        self._explaining.pop(trait, None)
         self._probed.pop(trait, None)
         self._suspect_services = self._explanation = None
