Routing: a path crosses domains more often if there is no other

Callers saw: begun answers that got nothing for 2 s and were given up, and new requests refused with 503 (no_path), while the engines that were left were idle and held all layers.

Cause: a path may change domains twice. Where several domains have lost ranges at once, each path over what is left needs more changes. The search now allows six if there is no path with two; links that are too busy are still left out.

Changed test: test_every_path_runs_each_layer_once_and_begins_with_an_allowed_engine asserted at most two changes. It now asserts at most six, and no path with two where there are more; test_a_path_within_the_usual_number_of_crossings_is_preferred is new.

--- a/libs/routing/src/celeryfork_routing/layer_paths.py
+++ b/libs/routing/src/celeryfork_routing/layer_paths.py
@@ -26,6 +26,8 @@
 MAX_CROSSINGS = 2
 """Maximum number of changes of failure domain: two suffice to leave the domain for one
 lost range and return."""
+MAX_CROSSINGS_OTHERWISE = 6
+"""Maximum if there is no path with fewer, as up to three ranges are lost at once."""
 REMOTE_FIRST_ENGINE_MS = 1_500.0
 """Cost in ms of a first engine outside the caller's failure domain, because the answer
 has to cross between domains."""
@@ -161,14 +163,39 @@
     engines: Sequence[PathEngine],
     load_by_engine: Mapping[str, Load],
     request: PathRequest,
+    max_crossings: int = MAX_CROSSINGS_OTHERWISE,
 ) -> LayerPath | None:
-    """Return the fastest path, None if no engines with room cover all layers."""
+    """Return the fastest path, None if no engines with room cover all layers.
+
+    Parameters
+    ----------
+    max_crossings
+        Maximum number of changes of failure domain. A path with more than
+        :data:`MAX_CROSSINGS` is returned only if there is no other.
+    """
     candidates = _best_of_each_range(
         found
         for engine in engines
         if (found := to_candidate(shape, engine, load_by_engine, request))
     )
-    hop_costs = _HopCosts(shape, load_by_engine, request)
+    hop_costs = _HopCosts(
+        shape, load_by_engine, request, min(MAX_CROSSINGS, max_crossings)
+    )
+    path = _search(shape, candidates, request, hop_costs)
+    several_domains = len({each.engine.domain for each in candidates}) > 1
+    if path is None and several_domains and max_crossings > MAX_CROSSINGS:
+        hop_costs.max_crossings = max_crossings
+        path = _search(shape, candidates, request, hop_costs)
+    return path
+
+
+def _search(
+    shape: ModelShape,
+    candidates: Sequence[Candidate],
+    request: PathRequest,
+    hop_costs: "_HopCosts",
+) -> LayerPath | None:
+    """Return the fastest path over candidates, None if there is none."""
     starting_by_point: dict[int, list[Candidate]] = {}
     for each in candidates:
         starting_by_point.setdefault(max(0, each.engine.held.first), []).append(each)
@@ -303,7 +330,11 @@
                 best = best if best is not None else _best_of_each_domain(options)
                 options_by_domain[domain] = hop_costs.add_to(best, domain)
             partial = _best_switch(
-                candidate, point, partials, options_by_domain[domain]
+                candidate,
+                point,
+                partials.get(candidate.engine.id),
+                options_by_domain[domain],
+                hop_costs.max_crossings,
             )
             if partial is not None:
                 partials[candidate.engine.id] = partial
@@ -331,15 +362,15 @@
 def _best_switch(
     candidate: Candidate,
     point: int,
-    partials: Mapping[str, _PartialPath],
+    known_partial: _PartialPath | None,
     options: Iterable[tuple[float, _PartialPath]],
+    max_crossings: int,
 ) -> _PartialPath | None:
     """Return the cheapest path on which the engine of ``candidate`` takes over.
 
     None if it isn't cheaper than the known path to this engine.
     """
     engine = candidate.engine
-    known_partial = partials.get(engine.id)
     known_ms = known_partial.cost_ms(point) if known_partial is not None else inf
     for cost_ms, partial in options:
         if cost_ms >= known_ms:
@@ -349,7 +380,7 @@
         crossings = partial.crossings + (
             partial.candidate.engine.domain != engine.domain
         )
-        if crossings > MAX_CROSSINGS:
+        if crossings > max_crossings:
             continue
         last = min(engine.held.last, point + candidate.max_layers)
         return _PartialPath(
@@ -360,11 +391,18 @@
 
 @define(eq=False)
 class _HopCosts:
-    """Cached costs of a change of engine, by the failure domains of both engines."""
+    """Cached costs of a change of engine, by the failure domains of both engines.
+
+    Parameters
+    ----------
+    max_crossings
+        Maximum number of changes of failure domain of a path.
+    """
 
     _shape: ModelShape
     _load_by_engine: Mapping[str, Load]
     _request: PathRequest
+    max_crossings: int
     _ms_by_domains: dict[tuple[str, str], float | None] = field(factory=dict)
 
     def add_to(
--- a/libs/routing/tests/test_layer_paths.py
+++ b/libs/routing/tests/test_layer_paths.py
@@ -68,6 +68,24 @@
     assert "b30" in path.engine_ids
 
 
+def test_a_path_crosses_more_often_if_there_is_no_other():
+    """Requests were refused, and begun answers lost, by an idle fleet (issue 27).
+
+    Each of two domains had lost several ranges, so that each path needs four crossings.
+    """
+    lost = {"a": {10, 50}, "b": {0, 30, 70}}
+    engines = [
+        engine(f"{domain}{first}", first, first + 10, domain)
+        for domain in lost
+        for first in range(0, 80, 10)
+        if first not in lost[domain]
+    ]
+    path = find_path(SHAPE, engines, {}, REQUEST)
+    assert covered_layers(path) == list(range(80))
+    domains = [part.domain for part in path.parts]
+    assert sum(one != other for one, other in pairwise(domains)) == 4
+
+
 def test_a_path_stays_in_the_callers_domain():
     path = find_path(SHAPE, slow_engines("a") + slow_engines("b"), {}, REQUEST)
     assert all(each.startswith("a") for each in path.engine_ids)
--- a/libs/routing/tests/test_random_fleets.py
+++ b/libs/routing/tests/test_random_fleets.py
@@ -10,6 +10,7 @@
 from celeryfork_routing.engine_loads import LayerPath, Load, Part, link_key, prefill_key
 from celeryfork_routing.layer_paths import (
     MAX_CROSSINGS,
+    MAX_CROSSINGS_OTHERWISE,
     MAX_PARTS,
     PathEngine,
     PathRequest,
@@ -237,7 +238,22 @@
         assert_has_room(shape, by_id[part.engine_id], loads, request, part)
     domains = [part.domain for part in path.parts]
     changes = sum(domain != following for domain, following in pairwise(domains))
+    assert changes <= MAX_CROSSINGS_OTHERWISE
+    if changes > MAX_CROSSINGS:
+        assert find_path(shape, engines, loads, request, MAX_CROSSINGS) is None
+
+
+@examples(300)
+@given(path_fleets())
+def test_a_path_within_the_usual_number_of_crossings_is_preferred(fleet):
+    shape, engines, loads, request = fleet
+    usual = find_path(shape, engines, loads, request, MAX_CROSSINGS)
+    if usual is None:
+        return
+    domains = [part.domain for part in usual.parts]
+    changes = sum(domain != following for domain, following in pairwise(domains))
     assert changes <= MAX_CROSSINGS
+    assert find_path(shape, engines, loads, request) == usual
 
 
 @examples(80)
