Entry: a connection is busy until its answer is sent

Callers saw: at the end of a planned stop, an answer that ended early.

Cause: a connection counted as idle once its answer was written, though up to 64 KB of it may still be in the transport's buffer; a caller that reads slowly, or a slow link, keeps them there. The process exits when no connection is busy, and they were lost with it. A connection whose last answer was sent was also no longer known to the stop.

Evidence: test_a_connection_counts_as_busy_until_its_answer_is_sent failed before (not busy with unsent bytes) and passes now.

--- a/libs/entry/src/celeryfork_entry/byte_stream.py
+++ b/libs/entry/src/celeryfork_entry/byte_stream.py
@@ -44,6 +44,7 @@
         self._writers: list[asyncio.Future[None]] = []
         self._full = False
         self.transport: asyncio.Transport | None = None
+        self._closed = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the options of its socket."""
@@ -72,6 +73,7 @@
         self.ended = True
         self._wake()
         self.resume_writing()
+        self._closed.set()
         self._notify_closed()
 
     def pause_writing(self) -> None:
@@ -91,6 +93,11 @@
         """Return the number of bytes received and not yet read."""
         return len(self._received)
 
+    @property
+    def unsent(self) -> int:
+        """Return the number of bytes written that the kernel hasn't accepted yet."""
+        return self.transport.get_write_buffer_size() if self.transport else 0
+
     @property
     def usable(self) -> bool:
         """Return True if both directions are open."""
@@ -143,6 +150,11 @@
         if self.transport is not None:
             self.transport.close()
 
+    async def wait_closed(self) -> None:
+        """Wait after :meth:`close` until the written bytes are sent."""
+        if self.transport is not None:
+            await self._closed.wait()
+
     def abort(self) -> None:
         """Close the connection at once, discarding unsent bytes."""
         if self.transport is not None:
--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -86,8 +86,6 @@
         Answers one request through :meth:`answer` or :meth:`begin_stream`.
     is_stopping
         Returns True while the instance is stopping.
-    busy
-        True while a request is being received or answered.
     close_after
         True if the connection closes after the current answer.
     """
@@ -97,7 +95,7 @@
     handle: Callable[["CallerConnection", CallerRequest], Awaitable[None]]
     is_stopping: Callable[[], bool]
     http: h11.Connection = field(init=False)
-    busy: bool = False
+    _busy: bool = False
     _close_after: bool = False
     _method: bytes = b""
     _header_bytes: int = field(init=False)
@@ -121,6 +119,8 @@
                 pass
             if self.http.our_state is h11.MUST_CLOSE:
                 await self._linger()
+            self.stream.close()
+            await self.stream.wait_closed()
         except (ConnectionError, h11.LocalProtocolError):
             self.stream.abort()
         finally:
@@ -130,7 +130,7 @@
         try:
             request = await self._next_request()
         except BadRequestError as error:
-            self.busy = True
+            self._busy = True
             await self._refuse(error)
             return False
         if request is None:
@@ -138,7 +138,7 @@
         try:
             await self._handle_until_closed(request)
         finally:
-            self.busy = False
+            self._busy = False
         if {self.http.our_state, self.http.their_state} != {h11.DONE}:
             return False
         if self._close_after and not self._has_unread_bytes:
@@ -206,13 +206,13 @@
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
-                self.busy = True
+                self._busy = True
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
             if self.http.trailing_data[0] and begun_s is None:
                 begun_s = loop.time()
-                self.busy = True
+                self._busy = True
             try:
                 async with asyncio.timeout_at(
                     self._head_deadline_s(idle_since_s, begun_s)
@@ -321,10 +321,15 @@
         self._close_after = True
         self.stream.abort()
 
+    @property
+    def busy(self) -> bool:
+        """Return True while a request is being received or answered."""
+        return self._busy or self.stream.unsent > 0
+
     def close_when_idle(self) -> None:
         """Close the connection at once if it is idle, else after the current answer."""
         self._close_after = True
-        if not self.busy and not self.stream.unread:
+        if not self._busy and not self.stream.unread:
             self.stream.close()
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -34,11 +34,16 @@
         self.begun = asyncio.Event()
         self.end = asyncio.Event()
         self.connection = None
+        self.body = None
 
     async def handle(self, connection, request):
         self.targets.append(request.target)
         if request.target != "/stream":
-            await connection.answer(200, [], request.body)
+            if self.body:
+                sock = connection.stream.transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+                self.begun.set()
+            await connection.answer(200, [], self.body or request.body)
             return
         await connection.begin_stream(200, [], b"first")
         self.begun.set()
@@ -259,3 +264,25 @@
         assert answer.count(b"HTTP/1.1 200 ") == 1
 
     run(scenario)
+
+
+def test_a_connection_counts_as_busy_until_its_answer_is_sent():
+    """At the end of a planned stop the rest of an answer was lost with the process.
+
+    The caller reads slowly, so that bytes are left that the kernel hasn't taken.
+    """
+
+    async def scenario(server, caller):
+        loop = asyncio.get_running_loop()
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        server.body = b"x" * 300_000
+        server.stopping = True
+        await caller.send(GET)
+        await server.begun.wait()
+        received = bytearray()
+        while len(received) < len(server.body):
+            received += await loop.sock_recv(caller.sock, 5_000)
+            if server.connection.stream.transport.get_write_buffer_size():
+                assert server.connection.busy and not server.task.done()
+
+    run(scenario)
