Entry soak: a part that crashes engines, beside the other faults

Why: the soak had no request that crashes engines. The part comes by the clock and from the seed's number alone, so that plans of older seeds stay as they are; such a soak has twice the engines and keeps twice as many free of other faults. Two promises are counted: after the fifth crash and 3 s at most three arrivals from processes and over links without a fault in the last 3 s (deadly_part), and sound streams begin half as often as before from 6 s after the last crash (sound_again).

--- a/tests/adapter/test_crashing_parts.py
+++ b/tests/adapter/test_crashing_parts.py
@@ -6,7 +6,7 @@
 import json
 
 import pytest
-from deadly_play import DEADLINE_S, DeadlyPlay
+from deadly_play import DEADLINE_S, DEADLY_PART, DeadlyPlay, prompt_parts
 from entry_process import Entry, wait_for
 
 ZONES = ("west", "east", "west", "east")
@@ -17,7 +17,6 @@
 """A first run, a probe, and what was in flight at other instances."""
 CRASHES_OF_A_REQUEST = 3
 """The same as for a part, for a whole request."""
-DEADLY_PART = "dead01"
 DEADLY_CALL = ("/look/1?deadly", "kiosk", b"deadly")
 
 
@@ -53,7 +52,6 @@
 
 def send_stream(entry, attempt, number, deadly):
     """Send a stream whose caller and first part are those of all others."""
-    second = f"{DEADLY_PART}:30,{number:x}a:5" if deadly else f"{number % 7:x}b:30"
     return entry.request(
         "POST",
         "/advice/x",
@@ -61,7 +59,7 @@
         body=b"prompt",
         X_Model="m",
         X_Token_Count=f"100,{2 * (number % 20 + 4)}",
-        X_Prompt_Prefix=f"c0ffee:40,{second},{number:x}c:10",
+        X_Prompt_Prefix=prompt_parts(number, deadly=deadly),
         X_Deadline_Ms=f"{DEADLINE_S * 1000:.0f}",
     )
 
--- a/tests/support/entry_soak.py
+++ b/tests/support/entry_soak.py
@@ -18,7 +18,8 @@
 from math import inf
 from shutil import rmtree
 
-from attrs import define
+from attrs import define, field
+from deadly_play import DEADLY_PART
 from entry_process import Entry, wait_for
 from promises import CUT_OFF
 from soak_callers import STREAM_S, Caller
@@ -38,6 +39,17 @@
 UNLISTED_AFTER_S = 1.0
 """Time after which the list leaves out what was killed."""
 RETRY_SLACK = 200
+FIRST_DEADLY_SEED = 201
+"""Least seed whose plan has a deadly part; older seeds keep the plans that they had."""
+DEADLY_S = 8.0
+"""Time for which some callers' streams hold a deadly part.
+
+It is more than that of five crashes and the stable window after them.
+"""
+DEADLY_FROM = 0.2
+"""Begin of that time, as a share of the soak's."""
+DEADLY_ENGINES_FACTOR = 2
+"""Multiple of the engines where a deadly part ends some beside the other faults."""
 LOOK_S = 0.1
 SHOWN = 5
 """Incidents of a promise that are printed."""
@@ -76,6 +88,7 @@
     """One process of an instance, from its start to its end."""
 
     entry: Entry
+    begun_s: float = field(factory=time.monotonic)
     killed_s: float = inf
     stop_asked_s: float | None = None
     exit_code: int | None = None
@@ -83,14 +96,33 @@
 
 
 class Soak:
-    """Entry processes before stand-ins while faults come."""
+    """Entry processes before stand-ins while faults come.
+
+    Parameters
+    ----------
+    deadly
+        True if some callers' streams hold a deadly part for a while, beside the other
+        faults; None if the seed tells. It changes nothing of their plan.
+    """
 
     def __init__(
-        self, seed, seconds, directory, planted="", faults=FAULTS, slack=RETRY_SLACK
+        self,
+        seed,
+        seconds,
+        directory,
+        planted="",
+        faults=FAULTS,
+        slack=RETRY_SLACK,
+        deadly=None,
     ):
         self.seed, self.seconds = seed, seconds
         self.planted, self.faults = planted, faults
-        self.platform = SoakPlatform(sorted(set(ZONES)))
+        self.has_deadly_part = seed >= FIRST_DEADLY_SEED if deadly is None else deadly
+        self.tainted, self.tainted_from_s = False, inf
+        factor = DEADLY_ENGINES_FACTOR if self.has_deadly_part else 1
+        self.platform = SoakPlatform(sorted(set(ZONES)), factor)
+        if self.has_deadly_part:
+            self.platform.deadly_parts = frozenset({DEADLY_PART})
         self.over = threading.Event()
         self.asks, self.lives, self.windows, self.leavings = [], [], [], []
         self.life_by_name, self.entries, self.counts = {}, [], Counter()
@@ -145,6 +177,8 @@
         """Begin faults in series, which overlap, until all have ended."""
         rng, at_s = random.Random(self.seed), 0.5
         self._later(self.seconds / 4, self._withdraw_key)
+        if self.has_deadly_part:
+            self._later(self.seconds * DEADLY_FROM, self._taint)
         while at_s < self.seconds:
             fault = rng.choice(self.faults)
             for _ in range(rng.randint(1, MOST_OF_A_SERIES)):
@@ -248,6 +282,14 @@
         life.entry.write_settings()
         life.entry.process.send_signal(signal.SIGHUP)
 
+    def _taint(self):
+        self.tainted, self.tainted_from_s = True, time.monotonic()
+        self._later(DEADLY_S, self._end_taint)
+
+    def _end_taint(self):
+        self.tainted = False
+        self.counts["crashes"] = len(self.platform.crashes)
+
     def _withdraw_key(self):
         self.platform.tenants = [{"name": "kiosk", "apiKeys": ["key-1", "key-2"]}]
         self._configure()
@@ -266,6 +308,11 @@
     parser.add_argument("--seeds", default="1-10", help="one seed, or first-last")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--retry-slack", type=int, default=RETRY_SLACK)
+    parser.add_argument(
+        "--deadly-part",
+        action=argparse.BooleanOptionalAction,
+        help=f"engine crashes by a deadly part (default: seeds >= {FIRST_DEADLY_SEED})",
+    )
     given = parser.parse_args()
     # Its entry processes end with it.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -273,7 +320,13 @@
     failed = False
     for seed in range(int(first), int(last or first) + 1):
         directory = tempfile.mkdtemp(prefix=f"entry-soak-{seed}-")
-        soak = Soak(seed, given.seconds, directory, slack=given.retry_slack)
+        soak = Soak(
+            seed,
+            given.seconds,
+            directory,
+            slack=given.retry_slack,
+            deadly=given.deadly_part,
+        )
         broken = soak.run()
         counts = soak.counts + Counter(ask.outcome for ask in soak.asks)
         verdict = "broken" if broken else "held"
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 
 from attrs import define, field
+from deadly_play import prompt_parts
 from promises import CUT_OFF
 
 STREAM_S = 4.5
@@ -22,6 +23,11 @@
     ("repeatable", "GET", "/look/1", "key-1"),
     ("withdrawn", "GET", "/look/1", "key-3"),
 )
+TAINTED_CALLERS = {0, 5, 8, 13}
+"""Callers that for a while send streams alone, all with a deadly part.
+
+Other callers use the same key.
+"""
 STREAM = ("stream", "POST", "/advice/x", "key-2")
 ASKS = (STREAM, STREAM, STREAM, *PLAIN_ASKS)
 
@@ -32,6 +38,13 @@
 
     ``reused`` tells whether its connection had carried another request before, and
     ``answered`` the request that the answer says it belongs to.
+
+    Parameters
+    ----------
+    deadly
+        True if its prompt holds a part that crashes engines.
+    parts
+        Header of the parts of its prompt, empty for none.
     """
 
     kind: str
@@ -39,6 +52,8 @@
     life: object
     reused: bool
     events: int
+    deadly: bool = False
+    parts: str = ""
     begun_s: float = field(factory=time.monotonic)
     ended_s: float = 0.0
     status: int | None = None
@@ -80,6 +95,8 @@
         if self.kind == "stream":
             headers["X-Token-Count"] = f"100,{self.events * 2}"
             headers["X-Deadline-Ms"] = str(int(STREAM_S * 1000))
+        if self.parts:
+            headers["X-Prompt-Prefix"] = self.parts
         sock = connection.sock
         sock.settimeout(self.limit_s + LATE_S)
         connection.request(method, path, b"" if method == "GET" else b"body", headers)
@@ -136,7 +153,10 @@
         connection.close()
 
     def _ask(self, connection, life, reused):
+        deadly = self.soak.tainted and self.number in TAINTED_CALLERS
         asks = ASKS if self.number % 4 < 2 else PLAIN_ASKS
+        if deadly:
+            asks = (STREAM,)
         kind, *how = self.random.choice(asks)
         self.sent += 1
         attempt, events = (
@@ -144,6 +164,10 @@
             self.random.randint(1, MOST_EVENTS),
         )
         ask = Ask(kind, attempt, life, reused, events)
+        if kind == "stream" and self.soak.has_deadly_part:
+            ask.deadly = deadly
+            number = self.sent * len(self.soak.callers) + self.number
+            ask.parts = prompt_parts(number, deadly=deadly)
         try:
             ask.send(connection, *how)
         except CUT_OFF as error:
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -5,6 +5,7 @@
 
 import time
 
+from deadly_play import MOST_LATE_ARRIVALS, STABLE_WINDOW_S
 from entry_process import READY_S
 from promises import LAYERS, SAYS_NOT_RUN, desk_runs, engine_runs
 
@@ -14,6 +15,10 @@
 """The same after the store or an instance was away: their pauses have grown."""
 STOP_S = 9.0
 """Time within which a planned stop ends: its grace and a second."""
+CRASHES = 5
+"""Crashes after which, and after the stable window, a part reaches no engine."""
+LEAST_STREAMS = 10
+"""Streams of a span from which their share that begins is told."""
 TIME_OVER_S = 0.1
 """Time left to an answer that ended with its caller's time."""
 
@@ -131,8 +136,56 @@
         yield "processes", f"{entry.path.stem} doesn't serve again"
 
 
+def deadly_parts(soak):
+    times_s = [at_s for at_s, _ in soak.platform.crashes]
+    if len(times_s) < CRASHES:
+        return
+    ask_by_attempt = {ask.attempt: ask for ask in soak.asks}
+    late = [
+        each
+        for each in soak.platform.deadly_arrivals
+        if each.at_s > times_s[CRASHES - 1] + STABLE_WINDOW_S
+        if _is_in_touch(soak, ask_by_attempt.get(each.attempt), each)
+    ]
+    if len(late) > MOST_LATE_ARRIVALS:
+        what = ", ".join(each.attempt for each in late[: MOST_LATE_ARRIVALS + 1])
+        yield "deadly_part", f"{len(late)} arrivals too late, the first {what}"
+
+
+def _is_in_touch(soak, ask, arrival):
+    """Return False if the sending process or its link was in a fault just before."""
+    since_s, places = arrival.at_s - STABLE_WINDOW_S, {arrival.target_id}
+    if ask is not None:
+        places.add(ask.life.entry.path.stem)
+        if ask.life.begun_s > since_s or ask.life.stop_asked_s is not None:
+            return False
+    return not any(
+        place in places and begun_s < arrival.at_s and ended_s > since_s
+        for place, begun_s, ended_s in soak.windows
+    )
+
+
+def sound_streams(soak):
+    """Check that streams beside deadly ones begin half as often as before."""
+    if not soak.platform.crashes:
+        return
+    last_s = max(at_s for at_s, _ in soak.platform.crashes)
+    streams = [ask for ask in soak.asks if ask.kind == "stream" and not ask.deadly]
+    before = [ask for ask in streams if ask.begun_s < soak.tainted_from_s]
+    after = [ask for ask in streams if ask.begun_s > last_s + 2 * STABLE_WINDOW_S]
+    if min(len(before), len(after)) < LEAST_STREAMS:
+        return
+    shares = [
+        sum(ask.status == 200 and bool(ask.body) for ask in asks) / len(asks)
+        for asks in (before, after)
+    ]
+    if shares[1] < shares[0] / 2:
+        yield "sound_again", "{:.2f} began before, {:.2f} after".format(*shares)
+
+
 CHECKS = (
     processes, paths, answers, ends, leaving_targets, planned_stops, configurations,
+    deadly_parts, sound_streams,
 )  # fmt: skip
 
 
--- a/tests/support/soak_platform.py
+++ b/tests/support/soak_platform.py
@@ -73,17 +73,26 @@
 
 
 class SoakPlatform(Platform):
-    """A fleet whose servers are reached over proxies, and which notes what arrives."""
+    """A fleet whose servers are reached over proxies, and which notes what arrives.
 
-    def __init__(self, zones):
+    Parameters
+    ----------
+    engines_factor
+        Multiple of the usual number of engines, and of the fewest that must serve.
+    """
+
+    def __init__(self, zones, engines_factor=1):
         getLogger("aiohttp").setLevel(CRITICAL)
         self.proxies, self.arrivals, self._numbers = {}, [], count(1)
+        self._least_by_place = dict(LEAST_BY_PLACE)
+        self._least_by_place["engine"] *= engines_factor
         super().__init__()
         self.store.id = "store"
         self.tenants = make_configuration(0)["tenants"]
         for zone in zones:
             for kind in KINDS:
-                self.add(zone, kind)
+                for _ in range(1 if kind == "desk" else engines_factor):
+                    self.add(zone, kind)
 
     def add(self, zone, kind):
         name = f"{zone}-{kind}-{next(self._numbers)}"
@@ -117,7 +126,7 @@
                 if not (each.silent or each.full)
             ],
         }[where]
-        return places if len(places) >= LEAST_BY_PLACE.get(where, 0) else []
+        return places if len(places) >= self._least_by_place.get(where, 0) else []
 
     async def _listen(self, name, handle):
         async def witness(request):
