--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -87,7 +87,7 @@
     is_stopping
         Returns True while the instance is stopping.
     busy
-        True while a request is being answered.
+        True while a request is being received or answered.
     close_after
         True if the connection closes after the current answer.
     """
@@ -100,13 +100,18 @@
     busy: bool = False
     _close_after: bool = False
     _method: bytes = b""
+    _header_bytes: int = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the parser, with the head limited by the limits in force."""
+        """Create the parser."""
+        self._make_parser()
+
+    def _make_parser(self) -> None:
+        """Create a parser whose size limit of the head is that in force."""
+        self._header_bytes = self.limits().header_bytes
         self.http = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self.limits().header_bytes
-            + HEAD_PARSE_MARGIN_BYTES,
+            max_incomplete_event_size=self._header_bytes + HEAD_PARSE_MARGIN_BYTES,
         )
 
     async def serve(self) -> None:
@@ -114,7 +119,8 @@
         try:
             while await self._serve_one():
                 pass
-            await self._linger()
+            if self.http.our_state is h11.MUST_CLOSE:
+                await self._linger()
         except (ConnectionError, h11.LocalProtocolError):
             self.stream.abort()
         finally:
@@ -129,18 +135,22 @@
             return False
         if request is None:
             return False
-        self.busy = True
         try:
             await self._handle_until_closed(request)
         finally:
             self.busy = False
-        if self._close_after or self.http.our_state is not h11.DONE:
+        if {self.http.our_state, self.http.their_state} != {h11.DONE}:
             return False
-        if self.http.their_state is not h11.DONE:
+        if self._close_after and not self._has_unread_bytes:
             return False
         self.http.start_next_cycle()
         return True
 
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return True if part of the next request has been received."""
+        return bool(self.stream.unread or self.http.trailing_data[0])
+
     async def _handle_until_closed(self, request: CallerRequest) -> None:
         handling = asyncio.ensure_future(self.handle(self, request))
         if self.stream.ended:
@@ -157,10 +167,10 @@
             handling.cancel()
 
     async def _next_request(self) -> CallerRequest | None:
-        limits = self.limits()
-        first = await self._next_event(limits.idle_timeout_s, limits.header_timeout_s)
+        first = await self._next_event()
         if first is None:
             return None
+        limits = self.limits()
         arrived_s = asyncio.get_running_loop().time()
         self._method = first.method
         size = sum(len(name) + len(value) + 4 for name, value in first.headers)
@@ -185,36 +195,55 @@
             arrived_s,
         )
 
-    async def _next_event(
-        self, idle_timeout_s: float, head_timeout_s: float
-    ) -> h11.Request | None:
+    async def _next_event(self) -> h11.Request | None:
+        """Return the head of the next request, None if the connection is to be closed.
+
+        The limits in force apply, which may change while the connection is idle.
+        """
         loop = asyncio.get_running_loop()
+        idle_since_s = loop.time()
         begun_s: float | None = None
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
+                self.busy = True
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
             if self.http.trailing_data[0] and begun_s is None:
                 begun_s = loop.time()
-            wait_s = (
-                idle_timeout_s
-                if begun_s is None
-                else begun_s + head_timeout_s - loop.time()
-            )
+                self.busy = True
             try:
-                async with asyncio.timeout(max(0.0, wait_s)):
+                async with asyncio.timeout_at(
+                    self._head_deadline_s(idle_since_s, begun_s)
+                ):
                     data = await self.stream.read()
             except TimeoutError:
+                if self.stream.unread:
+                    # They arrived in the iteration of the event loop in which the
+                    # timeout expired.
+                    continue
+                if loop.time() < self._head_deadline_s(idle_since_s, begun_s):
+                    continue
                 if begun_s is None:
                     return None
+                head_timeout_s = self.limits().header_timeout_s
                 raise BadRequestError(
                     408,
                     f"The headers took over {head_timeout_s:g} s: send them faster.",
                 ) from None
+            if begun_s is None and self._header_bytes != self.limits().header_bytes:
+                # h11 can't change the limit of a parser; this one holds no bytes yet.
+                self._make_parser()
             self.http.receive_data(data)
 
+    def _head_deadline_s(self, idle_since_s: float, begun_s: float | None) -> float:
+        """Return the time of the event loop until which the next head may take."""
+        limits = self.limits()
+        if begun_s is None:
+            return idle_since_s + limits.idle_timeout_s
+        return begun_s + limits.header_timeout_s
+
     async def _body(self, limits: CallerLimits) -> bytes:
         pieces: list[bytes] = []
         length = 0
@@ -232,6 +261,8 @@
                 async with asyncio.timeout(limits.idle_timeout_s):
                     data = await self.stream.read()
             except TimeoutError:
+                if self.stream.unread:
+                    continue
                 raise BadRequestError(
                     408, f"No body byte for {limits.idle_timeout_s:g} s: send faster."
                 ) from None
@@ -249,8 +280,13 @@
                 error.error_status_hint, f"Not an HTTP/1.1 request: {error}."
             ) from error
 
+    @property
+    def can_answer(self) -> bool:
+        """Return True if no byte of an answer to the current request was sent."""
+        return self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
     async def _refuse(self, error: BadRequestError) -> None:
-        if self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+        if self.can_answer:
             self._close_after = True
             await self.answer(error.status, (), f"{error.message}\n".encode())
 
@@ -299,7 +335,11 @@
         return h11.Response(status_code=status, headers=raw_headers(sent))
 
     async def _linger(self) -> None:
-        """Read on briefly, as closing with unread bytes would send a TCP reset."""
+        """Read on briefly, as closing with unread bytes would send a TCP reset.
+
+        Only after an answer that announced the close: a caller that had no notice can't
+        tell whether a request that is read here was run.
+        """
         if self.stream.ended or self.stream.transport is None:
             return
         if self.stream.transport.can_write_eof():
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -19,6 +19,7 @@
     CallerRequest,
 )
 from celeryfork_entry.configuration import Configuration, Organisation, Route, Stream
+from celeryfork_entry.decision_log import error_location
 from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import RequestMetadata
 from celeryfork_entry.stream_calls import StreamCalls
@@ -52,9 +53,12 @@
         except RequestRefusedError as error:
             organisation = call.organisation if call else None
             await self._refuse(connection, request, metadata, organisation, error)
-        except (CallerGoneError, CancelledError):
-            self._log("caller_left", metadata)
+        except (CallerGoneError, ConnectionResetError, CancelledError):
+            self._caller_left(call, metadata)
             raise
+        except Exception as error:
+            # Otherwise the caller would get neither an answer nor a refusal.
+            await self._fail(connection, call, metadata, error)
 
     def _admit(
         self,
@@ -129,13 +133,59 @@
             headers.append(("Retry-After", f"{error.retry_after_s:g}"))
         await connection.answer(error.status, headers, f"{error}\n".encode())
 
+    async def _fail(
+        self,
+        connection: CallerConnection,
+        call: Call | None,
+        metadata: RequestMetadata | None,
+        error: Exception,
+    ) -> None:
+        """Log an unexpected error, and answer the request if that is still possible."""
+        status = 502 if call and call.delivered_sends else 500
+        self._log(
+            "failed",
+            metadata,
+            status=status if connection.can_answer else None,
+            error=repr(error),
+            where=error_location(error),
+        )
+        if connection.can_answer:
+            message = b"Internal error: the request's log line has the cause.\n"
+            await connection.answer(status, (), message)
+        else:
+            connection.abort()
+
+    def _caller_left(self, call: Call | None, metadata: RequestMetadata | None) -> None:
+        """Log what a caller that left had received, and what its request waited for."""
+        if call is None:
+            self._log("caller_left", metadata)
+            return
+        progress = call.progress
+        begun = progress is not None and progress.started
+        last_s = progress.last_event_s if progress and begun else call.request.arrived_s
+        self._count("caller_left")
+        if begun:
+            self._context.counters.add(f"streams.left_begun.{call.waiting_for}")
+        self._context.log_end(
+            call,
+            "caller_left",
+            begun=begun,
+            last=progress.last_event if progress else None,
+            silent_ms=round((time.monotonic() - last_s) * 1000),
+            left_ms=round(call.left_s * 1000),
+            waiting_for=call.waiting_for,
+        )
+
     def _log(
         self, event: str, metadata: RequestMetadata | None, **inputs: object
     ) -> None:
-        self._context.counters.add(f"requests.{event}")
+        self._count(event)
         known = {"id": metadata.id, "path": metadata.path} if metadata else {}
         self._context.log.info(event, **known, **inputs)
 
+    def _count(self, event: str) -> None:
+        self._context.counters.add(f"requests.{event}")
+
 
 def _priority(route: Route, organisation: Organisation | None) -> int:
     if organisation is not None and organisation.priority is not None:
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -12,14 +12,24 @@
 
 import small_model
 from attrs import define, evolve, field, frozen
+from celeryfork_admission.crash_evidence import make_crash_evidence
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.call import Call, CallContext
-from celeryfork_entry.configuration import Route, Service, Stream
+from celeryfork_entry.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    Service,
+    Stream,
+)
+from celeryfork_entry.crash_guard import CrashGuard
+from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.path_selector import PathSelector
 from celeryfork_entry.peer_protocol import REMOTE_REPORT_PERIOD, PeerProtocol
+from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import EngineReport, Peer, RequestMetadata
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.stream_calls import StreamCalls
@@ -36,6 +46,10 @@
 CALL_S = 20.0
 CRASH_AFTER_S = 0.02
 """Seconds from the begin of a run to the crash that it causes."""
+BACK = (4, LAYERS)
+"""Layers of the last engine of a path."""
+FRONT = (0, 4)
+"""Layers of the first engine of a path."""
 
 
 @frozen
@@ -50,11 +64,14 @@
         Ids of engines that terminate after the last event, which breaks the stream.
     after_s
         Seconds between the last event and the break.
+    gap_s
+        Seconds before each event after the first.
     """
 
     events: int | None = None
     lost: tuple[str, ...] = ()
     after_s: float = 0.07
+    gap_s: float = 0.0
 
 
 @frozen
@@ -76,7 +93,20 @@
 
 @frozen
 class LoseReply:
-    """The engine runs the request, and its reply is lost."""
+    """The engine runs the request, and its reply is lost.
+
+    Parameters
+    ----------
+    crash
+        True if the engine terminates.
+    """
+
+    crash: bool = False
+
+
+@frozen
+class Stall:
+    """The engine accepts the request and never replies."""
 
 
 @frozen
@@ -125,7 +155,7 @@
         Ids of the parts that the prompts of its requests share.
     """
 
-    shared_parts = ("common",)
+    shared_parts = ()
 
     def __init__(self, *, slack=100.0, instances=1, max_targets=2, peer=None):
         self.table = TargetTable()
@@ -139,6 +169,7 @@
         )  # fmt: skip
         log = SimpleNamespace(info=self._record_line)
         checks = EngineChecks(self.table, self, self, log, self.counters, domain="a")
+        self.checks = checks
         self.roster = Roster(peer or Peer("i1", "a", "10.1.0.1:7"))
         self.peers = PeerProtocol(self.roster, EngineLoads(), log)
         self.loans = BudgetLoans(
@@ -173,9 +204,12 @@
         )
         leaving = SimpleNamespace(check=lambda *_: None)
         selector = PathSelector(self.context, loads)
+        self.evidence = make_crash_evidence()
+        self.guard = CrashGuard(self.evidence, self.context)
         self.streams = StreamCalls(
-            self.context, checks, leaving, loads, reachability, selector, self
-        )
+            self.context, checks, leaving, loads, reachability, selector, self,
+            self.guard,
+        )  # fmt: skip
         checks.on_down = self.streams.engine_down
         checks.is_in_use = self.streams.uses
         checks.spawn = asyncio.ensure_future
@@ -211,19 +245,41 @@
         await self.streams.serve(self.call(caller, request_id, CALL_S))
         return caller
 
-    def call(self, caller, request_id, left_s, shared_parts=()):
+    def request(self, request_id, left_s, shared_parts=None):
+        """Return a caller's request that :meth:`read_request` reads."""
         metadata = RequestMetadata(
             request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None,
-            shared_parts or self.shared_parts,
+            self.shared_parts if shared_parts is None else shared_parts,
         )  # fmt: skip
+        return SimpleNamespace(
+            arrived_s=time.monotonic(),
+            method="POST",
+            target="/",
+            body=request_id.encode(),
+            metadata=metadata,
+        )
+
+    def dispatcher(self):
+        """Return the dispatcher, with a configuration of the trial's route."""
+        configuration = Configuration(
+            version=1,
+            routes_by_host={self.route.host: (self.route,)},
+            services_by_name={SERVICE.name: SERVICE},
+            organisation_by_key={},
+            needs_key=False,
+            limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
+        )
+        self.context.configuration = lambda: configuration
+        return Dispatcher(
+            self.context, PlainCalls(self.context, self.guard), self.streams
+        )
+
+    def call(self, caller, request_id, left_s, shared_parts=None):
+        request = self.request(request_id, left_s, shared_parts)
         return Call(
             connection=caller,
-            request=SimpleNamespace(
-                arrived_s=time.monotonic(),
-                method="POST",
-                parts=metadata.shared_parts,
-            ),
-            metadata=metadata,
+            request=request,
+            metadata=request.metadata,
             route=self.route,
             service=SERVICE,
             organisation=None,
@@ -262,8 +318,11 @@
                 raise LostError("the connection ended before a reply")
             case ReplyWithError():
                 return _Reply(500, [b"its own failure"], engine)
-            case LoseReply():
+            case Stall():
+                return await asyncio.get_running_loop().create_future()
+            case LoseReply(crash):
                 engine.runs += 1
+                engine.gone = crash
                 raise LostError("the connection ended before a reply")
             case Run():
                 engine.runs += 1
@@ -285,13 +344,22 @@
                 self.engine(engine_id).gone = True
             raise LostError("the connection broke in a reply")
 
-        return _Reply(200, pieces, engine, end=None if run.events is None else end)
+        end_of_run = None if run.events is None else end
+        return _Reply(200, pieces, engine, end=end_of_run, gap_s=run.gap_s)
+
+    async def is_refused(self, address, timeout_s):
+        return self.engines[address].gone
 
     def forget(self, address):
         pass
 
+    def read_request(self, request):
+        return request.metadata
+
     def build_target_request(self, request, options):
-        return SimpleNamespace(after_event=options.after_event, parts=request.parts)
+        return SimpleNamespace(
+            after_event=options.after_event, parts=request.metadata.shared_parts
+        )
 
     def read_reply(self, status, reply_headers):
         at_fault = dict(reply_headers).get("at fault")
@@ -311,16 +379,19 @@
 
 
 class _Reply:
-    def __init__(self, status, pieces, engine, end=None, at_fault=None):
+    def __init__(self, status, pieces, engine, end=None, at_fault=None, gap_s=0.0):
         self.status = status
         self.headers = [("at fault", at_fault)]
         self._pieces = deque(pieces)
         self._engine = engine
         self._end = end
+        self._gap_s = gap_s
+        self._next_gap_s = 0.0
 
     async def read(self):
-        await asyncio.sleep(0)
+        await asyncio.sleep(self._next_gap_s if self._pieces else 0)
         if self._pieces:
+            self._next_gap_s = self._gap_s
             return self._pieces.popleft()
         if self._end is not None:
             await self._end()
@@ -360,6 +431,10 @@
     async def end_stream(self):
         self.ending = "whole"
 
+    @property
+    def can_answer(self):
+        return self.status is None
+
     def abort(self):
         self.ending = "broken off"
 
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from contextlib import nullcontext
 from itertools import count
 from types import SimpleNamespace
 
@@ -67,6 +68,7 @@
     for engine_id in started:
         engines.record_run(engine_id)
     return SimpleNamespace(
+        waiting=nullcontext,
         service=SimpleNamespace(name="llm", model=SHAPE),
         metadata=SimpleNamespace(
             prompt_tokens=100, max_answer_tokens=50, expected_answer_tokens=0.0
@@ -74,6 +76,7 @@
         avoided=set(avoided),
         failed_on=set(),
         first_engines=engines,
+        probe=None,
         may_have_run=may_have_run,
         left_s=20.0,
     )
@@ -164,6 +167,18 @@
     assert count_searches(selector, make_call()) == 1
 
 
+@pytest.mark.parametrize("last", [9, 10_000, 10**18])
+def test_an_entry_with_layers_beyond_the_model_hides_no_missing_layer(
+    table, count_searches, last
+):
+    """Each request waited for capacity, which no engine had."""
+    lose_layers(table)
+    renew(table, table.by_id["e1"], held=LayerRange(4, last), accelerator="none")
+    selector = make_selector(table)
+    count_searches(selector, make_call())
+    assert count_searches(selector, make_call()) == 1
+
+
 def test_the_wait_for_missing_layers_restarts_after_they_were_present(table):
     whole = dict(table.by_id)
     lose_layers(table)
