Crash evidence: the dump tells the verdict that calls get

The status endpoints judged each trait of the dump by itself, so that a part whose crashes another one explains was shown and counted as refused. The evidence now gives verdict and hold of each record as they are in force.

--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -306,14 +306,26 @@
         return self._records.select(limit, self._clock())
 
     def dump(self) -> list[dict[str, object]]:
-        """Return all records for the state dump, with ages in seconds."""
+        """Return all records for the state dump, with ages in seconds.
+
+        The verdict is the worst one on any caller, and the hold the longest.
+        """
         now_s = self._clock()
-        explanation = self._records.explanation
-        return [
-            each.describe(now_s)
-            | {"convicted": explanation.unexplained(each).is_convicted}
-            for each in self._records.all(now_s)
-        ]
+        rows = []
+        for record in self._records.all(now_s):
+            counting = self._records.explanation.unexplained(record)
+            callers = {None, *(each.organisation for each in counting.crashes)}
+            found = [judge_record(counting, each, now_s) for each in callers]
+            worst = max(found, key=lambda judgement: judgement.severity)
+            rows.append(
+                record.describe(now_s)
+                | {
+                    "convicted": counting.is_convicted,
+                    "verdict": worst.verdict.value,
+                    "hold_s": round(worst.retry_after_s, 3),
+                }
+            )
+        return rows
 
     def _suspected(self, traits: Iterable[Trait], now_s: float) -> list[TraitRecord]:
         records = (self._counting(trait, now_s) for trait in traits)
--- a/libs/entry/src/celeryfork_entry/status_endpoints.py
+++ b/libs/entry/src/celeryfork_entry/status_endpoints.py
@@ -1,21 +1,17 @@
 """HTTP endpoints for peers, operators and readiness checks of the platform."""
 
 import time
-from collections.abc import Callable, Mapping
-from typing import Any, cast
+from collections.abc import Callable
 from urllib.parse import parse_qs
 
 from attrs import asdict, define
 from celeryfork_admission.crash_evidence import (
     CrashEvidence,
-    CrashRecord,
     Trait,
     TraitKind,
-    TraitRecord,
     Verdict,
     make_part_trait,
 )
-from celeryfork_admission.judgement import judge_record
 from celeryfork_base.counters import Counters
 from celeryfork_routing.engine_loads import EngineLoads
 from logbook import Logger
@@ -140,32 +136,12 @@
         return metrics_text(self._counters, self._histograms, gauges)
 
     def _crash_gauges(self) -> dict[str, float]:
-        verdicts = [row["verdict"] for row in self._crash_rows()]
+        verdicts = [row["verdict"] for row in self._crash_evidence.dump()]
         return {
             "crashes.suspected": float(verdicts.count(Verdict.SUSPECT.value)),
             "crashes.convicted": float(verdicts.count(Verdict.REFUSE.value)),
         }
 
-    def _crash_rows(self) -> list[dict[str, object]]:
-        """Return the evidence of crashes, with the worst verdict on any caller.
-
-        A part may be refused to some organisations only; the hold is the longest one.
-        Each trait is judged by itself, though another may explain the same crashes.
-        """
-        rows = []
-        for row in cast(list[dict[str, Any]], self._crash_evidence.dump()):
-            record = _record(row)
-            found = [
-                judge_record(record, organisation, 0.0, 0.0)
-                for organisation in {None, *(c.organisation for c in record.crashes)}
-            ]
-            worst = max(found, key=lambda judgement: judgement.severity)
-            hold_s = worst.retry_after_s if worst.verdict is Verdict.REFUSE else 0.0
-            rows.append(
-                row | {"verdict": worst.verdict.value, "hold_s": round(hold_s, 3)}
-            )
-        return rows
-
     def dump(self) -> dict[str, object]:
         """Return the state of this instance, for JSON."""
         now_s = time.monotonic()
@@ -190,7 +166,7 @@
                 key: asdict(load)
                 for key, load in self._loads.total_loads(now_s).items()
             },
-            "crash_evidence": self._crash_rows(),
+            "crash_evidence": self._crash_evidence.dump(),
         }
 
 
@@ -198,19 +174,6 @@
     return request.target.partition("?")[0]
 
 
-def _record(row: Mapping[str, Any]) -> TraitRecord:
-    """Return a record of the dump, with times before now."""
-    return TraitRecord(
-        Trait(row["service"], TraitKind(row["kind"]), row["value"]),
-        tuple(
-            CrashRecord(
-                each["run"], each["organisation"], -each["age_s"], each["probe"]
-            )
-            for each in row["crashes"]
-        ),
-    )
-
-
 def _query_fields(request: CallerRequest) -> dict[str, list[str]]:
     """Return the fields of a request's query, none if it is malformed."""
     query = request.target.partition("?")[2]
