Entry: the dump's verdict follows what the evidence explains; two processes

Cause: crashes that a convicted part explains no longer count against others, but the dump and the gauges went on to show these as suspected.

Change: the dump asks the evidence for its judgement, and goes by the record of its own only for what is convicted. A test with two processes shows evidence and its clearing at the other one.

--- a/libs/entry/src/celeryfork_entry/status_endpoints.py
+++ b/libs/entry/src/celeryfork_entry/status_endpoints.py
@@ -150,13 +150,16 @@
         """Return the evidence of crashes, with the worst verdict on any caller.
 
         A part may be refused to some organisations only; the hold is the longest one.
-        Each trait is judged by itself, though another may explain the same crashes.
+        A convicted trait is judged by its own record: a request that lacks the others
+        which explain the same crashes may run as a probe, but requests rarely do.
         """
         rows = []
         for row in cast(list[dict[str, Any]], self._crash_evidence.dump()):
             record = _record(row)
             found = [
                 judge_record(record, organisation, 0.0, 0.0)
+                if row["convicted"]
+                else self._crash_evidence.judge([record.trait], organisation)
                 for organisation in {None, *(c.organisation for c in record.crashes)}
             ]
             worst = max(found, key=lambda judgement: judgement.severity)
--- a/libs/entry/tests/test_status_endpoints.py
+++ b/libs/entry/tests/test_status_endpoints.py
@@ -132,6 +132,17 @@
     assert status.gauges() == {"suspected": 0, "convicted": 2}
 
 
+def test_a_part_whose_crashes_another_one_explains_is_not_shown_as_suspected():
+    """Each crashed engine has dozens of innocent requests; an operator would look for
+    the sender of each of their parts."""
+    status = Status()
+    other = make_part_trait("llm", "innocent")
+    for n in range(4):
+        parts = [PART, other] if n == 0 else [PART]
+        status.evidence.record_crash(parts, f"r{n}", "xaka200", probe=False)
+    assert status.gauges() == {"suspected": 0, "convicted": 1}
+
+
 def test_an_operator_clears_a_part():
     """A sound part that is refused by mistake would stay so for up to an hour."""
     status = Status()
--- a/tests/adapter/test_crash_evidence.py
+++ b/tests/adapter/test_crash_evidence.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from entry_process import wait_for
+from entry_process import Entry, wait_for
 
 ROW = ["llm", "part", "deadly",
        [[f"r{n}", "xaka200", 100, False] for n in range(3)], None, None]  # fmt: skip
@@ -60,3 +60,18 @@
     assert evidence(suspecting)[0]["verdict"] == "clear"
     assert post(suspecting, suspecting.peer) == 404
     wait_for(lambda: suspecting.events("crash_cleared"), 2)
+
+
+def test_evidence_and_its_clearing_reach_another_process(entry, fleet, tmp_path):
+    """Kept to one process, a deadly part ends engines at each instance of a fleet."""
+    other = Entry(fleet, tmp_path, "entry-2", "west", beside=entry).start()
+    try:
+        other.wait_ready()
+        wait_for(lambda: json.loads(entry.ask("/dump"))["instances"] == 2, 10)
+        send_evidence(entry, ROW)
+        wait_for(lambda: [row["verdict"] for row in evidence(other)] == ["refuse"], 3)
+        assert post(other, other.peer) == 200
+        wait_for(lambda: [row["verdict"] for row in evidence(entry)] == ["clear"], 3)
+    finally:
+        other.end()
+    assert not other.events("task_failed")
