--- a/tests/adapter/test_crashing_parts.py
+++ b/tests/adapter/test_crashing_parts.py
@@ -6,8 +6,9 @@
 import json
 
 import pytest
-from deadly_play import DEADLINE_S, DEADLY_PART, DeadlyPlay, prompt_parts
+from deadly_play import DEADLINE_S, DeadlyPlay
 from entry_process import Entry, wait_for
+from prompt_parts import DEADLY_PART, prompt_parts
 
 ZONES = ("west", "east", "west", "east")
 """Zones of the instances."""
--- a/tests/support/planted_faults.py
+++ b/tests/support/planted_faults.py
@@ -97,6 +97,13 @@
 def take(self, newest, source):
     self.configuration = newest or self.configuration
 StoreFollower._adopt = take
+""",
+    ),
+    "crashes that are not counted": (
+        "deadly_part",
+        """
+from celeryfork_admission.crash_evidence import CrashEvidence
+CrashEvidence.record_crash = lambda self, *inputs, **options: ()
 """,
     ),
 }
--- a/tests/support/promises.py
+++ b/tests/support/promises.py
@@ -8,10 +8,14 @@
 import time
 
 from entry_process import wait_for
+from prompt_parts import DEADLY_PART, prompt_parts
 
 LAYERS = 8
 SAYS_NOT_RUN = {408, 421, 429, 503}
 EVENTS = 30
+DEADLY_STREAMS = 5
+MOST_CRASHES = 2
+"""A first run, and a probe of what its crash made a suspect."""
 CUT_OFF = (http.client.HTTPException, ConnectionError, TimeoutError)
 
 
@@ -162,6 +166,15 @@
     return [] if status() == 401 else ["a key that was taken away is valid again"]
 
 
+def deadly_part_is_kept_from_engines(entry, platform):
+    platform.deadly_parts = frozenset({DEADLY_PART})
+    for number in range(DEADLY_STREAMS):
+        parts = prompt_parts(number, deadly=True)
+        entry.stream(f"deadly-{number}", X_Prompt_Prefix=parts).read()
+    crashed = [target_id for _, target_id in platform.crashes]
+    return crashed if len(crashed) > MOST_CRASHES else []
+
+
 PROMISES = {
     "layers": layers_once_and_in_order,
     "own_whole_answer": own_whole_answer,
@@ -170,4 +183,5 @@
     "leaving": leaving_targets_get_nothing_new,
     "planned_stop": planned_stop_cuts_off_nothing,
     "configuration": configuration_never_reverts,
+    "deadly_part": deadly_part_is_kept_from_engines,
 }
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -7,8 +7,8 @@
 from contextlib import suppress
 
 from attrs import define, field
-from deadly_play import prompt_parts
 from promises import CUT_OFF
+from prompt_parts import prompt_parts
 
 STREAM_S = 4.5
 """Time of a stream: one that comes until callers go elsewhere ends within the stop."""
