Entry: a probe whose part is convicted while it waits for a path isn't sent

What callers saw: requests with a part that crashes engines ended one more engine after the part was convicted. A probe held its permission through the wait for a path, which lasts up to two seconds; the crash of another run in the meantime wasn't asked for again.

Cause: CrashGuard.is_allowed returned True for any call that holds a probe, whatever the evidence says by then. A probe may now be sent only while its traits are still suspected or clear.

Evidence: the new test failed before (the engine that was added after the conviction was reached, 502 instead of 503).

--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -107,10 +107,14 @@
 
     def is_allowed(self, call: Call) -> bool:
         """Return True if a call may be sent now."""
-        if call.probe is not None:
-            return True
         judgement = self.evidence.judge(self._traits_to_judge(call), call.organisation)
-        return judgement.verdict is Verdict.CLEAR
+        match judgement.verdict:
+            case Verdict.CLEAR:
+                return True
+            case Verdict.SUSPECT:
+                return call.probe is not None
+            case Verdict.REFUSE:
+                return False
 
     def _begin_probe(self, call: Call, traits: tuple[Trait, ...]) -> bool:
         if time.monotonic() < call.crashed_s + PROBE_DELAY_S:
--- a/libs/entry/tests/test_crash_guard.py
+++ b/libs/entry/tests/test_crash_guard.py
@@ -229,3 +229,23 @@
         assert await ask(b"sound") == 502, "another request is sent"
 
     trial.run(run())
+
+
+def test_a_probe_whose_part_is_convicted_while_it_waits_for_a_path_is_refused():
+    """The probe was sent once there was a path, and ended one more engine."""
+    trial = Trial(max_targets=9)
+    trait = make_part_trait("llm", "deadly")
+    trial.evidence.record_crash([trait], "r0", "org", probe=False)
+
+    async def run():
+        serving = asyncio.ensure_future(serve(trial, "r1", DEADLY))
+        await asyncio.sleep(0.1)
+        assert trial.logged("crash_probe")
+        for other in ("r2", "r3"):
+            trial.evidence.record_crash([trait], other, "org", probe=False)
+        add_crashing(trial, "e1")
+        return await serving
+
+    refusal = trial.run(run())
+    assert (refusal.status, refusal.code) == (503, "crashes_engines")
+    assert arrivals(trial) == 0
