Streams: an early end of a reply without length or chunks isn't taken for its whole when the engine has ended

What callers saw: a stream that looked complete after its first events (or after a continuation without any event), as the kernel closes the connection of a killed process like that of a whole reply. The parts of the request that had crashed the engine counted as sound for 60 s, so that its crashes convicted nothing.

Cause: the end of an unframed reply was taken for the answer's end, however soon it came. The first engine is now asked once if such a reply ends within the time in which requests crash engines; if its port is closed, the stream is continued elsewhere and the crash is counted. Later ends, and replies with a length or chunks, cost no question.

The fake reply of the stream trial says that it is framed, as the reply of the client does; no assertion of an existing test changed.

--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -307,6 +307,7 @@
             raise LostError(
                 "the stream ended before its first event or within an event"
             )
+        await self._require_running(attempt, reply)
         progress.complete = True
         if attempt.is_starting:
             self._guard.record_sound(call)
@@ -314,6 +315,21 @@
         self._context.table.succeeded(attempt.path.parts[0].engine_id)
         return Finished()
 
+    async def _require_running(self, attempt: PathAttempt, reply: Reply) -> None:
+        """Raise an error if an early end of a reply may be a crash of its engine.
+
+        Raises
+        ------
+        LostError
+            The first engine has ended.
+        """
+        if reply.is_framed or not attempt.is_starting:
+            return
+        first = attempt.path.parts[0].engine_id
+        await self._checks.find_down([first], ask_all=True)
+        if first in self._ended_engines(attempt.path):
+            raise LostError("the engine ended with its reply")
+
     def _record_events(
         self, attempt: PathAttempt, gaps: EventGaps, now_s: float
     ) -> None:
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -84,6 +84,15 @@
         """Return True if the reply names the request that it belongs to."""
         return self.identity is not None and self.identity in self.headers
 
+    @property
+    def is_framed(self) -> bool:
+        """Return True if a length or chunks tell where the body ends.
+
+        Otherwise it ends with the connection, also with that of a killed process.
+        """
+        framing = {b"content-length", b"transfer-encoding"}
+        return any(name in framing for name, _ in self.headers)
+
     def header(self, name: bytes) -> str | None:
         """Return the first header with a name, which must be in lower case."""
         for key, value in self.headers:
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -379,6 +379,8 @@
 
 
 class _Reply:
+    is_framed = True
+
     def __init__(self, status, pieces, engine, end=None, at_fault=None, gap_s=0.0):
         self.status = status
         self.headers = [("at fault", at_fault)]
--- a/libs/entry/tests/test_unframed_replies.py
+++ b/libs/entry/tests/test_unframed_replies.py
@@ -11,6 +11,7 @@
 import struct
 import subprocess
 import sys
+from itertools import pairwise
 
 import pytest
 from attrs import evolve
@@ -145,6 +146,73 @@
     assert not trial.logged("path_broke")
 
 
+def serve_beside_killed(*replies, parts=("common", "deadly")):
+    """Serve a stream on engines that end with their processes, then on a sound one.
+
+    The replies are pairs of a body and a function that ends the connection.
+
+    The kernel closes the connection of a killed process like that of a whole reply.
+    """
+    trial = Trial(max_targets=9)
+    trial.context.connections = TargetConnections()
+    trial.shared_parts = parts
+    trial.build_target_request = lambda request, options: OutgoingRequest("POST", "/")
+    rest = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, ANSWER_EVENTS + 1))
+
+    async def add(stack, name, body, end, *, killed=True):
+        def end_process(writer):
+            added.gone = killed
+            end(writer)
+
+        server = engine([HEAD + b"\r\n" + body], end_process)
+        address = await stack.enter_async_context(server)
+        target = evolve(trial.add(name).target, address=address)
+        added = trial.engines[address] = Engine(target)
+        return target
+
+    async def run():
+        async with contextlib.AsyncExitStack() as stack:
+            targets = [
+                await add(stack, f"killed-{n}", body, end)
+                for n, (body, end) in enumerate(replies)
+            ]
+            targets.append(await add(stack, "sound", rest, close, killed=False))
+            for each in targets:
+                trial.table.apply([Listed(each)])
+            for each in targets[1:]:
+                trial.table.exclude(each.id, "not yet", 0.0)
+
+            async def free_one_after_the_other():
+                for before, each in pairwise(targets):
+                    while not trial.engines[before.address].gone:
+                        await asyncio.sleep(0.01)
+                    trial.table.succeeded(each.id)
+
+            freeing = asyncio.ensure_future(free_one_after_the_other())
+            caller = await trial.serve_one(Caller())
+            freeing.cancel()
+            return caller
+
+    return trial.run(run()), trial
+
+
+def test_a_stream_that_ends_with_its_engine_between_events_is_resumed():
+    """Its caller got the first events as the whole answer.
+
+    The parts of a request that had crashed its engine counted as sound.
+    """
+    caller, trial = serve_beside_killed((EVENTS, close))
+    assert caller.has_complete_answer
+    [line] = trial.logged("crash_suspect")
+    assert set(line["parts"]) == {"common", "deadly"}
+
+
+def test_a_continuation_without_events_of_an_engine_that_ended_is_no_end():
+    """The continued stream ended as if it were complete."""
+    caller, _ = serve_beside_killed((EVENTS, reset), (b"", close), parts=())
+    assert caller.has_complete_answer
+
+
 KILLED_ENGINE = """
 import os, signal, socket, sys, time
 listening = socket.create_server(("127.0.0.1", 0))
