Streams: a reply that continues a stream may have other parameters of its content type

What callers saw: a begun stream lost a further engine, or was broken off, while engines whose content types differ only in a parameter or in case were in use, as during a release: text/event-stream beside text/event-stream; charset=utf-8.

Cause: the check that keeps an error's text out of a begun stream compared the whole header value. It compares the media type now; another one, or none, is still refused.

--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -276,7 +276,7 @@
         if reply.status != 200:
             return await self._handle_refusal(call, attempt.path, reply)
         continued = progress.started
-        content_type = reply.header(b"content-type")
+        content_type = _media_type(reply)
         if continued and content_type != progress.content_type:
             raise LostError(f"the reply that continues a stream is {content_type!r}")
         progress.content_type = content_type
@@ -568,6 +568,12 @@
         )
 
 
+def _media_type(reply: Reply) -> str | None:
+    """Return the content type of a reply without parameters, None if it has none."""
+    value = reply.header(b"content-type")
+    return None if value is None else value.partition(";")[0].strip().lower()
+
+
 def _is_resumable(call: Call) -> bool:
     """Return True if another engine may continue the stream."""
     kind = call.route.kind
--- a/libs/entry/src/celeryfork_entry/stream_progress.py
+++ b/libs/entry/src/celeryfork_entry/stream_progress.py
@@ -42,8 +42,8 @@
     max_event_gap_s
         Longest time in seconds between two events forwarded by this instance.
     content_type
-        Content type of the reply that began the stream; those that continue it have the
-        same.
+        Content type, without parameters, of the reply that began the stream; those that
+        continue it have the same.
     """
 
     last_event: int | None
