Streams: field names without a value, and names with an underscore, are events

Cause: the check for text that is no event knew data alone as a name without a value. The other three names of the format (event, id, retry) are known too.

--- a/libs/entry/src/celeryfork_entry/events.py
+++ b/libs/entry/src/celeryfork_entry/events.py
@@ -11,8 +11,11 @@
 """Length of the longest event terminator, CRLF CRLF."""
 _ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _TERMINATOR = re.compile(rb"\r?\n\r?\n")
-_LINES = re.compile(rb"(?:(?:[a-z][a-z0-9-]*+)?:[^\n]*+\n|(?:data)?\r?\n)++")
-"""Fields with names in lower case, comments and empty lines."""
+_LINES = re.compile(
+    rb"(?:(?:[a-z][a-z0-9_-]*+)?:[^\n]*+\n|(?:data|event|id|retry)?\r?\n)++"
+)
+"""Fields with names in lower case, comments and empty lines. A line without a colon is
+a field without a value; other text has such lines too, but none of these names."""
 
 
 @frozen
