--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -30,8 +30,7 @@
 is detected."""
 FIRST_ERROR_STATUS = 400
 MAX_FAILED_REQUESTS = 16
-"""Maximum number of failed requests that are remembered for a connection; with more of
-them, it counts as one whose errors name no request."""
+"""Maximum number of failed requests of a connection that is kept."""
 MAX_HEADER_BYTES = 65_536
 """Maximum size of the head of a reply."""
 
@@ -143,14 +142,21 @@
     failed: set[tuple[bytes, bytes]] = field(factory=set)
     had_unnamed_error: bool = False
 
-    def record_reply(self, reply: Reply) -> None:
-        """Record a complete reply, which the peer may write once more."""
+    def record_reply(self, reply: Reply) -> bool:
+        """Record a complete reply, which the peer may write once more.
+
+        Returns
+        -------
+        bool
+            False if the connection should be closed.
+        """
         if reply.status < FIRST_ERROR_STATUS:
-            return
-        if reply.identity is not None and reply.is_identified:
-            self.failed.add(reply.identity)
-        if not reply.is_identified or len(self.failed) > MAX_FAILED_REQUESTS:
+            return True
+        if reply.identity is None:
             self.had_unnamed_error = True
+            return True
+        self.failed.add(reply.identity)
+        return reply.is_identified and len(self.failed) <= MAX_FAILED_REQUESTS
 
     def suits(self, identity: tuple[bytes, bytes] | None) -> bool:
         """Return True if no earlier error can be taken for the reply to a request.
@@ -250,12 +256,12 @@
             or stream.unread
             or not stream.usable
             or idle_s <= 0
+            or not connection.record_reply(reply)
         ):
             stream.close()
             return
         http.start_next_cycle()
         connection.reused = True
-        connection.record_reply(reply)
         connection.idle_deadline_s = time.monotonic() + idle_s
         kept = self._idle_by_address.setdefault(connection.address, [])
         kept.append(connection)
--- a/libs/entry/tests/test_repeated_replies.py
+++ b/libs/entry/tests/test_repeated_replies.py
@@ -110,6 +110,13 @@
     assert outcomes == [(status, b""), (200, b"ran")]
 
 
+def test_a_connection_with_an_error_that_names_no_request_is_closed():
+    """It would count at the engine while idle, without use for any other request."""
+    engine = ScriptedEngine([reply(503), reply(202)], [reply(202)])
+    assert exchange(engine, request(b"a1"), request()) == [(503, b""), (202, b"")]
+    assert engine.connections == 2
+
+
 def test_a_connection_with_an_order_refused_is_kept_for_orders():
     engine = ScriptedEngine([reply(409), reply(202)])
     assert exchange(engine, request(), request()) == [(409, b""), (202, b"")]
