Tests: garbage of earlier tests is collected before tests at the recursion limit

test_an_unreadable_page_counts_as_a_failed_read[nested] failed once in a run of libs/entry and tests/adapter on four workers (load 22). Traced: a StreamWriter that a test of target_http left was finalised while the decoder was at the recursion limit, and pytest's hook for exceptions in finalisers raised RecursionError itself. What the tests check is unchanged.

--- a/libs/entry/tests/test_instance.py
+++ b/libs/entry/tests/test_instance.py
@@ -102,6 +102,4 @@
 
     asyncio.run(crash())
     assert second.crash_evidence.judge([deadly], None).verdict is Verdict.SUSPECT
-    assert [row["value"] for row in second.crash_evidence.dump()] == [
-        "deadly"
-    ]
+    assert [row["value"] for row in second.crash_evidence.dump()] == ["deadly"]
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures: a stand-in platform with engines and services, and an entry process."""
 
+import gc
 import json
 
 import pytest
@@ -15,6 +16,16 @@
         platform.add_service(f"{zone}-desk", zone)
 
 
+@pytest.fixture
+def collected_garbage():
+    """Collect what earlier tests left, for tests that reach the recursion limit.
+
+    A finaliser that runs there raises RecursionError in pytest's own hook, for which the
+    test would be blamed.
+    """
+    gc.collect()
+
+
 @pytest.fixture
 def platform():
     platform = Platform()
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -23,6 +23,8 @@
 from celeryfork_routing.layers import LayerRange
 from platform_standins import make_configuration
 
+pytestmark = pytest.mark.usefixtures("collected_garbage")
+
 TARGET_ENTRY = {
     "service": "llm",
     "addr": "10.0.0.1:80",
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -15,6 +15,7 @@
 from celeryfork_entry.ports import StoreUnavailableError
 from celeryfork_entry.targets import TargetTable
 
+pytestmark = pytest.mark.usefixtures("collected_garbage")
 ENTRY = {
     "service": "llm", "addr": "10.0.0.1:80", "zone": "west", "slots": 8,
     "state": "ready", "seq": 4, "layers": {"from": 0, "to": 8}, "kind": "big",
