Targets: connections that no further request may use are closed

What callers saw: nothing yet; engines would have reset new connections. An error that names no request makes its connection unfit for all others, yet it was kept until its idle timeout. Each such error of an overloaded engine left one more open connection, up to 32 for each instance and engine, and engines reset connections beyond their limit.

Cause: the pool checked whether a connection suits a request when it was taken, not when it was returned. Those of orders and reports are kept, since these need no name.

Evidence: the new test failed before (8 connections open after 8 requests).

--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -271,9 +271,13 @@
         ):
             stream.close()
             return
+        connection.record_reply(reply)
+        if connection.had_unnamed_error and reply.identity is not None:
+            # Kept, it would count towards the connections that the peer accepts.
+            stream.close()
+            return
         http.start_next_cycle()
         connection.reused = True
-        connection.record_reply(reply)
         connection.idle_deadline_s = time.monotonic() + idle_s
         kept = self._idle_by_address.setdefault(connection.address, [])
         kept.append(connection)
--- a/libs/entry/tests/test_repeated_replies.py
+++ b/libs/entry/tests/test_repeated_replies.py
@@ -110,6 +110,29 @@
     assert outcomes == [(status, b""), (200, b"ran")]
 
 
+def test_connections_that_suit_no_request_are_not_kept():
+    """They stayed open beside new ones, and engines reset those beyond a limit."""
+    refusal = reply(503, extra=b"X-Not-Run: 1\r\n")
+    engine = ScriptedEngine(*[[refusal, refusal] for _ in range(9)])
+    requests = [request(b"a%d" % n) for n in range(8)]
+
+    async def run():
+        server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        connections = TargetConnections()
+        for each in requests:
+            answer = await connections.send(f"{host}:{port}", each)
+            await answer.read_all(100)
+        await asyncio.sleep(0.05)
+        open_connections = sum(not task.done() for task in engine.served)
+        connections.forget(f"{host}:{port}")
+        await asyncio.gather(*engine.served)
+        server.close()
+        return open_connections
+
+    assert asyncio.run(asyncio.wait_for(run(), 5.0)) <= 1
+
+
 def test_a_connection_with_an_order_refused_is_kept_for_orders():
     engine = ScriptedEngine([reply(409), reply(202)])
     assert exchange(engine, request(), request()) == [(409, b""), (202, b"")]
