Admission: many suspects with overlapping crashes no longer hold up the event loop

What callers would see: pauses in all streams of an instance while many engines end for other reasons. Each crash, sound run or probe was followed by an attribution of all crashes, at the next judgement.

Cause: explain_crashes rebuilt the records of all traits for each trait that it found, and summed their weights anew. It now keeps the weights, and updates those of the traits that share an explained crash.

--- a/libs/admission/src/celeryfork_admission/explanations.py
+++ b/libs/admission/src/celeryfork_admission/explanations.py
@@ -75,34 +75,94 @@
     Traits with the same crashes count alike: which of them ended the engines isn't
     known. The result doesn't depend on the order of the records.
     """
-    left = {each.trait: each for each in records}
+    left = _Unexplained.of(records)
     explaining: dict[Trait, TraitRecord] = {}
     explained: frozenset[str] = frozenset()
-    while left:
-        weight = max(each.weight for each in left.values())
-        if weight < CONVICTION_WEIGHT:
-            break
-        found = _least_shared([each for each in left.values() if each.weight == weight])
-        for each in found:
-            explaining[each.trait] = left.pop(each.trait)
-        explained = explained.union(*(each.runs for each in found))
-        left = {trait: _without(each, explained) for trait, each in left.items()}
+    while found := left.heaviest():
+        for trait in found:
+            explaining[trait] = _without(left.record_by_trait[trait], explained)
+        newly = frozenset[str]().union(*(left.weight_by_run[each] for each in found))
+        left.remove(found, newly)
+        explained |= newly
     return Explanation(explaining, explained)
 
 
-def _least_shared(records: list[TraitRecord]) -> list[TraitRecord]:
-    """Return the records with the most crashes that none of the others has."""
-    count_by_run = Counter(run for each in records for run in each.runs)
-    own_weights = [
-        sum(crash.weight for crash in each.crashes if count_by_run[crash.run] == 1)
-        for each in records
-    ]
-    most = max(own_weights)
-    return [
-        each
-        for each, weight in zip(records, own_weights, strict=True)
-        if weight == most
-    ]
+@frozen
+class _Unexplained:
+    """Traits that may explain crashes, and the crashes that none explains yet.
+
+    Parameters
+    ----------
+    record_by_trait
+        All records.
+    weight_by_run
+        Weight of each of its crashes, by trait.
+    weight_by_trait
+        Sum of these, for traits that may explain them.
+    traits_by_run
+        Traits of each crash.
+    """
+
+    record_by_trait: dict[Trait, TraitRecord]
+    weight_by_run: dict[Trait, dict[str, int]]
+    weight_by_trait: dict[Trait, int]
+    traits_by_run: dict[str, list[Trait]]
+
+    @staticmethod
+    def of(records: Iterable[TraitRecord]) -> "_Unexplained":
+        """Return all crashes of records."""
+        record_by_trait = {each.trait: each for each in records}
+        weight_by_run: dict[Trait, dict[str, int]] = {}
+        weight_by_trait: dict[Trait, int] = {}
+        traits_by_run: dict[str, list[Trait]] = {}
+        for trait, record in record_by_trait.items():
+            weights = {each.run: each.weight for each in record.crashes}
+            if (weight := sum(weights.values())) < CONVICTION_WEIGHT:
+                continue
+            weight_by_run[trait], weight_by_trait[trait] = weights, weight
+            for run in weights:
+                traits_by_run.setdefault(run, []).append(trait)
+        return _Unexplained(
+            record_by_trait, weight_by_run, weight_by_trait, traits_by_run
+        )
+
+    def heaviest(self) -> list[Trait]:
+        """Return the traits that explain the most, and share the fewest crashes."""
+        most = max(self.weight_by_trait.values(), default=0)
+        found = [
+            each for each, weight in self.weight_by_trait.items() if weight == most
+        ]
+        if len(found) <= 1:
+            return found
+        count_by_run = Counter(
+            run for each in found for run in self.weight_by_run[each]
+        )
+        own_weights = [
+            sum(
+                weight
+                for run, weight in self.weight_by_run[each].items()
+                if count_by_run[run] == 1
+            )
+            for each in found
+        ]
+        most = max(own_weights)
+        return [
+            each
+            for each, weight in zip(found, own_weights, strict=True)
+            if weight == most
+        ]
+
+    def remove(self, traits: Iterable[Trait], runs: Iterable[str]) -> None:
+        """Remove traits, and crashes that they explain."""
+        for trait in traits:
+            del self.weight_by_trait[trait]
+        for run in runs:
+            for trait in self.traits_by_run.pop(run):
+                if trait not in self.weight_by_trait:
+                    continue
+                self.weight_by_trait[trait] -= self.weight_by_run[trait].pop(run)
+                if self.weight_by_trait[trait] < CONVICTION_WEIGHT:
+                    del self.weight_by_trait[trait]
 
 
 def _without(record: TraitRecord, explained: frozenset[str]) -> TraitRecord:
