--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -20,8 +20,8 @@
 def collected_garbage():
     """Collect what earlier tests left, for tests that reach the recursion limit.
 
-    A finaliser that runs there raises RecursionError in pytest's own hook, for which the
-    test would be blamed.
+    A finaliser that runs there raises RecursionError in pytest's own hook, and the test
+    fails for it.
     """
     gc.collect()
 
