Entry: tests of four rules of the crash guard whose removal no test noticed

In a scratch copy each rule was taken out alone; all tests of crash evidence and of streams passed: the end of an engine counts once for all its streams, a stream that has written for long clears its parts before its end, a probe runs on the least loaded engine, and a plain target's reply clears its request. Each removal is found by its new test now.

--- a/libs/entry/tests/test_crash_guard.py
+++ b/libs/entry/tests/test_crash_guard.py
@@ -249,3 +249,75 @@
     refusal = trial.run(run())
     assert (refusal.status, refusal.code) == (503, "crashes_engines")
     assert arrivals(trial) == 0
+
+
+def test_streams_on_one_crashed_engine_are_one_crash_together():
+    """Three sound streams on an engine that ended would have convicted their parts."""
+    trial = Trial(max_targets=9)
+    trial.add("e1", *(Run(0, lost=("e1",), after_s=0.1) for _ in range(3)))
+
+    async def run():
+        serving = [
+            asyncio.ensure_future(serve(trial, f"r{n}", ("rare",))) for n in range(3)
+        ]
+        await asyncio.sleep(0.2)
+        assert verdict(trial, "rare") is Verdict.SUSPECT
+        for each in serving:
+            each.cancel()
+        await asyncio.wait(serving)
+
+    trial.run(run())
+    assert arrivals(trial) == 3
+
+
+def test_parts_of_a_stream_that_has_written_for_long_are_sound_before_its_end():
+    trial = Trial(max_targets=9)
+    rare = make_part_trait("llm", "rare")
+    trial.evidence.record_crash([rare], "elsewhere", "org", probe=False)
+    trial.add("e1", Run(gap_s=CRASH_ONSET_S / 2))
+
+    async def run():
+        serving = asyncio.ensure_future(serve(trial, "r1", ("rare",)))
+        await asyncio.sleep(4 * CRASH_ONSET_S)
+        assert not serving.done()
+        assert verdict(trial, "rare") is Verdict.CLEAR
+        assert (await serving).has_complete_answer
+
+    trial.run(run())
+
+
+def test_a_probe_runs_on_the_engine_with_the_fewest_requests():
+    """Each crash of a probe breaks off the other streams of its engine."""
+    trial = Trial(max_targets=9)
+    busy = trial.add("busy", *(Run(0, after_s=9.0) for _ in range(3)))
+
+    async def run():
+        others = [asyncio.ensure_future(serve(trial, f"o{n}", ())) for n in range(3)]
+        await asyncio.sleep(0.05)
+        assert busy.arrivals == 3
+        quiet = trial.add("quiet", domain="b")
+        deadly = make_part_trait("llm", "deadly")
+        trial.evidence.record_crash([deadly], "elsewhere", "org", probe=False)
+        assert (await serve(trial, "r1", DEADLY)).has_complete_answer
+        assert (busy.arrivals, quiet.arrivals) == (3, 1)
+        for each in others:
+            each.cancel()
+        await asyncio.wait(others)
+
+    trial.run(run())
+
+
+def test_a_reply_of_a_plain_target_shows_that_its_request_is_sound():
+    trial = Trial(max_targets=9)
+    trial.route = evolve(trial.route, kind=AtMostOnce())
+    rare = make_part_trait("llm", "rare")
+    trial.evidence.record_crash([rare], "elsewhere", "org", probe=False)
+    trial.add("desk")
+
+    async def run():
+        call = trial.call(Caller(), "r1", 1.5, ("rare",))
+        call.organisation = "org"
+        await PlainCalls(trial.context, trial.guard).serve(call)
+
+    trial.run(run())
+    assert verdict(trial, "rare") is Verdict.CLEAR
