Known red: a part that turns deadly within 60 s of its last sound run is not refused

What callers would see: engine after engine ends for up to a minute, as before there was any evidence, if the part was sound until the engines changed. Each sound run anywhere begins the minute anew.

Cause: crashes within SOUND_TTL_S after a sound run aren't counted (CrashEvidence.record_crash, TraitRecord.merge), however many engines end.

--- a/libs/admission/tests/test_crash_evidence.py
+++ b/libs/admission/tests/test_crash_evidence.py
@@ -612,3 +612,14 @@
     late_joiner = Instance(instances[0].clock)
     instances[1].send_to(late_joiner)
     assert judgements(late_joiner) == expected
+
+
+def test_part_that_turns_deadly_is_refused_though_it_was_sound_before(one):
+    """As after a change of the engines' software, on which the part crashes them."""
+    one.evidence.record_sound([DEADLY])
+    crashes = 0
+    while crashes < 20 and one.verdict(DEADLY) is not Verdict.REFUSE:
+        one.clock.now_s += 0.5
+        one.crash(DEADLY, end=f"engine-{crashes}")
+        crashes += 1
+    assert crashes <= 5
