--- a/libs/entry/tests/test_crash_guard.py
+++ b/libs/entry/tests/test_crash_guard.py
@@ -11,7 +11,7 @@
 from attrs import evolve
 from celeryfork_admission.crash_evidence import Verdict, make_part_trait
 from celeryfork_base.errors import RequestRefusedError
-from celeryfork_entry.configuration import AtMostOnce
+from celeryfork_entry.configuration import AtMostOnce, Idempotent
 from celeryfork_entry.crash_guard import PROBE_DELAY_S, PROBE_WAIT_S
 from celeryfork_entry.first_engines import CRASH_ONSET_S
 from celeryfork_entry.plain_calls import PlainCalls
@@ -321,3 +321,31 @@
 
     trial.run(run())
     assert verdict(trial, "rare") is Verdict.CLEAR
+
+
+def test_a_sound_request_that_lost_three_targets_in_one_call_may_come_again():
+    """Its retries alone convicted it: all of its kind were refused for 30 s."""
+    trial = Trial(max_targets=9)
+    trial.route = evolve(trial.route, kind=Idempotent())
+    plain = PlainCalls(trial.context, trial.guard)
+    trial.add("live", domain="b")
+
+    async def ask():
+        caller = Caller()
+        call = trial.call(caller, "r1", 1.5)
+        call.request.body = b"list"
+        await plain.serve(call)
+        return caller.status
+
+    async def run():
+        assert await ask() == 200
+        for number in range(3):
+            trial.add(f"lost-{number}", LoseReply(crash=True))
+        trial.table.exclude("live", "a lost answer", time.monotonic())
+        with pytest.raises(RequestRefusedError) as lost:
+            await ask()
+        assert lost.value.status == 502
+        trial.table.succeeded("live")
+        return await ask()
+
+    assert trial.run(run()) == 200
