--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -32,6 +32,13 @@
     assert DIALECT.read_request(request).shared_parts == ()
 
 
+def test_shared_parts_on_several_lines_are_one_list():
+    """Only those of the last line were known, and all were sent to engines."""
+    lines = [("x-prompt-prefix", "a1:8,b2:4"), ("x-prompt-prefix", "c3:2,d4:1")]
+    request = CallerRequest("POST", "/v1", [("host", "a"), *lines], b"", 0.0)
+    assert DIALECT.read_request(request).shared_parts == ("a1", "b2", "c3")
+
+
 @pytest.mark.parametrize(
     ("value", "parts"),
     [
