Entry: a sound stream that is broken off as what crashed its engines, as a known red test

Two engines were ended by first runs of the deadly part at two instances, the third was marked down for a time-out. The test does the same without a network; not mended here.

--- a/libs/entry/tests/test_crashing_parts.py
+++ b/libs/entry/tests/test_crashing_parts.py
@@ -7,6 +7,7 @@
 import asyncio
 
 import pytest
+from celeryfork_admission.crash_evidence import make_part_trait
 from celeryfork_base.errors import RequestRefusedError
 from stream_trial import CALL_S, Caller, CrashOn, Run, Trial
 
@@ -85,3 +86,22 @@
 
     assert trial.run(run()) == 200, "sound requests that share its parts are served"
     assert trial.engine("first").gone and sound.has_complete_answer
+
+
+def test_a_stream_whose_parts_are_known_to_be_sound_outlives_three_engines():
+    """Entry soak, seed 205: it was broken off as what crashed its engines.
+
+    Deadly requests at other instances ended two of them, and a third was silent.
+    """
+    trial = Trial()
+    trial.add("first", Run(3, lost=("first",)))
+    for number in range(3):
+        name = f"next-{number}"
+        trial.add(name, Run(0, lost=(name,)))
+    trial.add("last", domain="b")
+    traits = [make_part_trait("llm", part) for part in ("common", "fine")]
+    trial.evidence.record_sound(traits)
+    caller = Caller()
+    call = trial.call(caller, "sound", CALL_S, ("common", "fine"))
+    trial.run(trial.streams.serve(call))
+    assert caller.has_complete_answer
