Entry: engines behind the first one that end are no evidence of a crash

Cause: a run counted as a crash if any engine of its path had ended; engines behind the first one of two paths had been killed. A path has about ten of them, so that this chance grows with its length. Change: only the first engine counts, and a suspect may be rerouted around a later one, as its first engine stays. Ruled out: counting later engines with a lower weight, as chance hits them more often than a cause.

--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -8,7 +8,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Sequence
 from uuid import uuid4
 
 from attrs import define, field
@@ -153,10 +152,10 @@
         self.evidence.record_sound(self._traits_to_judge(call))
         self.end_probe(call)
 
-    def record_crash(self, call: Call, engine_ids: Sequence[str]) -> None:
-        """Record that targets ended as they began to run a call."""
-        first = self._context.table.by_id.get(engine_ids[0])
-        end = f"{engine_ids[0]}/{first.born_ms if first else None}"
+    def record_crash(self, call: Call, target_id: str) -> None:
+        """Record that a target ended as it began to run a call."""
+        target = self._context.table.by_id.get(target_id)
+        end = f"{target_id}/{target.born_ms if target else None}"
         self._context.counters.add("crashes.recorded")
         call.crashed_s = time.monotonic()
         traits = self._part_traits(call)
@@ -176,7 +175,7 @@
                 "crash_suspect",
                 service=call.service.name,
                 parts=parts,
-                engines=engine_ids,
+                engine=target_id,
                 probe=call.probe is not None,
                 organisation=call.organisation,
             )
@@ -186,7 +185,7 @@
         if await self._context.connections.is_refused(
             target.address, PORT_CHECK_TIMEOUT_S
         ):
-            self.record_crash(call, [target.id])
+            self.record_crash(call, target.id)
 
     def refusal(self, reason: str) -> RequestRefusedError:
         """Return the error for a call that has run and must not be sent again."""
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -93,9 +93,6 @@
         for attempt in list(self._attempts.on_engine(engine_id)):
             if attempt.path.parts[0].engine_id == engine_id:
                 attempt.interrupt(f"engine {engine_id} is down")
-            elif self._guard.may_crash(attempt):
-                # A detour would carry the request to the next engine.
-                attempt.interrupt(f"engine {engine_id} is down")
             elif attempt.detour is None or attempt.detour.done():
                 attempt.detour = asyncio.ensure_future(self._reroute(attempt))
                 self._checks.spawn(attempt.detour)
@@ -210,8 +207,8 @@
                 return PathRefused(attempt.interrupted)
             if self._guard.may_crash(attempt):
                 # A peer's report doesn't tell if an engine has ended.
-                down = self._unavailable_engines(attempt.path)
-                await self._checks.find_down(down, ask_all=True)
+                first = attempt.path.parts[0].engine_id
+                await self._checks.find_down([first], ask_all=True)
             return self._path_broke(attempt, attempt.interrupted)
         finally:
             if attempt.detour is not None:
@@ -327,7 +324,7 @@
             return
         first = attempt.path.parts[0].engine_id
         await self._checks.find_down([first], ask_all=True)
-        if first in self._ended_engines(attempt.path):
+        if self._has_ended(first):
             raise LostError("the engine ended with its reply")
 
     def _record_events(
@@ -464,25 +461,23 @@
             each for each in path.engine_ids if not self._selector.is_available(each)
         ]
 
-    def _ended_engines(self, path: LayerPath) -> list[str]:
-        """Return the engines of a path whose processes have certainly ended."""
+    def _has_ended(self, engine_id: str) -> bool:
+        """Return True if the process of an engine has certainly ended."""
         table = self._context.table
-        return [
-            each
-            for each in path.engine_ids
-            if each in table.by_id and table.health(each).ended
-        ]
+        return engine_id in table.by_id and table.health(engine_id).ended
 
     def _path_broke(self, attempt: PathAttempt, reason: str) -> PathBroke:
         call, path = attempt.call, attempt.path
         down = self._unavailable_engines(path)
         self._record_failed_run(call, path)
-        if attempt.is_starting and (ended := self._ended_engines(path)):
-            self._guard.record_crash(call, ended)
-        if path.parts[0].engine_id in down:
+        first = path.parts[0].engine_id
+        # The first engine runs the request; the others only its layers.
+        if attempt.is_starting and self._has_ended(first):
+            self._guard.record_crash(call, first)
+        if first in down:
             call.first_engines.record_loss(attempt.writing_s)
         if not down:
-            call.avoided.add(path.parts[0].engine_id)
+            call.avoided.add(first)
         reason = f"{reason}; down: {','.join(down) or 'none'}"
         return PathBroke(reason, begun=not attempt.prefilling)
 
