--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -6,16 +6,10 @@
 from typing import TypeVar
 
 from attrs import define, field
-from celeryfork_admission.retry_after import RetryAfterEstimator
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath
 
 from celeryfork_entry.attempt_registry import AttemptRegistry
-from celeryfork_entry.call import (
-    Call,
-    CallContext,
-    not_run_error,
-    outcome_unknown_error,
-)
+from celeryfork_entry.call import Call, CallContext
 from celeryfork_entry.configuration import Stream
 from celeryfork_entry.crash_guard import REFUSAL_CODE, CrashGuard
 from celeryfork_entry.detours import Detours
@@ -35,8 +29,10 @@
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.reachability_checks import ReachabilityChecks
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
+from celeryfork_entry.stream_endings import StreamEndings
 from celeryfork_entry.stream_limits import exhausted_limit, stream_retry_deadline_s
 from celeryfork_entry.stream_progress import EventGaps, StreamProgress
+from celeryfork_entry.stream_waits import wait_with_checks
 from celeryfork_entry.target_http import (
     LostError,
     NotSentError,
@@ -46,11 +42,6 @@
 
 FIRST_EVENT_CHECK_DELAY_S = 0.2
 """Seconds without a first event after which the engines of the path are checked."""
-SILENCE_LIMIT_S = 1.2
-"""Seconds without an event after which a path is abandoned even if its engines respond.
-
-Callers disconnect after 2 s.
-"""
 LAYERS_MISSING_STATUS = 421
 """Status of an engine that doesn't hold the layers that the path assigns to it."""
 ANSWER_RESERVE_FACTOR = 1.0
@@ -77,11 +68,12 @@
     _detours: Detours
     _guard: CrashGuard
     _attempts: AttemptRegistry = field(init=False)
-    _retry_after_estimator: RetryAfterEstimator = field(factory=RetryAfterEstimator)
+    _endings: StreamEndings = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the registry that adds attempts to the load of engines."""
+        """Create the registry of attempts, and what ends the calls."""
         self._attempts = AttemptRegistry(self._loads)
+        self._endings = StreamEndings(self._context, self._guard)
 
     def uses(self, engine_id: str) -> bool:
         """Return True if any stream currently runs over an engine."""
@@ -122,7 +114,7 @@
             self._guard.end_probe(call)
 
     async def _serve(self, call: Call) -> None:
-        self._retry_after_estimator.record_arrival(time.monotonic())
+        self._endings.record_arrival()
         progress = StreamProgress(call.metadata.last_event)
         call.first_engines.max_engines = call.route.max_targets
         last: Outcome = PathRefused("no path")
@@ -156,7 +148,7 @@
                 if last.answered:
                     refusals += 1
                     await asyncio.sleep(min(left_s, refusal_backoff_s(refusals)))
-        await self._finish(call, last, progress, ended_by)
+        await self._endings.finish(call, last, progress, ended_by)
 
     async def _find_path(self, call: Call, until_s: float | None) -> LayerPath | str:
         """Return a path over which a call may be sent, else the reason for its end."""
@@ -237,8 +229,12 @@
                 )
             )
             try:
-                reply = await self._wait_with_checks(
-                    attempt, sending, FIRST_EVENT_CHECK_DELAY_S, speeds=True
+                reply = await wait_with_checks(
+                    self._checks,
+                    attempt,
+                    sending,
+                    FIRST_EVENT_CHECK_DELAY_S,
+                    speeds=True,
                 )
                 return await self._relay(attempt, reply, progress)
             finally:
@@ -283,8 +279,13 @@
         while True:
             reading = asyncio.ensure_future(reply.read())
             check_delay_s = gaps.check_delay_s if gaps else FIRST_EVENT_CHECK_DELAY_S
-            data = await self._wait_with_checks(
-                attempt, reading, check_delay_s, gaps is None, since_s=last_event_s
+            data = await wait_with_checks(
+                self._checks,
+                attempt,
+                reading,
+                check_delay_s,
+                gaps is None,
+                since_s=last_event_s,
             )
             if not data:
                 break
@@ -375,55 +376,6 @@
         headers = self._context.dialect.reply_headers(reply.headers)
         await call.connection.begin_stream(reply.status, headers, data)
 
-    async def _wait_with_checks(
-        self,
-        attempt: PathAttempt,
-        task: asyncio.Future[Result],
-        check_delay_s: float,
-        speeds: bool,
-        since_s: float | None = None,
-    ) -> Result:
-        """Wait for ``task``, and check the path's engines if it takes long.
-
-        Parameters
-        ----------
-        check_delay_s
-            Seconds of waiting for ``task`` before the first check. It doubles with each
-            expiry.
-        speeds
-            True to also ask engines for their speed if it is unknown.
-        since_s
-            Monotonic time of the last complete event, None to count from now. Bytes
-            that complete no event don't reset the timeout.
-
-        Raises
-        ------
-        TimeoutError
-            No event for :data:`SILENCE_LIMIT_S`, or the caller's time is up.
-        """
-        begun_s = time.monotonic() if since_s is None else since_s
-        check: asyncio.Future[list[str]] | None = None
-        try:
-            while True:
-                silent_s = time.monotonic() - begun_s
-                left_s = min(SILENCE_LIMIT_S - silent_s, attempt.call.left_s)
-                if left_s <= 0:
-                    raise TimeoutError(f"silent for {silent_s:.3f} s")
-                await asyncio.wait({task}, timeout=min(check_delay_s, left_s))
-                if task.done():
-                    return task.result()
-                check_delay_s *= 2
-                # Runs in the background, so that data arriving meanwhile is forwarded
-                # without delay.
-                if check is None or check.done():
-                    check = asyncio.ensure_future(
-                        self._checks.find_down(attempt.path.engine_ids, speeds=speeds)
-                    )
-        finally:
-            task.cancel()
-            if check is not None:
-                check.cancel()
-
     async def _handle_refusal(
         self, call: Call, path: LayerPath, reply: Reply
     ) -> Outcome:
@@ -514,54 +466,6 @@
         )
         return again
 
-    async def _finish(
-        self, call: Call, outcome: Outcome, progress: StreamProgress, ended_by: str
-    ) -> None:
-        match outcome:
-            case Finished():
-                self._context.histograms.record(
-                    "streams.longest_pause", progress.max_event_gap_s
-                )
-                self._context.log_end(
-                    call,
-                    "answered",
-                    status=200,
-                    longest_pause_ms=round(progress.max_event_gap_s * 1000),
-                )
-                return
-            case _ if progress.started:
-                self._context.log_end(
-                    call,
-                    "broken_off",
-                    ended_by=ended_by,
-                    last=progress.last_event,
-                    left_ms=round(call.left_s * 1000),
-                    begun_on=call.first_engines.engine_ids,
-                    avoided=len(call.avoided),
-                    **self._context.retry_budget_usage(call),
-                )
-                self._context.counters.add("streams.broken_off")
-                self._context.counters.add(f"streams.broken_off.{ended_by}")
-                call.connection.abort()
-                return
-            case EngineFailed(status, headers, body):
-                await call.connection.answer(status, headers, body)
-                self._context.log_end(call, "answered", status=status)
-                return
-            case PathRefused(reason) | PathBroke(reason):
-                pass
-        if not call.may_have_run and isinstance(outcome, PathRefused):
-            after_s = self._retry_after_estimator.record_refusal(time.monotonic())
-            raise not_run_error(
-                "no_path", f"No path accepted the request: {reason}.", after_s
-            )
-        if ended_by == REFUSAL_CODE:
-            raise self._guard.refusal(reason)
-        status = 504 if call.left_s <= 0 else 502
-        raise outcome_unknown_error(
-            status, "path_broke", f"The stream stopped before its end: {reason}."
-        )
-
 
 def _is_resumable(call: Call) -> bool:
     """Return True if another engine may continue the stream."""
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -5,8 +5,9 @@
 
 import pytest
 from celeryfork_entry.path_attempts import PathAttempt
-from celeryfork_entry.stream_calls import SILENCE_LIMIT_S, StreamCalls
+from celeryfork_entry.stream_calls import StreamCalls
 from celeryfork_entry.stream_progress import StreamProgress
+from celeryfork_entry.stream_waits import SILENCE_LIMIT_S
 from celeryfork_entry.targets import Listed, Target, TargetTable
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Part
 from celeryfork_routing.layers import LayerRange
