--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -179,12 +179,13 @@
         ]
         self.store = self._store_addresses[0]
         self.processes, self.machines, self.servers = [], [], {}
+        self._commands = {}
         self._ports = free_ports(4)
         self._version = 7
         self._start(["store.py", *self._store_addresses], "store")
 
     def _start(self, command, name):
-        with (self.directory / f"{name}.out").open("wb") as output:
+        with (self.directory / f"{name}.out").open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, SUPPORT / command[0], *command[1:]],
                 stdout=output,
@@ -211,6 +212,20 @@
             command += [f"--{key.replace('_', '-')}", str(value)]
         process = self._start(command, name)
         self.servers[name] = (address, process)
+        self._commands[name] = command
+
+    def kill_server(self, name):
+        """Kill the process of a server."""
+        process = self.servers[name][1]
+        process.kill()
+        process.wait(5)
+
+    def restart_server(self, name):
+        """Start a server again at its address."""
+        self.servers[name] = (
+            self.servers[name][0],
+            self._start(self._commands[name], name),
+        )
 
     async def set_mode(self, name, mode, share=1.0):
         """Set what a server does wrong."""
--- a/review/support/server.py
+++ b/review/support/server.py
@@ -196,7 +196,9 @@
             if self._is_spoilt("endless"):
                 await self._endless(attempt, 500, headers, writer)
                 return False
-            framed = self.mode != "unframed"
+            framed = not self._is_spoilt("unframed")
+            if not framed:
+                self.note("unframed", id=attempt)
             sent = headers + (STREAM_HEADERS if framed else STREAM_HEADERS[:1])
             writer.write(encode_answer(200, b"", sent, framed=False))
             for number in range(first, last + 1):
