--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -269,10 +269,10 @@
                     raise NotRunError(f"{machine.name} doesn't serve")
                 await asyncio.sleep(0.1)
 
-    def server_notes(self, event):
-        """Return the notes of all servers about an event, in order of time."""
+    def server_notes(self, event, server=None):
+        """Return the notes of servers about an event, in order of time."""
         found = []
-        for name in self.servers:
+        for name in self.servers if server is None else [server]:
             for line in (self.directory / f"{name}.out").read_text().splitlines():
                 with contextlib.suppress(ValueError):
                     fields = json.loads(line)
