--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,102 +1,150 @@
-"""An engine that streams without a length is killed in the middle of a stream."""
+"""A faulty engine sends empty lines without end in place of a stream's events."""
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "support"))
 
-from deployment import count_ends, run_case, send_stream
+from deployment import (
+    MEMORY_MB,
+    PLAIN_TIMEOUT_MS,
+    count_ends,
+    run_case,
+    send_plain,
+    send_stream,
+)
 
 ENGINES = 6
-UNFRAMED_ENGINES = 3
-"""A share of 0.5."""
-UNFRAMED_SHARE = 0.05
-STREAMS_PER_S = 20
-EVENTS = 80
-GAP_S = 0.05
+"""One of them is faulty: a share of 0.167."""
+SERVERS = 3
+FAILED_SHARE = 0.45
+FAULTY_S = 6.5
+CALM_S = 2.0
 PLAYED_S = 20.0
-KILLS = 2
-PAUSE_S = 6.0
-"""Time between two kills: one engine at most is down at a time."""
-MIDWAY_S = (1.0, 3.0)
-"""Age of a stream without a length at which its engine is killed."""
-RESTART_S = 4.5
-UNLISTED_AFTER_S = 3.6
-
-
-async def play(deployment, record, trouble):
-    """Kill engines while streams run; return what was broken."""
-    await deployment.configure()
-    for number in range(ENGINES):
-        deployment.add_server(f"i-engine{number}", "llm", kind="a100s", gap_s=GAP_S)
-    machine = deployment.add_machine()
-
-    async def check(each):
-        answer = await send_stream(each, "check", 2, 3.0)
-        return answer.status == 200 and answer.ended == "complete"
-
-    await deployment.wait_until_serving(check)
-    await asyncio.sleep(3.0)
-    answers = {}
-
-    async def ask(attempt):
-        answers[attempt] = answer = await send_stream(machine, attempt, EVENTS)
-        record.note(
+REQUESTS_PER_S = 10
+"""Streams, and as many plain requests."""
+EVENTS = 60
+ALLOWED_LATE_S = 0.5
+LEAST_LATE = 8
+LATE_SHARE = 0.25
+
+
+class Play:
+    """One run of the case."""
+
+    def __init__(self, deployment, record):
+        self.deployment, self.record = deployment, record
+        self.streams, self.plain = {}, {}
+        self.machine = None
+        self.over = asyncio.Event()
+
+    async def start(self):
+        """Start the deployment and wait until it serves."""
+        await self.deployment.configure()
+        for number in range(ENGINES):
+            self.deployment.add_server(f"i-engine{number}", "llm", kind="a100s")
+        for number in range(SERVERS):
+            self.deployment.add_server(f"i-desk{number}", "desk", slots=6)
+        self.machine = self.deployment.add_machine()
+        await self.deployment.wait_until_serving(_serves)
+        await asyncio.sleep(3.0)
+
+    async def send_all(self):
+        """Send the clients' requests, and wait for their ends."""
+        asking = []
+        for number in range(round(PLAYED_S * REQUESTS_PER_S)):
+            kind = "order" if number % 3 else "status"
+            asking.append(asyncio.ensure_future(self._ask_plain(number, kind)))
+            asking.append(asyncio.ensure_future(self._ask_stream(number)))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        await asyncio.gather(*asking)
+
+    async def _ask_stream(self, number):
+        attempt = f"stream-{number}"
+        self.streams[attempt] = await send_stream(self.machine, attempt, EVENTS)
+        self._note(attempt, self.streams[attempt])
+
+    async def _ask_plain(self, number, kind):
+        attempt = f"{kind}-{number}"
+        self.plain[attempt] = await send_plain(self.machine, attempt, kind)
+        self._note(attempt, self.plain[attempt])
+
+    def _note(self, attempt, answer):
+        self.record.note(
             f"{attempt}: status {answer.status}, {answer.ended}, "
-            f"{answer.seconds:.2f} s, {answer.body.count(b'id: ')} of {EVENTS} events"
+            f"{answer.seconds:.2f} s, {answer.body.count(b'id: ')} events, "
+            f"{len(answer.body)} bytes"
         )
 
-    for number in range(UNFRAMED_ENGINES):
-        await deployment.set_mode(f"i-engine{number}", "unframed", UNFRAMED_SHARE)
-    crashing = asyncio.ensure_future(_crash(deployment, record) if trouble else _pass())
-    asking = []
-    for number in range(round(PLAYED_S * STREAMS_PER_S)):
-        asking.append(asyncio.ensure_future(ask(f"stream-{number}")))
-        await asyncio.sleep(1 / STREAMS_PER_S)
-    await asyncio.gather(*asking, crashing)
-    for note in deployment.server_notes("unframed"):
-        record.note(f"{note['id']}: without a length from {note['server']}")
-    record.conclude(f"answers: {count_ends(answers.values())}")
-    return [
-        f"ORDER: {attempt} ended as complete after {answer.body.count(b'id: ')} "
-        f"of {EVENTS} events"
-        for attempt, answer in answers.items()
-        if answer.status == 200
-        and answer.ended == "complete"
-        and answer.body.count(b"id: ") < EVENTS
-    ]
-
-
-async def _pass():
-    """Leave all engines running."""
-
-
-async def _crash(deployment, record):
-    """Kill engines in the middle of streams without a length."""
-    until_s = time.monotonic() + PLAYED_S - MIDWAY_S[1]
-    kills = 0
-    while kills < KILLS and time.monotonic() < until_s:
-        await asyncio.sleep(0.1)
-        now_s, (least_s, most_s) = time.monotonic(), MIDWAY_S
-        midway = [
-            note
-            for note in deployment.server_notes("unframed")
-            if least_s < now_s - note["at"] < most_s
+    async def disrupt(self):
+        """Let one engine spoil streams for a while."""
+        await asyncio.sleep(CALM_S)
+        await self.deployment.set_mode("i-engine0", "newlines", FAILED_SHARE)
+        await asyncio.sleep(FAULTY_S)
+        await self.deployment.set_mode("i-engine0", "")
+
+    async def watch(self):
+        """Ask if the machine is ready, as the platform does, until all is over."""
+        most_mb, unready = 0.0, 0
+        while not self.over.is_set():
+            most_mb = max(most_mb, self.machine.memory_mb())
+            unready += not await self.machine.is_ready()
+            await asyncio.sleep(0.25)
+        ended = self.machine.process.poll()
+        self.record.conclude(
+            f"peak memory {most_mb:.0f} MB of {MEMORY_MB}; ready checks without a 200 "
+            f"within 1 s: {unready}; process {'runs' if ended is None else 'ended'}"
+        )
+
+    def judge(self):
+        """Return the plain requests without an answer, if they break the rule."""
+        for each in self.deployment.server_notes("spoilt"):
+            self.record.note(f"{each['id']}: spoilt by {each['server']}")
+        self.record.conclude(f"streams: {count_ends(self.streams.values())}")
+        self.record.conclude(f"plain: {count_ends(self.plain.values())}")
+        run = {note["id"] for note in self.deployment.server_notes("run")}
+        lost = [
+            attempt
+            for attempt, answer in self.plain.items()
+            if attempt in run and answer.status is None
         ]
-        if not midway:
-            continue
-        name = midway[0]["server"]
-        record.note(f"{name} is killed during {midway[0]['id']}")
-        deployment.kill_server(name)
-        kills += 1
-        await asyncio.sleep(UNLISTED_AFTER_S)
-        await deployment.unlist(name)
-        await asyncio.sleep(RESTART_S - UNLISTED_AFTER_S)
-        deployment.restart_server(name)
-        await asyncio.sleep(PAUSE_S - RESTART_S)
-    record.note(f"{kills} kills")
+        self.record.conclude(
+            f"plain requests that ran, without any answer: {len(lost)}"
+        )
+        timeout_s = PLAIN_TIMEOUT_MS / 1000
+        seconds = {each: answer.seconds for each, answer in self.plain.items()}
+        longer = [each for each in seconds if seconds[each] > timeout_s]
+        late = [each for each in longer if seconds[each] > timeout_s + ALLOWED_LATE_S]
+        self.record.conclude(
+            f"plain requests that lasted longer than timeoutMs: {len(longer)}; "
+            f"no final answer 0.5 s after it: {len(late)}"
+        )
+        if len(late) < LEAST_LATE or len(late) <= LATE_SHARE * len(longer):
+            return []
+        return [
+            f"CONFIG: {each}: no final answer 0.5 s after timeoutMs" for each in late
+        ]
+
+
+async def _serves(machine):
+    stream = await send_stream(machine, "check", 2, 3.0)
+    plain = await send_plain(machine, "check", "order")
+    return stream.status == plain.status == 200
+
+
+async def play(deployment, record, trouble):
+    """Send streams and plain requests; return what was broken for the latter."""
+    case = Play(deployment, record)
+    await case.start()
+    watching = asyncio.ensure_future(case.watch())
+    work = [case.send_all()]
+    if trouble:
+        work.append(case.disrupt())
+    await asyncio.gather(*work)
+    case.over.set()
+    await watching
+    return case.judge()
 
 
 if __name__ == "__main__":
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -23,6 +23,7 @@
 MOST_MACHINES = 4
 START_S = 10.0
 STREAM_TIMEOUT_MS = 8_000
+PLAIN_TIMEOUT_MS = 1_200
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LIMITS = {
     "maxHeaderBytes": 16_384,
@@ -298,7 +299,7 @@
         "service": "llm", "maxAttempts": 2, "sticky": True, "resumable": True,
         "gapAimMs": 200,
     }  # fmt: skip
-    plain = {"timeoutMs": 1200, "sloMs": 150, "service": "desk"}
+    plain = {"timeoutMs": PLAIN_TIMEOUT_MS, "sloMs": 150, "service": "desk"}
     return {
         "version": version,
         "routes": [
--- a/review/support/server.py
+++ b/review/support/server.py
@@ -22,6 +22,9 @@
     ("Transfer-Encoding", "chunked"),
 ]
 PIECE = b"x" * 65_536
+NEWLINES = b"\n" * 65_536
+NEWLINES_GAP_S = 0.016
+"""Pause between two pieces: 4 MB/s, a thirtieth of a machine's link."""
 
 
 class Server:
@@ -185,6 +188,20 @@
         finally:
             self.note("caller closed", id=attempt, sent=sent)
 
+    async def _newlines(self, attempt, headers, writer):
+        """Send empty lines in place of events until the caller closes."""
+        self.note("spoilt", id=attempt, status=200)
+        sent, head = 0, [*headers, STREAM_HEADERS[0]]
+        writer.write(encode_answer(200, b"", head, framed=False))
+        try:
+            while True:
+                writer.write(NEWLINES)
+                await writer.drain()
+                sent += len(NEWLINES)
+                await asyncio.sleep(NEWLINES_GAP_S)
+        finally:
+            self.note("caller closed", id=attempt, sent=sent)
+
     async def _stream(self, request, writer):
         attempt, headers = self._begin(request)
         first = int(request.headers.get("last-event-id", "0")) + 1
@@ -196,6 +213,9 @@
             if self._is_spoilt("endless"):
                 await self._endless(attempt, 500, headers, writer)
                 return False
+            if self._is_spoilt("newlines"):
+                await self._newlines(attempt, headers, writer)
+                return False
             framed = not self._is_spoilt("unframed")
             if not framed:
                 self.note("unframed", id=attempt)
