--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -328,7 +328,8 @@
                     "layers": 8, "layerMb": 100.0, "actBytes": 1000,
                     "pipeMbps": 11000.0, "delays": [],
                     "kinds": [
-                        {"name": "a100s", "mb": 20000.0, "pace": 1.0, "readX": 1.0}
+                        {"name": "a100s", "mb": 20000.0, "pace": 1.0, "readX": 1.0},
+                        {"name": "l4", "mb": 3300.0, "pace": 1.5, "readX": 1.5},
                     ],
                 },
             },
