--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -241,6 +241,11 @@
         at = ",".join(each.settings["platform"]["addr"] for each in machines)
         await send(self.store, "POST", f"/stand-in/turn-away?at={at}")
 
+    async def set_store_busy(self, busy):
+        """Let the store answer all calls with 503, or serve again."""
+        self.record.note(f"store busy: {busy}")
+        await send(self.store, "POST", f"/stand-in/busy?on={int(busy)}")
+
     async def unlist(self, name):
         """Remove a server from the store's list."""
         self.record.note(f"server {name}: removed from the list")
--- a/review/support/server.py
+++ b/review/support/server.py
@@ -77,8 +77,10 @@
         await put_record(options.store, options.id, json.dumps(entry).encode())
 
     async def beat(self):
-        """Renew the entry until the process ends."""
-        while True:
+        """Renew the entry until the process ends, each server at its own time."""
+        await self.put_entry()
+        await asyncio.sleep(self._random.uniform(0, BEAT_S))
+        while self.mode != "unlisted":
             await self.put_entry()
             await asyncio.sleep(BEAT_S)
 
@@ -107,9 +109,13 @@
     async def _set_mode(self, fields, writer):
         self.mode = fields.get("mode", "")
         self.share = float(fields.get("share", "1"))
-        if self.mode in {"leaving", "draining"}:
+        if self.mode == "leaving":
             self.leaving, self.state = True, "draining"
             await self.put_entry()
+        elif self.mode == "unlisted":
+            self.leaving = True
+            await put_record(self.options.store, self.options.id, b"")
+            self.note("unlisted")
         writer.write(encode_answer(200))
         await writer.drain()
         return True
--- a/review/support/store.py
+++ b/review/support/store.py
@@ -17,13 +17,14 @@
     """Records by topic, and groups.
 
     It serves each machine at an address of its own; ``turned_away`` holds those at
-    which it gives no answers.
+    which it gives no answers. While it is ``busy`` it answers all calls with 503.
     """
 
     def __init__(self):
         self.records = {}
         self.groups = {}
         self.turned_away = set()
+        self.busy = False
         self._changed = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -33,33 +34,46 @@
         self._changed = asyncio.Event()
 
     async def handle(self, request, reader, writer):
-        """Answer one call."""
+        """Answer one call, or end the connection of a machine that is turned away."""
         address = "{}:{}".format(*writer.get_extra_info("sockname"))
         if address in self.turned_away:
             return False
         path, _, text = request.target.partition("?")
         query = dict(parse_qsl(text))
+        if path.startswith("/stand-in/"):
+            answer = self._set(path, query)
+        else:
+            answer = encode_answer(503)
+            if not self.busy:
+                answer = await self._answer(path, query, request.body)
+            if self.busy:
+                answer = encode_answer(503)
+        if address in self.turned_away:
+            return False
+        writer.write(answer)
+        await writer.drain()
+        return True
+
+    def _set(self, path, query):
+        if path == "/stand-in/busy":
+            self.busy = query.get("on") == "1"
+        else:
+            self.turned_away = set(filter(None, query.get("at", "").split(",")))
+        return encode_answer(200)
+
+    async def _answer(self, path, query, body):
         match path:
             case "/-/log-newest":
-                answer = self._newest(query)
+                return self._newest(query)
             case "/-/log-read":
-                answer = await self._read(query)
+                return await self._read(query)
             case "/-/log-append":
-                answer = self._append(query["topic"], request.body)
+                return self._append(query["topic"], body)
             case "/-/log-join":
-                answer = self._join(json.loads(request.body))
+                return self._join(json.loads(body))
             case "/-/log-leave":
-                answer = self._leave(json.loads(request.body))
-            case "/stand-in/turn-away":
-                self.turned_away = set(filter(None, query.get("at", "").split(",")))
-                answer = encode_answer(200)
-            case _:
-                answer = encode_answer(400)
-        if address in self.turned_away:
-            return False
-        writer.write(answer)
-        await writer.drain()
-        return True
+                return self._leave(json.loads(body))
+        return encode_answer(400)
 
     def _newest(self, query):
         records = self.records.get(query["topic"], [])
@@ -76,7 +90,7 @@
         until_s = time.monotonic() + int(query.get("waitMs", "0")) / 1000
         while len(self.records.get(topic, [])) <= begin:
             left_s = until_s - time.monotonic()
-            if left_s <= 0:
+            if left_s <= 0 or self.busy:
                 break
             try:
                 await asyncio.wait_for(self._changed.wait(), left_s)
