--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A sound engine is silent for a second while a machine stops as planned."""
+"""Servers that have left are in use again after the store was busy."""
 
 import asyncio
 import signal
@@ -8,23 +8,25 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "support"))
 
-from deployment import BOUNDS, count_ends, run_case, send_stream
-
-ENGINES = 2
-"""Each holds a part of the model's layers, so that all streams need both."""
-KIND = "l4"
-GAP_S = 0.06
-EVENTS = 100
-STREAMS_PER_S = 12
-OTHER_STREAMS_PER_S = 2
-"""Streams to the machine that doesn't stop."""
-RUNS_S = 12.0
-SILENT_AFTER_S = 0.5
-SILENT_S = 1.0
-BEFORE_TIMEOUT_S = 7.0
-"""A stream that was cut later may have reached its route's timeout, of 8 s."""
-NEW_CLIENTS_S = 1.0
-"""Time after SIGTERM for which new clients still come; two ready checks fail then."""
+from deployment import BOUNDS, count_ends, run_case, send_plain
+
+ZONES = ("mv-c", "mv-c", "mv-a", "mv-a")
+"""Zones of the machines; the second one is frozen."""
+SERVERS = 12
+LEAVING = 3
+"""A share of 0.25."""
+CALM_S = 6.0
+LEFT_AFTER_S = 0.8
+"""Time from the freeze to the removal of the servers' entries."""
+FROZEN_S = 4.0
+BUSY_BEFORE_S = 1.0
+"""Time before the end of the freeze at which the store begins to be busy."""
+BUSY_S = 2.5
+EXITS_S = 12.0
+"""Time from the removal of a server's entry to its exit: drainMs and longer."""
+PLAYED_S = 22.0
+ORDERS_PER_S = 20
+WORK_S = 0.2
 
 
 class Play:
@@ -32,91 +34,99 @@
 
     def __init__(self, deployment, record):
         self.deployment, self.record = deployment, record
-        self.answers, self.sent_s, self.ended_s = {}, {}, {}
-        self.term_s = time.monotonic() + RUNS_S
+        self.answers, self.sent_s, self.machine_of = {}, {}, {}
+        self.leaving = [f"i-desk{number}" for number in range(LEAVING)]
+        self.left_s, self.calm_from_s = {}, 0.0
 
     async def start(self):
         """Start the deployment and wait until it serves."""
         await self.deployment.configure()
-        for number in range(ENGINES):
-            name = f"i-engine{number}"
-            self.deployment.add_server(name, "llm", kind=KIND, gap_s=GAP_S)
-        for _ in range(2):
-            self.deployment.add_machine()
+        for number in range(SERVERS):
+            name = f"i-desk{number}"
+            self.deployment.add_server(name, "desk", slots=6, work_s=WORK_S)
+        for zone in ZONES:
+            self.deployment.add_machine(zone)
         await self.deployment.wait_until_serving(_serves)
         await asyncio.sleep(3.0)
-        self.term_s = time.monotonic() + RUNS_S
-
-    async def send_all(self, machine, per_s):
-        """Send streams to a machine until it gets no new clients."""
-        asking, number = [], 0
-        while time.monotonic() < self.term_s + NEW_CLIENTS_S:
-            attempt = f"{machine.name}-stream-{number}"
-            asking.append(asyncio.ensure_future(self._ask(machine, attempt)))
-            number += 1
-            await asyncio.sleep(1 / per_s)
+
+    async def send_all(self):
+        """Send orders to all machines in turn, and wait for their ends."""
+        asking = []
+        for number in range(round(PLAYED_S * ORDERS_PER_S)):
+            machine = self.deployment.machines[number % len(ZONES)]
+            asking.append(asyncio.ensure_future(self._ask(machine, f"order-{number}")))
+            await asyncio.sleep(1 / ORDERS_PER_S)
         await asyncio.gather(*asking)
 
     async def _ask(self, machine, attempt):
         self.sent_s[attempt] = time.monotonic()
-        self.answers[attempt] = answer = await send_stream(machine, attempt, EVENTS)
-        self.ended_s[attempt] = time.monotonic()
+        self.machine_of[attempt] = machine.name
+        self.answers[attempt] = answer = await send_plain(machine, attempt, "order")
         self.record.note(
-            f"{attempt}: status {answer.status}, {answer.ended}, "
-            f"{answer.seconds:.2f} s, {answer.body.count(b'id: ')} of {EVENTS} events"
+            f"{attempt}: by {machine.name}, status {answer.status}, {answer.ended}, "
+            f"from {answer.headers.get('x-instance-id')}"
         )
 
-    async def stop(self, machine, trouble):
-        """Stop a machine as planned, and let an engine be silent meanwhile."""
-        await asyncio.sleep(self.term_s - time.monotonic())
-        self.record.note(f"SIGTERM to {machine.name}")
-        machine.process.send_signal(signal.SIGTERM)
-        await asyncio.sleep(SILENT_AFTER_S)
+    async def disrupt(self, trouble):
+        """Take servers away while a machine is frozen, then let the store be busy."""
+        frozen = self.deployment.machines[1]
+        await asyncio.sleep(CALM_S)
+        if trouble:
+            self.record.note(f"{frozen.name} is frozen")
+            frozen.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(LEFT_AFTER_S)
+        for name in self.leaving:
+            await self.deployment.set_mode(name, "unlisted")
+            self.left_s[name] = time.monotonic()
+        await asyncio.sleep(FROZEN_S - LEFT_AFTER_S - BUSY_BEFORE_S)
+        if trouble:
+            await self.deployment.set_store_busy(True)
+        await asyncio.sleep(BUSY_BEFORE_S)
         if trouble:
-            _, process = self.deployment.servers["i-engine0"]
-            self.record.note("i-engine0 falls silent")
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(SILENT_S)
-            process.send_signal(signal.SIGCONT)
-            self.record.note("i-engine0 goes on")
-
-    def judge(self, machine):
-        """Return the stopping machine's streams that it cut in its grace time."""
-        for each in machine.events("broken_off"):
-            self.record.note(f"{each['id']}: broken off by {each['ended_by']}")
+            self.record.note(f"{frozen.name} goes on")
+            frozen.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(BUSY_S - BUSY_BEFORE_S)
+        await self.deployment.set_store_busy(False)
+        self.calm_from_s = time.monotonic() + BOUNDS["stableWindowMs"] / 1000
+        for name in self.leaving:
+            await asyncio.sleep(self.left_s[name] + EXITS_S - time.monotonic())
+            self.record.note(f"{name} exits")
+            self.deployment.kill_server(name)
+
+    def judge(self):
+        """Return the orders that reached a server that had left."""
         self.record.conclude(f"answers: {count_ends(self.answers.values())}")
-        allowed_s = self.term_s + BOUNDS["graceS"] * 5 / 6
-        cut = [
-            attempt
-            for attempt, answer in self.answers.items()
-            if attempt.startswith(machine.name)
-            and self.term_s < self.ended_s[attempt] < allowed_s
-            and answer.ended in {"cut", "no answer"}
-            and answer.seconds < BEFORE_TIMEOUT_S
-        ]
-        self.record.conclude(f"{machine.name} cut in its grace time: {len(cut)}")
+        drain_s, late = BOUNDS["drainMs"] / 1000, []
+        for name in self.leaving:
+            for run in self.deployment.server_notes("run", name):
+                sent_s = self.sent_s.get(run["id"], 0.0)
+                if run["at"] > self.left_s[name] + drain_s and (
+                    sent_s > self.calm_from_s
+                ):
+                    late.append((name, run))
+        lost = [run["id"] for _, run in late if self.answers[run["id"]].status != 200]
+        self.record.conclude(
+            f"reached a server that had left, from machines in touch: {len(late)}; "
+            f"of these without its answer: {len(lost)}"
+        )
         return [
-            f"LOST: {each} was cut {self.ended_s[each] - self.term_s:.2f} s after "
-            f"SIGTERM, with {self.answers[each].body.count(b'id: ')} of {EVENTS} events"
-            for each in cut
+            f"DRAIN: {run['id']} reached {name} by {self.machine_of[run['id']]} "
+            f"{run['at'] - self.left_s[name]:.2f} s after its entry was removed; "
+            f"answer: {self.answers[run['id']].status}"
+            for name, run in late
         ]
 
 
 async def _serves(machine):
-    return (await send_stream(machine, "check", 2, 3.0)).status == 200
+    return (await send_plain(machine, "check", "order")).status == 200
 
 
 async def play(deployment, record, trouble):
-    """Stop a machine while an engine is silent; return what was broken."""
+    """Send orders while servers leave; return what was broken."""
     case = Play(deployment, record)
     await case.start()
-    first, second = deployment.machines
-    await asyncio.gather(
-        case.send_all(first, STREAMS_PER_S),
-        case.send_all(second, OTHER_STREAMS_PER_S),
-        case.stop(first, trouble),
-    )
-    return case.judge(first)
+    await asyncio.gather(case.send_all(), case.disrupt(trouble))
+    return case.judge()
 
 
 if __name__ == "__main__":
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -402,14 +402,17 @@
     returns what was broken, an empty list if the rule held.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # What was started is ended also if the case itself is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(Path(folder).resolve() / "record.txt")
     record.note(f"trouble: {trouble}")
     with tempfile.TemporaryDirectory(prefix="review-") as directory:
         deployment = Deployment(Path(directory), record)
         try:
             broken = asyncio.run(play(deployment, record, trouble))
-        except (NotRunError, OSError) as error:
-            record.conclude(f"NOT RUN: {error}")
+        except Exception as error:
+            # Anything unexpected, also a fault of the case itself, is no verdict.
+            record.conclude(f"NOT RUN: {error!r}")
             return NOT_RUN
         finally:
             deployment.end()
