--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A sound engine is silent for a second while a machine stops as planned."""
+"""A sound engine is silent for half a second while a machine stops as planned."""
 
 import asyncio
 import signal
@@ -20,7 +20,7 @@
 """Streams to the machine that doesn't stop."""
 RUNS_S = 12.0
 SILENT_AFTER_S = 0.5
-SILENT_S = 1.0
+SILENT_S = 0.5
 BEFORE_TIMEOUT_S = 7.0
 """A stream that was cut later may have reached its route's timeout, of 8 s."""
 NEW_CLIENTS_S = 1.0
