--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,7 +25,7 @@
 EXITS_S = 12.0
 """Time from the removal of a server's entry to its exit: drainMs and longer."""
 PLAYED_S = 22.0
-ORDERS_PER_S = 20
+ORDERS_PER_S = 120
 WORK_S = 0.2
 
 
