Limit the wait for the body of an error, and for callers that don't read

Cause: StreamCalls._handle_refusal read the body of each reply other than 200 outside of wait_with_checks, so without the limits of silence and of the call's time.

The body of a refusal isn't waited for, as its head says that nothing was run; a plain call that must not be repeated was told 504 instead.

They walk over the phases with an engine that stops, trickles or floods there, for each kind of route. Ruled out: the other phases, which had limits.

The fakes of replies in the tests gained skip_body, and that of a transport the size of its write buffer.

--- a/libs/entry/src/celeryfork_entry/byte_stream.py
+++ b/libs/entry/src/celeryfork_entry/byte_stream.py
@@ -1,9 +1,12 @@
 """An asyncio TCP connection with flow control for reading and writing bytes."""
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 from collections.abc import Callable
-from typing import cast
+from typing import Any, cast
 
 MAX_READ_BYTES = 1 << 16
 """Maximum number of bytes that one read returns: the time to parse them is bounded."""
@@ -100,6 +103,17 @@
         """Return the number of bytes written that the kernel hasn't accepted yet."""
         return self.transport.get_write_buffer_size() if self.transport else 0
 
+    @property
+    def _unacknowledged(self) -> int:
+        """Return the number of bytes written that the peer hasn't acknowledged yet."""
+        if self.transport is None:
+            return 0
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return self.unsent
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+        return self.unsent + int.from_bytes(queued, sys.byteorder)
+
     @property
     def usable(self) -> bool:
         """Return True if both directions are open."""
@@ -134,13 +148,18 @@
             self.transport.resume_reading()
         return data
 
-    async def write(self, data: bytes) -> None:
+    async def write(self, data: bytes, stall_timeout_s: float | None = None) -> None:
         """Send ``data``, waiting while the send buffer is full.
 
+        Parameters
+        ----------
+        stall_timeout_s
+            Seconds without an acknowledged byte after which the connection is aborted.
+
         Raises
         ------
         ConnectionResetError
-            The connection is closed.
+            The connection is closed, or was aborted.
         """
         if self.transport is None or self.transport.is_closing():
             raise ConnectionResetError("the connection is closed")
@@ -148,19 +167,47 @@
         if self._full:
             writer = asyncio.get_running_loop().create_future()
             self._writers.append(writer)
-            await writer
+            await self._wait_while_accepting(writer, stall_timeout_s)
             if self.broken:
                 raise ConnectionResetError("the connection broke")
 
+    async def _wait_while_accepting(
+        self, waiter: asyncio.Future[Any], stall_timeout_s: float | None
+    ) -> None:
+        """Wait; abort the connection if the peer acknowledges no byte."""
+        while not waiter.done():
+            unacknowledged = self._unacknowledged
+            await asyncio.wait({waiter}, timeout=stall_timeout_s)
+            if not waiter.done() and self._unacknowledged >= unacknowledged:
+                self.abort()
+                raise ConnectionResetError(
+                    f"the peer acknowledged no byte for {stall_timeout_s} s"
+                )
+
     def close(self) -> None:
         """Close the connection after the written bytes are sent."""
         if self.transport is not None:
             self.transport.close()
 
-    async def wait_closed(self) -> None:
-        """Wait after :meth:`close` until the written bytes are sent."""
+    async def wait_closed(self, stall_timeout_s: float | None = None) -> None:
+        """Wait after :meth:`close` until the written bytes are sent.
+
+        Parameters
+        ----------
+        stall_timeout_s
+            As for :meth:`write`.
+
+        Raises
+        ------
+        ConnectionResetError
+            The connection was aborted.
+        """
         if self.transport is not None:
-            await self._closed.wait()
+            closed = asyncio.ensure_future(self._closed.wait())
+            try:
+                await self._wait_while_accepting(closed, stall_timeout_s)
+            finally:
+                closed.cancel()
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent bytes."""
--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -18,6 +18,9 @@
 LINGER_S = 0.5
 """Seconds for which a connection is still read after its last answer, so that the
 answer isn't lost to a TCP reset."""
+MIN_STALL_TIMEOUT_S = 1.0
+"""Minimum seconds without an acknowledged byte after which a caller is left; a sender
+asks a receiver without free memory again after 0.2 s and more."""
 HEAD_PARSE_MARGIN_BYTES = 4_096
 """Bytes beyond the limit of the head that are still parsed, so that the refusal can
 give the reason."""
@@ -121,7 +124,7 @@
             if self.http.our_state is h11.MUST_CLOSE:
                 await self._linger()
             self.stream.close()
-            await self.stream.wait_closed()
+            await self.stream.wait_closed(self._stall_timeout_s())
         except (ConnectionError, h11.LocalProtocolError):
             self.stream.abort()
         finally:
@@ -182,7 +185,7 @@
         _check_framing(first, limits.body_bytes)
         if self.http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
-            await self.stream.write(self.http.send(interim))
+            await self._write(self.http.send(interim))
         body = await self._body(limits)
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -303,21 +306,27 @@
         if body and self._method != b"HEAD":
             sent += self.http.send(h11.Data(data=body))
         sent += self.http.send(h11.EndOfMessage())
-        await self.stream.write(sent)
+        await self._write(sent)
 
     async def begin_stream(self, status: int, headers: Headers, first: bytes) -> None:
         """Send the head and the first bytes of a streamed answer."""
         head = self._head(status, [*headers, ("Transfer-Encoding", "chunked")])
         sent = self.http.send(head)
-        await self.stream.write(sent + self.http.send(h11.Data(data=first)))
+        await self._write(sent + self.http.send(h11.Data(data=first)))
 
     async def send_chunk(self, data: bytes) -> None:
         """Send more bytes of a streamed answer."""
-        await self.stream.write(self.http.send(h11.Data(data=data)))
+        await self._write(self.http.send(h11.Data(data=data)))
 
     async def end_stream(self) -> None:
         """Mark a streamed answer as complete."""
-        await self.stream.write(self.http.send(h11.EndOfMessage()))
+        await self._write(self.http.send(h11.EndOfMessage()))
+
+    async def _write(self, data: bytes) -> None:
+        await self.stream.write(data, self._stall_timeout_s())
+
+    def _stall_timeout_s(self) -> float:
+        return max(MIN_STALL_TIMEOUT_S, self.limits().idle_timeout_s)
 
     def abort(self) -> None:
         """Abort the connection, so that the answer isn't taken for complete."""
--- a/libs/entry/src/celeryfork_entry/detours.py
+++ b/libs/entry/src/celeryfork_entry/detours.py
@@ -13,9 +13,9 @@
 
 from celeryfork_entry.call import Call, CallContext
 from celeryfork_entry.path_selector import PathSelector
-from celeryfork_entry.plain_calls import MAX_REPLY_BYTES
 from celeryfork_entry.target_http import LostError, NotSentError
 
+MAX_ANSWER_BYTES = 65_536
 MAX_REASON_BYTES = 200
 """Maximum number of bytes of an engine's refusal that are logged."""
 ORDER_TIMEOUT_S = 0.15
@@ -56,7 +56,7 @@
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 reply = await self._context.connections.send(first.address, order)
                 try:
-                    body = await reply.read_all(MAX_REPLY_BYTES)
+                    body = await reply.read_all(MAX_ANSWER_BYTES)
                 finally:
                     reply.drop()
         except (NotSentError, LostError, TimeoutError) as error:
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -261,11 +261,12 @@
                 raise LostError(
                     "the reply has a Content-Encoding that was not requested"
                 )
+            if metadata.not_run:
+                await reply.skip_body()
+                return Refused(f"status {reply.status}")
             body = await reply.read_all(MAX_REPLY_BYTES)
         finally:
             reply.drop()
-        if metadata.not_run:
-            return Refused(f"status {reply.status}")
         call.runs += 1
         call.may_have_run = True
         if reply.status in NOT_RUN_STATUSES:
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -31,14 +31,14 @@
     PathRefused,
 )
 from celeryfork_entry.path_selector import PathSelector, expected_answer_tokens
-from celeryfork_entry.plain_calls import MAX_REPLY_BYTES, NOT_RUN_STATUSES
+from celeryfork_entry.plain_calls import NOT_RUN_STATUSES
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.reachability_checks import ReachabilityChecks
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
 from celeryfork_entry.stream_endings import StreamEndings
 from celeryfork_entry.stream_limits import exhausted_limit, stream_retry_deadline_s
 from celeryfork_entry.stream_progress import EventGaps, StreamProgress
-from celeryfork_entry.stream_waits import wait_with_checks
+from celeryfork_entry.stream_waits import SILENCE_LIMIT_S, wait_with_checks
 from celeryfork_entry.target_http import (
     LostError,
     NotSentError,
@@ -48,6 +48,10 @@
 
 FIRST_EVENT_CHECK_DELAY_S = 0.2
 """Seconds without a first event after which the engines of the path are checked."""
+ERROR_BODY_TIMEOUT_S = SILENCE_LIMIT_S
+"""Timeout in seconds for the body of an error reply if another engine may be tried."""
+MAX_ERROR_BYTES = 1 << 20
+"""Maximum size of the body of an error reply."""
 LAYERS_MISSING_STATUS = 421
 """Status of an engine that doesn't hold the layers that the path assigns to it."""
 ANSWER_RESERVE_FACTOR = 1.0
@@ -389,13 +393,18 @@
         self, call: Call, path: LayerPath, reply: Reply
     ) -> Outcome:
         metadata = self._context.dialect.read_reply(reply.status, reply.headers)
-        body = await reply.read_all(MAX_REPLY_BYTES)
         if metadata.not_run:
+            await reply.skip_body()
             self._record_refusal(
                 call, path, metadata.at_fault, reply.status == LAYERS_MISSING_STATUS
             )
             reason = f"status {reply.status} at {metadata.at_fault}"
             return PathRefused(reason, answered=True)
+        wait_s = call.left_s
+        if _is_resumable(call):
+            wait_s = min(wait_s, ERROR_BODY_TIMEOUT_S)
+        async with asyncio.timeout(wait_s):
+            body = await reply.read_all(MAX_ERROR_BYTES)
         self._record_failed_run(call, path)
         call.avoided.add(path.parts[0].engine_id)
         if reply.status in NOT_RUN_STATUSES:
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -32,6 +32,10 @@
 FIRST_ERROR_STATUS = 400
 MAX_FAILED_REQUESTS = 16
 """Maximum number of failed requests of a connection that is kept."""
+MAX_UNNEEDED_BYTES = 65_536
+"""Maximum size of a body that is read only to use its connection again."""
+UNNEEDED_BODY_TIMEOUT_S = 0.05
+"""Timeout in seconds for such a body, which usually arrives with its head."""
 MAX_HEADER_BYTES = 65_536
 """Maximum size of the head of a reply."""
 
@@ -135,6 +139,17 @@
             pieces.append(piece)
         return b"".join(pieces)
 
+    async def skip_body(self) -> None:
+        """Read a body that isn't needed, so that its connection can be used again.
+
+        The connection is aborted if that takes long.
+        """
+        try:
+            async with asyncio.timeout(UNNEEDED_BODY_TIMEOUT_S):
+                await self.read_all(MAX_UNNEEDED_BYTES)
+        except (LostError, TimeoutError):
+            self.drop()
+
     def drop(self) -> None:
         """Abort the connection unless the reply is complete."""
         if not self._done:
--- a/libs/entry/tests/support/skipping_loop.py
+++ b/libs/entry/tests/support/skipping_loop.py
@@ -103,6 +103,9 @@
     def resume_reading(self):
         self.reading_allowed.set()
 
+    def get_write_buffer_size(self):
+        return 0
+
     def write(self, data):
         if not self.written:
             self.taken_before_writing = self.taken
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -405,6 +405,9 @@
     async def read_all(self, max_bytes):
         return self._engine.target.id.encode()
 
+    async def skip_body(self):
+        pass
+
     def drop(self):
         pass
 
--- a/libs/entry/tests/test_caller_http.py
+++ b/libs/entry/tests/test_caller_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import socket
 
 import pytest
 from celeryfork_entry.byte_stream import ByteStream
@@ -172,3 +173,84 @@
         return server.cancelled
 
     assert asyncio.run(run()) == 1
+
+
+@pytest.mark.parametrize("streamed", [False, True])
+def test_a_caller_that_does_not_read_its_answer_is_left(streamed):
+    """Its answer and its connection were kept for as long as it liked."""
+
+    class LongAnswers(Server):
+        async def handle(self, connection, request):
+            body = b"x" * (32 << 20)
+            if not streamed:
+                await connection.answer(200, [], body)
+                return
+            await connection.begin_stream(200, [], b"first")
+            await connection.send_chunk(body)
+            await connection.end_stream()
+
+    async def run():
+        server = LongAnswers()
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(server.make, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(GET)
+            await asyncio.sleep(0.1)
+            await asyncio.wait_for(server.task, 4 * LIMITS.idle_timeout_s)
+        listening.close()
+
+    asyncio.run(run())
+
+
+def test_a_caller_that_reads_slowly_gets_its_whole_answer():
+    """A limit for the whole answer would cut off callers on slow links."""
+    size = 8 << 20
+
+    class LongAnswers(Server):
+        async def handle(self, connection, request):
+            await connection.answer(200, [("Connection", "close")], b"x" * size)
+
+    async def run():
+        server = LongAnswers()
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(server.make, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET)
+        received, begun_s = 0, loop.time()
+        while data := await reader.read(256 << 10):
+            received += len(data)
+            await asyncio.sleep(0.04)
+        writer.close()
+        listening.close()
+        assert loop.time() - begun_s > 2 * LIMITS.idle_timeout_s
+        return received
+
+    assert asyncio.run(run()) > size
+
+
+def test_a_body_of_one_byte_chunks_blocks_no_other_request():
+    """Thousands of chunks of one read were parsed without a turn for other tasks."""
+    body = b"".join([b"1\r\nx\r\n"] * 500)
+    head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    stream = ByteStream()
+    connection = CallerConnection(stream, lambda: LIMITS, None, lambda: False)
+    stream.data_received(head + body)
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await asyncio.sleep(0)
+            turns += 1
+
+    async def run():
+        counting = asyncio.ensure_future(count_turns())
+        stream.data_received(b"0\r\n\r\n")
+        request = await connection._next_request()
+        counting.cancel()
+        return request
+
+    assert asyncio.run(run()).body == b"x" * 500
+    assert turns >= 5
--- a/libs/entry/tests/test_faulty_engines.py
+++ b/libs/entry/tests/test_faulty_engines.py
@@ -6,6 +6,7 @@
 
 import pytest
 from attrs import evolve
+from celeryfork_entry.configuration import AtMostOnce, Idempotent, Stream
 from celeryfork_entry.target_http import OutgoingRequest, TargetConnections
 from celeryfork_entry.targets import Listed
 from stream_trial import ANSWER_EVENTS, Caller, Engine, Trial
@@ -189,3 +190,102 @@
     assert caller.has_complete_answer
     [broke] = trial.logged("path_broke")
     assert "silent" in broke["reason"]
+
+
+LEFT_S = 1.8
+"""Time of a call, longer than the limit of silence of a stream."""
+LATE_S = 0.3
+"""Maximum seconds after the time of a call until its end."""
+ERROR = b"HTTP/1.1 500 X\r\n\r\n"
+REFUSAL = b"HTTP/1.1 503 X\r\n\r\n"
+PHASES = {
+    "no-head": b"",
+    "half-a-head": HEAD + b"X-Filler: ",
+    "head": UNFRAMED,
+    "head-with-length": HEAD + b"Content-Length: 999999999999\r\n\r\n",
+    "error-body": ERROR,
+    "refusal-body": REFUSAL,
+    "within-an-event": UNFRAMED + EVENT + b"id: 2\nda",
+    "between-events": UNFRAMED + EVENT,
+    "within-a-chunk": CHUNKED + b"%x\r\n" % (1 << 30) + EVENT,
+    "end-that-never-comes": CHUNKED + b"%x\r\n%s\r\n" % (len(ANSWER), ANSWER),
+}
+MANNERS = {
+    "stops": (b"", 0.0),
+    "trickles": (b"x", 0.05),
+    "floods": (b"x" * 65_536, 0.05),
+}
+KINDS = {
+    "resumable": Stream(True, 0.2),
+    "stream": Stream(False, 0.2),
+    "idempotent": Idempotent(),
+    "at-most-once": AtMostOnce(),
+}
+
+
+async def serve_on(engine, kind):
+    """Return how a call on a faulty engine alone was kept too long or ended wrongly."""
+    trial, caller = make_trial(), Caller()
+    trial.route = evolve(trial.route, kind=kind)
+    async with listening(engine.serve) as address:
+        add_engine(trial, "faulty", address, "a")
+        handling = trial.dispatcher().handle(caller, trial.request("r1", LEFT_S))
+        try:
+            await asyncio.wait_for(handling, LEFT_S + LATE_S)
+            await asyncio.wait_for(engine.closed.wait(), LATE_S)
+        except TimeoutError:
+            return "too long"
+    if caller.ending == "broken off":
+        return ""
+    failed = caller.ending == "whole" and caller.status != 200
+    return "" if failed else f"{caller.status} {caller.ending}"
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("manner", MANNERS)
+def test_no_phase_of_a_reply_holds_a_call_beyond_its_time(manner, kind):
+    """The body of an error reply was read without a limit (review, case 3)."""
+    repeated, gap_s = MANNERS[manner]
+
+    async def run():
+        outcomes = await asyncio.gather(
+            *(
+                serve_on(FaultyEngine(beginning, repeated, gap_s), KINDS[kind])
+                for beginning in PHASES.values()
+            )
+        )
+        return dict(zip(PHASES, outcomes, strict=True))
+
+    assert asyncio.run(run()) == dict.fromkeys(PHASES, "")
+
+
+@pytest.mark.parametrize("manner", MANNERS)
+@pytest.mark.parametrize("beginning", [ERROR, REFUSAL], ids=["error", "refusal"])
+def test_a_stream_goes_on_at_another_engine_during_an_endless_error(beginning, manner):
+    """Its caller got no answer until it left, though sound engines were free."""
+    repeated, gap_s = MANNERS[manner]
+    engine = FaultyEngine(beginning, repeated, gap_s)
+    caller, _, _ = serve_beside(engine)
+    assert caller.has_complete_answer
+
+
+@pytest.mark.parametrize("manner", MANNERS)
+def test_a_refused_call_that_must_not_be_repeated_is_sent_to_another_target(manner):
+    """The refusal was forgotten with its body: the caller was told 504."""
+    trial, caller = make_trial(), Caller()
+    trial.route = evolve(trial.route, kind=AtMostOnce())
+    repeated, gap_s = MANNERS[manner]
+    engine = FaultyEngine(REFUSAL, repeated, gap_s)
+
+    async def run():
+        async with (
+            listening(engine.serve) as address,
+            listening(serve_sound) as sound,
+        ):
+            add_engine(trial, "faulty", address, "a")
+            add_engine(trial, "sound", sound, "b")
+            request = trial.request("r1", LEFT_S)
+            await trial.dispatcher().handle(caller, request)
+
+    trial.run(run())
+    assert (caller.status, caller.ending) == (200, "whole")
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -52,11 +52,11 @@
         ]
     )
 
-    async def read_all(max_bytes):
-        return b""
+    async def skip_body():
+        pass
 
     call = SimpleNamespace(avoided=set())
-    reply = SimpleNamespace(status=status, headers=[], read_all=read_all)
+    reply = SimpleNamespace(status=status, headers=[], skip_body=skip_body)
     asyncio.run(streams._handle_refusal(call, path, reply))
     assert call.avoided == {"e2"}
     assert reported == [("e2", "a", lacks_layers)]
