Replace a target list only by one that was read from the store later

Cause: while the store is unavailable, an instance replaced its list by that of a relay that had been paused, however old. When the store was back it read on from its own offset, after the removals, so that nothing removed the servers again.

Change: the offset of the store's log up to which a list was read travels with it, in digests, changes and states of peers. An older list or one that was never read is not taken, a delayed answer of the store doesn't replace a newer list of a relay, and the store is read whole after a relay's list was taken. A starting instance takes the newest list of the peers that it asks, with its age.

The fake of the store answers a requested full read with one, as the interface says.

--- a/libs/entry/src/celeryfork_entry/field_parsers.py
+++ b/libs/entry/src/celeryfork_entry/field_parsers.py
@@ -63,6 +63,16 @@
     return value
 
 
+def parse_optional_int(value: Any) -> int | None:
+    """Return an integer as :func:`parse_int`, or None.
+
+    Raises
+    ------
+    ValueError
+    """
+    return None if value is None else parse_int(value)
+
+
 def parse_count(value: Any, maximum: int = MAX_COUNT) -> int:
     """Return an integer after checking that it is from 0 to ``maximum``.
 
--- a/libs/entry/src/celeryfork_entry/list_changes.py
+++ b/libs/entry/src/celeryfork_entry/list_changes.py
@@ -7,13 +7,35 @@
 import time
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 MAX_REMOVED = 2_000
 """Maximum number of removals kept; a follower with an older revision fetches the full
 list."""
 
 
+@frozen
+class ListState:
+    """Version and age of a target list.
+
+    Parameters
+    ----------
+    revision
+        Revision of the list at this instance.
+    age_s
+        Seconds since it was read from the store.
+    is_stale
+        True if it may name engines that have left.
+    offset
+        Offset of the store's log up to which it was read, None if unknown.
+    """
+
+    revision: int
+    age_s: float
+    is_stale: bool
+    offset: int | None = None
+
+
 @define
 class ListChanges:
     """Revisions at which targets changed or were removed.
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -30,6 +30,7 @@
     parse_finite_float,
     parse_int,
     parse_layers,
+    parse_optional_int,
     parse_text,
 )
 from celeryfork_entry.ports import Peer
@@ -103,6 +104,9 @@
     ----------
     revision
         Revision of its target list.
+    list_offset
+        Offset of the store's log up to which that list was read, by the relay or by the
+        peer that it comes from; None if unknown.
     list_age_s
         Seconds since it read the target list.
     list_is_stale
@@ -119,6 +123,7 @@
     list_is_stale: bool
     counts: Mapping[str, int]
     remote_loads: Mapping[str, Mapping[str, Load]]
+    list_offset: int | None = None
 
 
 class LoanScope(Enum):
@@ -199,6 +204,7 @@
             "revision": digest.revision,
             "age": round(digest.list_age_s, 3),
             "old": digest.list_is_stale,
+            "offset": digest.list_offset,
             "counts": digest.counts,
             "away": {
                 domain: _load_rows(rows) for domain, rows in digest.remote_loads.items()
@@ -241,6 +247,7 @@
                 str(domain): _decode_loads(rows)
                 for domain, rows in fields["away"].items()
             },
+            list_offset=parse_optional_int(fields.get("offset")),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed datagram of a peer: {error!r}") from error
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -21,6 +21,7 @@
 
 from celeryfork_entry.crash_exchange import CrashExchange
 from celeryfork_entry.engine_speeds import Speed
+from celeryfork_entry.list_changes import ListState
 from celeryfork_entry.peer_messages import (
     MAX_CRASH_RECORDS,
     DownEngine,
@@ -123,7 +124,7 @@
     on_fence: Callable[[int], None] = lambda fence: None
     version: Callable[[], int] = lambda: -1
     on_version: Callable[[int, str], None] = lambda version, address: None
-    list_state: Callable[[], tuple[int, float, bool]] = lambda: (0, 0.0, False)
+    list_state: Callable[[], ListState] = lambda: ListState(0, 0.0, False)
     on_digest: Callable[[RelayDigest], None] = lambda digest: None
     layers: Callable[[], Mapping[str, ReportedLayers]] = dict
     on_layers: Callable[[str, ReportedLayers], None] = lambda engine_id, learnt: None
@@ -286,8 +287,7 @@
 
     def announce_changes(self) -> None:
         """Schedule digests after a change of the target list or the configuration."""
-        revision, _, _ = self.list_state()
-        state = (revision, self.version())
+        state = (self.list_state().revision, self.version())
         if state == (self._sent_revision, self._sent_version):
             return
         if self._pending_send is None and self.roster.is_relay:
@@ -462,7 +462,7 @@
 
     def _digest_without_loads(self, down: Iterable[DownEngine]) -> RelayDigest:
         """Return a digest without what is known of engines in use."""
-        revision, list_age_s, list_is_stale = self.list_state()
+        target_list = self.list_state()
         return RelayDigest(
             self.roster.own,
             self.fence(),
@@ -471,9 +471,10 @@
             {},
             tuple(down),
             {},
-            revision=revision,
-            list_age_s=list_age_s,
-            list_is_stale=list_is_stale,
+            revision=target_list.revision,
+            list_age_s=target_list.age_s,
+            list_is_stale=target_list.is_stale,
+            list_offset=target_list.offset,
             counts=self.roster.counts() | {self.domain: self.roster.count()},
             remote_loads={},
         )
--- a/libs/entry/src/celeryfork_entry/peer_state.py
+++ b/libs/entry/src/celeryfork_entry/peer_state.py
@@ -16,9 +16,11 @@
 from celeryfork_entry.field_parsers import (
     parse_address,
     parse_count,
+    parse_finite_float,
     parse_id,
     parse_int,
     parse_layers,
+    parse_optional_int,
     parse_start_ms,
     parse_text,
 )
@@ -41,14 +43,23 @@
     ----------
     configuration_bytes
         The configuration as the operator published it; empty if there is none.
+    offset
+        Offset of the store's log up to which the targets were read, None if unknown.
+    list_age_s
+        Seconds since then.
     """
 
     configuration_bytes: bytes
     targets: tuple[Target, ...]
+    offset: int | None = None
+    list_age_s: float = 0.0
 
 
 def encode_state(
-    configuration: Configuration | None, targets: Iterable[Target]
+    configuration: Configuration | None,
+    targets: Iterable[Target],
+    offset: int | None = None,
+    list_age_s: float = 0.0,
 ) -> bytes:
     """Return the configuration and targets as a message to a peer."""
     configuration_bytes = configuration.encoded if configuration is not None else b""
@@ -58,6 +69,8 @@
                 zlib.compress(configuration_bytes, COMPRESSION_LEVEL)
             ).decode(),
             "targets": [asdict(target) for target in targets],
+            "offset": offset,
+            "age": round(list_age_s, 3),
         }
     )
 
@@ -73,7 +86,12 @@
     try:
         fields = loads(message)
         targets, _ = _decode_targets(fields["targets"])
-        return PeerState(_decompress(fields["configuration"]), targets)
+        return PeerState(
+            _decompress(fields["configuration"]),
+            targets,
+            parse_optional_int(fields.get("offset")),
+            max(0.0, parse_finite_float(fields.get("age", 0.0))),
+        )
     except (KeyError, TypeError, AttributeError, zlib.error) as error:
         raise ValueError(f"malformed state message of a peer: {error!r}") from error
 
@@ -98,16 +116,24 @@
         Revision of the list after these changes.
     whole
         True if ``targets`` is the full list; all other targets have been removed.
+    offset
+        Offset of the store's log up to which the list was read, None if unknown.
     """
 
     revision: int
     whole: bool
     targets: tuple[Target, ...]
     removed: tuple[str, ...] = ()
+    offset: int | None = None
 
 
 def encode_changes(
-    revision: int, targets: Iterable[Target], removed: Sequence[str], *, whole: bool
+    revision: int,
+    targets: Iterable[Target],
+    removed: Sequence[str],
+    *,
+    whole: bool,
+    offset: int | None = None,
 ) -> bytes:
     """Return changes of the target list as a message to a follower."""
     return dumps(
@@ -116,6 +142,7 @@
             "whole": whole,
             "targets": [asdict(target) for target in targets],
             "gone": removed,
+            "offset": offset,
         }
     )
 
@@ -136,6 +163,7 @@
             bool(fields["whole"]),
             targets,
             (*(str(each) for each in fields["gone"]), *unusable),
+            parse_optional_int(fields.get("offset")),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed changes message of a relay: {error!r}") from error
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -203,6 +203,10 @@
     def full_list(self) -> Sequence[Target]:
         """Return the full list as last read."""
 
+    @property
+    def offset(self) -> int | None:
+        """Offset of the store's log up to which the list was read, None before."""
+
 
 @frozen
 class Peer:
--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -1,7 +1,8 @@
 """Follows the target list of a relay of this instance's domain.
 
 Relays read the store. They send digests, which name the revision and the age of their
-target lists, to the instances that don't (followers).
+target lists, to the instances that don't (followers). A list is only replaced by one
+that was read from the store as late or later: its offset travels with it.
 """
 
 import random
@@ -24,6 +25,8 @@
 """Seconds over which followers spread their switch to the store while live relays have
 stale lists: usually the store itself is unavailable, and all followers would read it at
 the moment of its return."""
+UNREAD_AGE_S = 3_600.0
+"""Age in seconds that is reported for a target list that was never read."""
 RELAY_SILENCE_S = 0.6
 """Seconds without a digest after which a follower switches to another relay: two digest
 intervals."""
@@ -52,6 +55,7 @@
     current_relay: str = ""
     _revision: int = -1
     _fetching: bool = False
+    _usable_s: float = field(factory=time.monotonic)
     _digest_by_relay: dict[str, tuple[RelayDigest, float]] = field(factory=dict)
     _store_timeout_s: float = field(
         factory=lambda: STALE_S + random.uniform(0.0, STALE_SPREAD_S)
@@ -59,7 +63,19 @@
 
     def record_digest(self, digest: RelayDigest) -> None:
         """Record a relay's digest and its time of receipt."""
-        self._digest_by_relay[digest.sender.address] = (digest, time.monotonic())
+        now_s = time.monotonic()
+        self._digest_by_relay[digest.sender.address] = (digest, now_s)
+        if self._is_usable(digest):
+            self._usable_s = now_s
+
+    def _is_usable(self, digest: RelayDigest) -> bool:
+        """Return True if a relay has read its list, and not before that in the table.
+
+        A relay that was paused, or that has just started, may have an older list, which
+        lacks the removals since.
+        """
+        unread = digest.list_age_s >= UNREAD_AGE_S
+        return not unread and not self._table.is_newer_than(digest.list_offset)
 
     def reset(self) -> None:
         """Fetch a relay's full list next time: the table came from another source."""
@@ -67,7 +83,9 @@
 
     def should_follow(self, digest: RelayDigest) -> bool:
         """Return True if a digest is from the relay to follow."""
-        return digest.sender.address == self._relay_to_follow(time.monotonic())
+        return self._is_usable(digest) and (
+            digest.sender.address == self._relay_to_follow(time.monotonic())
+        )
 
     def fetch_changes(self, digest: RelayDigest) -> None:
         """Fetch the changes announced by a digest, unless a fetch is in progress."""
@@ -79,10 +97,13 @@
     def is_stale(self) -> bool:
         """Return True if the store must be read.
 
-        No relay has sent a digest recently, or the target lists of all are stale.
+        No relay has sent a digest recently, or the target lists of all are stale, or
+        older than that in the table.
         """
-        ages = self._ages_by_relay(time.monotonic())
-        return not ages or min(ages.values()) >= self._store_timeout_s
+        now_s = time.monotonic()
+        ages = self._ages_by_relay(now_s)
+        age_s = min(ages.values(), default=STALE_S + STALE_SPREAD_S)
+        return max(age_s, now_s - self._usable_s) >= self._store_timeout_s
 
     def _relay_to_follow(self, now_s: float) -> str:
         """Return the current relay, or another one if it is silent or its list stale.
@@ -94,6 +115,7 @@
             address: age_s
             for address, age_s in ages.items()
             if now_s - self._digest_by_relay[address][1] < RELAY_SILENCE_S
+            and self._is_usable(self._digest_by_relay[address][0])
         }
         youngest_s = min(sending.values(), default=STALE_S)
         if self.current_relay in sending and (
@@ -124,6 +146,14 @@
             return
         finally:
             self._fetching = False
+        if self._table.is_newer_than(changes.offset):
+            self._log.info(
+                "older_list_ignored",
+                relay=address,
+                offset=changes.offset,
+                own_offset=self._table.offset,
+            )
+            return
         self._apply_changes(changes)
         if address != self.current_relay:
             self._log.info(
@@ -137,6 +167,7 @@
 
     def _apply_changes(self, changes: TargetChanges) -> None:
         self._counters.add("peers.changes_taken")
+        self._table.offset = changes.offset
         if changes.whole:
             self._table.replace_all(changes.targets)
             return
--- a/libs/entry/src/celeryfork_entry/store_follower.py
+++ b/libs/entry/src/celeryfork_entry/store_follower.py
@@ -16,10 +16,12 @@
 from logbook import Logger
 
 from celeryfork_entry.configuration import Configuration
+from celeryfork_entry.list_changes import ListState
 from celeryfork_entry.peer_messages import RelayDigest
 from celeryfork_entry.peer_state import (
     CONFIGURATION_PATH,
     STATE_PATH,
+    PeerState,
     decode_state,
     encode_changes,
     encode_state,
@@ -29,14 +31,14 @@
     StoreUnavailableError,
     TargetFeed,
 )
-from celeryfork_entry.relayed_list import RelayedList
+from celeryfork_entry.relayed_list import UNREAD_AGE_S, RelayedList
 from celeryfork_entry.target_http import (
     LostError,
     NotSentError,
     OutgoingRequest,
     TargetConnections,
 )
-from celeryfork_entry.targets import TargetTable
+from celeryfork_entry.targets import ListChange, TargetTable
 
 LIST_READ_INTERVAL_S = 0.6
 """Seconds between two reads of the target list, so that changes are batched.
@@ -55,12 +57,12 @@
 kept, so that they may be renewed."""
 FOLLOWER_CHECK_INTERVAL_S = 0.2
 """Interval in seconds at which a follower checks if it has to read the store itself."""
-UNREAD_AGE_S = 3_600.0
-"""Age in seconds that is reported for a target list that was never read."""
 MAX_CONCURRENT_PEER_REQUESTS = 4
 """Number of peers asked at the same time when an instance starts without the store."""
 PEER_TIMEOUT_S = 0.5
 """Timeout in seconds for a peer's answer, which takes a few round trips."""
+MIN_READ_S = 0.001
+"""Least time of a read, as 0 stands for a list that was never read."""
 MAX_STATE_BYTES = 16 << 20
 """Maximum size of a peer's answer; a configuration has a few MB at most."""
 
@@ -149,11 +151,18 @@
                 self._targets.request_full_read()
                 await asyncio.sleep(FOLLOWER_CHECK_INTERVAL_S)
                 continue
+            followed, offset = self._relayed.current_relay, self._table.offset
+            if followed:
+                # The next changes don't tell what was removed before them.
+                self._targets.request_full_read()
             try:
                 changes = await self._targets.poll()
             except StoreUnavailableError as error:
                 await self._store_failed("targets", error)
                 continue
+            if self._is_outdated(changes, followed, offset):
+                self._targets.request_full_read()
+                continue
             now_s = self.list_read_s = time.monotonic()
             self._relayed.reset()
             if self._store_answered("targets"):
@@ -165,9 +174,28 @@
                 )
             else:
                 self._table.apply(changes, keep_expired=keep_expired)
+            self._table.offset = self._targets.offset
             self.on_change()
             await asyncio.sleep(LIST_READ_INTERVAL_S)
 
+    def _is_outdated(
+        self, changes: Sequence[ListChange] | None, followed: str, offset: int | None
+    ) -> bool:
+        """Return True if a relay's list that came meanwhile goes before an answer.
+
+        Parameters
+        ----------
+        changes
+            Answer of the store, None for a full read.
+        followed, offset
+            Relay that was followed before the request, and the offset of the list.
+        """
+        if self._relayed.current_relay != followed and changes is not None:
+            return True
+        return self._table.offset != offset and self._table.is_newer_than(
+            self._targets.offset
+        )
+
     def store_outage_s(self) -> float:
         """Return the seconds since the last read of the target list.
 
@@ -177,15 +205,23 @@
             return 0.0
         return time.monotonic() - self.list_read_s
 
-    def list_state(self) -> tuple[int, float, bool]:
-        """Return the target list's revision, its age in s, and True if it is stale."""
+    def list_state(self) -> ListState:
+        """Return the version and age of the target list."""
         read_s = self.list_read_s
         age_s = time.monotonic() - read_s if read_s else UNREAD_AGE_S
-        return self._table.changes.revision, age_s, self._table.list_is_stale
+        return ListState(
+            self._table.changes.revision,
+            age_s,
+            self._table.list_is_stale,
+            self._table.offset,
+        )
 
     def known(self) -> bytes:
         """Return the configuration and targets as a message to a peer."""
-        return encode_state(self.configuration, self._table.by_id.values())
+        state = self.list_state()
+        return encode_state(
+            self.configuration, self._table.by_id.values(), state.offset, state.age_s
+        )
 
     def encoded_configuration(self) -> bytes:
         """Return the configuration without targets as a message to a peer."""
@@ -198,21 +234,35 @@
         changes, by_id = self._table.changes, self._table.by_id
         since = changes.since(revision)
         if since is None:
-            return encode_changes(changes.revision, by_id.values(), (), whole=True)
+            return encode_changes(
+                changes.revision,
+                by_id.values(),
+                (),
+                whole=True,
+                offset=self._table.offset,
+            )
         changed, removed = since
         targets = [by_id[target_id] for target_id in changed if target_id in by_id]
-        return encode_changes(changes.revision, targets, removed, whole=False)
+        return encode_changes(
+            changes.revision, targets, removed, whole=False, offset=self._table.offset
+        )
 
     def receive_digest(self, digest: RelayDigest) -> None:
         """Apply a relay's digest, unless this instance reads the store successfully."""
         self._relayed.record_digest(digest)
-        if self.reads_store() and "targets" not in self.unavailable_feeds:
+        reads_store = self.reads_store()
+        if reads_store and "targets" not in self.unavailable_feeds:
             return
         if not self._relayed.should_follow(digest):
             return
         read_s = time.monotonic() - digest.list_age_s
         self.list_read_s = max(self.list_read_s, read_s)
         self._table.list_is_stale = digest.list_is_stale
+        same = digest.list_offset is not None and (
+            digest.list_offset == self._table.offset
+        )
+        if reads_store and same and not self._relayed.current_relay:
+            return
         self._relayed.fetch_changes(digest)
 
     def relays_are_stale(self) -> bool:
@@ -299,11 +349,22 @@
             self._adopt(
                 await self._configurations.decode(known.configuration_bytes), address
             )
-        if self.list_read_s == 0 and known.targets:
-            self.list_read_s = time.monotonic()
+        if known.targets and self._lacks(known):
+            self.list_read_s = max(MIN_READ_S, time.monotonic() - known.list_age_s)
             self._table.replace_all(known.targets)
+            self._table.offset = known.offset
             self._log.info("targets_taken", peer=address, targets=len(known.targets))
 
+    def _lacks(self, known: PeerState) -> bool:
+        """Return True if this instance has no list, or a peer's older than this one."""
+        own = self._table.offset
+        return self.list_read_s == 0 or (
+            self._targets.offset is None
+            and own is not None
+            and known.offset is not None
+            and known.offset > own
+        )
+
     async def _request(self, address: str, path: str) -> bytes:
         async with asyncio.timeout(PEER_TIMEOUT_S):
             request = OutgoingRequest("GET", path)
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -91,6 +91,9 @@
     ----------
     list_is_stale
         True if the target list can't be read, or may still name engines that left.
+    offset
+        Offset of the store's log up to which the list was read, by this instance or by
+        the peer that it comes from; None if unknown.
     in_flight_by_id
         Number of plain calls of this instance in progress, by target.
     """
@@ -100,10 +103,22 @@
     in_flight_by_id: dict[str, int] = field(factory=dict)
     _expired: set[str] = field(factory=set)
     list_is_stale: bool = False
+    offset: int | None = None
     _clock: Callable[[], float] = time.monotonic
     changes: ListChanges = field(factory=ListChanges)
     speeds: EngineSpeeds = field(factory=EngineSpeeds)
 
+    def is_newer_than(self, offset: int | None) -> bool:
+        """Return True if the list was read later than one of a peer.
+
+        Parameters
+        ----------
+        offset
+            Offset up to which the peer's list was read. None, as from a peer of an
+            earlier release, doesn't count as older.
+        """
+        return self.offset is not None and offset is not None and offset < self.offset
+
     def apply(
         self, changes: Iterable[ListChange], *, keep_expired: bool = False
     ) -> None:
--- a/libs/entry/tests/support/followed_store.py
+++ b/libs/entry/tests/support/followed_store.py
@@ -20,6 +20,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.full_read_requested = False
+        self.offset = None
 
     def request_full_read(self):
         self.full_read_requested = True
@@ -30,6 +31,9 @@
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
+        if isinstance(answer, list):
+            full, self.full_read_requested = self.full_read_requested, False
+            return None if full else answer
         return answer
 
     def full_list(self):
@@ -53,10 +57,17 @@
 
 
 class Relay:
-    """A relay with its target list, and the paths that followers requested."""
+    """A relay with its target list, and the paths that followers requested.
 
-    def __init__(self, address="10.0.0.2:7"):
+    Parameters
+    ----------
+    offset
+        Offset of the store's log up to which its list was read.
+    """
+
+    def __init__(self, address="10.0.0.2:7", offset=None):
         self.follower = make_follower()
+        self.table.offset = offset
         self.peer = Peer("relay", "a", address)
         self.age_s = 0.0
         self.list_is_stale = False
@@ -71,6 +82,7 @@
             self.peer, None, -1, {}, {}, (), {},
             revision=self.table.changes.revision, list_age_s=self.age_s,
             list_is_stale=self.list_is_stale, counts={}, remote_loads={},
+            list_offset=self.table.offset,
         )  # fmt: skip
 
 
--- a/libs/entry/tests/test_store_follower.py
+++ b/libs/entry/tests/test_store_follower.py
@@ -143,7 +143,7 @@
     follower = follow_relays(relay, table=table)
     receive_digests(follower, relay)
     assert table.list_is_stale
-    _, age_s, _ = follower.list_state()
+    age_s = follower.list_state().age_s
     assert 0.5 <= age_s < 0.9
 
 
--- a/libs/entry/tests/test_store_outages.py
+++ b/libs/entry/tests/test_store_outages.py
@@ -4,10 +4,11 @@
 from types import SimpleNamespace
 
 import pytest
+from attrs import evolve
 from celeryfork_base.counters import Counters
 from celeryfork_entry.peer_state import encode_state
 from celeryfork_entry.ports import StoreUnavailableError
-from celeryfork_entry.relayed_list import STALE_S
+from celeryfork_entry.relayed_list import STALE_S, STALE_SPREAD_S
 from celeryfork_entry.store_follower import STORE_RETRY_S, UNREAD_AGE_S, StoreFollower
 from celeryfork_entry.target_http import LostError, TargetConnections
 from celeryfork_entry.targets import TargetTable, Unlisted
@@ -22,6 +23,8 @@
 )
 from logbook import Logger
 
+OTHER = evolve(TARGET, id="t2")
+
 
 def follow(*answers):
     table = TargetTable()
@@ -217,3 +220,110 @@
 
     asyncio.run(run())
     assert list(follower._table.by_id) == [TARGET.id]
+
+
+@pytest.mark.parametrize("reads_store", [True, False], ids=["relay", "follower"])
+def test_an_older_list_of_a_relay_does_not_replace_a_newer_one(reads_store):
+    """A relay that had been paused brought back servers that had left (review, case 5).
+
+    In an outage of the store another relay took its list, and sent them orders.
+    """
+    paused = Relay(offset=4)
+    paused.table.replace_all([TARGET])
+    follower = follow_relays(paused)
+    follower.reads_store = lambda: reads_store
+    follower.unavailable_feeds = {"targets"}
+    follower._table.offset = 9
+    receive_digests(follower, paused, paused)
+    assert follower._table.by_id == {}
+    assert paused.requested_paths == []
+
+
+def test_an_older_list_that_arrives_late_is_not_applied():
+    """The relay's digest announced a newer list than the one that it then sent."""
+    relay = Relay(offset=9)
+    follower = follow_relays(relay)
+    relay.table.replace_all([TARGET])
+    follower._table.offset = 9
+
+    async def run():
+        follower.receive_digest(relay.digest())
+        follower._table.offset = 12
+        await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+    assert follower._table.by_id == {}
+
+
+def test_a_newer_list_of_a_relay_is_taken_with_its_offset():
+    relay = Relay(offset=9)
+    relay.table.replace_all([TARGET])
+    follower = follow_relays(relay)
+    follower._table.offset = 4
+    receive_digests(follower, relay)
+    assert list(follower._table.by_id) == [TARGET.id]
+    assert follower._table.offset == 9
+
+
+def test_an_answer_of_the_store_that_is_older_than_a_relays_list_is_not_applied():
+    """The answer was delayed; it listed a server that had left since."""
+    relay = Relay(offset=9)
+    follower = follow_relays(relay)
+    follower.reads_store = lambda: True
+    follower.unavailable_feeds = {"targets"}
+    requested = asyncio.Event()
+
+    class SlowFeed(Feed):
+        async def poll(self):
+            if requested.is_set():
+                return await super().poll()
+            requested.set()
+            await asyncio.sleep(0.05)
+            self.offset = 4
+            return None
+
+    follower._targets = SlowFeed()
+
+    async def run():
+        task = asyncio.ensure_future(follower.follow_targets())
+        await requested.wait()
+        follower.receive_digest(relay.digest())
+        await asyncio.sleep(0.1)
+        task.cancel()
+
+    asyncio.run(run())
+    assert follower._table.by_id == {}
+    assert follower._table.offset == 9
+
+
+def test_a_follower_whose_relays_have_older_lists_reads_the_store():
+    """It would keep its list for good if the store's log began anew."""
+    relay = Relay(offset=4)
+    follower = follow_relays(relay)
+    follower._table.offset = 9
+    receive_digests(follower, relay)
+    assert not follower.relays_are_stale()
+    follower._relayed._usable_s -= STALE_S + STALE_SPREAD_S
+    receive_digests(follower, relay)
+    assert follower.relays_are_stale()
+
+
+def test_an_instance_that_starts_without_the_store_uses_the_newest_list():
+    """It took the first peer's, and told others that it was new."""
+    addresses = {"10.0.0.2:7": (5, [TARGET], 4.0), "10.0.0.3:7": (7, [OTHER], 1.0)}
+    follower = FakePeerFollower(
+        Decoding(), Feed(), TargetTable(), TargetConnections(), Logger("test"),
+        Counters(), lambda: list(addresses),
+    )  # fmt: skip
+
+    async def request_peer(address, path):
+        offset, targets, age_s = addresses[address]
+        configuration = SimpleNamespace(encoded=b"1")
+        return encode_state(configuration, targets, offset, age_s)
+
+    follower.request_peer = request_peer
+    asyncio.run(follower._fetch_from_any_peer())
+    assert list(follower._table.by_id) == [OTHER.id]
+    state = follower.list_state()
+    assert state.offset == 7
+    assert state.age_s == pytest.approx(1.0, abs=0.5)
