Keep a silent path unless another one is reserved

No engine had ended.

Cause: an engine that misses three reports of 0.04 s was taken for dead. All streams over it were closed at once, to be sent again over a path that didn't exist, by more retries than the instance's share had. A path that was silent for 1.2 s, a stream that must not be repeated and a plain idempotent call after 0.3 s were given up in the same way.

Change: a closed port or connection and a new start time are an end; silence is a doubt. A doubted engine gets no new work, as before. A stream leaves it only once another path and a retry are reserved, and stays on its path until then, up to the call's time. An engine whose report breaks off is asked again, which tells a crash from a pause.

Ruled out: the review's guess that the checks find engines down too soon; new requests need that.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -10,6 +10,7 @@
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
+from celeryfork_routing.engine_loads import LayerPath
 from logbook import Logger
 
 from celeryfork_entry.budget_loans import BudgetLoans
@@ -78,6 +79,10 @@
     may_have_run
         True if any target may have started the request. The caller can't be told then
         that it was not run.
+    reserved_path
+        Path for the next attempt, for which a send was acquired; None for none.
+    send_reserved
+        True if a send was acquired for the next attempt.
     progress
         Events forwarded to the caller of a stream, None before its first attempt.
     waiting_for
@@ -109,6 +114,8 @@
     avoided: set[str] = field(factory=set)
     failed_on: set[str] = field(factory=set)
     first_engines: FirstEngines = field(factory=lambda: FirstEngines(1))
+    reserved_path: LayerPath | None = None
+    send_reserved: bool = False
     progress: StreamProgress | None = None
     waiting_for: str = "pause"
 
@@ -179,6 +186,31 @@
         call.delivered_sends += 1
         return True
 
+    def reserve_retry(self, call: Call) -> bool:
+        """Acquire a send for the next attempt, while the last one still runs.
+
+        Returns
+        -------
+        bool
+            False if the retry budget is used up. The last attempt goes on then.
+        """
+        before, call.may_have_run = call.may_have_run, True
+        call.send_reserved = self.acquire_send(call)
+        if not call.send_reserved:
+            call.may_have_run = before
+        return call.send_reserved
+
+    def acquire_next_send(self, call: Call) -> bool:
+        """Use the reserved send if there is one, else acquire one."""
+        reserved, call.send_reserved = call.send_reserved, False
+        return reserved or self.acquire_send(call)
+
+    def release_reserved_send(self, call: Call) -> None:
+        """Undo :meth:`reserve_retry` if no attempt has used it."""
+        if call.send_reserved:
+            call.send_reserved = False
+            self.release_send(call)
+
     async def wait_for_retry_budget(self, call: Call, until_s: float | None) -> bool:
         """Wait until the retry budget allows another send; return False if it doesn't.
 
--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -171,7 +171,7 @@
         return await asyncio.shield(task)
 
     async def _ask(self, target: Target, timeout_s: float) -> EngineReport | None:
-        late = False
+        late, lost = False, False
         for _ in range(MAX_REPORT_REQUESTS):
             started_s = time.monotonic()
             try:
@@ -182,9 +182,14 @@
                 self._counters.add("engines.asked_late", int(late))
                 if not late and self._last_answer_s > started_s:
                     return self._judge(target, None, repr(error))
-            except (NotSentError, LostError) as error:
+            except NotSentError as error:
                 ended = isinstance(error, PortClosedError)
                 return self._judge(target, None, repr(error), ended=ended)
+            except LostError as error:
+                if lost:
+                    return self._judge(target, None, repr(error))
+                # Asked again, as the port of a process that has just ended is closed.
+                late, lost = False, True
             else:
                 return self._judge(target, report, "no valid report")
         if not late:
@@ -308,11 +313,21 @@
         """
         if engine_id not in self._table.by_id:
             return
-        if self._table.exclude(engine_id, reason, time.monotonic(), ended=ended):
-            self._counters.add("engines.down")
+        now_s, health = time.monotonic(), self._table.health(engine_id)
+        has_ended = ended and not health.ended
+        if health.excluded and now_s < health.held_until_s and not has_ended:
+            # Streams that wait for the engine ask more often than it is due.
+            return
+        newly_down = self._table.exclude(engine_id, reason, now_s, ended=ended)
+        if newly_down or has_ended:
+            self._counters.add("engines.down", int(newly_down))
             target = self._table.by_id[engine_id]
             self._log.info(
-                "engine_down", engine=engine_id, address=target.address, reason=reason
+                "engine_down",
+                engine=engine_id,
+                address=target.address,
+                reason=reason,
+                ended=ended,
             )
             self._connections.forget(target.address)
             if own:
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -82,6 +82,12 @@
         Monotonic time of the first event of this attempt, None before it.
     last_event_s
         Monotonic time of its last event, None before the first one.
+    loan
+        Task that asks other instances for a retry.
+    doubt
+        Why an engine of the path may be down, empty after an event.
+    kept
+        True once the path was kept during silence, as there was no other one.
     """
 
     call: Call
@@ -94,6 +100,23 @@
     sent: bool = False
     first_event_s: float | None = None
     last_event_s: float | None = None
+    loan: asyncio.Task[bool] | None = None
+    doubt: str = ""
+    kept: bool = False
+    _doubted: asyncio.Future[None] | None = None
+
+    @property
+    def doubted(self) -> asyncio.Future[None]:
+        """Future that is done once :attr:`doubt` is set."""
+        if self._doubted is None or self._doubted.done():
+            self._doubted = asyncio.get_running_loop().create_future()
+        return self._doubted
+
+    def record_doubt(self, reason: str) -> None:
+        """Record that an engine of the path doesn't respond, but has not ended."""
+        self.doubt = reason
+        if self._doubted is not None and not self._doubted.done():
+            self._doubted.set_result(None)
 
     def mark_sent(self) -> None:
         """Record that sending of the request has started."""
@@ -104,6 +127,7 @@
         if self.first_event_s is None:
             self.first_event_s = now_s
         self.last_event_s = now_s
+        self.doubt = ""
 
     @property
     def writing_s(self) -> float:
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -113,6 +113,12 @@
                     self.log_no_path(call)
                     raise
 
+    def find_other(self, call: Call, path: LayerPath) -> LayerPath | None:
+        """Return a path now that has other engines than ``path``, None if none has."""
+        found = self._find(call)
+        same = found is not None and set(found.engine_ids) == set(path.engine_ids)
+        return None if same else found
+
     async def _pause(self) -> None:
         """Wait before the next search, longer the more calls are waiting."""
         self._waiting += 1
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -31,8 +31,11 @@
 that have refused it, or for the retry budget. The caller needs the rest of its time for
 a retry of its own."""
 FIRST_REPLY_TIMEOUT_S = 0.3
-"""Timeout in seconds for a target's reply to an idempotent call if another target may
-still be tried."""
+"""Timeout in seconds for a target's reply to an idempotent call if there is another
+target and a retry left. Otherwise the reply is awaited: a target that is silent may go
+on after a pause."""
+LEAVE_RETRY_S = 0.05
+"""Seconds between two attempts to leave a silent target."""
 MAX_REPLY_BYTES = 16 << 20
 """Maximum size of a reply that is buffered for a caller."""
 OTHER_DOMAIN_PENALTY = 2.0
@@ -172,7 +175,7 @@
             if target is None:
                 if not await history.wait_for_capacity(call):
                     break
-            elif not self._context.acquire_send(call):
+            elif not self._context.acquire_next_send(call):
                 if not await self._context.wait_for_retry_budget(
                     call, history.retry_deadline_s
                 ):
@@ -183,6 +186,7 @@
                 if not self._should_retry(call, last, at_most_once):
                     break
                 history.record(call, target, last)
+        self._context.release_reserved_send(call)
         if history.failure is not None and not isinstance(last, Answered):
             last = history.failure
         await self._finish(call, last)
@@ -210,14 +214,18 @@
         sent: list[bool] = []
         in_flight = self._context.table.in_flight_by_id
         in_flight[target.id] = in_flight.get(target.id, 0) + 1
-        wait_s = call.left_s
-        if not at_most_once and call.runs + 1 < call.route.max_targets:
-            wait_s = min(wait_s, FIRST_REPLY_TIMEOUT_S)
+        exchange = asyncio.ensure_future(
+            self._exchange(
+                call, target, at_most_once, on_sent=lambda: sent.append(True)
+            )
+        )
+        may_retry = not at_most_once and call.runs + 1 < call.route.max_targets
         try:
-            async with asyncio.timeout(wait_s):
-                attempt = await self._exchange(
-                    call, target, at_most_once, on_sent=lambda: sent.append(True)
-                )
+            attempt = await self._wait_for_reply(
+                exchange,
+                call,
+                lambda: may_retry and self._may_leave(call, target, bool(sent)),
+            )
         except NotSentError as error:
             attempt = Refused(str(error))
             self._context.release_send(call)
@@ -238,6 +246,46 @@
         self._log_attempt(call, target, attempt)
         return attempt
 
+    @staticmethod
+    async def _wait_for_reply(
+        exchange: asyncio.Future[AttemptResult],
+        call: Call,
+        may_leave: Callable[[], bool],
+    ) -> AttemptResult:
+        """Wait for the end of an exchange.
+
+        Parameters
+        ----------
+        may_leave
+            Returns True if another target is to be tried in place of further waiting.
+
+        Raises
+        ------
+        TimeoutError
+            The time of the call is up, or another target is to be tried.
+        """
+        leave_s = time.monotonic() + FIRST_REPLY_TIMEOUT_S
+        try:
+            while True:
+                wait_s = min(call.left_s, leave_s - time.monotonic())
+                await asyncio.wait({exchange}, timeout=max(0.0, wait_s))
+                if exchange.done():
+                    return exchange.result()
+                if call.left_s <= 0:
+                    raise TimeoutError("the time of the call is up")
+                if time.monotonic() >= leave_s:
+                    if may_leave():
+                        raise TimeoutError("no reply yet, and there is another target")
+                    leave_s = time.monotonic() + LEAVE_RETRY_S
+        finally:
+            exchange.cancel()
+
+    def _may_leave(self, call: Call, target: Target, sent: bool) -> bool:
+        """Return True if another target is available, and reserve a retry if needed."""
+        available = self._context.table.available(call.service.name)
+        others = {each.id for each in available} - call.avoided - {target.id}
+        return bool(others) and (not sent or self._context.reserve_retry(call))
+
     async def _exchange(
         self,
         call: Call,
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -21,6 +21,7 @@
     EventSplitter,
     media_type,
 )
+from celeryfork_entry.first_engines import MAX_LOST_ENGINES
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.path_attempts import (
     EngineFailed,
@@ -30,15 +31,27 @@
     PathBroke,
     PathRefused,
 )
-from celeryfork_entry.path_selector import PathSelector, expected_answer_tokens
+from celeryfork_entry.path_selector import (
+    SEARCH_INTERVAL_S,
+    PathSelector,
+    expected_answer_tokens,
+)
 from celeryfork_entry.plain_calls import NOT_RUN_STATUSES
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.reachability_checks import ReachabilityChecks
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
 from celeryfork_entry.stream_endings import StreamEndings
-from celeryfork_entry.stream_limits import exhausted_limit, stream_retry_deadline_s
+from celeryfork_entry.stream_limits import (
+    MAX_FAILURES,
+    exhausted_limit,
+    stream_retry_deadline_s,
+)
 from celeryfork_entry.stream_progress import EventGaps, StreamProgress
-from celeryfork_entry.stream_waits import SILENCE_LIMIT_S, wait_with_checks
+from celeryfork_entry.stream_waits import (
+    SILENCE_LIMIT_S,
+    PathLeftError,
+    wait_with_checks,
+)
 from celeryfork_entry.target_http import (
     LostError,
     NotSentError,
@@ -52,6 +65,9 @@
 """Timeout in seconds for the body of an error reply if another engine may be tried."""
 MAX_ERROR_BYTES = 1 << 20
 """Maximum size of the body of an error reply."""
+LOAN_WAIT_S = 1.0
+"""Seconds for which the stream of a silent path waits for a retry of other instances
+before it asks again."""
 LAYERS_MISSING_STATUS = 421
 """Status of an engine that doesn't hold the layers that the path assigns to it."""
 ANSWER_RESERVE_FACTOR = 1.0
@@ -79,6 +95,7 @@
     _guard: CrashGuard
     _attempts: AttemptRegistry = field(init=False)
     _endings: StreamEndings = field(init=False)
+    _next_search_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Create the registry of attempts, and what ends the calls."""
@@ -90,26 +107,88 @@
         return bool(self._attempts.on_engine(engine_id))
 
     def engine_down(self, engine_id: str) -> None:
-        """Reroute or interrupt the streams of an engine that was excluded as down."""
+        """Reroute, doubt or interrupt the streams of an engine excluded as down."""
         self._reachability.engine_down(engine_id)
         for attempt in list(self._attempts.on_engine(engine_id)):
             if attempt.path.parts[0].engine_id == engine_id:
-                attempt.interrupt(f"engine {engine_id} is down")
+                self._doubt(attempt, [engine_id])
             elif attempt.detour is None or attempt.detour.done():
                 attempt.detour = asyncio.ensure_future(self._reroute(attempt))
                 self._checks.spawn(attempt.detour)
 
     async def _reroute(self, attempt: PathAttempt) -> None:
-        """Reroute a stream around lost engines; interrupt it if that fails."""
+        """Reroute a stream around lost engines; doubt its path if that fails."""
         while down := self._unavailable_engines(attempt.path):
             detour = await self._detours.reroute(attempt.call, attempt.path)
             if detour is None:
-                attempt.interrupt(f"engine {down[0]} is down")
+                self._doubt(attempt, down)
                 return
             self._attempts.remove(attempt)
             attempt.path = detour
             self._attempts.add(attempt)
 
+    def _doubt(self, attempt: PathAttempt, down: list[str]) -> None:
+        """Interrupt an attempt if an engine has ended, else doubt its path.
+
+        Engines that don't respond may go on after a pause.
+        """
+        reason = f"engine {down[0]} is down"
+        if not attempt.sent or any(self._has_ended(each) for each in down):
+            attempt.interrupt(reason)
+        elif not attempt.doubt:
+            attempt.record_doubt(reason)
+
+    def _may_leave(self, attempt: PathAttempt) -> bool:
+        """Reserve another path and a send for the stream of a silent path.
+
+        Returns
+        -------
+        bool
+            False if there is none, or no repeat is left. The path is kept then.
+        """
+        call, now_s = attempt.call, time.monotonic()
+        if now_s < self._next_search_s or not self._may_repeat(attempt):
+            return False
+        first = self._record_run(call, attempt.path)
+        if not self._unavailable_engines(attempt.path):
+            call.avoided.add(first)
+        path = self._selector.find_other(call, attempt.path)
+        if path is None:
+            self._next_search_s = now_s + SEARCH_INTERVAL_S
+        elif self._guard.is_allowed(call):
+            if self._context.reserve_retry(call):
+                call.reserved_path = path
+                return True
+            self._borrow_retry(attempt)
+        if not attempt.kept:
+            attempt.kept = True
+            self._context.counters.add("streams.silent_paths_kept")
+            self._context.log_event(
+                call,
+                "silent_path_kept",
+                reason=attempt.doubt or "no event",
+                other_path=path is not None,
+                **self._context.retry_budget_usage(call),
+            )
+        return False
+
+    def _borrow_retry(self, attempt: PathAttempt) -> None:
+        """Ask other instances for a retry in the background."""
+        if attempt.loan is None or attempt.loan.done():
+            until_s = time.monotonic() + LOAN_WAIT_S
+            attempt.loan = asyncio.ensure_future(
+                self._context.loans.wait_for_retry(attempt.call.service.name, until_s)
+            )
+
+    def _may_repeat(self, attempt: PathAttempt) -> bool:
+        """Return True if no limit of the call forbids another attempt."""
+        call = attempt.call
+        return (
+            _is_resumable(call)
+            and call.failures + 1 < MAX_FAILURES
+            and call.first_engines.lost + 1 < MAX_LOST_ENGINES
+        )
+
     async def serve(self, call: Call) -> None:
         """Answer a call with a stream of events.
 
@@ -131,16 +210,10 @@
         refusals = 0
         until_s: float | None = None
         while (ended_by := exhausted_limit(call)) is None:
-            path = await self._find_path(call, until_s)
+            path = await self._acquire_path(call, until_s)
             if isinstance(path, str):
                 ended_by = path
                 break
-            if not self._context.acquire_send(call):
-                if await self._context.wait_for_retry_budget(call, until_s):
-                    # The path may have become unavailable during the wait.
-                    continue
-                ended_by = "retry_budget"
-                break
             last = await self._attempt(call, path, progress)
             if not self._should_retry(call, last, path, progress):
                 ended_by = "first_engines" if _is_resumable(call) else "kind"
@@ -158,8 +231,22 @@
                 if last.answered:
                     refusals += 1
                     await asyncio.sleep(min(left_s, refusal_backoff_s(refusals)))
+        self._context.release_reserved_send(call)
         await self._endings.finish(call, last, progress, ended_by)
 
+    async def _acquire_path(self, call: Call, until_s: float | None) -> LayerPath | str:
+        """Return a path and acquire a send, or return the reason for the call's end."""
+        while True:
+            found = call.reserved_path or await self._find_path(call, until_s)
+            call.reserved_path = None
+            if isinstance(found, str) or self._context.acquire_next_send(call):
+                return found
+            # The path may become unavailable during the wait.
+            if not await self._context.wait_for_retry_budget(call, until_s):
+                return "retry_budget"
+            if (ended_by := exhausted_limit(call)) is not None:
+                return ended_by
+
     async def _find_path(self, call: Call, until_s: float | None) -> LayerPath | str:
         """Return a path over which a call may be sent, else the reason for its end."""
         while True:
@@ -207,16 +294,21 @@
             if not attempt.sent:
                 self._context.release_send(call)
                 return PathRefused(attempt.interrupted)
-            if self._guard.may_crash(attempt):
-                # A peer's report doesn't tell if an engine has ended.
-                first = attempt.path.parts[0].engine_id
-                await self._checks.find_down([first], ask_all=True)
-            return self._path_broke(attempt, attempt.interrupted)
+            return await self._left(attempt, attempt.interrupted)
         finally:
-            if attempt.detour is not None:
-                attempt.detour.cancel()
+            for task in (attempt.detour, attempt.loan):
+                if task is not None:
+                    task.cancel()
             self._attempts.remove(attempt)
 
+    async def _left(self, attempt: PathAttempt, reason: str) -> PathBroke:
+        """Return the outcome of an attempt that was given up during its run."""
+        if self._guard.may_crash(attempt):
+            # A peer's report doesn't tell if an engine has ended.
+            first = attempt.path.parts[0].engine_id
+            await self._checks.find_down([first], ask_all=True)
+        return self._path_broke(attempt, reason)
+
     async def _run(self, attempt: PathAttempt, progress: StreamProgress) -> Outcome:
         context, call, path = self._context, attempt.call, attempt.path
         first = context.table.by_id.get(path.parts[0].engine_id)
@@ -244,7 +336,8 @@
                     attempt,
                     sending,
                     FIRST_EVENT_CHECK_DELAY_S,
-                    speeds=True,
+                    True,
+                    self._may_leave,
                 )
                 return await self._relay(attempt, reply, progress)
             finally:
@@ -262,6 +355,8 @@
                 partial(self._checks.mark_down, first.id, str(error), ended=ended)
             )
             return PathRefused(str(error))
+        except PathLeftError as error:
+            return await self._left(attempt, str(error))
         except (LostError, TimeoutError, ValueError) as error:
             await self._checks.find_down(attempt.path.engine_ids, ask_all=True)
             if not attempt.sent:
@@ -285,17 +380,19 @@
         progress.content_type = content_type
         splitter = EventSplitter()
         gaps = EventGaps()
-        replied_s = time.monotonic()
+        replied_s, fruitless = time.monotonic(), False
         while True:
             reading = asyncio.ensure_future(reply.read())
-            begun = attempt.last_event_s is not None
+            last_event_s = attempt.last_event_s
             data = await wait_with_checks(
                 self._checks,
                 attempt,
                 reading,
-                gaps.check_delay_s if begun else FIRST_EVENT_CHECK_DELAY_S,
-                speeds=not begun,
-                since_s=attempt.last_event_s or replied_s,
+                gaps.check_delay_s if last_event_s else FIRST_EVENT_CHECK_DELAY_S,
+                not last_event_s,
+                self._may_leave,
+                since_s=last_event_s or replied_s,
+                fruitless=fruitless,
             )
             if not data:
                 break
@@ -307,6 +404,7 @@
                 await self._forward_events(attempt, reply, following, progress)
                 if fault is not None:
                     raise LostError(fault)
+            fruitless = attempt.last_event_s == last_event_s
         if splitter.incomplete or not progress.started:
             raise LostError(
                 "the stream ended before its first event or within an event"
@@ -453,12 +551,18 @@
 
     def _record_failed_run(self, call: Call, path: LayerPath) -> None:
         """Count a failure of a path that may have run the call."""
-        first = self._context.table.by_id.get(path.parts[0].engine_id)
-        born_ms = first.born_ms if first else None
-        call.first_engines.record_run(path.parts[0].engine_id, born_ms)
+        self._record_run(call, path)
         call.may_have_run = True
         call.failures += 1
 
+    def _record_run(self, call: Call, path: LayerPath) -> str:
+        """Record that a path may have run the call; return its first engine."""
+        engine_id = path.parts[0].engine_id
+        first = self._context.table.by_id.get(engine_id)
+        born_ms = first.born_ms if first else None
+        call.first_engines.record_run(engine_id, born_ms)
+        return engine_id
+
     def _should_retry(
         self, call: Call, outcome: Outcome, path: LayerPath, progress: StreamProgress
     ) -> bool:
--- a/libs/entry/src/celeryfork_entry/stream_waits.py
+++ b/libs/entry/src/celeryfork_entry/stream_waits.py
@@ -1,28 +1,42 @@
-"""Waiting for the events of a path, with checks of its engines during silence."""
+"""Waiting for the events of a path, with checks of its engines during silence.
+
+A silent path is left only for another one: its engines may go on after a pause, and an
+answer has nowhere else to come from.
+"""
 
 import asyncio
 import time
-from typing import TypeVar
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.path_attempts import PathAttempt
 
 SILENCE_LIMIT_S = 1.2
-"""Seconds without an event after which a path is abandoned even if its engines respond.
+"""Seconds without an event after which another path is sought even if the engines of
+this one respond.
 
 Callers disconnect after 2 s.
 """
+LEAVE_RETRY_S = 0.05
+"""Seconds between two attempts to leave a silent path."""
 
 Result = TypeVar("Result")
 
 
+class PathLeftError(Exception):
+    """A silent path was given up, as another one was reserved."""
+
+
 async def wait_with_checks(
     checks: EngineChecks,
     attempt: PathAttempt,
     task: asyncio.Future[Result],
     check_delay_s: float,
     speeds: bool,
+    may_leave: Callable[[PathAttempt], bool],
     since_s: float | None = None,
+    fruitless: bool = False,
 ) -> Result:
     """Wait for ``task``, and check the path's engines if it takes long.
 
@@ -33,34 +47,76 @@
         expiry.
     speeds
         True to also ask engines for their speed if it is unknown.
+    may_leave
+        Reserves another path if there is one, and returns True then. It is called
+        after :data:`SILENCE_LIMIT_S`, and once an engine of the path is doubted.
     since_s
         Monotonic time of the last complete event, None to count from now. Bytes
         that complete no event don't reset the timeout.
+    fruitless
+        True if bytes have arrived since that completed no event. Without such bytes,
+        this process may be late, and the next events have arrived already.
 
     Raises
     ------
+    PathLeftError
+        The path is silent, and another one is reserved.
     TimeoutError
-        No event for :data:`SILENCE_LIMIT_S`, or the caller's time is up.
+        The caller's time is up.
     """
-    begun_s = time.monotonic() if since_s is None else since_s
+    now_s = time.monotonic()
+    begun_s = now_s if since_s is None else since_s
+    check_s = now_s + check_delay_s
     check: asyncio.Future[list[str]] | None = None
     try:
+        if fruitless:
+            _require_time(attempt, now_s - begun_s, may_leave)
         while True:
-            silent_s = time.monotonic() - begun_s
-            left_s = min(SILENCE_LIMIT_S - silent_s, attempt.call.left_s)
-            if left_s <= 0:
-                raise TimeoutError(f"silent for {silent_s:.3f} s")
-            await asyncio.wait({task}, timeout=min(check_delay_s, left_s))
+            limit_s = begun_s + SILENCE_LIMIT_S
+            if attempt.doubt or now_s >= limit_s:
+                limit_s = now_s + LEAVE_RETRY_S
+            waiting: set[asyncio.Future[Any]] = {task}
+            if not attempt.doubt:
+                waiting.add(attempt.doubted)
+            ends_s = min(check_s, limit_s, now_s + attempt.call.left_s)
+            await asyncio.wait(
+                waiting,
+                timeout=max(0.0, ends_s - now_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
             if task.done():
                 return task.result()
-            check_delay_s *= 2
+            now_s = time.monotonic()
+            _require_time(attempt, now_s - begun_s, may_leave)
             # Runs in the background, so that data arriving meanwhile is forwarded
             # without delay.
-            if check is None or check.done():
-                check = asyncio.ensure_future(
-                    checks.find_down(attempt.path.engine_ids, speeds=speeds)
-                )
+            if now_s >= check_s:
+                check_delay_s *= 2
+                check_s = now_s + check_delay_s
+                if check is None or check.done():
+                    check = asyncio.ensure_future(
+                        checks.find_down(attempt.path.engine_ids, speeds=speeds)
+                    )
     finally:
         task.cancel()
         if check is not None:
             check.cancel()
+
+
+def _require_time(
+    attempt: PathAttempt, silent_s: float, may_leave: Callable[[PathAttempt], bool]
+) -> None:
+    """Raise an error if an attempt is to end.
+
+    Raises
+    ------
+    PathLeftError, TimeoutError
+        As :func:`wait_with_checks`.
+    """
+    if attempt.call.left_s <= 0:
+        raise TimeoutError("the time of the call is up")
+    reason = attempt.doubt
+    if silent_s >= SILENCE_LIMIT_S:
+        reason = reason or f"silent for {silent_s:.3f} s"
+    if reason and may_leave(attempt):
+        raise PathLeftError(reason)
--- a/libs/entry/tests/test_engine_checks.py
+++ b/libs/entry/tests/test_engine_checks.py
@@ -14,7 +14,7 @@
 )
 from celeryfork_entry.engine_speeds import SLOWNESS_TTL_S
 from celeryfork_entry.ports import EngineReport
-from celeryfork_entry.target_http import NotSentError, PortClosedError
+from celeryfork_entry.target_http import LostError, NotSentError, PortClosedError
 from celeryfork_entry.targets import SUSPICION_TTL_S, Listed, Target, TargetTable
 from logbook import Logger
 
@@ -108,6 +108,22 @@
     assert not table.health("x").ended
 
 
+@pytest.mark.parametrize(
+    ("answer", "excluded", "ended"),
+    [
+        (PortClosedError("closed"), True, True),
+        (LostError("reset"), True, False),
+        ("yes", False, False),
+    ],
+)
+def test_an_engine_whose_report_is_lost_is_asked_again(answer, excluded, ended):
+    """The report broke off as the process ended, which then counted as a pause."""
+    checks, table, _, _ = make_checks(Engine(LostError("reset"), answer))
+    ask(checks)
+    health = table.health("x")
+    assert (health.excluded, health.ended) == (excluded, ended)
+
+
 def test_a_restarted_engine_counts_as_ended():
     checks, table, _, _ = make_checks(Engine("yes"))
     table.apply([Listed(Target("x", "llm", "x:1", "a", born_ms=7))])
