Bound the memory for all replies that are being read

Other operators saw a machine run out of memory, as a faulty engine sent bytes that were no answer without end.

Change: all bodies that are being read take 48 MiB at most. Beyond it those above the average length fail, so that sound replies are still read. Chunks are joined as they come. A stream's unread bytes and its incomplete event have at most 256 KiB each instead of 1 MiB.

Ruled out: endless heads, which have a limit of 64 KiB.

--- a/libs/entry/src/celeryfork_entry/byte_stream.py
+++ b/libs/entry/src/celeryfork_entry/byte_stream.py
@@ -10,7 +10,7 @@
 
 MAX_READ_BYTES = 1 << 16
 """Maximum number of bytes that one read returns: the time to parse them is bounded."""
-MAX_UNREAD_BYTES = 1 << 20
+MAX_UNREAD_BYTES = 1 << 18
 """Number of unread bytes above which reading pauses, which bounds the memory of a
 connection."""
 KEEPALIVE_IDLE_S = 1
--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -249,19 +249,17 @@
         return begun_s + limits.header_timeout_s
 
     async def _body(self, limits: CallerLimits) -> bytes:
-        pieces: list[bytes] = []
-        length = 0
+        body = bytearray()
         turns = LoopTurns()
         while True:
             await turns.step()
             event = self._parse()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(pieces)
+                return bytes(body)
             if isinstance(event, h11.Data):
-                length += len(event.data)
-                if length > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     raise _too_large(limits.body_bytes)
-                pieces.append(bytes(event.data))
                 continue
             try:
                 async with asyncio.timeout(limits.idle_timeout_s):
--- a/libs/entry/src/celeryfork_entry/events.py
+++ b/libs/entry/src/celeryfork_entry/events.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-MAX_EVENT_BYTES = 1 << 20
+MAX_EVENT_BYTES = 1 << 18
 """Maximum size of an event; a stream with a longer one counts as failed."""
 
 MAX_EVENTS_PER_FEED = 128
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -32,6 +32,9 @@
 FIRST_ERROR_STATUS = 400
 MAX_FAILED_REQUESTS = 16
 """Maximum number of failed requests of a connection that is kept."""
+MAX_BUFFERED_BYTES = 48 << 20
+"""Maximum size of all bodies that are being read, a sixth of the memory of a small
+machine. Beyond it, the bodies that are longer than the others fail."""
 MAX_UNNEEDED_BYTES = 65_536
 """Maximum size of a body that is read only to use its connection again."""
 UNNEEDED_BODY_TIMEOUT_S = 0.05
@@ -129,15 +132,23 @@
         Raises
         ------
         LostError
-            The reply is truncated, malformed or longer than ``max_bytes``.
+            The reply is truncated, malformed or longer than ``max_bytes``, or there is
+            no memory for it.
         """
-        pieces, length = [], 0
-        while piece := await self.read():
-            length += len(piece)
-            if length > max_bytes:
-                raise LostError(f"a reply is longer than {max_bytes} bytes")
-            pieces.append(piece)
-        return b"".join(pieces)
+        body, buffers = bytearray(), self._pool.buffers
+        buffers.bodies += 1
+        try:
+            while piece := await self.read():
+                body += piece
+                buffers.bytes += len(piece)
+                if len(body) > max_bytes:
+                    raise LostError(f"a reply is longer than {max_bytes} bytes")
+                if buffers.excludes(len(body)):
+                    raise LostError("the memory for bodies of replies is used up")
+            return bytes(body)
+        finally:
+            buffers.bodies -= 1
+            buffers.bytes -= len(body)
 
     async def skip_body(self) -> None:
         """Read a body that isn't needed, so that its connection can be used again.
@@ -210,6 +221,21 @@
                 raise LostError("the connection broke in a reply") from error
 
 
+@define
+class BodyBuffers:
+    """Number and total size of the bodies that are being read."""
+
+    bodies: int = 0
+    bytes: int = 0
+
+    def excludes(self, length: int) -> bool:
+        """Return True if there is no room for a body that has this length by now.
+
+        Without room, the bodies above the average fail, as endless ones do.
+        """
+        return self.bytes > MAX_BUFFERED_BYTES and length * self.bodies >= self.bytes
+
+
 @define
 class TargetConnections:
     """Pool of connections to other processes.
@@ -218,11 +244,14 @@
     ----------
     opened
         Number of connections opened so far.
+    buffers
+        Memory for the bodies of replies.
     """
 
     _idle_by_address: dict[str, list[_Connection]] = field(factory=dict)
     _idle_in_order: dict[_Connection, None] = field(factory=dict)
     opened: int = 0
+    buffers: BodyBuffers = field(factory=BodyBuffers)
 
     async def send(
         self,
--- a/libs/entry/tests/test_faulty_engines.py
+++ b/libs/entry/tests/test_faulty_engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+import tracemalloc
 
 import pytest
 from attrs import evolve
@@ -289,3 +290,77 @@
 
     trial.run(run())
     assert (caller.status, caller.ending) == (200, "whole")
+
+
+FLOODS = 30
+MAX_FLOOD_BYTES = 96 << 20
+"""Maximum memory for floods on many connections at once, a third of a small machine."""
+
+
+def peak_bytes(work):
+    """Return the peak of the memory that ``work`` allocates, in bytes."""
+    tracemalloc.start()
+    try:
+        asyncio.run(asyncio.wait_for(work, 20.0))
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+async def read_bodies(engines, max_bytes):
+    """Read the bodies of engines' replies at once; return them, None if lost."""
+    connections = TargetConnections()
+
+    async def read(engine):
+        async with listening(engine.serve) as address:
+            request = OutgoingRequest("GET", "/")
+            reply = await connections.send(address, request)
+            try:
+                return await reply.read_all(max_bytes)
+            except ConnectionError:
+                return None
+            finally:
+                reply.drop()
+
+    return await asyncio.gather(*(read(engine) for engine in engines))
+
+
+@pytest.mark.parametrize(
+    "beginning", [UNFRAMED, HEAD + b"Content-Length: 99999999\r\n\r\n"]
+)
+def test_endless_bodies_of_many_engines_do_not_use_up_the_memory(beginning):
+    """Each of them had a limit, all together had none (other operators' report)."""
+    body = b"y" * 300_000
+    sound = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    engines = [FaultyEngine(beginning, b"x" * 65_536) for _ in range(FLOODS)]
+    engines += [FaultyEngine(sound) for _ in range(4)]
+    answers = []
+
+    async def run():
+        answers.extend(await read_bodies(engines, 16 << 20))
+
+    assert peak_bytes(run()) <= MAX_FLOOD_BYTES
+    assert answers == [None] * FLOODS + [body] * 4
+
+
+def test_a_body_of_one_byte_chunks_takes_no_more_memory_than_its_bytes():
+    """Each chunk was kept as an object of its own, of 40 times its size."""
+    engine = FaultyEngine(CHUNKED, b"1\r\nx\r\n" * (PIECE_BYTES // 6))
+    assert peak_bytes(read_bodies([engine], PIECE_BYTES)) <= 8 * PIECE_BYTES
+
+
+def test_floods_in_place_of_events_on_many_streams_do_not_use_up_the_memory():
+    """Unread bytes and an incomplete event took over 2 MiB for each stream."""
+    trial = make_trial()
+
+    async def run():
+        engine = FaultyEngine(UNFRAMED, b"x" * 65_536, gap_s=0.05)
+        async with listening(engine.serve) as address:
+            add_engine(trial, "faulty", address, "a")
+            handling = [
+                trial.dispatcher().handle(Caller(), trial.request(f"r{n}", LEFT_S))
+                for n in range(100)
+            ]
+            await asyncio.gather(*handling)
+
+    assert peak_bytes(run()) <= MAX_FLOOD_BYTES
