Answer or refuse calls that a planned stop would cut

Other operators saw requests that came late in the grace of a planned stop passed on, and cut without an answer at its end, among them some that may not be repeated.

Cause: a connection whose answer had begun before the stop isn't told to close, so that its next request may come at any time of the grace. It was passed on with all of its own time, and every call still in progress at the end lost its connection.

Change: once callers have had time to go elsewhere, a call whose time ends after the stop is refused as not run. The time of all calls ends 0.4 s before the process, so that they are answered.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from math import inf
 
 from attrs import define, field
 from celeryfork_admission.crash_evidence import Trait
@@ -23,11 +24,31 @@
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.targets import TargetTable
 
+MAX_WAIT_S = 0.2
+"""Maximum seconds of a wait for a reply before the call's time is looked at again."""
 ANSWER_MARGIN_S = 0.03
 """Seconds subtracted from a caller's deadline, so that the final answer arrives in
 time."""
 
 
+@define
+class PlannedStop:
+    """Progress of a planned stop of this instance, shared by all its calls.
+
+    Parameters
+    ----------
+    ends_s
+        Monotonic time by which every call must have its final answer, infinite while
+        the instance isn't stopping.
+    drained
+        True once callers have had time to go elsewhere. Calls whose time ends after the
+        stop are refused then.
+    """
+
+    ends_s: float = inf
+    drained: bool = False
+
+
 @define(eq=False)
 class Call:
     """A request that has been authorised and assigned to a route and a service.
@@ -85,6 +106,8 @@
         True if a send was acquired for the next attempt.
     progress
         Events forwarded to the caller of a stream, None before its first attempt.
+    stop
+        Planned stop of this instance.
     waiting_for
         What the call is waiting for, for the log: ``path``, ``retry_budget``,
         ``engine``, ``target``, or ``pause`` between two sends.
@@ -118,11 +141,16 @@
     send_reserved: bool = False
     progress: StreamProgress | None = None
     waiting_for: str = "pause"
+    stop: PlannedStop = field(factory=PlannedStop)
 
     @property
     def left_s(self) -> float:
-        """Return the seconds left until the final answer must be sent."""
-        return self.deadline_s - time.monotonic()
+        """Return the seconds left until the final answer must be sent.
+
+        A planned stop shortens them, so that a wait should look at them again at
+        intervals of :data:`MAX_WAIT_S`.
+        """
+        return min(self.deadline_s, self.stop.ends_s) - time.monotonic()
 
     @contextmanager
     def waiting(self, what: str) -> Iterator[None]:
@@ -153,6 +181,8 @@
         Borrows retries from the shares of other instances.
     domain
         Failure domain of this instance.
+    stop
+        Planned stop of this instance.
     """
 
     table: TargetTable
@@ -166,6 +196,7 @@
     budget_of: Callable[[str], RetryShare]
     loans: BudgetLoans
     domain: str
+    stop: PlannedStop = field(factory=PlannedStop)
     histograms: Histograms = field(factory=Histograms)
 
     def acquire_send(self, call: Call) -> bool:
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -92,6 +92,7 @@
             version=configuration.version,
             deadline_s=request.arrived_s + left_s - ANSWER_MARGIN_S,
             priority=_priority(route, organisation),
+            stop=self._context.stop,
         )
 
     def _pick_service(self, route: Route) -> str:
@@ -100,6 +101,10 @@
         return self._random.choices(names, weights)[0]
 
     async def _serve(self, call: Call) -> None:
+        if call.stop.drained and call.deadline_s > call.stop.ends_s:
+            raise not_run_error(
+                "stopping", "The instance stops: use a new connection.", 0.0
+            )
         if call.left_s <= 0:
             raise not_run_error(
                 "no_time", "The deadline had passed when the request arrived.", 0.0
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -15,7 +15,7 @@
 from celeryfork_entry.acting_leader import ActingLeader
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.byte_stream import ByteStream
-from celeryfork_entry.call import CallContext
+from celeryfork_entry.call import CallContext, PlannedStop
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.configuration import CallerLimits, Configuration
 from celeryfork_entry.crash_guard import CrashGuard
@@ -55,6 +55,8 @@
 """Seconds until new callers go elsewhere: two readiness checks, a second apart."""
 EXIT_MARGIN_S = 0.5
 """Seconds reserved at a planned stop to exit before the kill."""
+LAST_ANSWERS_S = 0.4
+"""Seconds reserved before that to answer calls that are still in progress."""
 DEFAULT_LIMITS = CallerLimits(
     header_bytes=65_536, body_bytes=4 << 20, header_timeout_s=5.0, idle_timeout_s=15.0
 )
@@ -101,6 +103,7 @@
     _candidate: LeaderCandidate = field(init=False)
     _peers: PeerProtocol = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
+    _planned_stop: PlannedStop = field(factory=PlannedStop)
     _status_endpoints: StatusEndpoints = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -143,6 +146,7 @@
             budget_of=self._budget_of,
             loans=loans,
             domain=self.settings.domain,
+            stop=self._planned_stop,
             histograms=self._histograms,
         )
         leaving = LeavingChecks(
@@ -427,13 +431,15 @@
     async def _stop(self, server: asyncio.Server) -> None:
         started_s = time.monotonic()
         self.stopping = True
+        ends_s = started_s + self.settings.stop_s - EXIT_MARGIN_S
+        self._planned_stop.ends_s = ends_s - LAST_ANSWERS_S
         self.log.info("stop_begins", connections=len(self._callers))
         await self._candidate.resign()
         await asyncio.sleep(max(0.0, started_s + DRAIN_DELAY_S - time.monotonic()))
         server.close()
+        self._planned_stop.drained = True
         for connection in list(self._callers):
             connection.close_when_idle()
-        ends_s = started_s + self.settings.stop_s - EXIT_MARGIN_S
         while time.monotonic() < ends_s and any(c.busy for c in self._callers):
             await asyncio.sleep(0.05)
         left = sum(connection.busy for connection in self._callers)
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -12,6 +12,7 @@
 from attrs import define, field, frozen
 
 from celeryfork_entry.call import (
+    MAX_WAIT_S,
     Call,
     CallContext,
     not_run_error,
@@ -267,7 +268,7 @@
         leave_s = time.monotonic() + FIRST_REPLY_TIMEOUT_S
         try:
             while True:
-                wait_s = min(call.left_s, leave_s - time.monotonic())
+                wait_s = min(call.left_s, leave_s - time.monotonic(), MAX_WAIT_S)
                 await asyncio.wait({exchange}, timeout=max(0.0, wait_s))
                 if exchange.done():
                     return exchange.result()
--- a/libs/entry/src/celeryfork_entry/stream_waits.py
+++ b/libs/entry/src/celeryfork_entry/stream_waits.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+from celeryfork_entry.call import MAX_WAIT_S
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.path_attempts import PathAttempt
 
@@ -78,10 +79,10 @@
             waiting: set[asyncio.Future[Any]] = {task}
             if not attempt.doubt:
                 waiting.add(attempt.doubted)
-            ends_s = min(check_s, limit_s, now_s + attempt.call.left_s)
+            wait_s = min(check_s - now_s, limit_s - now_s, MAX_WAIT_S)
             await asyncio.wait(
                 waiting,
-                timeout=max(0.0, ends_s - now_s),
+                timeout=max(0.0, min(wait_s, attempt.call.left_s)),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if task.done():
