Share path searches among streams on silent paths

Cause: after a search in vain no stream searched for 5 ms, at each of their turns, so that those that could leave were kept as well.

Change: each stream that looks in vain waits 5 ms for each such stream before its next search.

--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -86,8 +86,8 @@
         Task that asks other instances for a retry.
     doubt
         Why an engine of the path may be down, empty after an event.
-    kept
-        True once the path was kept during silence, as there was no other one.
+    next_search_s
+        Monotonic time from which another path is sought again during silence.
     """
 
     call: Call
@@ -102,7 +102,7 @@
     last_event_s: float | None = None
     loan: asyncio.Task[bool] | None = None
     doubt: str = ""
-    kept: bool = False
+    next_search_s: float = 0.0
     _doubted: asyncio.Future[None] | None = None
 
     @property
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -95,7 +95,7 @@
     _guard: CrashGuard
     _attempts: AttemptRegistry = field(init=False)
     _endings: StreamEndings = field(init=False)
-    _next_search_s: float = 0.0
+    _kept: set[PathAttempt] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Create the registry of attempts, and what ends the calls."""
@@ -147,21 +147,20 @@
             False if there is none, or no repeat is left. The path is kept then.
         """
         call, now_s = attempt.call, time.monotonic()
-        if now_s < self._next_search_s or not self._may_repeat(attempt):
+        if now_s < attempt.next_search_s or not self._may_repeat(attempt):
             return False
         first = self._record_run(call, attempt.path)
         if not self._unavailable_engines(attempt.path):
             call.avoided.add(first)
         path = self._selector.find_other(call, attempt.path)
-        if path is None:
-            self._next_search_s = now_s + SEARCH_INTERVAL_S
-        elif self._guard.is_allowed(call):
+        if path is not None and self._guard.is_allowed(call):
             if self._context.reserve_retry(call):
                 call.reserved_path = path
                 return True
             self._borrow_retry(attempt)
-        if not attempt.kept:
-            attempt.kept = True
+        attempt.next_search_s = now_s + SEARCH_INTERVAL_S * len(self._kept)
+        if attempt not in self._kept:
+            self._kept.add(attempt)
             self._context.counters.add("streams.silent_paths_kept")
             self._context.log_event(
                 call,
@@ -299,6 +298,7 @@
             for task in (attempt.detour, attempt.loan):
                 if task is not None:
                     task.cancel()
+            self._kept.discard(attempt)
             self._attempts.remove(attempt)
 
     async def _left(self, attempt: PathAttempt, reason: str) -> PathBroke:
@@ -442,6 +442,7 @@
         if not any(event.has_content for event in events):
             return
         now_s = time.monotonic()
+        self._kept.discard(attempt)
         self._attempts.end_prefill(attempt)
         was_starting = attempt.is_starting
         attempt.record_events(now_s)
--- a/libs/entry/src/celeryfork_entry/stream_waits.py
+++ b/libs/entry/src/celeryfork_entry/stream_waits.py
@@ -19,7 +19,7 @@
 
 Callers disconnect after 2 s.
 """
-LEAVE_RETRY_S = 0.05
+LEAVE_RETRY_S = 0.02
 """Seconds between two attempts to leave a silent path."""
 
 Result = TypeVar("Result")
--- a/libs/entry/tests/test_paused_engines.py
+++ b/libs/entry/tests/test_paused_engines.py
@@ -156,3 +156,33 @@
 
     trial.run(run())
     assert (caller.status, caller.ending) == (200, "whole")
+
+
+def test_streams_that_find_no_other_path_do_not_keep_the_others_from_searching():
+    """After a search in vain no stream searched for 5 ms, at each of their turns."""
+    trial = Trial(max_targets=1)
+    first = trial.add("first", *steps())
+    trial.add("second", domain="b")
+    bound = [Caller() for _ in range(20)]
+    free = [Caller() for _ in range(5)]
+
+    def serve(callers, name):
+        return [
+            asyncio.ensure_future(trial.serve_one(caller, f"{name}-{number}"))
+            for number, caller in enumerate(callers)
+        ]
+
+    async def run():
+        serving = serve(bound, "bound")
+        await asyncio.sleep(0)
+        trial.route = evolve(trial.route, max_targets=2)
+        serving += serve(free, "free")
+        await asyncio.sleep(GAP_S * ANSWER_EVENTS / 2)
+        first.awake.clear()
+        await asyncio.sleep(1.0)
+        first.awake.set()
+        await asyncio.gather(*serving)
+
+    trial.run(run())
+    assert all(caller.has_complete_answer for caller in [*bound, *free])
+    assert max(caller.max_event_gap_s for caller in free) <= 0.5
