Ask the engines at each end of an answer without a length

Other operators saw a 200 with a short body, framed as whole.

Cause: the kernel closes the connections of a killed process in an orderly way, which is the end of an answer without a length or chunks. Its engine was asked only within 0.25 s of its first event; later engines of the path and targets of plain calls were never asked.

Change: at each such end all engines of the path are asked, and the port of a plain target is tried. The stream goes on elsewhere, the plain reply is lost, if one has ended.

Ruled out: ends within the head, which were lost before as well, on new connections and on those in use again. An engine that lives and closes between two events can't be told from one that has finished.

--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -182,11 +182,15 @@
 
     async def record_broken_call(self, call: Call, target: Target) -> None:
         """Record a crash if the target that broke off a plain call has ended."""
-        if await self._context.connections.is_refused(
-            target.address, PORT_CHECK_TIMEOUT_S
-        ):
+        if await self.has_ended(target):
             self.record_crash(call, target.id)
 
+    async def has_ended(self, target: Target) -> bool:
+        """Return True if nothing listens at a target's address any more."""
+        return await self._context.connections.is_refused(
+            target.address, PORT_CHECK_TIMEOUT_S
+        )
+
     def refusal(self, reason: str) -> RequestRefusedError:
         """Return the error for a call that has run and must not be sent again."""
         return outcome_unknown_error(
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -314,6 +314,8 @@
                 await reply.skip_body()
                 return Refused(f"status {reply.status}")
             body = await reply.read_all(MAX_REPLY_BYTES)
+            if reply.ended_with_connection and await self._guard.has_ended(target):
+                raise LostError("the target ended with its reply")
         finally:
             reply.drop()
         call.runs += 1
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -418,19 +418,22 @@
         return Finished()
 
     async def _require_running(self, attempt: PathAttempt, reply: Reply) -> None:
-        """Raise an error if an early end of a reply may be a crash of its engine.
+        """Raise an error if the end of a reply may be that of an engine of its path.
+
+        The kernel closes the connections of a killed process like that of a whole
+        reply, and a first engine ends the replies that a later one can't go on with.
 
         Raises
         ------
         LostError
-            The first engine has ended.
+            The first engine has ended, or a later one doesn't respond.
         """
-        if reply.is_framed or not attempt.is_starting:
+        if reply.is_framed:
             return
-        first = attempt.path.parts[0].engine_id
-        await self._checks.find_down([first], ask_all=True)
-        if self._has_ended(first):
-            raise LostError("the engine ended with its reply")
+        first, *later = attempt.path.engine_ids
+        down = await self._checks.find_down([first, *later], ask_all=True)
+        if self._has_ended(first) or not set(down).isdisjoint(later):
+            raise LostError(f"the reply ended with its engines {','.join(down)}")
 
     def _record_events(
         self, attempt: PathAttempt, gaps: EventGaps, events: list[Event]
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -100,6 +100,11 @@
         framing = {b"content-length", b"transfer-encoding"}
         return any(name in framing for name, _ in self.headers)
 
+    @property
+    def ended_with_connection(self) -> bool:
+        """Return True if only the end of the connection tells that it is complete."""
+        return not self.is_framed and self._done and self._connection.stream.ended
+
     def header(self, name: bytes) -> str | None:
         """Return the first header with a name, which must be in lower case."""
         for key, value in self.headers:
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -392,6 +392,7 @@
 
 class _Reply:
     is_framed = True
+    ended_with_connection = False
 
     def __init__(self, status, pieces, engine, end=None, at_fault=None, gap_s=0.0):
         self.awake = ()
--- a/libs/entry/tests/test_unframed_replies.py
+++ b/libs/entry/tests/test_unframed_replies.py
@@ -15,13 +15,15 @@
 
 import pytest
 from attrs import evolve
+from celeryfork_entry.configuration import AtMostOnce, Idempotent, Stream
+from celeryfork_entry.first_engines import CRASH_ONSET_S
 from celeryfork_entry.target_http import (
     LostError,
     OutgoingRequest,
     TargetConnections,
 )
 from celeryfork_entry.targets import Listed
-from stream_trial import ANSWER_EVENTS, Caller, Engine, Trial
+from stream_trial import ANSWER_EVENTS, BACK, FRONT, Caller, Engine, Trial
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 4))
@@ -253,3 +255,152 @@
     The users' page counts an end between events as the end of the answer.
     """
     assert read_reply_of_killed_engine(HEAD + b"\r\npart") == b"part"
+
+
+def serve_long_beside(*ended):
+    """Serve a stream without a length that ends after it has long written.
+
+    Parameters
+    ----------
+    ended
+        Ids of engines of its path that terminate with it. A sound engine in another
+        domain sends the rest.
+
+    Returns
+    -------
+    tuple of Caller and Trial
+    """
+    trial = Trial(max_targets=9)
+    trial.context.connections = TargetConnections()
+    trial.build_target_request = lambda request, options: OutgoingRequest("POST", "/")
+    rest = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(4, ANSWER_EVENTS + 1))
+
+    async def serve_slowly(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"\r\n")
+        for number in range(1, 4):
+            writer.write(b"id: %d\ndata: x\n\n" % number)
+            await writer.drain()
+            await asyncio.sleep(CRASH_ONSET_S / 2 + 0.05)
+        trial.table.succeeded("second")
+        for engine_id in ended:
+            trial.engine(engine_id).gone = True
+        writer.close()
+
+    def listen_at(name, address, **fields):
+        added = trial.add(name, **fields).target
+        target = evolve(added, address=address)
+        del trial.engines[added.address]
+        trial.engines[address] = Engine(target)
+        trial.table.apply([Listed(target)])
+
+    async def run():
+        first = await asyncio.start_server(serve_slowly, "127.0.0.1", 0)
+        host, port = first.sockets[0].getsockname()
+        async with engine([HEAD + b"\r\n" + rest], close) as other:
+            listen_at("first", f"{host}:{port}", layers=FRONT)
+            trial.add("later", layers=BACK)
+            listen_at("second", other, domain="b")
+            trial.table.exclude("second", "not yet", 0.0)
+            caller = await trial.serve_one(Caller())
+            first.close()
+            return caller
+
+    return trial.run(run()), trial
+
+
+@pytest.mark.parametrize("which", ["first", "later"])
+def test_a_stream_that_ends_with_an_engine_after_long_writing_is_resumed(which):
+    """Its end was taken for that of the answer (review, case 2)."""
+    caller, trial = serve_long_beside(which)
+    assert caller.has_complete_answer
+    [broke] = trial.logged("path_broke")
+    assert which in broke["reason"]
+
+
+def test_a_stream_that_ends_after_long_writing_with_its_engines_alive_is_complete():
+    caller, trial = serve_long_beside()
+    assert (caller.events, caller.ending) == ([1, 2, 3], "whole")
+    assert not trial.logged("path_broke")
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Attempt-Id: r1\r\n\r\nwhole"
+
+
+@pytest.mark.parametrize("kind", [Idempotent(), AtMostOnce(), Stream(True, 0.2)])
+@pytest.mark.parametrize("reused", [False, True], ids=["fresh", "reused"])
+def test_a_reply_that_ends_within_its_head_is_never_forwarded_as_a_success(
+    reused, kind
+):
+    """Operators saw a 200 with an empty or short body, framed as whole."""
+    statuses = {}
+
+    async def run(cut_at):
+        trial = Trial()
+        trial.context.connections = connections = TargetConnections()
+        trial.route = evolve(trial.route, kind=kind)
+        trial.build_target_request = lambda *_: OutgoingRequest("POST", "/")
+
+        answers = [WHOLE] if reused else []
+
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                if answers:
+                    writer.write(answers.pop())
+                    await reader.readuntil(b"\r\n\r\n")
+                writer.write(WHOLE[:cut_at])
+                await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        address = f"{host}:{port}"
+        if reused:
+            reply = await connections.send(address, OutgoingRequest("GET", "/"))
+            await reply.read_all(10)
+        target = evolve(trial.add("cut").target, address=address)
+        trial.engines[address] = Engine(target)
+        trial.table.apply([Listed(target)])
+        caller = Caller()
+        handling = trial.dispatcher().handle(caller, trial.request("r1", 0.5))
+        await asyncio.wait_for(handling, 5.0)
+        server.close()
+        statuses[cut_at] = caller.status, caller.ending
+
+    async def run_all():
+        places = [9, 12, 17, 30, WHOLE.index(b"\r\n\r\n") + 2, len(WHOLE) - 5]
+        await asyncio.gather(*(run(place) for place in places))
+
+    asyncio.run(run_all())
+    assert not [each for each in statuses.items() if each[1] == (200, "whole")]
+
+
+@pytest.mark.parametrize("killed", [True, False])
+def test_a_plain_body_without_length_that_ends_with_its_target_is_lost(killed):
+    """A part of the body would have been forwarded as the whole one."""
+    trial = Trial()
+    trial.context.connections = TargetConnections()
+    trial.route = evolve(trial.route, kind=AtMostOnce())
+    trial.build_target_request = lambda *_: OutgoingRequest("POST", "/")
+    caller = Caller()
+
+    async def run():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"\r\npart")
+            await writer.drain()
+            if killed:
+                server.close()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        target = evolve(trial.add("desk").target, address=f"{host}:{port}")
+        trial.engines[target.address] = Engine(target)
+        trial.table.apply([Listed(target)])
+        await trial.dispatcher().handle(caller, trial.request("r1", 2.0))
+        server.close()
+
+    trial.run(run())
+    assert caller.status == (502 if killed else 200)
