--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -225,7 +225,7 @@
             attempt = await self._wait_for_reply(
                 exchange,
                 call,
-                lambda: may_retry and self._may_leave(call, target, bool(sent)),
+                lambda: may_retry and self._reserve_other(call, target, bool(sent)),
             )
         except NotSentError as error:
             attempt = Refused(str(error))
@@ -251,14 +251,14 @@
     async def _wait_for_reply(
         exchange: asyncio.Future[AttemptResult],
         call: Call,
-        may_leave: Callable[[], bool],
+        reserve_other: Callable[[], bool],
     ) -> AttemptResult:
         """Wait for the end of an exchange.
 
         Parameters
         ----------
-        may_leave
-            Returns True if another target is to be tried in place of further waiting.
+        reserve_other
+            Reserves a retry at another target, and returns True if there is one.
 
         Raises
         ------
@@ -275,14 +275,14 @@
                 if call.left_s <= 0:
                     raise TimeoutError("the time of the call is up")
                 if time.monotonic() >= leave_s:
-                    if may_leave():
+                    if reserve_other():
                         raise TimeoutError("no reply yet, and there is another target")
                     leave_s = time.monotonic() + LEAVE_RETRY_S
         finally:
             exchange.cancel()
 
-    def _may_leave(self, call: Call, target: Target, sent: bool) -> bool:
-        """Return True if another target is available, and reserve a retry if needed."""
+    def _reserve_other(self, call: Call, target: Target, sent: bool) -> bool:
+        """Reserve a retry at another target; return False if there is none."""
         available = self._context.table.available(call.service.name)
         others = {each.id for each in available} - call.avoided - {target.id}
         return bool(others) and (not sent or self._context.reserve_retry(call))
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -83,7 +83,13 @@
 
 @define(eq=False)
 class StreamCalls:
-    """Runs streams over engines and forwards their events to callers."""
+    """Runs streams over engines and forwards their events to callers.
+
+    Parameters
+    ----------
+    kept
+        Attempts on silent paths that have found no other path.
+    """
 
     _context: CallContext
     _checks: EngineChecks
@@ -138,7 +144,7 @@
         elif not attempt.doubt:
             attempt.record_doubt(reason)
 
-    def _may_leave(self, attempt: PathAttempt) -> bool:
+    def _reserve_other_path(self, attempt: PathAttempt) -> bool:
         """Reserve another path and a send for the stream of a silent path.
 
         Returns
@@ -293,7 +299,7 @@
             if not attempt.sent:
                 self._context.release_send(call)
                 return PathRefused(attempt.interrupted)
-            return await self._left(attempt, attempt.interrupted)
+            return await self._give_up(attempt, attempt.interrupted)
         finally:
             for task in (attempt.detour, attempt.loan):
                 if task is not None:
@@ -301,8 +307,8 @@
             self._kept.discard(attempt)
             self._attempts.remove(attempt)
 
-    async def _left(self, attempt: PathAttempt, reason: str) -> PathBroke:
-        """Return the outcome of an attempt that was given up during its run."""
+    async def _give_up(self, attempt: PathAttempt, reason: str) -> PathBroke:
+        """Return the outcome of an attempt that is given up during its run."""
         if self._guard.may_crash(attempt):
             # A peer's report doesn't tell if an engine has ended.
             first = attempt.path.parts[0].engine_id
@@ -337,7 +343,7 @@
                     sending,
                     FIRST_EVENT_CHECK_DELAY_S,
                     True,
-                    self._may_leave,
+                    self._reserve_other_path,
                 )
                 return await self._relay(attempt, reply, progress)
             finally:
@@ -356,7 +362,7 @@
             )
             return PathRefused(str(error))
         except PathLeftError as error:
-            return await self._left(attempt, str(error))
+            return await self._give_up(attempt, str(error))
         except (LostError, TimeoutError, ValueError) as error:
             await self._checks.find_down(attempt.path.engine_ids, ask_all=True)
             if not attempt.sent:
@@ -390,7 +396,7 @@
                 reading,
                 gaps.check_delay_s if last_event_s else FIRST_EVENT_CHECK_DELAY_S,
                 not last_event_s,
-                self._may_leave,
+                self._reserve_other_path,
                 since_s=last_event_s or replied_s,
                 fruitless=fruitless,
             )
--- a/libs/entry/src/celeryfork_entry/stream_waits.py
+++ b/libs/entry/src/celeryfork_entry/stream_waits.py
@@ -35,7 +35,7 @@
     task: asyncio.Future[Result],
     check_delay_s: float,
     speeds: bool,
-    may_leave: Callable[[PathAttempt], bool],
+    reserve_other: Callable[[PathAttempt], bool],
     since_s: float | None = None,
     fruitless: bool = False,
 ) -> Result:
@@ -48,9 +48,9 @@
         expiry.
     speeds
         True to also ask engines for their speed if it is unknown.
-    may_leave
-        Reserves another path if there is one, and returns True then. It is called
-        after :data:`SILENCE_LIMIT_S`, and once an engine of the path is doubted.
+    reserve_other
+        Reserves another path, and returns True if there is one. It is called after
+        :data:`SILENCE_LIMIT_S`, and once an engine of the path is doubted.
     since_s
         Monotonic time of the last complete event, None to count from now. Bytes
         that complete no event don't reset the timeout.
@@ -71,7 +71,7 @@
     check: asyncio.Future[list[str]] | None = None
     try:
         if fruitless:
-            _require_time(attempt, now_s - begun_s, may_leave)
+            _raise_if_over(attempt, now_s - begun_s, reserve_other)
         while True:
             limit_s = begun_s + SILENCE_LIMIT_S
             if attempt.doubt or now_s >= limit_s:
@@ -88,7 +88,7 @@
             if task.done():
                 return task.result()
             now_s = time.monotonic()
-            _require_time(attempt, now_s - begun_s, may_leave)
+            _raise_if_over(attempt, now_s - begun_s, reserve_other)
             # Runs in the background, so that data arriving meanwhile is forwarded
             # without delay.
             if now_s >= check_s:
@@ -104,10 +104,10 @@
             check.cancel()
 
 
-def _require_time(
-    attempt: PathAttempt, silent_s: float, may_leave: Callable[[PathAttempt], bool]
+def _raise_if_over(
+    attempt: PathAttempt, silent_s: float, reserve_other: Callable[[PathAttempt], bool]
 ) -> None:
-    """Raise an error if an attempt is to end.
+    """Raise an error if the wait is over without a result.
 
     Raises
     ------
@@ -119,5 +119,5 @@
     reason = attempt.doubt
     if silent_s >= SILENCE_LIMIT_S:
         reason = reason or f"silent for {silent_s:.3f} s"
-    if reason and may_leave(attempt):
+    if reason and reserve_other(attempt):
         raise PathLeftError(reason)
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -87,7 +87,7 @@
 class LeavingStreams(StreamCalls):
     """Streams that have another path at any time."""
 
-    def _may_leave(self, attempt):
+    def _reserve_other_path(self, attempt):
         return True
 
 
