Let begun streams go on to the end of a planned stop

Cause: the time reserved to answer calls without an answer shortened begun streams as well.

Change: only calls whose answers haven't begun end 0.4 s before the process.

Evidence: the new test's stream ends between these two times.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -37,15 +37,18 @@
 
     Parameters
     ----------
-    ends_s
-        Monotonic time by which every call must have its final answer, infinite while
-        the instance isn't stopping.
+    answers_end_s
+        Monotonic time by which every call must have its answer, infinite while the
+        instance isn't stopping.
+    streams_end_s
+        The same for the rest of an answer that has begun.
     drained
         True once callers have had time to go elsewhere. Calls whose time ends after the
         stop are refused then.
     """
 
-    ends_s: float = inf
+    answers_end_s: float = inf
+    streams_end_s: float = inf
     drained: bool = False
 
 
@@ -150,7 +153,9 @@
         A planned stop shortens them, so that a wait should look at them again at
         intervals of :data:`MAX_WAIT_S`.
         """
-        return min(self.deadline_s, self.stop.ends_s) - time.monotonic()
+        begun = self.progress is not None and self.progress.started
+        stop_s = self.stop.streams_end_s if begun else self.stop.answers_end_s
+        return min(self.deadline_s, stop_s) - time.monotonic()
 
     @contextmanager
     def waiting(self, what: str) -> Iterator[None]:
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -101,7 +101,7 @@
         return self._random.choices(names, weights)[0]
 
     async def _serve(self, call: Call) -> None:
-        if call.stop.drained and call.deadline_s > call.stop.ends_s:
+        if call.stop.drained and call.deadline_s > call.stop.answers_end_s:
             raise not_run_error(
                 "stopping", "The instance stops: use a new connection.", 0.0
             )
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -56,7 +56,7 @@
 EXIT_MARGIN_S = 0.5
 """Seconds reserved at a planned stop to exit before the kill."""
 LAST_ANSWERS_S = 0.4
-"""Seconds reserved before that to answer calls that are still in progress."""
+"""Seconds reserved before that to answer calls whose answers haven't begun."""
 DEFAULT_LIMITS = CallerLimits(
     header_bytes=65_536, body_bytes=4 << 20, header_timeout_s=5.0, idle_timeout_s=15.0
 )
@@ -432,7 +432,8 @@
         started_s = time.monotonic()
         self.stopping = True
         ends_s = started_s + self.settings.stop_s - EXIT_MARGIN_S
-        self._planned_stop.ends_s = ends_s - LAST_ANSWERS_S
+        self._planned_stop.streams_end_s = ends_s
+        self._planned_stop.answers_end_s = ends_s - LAST_ANSWERS_S
         self.log.info("stop_begins", connections=len(self._callers))
         await self._candidate.resign()
         await asyncio.sleep(max(0.0, started_s + DRAIN_DELAY_S - time.monotonic()))
--- a/libs/entry/tests/test_planned_stop.py
+++ b/libs/entry/tests/test_planned_stop.py
@@ -6,7 +6,8 @@
 import pytest
 from attrs import evolve
 from celeryfork_entry.configuration import AtMostOnce, Idempotent, Stream
-from stream_trial import Caller, Trial
+from celeryfork_entry.instance import LAST_ANSWERS_S
+from stream_trial import ANSWER_EVENTS, Caller, Run, Trial
 
 KINDS = [AtMostOnce(), Idempotent(), Stream(True, 0.2), Stream(False, 0.2)]
 LEFT_S = 20.0
@@ -31,7 +32,8 @@
 
 def end_in(seconds, *, drained):
     def begin(stop):
-        stop.ends_s, stop.drained = time.monotonic() + seconds, drained
+        stop.answers_end_s, stop.drained = time.monotonic() + seconds, drained
+        stop.streams_end_s = stop.answers_end_s + LAST_ANSWERS_S
 
     return begin
 
@@ -70,3 +72,13 @@
     caller, lasted_s = serve_during_stop(trial, begin, stop_after_s=0.5)
     assert (caller.status, caller.ending) == (504, "whole")
     assert lasted_s <= 1.5 + LATE_S
+
+
+def test_a_begun_stream_goes_on_until_the_end_of_a_stop():
+    """It was cut when calls without an answer were told so, at its last event."""
+    trial = Trial()
+    gap_s = 1.2 / (ANSWER_EVENTS - 1)
+    trial.add("engine", Run(gap_s=gap_s))
+    caller, lasted_s = serve_during_stop(trial, end_in(1.0, drained=False))
+    assert caller.has_complete_answer
+    assert lasted_s > 1.0
