Log the limits that engines name

Callers see nothing yet. An engine in need names in its answers the requests a second that it takes from all instances together; the header was read nowhere, so that no log line told of a limit, and none could tell an instance that ignores a limit from several that each keep it and break it together.

The adapter reads the header from each answer, also from reports and refusals; engine_limit says when an engine has named another limit or ended it, and the counter engines.sent_under_limit counts what is sent to it meanwhile. A limit belongs to one process of an engine, an older message doesn't bring it back, and a 421, which may be that of another engine at the address, tells nothing.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -17,6 +17,7 @@
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.configuration import Configuration, Route, Service
+from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.first_engines import FirstEngines
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.ports import Dialect, RequestMetadata
@@ -184,6 +185,8 @@
         Returns this instance's share of a service's retry budget.
     loans
         Borrows retries from the shares of other instances.
+    permits
+        Keeps the limits that engines name.
     domain
         Failure domain of this instance.
     stop
@@ -200,6 +203,7 @@
     budget_instance_count: Callable[[], int]
     budget_of: Callable[[str], RetryShare]
     loans: BudgetLoans
+    permits: EnginePermits
     domain: str
     stop: PlannedStop = field(factory=PlannedStop)
     histograms: Histograms = field(factory=Histograms)
--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -14,7 +14,7 @@
 from logbook import Logger
 
 from celeryfork_entry.engine_speeds import SLOWNESS_TTL_S, Speed
-from celeryfork_entry.ports import Dialect, EngineReport
+from celeryfork_entry.ports import Dialect, EngineReport, ReplyMetadata
 from celeryfork_entry.target_health import ReportedLayers
 from celeryfork_entry.target_http import (
     LostError,
@@ -67,6 +67,8 @@
         Returns True if a stream of this instance runs over an engine.
     spawn
         Starts a concurrent task.
+    on_reply
+        Called with an engine and the metadata of its reply.
     """
 
     _table: TargetTable
@@ -79,6 +81,7 @@
     on_found_down: Callable[[Target], None] = lambda target: None
     is_in_use: Callable[[str], bool] = lambda engine_id: False
     spawn: Callable[[Awaitable[object]], None] = lambda work: None
+    on_reply: Callable[[Target, ReplyMetadata], None] = lambda target, metadata: None
     _alive_s_by_id: dict[str, float] = field(factory=dict)
     _last_answer_s: float = 0.0
     _report_task_by_id: dict[str, asyncio.Task[EngineReport | None]] = field(
@@ -225,7 +228,11 @@
             body = await reply.read_all(MAX_REPORT_BYTES)
         finally:
             reply.drop()
-        return self._dialect.read_report(body) if reply.status == 200 else None
+        if reply.status != 200:
+            return None
+        metadata = self._dialect.read_reply(reply.status, reply.headers)
+        self.on_reply(target, metadata)
+        return self._dialect.read_report(body)
 
     def _judge(
         self,
--- /dev/null
+++ b/libs/entry/src/celeryfork_entry/engine_limits.py
@@ -0,0 +1,68 @@
+"""Limits that engines name, as answered to this instance or forwarded by others.
+
+An engine in need names the requests a second that it takes from all instances
+together, until it answers without a limit.
+"""
+
+from math import isfinite
+
+from attrs import define, field, frozen
+
+
+@frozen
+class EngineLimit:
+    """What an engine has answered about its limit.
+
+    Parameters
+    ----------
+    per_s
+        Requests a second from all instances together, infinite for no limit.
+    born_ms
+        Wall-clock start time in ms of the engine process, None if unknown.
+    at_s
+        Time of the answer on this instance's monotonic clock.
+    own
+        True if the engine answered this instance, False if a peer forwarded it.
+    """
+
+    per_s: float
+    born_ms: int | None
+    at_s: float
+    own: bool
+
+    @property
+    def limited(self) -> bool:
+        """Return True if the engine names a limit."""
+        return isfinite(self.per_s)
+
+
+@define(eq=False)
+class EngineLimits:
+    """Newest limit of each engine that has named one."""
+
+    _limit_by_id: dict[str, EngineLimit] = field(factory=dict)
+
+    def learn(self, engine_id: str, limit: EngineLimit) -> bool:
+        """Record an engine's answer if it is newer than the known one.
+
+        Returns
+        -------
+        bool
+            True if the limit has changed.
+        """
+        known = self._limit_by_id.get(engine_id)
+        if known is None and not limit.limited:
+            return False
+        if known is not None and limit.at_s <= known.at_s:
+            return False
+        self._limit_by_id[engine_id] = limit
+        return known is None or known.per_s != limit.per_s
+
+    def forget(self, engine_id: str) -> None:
+        """Remove the limit of an engine that has left or restarted."""
+        self._limit_by_id.pop(engine_id, None)
+
+    def limit(self, engine_id: str) -> EngineLimit | None:
+        """Return the limit in force of an engine, None for none."""
+        known = self._limit_by_id.get(engine_id)
+        return known if known is not None and known.limited else None
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -23,6 +23,7 @@
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
+from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.leader_candidate import LeaderCandidate
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.metrics import Histograms
@@ -132,6 +133,8 @@
         self._peers.on_loan = loans.handle_message
         self._peers.on_lendable = loans.record_lendable
         self._peers.lendable = loans.lendable
+        permits = EnginePermits(self.table, self.log, self.counters)
+        self._checks.on_reply = permits.record_reply
         context = CallContext(
             table=self.table,
             connections=self.connections,
@@ -145,6 +148,7 @@
             budget_instance_count=self._budget_instance_count,
             budget_of=self._budget_of,
             loans=loans,
+            permits=permits,
             domain=self.settings.domain,
             stop=self._planned_stop,
             histograms=self._histograms,
@@ -197,11 +201,14 @@
         self._store_follower.on_change = self._peers.announce_changes
         self._peers.list_state = self._store_follower.list_state
         self._peers.on_digest = self._store_follower.receive_digest
+        self._share_engine_reports()
+        self._share_crash_evidence()
+
+    def _share_engine_reports(self) -> None:
         self._peers.layers = self.table.own_reported_layers
         self._peers.on_layers = self._record_peer_layers
         self._peers.speeds = lambda: self.table.speeds.own_slow(time.monotonic())
         self._peers.on_speed = self._checks.record_speed
-        self._share_crash_evidence()
 
     def _share_crash_evidence(self) -> None:
         self.crash_evidence.on_change = self._peers.announce_crashes
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -7,6 +7,7 @@
 
 from celeryfork_entry.call import Call
 from celeryfork_entry.first_engines import CRASH_ONSET_S
+from celeryfork_entry.targets import Target
 
 
 @frozen
@@ -86,6 +87,8 @@
         Task that asks other instances for a retry.
     doubt
         Why an engine of the path may be down, empty after an event.
+    first
+        First engine as listed when the request was sent, None before.
     next_search_s
         Monotonic time from which another path is sought again during silence.
     """
@@ -102,6 +105,7 @@
     last_event_s: float | None = None
     loan: asyncio.Task[bool] | None = None
     doubt: str = ""
+    first: Target | None = None
     next_search_s: float = 0.0
     _doubted: asyncio.Future[None] | None = None
 
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -299,6 +299,7 @@
             target, call.organisation, call.left_s, priority=call.priority
         )
         request = context.dialect.build_target_request(call.request, options)
+        context.permits.record_send(target)
         reply = await context.connections.send(
             target.address, request, fresh=at_most_once, on_sent=on_sent
         )
@@ -306,6 +307,7 @@
             metadata = context.dialect.read_reply(reply.status, reply.headers)
             if metadata.request_id not in {None, call.metadata.id}:
                 raise LostError("the reply carries the id of another request")
+            context.permits.record_reply(target, metadata)
             if reply.header(b"content-encoding") is not None:
                 raise LostError(
                     "the reply has a Content-Encoding that was not requested"
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -92,11 +92,15 @@
         Id of the request that the reply belongs to, None if not given.
     at_fault
         Address of the engine that caused a refusal, None if not given.
+    limit_per_s
+        Requests a second that the target takes from all instances together, infinite if
+        it names no limit, None if the reply doesn't tell.
     """
 
     not_run: bool
     request_id: str | None
     at_fault: str | None
+    limit_per_s: float | None = None
 
 
 @frozen
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -330,6 +330,8 @@
             call.priority,
         )
         request = context.dialect.build_target_request(call.request, options)
+        attempt.first = first
+        context.permits.record_send(first)
         try:
             sending = asyncio.ensure_future(
                 context.connections.send(
@@ -374,9 +376,7 @@
         self, attempt: PathAttempt, reply: Reply, progress: StreamProgress
     ) -> Outcome:
         call = attempt.call
-        metadata = self._context.dialect.read_reply(reply.status, reply.headers)
-        if metadata.request_id not in {None, call.metadata.id}:
-            raise LostError("the reply carries the id of another request")
+        self._record_reply(attempt, reply)
         if reply.status != 200:
             return await self._handle_refusal(call, attempt.path, reply)
         continued = progress.started
@@ -423,6 +423,13 @@
         self._context.table.succeeded(attempt.path.parts[0].engine_id)
         return Finished()
 
+    def _record_reply(self, attempt: PathAttempt, reply: Reply) -> None:
+        metadata = self._context.dialect.read_reply(reply.status, reply.headers)
+        if metadata.request_id not in {None, attempt.call.metadata.id}:
+            raise LostError("the reply carries the id of another request")
+        if attempt.first is not None:
+            self._context.permits.record_reply(attempt.first, metadata)
+
     async def _require_running(self, attempt: PathAttempt, reply: Reply) -> None:
         """Raise an error if the end of a reply may be that of an engine of its path.
 
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -6,6 +6,7 @@
 from attrs import define, evolve, field, frozen
 from celeryfork_routing.layers import LayerRange
 
+from celeryfork_entry.engine_limits import EngineLimit, EngineLimits
 from celeryfork_entry.engine_speeds import EngineSpeeds, Speed
 from celeryfork_entry.list_changes import ListChanges
 from celeryfork_entry.target_health import ReportedLayers, TargetHealth
@@ -107,6 +108,7 @@
     _clock: Callable[[], float] = time.monotonic
     changes: ListChanges = field(factory=ListChanges)
     speeds: EngineSpeeds = field(factory=EngineSpeeds)
+    limits: EngineLimits = field(factory=EngineLimits)
 
     def is_newer_than(self, offset: int | None) -> bool:
         """Return True if the list was read later than one of a peer.
@@ -157,11 +159,12 @@
         return expired
 
     def forget(self, target_id: str) -> None:
-        """Remove a target, its health and its speed."""
+        """Remove a target, its health, its speed and its limit."""
         if self.by_id.pop(target_id, None) is not None:
             self.changes.removed(target_id)
         self._health_by_id.pop(target_id, None)
         self.speeds.forget(target_id)
+        self.limits.forget(target_id)
         self._expired.discard(target_id)
 
     def _apply_entry(self, target: Target) -> None:
@@ -171,6 +174,7 @@
                 return
             self._health_by_id.pop(target.id, None)
             self.speeds.forget(target.id)
+            self.limits.forget(target.id)
             self.health(target.id).listed_s = self._clock()
         elif known is not None and target.entry_number < known.entry_number:
             return
@@ -226,6 +230,13 @@
             return False
         return self.speeds.learn(target_id, speed)
 
+    def record_limit(self, target_id: str, limit: EngineLimit) -> bool:
+        """Record an engine's answer about its limit; return True if it changed."""
+        known = self.by_id.get(target_id)
+        if known is None or known.born_ms not in {None, limit.born_ms}:
+            return False
+        return self.limits.learn(target_id, limit)
+
     def slow_in(self, domain: str, now_s: float) -> list[str]:
         """Return the slow engines of a domain whose speed is due for a check."""
         return [
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -8,6 +8,7 @@
 from collections import deque
 from contextlib import suppress
 from itertools import pairwise
+from math import inf
 from types import SimpleNamespace
 
 import small_model
@@ -27,10 +28,11 @@
 from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
+from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.path_selector import PathSelector
 from celeryfork_entry.peer_protocol import REMOTE_REPORT_PERIOD, PeerProtocol
 from celeryfork_entry.plain_calls import PlainCalls
-from celeryfork_entry.ports import EngineReport, Peer, RequestMetadata
+from celeryfork_entry.ports import EngineReport, Peer, ReplyMetadata, RequestMetadata
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.stream_calls import StreamCalls
 from celeryfork_entry.target_http import LostError, PortClosedError
@@ -138,6 +140,10 @@
         Set once a request has crashed it, which breaks its streams.
     awake
         Cleared while it is paused: it answers nothing, and its streams stand still.
+    limit_per_s
+        Limit in its answers: infinite for none, None if they don't tell.
+    arrived_s
+        Times at which requests have reached it.
     """
 
     target: Target
@@ -145,6 +151,8 @@
     gone: bool = False
     runs: int = 0
     arrivals: int = 0
+    limit_per_s: float | None = inf
+    arrived_s: list = field(factory=list)
     crashed: asyncio.Event = field(factory=asyncio.Event)
     awake: asyncio.Event = field(factory=asyncio.Event)
 
@@ -191,6 +199,8 @@
         self.peers.on_loan = self.loans.handle_message
         self.peers.on_lendable = self.loans.record_lendable
         self.peers.lendable = self.loans.lendable
+        self.permits = EnginePermits(self.table, log, self.counters)
+        checks.on_reply = self.permits.record_reply
         self.context = CallContext(
             table=self.table,
             connections=self,
@@ -202,6 +212,7 @@
             budget_instance_count=lambda: instances,
             budget_of=lambda service: self.share,
             loans=self.loans,
+            permits=self.permits,
             domain="a",
         )
         loads = EngineLoads()
@@ -311,6 +322,7 @@
         on_sent()
         await engine.awake.wait()
         engine.arrivals += 1
+        engine.arrived_s.append(time.monotonic())
         step = engine.script.popleft() if engine.script else Run()
         match step:
             case CrashOn(part):
@@ -375,9 +387,8 @@
 
     def read_reply(self, status, reply_headers):
         at_fault = dict(reply_headers).get("at fault")
-        return SimpleNamespace(
-            not_run=status == 503, request_id=None, at_fault=at_fault
-        )
+        limit_per_s = dict(reply_headers).get("limit")
+        return ReplyMetadata(status == 503, None, at_fault, limit_per_s)
 
     def reply_headers(self, headers):
         return []
@@ -397,7 +408,7 @@
     def __init__(self, status, pieces, engine, end=None, at_fault=None, gap_s=0.0):
         self.awake = ()
         self.status = status
-        self.headers = [("at fault", at_fault)]
+        self.headers = [("at fault", at_fault), ("limit", engine.limit_per_s)]
         self._pieces = deque(pieces)
         self._engine = engine
         self._end = end
--- a/libs/entry/tests/test_engine_checks.py
+++ b/libs/entry/tests/test_engine_checks.py
@@ -13,7 +13,7 @@
     EngineChecks,
 )
 from celeryfork_entry.engine_speeds import SLOWNESS_TTL_S
-from celeryfork_entry.ports import EngineReport
+from celeryfork_entry.ports import EngineReport, ReplyMetadata
 from celeryfork_entry.target_http import LostError, NotSentError, PortClosedError
 from celeryfork_entry.targets import SUSPICION_TTL_S, Listed, Target, TargetTable
 from logbook import Logger
@@ -40,11 +40,16 @@
         async def read_all(most):
             return b"a report"
 
-        return SimpleNamespace(status=200, read_all=read_all, drop=lambda: None)
+        return SimpleNamespace(
+            status=200, headers=[], read_all=read_all, drop=lambda: None
+        )
 
     def build_report_request(self):
         return "report?"
 
+    def read_reply(self, status, headers):
+        return ReplyMetadata(False, None, None)
+
     def read_report(self, body):
         return REPORT
 
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -1,5 +1,7 @@
 """Metadata of requests as read from the platform's headers."""
 
+from math import inf
+
 import pytest
 from celeryfork_adapter.dialect import (
     MAX_SHARED_PARTS,
@@ -69,3 +71,26 @@
     request = CallerRequest("POST", "/a", headers, b"", 0.0)
     options = ForwardingOptions(Target("i-1", "desk", "10.0.0.1:80", "a"), None, 1.0)
     assert DIALECT.build_target_request(request, options).identity == identity
+
+
+@pytest.mark.parametrize(
+    ("headers", "limit_per_s"),
+    [
+        ([], inf),
+        ([(b"server-limit", b"5.8")], 5.8),
+        ([(b"server-limit", b"0")], 0.0),
+        ([(b"server-limit", b"nan")], None),
+        ([(b"server-limit", b"-1")], None),
+        ([(b"server-limit", b"inf")], None),
+        ([(b"server-limit", b"\xff")], None),
+    ],
+)
+def test_the_limit_of_an_engine_is_read(headers, limit_per_s):
+    """A value that is no limit neither sets nor ends one."""
+    assert DIALECT.read_reply(200, headers).limit_per_s == limit_per_s
+
+
+def test_a_reply_of_another_engine_tells_no_limit():
+    """The address of an engine that has left is used again."""
+    headers = [(b"server-limit", b"5.8")]
+    assert DIALECT.read_reply(421, headers).limit_per_s is None
