Keep the limit of an engine over all instances together

Cause: what an engine says of how much it takes had no place in the choice of a path or a target, and no instance alone exceeds a limit that all exceed together (30 and 25 in 4 s are the most of one instance each).

Change: a request to an engine that names a limit needs a permit. The lead relay of the engine's domain issues permits at the limit's rate, with at most half a second's saved up; it is asked when a call has chosen the engine. Without a permit the call begins at another engine; where all name limits it waits for at most 0.25 s, or is refused at once with the time of the next permit as Retry-After. An issuer that reaches part of the instances issues their part, an instance without an answer uses its own share, and a new issuer starts with nothing saved, so that the sum is bounded whoever is lost.

Ruled out: equal shares (74 savings of one request each exceed a limit of 10 a second), loans (too late for a limit that counts after 3 s).

--- a/libs/entry/src/celeryfork_entry/engine_limits.py
+++ b/libs/entry/src/celeryfork_entry/engine_limits.py
@@ -62,6 +62,14 @@
         """Remove the limit of an engine that has left or restarted."""
         self._limit_by_id.pop(engine_id, None)
 
+    def limited_ids(self) -> frozenset[str]:
+        """Return the ids of all engines that name a limit."""
+        return frozenset(each for each in self._limit_by_id if self.limit(each))
+
+    def newest(self, engine_id: str) -> EngineLimit | None:
+        """Return the newest answer of an engine that has named a limit."""
+        return self._limit_by_id.get(engine_id)
+
     def limit(self, engine_id: str) -> EngineLimit | None:
         """Return the limit in force of an engine, None for none."""
         known = self._limit_by_id.get(engine_id)
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -52,6 +52,8 @@
 """Maximum number of peers that are asked for the configuration in one attempt."""
 HOUSEKEEPING_INTERVAL_S = 0.25
 """Seconds between two checks of excluded targets and idle connections."""
+COUNTING_S = 5.0
+"""Seconds after the start within which an instance hears of all domains."""
 DRAIN_DELAY_S = 2.3
 """Seconds until new callers go elsewhere: two readiness checks, a second apart."""
 EXIT_MARGIN_S = 0.5
@@ -95,6 +97,7 @@
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
     _tasks: set[asyncio.Future[object]] = field(factory=set)
     _was_relay: bool = False
+    _started_s: float = field(factory=time.monotonic)
     _stop_requested: asyncio.Event = field(factory=asyncio.Event)
     _histograms: Histograms = field(factory=Histograms)
     roster: Roster = field(init=False)
@@ -133,8 +136,12 @@
         self._peers.on_loan = loans.handle_message
         self._peers.on_lendable = loans.record_lendable
         self._peers.lendable = loans.lendable
-        permits = EnginePermits(self.table, self.log, self.counters)
+        permits = EnginePermits(
+            self.table, self.roster, self._limit_instance_count, self._peers.send_to,
+            self.log, self.counters,
+        )  # fmt: skip
         self._checks.on_reply = permits.record_reply
+        self._peers.on_permit = permits.handle_message
         context = CallContext(
             table=self.table,
             connections=self.connections,
@@ -226,6 +233,12 @@
         """Return the number of instances that share the retry budget."""
         return max(self.roster.peak_instances(), self.settings.usual_instances)
 
+    def _limit_instance_count(self) -> int:
+        """Return the number of instances that the limits of engines are for."""
+        if time.monotonic() - self._started_s < COUNTING_S:
+            return self._budget_instance_count()
+        return self.roster.peak_instances()
+
     def _services(self) -> Iterable[str]:
         return self.configuration.services_by_name if self.configuration else ()
 
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from math import inf
 
 from attrs import define, evolve, field, frozen
@@ -106,6 +106,8 @@
             cannot_succeed = self._cannot_succeed(call, now_s) and not call.may_have_run
             if now_s >= until_s or cannot_succeed:
                 return None
+            if not call.may_have_run and self.first_permit_s(call) > until_s:
+                return None
             with call.waiting("path"):
                 try:
                     await self._pause()
@@ -114,8 +116,11 @@
                     raise
 
     def find_other(self, call: Call, path: LayerPath) -> LayerPath | None:
-        """Return a path now that has other engines than ``path``, None if none has."""
-        found = self._find(call)
+        """Return a path now that has other engines than ``path``, None if none has.
+
+        It needs no permit, since ``path`` is kept until the other one may be used.
+        """
+        found = self._find(call, unlimited_only=True)
         same = found is not None and set(found.engine_ids) == set(path.engine_ids)
         return None if same else found
 
@@ -157,20 +162,54 @@
             if target.held is not None and target.held.within(layers)
         }
 
-    def _find(self, call: Call) -> LayerPath | None:
-        """Return a path over the most suitable engines, None if there is none.
+    def first_permit_s(self, call: Call) -> float:
+        """Return the time at which a limited engine may be first in a path again.
 
-        At first, the engines to avoid for this call are left out, and those that have
-        just refused work or are suspected to be down. If there is no path, the latter
-        are allowed; a call that may have run tries the engines to avoid before them.
+        Returns
+        -------
+        float
+            Monotonic time in s; 0 if an engine may be first now, or none is listed.
         """
-        now_s = time.monotonic()
-        available = [
+        permits, now_s = self._context.permits, time.monotonic()
+        unavailable = permits.unavailable(now_s)
+        if not unavailable:
+            return 0.0
+        first = self._usable_first(call, self._usable(call), unavailable=())
+        if first - unavailable or not first:
+            return 0.0
+        return permits.next_permit_s(first)
+
+    def _usable(self, call: Call) -> list[_EngineView]:
+        """Return the engines that may run a call, whether or not they have room."""
+        return [
             each
             for each in self._engines(call.service.name)
             if not (each.health.excluded or each.health.leaving)
             and each.engine.id not in call.failed_on
         ]
+
+    def _usable_first(
+        self, call: Call, known: Iterable[_EngineView], unavailable: Container[str]
+    ) -> frozenset[str]:
+        """Return the ids of engines that may be first in a path of a call."""
+        allowed = call.first_engines.allowed(self.may_still_run)
+        return frozenset(
+            each.engine.id
+            for each in known
+            if each.engine.held.first == 0
+            and each.engine.id not in unavailable
+            and (allowed is None or each.engine.id in allowed)
+        )
+
+    def _find(self, call: Call, *, unlimited_only: bool = False) -> LayerPath | None:
+        """Return a path over the most suitable engines, None if there is none.
+
+        At first, the engines to avoid for this call are left out, and those that have
+        just refused work or are suspected to be down. If there is no path, the latter
+        are allowed; a call that may have run tries the engines to avoid before them.
+        """
+        now_s = time.monotonic()
+        available = self._usable(call)
         willing = [e for e in available if e.health.accepts_work(now_s)]
         choices = [
             _excluding(willing, call.avoided),
@@ -180,7 +219,7 @@
             choices.insert(1, willing)
         for number, engines in enumerate(choices):
             if engines not in choices[:number]:
-                path = self._find_among(call, engines, now_s)
+                path = self._find_among(call, engines, now_s, unlimited_only)
                 if path is not None:
                     return path
         return None
@@ -212,8 +251,28 @@
         )
         return find_detour(shape, path, lost, engines, loads, request)
 
+    def _first_engines(
+        self,
+        call: Call,
+        known: Sequence[_EngineView],
+        now_s: float,
+        unlimited_only: bool,
+    ) -> frozenset[str] | None:
+        """Return the engines that the next path may begin with, None for any."""
+        permits = self._context.permits
+        unavailable = (
+            permits.limited() if unlimited_only else permits.unavailable(now_s)
+        )
+        if not unavailable:
+            return call.first_engines.allowed(self.may_still_run)
+        return self._usable_first(call, known, unavailable)
+
     def _find_among(
-        self, call: Call, known: Sequence[_EngineView], now_s: float
+        self,
+        call: Call,
+        known: Sequence[_EngineView],
+        now_s: float,
+        unlimited_only: bool,
     ) -> LayerPath | None:
         shape = call.service.model
         assert shape is not None
@@ -221,7 +280,7 @@
             call.metadata.prompt_tokens,
             expected_answer_tokens(call),
             self._context.domain,
-            call.first_engines.allowed(self.may_still_run),
+            self._first_engines(call, known, now_s, unlimited_only),
         )
         engines = [each.at(now_s) for each in known]
         loads = self._known_loads(engines, now_s)
@@ -356,6 +415,7 @@
             ),
             tokens=round(call.metadata.prompt_tokens + expected_answer_tokens(call)),
             avoided=len(call.avoided),
+            without_permit=len(self._context.permits.unavailable(now_s)),
         )
 
 
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -3,7 +3,7 @@
 A member is any instance of a failure domain; it reports to the relays of the domain.
 Relays send digests, which summarise reports and name the revision of the target list
 (see :mod:`celeryfork_entry.roster`). Loans are described in
-:mod:`celeryfork_entry.budget_loans`.
+:mod:`celeryfork_entry.budget_loans`, permits in :mod:`celeryfork_entry.engine_permits`.
 """
 
 import time
@@ -33,6 +33,11 @@
     parse_optional_int,
     parse_text,
 )
+from celeryfork_entry.permit_messages import (
+    PermitGrant,
+    PermitRequest,
+    decode_permit_message,
+)
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.target_health import ReportedLayers
 
@@ -170,7 +175,14 @@
     retries: int
 
 
-Message = MemberReport | RelayDigest | RetryLoanRequest | RetryLoan
+Message = (
+    MemberReport
+    | RelayDigest
+    | RetryLoanRequest
+    | RetryLoan
+    | PermitRequest
+    | PermitGrant
+)
 
 
 def encode_loan_request(wanted: RetryLoanRequest) -> bytes:
@@ -228,6 +240,8 @@
     """
     try:
         fields = loads(data)
+        if "asks" in fields or "issues" in fields:
+            return decode_permit_message(fields)
         if "wants" in fields or "lends" in fields:
             return _decode_loan(fields)
         common = _decode_common(fields)
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -35,6 +35,7 @@
     encode_digest,
     encode_report,
 )
+from celeryfork_entry.permit_messages import PermitGrant, PermitRequest
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.target_health import ReportedLayers
@@ -101,6 +102,8 @@
         Called with a member's address and the retries that it would lend.
     on_loan
         Called with each loan request and each loan of retries.
+    on_permit
+        Called with each request for permits and each answer to one.
     crashes
         Returns the evidence of crashes to send again, at most as many records as given;
         they take turns.
@@ -136,6 +139,7 @@
         None
     )
     on_loan: Callable[[RetryLoanRequest | RetryLoan], None] = lambda message: None
+    on_permit: Callable[[PermitRequest | PermitGrant], None] = lambda message: None
     crashes: Callable[[int], list[TraitRecord]] = lambda limit: []
     crash_changes: Callable[[], list[TraitRecord]] = list
     on_crashes: Callable[[Sequence[TraitRecord]], None] = lambda records: None
@@ -187,6 +191,8 @@
                 self._handle_crashes(message)
             case RetryLoanRequest() | RetryLoan():
                 self.on_loan(message)
+            case PermitRequest() | PermitGrant():
+                self.on_permit(message)
 
     def error_received(self, error: Exception) -> None:
         """Ignore ICMP errors: a peer that is gone is detected by its silence."""
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import Callable
+from math import inf
 
 from attrs import define, field, frozen
 
@@ -37,6 +38,10 @@
 on after a pause."""
 LEAVE_RETRY_S = 0.05
 """Seconds between two attempts to leave a silent target."""
+PERMIT_WAIT_S = 0.25
+"""Seconds from its arrival for which a call that hasn't run waits for a permit."""
+MIN_PERMIT_WAIT_S = 0.005
+"""Minimum seconds of such a wait."""
 MAX_REPLY_BYTES = 16 << 20
 """Maximum size of a reply that is buffered for a caller."""
 OTHER_DOMAIN_PENALTY = 2.0
@@ -172,11 +177,12 @@
         while call.left_s > 0 and (call.may_have_run or call.sends < MAX_SENDS):
             if not await self._guard.wait_until_allowed(call, history.until_s):
                 break
-            target = self._choose(call)
+            target = await self._acquire_target(call, history.until_s)
             if target is None:
                 if not await history.wait_for_capacity(call):
                     break
             elif not self._context.acquire_next_send(call):
+                self._context.permits.release(target.id)
                 if not await self._context.wait_for_retry_budget(
                     call, history.retry_deadline_s
                 ):
@@ -192,14 +198,49 @@
             last = history.failure
         await self._finish(call, last)
 
+    async def _acquire_target(self, call: Call, until_s: float | None) -> Target | None:
+        """Return a target that the call may be sent to now, None if there is none.
+
+        Parameters
+        ----------
+        until_s
+            Monotonic time until which a call that may have run may wait.
+        """
+        while True:
+            target = self._choose(call)
+            if target is None:
+                if not await self._wait_for_permit(call, until_s):
+                    return None
+            elif await self._context.permits.acquire(target.id):
+                return target
+
     def _choose(self, call: Call) -> Target | None:
         table, service = self._context.table, call.service.name
         for targets in (table.available(service), table.not_leaving(service)):
             untried = [each for each in targets if each.id not in call.avoided]
             if untried:
-                return min(untried, key=self._cost)
+                unavailable = self._context.permits.unavailable(time.monotonic())
+                usable = [each for each in untried if each.id not in unavailable]
+                return min(usable, key=self._cost, default=None)
         return None
 
+    async def _wait_for_permit(self, call: Call, until_s: float | None) -> bool:
+        """Wait for a permit for a target; return False if that takes too long."""
+        next_s = self._next_permit_s(call)
+        if until_s is None:
+            until_s = call.request.arrived_s + PERMIT_WAIT_S
+        if next_s > min(until_s, time.monotonic() + call.left_s):
+            return False
+        with call.waiting("permit"):
+            await asyncio.sleep(max(MIN_PERMIT_WAIT_S, next_s - time.monotonic()))
+        return True
+
+    def _next_permit_s(self, call: Call) -> float:
+        """Return the time of the next permit for an untried target, inf for none."""
+        targets = self._context.table.not_leaving(call.service.name)
+        untried = {each.id for each in targets} - call.avoided
+        return self._context.permits.next_permit_s(untried)
+
     def _cost(self, target: Target) -> float:
         in_flight = self._context.table.in_flight_by_id.get(target.id, 0)
         domain_penalty = (
@@ -285,6 +326,7 @@
         """Reserve a retry at another target; return False if there is none."""
         available = self._context.table.available(call.service.name)
         others = {each.id for each in available} - call.avoided - {target.id}
+        others -= self._context.permits.limited()
         return bool(others) and (not sent or self._context.reserve_retry(call))
 
     async def _exchange(
@@ -356,6 +398,8 @@
                 self._context.log_end(call, "answered", status=status)
             case Refused(reason) if not call.may_have_run:
                 after_s = BUSY_RETRY_AFTER_S if call.sends else NO_TARGETS_RETRY_AFTER_S
+                if (next_s := self._next_permit_s(call)) < inf:
+                    after_s = max(BUSY_RETRY_AFTER_S, next_s - time.monotonic())
                 raise not_run_error(
                     "targets_refuse",
                     f"No target accepted the request: {reason}.",
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -32,6 +32,7 @@
     PathRefused,
 )
 from celeryfork_entry.path_selector import (
+    CAPACITY_WAIT_S,
     SEARCH_INTERVAL_S,
     PathSelector,
     expected_answer_tokens,
@@ -237,15 +238,28 @@
                     refusals += 1
                     await asyncio.sleep(min(left_s, refusal_backoff_s(refusals)))
         self._context.release_reserved_send(call)
-        await self._endings.finish(call, last, progress, ended_by)
+        permit_s = self._selector.first_permit_s(call)
+        await self._endings.finish(call, last, progress, ended_by, permit_s)
 
     async def _acquire_path(self, call: Call, until_s: float | None) -> LayerPath | str:
         """Return a path and acquire a send, or return the reason for the call's end."""
+        permits, path_until_s = self._context.permits, until_s
         while True:
-            found = call.reserved_path or await self._find_path(call, until_s)
+            found = call.reserved_path or await self._find_path(call, path_until_s)
             call.reserved_path = None
-            if isinstance(found, str) or self._context.acquire_next_send(call):
+            if isinstance(found, str):
                 return found
+            first = found.parts[0].engine_id
+            if not await permits.acquire(first):
+                # Another engine may be first, or this one after a wait.
+                if path_until_s is None:
+                    path_until_s = time.monotonic() + min(CAPACITY_WAIT_S, call.left_s)
+                elif time.monotonic() >= path_until_s:
+                    return "no_permit"
+                continue
+            if self._context.acquire_next_send(call):
+                return found
+            permits.release(first)
             # The path may become unavailable during the wait.
             if not await self._context.wait_for_retry_budget(call, until_s):
                 return "retry_budget"
--- a/libs/entry/src/celeryfork_entry/stream_endings.py
+++ b/libs/entry/src/celeryfork_entry/stream_endings.py
@@ -35,7 +35,12 @@
         self._retry_after.record_arrival(time.monotonic())
 
     async def finish(
-        self, call: Call, outcome: Outcome, progress: StreamProgress, ended_by: str
+        self,
+        call: Call,
+        outcome: Outcome,
+        progress: StreamProgress,
+        ended_by: str,
+        permit_s: float = 0.0,
     ) -> None:
         """Answer or break off a call after its last attempt, and log its end.
 
@@ -43,6 +48,9 @@
         ----------
         ended_by
             Limit or reason that forbids another attempt.
+        permit_s
+            Monotonic time at which a limited engine may be first in a path again, 0 if
+            one may be first now.
 
         Raises
         ------
@@ -83,7 +91,9 @@
             case PathRefused(reason) | PathBroke(reason):
                 pass
         if not call.may_have_run and isinstance(outcome, PathRefused):
-            after_s = self._retry_after.record_refusal(time.monotonic())
+            now_s = time.monotonic()
+            after_s = self._retry_after.record_refusal(now_s)
+            after_s = max(after_s, round(permit_s - now_s, 2))
             raise not_run_error(
                 "no_path", f"No path accepted the request: {reason}.", after_s
             )
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -199,7 +199,11 @@
         self.peers.on_loan = self.loans.handle_message
         self.peers.on_lendable = self.loans.record_lendable
         self.peers.lendable = self.loans.lendable
-        self.permits = EnginePermits(self.table, log, self.counters)
+        self.permits = EnginePermits(
+            self.table, self.roster, lambda: instances, self.peers.send_to, log,
+            self.counters,
+        )  # fmt: skip
+        self.peers.on_permit = self.permits.handle_message
         checks.on_reply = self.permits.record_reply
         self.context = CallContext(
             table=self.table,
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -10,13 +10,17 @@
 import pytest
 import small_model
 from attrs import evolve
+from celeryfork_base.counters import Counters
 from celeryfork_entry import path_selector
+from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.first_engines import FirstEngines
 from celeryfork_entry.path_selector import (
     ENDED_AFTER_S,
     MAX_UNREPORTED_REQUESTS,
     PathSelector,
 )
+from celeryfork_entry.ports import Peer
+from celeryfork_entry.roster import Roster
 from celeryfork_entry.targets import Listed, Target, TargetTable
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Part
 from celeryfork_routing.layer_paths import PathRequest, find_path
@@ -25,6 +29,7 @@
     LayerRange,
     first_missing_layer,
 )
+from logbook import Logger
 
 SHAPE = evolve(
     small_model.SHAPE,
@@ -58,7 +63,13 @@
 
 
 def make_selector(table):
-    context = SimpleNamespace(table=table, domain="a", instance_count=lambda: 7)
+    permits = EnginePermits(
+        table, Roster(Peer("i1", "a", "10.1.0.1:7")), lambda: 7, lambda *_: None,
+        Logger("test"), Counters(),
+    )  # fmt: skip
+    context = SimpleNamespace(
+        table=table, domain="a", instance_count=lambda: 7, permits=permits
+    )
     return PathSelector(context, EngineLoads())
 
 
