Tell peers of the limits that engines name

An instance knew of an engine's limit only by an answer of its own, so that each sent one request at least without a permit.

Reports and digests tell limits like the speeds of slow engines, at most 64 in a datagram, in turn. A limit from a peer counts as 50 ms older than it says, so that one on its way never goes before a newer answer. The end of a limit is told for 5 s.

--- a/libs/entry/src/celeryfork_entry/engine_limits.py
+++ b/libs/entry/src/celeryfork_entry/engine_limits.py
@@ -8,6 +8,10 @@
 
 from attrs import define, field, frozen
 
+NEWS_TTL_S = 5.0
+"""Seconds after an engine has last named a limit for which its answers are sent to
+peers, so that they learn of the limit's end."""
+
 
 @frozen
 class EngineLimit:
@@ -41,6 +45,7 @@
     """Newest limit of each engine that has named one."""
 
     _limit_by_id: dict[str, EngineLimit] = field(factory=dict)
+    _named_s_by_id: dict[str, float] = field(factory=dict)
 
     def learn(self, engine_id: str, limit: EngineLimit) -> bool:
         """Record an engine's answer if it is newer than the known one.
@@ -56,11 +61,22 @@
         if known is not None and limit.at_s <= known.at_s:
             return False
         self._limit_by_id[engine_id] = limit
+        if limit.limited:
+            self._named_s_by_id[engine_id] = limit.at_s
         return known is None or known.per_s != limit.per_s
 
     def forget(self, engine_id: str) -> None:
         """Remove the limit of an engine that has left or restarted."""
         self._limit_by_id.pop(engine_id, None)
+        self._named_s_by_id.pop(engine_id, None)
+
+    def own_news(self, now_s: float) -> dict[str, EngineLimit]:
+        """Return answers to this instance of engines that named a limit recently."""
+        return {
+            engine_id: self._limit_by_id[engine_id]
+            for engine_id, named_s in self._named_s_by_id.items()
+            if now_s - named_s < NEWS_TTL_S and self._limit_by_id[engine_id].own
+        }
 
     def limited_ids(self) -> frozenset[str]:
         """Return the ids of all engines that name a limit."""
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -140,8 +140,6 @@
             self.table, self.roster, self._limit_instance_count, self._peers.send_to,
             self.log, self.counters,
         )  # fmt: skip
-        self._checks.on_reply = permits.record_reply
-        self._peers.on_permit = permits.handle_message
         context = CallContext(
             table=self.table,
             connections=self.connections,
@@ -208,10 +206,14 @@
         self._store_follower.on_change = self._peers.announce_changes
         self._peers.list_state = self._store_follower.list_state
         self._peers.on_digest = self._store_follower.receive_digest
-        self._share_engine_reports()
+        self._share_engine_reports(permits)
         self._share_crash_evidence()
 
-    def _share_engine_reports(self) -> None:
+    def _share_engine_reports(self, permits: EnginePermits) -> None:
+        self._checks.on_reply = permits.record_reply
+        self._peers.on_permit = permits.handle_message
+        self._peers.limits = lambda: self.table.limits.own_news(time.monotonic())
+        self._peers.on_limit = permits.record_limit
         self._peers.layers = self.table.own_reported_layers
         self._peers.on_layers = self._record_peer_layers
         self._peers.speeds = lambda: self.table.speeds.own_slow(time.monotonic())
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -24,6 +24,7 @@
 from celeryfork_routing.engine_loads import Load
 from orjson import dumps, loads
 
+from celeryfork_entry.engine_limits import EngineLimit
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.field_parsers import (
     parse_address,
@@ -37,6 +38,8 @@
     PermitGrant,
     PermitRequest,
     decode_permit_message,
+    limit_row,
+    parse_limit,
 )
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.target_health import ReportedLayers
@@ -45,6 +48,8 @@
 """Maximum number of retries that one datagram requests or lends."""
 MAX_CRASH_RECORDS = 32
 """Maximum number of records of crash evidence in one datagram."""
+MAX_LIMITS = 64
+"""Maximum number of engines' limits in one datagram; more of them take turns."""
 MAX_NAME_CHARS = 200
 """Maximum length of the name of a service, an organisation or a run in crash evidence;
 what has a longer one is left out, as peers reject the whole datagram."""
@@ -73,6 +78,9 @@
         Engines that were just found to be down.
     speeds
         Speeds of engines that are slow or were slow recently, by engine.
+    limits
+        Limits of engines that name one or did so recently, by engine, at most
+        ``MAX_LIMITS``.
     crashes
         Evidence of what requests that crash engines have in common, at most
         ``MAX_CRASH_RECORDS``.
@@ -86,6 +94,7 @@
     down: Sequence[DownEngine]
     speeds: Mapping[str, Speed]
     crashes: Sequence[TraitRecord] = field(default=(), kw_only=True)
+    limits: Mapping[str, EngineLimit] = field(factory=dict, kw_only=True)
 
 
 @frozen
@@ -299,6 +308,7 @@
 def _common_fields(message: PeerMessage) -> dict[str, Any]:
     sender = message.sender
     crashes = _crash_rows(message.crashes)
+    limits = {key: limit_row(limit) for key, limit in message.limits.items()}
     return {
         "from": sender.name,
         "at": sender.address,
@@ -311,6 +321,7 @@
         "down": message.down,
         "speeds": {key: _speed_row(speed) for key, speed in message.speeds.items()},
         **({"crashes": crashes} if crashes else {}),
+        **({"limits": limits} if limits else {}),
     }
 
 
@@ -335,6 +346,9 @@
             str(key): _parse_speed(row) for key, row in fields.get("speeds", {}).items()
         },
         "crashes": _parse_crashes(fields.get("crashes", [])),
+        "limits": {
+            str(key): parse_limit(row) for key, row in fields.get("limits", {}).items()
+        },
     }
 
 
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -20,10 +20,12 @@
 from logbook import Logger
 
 from celeryfork_entry.crash_exchange import CrashExchange
+from celeryfork_entry.engine_limits import EngineLimit
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.list_changes import ListState
 from celeryfork_entry.peer_messages import (
     MAX_CRASH_RECORDS,
+    MAX_LIMITS,
     DownEngine,
     MemberReport,
     PeerMessage,
@@ -93,6 +95,10 @@
         Returns the speeds that engines reported to this instance, by engine.
     on_speed
         Called with an engine and the speed that a peer forwards.
+    limits
+        Returns the limits that engines named to this instance, by engine.
+    on_limit
+        Called with an engine and the limit that a peer forwards.
     on_down
         Called with an engine that a peer found to be down, its start time, and the
         peer.
@@ -133,6 +139,8 @@
     on_layers: Callable[[str, ReportedLayers], None] = lambda engine_id, learnt: None
     speeds: Callable[[], Mapping[str, Speed]] = dict
     on_speed: Callable[[str, Speed], None] = lambda engine_id, speed: None
+    limits: Callable[[], Mapping[str, EngineLimit]] = dict
+    on_limit: Callable[[str, EngineLimit], None] = lambda engine_id, limit: None
     on_down: Callable[[str, int | None, str], None] = lambda engine, born_ms, peer: None
     lendable: Callable[[], Mapping[str, int]] = dict
     on_lendable: Callable[[str, Mapping[str, int]], None] = lambda address, lendable: (
@@ -148,6 +156,7 @@
     _forwarded_down_s: dict[DownEngine, float] = field(factory=dict)
     _layers_by_engine: dict[str, ReportedLayers] = field(factory=dict)
     _speed_by_engine: dict[str, Speed] = field(factory=dict)
+    _limit_by_engine: dict[str, EngineLimit] = field(factory=dict)
     _sent_revision: int = -1
     _sent_version: int = -1
     _pending_send: asyncio.TimerHandle | None = None
@@ -209,6 +218,8 @@
             self.on_layers(engine_id, learnt)
         for engine_id, speed in message.speeds.items():
             self._record_speed(engine_id, speed)
+        for engine_id, limit in message.limits.items():
+            self._record_limit(engine_id, limit)
         for engine_id, born_ms in message.down:
             self.on_down(engine_id, born_ms, message.sender.name)
 
@@ -234,6 +245,13 @@
             self._speed_by_engine[engine_id] = speed
         self.on_speed(engine_id, speed)
 
+    def _record_limit(self, engine_id: str, limit: EngineLimit) -> None:
+        """Apply an engine's limit, and keep the newest one for forwarding."""
+        known = self._limit_by_engine.get(engine_id)
+        if known is None or limit.at_s > known.at_s:
+            self._limit_by_engine[engine_id] = limit
+        self.on_limit(engine_id, limit)
+
     def _handle_report(self, report: MemberReport) -> None:
         if report.sender.domain != self.domain:
             return
@@ -279,7 +297,8 @@
 
     def _report(self) -> None:
         self._reports += 1
-        own, reported = self._loads.own_loads(), self.layers() or self.speeds()
+        own = self._loads.own_loads()
+        reported = self.layers() or self.speeds() or self.limits()
         idle = not (own or reported) and self._sent_idle and self.fence() is None
         self._sent_idle = not own
         if not idle or self._reports % IDLE_REPORT_PERIOD == 0:
@@ -432,7 +451,7 @@
             }
             self._send(encode_digest(evolve(digest, remote_loads=away)), followers)
         if relays:
-            without_loads = evolve(digest, loads=None, layers={}, speeds={})
+            without_loads = evolve(digest, loads=None, layers={}, speeds={}, limits={})
             self._send(encode_digest(without_loads), self.roster.relays(self.domain))
         if to_remote:
             counts = {self.domain: self.roster.count()}
@@ -450,6 +469,7 @@
             tuple(down),
             self.speeds(),
             self.lendable(),
+            limits=self._in_turn(self.limits()),
         )
 
     def _digest(self, down: Iterable[DownEngine], now_s: float) -> RelayDigest:
@@ -464,6 +484,7 @@
             loads=self._sum(now_s) if self.roster.is_lead_relay() else None,
             layers=layers | dict(self.layers()),
             speeds=self._recent_speeds(now_s),
+            limits=self._in_turn(self._recent_limits(now_s)),
         )
 
     def _digest_without_loads(self, down: Iterable[DownEngine]) -> RelayDigest:
@@ -498,6 +519,28 @@
                 newest[engine_id] = speed
         return newest
 
+    def _recent_limits(self, now_s: float) -> dict[str, EngineLimit]:
+        """Return the newest known limits, own and forwarded."""
+        self._limit_by_engine = {
+            engine_id: limit
+            for engine_id, limit in self._limit_by_engine.items()
+            if now_s - limit.at_s < FORWARDING_TTL_S
+        }
+        newest = dict(self._limit_by_engine)
+        for engine_id, limit in self.limits().items():
+            if engine_id not in newest or limit.at_s > newest[engine_id].at_s:
+                newest[engine_id] = limit
+        return newest
+
+    def _in_turn(self, limits: Mapping[str, EngineLimit]) -> Mapping[str, EngineLimit]:
+        """Return as many limits as a datagram may have; the others follow in turn."""
+        if len(limits) <= MAX_LIMITS:
+            return limits
+        engine_ids = sorted(limits)
+        begin = self._reports * MAX_LIMITS % len(engine_ids)
+        turn = (engine_ids[begin:] + engine_ids[:begin])[:MAX_LIMITS]
+        return {engine_id: limits[engine_id] for engine_id in turn}
+
     def _sum(self, now_s: float) -> dict[str, Load]:
         """Return the summed loads of all instances of the domain."""
         members = {peer.name for peer in self.roster.members()}
--- a/libs/entry/src/celeryfork_entry/permit_messages.py
+++ b/libs/entry/src/celeryfork_entry/permit_messages.py
@@ -3,8 +3,8 @@
 See :mod:`celeryfork_entry.engine_permits`.
 """
 
+import time
 from math import inf, isfinite
-from time import monotonic
 from typing import Any
 
 from attrs import frozen
@@ -22,6 +22,9 @@
 """Maximum number of permits that one datagram asks for or issues."""
 MAX_WAIT_S = 30.0
 """Maximum wait in s for the next permit that an instance is told."""
+TRANSIT_S = 0.05
+"""Seconds that a peer's message may have taken. A limit that it tells counts as that
+much older, so that an old answer never goes before a newer one."""
 MAX_FORWARDS = 2
 """Maximum number of relays that forward a request: to the engine's domain, and there to
 the lead relay."""
@@ -133,7 +136,7 @@
 def limit_row(limit: EngineLimit) -> list[float | int | None]:
     """Return a limit, null for none, the engine's start time, and the age in ms."""
     per_s = limit.per_s if isfinite(limit.per_s) else None
-    age_ms = max(0, round((monotonic() - limit.at_s) * 1000))
+    age_ms = max(0, round((time.monotonic() - limit.at_s) * 1000))
     return [per_s, limit.born_ms, age_ms]
 
 
@@ -149,6 +152,6 @@
         case [None | float() | int() as per_s, None | int() as born_ms, int(age_ms)]:
             per_s = inf if per_s is None else parse_finite_float(per_s)
             if per_s >= 0 and age_ms >= 0:
-                at_s = monotonic() - age_ms / 1000
+                at_s = time.monotonic() - age_ms / 1000 - TRANSIT_S
                 return EngineLimit(per_s, born_ms, at_s, own=False)
     raise ValueError(f"malformed limit of an engine: {row!r}")
--- a/libs/entry/tests/test_peer_messages.py
+++ b/libs/entry/tests/test_peer_messages.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from math import isfinite
+from math import inf, isfinite
 from unittest.mock import patch
 
 import pytest
@@ -15,6 +15,7 @@
     TraitKind,
     TraitRecord,
 )
+from celeryfork_entry.engine_limits import EngineLimit
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.peer_messages import (
     MAX_CRASH_RECORDS,
@@ -26,6 +27,7 @@
     encode_report,
 )
 from celeryfork_entry.peer_protocol import IDLE_REPORT_PERIOD, PeerProtocol
+from celeryfork_entry.permit_messages import TRANSIT_S
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.target_health import ReportedLayers
@@ -87,6 +89,13 @@
 speeds = st.builds(
     Speed, st.floats(1, 1e6), starts, ages_s.map(at_age), own=st.just(False)
 )
+limits = st.builds(
+    EngineLimit,
+    st.floats(0, 1e6) | st.just(inf),
+    starts,
+    ages_s.map(at_age),
+    own=st.just(False),
+)
 values = st.text(
     st.characters(min_codepoint=32, max_codepoint=126),
     min_size=1,
@@ -119,6 +128,7 @@
     "version": st.integers(-1, LARGEST),
     "loads": st.none() | loads_by_engine,
     "layers": st.dictionaries(names, learnt, max_size=3),
+    "limits": st.dictionaries(names, limits, max_size=3),
     "down": st.lists(st.tuples(names, starts), max_size=3),
     "speeds": st.dictionaries(names, speeds, max_size=3),
     "crashes": st.lists(trait_records, max_size=3),
@@ -147,11 +157,16 @@
     assert type(found) is type(sent)
     for name in ("sender", "fence", "version", "loads", "down"):
         assert getattr(found, name) == getattr(sent, name), name
-    for name, field in (("layers", "held"), ("speeds", "slowness")):
+    for name, field in (
+        ("layers", "held"),
+        ("speeds", "slowness"),
+        ("limits", "per_s"),
+    ):
         here, there = getattr(found, name), getattr(sent, name)
         assert without_times(here, field) == without_times(there, field)
         for key, each in here.items():
-            assert each.at_s == pytest.approx(there[key].at_s, abs=ROUNDING_S)
+            sent_s = there[key].at_s - (TRANSIT_S if name == "limits" else 0.0)
+            assert each.at_s == pytest.approx(sent_s, abs=ROUNDING_S)
     for here, there in zip(found.crashes, sent.crashes, strict=True):
         assert_same_evidence(here, there)
 
