Ask an engine without permits whether its limit still holds

An engine that had named 0 requests a second, or hardly any, was never used again: only the answers to requests told that its limit had ended, and it got none.

Test: test_an_engine_without_permits_is_asked_whether_its_limit_holds failed with the call taken out. 81 passed in the files of engines, limits and the instance.

--- a/libs/entry/src/celeryfork_entry/engine_permits.py
+++ b/libs/entry/src/celeryfork_entry/engine_permits.py
@@ -37,6 +37,8 @@
 turns of three busy event loops."""
 PERMIT_TTL_S = 0.2
 """Seconds for which a permit may be used after it was asked for."""
+CHECK_INTERVAL_S = 1.0
+"""Age in seconds of a limit at which its engine is asked if the limit holds."""
 MAX_PAUSE_S = 1.0
 """Maximum seconds before an engine's issuer is asked again, as the limit may change."""
 UNANSWERED_PAUSE_S = 0.1
@@ -95,6 +97,9 @@
         Returns the number of instances that the limits are for, reachable or not.
     send
         Sends a datagram to addresses.
+    on_old_limit
+        Called with an engine for which permits are asked, and that hasn't told for
+        longer than ``CHECK_INTERVAL_S`` whether its limit holds.
     """
 
     _table: TargetTable
@@ -103,6 +108,7 @@
     _send: Callable[[bytes, Iterable[str]], None]
     _log: Logger
     _counters: Counters
+    on_old_limit: Callable[[Target], None] = lambda target: None
     _issuer: RateIssuer = field(factory=RateIssuer)
     _number: int = field(factory=lambda: randrange(FIRST_NUMBER_BOUND))
     _supply_by_engine: dict[str, _Supply] = field(factory=dict)
@@ -260,6 +266,8 @@
         limit = self._table.limits.newest(target.id) or request.limit
         if not limit.limited:
             return PermitGrant(request.number, request.permits, 0.0, limit)
+        if time.monotonic() - limit.at_s > CHECK_INTERVAL_S:
+            self.on_old_limit(target)
         fleet = self._fleet_size()
         per_s = limit.per_s * min(1.0, self._roster.instances() / fleet)
         issued: Issued = self._issuer.issue(
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -26,6 +26,7 @@
 from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.leader_candidate import LeaderCandidate
 from celeryfork_entry.leaving_checks import LeavingChecks
+from celeryfork_entry.limit_checks import LimitChecks
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.path_selector import PathSelector
 from celeryfork_entry.peer_protocol import PeerProtocol
@@ -211,6 +212,10 @@
 
     def _share_engine_reports(self, permits: EnginePermits) -> None:
         self._checks.on_reply = permits.record_reply
+        permits.on_old_limit = LimitChecks(
+            self._checks, self.connections, self._dialect, lambda: self.configuration,
+            permits.record_reply, self.log, self._spawn,
+        ).check  # fmt: skip
         self._peers.on_permit = permits.handle_message
         self._peers.limits = lambda: self.table.limits.own_news(time.monotonic())
         self._peers.on_limit = permits.record_limit
--- a/libs/entry/tests/test_engine_permits.py
+++ b/libs/entry/tests/test_engine_permits.py
@@ -203,6 +203,31 @@
     assert all(caller.has_complete_answer for caller in callers)
 
 
+# An engine that had named 0 requests a second was never used again, as only answers to
+# requests tell that a limit has ended.
+def test_an_engine_without_permits_is_asked_whether_its_limit_holds():
+    trial = Trial()
+    engine = trial.add("x")
+    engine.limit_per_s = 0.0
+    trial.serve()
+    trial.permits.on_old_limit = lambda target: asyncio.ensure_future(
+        trial.checks.ask(target.id)
+    )
+
+    async def end_and_serve():
+        assert isinstance(await serve_stream(trial), RequestRefusedError)
+        engine.limit_per_s = inf
+        until_s = time.monotonic() + 4.0
+        while time.monotonic() < until_s:
+            caller = await serve_stream(trial)
+            if not isinstance(caller, RequestRefusedError):
+                return caller
+            await asyncio.sleep(0.1)
+        return None
+
+    assert trial.run(end_and_serve()).has_complete_answer
+
+
 def test_a_stream_goes_on_over_another_engine_if_its_engine_has_no_permit():
     """The repeat of a broken stream counts like any request."""
     trial = Trial()
