--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -60,6 +60,9 @@
     async def read_all(self, max_bytes):
         return self._body
 
+    def header(self, name):
+        return None
+
     def drop(self):
         pass
 
--- a/tests/support/store_standin.py
+++ b/tests/support/store_standin.py
@@ -20,6 +20,16 @@
         self.calls = []
         self._changed = asyncio.Event()
         self.lost_before = {}
+        self.era = 1
+
+    def copy(self):
+        """Return a copy that :meth:`restore` brings back."""
+        return {topic: list(each) for topic, each in self.records_by_topic.items()}
+
+    def restore(self, copy):
+        """Bring a copy back: offsets since are given out again, in the next era."""
+        self.records_by_topic = copy
+        self.era += 1
 
     def put(self, topic, key, value):
         data = b"" if value is None else value
@@ -33,6 +43,11 @@
         self.lost_before[topic] = len(self.records_by_topic.get(topic, []))
 
     async def handle(self, request):
+        answer = await self._answer(request)
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _answer(self, request):
         self.calls.append(request.path)
         if self.down:
             return web.Response(status=503)
@@ -80,6 +95,8 @@
         if start < self.lost_before.get(topic, 0):
             first = self.lost_before[topic]
             return web.json_response({"first": first}, status=410)
+        if start > len(self.records_by_topic.get(topic, [])):
+            return web.json_response({"first": 0}, status=410)
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         missed = self.misses_changes and "waitMs" in query
         while missed or len(self.records_by_topic.get(topic, [])) <= start:
