--- a/tests/adapter/test_election.py
+++ b/tests/adapter/test_election.py
@@ -6,7 +6,7 @@
 import pytest
 from celeryfork_adapter.election import INSTANCES_TOPIC, StoreElection
 from celeryfork_adapter.settings import decode_settings
-from celeryfork_adapter.store import KeyedRecord
+from celeryfork_adapter.store import KeyedRecord, Membership
 from celeryfork_entry.ports import Peer
 from logbook import Logger
 
@@ -94,3 +94,47 @@
 )
 def test_host_without_valid_power_settings_counts_as_one_core(limits):
     assert decode_settings(SETTINGS | {"limits": limits}).power == 1.0
+
+
+class RestoredStore:
+    """A store whose group continues with an earlier generation after a restore."""
+
+    def __init__(self):
+        self.era, self.answered, self.asked = 1, 19, []
+
+    async def join(self, group, member, topic, ttl_s, generation):
+        self.asked.append(generation)
+        return Membership(self.era, self.answered, frozenset({(topic, 0)}))
+
+    def restore(self):
+        self.era, self.answered = 2, 9
+
+
+# The leader's orders were refused for good: the restored group had generation 9, and
+# engines had seen 19. Two instances took the leadership from each other for 5 s.
+def test_the_fencing_token_rises_when_the_store_is_restored():
+    store = RestoredStore()
+    election = make_election(store)
+    before = asyncio.run(election.renew())
+    store.restore()
+    after = asyncio.run(election.renew())
+    assert after.held
+    assert after.fence > before.fence
+
+
+def test_a_generation_of_the_era_before_is_not_sent():
+    store = RestoredStore()
+    election = make_election(store)
+    asyncio.run(election.renew())
+    asyncio.run(election.renew())
+    store.restore()
+    asyncio.run(election.renew())
+    assert store.asked == [0, 19, 0]
+
+
+def test_the_fencing_token_rises_with_the_generation():
+    store = RestoredStore()
+    election = make_election(store)
+    before = asyncio.run(election.renew())
+    store.answered += 1
+    assert asyncio.run(election.renew()).fence == before.fence + 1
