Order target lists by the era of the store, then by offset

After a restore the followers of a domain kept their lists for 2.6 to 8.6 s, until each read the store itself, while engines left and joined: the relays' lists, read from the restored store, had smaller offsets and counted as older than those from before it. A relay that was paused during the restore had the greater offset, and its list replaced newer ones.

Cause: an offset was taken for an order of all lists, which it is only within one era.

Change: lists, digests and peers' states name a position, the era and the offset, and are compared by both. A peer of an earlier release tells no era, which is no position and, as before, not older than any.

Tests: test_a_relays_list_of_a_later_era_is_newer_whatever_its_offset and test_a_relays_list_of_an_earlier_era_is_older_whatever_its_offset failed with positions compared by offset alone. 477 passed in the files of lists and peers.

--- a/libs/entry/src/celeryfork_entry/list_changes.py
+++ b/libs/entry/src/celeryfork_entry/list_changes.py
@@ -9,6 +9,8 @@
 
 from attrs import define, field, frozen
 
+from celeryfork_entry.log_position import LogPosition
+
 MAX_REMOVED = 2_000
 """Maximum number of removals kept; a follower with an older revision fetches the full
 list."""
@@ -26,14 +28,14 @@
         Seconds since it was read from the store.
     is_stale
         True if it may name engines that have left.
-    offset
-        Offset of the store's log up to which it was read, None if unknown.
+    position
+        Position in the store's log up to which it was read, None if unknown.
     """
 
     revision: int
     age_s: float
     is_stale: bool
-    offset: int | None = None
+    position: LogPosition | None = None
 
 
 @define
--- a/libs/entry/src/celeryfork_entry/log_position.py
+++ b/libs/entry/src/celeryfork_entry/log_position.py
@@ -1,7 +1,11 @@
 """Positions in the log of the platform's store."""
 
+from typing import Any
+
 from attrs import frozen
 
+from celeryfork_entry.field_parsers import parse_optional_int
+
 
 @frozen(order=True)
 class LogPosition:
@@ -19,3 +23,27 @@
 
     era: int
     offset: int
+
+
+def position_fields(position: LogPosition | None) -> dict[str, int | None]:
+    """Return the fields of a position in a message to a peer."""
+    if position is None:
+        return {"offset": None, "era": None}
+    return {"offset": position.offset, "era": position.era}
+
+
+def parse_position(fields: dict[str, Any]) -> LogPosition | None:
+    """Return the position in a peer's message, None if it tells none.
+
+    An offset without an era, as from a peer of an earlier release, is no position.
+
+    Raises
+    ------
+    ValueError
+        A field is malformed.
+    """
+    offset = parse_optional_int(fields.get("offset"))
+    era = parse_optional_int(fields.get("era"))
+    if offset is None or era is None:
+        return None
+    return LogPosition(era, offset)
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -31,9 +31,9 @@
     parse_finite_float,
     parse_int,
     parse_layers,
-    parse_optional_int,
     parse_text,
 )
+from celeryfork_entry.log_position import LogPosition, parse_position, position_fields
 from celeryfork_entry.permit_messages import (
     PermitGrant,
     PermitRequest,
@@ -118,9 +118,9 @@
     ----------
     revision
         Revision of its target list.
-    list_offset
-        Offset of the store's log up to which that list was read, by the relay or by the
-        peer that it comes from; None if unknown.
+    list_position
+        Position in the store's log up to which that list was read, by the relay or by
+        the peer that it comes from; None if unknown.
     list_age_s
         Seconds since it read the target list.
     list_is_stale
@@ -137,7 +137,7 @@
     list_is_stale: bool
     counts: Mapping[str, int]
     remote_loads: Mapping[str, Mapping[str, Load]]
-    list_offset: int | None = None
+    list_position: LogPosition | None = None
 
 
 class LoanScope(Enum):
@@ -225,7 +225,7 @@
             "revision": digest.revision,
             "age": round(digest.list_age_s, 3),
             "old": digest.list_is_stale,
-            "offset": digest.list_offset,
+            **position_fields(digest.list_position),
             "counts": digest.counts,
             "away": {
                 domain: _load_rows(rows) for domain, rows in digest.remote_loads.items()
@@ -270,7 +270,7 @@
                 str(domain): _decode_loads(rows)
                 for domain, rows in fields["away"].items()
             },
-            list_offset=parse_optional_int(fields.get("offset")),
+            list_position=parse_position(fields),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed datagram of a peer: {error!r}") from error
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -501,7 +501,7 @@
             revision=target_list.revision,
             list_age_s=target_list.age_s,
             list_is_stale=target_list.is_stale,
-            list_offset=target_list.offset,
+            list_position=target_list.position,
             counts=self.roster.counts() | {self.domain: self.roster.count()},
             remote_loads={},
         )
--- a/libs/entry/src/celeryfork_entry/peer_state.py
+++ b/libs/entry/src/celeryfork_entry/peer_state.py
@@ -20,10 +20,10 @@
     parse_id,
     parse_int,
     parse_layers,
-    parse_optional_int,
     parse_start_ms,
     parse_text,
 )
+from celeryfork_entry.log_position import LogPosition, parse_position, position_fields
 from celeryfork_entry.targets import Target
 
 STATE_PATH = "/known"
@@ -43,22 +43,22 @@
     ----------
     configuration_bytes
         The configuration as the operator published it; empty if there is none.
-    offset
-        Offset of the store's log up to which the targets were read, None if unknown.
+    position
+        Position in the store's log up to which the targets were read, None if unknown.
     list_age_s
         Seconds since then.
     """
 
     configuration_bytes: bytes
     targets: tuple[Target, ...]
-    offset: int | None = None
+    position: LogPosition | None = None
     list_age_s: float = 0.0
 
 
 def encode_state(
     configuration: Configuration | None,
     targets: Iterable[Target],
-    offset: int | None = None,
+    position: LogPosition | None = None,
     list_age_s: float = 0.0,
 ) -> bytes:
     """Return the configuration and targets as a message to a peer."""
@@ -69,7 +69,7 @@
                 zlib.compress(configuration_bytes, COMPRESSION_LEVEL)
             ).decode(),
             "targets": [asdict(target) for target in targets],
-            "offset": offset,
+            **position_fields(position),
             "age": round(list_age_s, 3),
         }
     )
@@ -89,7 +89,7 @@
         return PeerState(
             _decompress(fields["configuration"]),
             targets,
-            parse_optional_int(fields.get("offset")),
+            parse_position(fields),
             max(0.0, parse_finite_float(fields.get("age", 0.0))),
         )
     except (KeyError, TypeError, AttributeError, zlib.error) as error:
@@ -116,15 +116,15 @@
         Revision of the list after these changes.
     whole
         True if ``targets`` is the full list; all other targets have been removed.
-    offset
-        Offset of the store's log up to which the list was read, None if unknown.
+    position
+        Position in the store's log up to which the list was read, None if unknown.
     """
 
     revision: int
     whole: bool
     targets: tuple[Target, ...]
     removed: tuple[str, ...] = ()
-    offset: int | None = None
+    position: LogPosition | None = None
 
 
 def encode_changes(
@@ -133,7 +133,7 @@
     removed: Sequence[str],
     *,
     whole: bool,
-    offset: int | None = None,
+    position: LogPosition | None = None,
 ) -> bytes:
     """Return changes of the target list as a message to a follower."""
     return dumps(
@@ -142,7 +142,7 @@
             "whole": whole,
             "targets": [asdict(target) for target in targets],
             "gone": removed,
-            "offset": offset,
+            **position_fields(position),
         }
     )
 
@@ -163,7 +163,7 @@
             bool(fields["whole"]),
             targets,
             (*(str(each) for each in fields["gone"]), *unusable),
-            parse_optional_int(fields.get("offset")),
+            parse_position(fields),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed changes message of a relay: {error!r}") from error
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -9,6 +9,7 @@
 
 from celeryfork_entry.caller_http import CallerRequest
 from celeryfork_entry.configuration import Configuration
+from celeryfork_entry.log_position import LogPosition
 from celeryfork_entry.target_http import OutgoingRequest
 from celeryfork_entry.targets import ListChange, Target
 
@@ -208,8 +209,8 @@
         """Return the full list as last read."""
 
     @property
-    def offset(self) -> int | None:
-        """Offset of the store's log up to which the list was read, None before."""
+    def position(self) -> LogPosition | None:
+        """Position in the store's log up to which the list was read, None before."""
 
 
 @frozen
--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -2,7 +2,8 @@
 
 Relays read the store. They send digests, which name the revision and the age of their
 target lists, to the instances that don't (followers). A list is only replaced by one
-that was read from the store as late or later: its offset travels with it.
+that was read from the store as late or later: its position in the store's log travels
+with it.
 """
 
 import random
@@ -13,6 +14,7 @@
 from celeryfork_base.counters import Counters
 from logbook import Logger
 
+from celeryfork_entry.log_position import LogPosition
 from celeryfork_entry.peer_messages import RelayDigest
 from celeryfork_entry.peer_state import CHANGES_PATH, TargetChanges, decode_changes
 from celeryfork_entry.target_http import LostError, NotSentError
@@ -75,7 +77,7 @@
         lacks the removals since.
         """
         unread = digest.list_age_s >= UNREAD_AGE_S
-        return not unread and not self._table.is_newer_than(digest.list_offset)
+        return not unread and not self._table.is_newer_than(digest.list_position)
 
     def reset(self) -> None:
         """Fetch a relay's full list next time: the table came from another source."""
@@ -146,12 +148,12 @@
             return
         finally:
             self._fetching = False
-        if self._table.is_newer_than(changes.offset):
+        if self._table.is_newer_than(changes.position):
             self._log.info(
                 "older_list_ignored",
                 relay=address,
-                offset=changes.offset,
-                own_offset=self._table.offset,
+                **_position_inputs("", changes.position),
+                **_position_inputs("own_", self._table.position),
             )
             return
         self._apply_changes(changes)
@@ -167,9 +169,16 @@
 
     def _apply_changes(self, changes: TargetChanges) -> None:
         self._counters.add("peers.changes_taken")
-        self._table.offset = changes.offset
+        self._table.position = changes.position
         if changes.whole:
             self._table.replace_all(changes.targets)
             return
         self._table.apply([Unlisted(target_id) for target_id in changes.removed])
         self._table.apply([Listed(target) for target in changes.targets])
+
+
+def _position_inputs(prefix: str, position: LogPosition | None) -> dict[str, int]:
+    """Return the log fields of a position."""
+    if position is None:
+        return {}
+    return {f"{prefix}era": position.era, f"{prefix}offset": position.offset}
--- a/libs/entry/src/celeryfork_entry/store_follower.py
+++ b/libs/entry/src/celeryfork_entry/store_follower.py
@@ -17,6 +17,7 @@
 
 from celeryfork_entry.configuration import Configuration
 from celeryfork_entry.list_changes import ListState
+from celeryfork_entry.log_position import LogPosition
 from celeryfork_entry.peer_messages import RelayDigest
 from celeryfork_entry.peer_state import (
     CONFIGURATION_PATH,
@@ -151,7 +152,7 @@
                 self._targets.request_full_read()
                 await asyncio.sleep(FOLLOWER_CHECK_INTERVAL_S)
                 continue
-            followed, offset = self._relayed.current_relay, self._table.offset
+            followed, position = self._relayed.current_relay, self._table.position
             if followed:
                 # The next changes don't tell what was removed before them.
                 self._targets.request_full_read()
@@ -160,7 +161,7 @@
             except StoreUnavailableError as error:
                 await self._store_failed("targets", error)
                 continue
-            if self._is_outdated(changes, followed, offset):
+            if self._is_outdated(changes, followed, position):
                 self._targets.request_full_read()
                 continue
             now_s = self.list_read_s = time.monotonic()
@@ -174,12 +175,15 @@
                 )
             else:
                 self._table.apply(changes, keep_expired=keep_expired)
-            self._table.offset = self._targets.offset
+            self._table.position = self._targets.position
             self.on_change()
             await asyncio.sleep(LIST_READ_INTERVAL_S)
 
     def _is_outdated(
-        self, changes: Sequence[ListChange] | None, followed: str, offset: int | None
+        self,
+        changes: Sequence[ListChange] | None,
+        followed: str,
+        position: LogPosition | None,
     ) -> bool:
         """Return True if a relay's list that came meanwhile goes before an answer.
 
@@ -187,13 +191,13 @@
         ----------
         changes
             Answer of the store, None for a full read.
-        followed, offset
-            Relay that was followed before the request, and the offset of the list.
+        followed, position
+            Relay that was followed before the request, and the position of the list.
         """
         if self._relayed.current_relay != followed and changes is not None:
             return True
-        return self._table.offset != offset and self._table.is_newer_than(
-            self._targets.offset
+        return self._table.position != position and self._table.is_newer_than(
+            self._targets.position
         )
 
     def store_outage_s(self) -> float:
@@ -213,14 +217,14 @@
             self._table.changes.revision,
             age_s,
             self._table.list_is_stale,
-            self._table.offset,
+            self._table.position,
         )
 
     def known(self) -> bytes:
         """Return the configuration and targets as a message to a peer."""
         state = self.list_state()
         return encode_state(
-            self.configuration, self._table.by_id.values(), state.offset, state.age_s
+            self.configuration, self._table.by_id.values(), state.position, state.age_s
         )
 
     def encoded_configuration(self) -> bytes:
@@ -239,12 +243,16 @@
                 by_id.values(),
                 (),
                 whole=True,
-                offset=self._table.offset,
+                position=self._table.position,
             )
         changed, removed = since
         targets = [by_id[target_id] for target_id in changed if target_id in by_id]
         return encode_changes(
-            changes.revision, targets, removed, whole=False, offset=self._table.offset
+            changes.revision,
+            targets,
+            removed,
+            whole=False,
+            position=self._table.position,
         )
 
     def receive_digest(self, digest: RelayDigest) -> None:
@@ -258,8 +266,8 @@
         read_s = time.monotonic() - digest.list_age_s
         self.list_read_s = max(self.list_read_s, read_s)
         self._table.list_is_stale = digest.list_is_stale
-        same = digest.list_offset is not None and (
-            digest.list_offset == self._table.offset
+        same = digest.list_position is not None and (
+            digest.list_position == self._table.position
         )
         if reads_store and same and not self._relayed.current_relay:
             return
@@ -352,17 +360,17 @@
         if known.targets and self._lacks(known):
             self.list_read_s = max(MIN_READ_S, time.monotonic() - known.list_age_s)
             self._table.replace_all(known.targets)
-            self._table.offset = known.offset
+            self._table.position = known.position
             self._log.info("targets_taken", peer=address, targets=len(known.targets))
 
     def _lacks(self, known: PeerState) -> bool:
         """Return True if this instance has no list, or a peer's older than this one."""
-        own = self._table.offset
+        own = self._table.position
         return self.list_read_s == 0 or (
-            self._targets.offset is None
+            self._targets.position is None
             and own is not None
-            and known.offset is not None
-            and known.offset > own
+            and known.position is not None
+            and known.position > own
         )
 
     async def _request(self, address: str, path: str) -> bytes:
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -9,6 +9,7 @@
 from celeryfork_entry.engine_limits import EngineLimit, EngineLimits
 from celeryfork_entry.engine_speeds import EngineSpeeds, Speed
 from celeryfork_entry.list_changes import ListChanges
+from celeryfork_entry.log_position import LogPosition
 from celeryfork_entry.target_health import ReportedLayers, TargetHealth
 
 FIRST_EXCLUSION_S = 0.5
@@ -92,9 +93,9 @@
     ----------
     list_is_stale
         True if the target list can't be read, or may still name engines that left.
-    offset
-        Offset of the store's log up to which the list was read, by this instance or by
-        the peer that it comes from; None if unknown.
+    position
+        Position in the store's log up to which the list was read, by this instance or
+        by the peer that it comes from; None if unknown.
     in_flight_by_id
         Number of plain calls of this instance in progress, by target.
     """
@@ -104,22 +105,24 @@
     in_flight_by_id: dict[str, int] = field(factory=dict)
     _expired: set[str] = field(factory=set)
     list_is_stale: bool = False
-    offset: int | None = None
+    position: LogPosition | None = None
     _clock: Callable[[], float] = time.monotonic
     changes: ListChanges = field(factory=ListChanges)
     speeds: EngineSpeeds = field(factory=EngineSpeeds)
     limits: EngineLimits = field(factory=EngineLimits)
 
-    def is_newer_than(self, offset: int | None) -> bool:
+    def is_newer_than(self, position: LogPosition | None) -> bool:
         """Return True if the list was read later than one of a peer.
 
         Parameters
         ----------
-        offset
-            Offset up to which the peer's list was read. None, as from a peer of an
+        position
+            Position up to which the peer's list was read. None, as from a peer of an
             earlier release, doesn't count as older.
         """
-        return self.offset is not None and offset is not None and offset < self.offset
+        if self.position is None or position is None:
+            return False
+        return position < self.position
 
     def apply(
         self, changes: Iterable[ListChange], *, keep_expired: bool = False
--- a/libs/entry/tests/support/followed_store.py
+++ b/libs/entry/tests/support/followed_store.py
@@ -20,7 +20,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.full_read_requested = False
-        self.offset = None
+        self.position = None
 
     def request_full_read(self):
         self.full_read_requested = True
@@ -61,13 +61,13 @@
 
     Parameters
     ----------
-    offset
-        Offset of the store's log up to which its list was read.
+    position
+        Position in the store's log up to which its list was read.
     """
 
-    def __init__(self, address="10.0.0.2:7", offset=None):
+    def __init__(self, address="10.0.0.2:7", position=None):
         self.follower = make_follower()
-        self.table.offset = offset
+        self.table.position = position
         self.peer = Peer("relay", "a", address)
         self.age_s = 0.0
         self.list_is_stale = False
@@ -82,7 +82,7 @@
             self.peer, None, -1, {}, {}, (), {},
             revision=self.table.changes.revision, list_age_s=self.age_s,
             list_is_stale=self.list_is_stale, counts={}, remote_loads={},
-            list_offset=self.table.offset,
+            list_position=self.table.position,
         )  # fmt: skip
 
 
--- a/libs/entry/tests/test_store_outages.py
+++ b/libs/entry/tests/test_store_outages.py
@@ -6,6 +6,7 @@
 import pytest
 from attrs import evolve
 from celeryfork_base.counters import Counters
+from celeryfork_entry.log_position import LogPosition
 from celeryfork_entry.peer_state import encode_state
 from celeryfork_entry.ports import StoreUnavailableError
 from celeryfork_entry.relayed_list import STALE_S, STALE_SPREAD_S
@@ -228,46 +229,68 @@
 
     In an outage of the store another relay took its list, and sent them orders.
     """
-    paused = Relay(offset=4)
+    paused = Relay(position=LogPosition(1, 4))
     paused.table.replace_all([TARGET])
     follower = follow_relays(paused)
     follower.reads_store = lambda: reads_store
     follower.unavailable_feeds = {"targets"}
-    follower._table.offset = 9
+    follower._table.position = LogPosition(1, 9)
     receive_digests(follower, paused, paused)
     assert follower._table.by_id == {}
     assert paused.requested_paths == []
 
 
+# After a restore the followers kept their lists for up to 8.6 s: the relays' lists had
+# smaller offsets, and counted as older.
+def test_a_relays_list_of_a_later_era_is_newer_whatever_its_offset():
+    relay = Relay(position=LogPosition(2, 4))
+    relay.table.replace_all([TARGET])
+    follower = follow_relays(relay)
+    follower._table.position = LogPosition(1, 9)
+    receive_digests(follower, relay)
+    assert list(follower._table.by_id) == [TARGET.id]
+    assert follower._table.position == LogPosition(2, 4)
+
+
+def test_a_relays_list_of_an_earlier_era_is_older_whatever_its_offset():
+    """A relay that was paused during the restore has a list with a greater offset."""
+    paused = Relay(position=LogPosition(1, 9))
+    paused.table.replace_all([TARGET])
+    follower = follow_relays(paused)
+    follower._table.position = LogPosition(2, 4)
+    receive_digests(follower, paused, paused)
+    assert follower._table.by_id == {}
+
+
 def test_an_older_list_that_arrives_late_is_not_applied():
     """The relay's digest announced a newer list than the one that it then sent."""
-    relay = Relay(offset=9)
+    relay = Relay(position=LogPosition(1, 9))
     follower = follow_relays(relay)
     relay.table.replace_all([TARGET])
-    follower._table.offset = 9
+    follower._table.position = LogPosition(1, 9)
 
     async def run():
         follower.receive_digest(relay.digest())
-        follower._table.offset = 12
+        follower._table.position = LogPosition(1, 12)
         await asyncio.sleep(0.01)
 
     asyncio.run(run())
     assert follower._table.by_id == {}
 
 
-def test_a_newer_list_of_a_relay_is_taken_with_its_offset():
-    relay = Relay(offset=9)
+def test_a_newer_list_of_a_relay_is_taken_with_its_position():
+    relay = Relay(position=LogPosition(1, 9))
     relay.table.replace_all([TARGET])
     follower = follow_relays(relay)
-    follower._table.offset = 4
+    follower._table.position = LogPosition(1, 4)
     receive_digests(follower, relay)
     assert list(follower._table.by_id) == [TARGET.id]
-    assert follower._table.offset == 9
+    assert follower._table.position == LogPosition(1, 9)
 
 
 def test_an_answer_of_the_store_that_is_older_than_a_relays_list_is_not_applied():
     """The answer was delayed; it listed a server that had left since."""
-    relay = Relay(offset=9)
+    relay = Relay(position=LogPosition(1, 9))
     follower = follow_relays(relay)
     follower.reads_store = lambda: True
     follower.unavailable_feeds = {"targets"}
@@ -279,7 +302,7 @@
                 return await super().poll()
             requested.set()
             await asyncio.sleep(0.05)
-            self.offset = 4
+            self.position = LogPosition(1, 4)
             return None
 
     follower._targets = SlowFeed()
@@ -293,14 +316,14 @@
 
     asyncio.run(run())
     assert follower._table.by_id == {}
-    assert follower._table.offset == 9
+    assert follower._table.position == LogPosition(1, 9)
 
 
 def test_a_follower_whose_relays_have_older_lists_reads_the_store():
     """It would keep its list for good if the store's log began anew."""
-    relay = Relay(offset=4)
+    relay = Relay(position=LogPosition(1, 4))
     follower = follow_relays(relay)
-    follower._table.offset = 9
+    follower._table.position = LogPosition(1, 9)
     receive_digests(follower, relay)
     assert not follower.relays_are_stale()
     follower._relayed._usable_s -= STALE_S + STALE_SPREAD_S
@@ -310,20 +333,23 @@
 
 def test_an_instance_that_starts_without_the_store_uses_the_newest_list():
     """It took the first peer's, and told others that it was new."""
-    addresses = {"10.0.0.2:7": (5, [TARGET], 4.0), "10.0.0.3:7": (7, [OTHER], 1.0)}
+    addresses = {
+        "10.0.0.2:7": (LogPosition(1, 5), [TARGET], 4.0),
+        "10.0.0.3:7": (LogPosition(1, 7), [OTHER], 1.0),
+    }
     follower = FakePeerFollower(
         Decoding(), Feed(), TargetTable(), TargetConnections(), Logger("test"),
         Counters(), lambda: list(addresses),
     )  # fmt: skip
 
     async def request_peer(address, path):
-        offset, targets, age_s = addresses[address]
+        position, targets, age_s = addresses[address]
         configuration = SimpleNamespace(encoded=b"1")
-        return encode_state(configuration, targets, offset, age_s)
+        return encode_state(configuration, targets, position, age_s)
 
     follower.request_peer = request_peer
     asyncio.run(follower._fetch_from_any_peer())
     assert list(follower._table.by_id) == [OTHER.id]
     state = follower.list_state()
-    assert state.offset == 7
+    assert state.position == LogPosition(1, 7)
     assert state.age_s == pytest.approx(1.0, abs=0.5)
