Register an instance again when the store comes back from a copy

An instance that had started within the seconds that a restored store had lost was unknown to all that read the list of instances later: those that start, and those whose relays are silent. Its record was written once, at its start.

Change: an instance is registered again when the list of targets, read by it or by the relay that it follows, is of a later era than its registration.

Test: test_an_instance_is_announced_again_after_a_restore failed before (era 2).

--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -186,6 +186,7 @@
             self._placement,
             self.log,
             lambda: self.stopping,
+            lambda: self.table.position.era if self.table.position else None,
         )
         self._placement.acting_leader = ActingLeader(
             self._peers, self._store_follower.store_outage_s, reachability.cut_off
--- a/libs/entry/src/celeryfork_entry/leader_candidate.py
+++ b/libs/entry/src/celeryfork_entry/leader_candidate.py
@@ -37,13 +37,21 @@
 
 @define(eq=False)
 class LeaderCandidate:
-    """Announces this instance, renews its candidacy and reads the other instances."""
+    """Announces this instance, renews its candidacy and reads the other instances.
+
+    Parameters
+    ----------
+    known_era
+        Returns the era of the target list, None before the first. In a later era than
+        that of its announcement the store may have lost this instance's registration.
+    """
 
     _election: LeaderElection
     _roster: Roster
     _placement: PlacementLeader
     _log: Logger
     _stopping: Callable[[], bool]
+    _known_era: Callable[[], int | None] = lambda: None
     _relay_since_s: float | None = None
 
     async def renew_while_eligible(self) -> None:
@@ -65,13 +73,13 @@
         return since_s is not None and now_s - since_s > RELAY_SETTLING_S
 
     async def announce_and_read_instances(self) -> None:
-        """Announce this instance once, and add the other instances to the roster."""
-        announced, reads = False, 0
+        """Announce this instance, and add the other instances to the roster."""
+        announced_era, reads = -1, 0
         while not self._stopping():
             try:
-                if not announced:
-                    await self._election.announce()
-                    announced = True
+                known_era = self._known_era()
+                if announced_era < 0 or (known_era or 0) > announced_era:
+                    announced_era = await self._election.announce()
                 if reads < INITIAL_READS or self._has_no_live_relay():
                     self._roster.add_listed(await self._election.peers())
                     reads += 1
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -255,8 +255,13 @@
     it ceases to be a relay.
     """
 
-    async def announce(self) -> None:
-        """Register this instance with the others, once after each start.
+    async def announce(self) -> int:
+        """Register this instance with the others, after its start and after a restore.
+
+        Returns
+        -------
+        int
+            Era of the store in which it is registered.
 
         Raises
         ------
--- a/libs/entry/tests/test_leader_candidate.py
+++ b/libs/entry/tests/test_leader_candidate.py
@@ -19,12 +19,14 @@
     def __init__(self, failures=0):
         self.failures = failures
         self.announced = self.renewed = self.reads = 0
+        self.era = 1
 
     async def announce(self):
         if self.failures:
             self.failures -= 1
             raise StoreUnavailableError("away")
         self.announced += 1
+        return self.era
 
     async def renew(self):
         self.renewed += 1
@@ -103,6 +105,23 @@
     assert election.announced == 1
 
 
+# Instances that started within the seconds that a restored store had lost were unknown to
+# all that read the list of instances later.
+@pytest.mark.parametrize(("era", "announced"), [(None, 1), (1, 1), (2, 2)])
+def test_an_instance_is_announced_again_after_a_restore(era, announced):
+    candidate, election, _, running = make(WEST[7])
+
+    async def announce_and_restore():
+        task = asyncio.ensure_future(candidate.announce_and_read_instances())
+        await asyncio.sleep(0.05)
+        election.era = era or 1
+        candidate._known_era = lambda: era
+        await task
+
+    run(announce_and_restore, running)
+    assert election.announced == announced
+
+
 def test_reads_of_instances_continue_only_while_no_relay_is_live():
     """Otherwise each of 88 instances reads the list of all instances every second."""
     candidate, election, roster, running = make(WEST[7])
