Keep targets for a while that a restored store lacks

An instance that was paused while the store was away and came back from a copy removed engines at once that had registered within the lost seconds: the copy lacks their entries, and the engines write them again within two seconds. After an outage that the instance notices such entries are kept for that time; a restore that no call of its own has noticed gave no such time.

Change: the time is given whenever the list's era has risen.

Test: test_targets_that_a_restored_store_lacks_are_kept_for_a_while failed before.

--- a/libs/entry/src/celeryfork_entry/store_follower.py
+++ b/libs/entry/src/celeryfork_entry/store_follower.py
@@ -55,7 +55,7 @@
 forward what they read. A change must be in force within 4 s on large sites."""
 EXPIRY_GRACE_S = 2.0
 """Seconds after the store's return for which expired entries of the target list are
-kept, so that they may be renewed."""
+kept, so that they may be renewed; also after a restore that no call has noticed."""
 FOLLOWER_CHECK_INTERVAL_S = 0.2
 """Interval in seconds at which a follower checks if it has to read the store itself."""
 MAX_CONCURRENT_PEER_REQUESTS = 4
@@ -166,7 +166,8 @@
                 continue
             now_s = self.list_read_s = time.monotonic()
             self._relayed.reset()
-            if self._store_answered("targets"):
+            regained = self._store_answered("targets")
+            if regained or self._table.is_of_earlier_era(self._targets.position):
                 self.grace_until_s = now_s + EXPIRY_GRACE_S
             keep_expired = self._table.list_is_stale = now_s < self.grace_until_s
             if changes is None:
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -124,6 +124,12 @@
             return False
         return position < self.position
 
+    def is_of_earlier_era(self, position: LogPosition | None) -> bool:
+        """Return True if the store was restored between the list and a position."""
+        if self.position is None or position is None:
+            return False
+        return self.position.era < position.era
+
     def apply(
         self, changes: Iterable[ListChange], *, keep_expired: bool = False
     ) -> None:
--- a/libs/entry/tests/test_leader_candidate.py
+++ b/libs/entry/tests/test_leader_candidate.py
@@ -105,8 +105,8 @@
     assert election.announced == 1
 
 
-# Instances that started within the seconds that a restored store had lost were unknown to
-# all that read the list of instances later.
+# Instances that started within the seconds that a restored store had lost were unknown
+# to all that read the list of instances later.
 @pytest.mark.parametrize(("era", "announced"), [(None, 1), (1, 1), (2, 2)])
 def test_an_instance_is_announced_again_after_a_restore(era, announced):
     candidate, election, _, running = make(WEST[7])
--- a/libs/entry/tests/test_store_outages.py
+++ b/libs/entry/tests/test_store_outages.py
@@ -240,6 +240,26 @@
     assert paused.requested_paths == []
 
 
+# An instance that was paused during the restore removed engines at once whose entries
+# the copy lacks, and that write them again within two seconds.
+@pytest.mark.parametrize(("era", "kept"), [(1, []), (2, [OTHER.id])])
+def test_targets_that_a_restored_store_lacks_are_kept_for_a_while(era, kept):
+    follower = make_follower()
+    follower._table.replace_all([TARGET, OTHER])
+    follower._table.position = LogPosition(1, 9)
+    follower._targets = Feed(None)
+    follower._targets.position = LogPosition(era, 7)
+
+    async def run():
+        task = asyncio.ensure_future(follower.follow_targets())
+        await asyncio.sleep(0.02)
+        task.cancel()
+
+    asyncio.run(run())
+    assert sorted(follower._table.by_id) == sorted([TARGET.id, *kept])
+    assert follower._table.drop_expired() == kept
+
+
 # After a restore the followers kept their lists for up to 8.6 s: the relays' lists had
 # smaller offsets, and counted as older.
 def test_a_relays_list_of_a_later_era_is_newer_whatever_its_offset():
