Don't use a target that had left when a restored store lists it again

A copy of the store may list a target as ready that has left since, or is leaving: an instance that knew so sent it requests again, until its entry lapsed or was written again.

Change: the table remembers the targets that it has seen leave (at most 2,000), with their process and entry. For 5 s after a restore an entry that is no newer is taken as that of a target that is leaving, which gets no new work; a newer entry, or another process, is used at once, and so is a target that comes back in the same era.

--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -169,7 +169,7 @@
 
     def _apply_changes(self, changes: TargetChanges) -> None:
         self._counters.add("peers.changes_taken")
-        self._table.position = changes.position
+        self._table.move_to(changes.position)
         if changes.whole:
             self._table.replace_all(changes.targets)
             return
--- a/libs/entry/src/celeryfork_entry/store_follower.py
+++ b/libs/entry/src/celeryfork_entry/store_follower.py
@@ -169,6 +169,7 @@
             regained = self._store_answered("targets")
             if regained or self._table.is_of_earlier_era(self._targets.position):
                 self.grace_until_s = now_s + EXPIRY_GRACE_S
+            self._table.move_to(self._targets.position)
             keep_expired = self._table.list_is_stale = now_s < self.grace_until_s
             if changes is None:
                 self._table.replace_all(
@@ -176,7 +177,6 @@
                 )
             else:
                 self._table.apply(changes, keep_expired=keep_expired)
-            self._table.position = self._targets.position
             self.on_change()
             await asyncio.sleep(LIST_READ_INTERVAL_S)
 
@@ -360,8 +360,8 @@
             )
         if known.targets and self._lacks(known):
             self.list_read_s = max(MIN_READ_S, time.monotonic() - known.list_age_s)
+            self._table.move_to(known.position)
             self._table.replace_all(known.targets)
-            self._table.position = known.position
             self._log.info("targets_taken", peer=address, targets=len(known.targets))
 
     def _lacks(self, known: PeerState) -> bool:
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Mapping
+from math import inf
 
 from attrs import define, evolve, field, frozen
 from celeryfork_routing.layers import LayerRange
@@ -36,6 +37,11 @@
 REPORTED_LAYERS_TTL_S = 10.0
 """Seconds for which layers reported by an engine are sent to peers: about forty of this
 instance's reports."""
+RESTORED_ENTRY_TTL_S = 5.0
+"""Seconds after a restore of the store for which an entry of a target that had left is
+not trusted; the entry of a dead one lapses sooner."""
+MAX_LEFT = 2_000
+"""Maximum number of targets that have left that are remembered."""
 MAX_BACKOFF_DOUBLINGS = 4
 """Upper bound of the counter of refusals; a lower count gives the longest backoff."""
 FAILURE_WEIGHT = 0.2
@@ -104,6 +110,8 @@
     _health_by_id: dict[str, TargetHealth] = field(factory=dict)
     in_flight_by_id: dict[str, int] = field(factory=dict)
     _expired: set[str] = field(factory=set)
+    _left_by_process: dict[tuple[str, int | None], int] = field(factory=dict)
+    _restored_s: float = -inf
     list_is_stale: bool = False
     position: LogPosition | None = None
     _clock: Callable[[], float] = time.monotonic
@@ -130,6 +138,12 @@
             return False
         return self.position.era < position.era
 
+    def move_to(self, position: LogPosition | None) -> None:
+        """Set the position of a list that is applied next."""
+        if self.is_of_earlier_era(position):
+            self._restored_s = self._clock()
+        self.position = position
+
     def apply(
         self, changes: Iterable[ListChange], *, keep_expired: bool = False
     ) -> None:
@@ -169,13 +183,33 @@
 
     def forget(self, target_id: str) -> None:
         """Remove a target, its health, its speed and its limit."""
-        if self.by_id.pop(target_id, None) is not None:
+        known = self.by_id.pop(target_id, None)
+        if known is not None:
             self.changes.removed(target_id)
+            self._record_left(known)
         self._health_by_id.pop(target_id, None)
         self.speeds.forget(target_id)
         self.limits.forget(target_id)
         self._expired.discard(target_id)
 
+    def _record_left(self, target: Target) -> None:
+        """Remember that a target is leaving or has left, and with which entry."""
+        left = self._left_by_process
+        left.pop((target.id, target.born_ms), None)
+        left[target.id, target.born_ms] = target.entry_number
+        if len(left) > MAX_LEFT:
+            del left[next(iter(left))]
+
+    def _has_returned(self, target: Target) -> bool:
+        """Return True if an entry is that of before its target left.
+
+        A store that comes back from a copy lists targets that have left since.
+        """
+        if self._clock() - self._restored_s >= RESTORED_ENTRY_TTL_S:
+            return False
+        left = self._left_by_process.get((target.id, target.born_ms))
+        return left is not None and target.entry_number <= left
+
     def _apply_entry(self, target: Target) -> None:
         known = self.by_id.get(target.id)
         if known is not None and known.born_ms != target.born_ms:
@@ -193,6 +227,10 @@
             target = self._merge_renewal(target, health)
         elif known is not None and (learnt := self.health(target.id).learnt):
             target = evolve(target, held=learnt.held)
+        if target.draining:
+            self._record_left(target)
+        elif self._has_returned(target):
+            self.mark_leaving(target.id, self._clock())
         self._update(target)
         self._expired.discard(target.id)
 
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -2,12 +2,15 @@
 
 from types import SimpleNamespace
 
+import pytest
 from attrs import evolve
 from celeryfork_entry.engine_speeds import Speed
+from celeryfork_entry.log_position import LogPosition
 from celeryfork_entry.targets import (
     LEAVING_TTL_S,
     LIST_LAG_S,
     MAX_EXCLUSION_S,
+    MAX_LEFT,
     REPORTED_LAYERS_TTL_S,
     Listed,
     ReportedLayers,
@@ -315,3 +318,58 @@
     assert table.own_reported_layers() == {"t1": reported_layers(4, 8, 101.0)}
     clock.now_s = 101.0 + REPORTED_LAYERS_TTL_S
     assert table.own_reported_layers() == {}
+
+
+BEFORE, RESTORED = LogPosition(1, 9), LogPosition(2, 8)
+
+
+def make_table_after(*changes, now_s=100.0):
+    """Return a table that a store has listed changes of, before its restore."""
+    table = TargetTable(clock=lambda: now_s)
+    table.move_to(BEFORE)
+    table.apply([Listed(TARGET), *changes])
+    return table
+
+
+# Requests were sent to a target that had left: a restored store listed it as ready.
+@pytest.mark.parametrize(
+    "change", [Unlisted("t1"), Listed(evolve(TARGET, draining=True))]
+)
+def test_a_target_that_had_left_is_not_used_after_a_restore(change):
+    table = make_table_after(change)
+    table.move_to(RESTORED)
+    table.replace_all([TARGET])
+    assert table.available("desk") == []
+
+
+def test_a_target_that_had_left_is_used_once_it_writes_its_entry_again():
+    table = make_table_after(Unlisted("t1"))
+    table.move_to(RESTORED)
+    table.replace_all([TARGET])
+    renewed = evolve(TARGET, entry_number=TARGET.entry_number + 1)
+    table.apply([Listed(renewed)])
+    assert table.available("desk") == [renewed]
+
+
+def test_a_target_that_started_again_is_used_after_a_restore():
+    table = make_table_after(Unlisted("t1"))
+    table.move_to(RESTORED)
+    again = evolve(TARGET, born_ms=2000, entry_number=0)
+    table.replace_all([again])
+    assert table.available("desk") == [again]
+
+
+def test_a_target_that_comes_back_in_the_same_era_is_used():
+    """Entries lapse while the store is away, and are back soon after its return."""
+    table = make_table_after(Unlisted("t1"))
+    table.move_to(LogPosition(1, 12))
+    table.apply([Listed(TARGET)])
+    assert table.available("desk") == [TARGET]
+
+
+def test_targets_that_have_left_are_remembered_up_to_a_bound():
+    table = make_table_after()
+    for number in range(MAX_LEFT + 10):
+        each = evolve(TARGET, id=f"x{number}")
+        table.apply([Listed(each), Unlisted(each.id)])
+    assert len(table._left_by_process) == MAX_LEFT
