Ask for permits again after a limit has ended

Calls that had asked for a permit in the turn of the loop in which the engine's limit ended waited 60 ms for an answer that nobody would give. They stayed in the list of those that ask, so that once the engine named a limit again no permit was asked for at all: each call waited as long, and used the instance's own share.

Cause: the question returned before it took the waiting calls. Now it takes them first, and those whose limit has ended may be sent.

Found by reading the change; not seen in a play.

Test: test_permits_are_asked_for_again_after_a_limit_has_ended failed before (permits.unanswered 1).

--- a/libs/entry/src/celeryfork_entry/engine_permits.py
+++ b/libs/entry/src/celeryfork_entry/engine_permits.py
@@ -223,11 +223,17 @@
             for number, ask in self._ask_by_number.items()
             if now_s - ask.sent_s < PERMIT_TTL_S
         }
-        supply, target = self._supply_by_engine.get(engine_id), self._target(engine_id)
-        limit = self._table.limits.limit(engine_id)
-        if supply is None or target is None or limit is None:
+        supply = self._supply_by_engine.get(engine_id)
+        if supply is None:
             return
         waiters, supply.waiters = supply.waiters, []
+        limit = self._table.limits.limit(engine_id)
+        if limit is None:
+            # It has ended in this turn.
+            for issued in waiters:
+                if not issued.done():
+                    issued.set_result(True)
+            return
         self._number += 1
         self._ask_by_number[self._number] = _Ask(engine_id, now_s, waiters)
         wanted = min(MAX_PERMITS, len(waiters))
--- a/libs/entry/tests/test_engine_permits.py
+++ b/libs/entry/tests/test_engine_permits.py
@@ -203,6 +203,32 @@
     assert all(caller.has_complete_answer for caller in callers)
 
 
+# Calls that asked as the limit ended waited in vain, and no permit was ever asked for
+# once the engine named a limit again.
+def test_permits_are_asked_for_again_after_a_limit_has_ended():
+    trial = Trial()
+    engine = trial.add("x")
+    engine.limit_per_s = 100.0
+    trial.serve()
+
+    async def end_and_name_again():
+        asked = asyncio.ensure_future(trial.permits.acquire("x"))
+        await asyncio.sleep(0)
+        now_s = time.monotonic()
+        trial.permits.record_limit("x", EngineLimit(inf, 1, now_s, own=True))
+        assert await asked
+        named = EngineLimit(100.0, 1, time.monotonic(), own=True)
+        trial.permits.record_limit("x", named)
+        for _ in range(20):
+            if await trial.permits.acquire("x"):
+                return True
+            await asyncio.sleep(0.03)
+        return False
+
+    assert trial.run(end_and_name_again())
+    assert trial.counters.count("permits.unanswered") == 0
+
+
 # An engine that had named 0 requests a second was never used again, as only answers to
 # requests tell that a limit has ended.
 def test_an_engine_without_permits_is_asked_whether_its_limit_holds():
