Don't save an instance's own share of a limit while its issuer answers

When an issuer ceased to answer, each instance that hadn't asked for a while had a permit of its own share saved, and used it at once: 6 of 8 instances in the test at the same moment, and of 74 instances more than a limit of 10 a second allows in 4 s.

Cause: the share was counted from the issuer's last answer, also while nothing was asked. Now it is a bucket that begins when the issuer ceases to answer, empty, and below empty by an amount that differs between instances, so that those that lost the issuer together don't use their shares together.

Test: test_shares_are_not_saved_while_an_issuer_answers failed before (6). 38 passed in test_engine_permits.py.

--- a/libs/entry/src/celeryfork_entry/engine_permits.py
+++ b/libs/entry/src/celeryfork_entry/engine_permits.py
@@ -11,9 +11,10 @@
 import time
 from collections.abc import Callable, Container, Iterable
 from math import inf
-from random import randrange
+from random import random, randrange
 
 from attrs import define, evolve, field
+from celeryfork_admission.buckets import TokenBucket
 from celeryfork_admission.rate_issuer import Issued, RateIssuer
 from celeryfork_base.counters import Counters
 from logbook import Logger
@@ -68,8 +69,10 @@
 
     Parameters
     ----------
-    answered_s
-        Time of the issuer's last answer, or of the last use of the own share.
+    own_share
+        Permits of this instance's own share since the issuer has ceased to answer, None
+        while it answers. It begins below 0, by an amount that differs between
+        instances, so that they don't use their shares all at once.
     next_s
         Time at which the issuer expects to have the next permit.
     ask_again_s
@@ -82,7 +85,7 @@
         Calls that ask in this turn of the event loop.
     """
 
-    answered_s: float
+    own_share: TokenBucket | None = None
     next_s: float = 0.0
     ask_again_s: float = 0.0
     spare: int = 0
@@ -184,7 +187,7 @@
         if not self.is_limited(engine_id):
             return True
         now_s = time.monotonic()
-        supply = self._supply_by_engine.setdefault(engine_id, _Supply(now_s))
+        supply = self._supply_by_engine.setdefault(engine_id, _Supply())
         if supply.spare and now_s < supply.spare_until_s:
             supply.spare -= 1
             return True
@@ -314,7 +317,7 @@
         supply = self._supply_by_engine.get(ask.engine_id)
         if supply is None:
             return
-        supply.answered_s = now_s
+        supply.own_share = None
         waiting = [each for each in ask.waiters if not each.done()]
         for number, issued in enumerate(waiting):
             issued.set_result(number < grant.permits)
@@ -334,8 +337,10 @@
             return True
         self._counters.add("permits.unanswered")
         own_per_s = limit.per_s / self._fleet_size()
-        if own_per_s * (now_s - supply.answered_s) >= 1.0:
-            supply.answered_s = now_s
+        if supply.own_share is None:
+            supply.own_share = TokenBucket(-random(), now_s)
+        supply.own_share.refill(now_s, own_per_s, 1.0)
+        if supply.own_share.take(1):
             return True
         supply.ask_again_s = max(supply.ask_again_s, now_s + UNANSWERED_PAUSE_S)
         return False
--- a/libs/entry/tests/test_engine_permits.py
+++ b/libs/entry/tests/test_engine_permits.py
@@ -161,6 +161,24 @@
     assert sum(issued[1:]) > 0, "another relay issues"
 
 
+# Instances that hadn't asked for a while each had a permit of their own share when
+# their issuer ceased to answer, and used them at the same moment.
+def test_shares_are_not_saved_while_an_issuer_answers():
+    fleet = make_fleet()
+    for trial in fleet.trials:
+        trial.serve()
+
+    async def wait_and_lose_the_issuer():
+        await call_for(fleet, 0.5, serve_stream)
+        await asyncio.sleep(2 * INSTANCES / LIMIT_PER_S)
+        fleet.lost = lambda sender, receiver: True
+        others = fleet.trials[1:]
+        taken = [trial.permits.acquire("x") for trial in others]
+        return sum(await asyncio.gather(*taken))
+
+    assert fleet.run(wait_and_lose_the_issuer()) == 0
+
+
 def test_lost_permit_datagrams_never_create_permits():
     dropped = iter(range(1_000_000))
     fleet = make_fleet(lambda sender, receiver: next(dropped) % 3 == 0)
