Put the trials of paused engines on the simulated clock

test_streams_without_another_path_go_on_after_a_pause[front-0.5] went red once in a whole run beside other work: every answer was complete and sent once, but no stream had doubted its silent path.

The cause is the clock of the test, not the product. The pause of 0.5 s was one of the machine's clock, while the checks need turns of the loop in it.

The trials of this file now run on simulated time, with the same assertions and bounds.

simulated_time uses asyncio.Runner, which cancels what a failed trial leaves behind. Its coroutines were destroyed during pytest's report of a later failure, which ended in an internal error instead of a report.

--- a/libs/entry/tests/support/skipping_loop.py
+++ b/libs/entry/tests/support/skipping_loop.py
@@ -146,12 +146,11 @@
     ``time.monotonic`` is that clock too. What is measured then depends on what the code
     decides, and not on how busy the machine is.
     """
-    loop = _SimulatedLoop()
-    with patch("time.monotonic", loop.time):
-        try:
-            yield loop.run_until_complete
-        finally:
-            loop.close()
+    with (
+        asyncio.Runner(loop_factory=_SimulatedLoop) as runner,
+        patch("time.monotonic", runner.get_loop().time),
+    ):
+        yield runner.run
 
 
 def run_skipping(main, engine=None):
--- a/libs/entry/tests/test_paused_engines.py
+++ b/libs/entry/tests/test_paused_engines.py
@@ -13,10 +13,29 @@
 
 STREAMS = 30
 GAP_S = 0.02
+WITHIN_S = 10.0
+"""Seconds within which a trial has to end."""
 PAUSES_S = [0.3, 0.5, 1.0, 1.6]
 """Up to more than the limit of silence of a path."""
 
 
+@pytest.fixture
+def make_trial():
+    """Trials on a simulated clock.
+
+    On a busy machine a pause passed without a check that counted: an instance that is
+    late itself doesn't judge engines.
+    """
+    with simulated_time() as run:
+
+        def make(**options):
+            trial = Trial(**options)
+            trial.run = lambda work: run(asyncio.wait_for(work, WITHIN_S))
+            return trial
+
+        yield make
+
+
 def serve_during_pause(trial, paused, pause_s, count=STREAMS):
     """Serve streams whose engines are paused in the middle; return their callers."""
     callers = [Caller() for _ in range(count)]
@@ -46,9 +65,9 @@
 
 @pytest.mark.parametrize("pause_s", PAUSES_S)
 @pytest.mark.parametrize("which", ["front", "back", "both"])
-def test_streams_without_another_path_go_on_after_a_pause(which, pause_s):
+def test_streams_without_another_path_go_on_after_a_pause(make_trial, which, pause_s):
     """All of them were sent again at once, more than the retry budget allowed."""
-    trial = Trial(slack=3.0)
+    trial = make_trial(slack=3.0)
     front = trial.add("front", *steps(), layers=FRONT)
     back = trial.add("back", layers=BACK)
     paused = {"front": [front], "back": [back], "both": [front, back]}[which]
@@ -59,9 +78,11 @@
 
 
 @pytest.mark.parametrize("pause_s", [0.5, 1.6])
-def test_streams_that_the_retry_budget_does_not_allow_to_leave_go_on(pause_s):
+def test_streams_that_the_retry_budget_does_not_allow_to_leave_go_on(
+    make_trial, pause_s
+):
     """Another domain had room, but the share of retries ended what it didn't cover."""
-    trial = Trial(slack=3.0)
+    trial = make_trial(slack=3.0)
     first = trial.add("first", *steps())
     callers_first = STREAMS
     second = trial.add("second", domain="b")
@@ -85,23 +106,21 @@
     assert 0 < second.runs < STREAMS
 
 
-def test_a_stream_leaves_a_silent_engine_at_once_if_another_one_has_room():
+def test_a_stream_leaves_a_silent_engine_at_once_if_another_one_has_room(make_trial):
     """Callers count a gap of 0.2 s between events as late."""
-    with simulated_time() as run:
-        trial = Trial()
-        trial.run = run
-        first = trial.add("first", *steps(1))
-        second = trial.add("second", domain="b")
-        [caller] = serve_during_pause(trial, [first], 1.0, count=1)
+    trial = make_trial()
+    first = trial.add("first", *steps(1))
+    second = trial.add("second", domain="b")
+    [caller] = serve_during_pause(trial, [first], 1.0, count=1)
     assert caller.has_complete_answer
     assert second.runs == 1
     assert caller.max_event_gap_s <= 0.3
 
 
 @pytest.mark.parametrize("pause_s", [0.5, 1.6])
-def test_a_stream_that_must_not_be_repeated_goes_on_after_a_pause(pause_s):
+def test_a_stream_that_must_not_be_repeated_goes_on_after_a_pause(make_trial, pause_s):
     """It was broken off as soon as its engine had missed its reports."""
-    trial = Trial()
+    trial = make_trial()
     trial.route = evolve(trial.route, kind=Stream(False, 0.2))
     first = trial.add("first", *steps(1))
     second = trial.add("second", domain="b")
@@ -110,9 +129,9 @@
     assert (first.runs, second.runs) == (1, 0)
 
 
-def test_a_stream_leaves_a_doubted_engine_once_that_has_ended():
+def test_a_stream_leaves_a_doubted_engine_once_that_has_ended(make_trial):
     """An engine that ends during a pause doesn't always close its streams."""
-    trial = Trial()
+    trial = make_trial()
     first = trial.add("first", *steps(1))
     trial.add("second", domain="b")
     trial.table.exclude("second", "not yet", 0.0)
@@ -136,9 +155,9 @@
 
 @pytest.mark.parametrize("kind", [Idempotent(), AtMostOnce()])
 @pytest.mark.parametrize("others", [0, 1])
-def test_a_plain_call_is_answered_after_a_pause_of_its_target(kind, others):
+def test_a_plain_call_is_answered_after_a_pause_of_its_target(make_trial, kind, others):
     """An idempotent call was given up after 0.3 s, also if there was nothing else."""
-    trial = Trial(slack=0.0)
+    trial = make_trial(slack=0.0)
     trial.route = evolve(trial.route, kind=kind)
     desk = trial.add("desk")
     for number in range(others):
@@ -161,9 +180,11 @@
     assert (caller.status, caller.ending) == (200, "whole")
 
 
-def test_streams_that_find_no_other_path_do_not_keep_the_others_from_searching():
+def test_streams_that_find_no_other_path_do_not_keep_the_others_from_searching(
+    make_trial,
+):
     """After a search in vain no stream searched for 5 ms, at each of their turns."""
-    trial = Trial(max_targets=1)
+    trial = make_trial(max_targets=1)
     first = trial.add("first", *steps())
     trial.add("second", domain="b")
     bound = [Caller() for _ in range(20)]
