Keep the intervals of a play of deadly calls when its thread is late

Cause: the calls of the play have set times. After a stretch without processor time the late ones were sent at once, so that the deadly ones came in bursts, and the verdict counted from the planned begin. A burst ends two engines at the same moment, and a third one as a probe 1 to 2.5 s later.

The play now keeps the intervals between its calls and counts from the call that was sent. Bounds and number of calls are as they were.

--- a/tests/support/deadly_play.py
+++ b/tests/support/deadly_play.py
@@ -1,6 +1,6 @@
 """A play of requests that crash targets among sound ones, and its verdict.
 
-Calls come at set times, whatever became of those before, at one instance after the
+Calls come at set intervals, whatever became of those before, at one instance after the
 other. The verdict goes by what the stand-ins and the callers saw.
 """
 
@@ -83,9 +83,15 @@
         sound = self._times(begun_s, SOUND_GAP_S)
         deadly = self._times(self.deadly_from_s, DEADLY_GAP_S)
         plan = [(at_s, False) for at_s in sound] + [(at_s, True) for at_s in deadly]
+        late_s = 0.0
         for number, (at_s, is_deadly) in enumerate(sorted(plan)):
-            time.sleep(max(0.0, at_s - time.monotonic()))
+            time.sleep(max(0.0, at_s + late_s - time.monotonic()))
+            # Calls that were made up for at once would be more deadly than the plan.
+            late_s = max(late_s, time.monotonic() - at_s)
+            if is_deadly and not any(call.deadly for call in self.calls):
+                self.deadly_from_s += late_s
             self._begin(number, is_deadly)
+        self.end_s += late_s
         for thread in self._threads:
             thread.join(max(0.0, self.end_s + DEADLINE_S + LATE_S - time.monotonic()))
         return self
