Take a reply with a status outside HTTP for a lost one

Callers of streams and of plain requests got the status, headers and body of a target that answered with a status from 600 to 999. HTTP has statuses from 100 to 599, and a client that reads another one may refuse the answer or take it for a whole one. Beside X-Not-Run, a status such as 600 also let a request that runs at most once be sent to a second target.

Cause: the only bounds were those of the HTTP library, 100 to 999. Statuses below 100 never reached callers for that reason, but no test of ours held that bound.

TargetConnections.send now checks the status itself, so that the bound holds for targets, the store, peers, health checks and orders. The reply is lost: work that may run again is tried elsewhere within its limits, other work gets a 502 of this instance without the target's headers, and the reason in the log line names the status. X-Not-Run proves nothing beside such a status. A final reply needs a status from 200.

Also before: the store's era was believed from such an answer, so that configuration and list were read anew; a health answer ended the limit of a target; and the leader took an order for refused that may have been accepted.

Statuses from 200 to 599 are forwarded unchanged, as before.

--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -29,7 +29,10 @@
 MAX_INTERIM_REPLIES = 8
 """Maximum number of 1xx replies before the final one, so that an endless series of them
 is detected."""
+FIRST_STATUS = 100
+FIRST_FINAL_STATUS = 200
 FIRST_ERROR_STATUS = 400
+LAST_STATUS = 599
 MAX_FAILED_REQUESTS = 16
 """Maximum number of failed requests of a connection that is kept."""
 MAX_BUFFERED_BYTES = 48 << 20
@@ -289,6 +292,7 @@
             await _write(connection, address, request)
             for _ in range(MAX_INTERIM_REPLIES + 1):
                 event = await connection.next_event()
+                _require_http_status(event)
                 if isinstance(event, h11.Response):
                     reply = Reply(
                         event.status_code,
@@ -401,6 +405,26 @@
         return _Connection(address, stream, http)
 
 
+def _require_http_status(event: h11.Event) -> None:
+    """Raise an error if a reply has a status that HTTP doesn't have.
+
+    Such a reply proves nothing, neither a result nor that the request wasn't run.
+
+    Raises
+    ------
+    LostError
+    """
+    match event:
+        case h11.Response(status_code=status):
+            first = FIRST_FINAL_STATUS
+        case h11.InformationalResponse(status_code=status):
+            first = FIRST_STATUS
+        case _:
+            return
+    if not first <= status <= LAST_STATUS:
+        raise LostError(f"status {status:03} is not one of HTTP")
+
+
 def _require_identity(reply: Reply, connection: _Connection) -> None:
     """Raise an error if an earlier request may be the one that was answered.
 
