Don't name a length of 0 in answers to HEAD

A caller's HEAD request got "Content-Length: 0" whatever the target had named: a length that GET would not have, which RFC 9110 (section 8.6) forbids.

Cause: the length was that of the body that was read, and an answer to HEAD has none. The entry now names no length then; its own refusals have a known body and still name it.

Over sockets, four cases failed before and pass now (statuses 200, 206, 299 and 404). The same file and test_reply_statuses.py now hold the framing of 204 and 304 with and without a body, of 205 and of unusual statuses; these passed before too.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -299,6 +299,9 @@
         framing = [("Content-Length", str(len(body)))]
         if status in {204, 304} or status < 200:
             framing, body = [], b""
+        elif self._method == b"HEAD" and not body:
+            # A target's answer to HEAD doesn't tell the length that GET would have.
+            framing = []
         head = self._head(status, [*headers, *framing])
         sent = self.http.send(head)
         if body and self._method != b"HEAD":
--- a/libs/entry/tests/test_caller_http.py
+++ b/libs/entry/tests/test_caller_http.py
@@ -16,9 +16,16 @@
 
 
 class Server:
-    """Answers requests with their target and body, after ``hold`` if it is given."""
+    """Answers requests with their target and body, after ``hold`` if it is given.
 
-    def __init__(self):
+    Parameters
+    ----------
+    answer
+        Status, headers and body of the answers, None for those above.
+    """
+
+    def __init__(self, answer=None):
+        self.answer = answer
         self.seen = []
         self.cancelled = 0
         self.hold = None
@@ -31,7 +38,8 @@
             except asyncio.CancelledError:
                 self.cancelled += 1
                 raise
-        await connection.answer(200, [], request.target.encode() + request.body)
+        body = request.target.encode() + request.body
+        await connection.answer(*(self.answer or (200, [], body)))
 
     def make(self):
         stream = ByteStream()
@@ -46,11 +54,11 @@
         return stream
 
 
-def exchange(sent, *, pause_s=0.0, wait_s=2.0):
+def exchange(sent, *, pause_s=0.0, wait_s=2.0, answer=None):
     """Send bytes; return the requests that the server parsed and all bytes it sent."""
 
     async def run():
-        server = Server()
+        server = Server(answer)
         loop = asyncio.get_running_loop()
         listening = await loop.create_server(server.make, "127.0.0.1", 0)
         port = listening.sockets[0].getsockname()[1]
@@ -59,11 +67,11 @@
             writer.write(piece)
             await asyncio.sleep(pause_s)
         try:
-            answer = await asyncio.wait_for(reader.read(-1), wait_s)
+            received = await asyncio.wait_for(reader.read(-1), wait_s)
         finally:
             writer.close()
             listening.close()
-        return server.seen, answer
+        return server.seen, received
 
     return asyncio.run(run())
 
@@ -79,6 +87,46 @@
     assert answer.index(b"/a") < answer.index(b"/b")
 
 
+def two_answers(method, status, body):
+    """Return the bytes of two answers on one connection, as a list."""
+    request = GET.replace(b"GET", method)
+    seen, received = exchange(request * 2, answer=(status, [("X-A", "1")], body))
+    assert len(seen) == 2
+    assert statuses(received) == [status, status]
+    half = len(received) // 2
+    assert received[:half] == received[half:]
+    return received[:half]
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize("body", [b"", b"whole"])
+def test_an_answer_whose_status_has_no_body_has_no_framing(body, status, method):
+    answer = two_answers(method, status, body)
+    assert answer == b"HTTP/1.1 %d \r\nX-A: 1\r\n\r\n" % status
+
+
+@pytest.mark.parametrize("status", [200, 205, 206, 299, 404, 418, 599])
+@pytest.mark.parametrize("body", [b"", b"whole"])
+def test_an_answer_with_another_status_names_its_length(body, status):
+    head, _, received = two_answers(b"GET", status, body).partition(b"\r\n\r\n")
+    assert head.endswith(b"Content-Length: %d" % len(body))
+    assert received == body
+
+
+@pytest.mark.parametrize("status", [200, 206, 299, 404])
+def test_an_answer_to_head_names_no_length_that_get_would_not_have(status):
+    """Answers of targets to HEAD, which have no body, named a length of 0."""
+    answer = two_answers(b"HEAD", status, b"")
+    assert b"Content-Length" not in answer
+    assert answer.endswith(b"\r\n\r\n")
+
+
+def test_an_answer_to_head_with_a_known_body_names_its_length():
+    answer = two_answers(b"HEAD", 404, b"whole")
+    assert answer.endswith(b"Content-Length: 5\r\n\r\n")
+
+
 def test_a_request_may_arrive_byte_by_byte():
     seen, answer = exchange([bytes([byte]) for byte in GET])
     assert len(seen) == 1
--- a/libs/entry/tests/test_reply_statuses.py
+++ b/libs/entry/tests/test_reply_statuses.py
@@ -116,8 +116,14 @@
             await asyncio.sleep(0)
 
 
-def ask(*answers):
-    """Return the last of as many replies to one client as there are answers."""
+def ask(*answers, opened=1):
+    """Return the last of as many replies to one client as there are answers.
+
+    Parameters
+    ----------
+    opened
+        Number of connections that the client opens.
+    """
 
     async def run():
         connections = TargetConnections()
@@ -125,7 +131,7 @@
             for _ in answers:
                 reply = await connections.send(address, OutgoingRequest("GET", "/"))
                 body = await reply.read_all(1_000)
-            assert connections.opened == 1
+            assert connections.opened == opened
             return reply.status, reply.headers, body
 
     return asyncio.run(run())
@@ -174,6 +180,27 @@
     assert STAMP in headers
 
 
+@pytest.mark.parametrize("status", ["204", "304"])
+@pytest.mark.parametrize(
+    ("rest", "opened"),
+    [
+        (b"\r\n", 1),
+        (b"Content-Length: 0\r\n\r\n", 1),
+        (b"Content-Length: 5\r\n\r\n", 1),
+        (b"Content-Length: 5\r\n\r\nwhole", 2),
+        (b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", 2),
+    ],
+    ids=["plain", "length-0", "length", "body", "chunked"],
+)
+def test_a_status_without_a_body_ends_the_reply_with_its_head(rest, opened, status):
+    """A body that follows all the same is never the next reply on the connection."""
+    reply = b"HTTP/1.1 " + status.encode() + b" Odd\r\n" + HEADERS + rest
+    answer = ask(reply)
+    assert (answer[0], answer[2]) == (int(status), b"")
+    answer = ask(reply, whole("200", body=b"next"), opened=opened)
+    assert (answer[0], answer[2]) == (200, b"next")
+
+
 class StampedCaller(Caller):
     """A fake caller that records the headers of its answer."""
 
