Take a status outside HTTP for a lost answer in the daemon's calls too

Callers of the daemon's plain services got an answer with a status from 600 to 999, or one of 1xx such as 103, as the outcome "failed" of their call, and the outcome was kept for retries. An idempotent call was not tried at another target.

Cause: the HTTP library takes statuses from 100 to 999 and reads on only after 100. The client now checks the status itself: the answer is lost, so the outcome is unknown, and an idempotent call is tried elsewhere. The target has answered, so the call is no suspect of a crash, whichever side refuses the status.

--- a/libs/calls/src/celeryfork_calls/dispatch.py
+++ b/libs/calls/src/celeryfork_calls/dispatch.py
@@ -197,6 +197,8 @@
             case Lost(timed_out=True):
                 if used_whole_timeout:
                     self._view.observe(target.id, Stalled())
+            case Lost(bad_status=True):
+                self._view.observe(target.id, Reset())
             case Lost(answer_too_large=False):
                 self._view.observe(target.id, Reset())
                 self._poison.record_crash(call_fingerprint(call), target.id)
--- a/libs/calls/src/celeryfork_calls/service_client.py
+++ b/libs/calls/src/celeryfork_calls/service_client.py
@@ -7,7 +7,7 @@
 import contextlib
 import time
 from collections.abc import Mapping
-from http.client import HTTPException
+from http.client import BadStatusLine, HTTPException, RemoteDisconnected
 
 from attrs import field, frozen
 from urllib3 import HTTPResponse, PoolManager, Timeout
@@ -22,6 +22,8 @@
 CONNECT_TIMEOUT_S = 2.0
 # Without a pool, urllib3 raises the standard library's errors unchanged.
 TRANSPORT_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -69,18 +71,22 @@
         was malformed.
     answer_too_large
         True if the answer exceeded the size limit, so that a retry would not help.
+    bad_status
+        True if the target answered with a status that HTTP doesn't have for a final
+        answer. So it still runs, and the call has not crashed it.
     """
 
     reason: str
     timed_out: bool = False
     answer_too_large: bool = False
+    bad_status: bool = False
 
 
 SendResult = Sent | NotSent | Lost
 
 
 class _AnswerFaultError(Exception):
-    """The answer's end is not marked, or the answer is too large or late."""
+    """The answer's status or end is unusable, or the answer is too large or late."""
 
     def __init__(self, lost: Lost) -> None:
         super().__init__(lost.reason)
@@ -238,8 +244,17 @@
         Raises
         ------
         _AnswerFaultError
-            The answer's end is not marked, or the answer is too large or late.
+            The answer's status is not one of HTTP, its end is not marked, or the answer
+            is too large or late.
         """
+        if not FIRST_FINAL_STATUS <= response.status <= LAST_STATUS:
+            raise _AnswerFaultError(
+                Lost(
+                    f"the answer's status {response.status:03} is not a final one of "
+                    "HTTP; answer with 200 to 599",
+                    bad_status=True,
+                )
+            )
         if not _length_is_known(response):
             raise _AnswerFaultError(
                 Lost("the answer has no marked end; answer with Content-Length")
@@ -297,7 +312,19 @@
 
 def _lost_result(address: str, error: Exception) -> Lost:
     timed_out = isinstance(error, TimeoutError) or "timed out" in str(error)
-    return Lost(f"{address} gave no complete answer: {error}", timed_out=timed_out)
+    return Lost(
+        f"{address} gave no complete answer: {error}",
+        timed_out=timed_out,
+        bad_status=any(_is_status_fault(each) for each in (error, *error.args)),
+    )
+
+
+def _is_status_fault(error: object) -> bool:
+    """Return True if a status line was received that is not one of HTTP."""
+    # RemoteDisconnected is a BadStatusLine too, but without any bytes.
+    return isinstance(error, BadStatusLine) and not isinstance(
+        error, RemoteDisconnected
+    )
 
 
 def _parse_seconds(text: str | None) -> float | None:
--- a/libs/calls/tests/support/fake_service.py
+++ b/libs/calls/tests/support/fake_service.py
@@ -51,6 +51,7 @@
     "busy": (503, b"busy"),
     "draining": (503, b"leaving", 0, True),
     "fail": (422, b"no such day"),
+    "outside": (600, b"no status of HTTP"),
 }
 
 
--- a/libs/calls/tests/test_plain_caller.py
+++ b/libs/calls/tests/test_plain_caller.py
@@ -54,6 +54,32 @@
     assert not spare.ran
 
 
+def test_an_answer_with_a_status_outside_http_leaves_a_booking_unknown(
+    start_service, start_instance, new_key
+):
+    """Callers got the answer with its status, as that of a failed booking."""
+    service, spare = start_service("outside"), start_service()
+    instance = start_instance("a", service, spare)
+    with pytest.raises(RequestRefusedError) as refusal:
+        instance.book_visit(new_key())
+    assert refusal.value.outcome is Outcome.UNKNOWN
+    assert 500 <= refusal.value.status <= 599
+    assert "600" in str(refusal.value)
+    assert not spare.ran
+
+
+def test_an_idempotent_call_is_retried_after_a_status_outside_http(
+    start_service, start_instance
+):
+    """The target still runs, so the call did not crash it."""
+    instance = start_instance("a", start_service("outside"), start_service())
+    assert instance.book_visit(None, kind="ask").outcome is Outcome.DONE
+    assert instance.router.chosen == ["t0", "t1"]
+    assert instance.counters.count("poison.crashes") == 0
+    observed = [type(o).__name__ for _, o in instance.view.observed]
+    assert observed == ["Reset", "Succeeded"]
+
+
 def refusal_of(call):
     with pytest.raises(RequestRefusedError) as refusal:
         call()
--- a/libs/calls/tests/test_service_client.py
+++ b/libs/calls/tests/test_service_client.py
@@ -113,6 +113,41 @@
     assert result.answer_too_large
 
 
+@pytest.mark.parametrize("fresh", [True, False])
+@pytest.mark.parametrize(
+    "status", ["000", "001", "099", "101", "103", "199", "600", "999", "20", "2x0"]
+)
+def test_an_answer_whose_status_is_outside_http_is_lost(
+    scripted_address, send, status, fresh
+):
+    """Statuses of 1xx and from 600 to 999 were taken for those of complete answers."""
+    head = b"HTTP/1.1 %s Odd\r\nContent-Length: 6\r\n\r\n" % status.encode()
+    result = send(scripted_address(head, b"booked"), fresh=fresh)
+    assert isinstance(result, Lost)
+    assert result.bad_status
+    assert not result.timed_out
+    assert status in result.reason
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+@pytest.mark.parametrize("status", [200, 204, 299, 304, 418, 451, 500, 599])
+def test_an_unusual_status_of_http_is_returned(scripted_address, send, status, fresh):
+    head = b"HTTP/1.1 %d Odd\r\nContent-Length: 0\r\n\r\n" % status
+    result = send(scripted_address(head), fresh=fresh)
+    assert isinstance(result, Sent)
+    assert result.status == status
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_connection_that_is_closed_unanswered_has_no_bad_status(
+    scripted_address, send, fresh
+):
+    """The standard library reports it as a status line that is empty."""
+    result = send(scripted_address(), fresh=fresh)
+    assert isinstance(result, Lost)
+    assert not result.bad_status
+
+
 @pytest.mark.parametrize("fresh", [True, False])
 def test_a_missing_answer_is_lost_at_the_deadline(start_service, send, fresh):
     service = start_service()
--- a/libs/membership/src/celeryfork_membership/observations.py
+++ b/libs/membership/src/celeryfork_membership/observations.py
@@ -15,7 +15,7 @@
 
 @frozen
 class Reset:
-    """The connection broke, or the response was truncated."""
+    """The connection broke, or the response was truncated or malformed."""
 
 
 @frozen
