Answer with statuses that the daemon's library has no phrase for

A caller whose target answered with a valid status such as 299, 499 or 599 got 500 from the daemon without X-Outcome, also after a call that had run and must not be repeated.

Cause: the gateway looked up the status's phrase in http.HTTPStatus, which raises for a status without an entry. HTTP allows an empty phrase, which such a status gets now.

--- a/libs/daemon/src/celeryfork_daemon/gateway.py
+++ b/libs/daemon/src/celeryfork_daemon/gateway.py
@@ -126,7 +126,7 @@
 
     def _write(self, reply: Reply, request_id: str) -> None:
         request = self.req
-        request.status = f"{reply.status} {HTTPStatus(reply.status).phrase}".encode()
+        request.status = f"{reply.status} {_reason_phrase(reply.status)}".encode()
         headers = {
             "Content-Type": reply.content_type,
             "Content-Length": str(len(reply.body)),
@@ -144,6 +144,14 @@
             request.write(reply.body)
 
 
+def _reason_phrase(status: int) -> str:
+    """Return the phrase of a status, empty for one that the library doesn't know."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return ""
+
+
 def make_http_server(
     host: str,
     port: int,
