Don't name a length in the daemon's answers with status 204 or 304

RFC 9110 (section 8.6) forbids Content-Length with 204, and 304 must not name another length than 200 would have; the gateway named that of the body, 0 for these. It also would have written a body.

--- a/libs/daemon/src/celeryfork_daemon/gateway.py
+++ b/libs/daemon/src/celeryfork_daemon/gateway.py
@@ -29,6 +29,7 @@
 ACCEPT_BACKLOG = 512
 MOST_HEADER_BYTES = 64 * 1024
 MOST_KEPT_CONNECTIONS = 2000
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 @frozen
@@ -127,12 +128,14 @@
     def _write(self, reply: Reply, request_id: str) -> None:
         request = self.req
         request.status = f"{reply.status} {_reason_phrase(reply.status)}".encode()
+        has_body = reply.status not in STATUSES_WITHOUT_BODY
         headers = {
             "Content-Type": reply.content_type,
-            "Content-Length": str(len(reply.body)),
             REQUEST_ID_HEADER: request_id,
             **reply.headers,
         }
+        if has_body:
+            headers["Content-Length"] = str(len(reply.body))
         request.outheaders = [
             (name.encode("latin-1"), value.encode("latin-1", "replace"))
             for name, value in headers.items()
@@ -140,7 +143,7 @@
         if self._port.closing():
             request.close_connection = True
         request.ensure_headers_sent()
-        if request.method != b"HEAD":
+        if has_body and request.method != b"HEAD":
             request.write(reply.body)
 
 
--- a/libs/daemon/tests/test_gateway.py
+++ b/libs/daemon/tests/test_gateway.py
@@ -47,3 +47,12 @@
 def test_a_caller_gets_each_status_of_http(ask, status):
     """A status without a phrase of its own in the library ended the call with 500."""
     assert ask(status) == [(status, "done", "5", b"whole")]
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_a_status_without_a_body_has_no_length(ask, status):
+    """Its length was named, which RFC 9110 (section 8.6) forbids."""
+    assert ask(status, 200) == [
+        (status, "done", None, b""),
+        (200, "done", "5", b"whole"),
+    ]
