Don't replay a stored answer whose status is outside HTTP

A retry with the key of a call whose target had answered with a status such as 600 or 103 got that answer again: earlier versions stored them, and peers of theirs still hand them over. A stored status of 0 was replayed as well; no way to store one was found.

Such a call counts as unknown now, and its caller is told to check with the service. Three tests (statuses 0, 103 and 600 in the log) failed before and pass now.

--- a/libs/calls/src/celeryfork_calls/plain_call.py
+++ b/libs/calls/src/celeryfork_calls/plain_call.py
@@ -6,9 +6,10 @@
 from celeryfork_admission.poison import fingerprint
 from celeryfork_base.outcomes import REQUEST_ID_HEADER, Outcome
 
+from celeryfork_calls import errors
 from celeryfork_calls.claim_fold import hash_body
 from celeryfork_calls.kept_outcomes import KeptOutcome
-from celeryfork_calls.service_client import DEFAULT_CONTENT_TYPE
+from celeryfork_calls.service_client import DEFAULT_CONTENT_TYPE, FINAL_STATUSES
 
 
 @frozen
@@ -88,7 +89,17 @@
 
 
 def replay_result(kept: KeptOutcome) -> PlainResult:
-    """Return the stored answer as the result of a retry."""
+    """Return the stored answer as the result of a retry.
+
+    Raises
+    ------
+    RequestRefusedError
+        The answer has a status that HTTP doesn't have, as those of earlier versions.
+    """
+    if kept.status not in FINAL_STATUSES:
+        raise errors.outcome_unknown(
+            f"the status {kept.status:03} of its answer is not a final one of HTTP"
+        )
     return PlainResult(
         kept.outcome, kept.status, kept.content_type, kept.body, replayed=True
     )
--- a/libs/calls/src/celeryfork_calls/service_client.py
+++ b/libs/calls/src/celeryfork_calls/service_client.py
@@ -22,8 +22,7 @@
 CONNECT_TIMEOUT_S = 2.0
 # Without a pool, urllib3 raises the standard library's errors unchanged.
 TRANSPORT_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
-FIRST_FINAL_STATUS = 200
-LAST_STATUS = 599
+FINAL_STATUSES = range(200, 600)
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -247,7 +246,7 @@
             The answer's status is not one of HTTP, its end is not marked, or the answer
             is too large or late.
         """
-        if not FIRST_FINAL_STATUS <= response.status <= LAST_STATUS:
+        if response.status not in FINAL_STATUSES:
             raise _AnswerFaultError(
                 Lost(
                     f"the answer's status {response.status:03} is not a final one of "
--- a/libs/calls/tests/test_plain_caller.py
+++ b/libs/calls/tests/test_plain_caller.py
@@ -80,6 +80,24 @@
     assert observed == ["Reset", "Succeeded"]
 
 
+@pytest.mark.parametrize("status", [0, 103, 600])
+def test_a_stored_answer_with_a_status_outside_http_is_unknown(
+    log, start_service, start_instance, new_key, status
+):
+    """Earlier versions stored such answers, and peers of theirs still do."""
+    service = start_service()
+    instance = start_instance("a", service)
+    key = new_key()
+    kept = KeptOutcome(
+        "kettlecare", key, Outcome.FAILED, status, "", b"x", hash_body(b"monday"), 1
+    )
+    log.append("claims", encode_batch(Batch("x@1", [HandedOver(kept)])), "", 1.0)
+    instance.book_visit(new_key())  # Reads the log up to here.
+    refusal = refusal_of(lambda: instance.book_visit(key))
+    assert refusal == (Outcome.UNKNOWN, "outcome_unknown")
+    assert key not in service.ran
+
+
 def refusal_of(call):
     with pytest.raises(RequestRefusedError) as refusal:
         call()
