Take a status outside HTTP for no answer of the platform's services

The daemon took an answer of the log with status 600 or 103 for a rejection that had no effect, and one of 1xx ended an outage of the service.

Cause: the HTTP library takes statuses from 100 to 999. The client checks the status now: the request may have taken effect, and the service counts as failing.

Over sockets, five of seven statuses failed before (101, 103, 199, 600 and 999); 000 and 099 passed by the library's own bound. All pass now.

--- a/libs/platform/src/celeryfork_platform/http.py
+++ b/libs/platform/src/celeryfork_platform/http.py
@@ -16,6 +16,7 @@
 
 MAX_CONCURRENT_CALLS = 16
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+FINAL_STATUSES = range(200, 600)
 _READ_CHUNK_BYTES = 64 * 1024
 
 
@@ -142,6 +143,10 @@
             preload_content=False,
         )
         try:
+            if response.status not in FINAL_STATUSES:
+                raise ValueError(
+                    f"status {response.status:03} is not a final one of HTTP"
+                )
             content = self._read(cast(urllib3.HTTPResponse, response), deadline_s)
         except BaseException:
             # The rest of the response is unread, so the connection can't be reused.
--- a/libs/platform/tests/test_log.py
+++ b/libs/platform/tests/test_log.py
@@ -62,6 +62,22 @@
         append(client)
 
 
+STATUSES_OUTSIDE = ["000", "099", "101", "103", "199", "600", "999"]
+
+
+@pytest.mark.parametrize("status", STATUSES_OUTSIDE)
+def test_a_status_outside_http_is_no_answer(server, client, status) -> None:
+    """Such answers ended an outage, or counted as a rejection without effect."""
+    server.answer = server.reply(status, b'{"offset": 17}')
+    with pytest.raises(AppendUnknownError, match=str(int(status))):
+        append(client)
+    server.answer = server.reply(status, EMPTY)
+    with pytest.raises(PlatformUnavailableError) as raised:
+        read(client)
+    assert "rejected" not in str(raised.value)
+    assert not client.available
+
+
 @pytest.mark.parametrize("status", [500, 502, 504, 404, 307])
 def test_unexpected_status_makes_the_append_unknown(server, client, status) -> None:
     server.answer = server.reply(status, b"", "Location: /elsewhere")
