Hold the daemon's streams to the statuses of HTTP

A test only: an engine's answer with a status outside HTTP, or of 1xx, ends its attempt as malformed, and the next chain goes on.

--- a/libs/streams/tests/test_stream_ends.py
+++ b/libs/streams/tests/test_stream_ends.py
@@ -238,3 +238,23 @@
     world.chain("e2")
     e1.scripts = [breaks_interface]
     check_resumed(world, RecoveryKind.MALFORMED)
+
+
+@pytest.mark.parametrize(
+    "status",
+    ["000", "001", "099", "101", "103", "199", "600", "999", "20", "2000", "-01",
+     "+200", "2x0"],
+)  # fmt: skip
+def test_a_status_outside_http_ends_its_attempt(world, status):
+    """Only the check for 200 and the library's parser refuse such an answer."""
+
+    async def answers_oddly(talk):
+        head = f"HTTP/1.1 {status} Odd\r\nContent-Length: 5\r\n\r\nwhole"
+        talk.writer.write(head.encode())
+        await asyncio.sleep(60)
+
+    [e1] = world.chain("e1")
+    world.chain("e2")
+    e1.scripts = [answers_oddly]
+    check_resumed(world, RecoveryKind.MALFORMED)
+    assert world.poison.counted == []
