--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,19 +1,11 @@
 """Fixtures: a stand-in platform with engines and services, and an entry process."""
 
 import gc
-import json
+from contextlib import ExitStack
 
 import pytest
-from entry_process import Entry, wait_for
 from platform_standins import Platform
-
-
-def make_fleet(platform):
-    for zone in ("west", "east"):
-        platform.add_engine(f"{zone}-big", zone, "big")
-        for number in range(3):
-            platform.add_engine(f"{zone}-small-{number}", zone, "small")
-        platform.add_service(f"{zone}-desk", zone)
+from running_fleet import make_fleet, running_entry
 
 
 @pytest.fixture
@@ -50,18 +42,12 @@
 
     Its argument ``planted`` is code that runs in the process before it starts.
     """
-    started = []
+    with ExitStack() as stack:
 
-    def start(planted=""):
-        entry = Entry(fleet, tmp_path).start(planted).wait_ready()
-        started.append(entry)
-        wait_for(lambda: covers(fleet, "west") and covers(fleet, "east"), 10)
-        wait_for(lambda: knows_layers(entry, fleet), 5)
-        return entry
+        def start(planted=""):
+            return stack.enter_context(running_entry(fleet, tmp_path, planted))
 
-    yield start
-    for entry in started:
-        entry.end()
+        yield start
 
 
 @pytest.fixture
@@ -71,25 +57,3 @@
     entry.end()
     assert not entry.events("task_failed")
     assert not entry.events("unstructured")
-
-
-def knows_layers(entry, platform):
-    """Return True if the instance knows which layers each engine holds."""
-    targets = json.loads(entry.ask("/dump"))["targets"]
-    return all(
-        engine.id in targets and held_in(targets[engine.id]) == engine.held
-        for engine in platform.engines.values()
-    )
-
-
-def held_in(target):
-    held = target["held"]
-    return held and (held["first"], held["last"])
-
-
-def covers(platform, zone):
-    layers = set()
-    for engine in platform.engines.values():
-        if engine.zone == zone and engine.held is not None:
-            layers |= set(range(*engine.held))
-    return layers == set(range(8))
