Test requests under way beside each change of the configuration

What a change does to a request that is under way was tested for idle connections only.

A silent stand-in engine goes on with what has reached it once it is no longer silent, like a paused process. It forgot it for 30 s.

--- a/tests/support/engine_standins.py
+++ b/tests/support/engine_standins.py
@@ -86,8 +86,8 @@
         self.platform.store.put("keyed.servers", self.id, self.entry())
 
     async def handle(self, request):
-        if self.silent:
-            await asyncio.sleep(30)
+        while self.silent:
+            await asyncio.sleep(0.02)
         if request.path == "/-/report":
             return web.json_response(
                 {
@@ -189,6 +189,7 @@
             await self.platform.crash(self)
         for number in range(first, count + 1):
             await asyncio.sleep(self.event_gap_s)
+            await self.platform.while_held(attempt, number - 1)
             await self.platform.whole(lambda: self.paths[attempt])
             if self.events_before_cut == number - first:
                 await response.write(b"id: 9")
@@ -253,6 +254,7 @@
         self.headers = dict(request.headers)
         if deadly:
             await self.platform.crash(self)
+        await self.platform.while_held(attempt)
         match self.behaviour:
             case "lose":
                 request.transport.abort()
@@ -268,4 +270,5 @@
                     self.open -= 1
             case "busy":
                 return web.Response(status=503, headers=headers)
-        return web.Response(headers=headers, text=f"done {attempt}")
+        text = f"done {attempt}".ljust(self.platform.answer_bytes.get(attempt, 0))
+        return web.Response(headers=headers, text=text)
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -56,6 +56,11 @@
         Path, caller and body of requests that crash each plain service's target.
     restart_s
         Seconds from the crash of a target to its next start.
+    held_after
+        Number of events after which the answer to an attempt is held, by attempt; 0
+        holds it whole.
+    answer_bytes
+        Size of the body of a plain answer, by attempt.
     deadly_arrivals
         Arrivals of deadly requests, in order.
     crashes
@@ -74,6 +79,8 @@
         self.services = {}
         self.deadly_arrivals = []
         self.crashes = []
+        self.held_after = {}
+        self.answer_bytes = {}
         self._runners = {}
         self._restarts = set()
         self.version = 0
@@ -171,6 +178,11 @@
         while not all(self.alive(address) for address, _, _ in path_of()):
             await asyncio.sleep(0.02)
 
+    async def while_held(self, attempt, events=0):
+        """Wait while the answer to an attempt is held after so many events."""
+        while self.held_after.get(attempt) == events:
+            await asyncio.sleep(0.01)
+
     def holds(self, address, first, last):
         return any(
             engine.addr == address
