Ask engines that have left the target list when a reply without length ends

Callers saw: a stream whose reply has neither length nor chunks, over an engine that has left the target list meanwhile. If the first engine ended between two events, its caller got the events so far as the whole answer. If a later engine was still at work, a whole answer counted as broken: it was run again, or broken off if it may run once only.

Cause: the end of such a reply counts only while its engines run, but an engine that isn't listed was not asked. A first one counted as running, a later one as down. Engines that leave the list finish the requests that they have, some without a draining entry.

Change: an attempt keeps its engines as listed when its path was chosen, and those are asked. Nothing is recorded of engines that are no longer listed. The fake of test_stream_calls that had no context has one with an empty target table now.

--- a/libs/entry/src/celeryfork_entry/engine_checks.py
+++ b/libs/entry/src/celeryfork_entry/engine_checks.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 from attrs import define, field
 from celeryfork_base.counters import Counters
@@ -121,6 +121,7 @@
         engine_ids: Iterable[str],
         ask_all: bool = False,
         speeds: bool = False,
+        last_listed: Mapping[str, Target] | None = None,
     ) -> list[str]:
         """Return the engines that don't answer, and exclude them.
 
@@ -131,7 +132,10 @@
             broken.
         speeds
             If True, live engines without a valid speed report are asked too.
+        last_listed
+            Engines by id that are asked even if they aren't listed any more.
         """
+        unlisted = last_listed or {}
         now_s = time.monotonic()
         ids_to_ask = [
             engine_id
@@ -140,7 +144,9 @@
             or (speeds and now_s - self._reported_s(engine_id) > SLOWNESS_TTL_S)
             or now_s - self.last_alive_s(engine_id) > LIVENESS_TTL_S
         ]
-        reports = await asyncio.gather(*(self.ask(each) for each in ids_to_ask))
+        reports = await asyncio.gather(
+            *(self.ask(each, last_listed=unlisted.get(each)) for each in ids_to_ask)
+        )
         return [
             engine_id
             for engine_id, report in zip(ids_to_ask, reports, strict=True)
@@ -151,7 +157,10 @@
         return self._table.speeds.last_report_s(engine_id)
 
     async def ask(
-        self, engine_id: str, timeout_s: float = ANSWER_TIMEOUT_S
+        self,
+        engine_id: str,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+        last_listed: Target | None = None,
     ) -> EngineReport | None:
         """Return an engine's report, None if it doesn't answer as expected.
 
@@ -160,8 +169,11 @@
         timeout_s
             Timeout in seconds for the answer; callers for which no stream waits pass a
             longer one than the default.
+        last_listed
+            The engine as it was last listed, None to ask it only if it still is.
+            Nothing is recorded of an unlisted engine.
         """
-        target = self._table.by_id.get(engine_id)
+        target = self._table.by_id.get(engine_id, last_listed)
         if target is None:
             return None
         task = self._report_task_by_id.get(engine_id)
@@ -248,6 +260,8 @@
         if report is None:
             self.mark_down(target.id, reason, ended=ended)
             return None
+        if target.id not in self._table.by_id:
+            return report
         self._last_answer_s = self._alive_s_by_id[target.id] = now_s
         health = self._table.health(target.id)
         if health.excluded:
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -1,8 +1,9 @@
 """Attempts to run a stream over one path, and their possible outcomes."""
 
 import asyncio
+from collections.abc import Mapping
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 from celeryfork_routing.engine_loads import LayerPath
 
 from celeryfork_entry.call import Call
@@ -89,6 +90,8 @@
         Why an engine of the path may be down, empty after an event.
     first
         First engine as listed when the request was sent, None before.
+    targets_by_id
+        Engines of the path as listed when it was chosen.
     next_search_s
         Monotonic time from which another path is sought again during silence.
     """
@@ -106,6 +109,7 @@
     loan: asyncio.Task[bool] | None = None
     doubt: str = ""
     first: Target | None = None
+    targets_by_id: Mapping[str, Target] = field(factory=dict)
     next_search_s: float = 0.0
     _doubted: asyncio.Future[None] | None = None
 
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -59,6 +59,7 @@
     PortClosedError,
     Reply,
 )
+from celeryfork_entry.targets import Target
 
 FIRST_EVENT_CHECK_DELAY_S = 0.2
 """Seconds without a first event after which the engines of the path are checked."""
@@ -132,6 +133,7 @@
                 return
             self._attempts.remove(attempt)
             attempt.path = detour
+            attempt.targets_by_id = self._listed(detour)
             self._attempts.add(attempt)
 
     def _doubt(self, attempt: PathAttempt, down: list[str]) -> None:
@@ -286,7 +288,7 @@
             call.metadata.prompt_tokens
             + expected_answer_tokens(call) * ANSWER_RESERVE_FACTOR
         )
-        attempt = PathAttempt(call, path, tokens)
+        attempt = PathAttempt(call, path, tokens, targets_by_id=self._listed(path))
         call.progress = progress
         self._attempts.add(attempt)
         self._context.log_event(
@@ -458,10 +460,22 @@
         if reply.is_framed:
             return
         first, *later = attempt.path.engine_ids
-        down = await self._checks.find_down([first, *later], ask_all=True)
-        if self._has_ended(first) or not set(down).isdisjoint(later):
+        # Engines that have left the target list finish the requests that they have.
+        down = await self._checks.find_down(
+            [first, *later], ask_all=True, last_listed=attempt.targets_by_id
+        )
+        ended = self._has_ended(first)
+        if first in down and first not in self._context.table.by_id:
+            target = attempt.targets_by_id.get(first)
+            ended = target is None or await self._guard.has_ended(target)
+        if ended or not set(down).isdisjoint(later):
             raise LostError(f"the reply ended with its engines {','.join(down)}")
 
+    def _listed(self, path: LayerPath) -> dict[str, Target]:
+        """Return the engines of a path that are listed."""
+        by_id = self._context.table.by_id
+        return {each: by_id[each] for each in path.engine_ids if each in by_id}
+
     def _record_events(
         self, attempt: PathAttempt, gaps: EventGaps, events: list[Event]
     ) -> None:
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -131,7 +131,7 @@
         checks = SimpleNamespace(spawn=lambda work: None)
         reachability = SimpleNamespace(engine_down=lambda engine_id: None)
         streams = StreamCalls(
-            None,
+            SimpleNamespace(table=TargetTable()),
             checks,
             None,
             EngineLoads(),
@@ -188,7 +188,7 @@
         checks = SimpleNamespace(spawn=lambda work: None)
         reachability = SimpleNamespace(engine_down=lambda engine_id: None)
         streams = StreamCalls(
-            None,
+            SimpleNamespace(table=TargetTable()),
             checks,
             None,
             EngineLoads(),
--- a/libs/entry/tests/test_unframed_replies.py
+++ b/libs/entry/tests/test_unframed_replies.py
@@ -257,7 +257,7 @@
     assert read_reply_of_killed_engine(HEAD + b"\r\npart") == b"part"
 
 
-def serve_long_beside(*ended):
+def serve_long_beside(*ended, unlisted=()):
     """Serve a stream without a length that ends after it has long written.
 
     Parameters
@@ -265,6 +265,8 @@
     ended
         Ids of engines of its path that terminate with it. A sound engine in another
         domain sends the rest.
+    unlisted
+        Ids of engines of its path that leave the target list before.
 
     Returns
     -------
@@ -274,17 +276,27 @@
     trial.context.connections = TargetConnections()
     trial.build_target_request = lambda request, options: OutgoingRequest("POST", "/")
     rest = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(4, ANSWER_EVENTS + 1))
+    servers = []
 
     async def serve_slowly(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            # The check whether anything listens.
+            writer.close()
+            return
         writer.write(HEAD + b"\r\n")
         for number in range(1, 4):
             writer.write(b"id: %d\ndata: x\n\n" % number)
             await writer.drain()
             await asyncio.sleep(CRASH_ONSET_S / 2 + 0.05)
         trial.table.succeeded("second")
+        for engine_id in unlisted:
+            trial.table.forget(engine_id)
         for engine_id in ended:
             trial.engine(engine_id).gone = True
+        if "first" in ended:
+            servers[0].close()
         writer.close()
 
     def listen_at(name, address, **fields):
@@ -296,6 +308,7 @@
 
     async def run():
         first = await asyncio.start_server(serve_slowly, "127.0.0.1", 0)
+        servers.append(first)
         host, port = first.sockets[0].getsockname()
         async with engine([HEAD + b"\r\n" + rest], close) as other:
             listen_at("first", f"{host}:{port}", layers=FRONT)
@@ -309,17 +322,30 @@
     return trial.run(run()), trial
 
 
+@pytest.mark.parametrize("unlisted", [(), ("first",), ("later",), ("first", "later")])
 @pytest.mark.parametrize("which", ["first", "later"])
-def test_a_stream_that_ends_with_an_engine_after_long_writing_is_resumed(which):
-    """Its end was taken for that of the answer (review, case 2)."""
-    caller, trial = serve_long_beside(which)
+def test_a_stream_that_ends_with_an_engine_after_long_writing_is_resumed(
+    which, unlisted
+):
+    """Its end was taken for that of the answer (review, case 2).
+
+    It still was if the first engine had left the target list before (issue 42).
+    """
+    caller, trial = serve_long_beside(which, unlisted=unlisted)
     assert caller.has_complete_answer
     [broke] = trial.logged("path_broke")
     assert which in broke["reason"]
 
 
-def test_a_stream_that_ends_after_long_writing_with_its_engines_alive_is_complete():
-    caller, trial = serve_long_beside()
+@pytest.mark.parametrize("unlisted", [(), ("first",), ("later",), ("first", "later")])
+def test_a_stream_that_ends_after_long_writing_with_its_engines_alive_is_complete(
+    unlisted,
+):
+    """It was run again, or broken off, if a later engine was no longer listed.
+
+    Engines that leave the list finish the requests that they have (issue 42).
+    """
+    caller, trial = serve_long_beside(unlisted=unlisted)
     assert (caller.events, caller.ending) == ([1, 2, 3], "whole")
     assert not trial.logged("path_broke")
 
