Keep callers that don't read their answer for idleTimeoutMs, as the limit says

Callers saw: a connection reset within a whole answer if they had not read for 2.5 s, whatever idleTimeoutMs allowed.

Cause: TCP_USER_TIMEOUT, 2.5 s on each connection, is to find peers that are gone, but the kernel also counts bytes for which a responding peer has no memory. The wait of ByteStream.write, which follows idleTimeoutMs, never came to its end.

Evidence: an entry process with idleTimeoutMs 8000 logged caller_left after 2.76 s for a caller that read nothing. The new test, with 6 s allowed and a pause of 3.3 s, failed before in both variants (the write waits, or the kernel and the transport have taken the answer) with a reset, and passes.

Change: while a whole answer is being sent, and while a write waits, the kernel allows what the limit does, and at least 2.5 s; the next request ends that. A caller that is gone while its request is at a target is still found after 2.5 s, so that the target stops. Events of a stream that fit into the buffers keep 2.5 s: its callers leave after such a pause.

--- a/libs/entry/src/celeryfork_entry/byte_stream.py
+++ b/libs/entry/src/celeryfork_entry/byte_stream.py
@@ -21,7 +21,8 @@
 """Number of unanswered probes after which the kernel breaks the connection."""
 UNACKNOWLEDGED_TIMEOUT_MS = 2_500
 """Milliseconds after which unacknowledged bytes break the connection
-(TCP_USER_TIMEOUT)."""
+(TCP_USER_TIMEOUT), unless :meth:`ByteStream.allow_stall` allows more. Bytes that a
+responding peer has no memory for count too."""
 
 
 class ByteStream(asyncio.Protocol):
@@ -48,6 +49,7 @@
         self._reader: asyncio.Future[None] | None = None
         self._writers: list[asyncio.Future[None]] = []
         self._full = False
+        self._stall_allowed = False
         self.transport: asyncio.Transport | None = None
         self._closed = asyncio.Event()
 
@@ -175,6 +177,8 @@
         self, waiter: asyncio.Future[Any], stall_timeout_s: float | None
     ) -> None:
         """Wait; abort the connection if the peer acknowledges no byte."""
+        if stall_timeout_s is not None:
+            self.allow_stall(stall_timeout_s)
         while not waiter.done():
             unacknowledged = self._unacknowledged
             await asyncio.wait({waiter}, timeout=stall_timeout_s)
@@ -184,6 +188,28 @@
                     f"the peer acknowledged no byte for {stall_timeout_s} s"
                 )
 
+    def allow_stall(self, timeout_s: float) -> None:
+        """Let the kernel keep unacknowledged bytes for at least ``timeout_s``.
+
+        It applies until :meth:`end_stall`, also after :meth:`close`.
+        """
+        self._stall_allowed = True
+        timeout_ms = max(UNACKNOWLEDGED_TIMEOUT_MS, round(timeout_s * 1000))
+        self._set_unacknowledged_timeout(timeout_ms)
+
+    def end_stall(self) -> None:
+        """Undo :meth:`allow_stall` once all written bytes are acknowledged."""
+        if self._stall_allowed and not self._unacknowledged:
+            self._stall_allowed = False
+            self._set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
+
+    def _set_unacknowledged_timeout(self, timeout_ms: int) -> None:
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def close(self) -> None:
         """Close the connection after the written bytes are sent."""
         if self.transport is not None:
--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -211,6 +211,7 @@
             event = self._parse()
             if isinstance(event, h11.Request):
                 self._busy = True
+                self.stream.end_stall()
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
@@ -307,6 +308,7 @@
         if body and self._method != b"HEAD":
             sent += self.http.send(h11.Data(data=body))
         sent += self.http.send(h11.EndOfMessage())
+        self.stream.allow_stall(self._stall_timeout_s())
         await self._write(sent)
 
     async def begin_stream(self, status: int, headers: Headers, first: bytes) -> None:
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -12,7 +12,7 @@
 
 import pytest
 from attrs import evolve
-from celeryfork_entry.byte_stream import ByteStream
+from celeryfork_entry.byte_stream import UNACKNOWLEDGED_TIMEOUT_MS, ByteStream
 from celeryfork_entry.caller_http import CallerConnection
 from celeryfork_entry.configuration import CallerLimits
 
@@ -286,3 +286,27 @@
                 assert server.connection.busy and not server.task.done()
 
     run(scenario)
+
+
+@pytest.mark.parametrize("size", [200_000, 60_000], ids=["blocked", "buffered"])
+def test_a_caller_that_reads_within_the_idle_timeout_gets_its_whole_answer(size):
+    """The kernel broke its connection 2.5 s after it had no more memory (issue 42).
+
+    TCP_USER_TIMEOUT counts bytes that a responding peer has no memory for.
+    """
+
+    async def scenario(server, caller):
+        loop = asyncio.get_running_loop()
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        server.limits = evolve(LIMITS, idle_timeout_s=6.0)
+        server.body = b"x" * size
+        await caller.send(GET)
+        await server.begun.wait()
+        await asyncio.sleep(UNACKNOWLEDGED_TIMEOUT_MS / 1000 + 0.8)
+        received = bytearray()
+        while not received.endswith(server.body):
+            data = await loop.sock_recv(caller.sock, 65_536)
+            assert data, f"closed after {len(received)} bytes"
+            received += data
+
+    run(scenario)
