--- a/tests/adapter/test_reload.py
+++ b/tests/adapter/test_reload.py
@@ -1,4 +1,4 @@
-"""Changes of the settings while an entry process starts."""
+"""Changes of the settings, also while an entry process starts."""
 
 import signal
 from pathlib import Path
@@ -31,3 +31,18 @@
     wait_for(lambda: has_loaded_a_library(entry), 10, 0.001)
     entry.process.send_signal(signal.SIGHUP)
     entry.wait_ready()
+
+
+@pytest.mark.parametrize("odd", [{"seeds": 5}, {"limits": [1]}])
+def test_settings_are_read_on_after_odd_ones(make_entry, odd):
+    """The watcher's task ended without a line, so that no later change was applied."""
+    entry = make_entry().wait_ready()
+    usual = dict(entry.settings)
+    entry.settings = usual | odd
+    entry.write_settings()
+    entry.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: entry.events("settings_refused"), 3)
+    entry.settings = usual | {"bounds": usual["bounds"] | {"graceS": 5}}
+    entry.write_settings()
+    entry.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: entry.events("settings_reloaded"), 3)
