--- a/tests/adapter/test_changes_under_way.py
+++ b/tests/adapter/test_changes_under_way.py
@@ -14,8 +14,8 @@
 import pytest
 from attrs import evolve, frozen
 from entry_process import wait_for
-from platform_standins import Platform, make_configuration
-from running_fleet import knows_layers, make_fleet, running_entry
+from platform_standins import LAYERS, Platform, make_configuration
+from running_fleet import covers, knows_layers, make_fleet, running_entry
 
 EVENTS = 12
 HELD_AFTER = 3
@@ -73,6 +73,11 @@
     return routes(split=parts) | {"services": [*BASE["services"], SPARE]}
 
 
+def model(**fields):
+    llm, *others = BASE["services"]
+    return {"services": [llm | {"engine": llm["engine"] | fields}, *others]}
+
+
 IDLE = limits(idleTimeoutMs=20)
 KEYS = {"tenants": [{"name": "kiosk", "apiKeys": ["key-9"]}]}
 PRIORITIES = [each | {"priority": 9} for each in BASE["tenants"]]
@@ -84,6 +89,7 @@
     "routes gone": Change({"routes": BASE["routes"][3:4]}, 404, 404),
     "services gone": Change({"routes": [], "services": []}, 404, 404),
     "weights": Change(split(("desk", 0.0), ("spare", 1.0)), 503, 503),
+    "model sizes": Change(model(layerMb=140.0, kvTokenBytes=100, read_per_s=1.0)),
     "timeouts": Change(routes(timeoutMs=1), 503, 503),
     "kinds": Change(routes(kind="unsafe", maxAttempts=1, resumable=False)),
     "goals": Change(routes(sloMs=1, gapAimMs=1, priority=9)),
@@ -294,6 +300,7 @@
     for target in [*fleet.engines.values(), *fleet.services.values()]:
         fleet.put_entry(target.id, target.entry())
     bring_into_force(fleet, entry)
+    wait_for(lambda: covers(fleet, "west") and covers(fleet, "east"), 10)
     wait_for(lambda: knows_layers(entry, fleet) and not excluded(entry), 5)
     for each in requests:
         each.http.close()
@@ -353,6 +360,21 @@
         each.check(change)
 
 
+def test_requests_under_way_are_answered_beside_a_model_with_more_layers(fleet, entry):
+    """Engines load other layers than those of the paths under way."""
+    fleet.configure(**BASE)
+    wait_for(lambda: entry.versions_in_force()[-1] == fleet.version, 3, 0.02)
+    requests = begin_requests(fleet, entry)
+    held = [engine.held for engine in fleet.engines.values()]
+    change = Change(model(layers=LAYERS + 2))
+    apply(change, fleet, entry)
+    wait_for(lambda: [each.held for each in fleet.engines.values()] != held, 5, 0.02)
+    fleet.held_after.clear()
+    for each in requests:
+        each.check(change)
+        each.check_connection()
+
+
 def is_refused(entry):
     with socket.socket() as sock:
         return sock.connect_ex((entry.ip, entry.front)) != 0
