Let streams go on while the organisations of a configuration are decoded

Callers saw: a pause in each stream of an instance when a configuration with many organisations comes into force.

Cause: decoding returned to the event loop after each 50 routes, but not within the organisations.

--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -5,6 +5,7 @@
 
 import pytest
 from celeryfork_adapter.decode import (
+    ORGANISATIONS_PER_STEP,
     ROUTES_PER_STEP,
     UnreadableError,
     decode_configuration,
@@ -70,17 +71,30 @@
     assert not decode_configuration(encode_json(fields)).needs_key
 
 
-def test_decoding_a_large_configuration_yields_to_other_tasks():
-    """A change with 1,400 routes reaches all instances at the same moment.
+ROUTE = make_configuration(9)["routes"][0]
+MANY_ROUTES = [
+    ROUTE | {"name": f"r{number}", "pathPrefix": f"/r{number}/"}
+    for number in range(1400)
+]
+MANY_TENANTS = [
+    {"name": f"t{number}", "apiKeys": [f"key-{number}"]} for number in range(24_000)
+]
+
+
+@pytest.mark.parametrize(
+    ("many", "per_step"),
+    [
+        ({"routes": MANY_ROUTES}, ROUTES_PER_STEP),
+        ({"tenants": MANY_TENANTS}, ORGANISATIONS_PER_STEP),
+    ],
+    ids=["routes", "tenants"],
+)
+def test_decoding_a_large_configuration_yields_to_other_tasks(many, per_step):
+    """A change with 1,400 routes or 24,000 tenants reaches all instances at once.
 
     If its decoding blocked the event loop, streams of all instances would pause.
     """
-    fields = make_configuration(9)
-    route = fields["routes"][0]
-    fields["routes"] += [
-        route | {"name": f"r{number}", "pathPrefix": f"/r{number}/"}
-        for number in range(1400)
-    ]
+    fields = make_configuration(9) | many
     iterations = 0
 
     async def stream():
@@ -98,7 +112,7 @@
 
     configuration = asyncio.run(decode())
     assert configuration == decode_configuration(encode_json(fields))
-    assert iterations >= len(fields["routes"]) // ROUTES_PER_STEP
+    assert iterations >= max(map(len, many.values())) // per_step
 
 
 @pytest.mark.parametrize("missing", ["version", "routes", "services", "limits"])
