Answer a large request that arrives as the idle timeout expires

Callers saw: no answer, and no close, to a request of more than 64 KiB on a kept connection. From then on its connection took a turn of each iteration of the event loop.

Cause: bytes and timer came in one iteration of the event loop, for which the wait for a head is begun again, with the deadline that had passed. Reading more than 64 KiB yields to other tasks, and the timeout cancels it there each time.

Evidence: the new test, a body of 150,000 bytes as the timeout expires, waited in vain for 2 s before, and passes.

Change: bytes that are there are read without a timeout, for heads and bodies alike.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 
 import h11
 from attrs import define, field, frozen
@@ -219,17 +220,10 @@
                 begun_s = loop.time()
                 self._busy = True
             try:
-                async with asyncio.timeout_at(
-                    self._head_deadline_s(idle_since_s, begun_s)
-                ):
-                    data = await self.stream.read()
+                data = await self._read_by(
+                    partial(self._head_deadline_s, idle_since_s, begun_s)
+                )
             except TimeoutError:
-                if self.stream.unread:
-                    # They arrived in the iteration of the event loop in which the
-                    # timeout expired.
-                    continue
-                if loop.time() < self._head_deadline_s(idle_since_s, begun_s):
-                    continue
                 if begun_s is None:
                     return None
                 head_timeout_s = self.limits().header_timeout_s
@@ -242,6 +236,34 @@
                 self._make_parser()
             self.http.receive_data(data)
 
+    async def _read_by(self, deadline_s: Callable[[], float]) -> bytes:
+        """Return the next bytes.
+
+        Parameters
+        ----------
+        deadline_s
+            Returns the time of the event loop until which to wait for them, which may
+            change meanwhile.
+
+        Raises
+        ------
+        TimeoutError
+            No byte has been received by then.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                async with asyncio.timeout_at(deadline_s()):
+                    return await self.stream.read()
+            except TimeoutError:
+                if self.stream.unread:
+                    # They arrived in the iteration of the event loop in which the
+                    # timeout expired. A timeout in the past would cancel each attempt
+                    # to read many bytes.
+                    return await self.stream.read()
+                if loop.time() >= deadline_s():
+                    raise
+
     def _head_deadline_s(self, idle_since_s: float, begun_s: float | None) -> float:
         """Return the time of the event loop until which the next head may take."""
         limits = self.limits()
@@ -262,12 +284,12 @@
                 if len(body) > limits.body_bytes:
                     raise _too_large(limits.body_bytes)
                 continue
+            since_s = asyncio.get_running_loop().time()
             try:
-                async with asyncio.timeout(limits.idle_timeout_s):
-                    data = await self.stream.read()
+                data = await self._read_by(
+                    partial(self._body_deadline_s, since_s, limits)
+                )
             except TimeoutError:
-                if self.stream.unread:
-                    continue
                 raise BadRequestError(
                     408, f"No body byte for {limits.idle_timeout_s:g} s: send faster."
                 ) from None
@@ -277,6 +299,10 @@
                 )
             self.http.receive_data(data)
 
+    def _body_deadline_s(self, since_s: float, limits: CallerLimits) -> float:
+        """Return the time of the event loop until which the next bytes may take."""
+        return since_s + limits.idle_timeout_s
+
     def _parse(self) -> object:
         try:
             return self.http.next_event()
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -136,6 +136,26 @@
     run(scenario)
 
 
+def test_a_large_request_that_arrives_as_the_idle_timeout_expires_is_answered():
+    """Its connection waited for it for good, and took a turn of each loop iteration.
+
+    Reading more than 64 KiB yields to other tasks, and the timeout had expired already.
+    """
+
+    async def scenario(server, caller):
+        server.limits = evolve(LIMITS, body_bytes=200_000)
+        await caller.send(GET)
+        await caller.receive(b"\r\n\r\n")
+        body = b"b" * 150_000
+        head = f"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        caller.sock.send(head.encode() + body)
+        time.sleep(LIMITS.idle_timeout_s + 0.05)
+        answer = await caller.receive(body)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
 def test_the_rest_of_a_body_that_arrives_as_the_timeout_expires_is_read():
     """The request was refused with 408 although it was complete."""
 
