Let a body pause as long as the idle timeout in force allows

Callers saw: 408 for a request whose body paused for less than idleTimeoutMs, if that had been raised since its head.

Cause: the limit at the end of the head held for the whole body.

Evidence: the new test failed before (raised), and passes; with the limit lowered under the body it was green and stays so.

Change: the longer of the two limits holds.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -300,8 +300,11 @@
             self.http.receive_data(data)
 
     def _body_deadline_s(self, since_s: float, limits: CallerLimits) -> float:
-        """Return the time of the event loop until which the next bytes may take."""
-        return since_s + limits.idle_timeout_s
+        """Return the time of the event loop until which the next bytes may take.
+
+        Callers go by the limit in force, or by that at the begin of their request.
+        """
+        return since_s + max(limits.idle_timeout_s, self.limits().idle_timeout_s)
 
     def _parse(self) -> object:
         try:
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -186,6 +186,24 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("before_s", "after_s"), [(1.0, 0.01), (0.2, 1.0)], ids=["lowered", "raised"]
+)
+def test_a_body_may_pause_as_long_as_either_idle_timeout_allows(before_s, after_s):
+    """Its request was refused with 408 within the limit in force."""
+
+    async def scenario(server, caller):
+        server.limits = evolve(LIMITS, idle_timeout_s=before_s)
+        await caller.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na")
+        await asyncio.sleep(0.05)
+        server.limits = evolve(LIMITS, idle_timeout_s=after_s)
+        await asyncio.sleep(0.3)
+        await caller.send(b"bc")
+        assert (await caller.receive(b"abc")).startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     ("request_bytes", "end"),
     [
