Let a head take as long as the header timeout at its begin allowed

Callers saw: 408 for a request whose head came in three parts, if headerTimeoutMs was lowered below the elapsed time under it, though the old limit had time left.

Cause: the limit in force was read again at each part.

Evidence: the new test failed before (lowered), and passes; with the limit raised it was green and stays so.

Change: the longer of the two limits holds, as for bodies.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -208,6 +208,7 @@
         loop = asyncio.get_running_loop()
         idle_since_s = loop.time()
         begun_s: float | None = None
+        begun_under = self.limits()
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
@@ -217,16 +218,18 @@
             if isinstance(event, h11.ConnectionClosed):
                 return None
             if self.http.trailing_data[0] and begun_s is None:
-                begun_s = loop.time()
+                begun_s, begun_under = loop.time(), self.limits()
                 self._busy = True
             try:
                 data = await self._read_by(
-                    partial(self._head_deadline_s, idle_since_s, begun_s)
+                    partial(self._head_deadline_s, idle_since_s, begun_s, begun_under)
                 )
             except TimeoutError:
                 if begun_s is None:
                     return None
-                head_timeout_s = self.limits().header_timeout_s
+                head_timeout_s = max(
+                    begun_under.header_timeout_s, self.limits().header_timeout_s
+                )
                 raise BadRequestError(
                     408,
                     f"The headers took over {head_timeout_s:g} s: send them faster.",
@@ -264,12 +267,17 @@
                 if loop.time() >= deadline_s():
                     raise
 
-    def _head_deadline_s(self, idle_since_s: float, begun_s: float | None) -> float:
-        """Return the time of the event loop until which the next head may take."""
+    def _head_deadline_s(
+        self, idle_since_s: float, begun_s: float | None, begun_under: CallerLimits
+    ) -> float:
+        """Return the time of the event loop until which the next head may take.
+
+        Callers go by the limit in force, or by that at the begin of their request.
+        """
         limits = self.limits()
         if begun_s is None:
             return idle_since_s + limits.idle_timeout_s
-        return begun_s + limits.header_timeout_s
+        return begun_s + max(begun_under.header_timeout_s, limits.header_timeout_s)
 
     async def _body(self, limits: CallerLimits) -> bytes:
         body = bytearray()
@@ -300,10 +308,7 @@
             self.http.receive_data(data)
 
     def _body_deadline_s(self, since_s: float, limits: CallerLimits) -> float:
-        """Return the time of the event loop until which the next bytes may take.
-
-        Callers go by the limit in force, or by that at the begin of their request.
-        """
+        """Return the time of the event loop until which the next bytes may take."""
         return since_s + max(limits.idle_timeout_s, self.limits().idle_timeout_s)
 
     def _parse(self) -> object:
--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -204,6 +204,26 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("before_s", "after_s"), [(1.0, 0.01), (0.2, 1.0)], ids=["lowered", "raised"]
+)
+def test_a_head_may_take_as_long_as_either_header_timeout_allows(before_s, after_s):
+    """Its request was refused with 408 at its next bytes."""
+
+    async def scenario(server, caller):
+        server.limits = evolve(LIMITS, header_timeout_s=before_s)
+        await caller.send(GET[:5])
+        await asyncio.sleep(0.05)
+        server.limits = evolve(LIMITS, header_timeout_s=after_s)
+        await caller.send(GET[5:10])
+        await asyncio.sleep(0.3)
+        await caller.send(GET[10:])
+        answer = await caller.receive(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     ("request_bytes", "end"),
     [
