A call's own retries alone don't convict its request of crashing targets

Callers saw: 503 crashes_engines for 30 s for a sound plain request, at all instances, where the retries of one call of it had met three targets that ended.

Cause: each target that ended within a call counted against the request's own trait, and three convict. Whoever is sent again at once, and meets targets that end together, has three without any other call.

A call still ends after three such targets; that limit is now said where calls are allowed, not left to the conviction. Two of them count against the request, so that the next call that ends a target convicts it. A request that does crash targets thus ends a fourth before it is refused everywhere; identical calls at the same moment end one each, as they did before the third crash. Nothing changes in messages, and crashes keep the id of the engine's end, by which another trait explains them.

The new test holds the bound: 3 arrivals in the first call, 1 in the second, none in later ones.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -98,6 +98,8 @@
         Id of the probe that the call holds, None if it isn't one.
     was_sound
         True once a run of the call has written, or ended, without a crash.
+    crashes
+        Number of targets that ended as they began to run the call.
     crashed_s
         Monotonic time at which a target last ended as it began to run the call, 0 for
         never.
@@ -136,6 +138,7 @@
     request_trait: Trait | None = None
     probe: str | None = None
     was_sound: bool = False
+    crashes: int = 0
     crashed_s: float = 0.0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -27,6 +27,7 @@
     not_run_error,
     outcome_unknown_error,
 )
+from celeryfork_entry.first_engines import MAX_LOST_ENGINES
 from celeryfork_entry.path_attempts import PathAttempt
 from celeryfork_entry.targets import Target
 
@@ -43,6 +44,10 @@
 elsewhere by then."""
 PROBE_RETRY_AFTER_S = (0.5, 1.5)
 """Range of Retry-After in seconds for a suspect that is refused during a probe."""
+MAX_COUNTED_CRASHES = 2
+"""Number of crashes of one call that count against the request itself. They are too few
+to convict it: a sound request may lose as many targets as its retries meet. It takes
+one more call that ends a target."""
 MAX_LOGGED_TRAITS = 1_000
 """Number of convicted traits after which they may be logged a second time."""
 PORT_CHECK_TIMEOUT_S = 0.04
@@ -77,6 +82,9 @@
             The call must not be sent, and no target has run it.
         """
         self.end_probe(call)
+        if call.crashes >= MAX_LOST_ENGINES:
+            self._log_refusal(call, None, Verdict.REFUSE, call.crashes)
+            return False
         traits = self._traits_to_judge(call)
         if until_s is None:
             until_s = time.monotonic() + min(PROBE_WAIT_S, call.left_s)
@@ -106,6 +114,8 @@
 
     def is_allowed(self, call: Call) -> bool:
         """Return True if a call may be sent now."""
+        if call.crashes >= MAX_LOST_ENGINES:
+            return False
         judgement = self.evidence.judge(self._traits_to_judge(call), call.organisation)
         match judgement.verdict:
             case Verdict.CLEAR:
@@ -159,8 +169,9 @@
         self._context.counters.add("crashes.recorded")
         call.crashed_s = time.monotonic()
         traits = self._part_traits(call)
-        if not call.was_sound:
+        if not call.was_sound and call.crashes < MAX_COUNTED_CRASHES:
             traits += (_request_trait(call),)
+        call.crashes += 1
         counted = self.evidence.record_crash(
             traits,
             call.probe or self.next_run(),
--- a/libs/entry/src/celeryfork_entry/first_engines.py
+++ b/libs/entry/src/celeryfork_entry/first_engines.py
@@ -11,7 +11,8 @@
 
 MAX_LOST_ENGINES = 3
 """Number of first engines that may go down during one stream before it is given up, as
-the stream itself may be what crashes them."""
+the stream itself may be what crashes them. The same goes for targets of a plain call
+that end as they begin to run it."""
 CRASH_ONSET_S = 0.25
 """Seconds of writing after which a stream isn't what crashes its engine: a request that
 crashes engines does so as its answer begins."""
--- a/libs/entry/tests/test_crash_guard.py
+++ b/libs/entry/tests/test_crash_guard.py
@@ -334,3 +334,24 @@
         return await ask()
 
     assert trial.run(run()) == 200
+
+
+def test_an_idempotent_request_that_crashes_targets_is_refused_in_its_second_call():
+    """Calls that count as less than a conviction must not each end three targets."""
+    trial = Trial(max_targets=9)
+    trial.route = evolve(trial.route, kind=Idempotent())
+    for number in range(9):
+        trial.add(f"desk-{number}", LoseReply(crash=True))
+    plain = PlainCalls(trial.context, trial.guard)
+
+    async def ask():
+        call = trial.call(Caller(), "r1", 1.5)
+        call.request.body = b"deadly"
+        with pytest.raises(RequestRefusedError) as refusal:
+            await plain.serve(call)
+        return refusal.value.status, arrivals(trial)
+
+    async def run():
+        return [await ask() for _ in range(4)]
+
+    assert trial.run(run()) == [(502, 3), (502, 4), (503, 4), (503, 4)]
