A begun stream with sound parts outlives three lost first engines

Cause: each first engine that goes down within 0.25 s of a stream's events counts against the stream, whatever else is known: it may be what crashes them. A stream that has just been continued is always so young, so that losses one soon after the other end it.

A request with a deadly part has a part that isn't sound, and crashes engines before its first event, so that it keeps the limit of three; so do streams without parts. A request that crashes engines as a whole, writes on them, and shares only sound parts ends five, and one more in its next call, from which on it is refused.

The new test holds the bound of whole requests that crash engines, for streams that had begun or not, with sound, unknown and no parts.

--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -27,7 +27,10 @@
     not_run_error,
     outcome_unknown_error,
 )
-from celeryfork_entry.first_engines import MAX_LOST_ENGINES
+from celeryfork_entry.first_engines import (
+    MAX_LOST_ENGINES,
+    MAX_LOST_ENGINES_IF_SOUND,
+)
 from celeryfork_entry.path_attempts import PathAttempt
 from celeryfork_entry.targets import Target
 
@@ -82,7 +85,7 @@
             The call must not be sent, and no target has run it.
         """
         self.end_probe(call)
-        if call.crashes >= MAX_LOST_ENGINES:
+        if call.crashes >= self.max_lost_engines(call):
             self._log_refusal(call, None, Verdict.REFUSE, call.crashes)
             return False
         traits = self._traits_to_judge(call)
@@ -112,9 +115,21 @@
             )
         return False
 
+    def max_lost_engines(self, call: Call) -> int:
+        """Return how many engines may go down as they begin to run a call.
+
+        They may be more for a stream of which the caller has a part, and whose shared
+        parts are known to be sound: it's probably not what ends its engines.
+        """
+        has_answer = call.progress is not None and call.progress.started
+        parts = self._part_traits(call)
+        if has_answer and parts and not self.evidence.has_unknown(parts):
+            return MAX_LOST_ENGINES_IF_SOUND
+        return MAX_LOST_ENGINES
+
     def is_allowed(self, call: Call) -> bool:
         """Return True if a call may be sent now."""
-        if call.crashes >= MAX_LOST_ENGINES:
+        if call.crashes >= self.max_lost_engines(call):
             return False
         judgement = self.evidence.judge(self._traits_to_judge(call), call.organisation)
         match judgement.verdict:
--- a/libs/entry/src/celeryfork_entry/first_engines.py
+++ b/libs/entry/src/celeryfork_entry/first_engines.py
@@ -13,6 +13,9 @@
 """Number of first engines that may go down during one stream before it is given up, as
 the stream itself may be what crashes them. The same goes for targets of a plain call
 that end as they begin to run it."""
+MAX_LOST_ENGINES_IF_SOUND = 5
+"""The same for a stream whose caller has part of the answer, and whose shared parts are
+known to be sound: other requests, or other faults, have probably ended its engines."""
 CRASH_ONSET_S = 0.25
 """Seconds of writing after which a stream isn't what crashes its engine: a request that
 crashes engines does so as its answer begins."""
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -21,7 +21,6 @@
     EventSplitter,
     media_type,
 )
-from celeryfork_entry.first_engines import MAX_LOST_ENGINES
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.path_attempts import (
     EngineFailed,
@@ -194,7 +193,7 @@
         return (
             _is_resumable(call)
             and call.failures + 1 < MAX_FAILURES
-            and call.first_engines.lost + 1 < MAX_LOST_ENGINES
+            and call.first_engines.lost + 1 < self._guard.max_lost_engines(call)
         )
 
     async def serve(self, call: Call) -> None:
@@ -217,7 +216,7 @@
         last: Outcome = PathRefused("no path")
         refusals = 0
         until_s: float | None = None
-        while (ended_by := exhausted_limit(call)) is None:
+        while (ended_by := self._exhausted_limit(call)) is None:
             path = await self._acquire_path(call, until_s)
             if isinstance(path, str):
                 ended_by = path
@@ -243,6 +242,9 @@
         permit_s = self._selector.first_permit_s(call)
         await self._endings.finish(call, last, progress, ended_by, permit_s)
 
+    def _exhausted_limit(self, call: Call) -> str | None:
+        return exhausted_limit(call, self._guard.max_lost_engines(call))
+
     async def _acquire_path(self, call: Call, until_s: float | None) -> LayerPath | str:
         """Return a path and acquire a send, or return the reason for the call's end."""
         permits, path_until_s = self._context.permits, until_s
@@ -265,7 +267,7 @@
             # The path may become unavailable during the wait.
             if not await self._context.wait_for_retry_budget(call, until_s):
                 return "retry_budget"
-            if (ended_by := exhausted_limit(call)) is not None:
+            if (ended_by := self._exhausted_limit(call)) is not None:
                 return ended_by
 
     async def _find_path(self, call: Call, until_s: float | None) -> LayerPath | str:
--- a/libs/entry/src/celeryfork_entry/stream_limits.py
+++ b/libs/entry/src/celeryfork_entry/stream_limits.py
@@ -9,7 +9,6 @@
 
 from celeryfork_entry.call import Call
 from celeryfork_entry.configuration import Stream
-from celeryfork_entry.first_engines import MAX_LOST_ENGINES
 
 MAX_SENDS = 6
 """Maximum number of paths tried for a request that none of them has run."""
@@ -28,13 +27,19 @@
 """The same time as a multiple of the longest event gap that the route allows."""
 
 
-def exhausted_limit(call: Call) -> str | None:
-    """Return the name of the limit that forbids another attempt, None if allowed."""
+def exhausted_limit(call: Call, max_lost_engines: int) -> str | None:
+    """Return the name of the limit that forbids another attempt, None if allowed.
+
+    Parameters
+    ----------
+    max_lost_engines
+        Number of first engines that may go down as the call begins to run there.
+    """
     if call.left_s <= 0:
         return "time"
     if call.failures >= MAX_FAILURES:
         return "runs"
-    if call.first_engines.lost >= MAX_LOST_ENGINES:
+    if call.first_engines.lost >= max_lost_engines:
         return "lost_engines"
     if not call.may_have_run and call.sends >= MAX_SENDS:
         return "sends"
--- a/libs/entry/tests/test_crashing_parts.py
+++ b/libs/entry/tests/test_crashing_parts.py
@@ -5,10 +5,15 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 from celeryfork_admission.crash_evidence import make_part_trait
 from celeryfork_base.errors import RequestRefusedError
+from celeryfork_entry.first_engines import (
+    MAX_LOST_ENGINES,
+    MAX_LOST_ENGINES_IF_SOUND,
+)
 from stream_trial import CALL_S, Caller, CrashOn, Run, Trial
 
 ENGINES = 8
@@ -105,3 +110,39 @@
     call = trial.call(caller, "sound", CALL_S, ("common", "fine"))
     trial.run(trial.streams.serve(call))
     assert caller.has_complete_answer
+
+
+@pytest.mark.parametrize(
+    ("events", "parts", "most"),
+    [
+        (1, ("common", "fine"), MAX_LOST_ENGINES_IF_SOUND),
+        (0, ("common", "fine"), MAX_LOST_ENGINES),
+        (1, ("common", "unknown"), MAX_LOST_ENGINES),
+        (1, (), MAX_LOST_ENGINES),
+    ],
+    ids=["begun-and-sound", "not-begun", "unknown-part", "no-parts"],
+)
+def test_a_request_that_crashes_engines_as_a_whole_ends_a_bounded_number(
+    events, parts, most
+):
+    """None of its parts is at fault, so that only its own limits bound it."""
+    trial = Trial(max_targets=9)
+    for number in range(2 * MAX_LOST_ENGINES_IF_SOUND):
+        name = f"engine-{number}"
+        trial.add(name, Run(events, lost=(name,), after_s=0.02))
+    trial.evidence.record_sound(
+        [make_part_trait("llm", part) for part in ("common", "fine")]
+    )
+
+    async def ask():
+        with suppress(RequestRefusedError):
+            await trial.streams.serve(trial.call(Caller(), "r1", CALL_S, parts))
+        return crashes(trial)
+
+    async def run():
+        return [await ask() for _ in range(3)]
+
+    first, second, third = trial.run(run())
+    assert first <= most
+    assert second <= first + 1, "its second call convicts it"
+    assert third == second
