A crashed probe of the same call doesn't convict its request either

Callers saw: 503 crashes_engines for 30 s for a request whose part others had shown to be sound meanwhile, if one call of it had lost an engine and then another one as a probe.

Cause: a probe's crash weighs 2, so that two crashes of one call, of which one was a probe, convicted the request itself, though its retries alone shouldn't. What counts of a call is now bounded by weight, not by number. Its part is convicted by them as before.

--- a/libs/admission/src/celeryfork_admission/crash_evidence.py
+++ b/libs/admission/src/celeryfork_admission/crash_evidence.py
@@ -13,10 +13,12 @@
 from attrs import define, evolve, field
 
 from celeryfork_admission.crash_records import (
+    CONVICTION_WEIGHT,
     ECHO_S,
     FIRST_HOLD_S,
     MAX_CRASHES,
     MAX_HOLD_S,
+    PROBE_WEIGHT,
     SOUND_TTL_S,
     CrashRecord,
     TraitRecord,
@@ -45,6 +47,7 @@
 )
 
 __all__ = [
+    "CONVICTION_WEIGHT",
     "ECHO_S",
     "FIRST_HOLD_S",
     "MAX_CRASHES",
@@ -54,6 +57,7 @@
     "MAX_TRAITS",
     "MAX_VALUE_CHARS",
     "PROBE_S",
+    "PROBE_WEIGHT",
     "RECORD_TTL_S",
     "SOUND_TTL_S",
     "CrashEvidence",
--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -100,6 +100,8 @@
         True once a run of the call has written, or ended, without a crash.
     crashes
         Number of targets that ended as they began to run the call.
+    crash_weight
+        What those crashes weigh that count against the request itself.
     crashed_s
         Monotonic time at which a target last ended as it began to run the call, 0 for
         never.
@@ -139,6 +141,7 @@
     probe: str | None = None
     was_sound: bool = False
     crashes: int = 0
+    crash_weight: int = 0
     crashed_s: float = 0.0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -12,6 +12,8 @@
 
 from attrs import define, field
 from celeryfork_admission.crash_evidence import (
+    CONVICTION_WEIGHT,
+    PROBE_WEIGHT,
     CrashEvidence,
     Trait,
     TraitKind,
@@ -47,10 +49,6 @@
 elsewhere by then."""
 PROBE_RETRY_AFTER_S = (0.5, 1.5)
 """Range of Retry-After in seconds for a suspect that is refused during a probe."""
-MAX_COUNTED_CRASHES = 2
-"""Number of crashes of one call that count against the request itself. They are too few
-to convict it: a sound request may lose as many targets as its retries meet. It takes
-one more call that ends a target."""
 MAX_LOGGED_TRAITS = 1_000
 """Number of convicted traits after which they may be logged a second time."""
 PORT_CHECK_TIMEOUT_S = 0.04
@@ -184,7 +182,11 @@
         self._context.counters.add("crashes.recorded")
         call.crashed_s = time.monotonic()
         traits = self._part_traits(call)
-        if not call.was_sound and call.crashes < MAX_COUNTED_CRASHES:
+        # A sound request may lose as many targets as its retries meet: it takes another
+        # call that ends a target to convict it.
+        weight = call.crash_weight + (1 if call.probe is None else PROBE_WEIGHT)
+        if not call.was_sound and weight < CONVICTION_WEIGHT:
+            call.crash_weight = weight
             traits += (_request_trait(call),)
         call.crashes += 1
         counted = self.evidence.record_crash(
--- a/libs/entry/tests/test_crash_guard.py
+++ b/libs/entry/tests/test_crash_guard.py
@@ -355,3 +355,18 @@
         return [await ask() for _ in range(4)]
 
     assert trial.run(run()) == [(502, 3), (502, 4), (503, 4), (503, 4)]
+
+
+def test_a_crashed_probe_of_the_same_call_does_not_convict_the_request_itself():
+    """Its part is cleared by others, but the request was refused for 30 s."""
+    trial = Trial(max_targets=9)
+    add_crashing(trial, "e1", "e2")
+
+    async def run():
+        first = await serve(trial, "r1", ("rare",))
+        assert (first.status, first.code) == (502, "crashes_engines")
+        know_sound(trial, "rare")
+        trial.add("e3")
+        return await serve(trial, "r1", ("rare",))
+
+    assert trial.run(run()).has_complete_answer
