--- a/libs/entry/src/celeryfork_entry/store_follower.py
+++ b/libs/entry/src/celeryfork_entry/store_follower.py
@@ -164,6 +164,12 @@
             if self._is_outdated(changes, followed, position):
                 self._targets.request_full_read()
                 continue
+            if followed:
+                self._log.info(
+                    "store_followed",
+                    before=followed,
+                    list_age_s=round(time.monotonic() - self.list_read_s, 3),
+                )
             now_s = self.list_read_s = time.monotonic()
             self._relayed.reset()
             regained = self._store_answered("targets")
