Follow relays that read the store, of other domains too

Cause: the store turned away a third of the instances, among them all three relays of a domain. Its followers read the store only when the lists of all their relays are older than 2.6 to 8.6 s. Beside that, an instance stayed for 2.6 s with a relay that was turned away though another one of its domain read the store, since it went by age only.

Change: a digest tells if its relay reads the store. A relay that does goes before one that doesn't, at once. A relay that is turned away follows one of another domain while none of its own reads; their digests reach it once a second already. What it takes is announced to its domain at once.

--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -119,7 +119,7 @@
             self._configurations, self._targets, self.table, self.connections,
             self.log, self.counters, self._peer_addresses,
             reads_store=self._reads_store, is_relay=lambda: self.roster.is_relay,
-            spawn=self._spawn,
+            spawn=self._spawn, domain=own.domain,
         )  # fmt: skip
         self._checks = EngineChecks(
             self.table,
--- a/libs/entry/src/celeryfork_entry/list_changes.py
+++ b/libs/entry/src/celeryfork_entry/list_changes.py
@@ -30,12 +30,15 @@
         True if it may name engines that have left.
     position
         Position in the store's log up to which it was read, None if unknown.
+    from_store
+        True if this instance read it itself, and the store still answers.
     """
 
     revision: int
     age_s: float
     is_stale: bool
     position: LogPosition | None = None
+    from_store: bool = False
 
 
 @define
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -125,6 +125,8 @@
         Seconds since it read the target list.
     list_is_stale
         True if the target list may name engines that have left.
+    list_from_store
+        True if the relay read the list itself, and the store still answers it.
     counts
         Number of live instances by domain.
     remote_loads
@@ -138,6 +140,7 @@
     counts: Mapping[str, int]
     remote_loads: Mapping[str, Mapping[str, Load]]
     list_position: LogPosition | None = None
+    list_from_store: bool = True
 
 
 class LoanScope(Enum):
@@ -225,6 +228,7 @@
             "revision": digest.revision,
             "age": round(digest.list_age_s, 3),
             "old": digest.list_is_stale,
+            "reads": digest.list_from_store,
             **position_fields(digest.list_position),
             "counts": digest.counts,
             "away": {
@@ -271,6 +275,8 @@
                 for domain, rows in fields["away"].items()
             },
             list_position=parse_position(fields),
+            # A relay of an earlier release tells only whether its list is stale.
+            list_from_store=bool(fields.get("reads", not fields["old"])),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed datagram of a peer: {error!r}") from error
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -86,7 +86,7 @@
     list_state
         Returns the target list's revision, its age in s, and True if it may be stale.
     on_digest
-        Called with each digest of a relay of this domain.
+        Called with each digest of a relay, also of other domains.
     layers
         Returns the layers that engines reported to this instance, by engine.
     on_layers
@@ -267,12 +267,12 @@
         domain = digest.sender.domain
         for each, count in digest.counts.items():
             self.roster.record_count(each, count)
+        self.on_digest(digest)
         if domain != self.domain:
             if digest.loads is not None:
                 self._record_domain_load(domain, digest.loads)
             self._forward_down(digest.down, to_remote=False)
             return
-        self.on_digest(digest)
         if digest.loads is not None and not self.roster.addressed_as_relay:
             # A relay that receives the members' reports counts each of them itself. An
             # instance that is a relay only by its own ranking, since it knows few
@@ -502,6 +502,7 @@
             list_age_s=target_list.age_s,
             list_is_stale=target_list.is_stale,
             list_position=target_list.position,
+            list_from_store=target_list.from_store,
             counts=self.roster.counts() | {self.domain: self.roster.count()},
             remote_loads={},
         )
--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -8,7 +8,7 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from attrs import define, field
 from celeryfork_base.counters import Counters
@@ -32,6 +32,8 @@
 RELAY_SILENCE_S = 0.6
 """Seconds without a digest after which a follower switches to another relay: two digest
 intervals."""
+REMOTE_RELAY_SILENCE_S = 2.2
+"""The same for a relay of another domain, which sends once a second."""
 
 
 @define(eq=False)
@@ -45,6 +47,11 @@
         :meth:`TargetConnections.send`.
     spawn
         Starts a concurrent task.
+    domain
+        Failure domain of this instance. Relays of other domains are followed only while
+        none of this domain reads the store.
+    on_change
+        Called when the target list has changed.
     current_relay
         Address of the relay whose list is in the table, empty for none.
     """
@@ -54,6 +61,8 @@
     _counters: Counters
     _request: Callable[[str, str], Awaitable[bytes]]
     _spawn: Callable[[Awaitable[object]], object]
+    domain: str = ""
+    on_change: Callable[[], None] = lambda: None
     current_relay: str = ""
     _revision: int = -1
     _fetching: bool = False
@@ -67,9 +76,12 @@
         """Record a relay's digest and its time of receipt."""
         now_s = time.monotonic()
         self._digest_by_relay[digest.sender.address] = (digest, now_s)
-        if self._is_usable(digest):
+        if self._is_near(digest) and self._is_usable(digest):
             self._usable_s = now_s
 
+    def _is_near(self, digest: RelayDigest) -> bool:
+        return digest.sender.domain == self.domain
+
     def _is_usable(self, digest: RelayDigest) -> bool:
         """Return True if a relay has read its list, and not before that in the table.
 
@@ -99,33 +111,66 @@
     def is_stale(self) -> bool:
         """Return True if the store must be read.
 
-        No relay has sent a digest recently, or the target lists of all are stale, or
-        older than that in the table.
+        No relay of the domain has sent a digest recently, or the target lists of all
+        are stale, or older than that in the table.
         """
         now_s = time.monotonic()
-        ages = self._ages_by_relay(now_s)
+        ages = self._near(self._ages_by_relay(now_s))
         age_s = min(ages.values(), default=STALE_S + STALE_SPREAD_S)
         return max(age_s, now_s - self._usable_s) >= self._store_timeout_s
 
     def _relay_to_follow(self, now_s: float) -> str:
-        """Return the current relay, or another one if it is silent or its list stale.
+        """Return the current relay, or another one if that is the better source.
 
-        If all lists are stale, as in an outage of the store, a switch wouldn't help.
+        A relay that reads the store goes before one that the store turns away, which
+        may have copied an old list; those of this domain go before others. If nobody
+        reads the store, the current relay is left only if it is silent or its list
+        stale. If all lists are stale, as in an outage of the store, a switch wouldn't
+        help.
         """
         ages = self._ages_by_relay(now_s)
         sending = {
             address: age_s
             for address, age_s in ages.items()
-            if now_s - self._digest_by_relay[address][1] < RELAY_SILENCE_S
-            and self._is_usable(self._digest_by_relay[address][0])
+            if self._is_sending(address, now_s)
         }
-        youngest_s = min(sending.values(), default=STALE_S)
-        if self.current_relay in sending and (
-            sending[self.current_relay] < STALE_S or youngest_s >= STALE_S
+        reading = self._reading(sending)
+        if self.current_relay in reading:
+            return self.current_relay
+        if reading:
+            return _youngest(reading)
+        near = self._near(sending)
+        youngest_s = min(near.values(), default=STALE_S)
+        if self.current_relay in near and (
+            near[self.current_relay] < STALE_S or youngest_s >= STALE_S
         ):
             return self.current_relay
-        candidates = sending or ages
-        return min(candidates, key=lambda each: (candidates[each], each), default="")
+        return _youngest(near or self._near(ages))
+
+    def _reading(self, ages: Mapping[str, float]) -> Mapping[str, float]:
+        """Return the relays that read the store: this domain's, if it has any."""
+        reading = {
+            address: age_s
+            for address, age_s in ages.items()
+            if (digest := self._digest_by_relay[address][0]).list_from_store
+            and digest.list_age_s < STALE_S
+        }
+        return self._near(reading) or reading
+
+    def _is_sending(self, address: str, now_s: float) -> bool:
+        """Return True if a relay isn't silent, and its list may be used."""
+        digest, at_s = self._digest_by_relay[address]
+        near = self._is_near(digest)
+        silence_s = RELAY_SILENCE_S if near else REMOTE_RELAY_SILENCE_S
+        return now_s - at_s < silence_s and self._is_usable(digest)
+
+    def _near(self, ages: Mapping[str, float]) -> dict[str, float]:
+        """Return the relays of this domain."""
+        return {
+            address: age_s
+            for address, age_s in ages.items()
+            if self._is_near(self._digest_by_relay[address][0])
+        }
 
     def _ages_by_relay(self, now_s: float) -> dict[str, float]:
         """Return the list age of each relay that has sent a digest recently."""
@@ -166,6 +211,7 @@
                 before=self.current_relay,
             )
         self.current_relay, self._revision = address, changes.revision
+        self.on_change()
 
     def _apply_changes(self, changes: TargetChanges) -> None:
         self._counters.add("peers.changes_taken")
@@ -177,6 +223,11 @@
         self._table.apply([Listed(target) for target in changes.targets])
 
 
+def _youngest(ages: Mapping[str, float]) -> str:
+    """Return the relay with the youngest list, empty for none."""
+    return min(ages, key=lambda each: (ages[each], each), default="")
+
+
 def _position_inputs(prefix: str, position: LogPosition | None) -> dict[str, int]:
     """Return the log fields of a position."""
     if position is None:
--- a/libs/entry/src/celeryfork_entry/store_follower.py
+++ b/libs/entry/src/celeryfork_entry/store_follower.py
@@ -91,6 +91,8 @@
         Time until which expired targets are kept after an outage of the store.
     spawn
         Starts a concurrent task.
+    domain
+        Failure domain of this instance.
     """
 
     _configurations: ConfigurationFeed
@@ -108,6 +110,7 @@
     is_relay: Callable[[], bool] = lambda: False
     spawn: Callable[[Awaitable[object]], object] = asyncio.ensure_future
     on_change: Callable[[], None] = lambda: None
+    domain: str = ""
     _fetching: bool = False
     _failures_by_feed: dict[str, int] = field(factory=dict)
     _encoded: tuple[int, bytes] = (-1, b"")
@@ -121,6 +124,8 @@
             self._counters,
             lambda address, path: self._request(address, path),
             self.spawn,
+            self.domain,
+            lambda: self.on_change(),
         )
 
     @property
@@ -225,8 +230,14 @@
             age_s,
             self._table.list_is_stale,
             self._table.position,
+            from_store=self._reads_store_now(),
         )
 
+    def _reads_store_now(self) -> bool:
+        """Return True if the list was read by this instance, and the store answers."""
+        lost = "targets" in self.unavailable_feeds
+        return not (lost or self._relayed.current_relay) and self.reads_store()
+
     def known(self) -> bytes:
         """Return the configuration and targets as a message to a peer."""
         state = self.list_state()
@@ -263,9 +274,15 @@
         )
 
     def receive_digest(self, digest: RelayDigest) -> None:
-        """Apply a relay's digest, unless this instance reads the store successfully."""
-        self._relayed.record_digest(digest)
+        """Apply a relay's digest, unless this instance reads the store successfully.
+
+        A relay of another domain is followed only by an instance that reads the store:
+        the store may turn away all relays of a domain.
+        """
         reads_store = self.reads_store()
+        if digest.sender.domain != self.domain and not reads_store:
+            return
+        self._relayed.record_digest(digest)
         if reads_store and "targets" not in self.unavailable_feeds:
             return
         if not self._relayed.should_follow(digest):
--- a/libs/entry/tests/support/followed_store.py
+++ b/libs/entry/tests/support/followed_store.py
@@ -11,6 +11,7 @@
 from celeryfork_entry.targets import Target, TargetTable
 from logbook import Logger
 
+DOMAIN = "a"
 TARGET = Target("t1", "llm", "10.0.0.1:80", "a")
 
 
@@ -52,7 +53,7 @@
 def make_follower(table=None, **fields):
     return FakePeerFollower(
         Feed(), Feed(), table or TargetTable(), TargetConnections(), Logger("test"),
-        Counters(), lambda: [], **fields,
+        Counters(), lambda: [], domain=DOMAIN, **fields,
     )  # fmt: skip
 
 
@@ -65,12 +66,13 @@
         Position in the store's log up to which its list was read.
     """
 
-    def __init__(self, address="10.0.0.2:7", position=None):
+    def __init__(self, address="10.0.0.2:7", position=None, domain=DOMAIN):
         self.follower = make_follower()
         self.table.position = position
-        self.peer = Peer("relay", "a", address)
+        self.peer = Peer("relay", domain, address)
         self.age_s = 0.0
         self.list_is_stale = False
+        self.reads_store = True
         self.requested_paths = []
 
     @property
@@ -82,7 +84,7 @@
             self.peer, None, -1, {}, {}, (), {},
             revision=self.table.changes.revision, list_age_s=self.age_s,
             list_is_stale=self.list_is_stale, counts={}, remote_loads={},
-            list_position=self.table.position,
+            list_position=self.table.position, list_from_store=self.reads_store,
         )  # fmt: skip
 
 
