Test that a third loss does not end a begun answer of a stream

The existing tests cover each limit alone, not this sequence with a path or a retry that comes later.

The tests pass on the present code. Of the five cases, each fails with one of these rules taken out: waiting for a retry (two cases), waiting for a path (one), no limit of sends once a request may have run (two), avoided engines as a second choice (one).

--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import evolve
 from celeryfork_admission.crash_evidence import make_part_trait
+from celeryfork_admission.retry_share import RESERVED_SHARE
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_entry.first_engines import CRASH_ONSET_S, MAX_LOST_ENGINES
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
@@ -16,6 +17,7 @@
 from celeryfork_entry.targets import Listed
 from stream_trial import (
     BACK,
+    CALL_S,
     FRONT,
     Caller,
     Fleet,
@@ -26,17 +28,58 @@
     Trial,
 )
 
+LATE_S = 0.5
+"""Seconds after a loss until there is another path or retry."""
 
-def trial_losing_paths(**bounds):
-    """Return a trial that loses two later engines of a path, then a first engine."""
+
+def slack_for(retries):
+    """Return the slack of a retry budget that allows one request so many retries."""
+    return (retries + 0.5) / (1 - RESERVED_SHARE) - 0.2
+
+
+def trial_losing_paths(*, refusals=0, **bounds):
+    """Return a trial that loses two later engines of a path, then a first engine.
+
+    Parameters
+    ----------
+    refusals
+        Number of engines that refuse the request before it reaches that first engine.
+    """
     trial = Trial(**bounds)
     trial.add("front", Run(3, lost=("back-1",)), Run(3, lost=("back-2",)), layers=FRONT)
     trial.add("back-1", layers=BACK)
     trial.add("back-2", layers=BACK)
+    for number in range(refusals):
+        name = f"full-{number}"
+        trial.add(name, *[Refuse(name)] * 99, domain="b")
     trial.add("whole", Terminate(), domain="b")
     return trial
 
 
+async def serve_beside_change(trial, caller, after_third_loss):
+    """Serve a stream, and change the idle timeout before its paths break.
+
+    Parameters
+    ----------
+    after_third_loss
+        Coroutine function that runs once engine ``whole`` has terminated.
+    """
+    dispatcher = trial.dispatcher()
+    serving = asyncio.ensure_future(
+        dispatcher.handle(caller, trial.request("r1", CALL_S))
+    )
+    while not caller.events:
+        await asyncio.sleep(0.005)
+    before = trial.context.configuration()
+    limits = evolve(before.limits, idle_timeout_s=0.01)
+    changed = evolve(before, version=before.version + 1, limits=limits)
+    trial.context.configuration = lambda: changed
+    while not trial.engine("whole").gone:
+        await asyncio.sleep(0.005)
+    await after_third_loss()
+    await serving
+
+
 def test_log_of_a_broken_off_stream_names_the_cause():
     """The log line had only the last event, and not the limit that ended the stream."""
     trial = trial_losing_paths(slack=1.2)
@@ -123,6 +166,51 @@
     assert caller.has_complete_answer
 
 
+@pytest.mark.parametrize("refusals", [0, 3])
+@pytest.mark.parametrize("late", ["path", "retry"])
+def test_a_third_loss_does_not_end_an_answer_that_can_go_on_later(late, refusals):
+    """Issue 42: it was broken off at once, with 17.8 s left, beside a change.
+
+    Two runs on one engine broke off, and another engine terminated with the request in
+    its queue.
+    """
+    slack = slack_for(2 + refusals) if late == "retry" else 100.0
+    trial = trial_losing_paths(refusals=refusals, slack=slack)
+    caller = Caller()
+
+    async def go_on_later():
+        assert all(trial.engine(f"full-{n}").arrivals for n in range(refusals))
+        if late == "retry":
+            trial.add("back-3", layers=BACK)
+        await asyncio.sleep(LATE_S)
+        assert not caller.ending
+        if late == "path":
+            trial.add("back-3", layers=BACK)
+        else:
+            trial.share.set_bounds(0.2, 100.0, 10.0)
+
+    trial.run(serve_beside_change(trial, caller, go_on_later))
+    assert caller.has_complete_answer
+    assert caller.max_event_gap_s > LATE_S
+    assert trial.engine("front").runs == 3 and trial.engine("whole").arrivals == 1
+
+
+def test_an_avoided_first_engine_continues_an_answer_after_a_third_loss():
+    """Issue 42: an answer had neither of the two first engines that its route allows.
+
+    One was avoided, as no engine of its path was found down after the second break; the
+    other one had terminated.
+    """
+    trial = Trial()
+    trial.add("front", Run(3, lost=("back-1",)), Run(3), layers=FRONT)
+    trial.add("back-1", layers=BACK)
+    trial.add("back-2", layers=BACK)
+    trial.add("whole", Terminate(), domain="b")
+    caller = trial.serve()
+    assert caller.has_complete_answer
+    assert trial.engine("front").runs == 3 and trial.engine("whole").arrivals == 1
+
+
 def test_a_stream_is_ended_after_six_failures_since_its_last_event():
     trial = Trial(max_targets=9)
     for number in range(9):
