Space the failed runs of a stream, so that six don't end it within milliseconds

Callers lost a begun answer with most of its time left when all engines that it may use lost its replies for a moment: each lost reply was followed by the next send at once, and six failures since the last event end a stream.

After the second failed run in a row, a stream now waits as after refusals: 20 ms, doubled with each further one. Six runs take at least 0.3 s then, within the time that its caller waits, and their number stays limited. The end after the sixth isn't delayed.

With the stand-in engines of the tests, an answer was broken off 76 ms after its arrival, 70 of which its first run took, with 19.9 s left, ended_by runs. The new test, in which replies are lost for 0.2 s, failed in three of three runs without the change and passed in all with it.

--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -226,10 +226,9 @@
                 ended_by = "first_engines" if _is_resumable(call) else "kind"
                 break
             if not isinstance(last, PathRefused):
-                refusals, until_s = (
-                    0,
-                    stream_retry_deadline_s(call, started=progress.started),
-                )
+                refusals = 0
+                until_s = stream_retry_deadline_s(call, started=progress.started)
+                await self._back_off(call)
             elif until_s is not None:
                 left_s = until_s - time.monotonic()
                 if left_s <= 0:
@@ -245,6 +244,14 @@
     def _exhausted_limit(self, call: Call) -> str | None:
         return exhausted_limit(call, self._guard.max_lost_engines(call))
 
+    async def _back_off(self, call: Call) -> None:
+        """Wait before the next attempt if several runs in a row sent no event.
+
+        Runs that fail at once would reach the limit of failures within milliseconds.
+        """
+        if self._exhausted_limit(call) is None:
+            await asyncio.sleep(min(call.left_s, refusal_backoff_s(call.failures)))
+
     async def _acquire_path(self, call: Call, until_s: float | None) -> LayerPath | str:
         """Return a path and acquire a send, or return the reason for the call's end."""
         permits, path_until_s = self._context.permits, until_s
--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 
 import pytest
 from attrs import evolve
@@ -21,6 +22,7 @@
     FRONT,
     Caller,
     Fleet,
+    LoseReply,
     Refuse,
     ReplyWithError,
     Run,
@@ -236,6 +238,34 @@
     assert caller.has_complete_answer
 
 
+def test_a_stream_outlives_a_moment_in_which_its_engines_lose_all_replies():
+    """Six replies lost within milliseconds ended it, with most of its time left."""
+    trial = Trial()
+    engines = [trial.add("first", Run(3)), trial.add("second")]
+    for engine in engines:
+        engine.script.extend([LoseReply()] * 99)
+    caller = Caller()
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        for engine in engines:
+            loop.call_later(0.2, engine.script.clear)
+        await trial.serve_one(caller)
+
+    trial.run(run())
+    assert caller.has_complete_answer
+    assert sum(engine.runs for engine in engines) <= MAX_FAILURES
+
+
+def test_a_stream_whose_runs_all_fail_is_not_held_after_the_last_one():
+    trial = Trial()
+    engine = trial.add("first", Run(3), *[LoseReply()] * 99)
+    caller = trial.serve()
+    ended_s = time.monotonic()
+    assert (caller.ending, engine.runs) == ("broken off", MAX_FAILURES)
+    assert ended_s - engine.arrived_s[-1] < refusal_backoff_s(MAX_FAILURES)
+
+
 def test_a_stream_that_crashes_its_engines_is_ended_after_three():
     """Terminated engines don't count towards the route's limit but have their own."""
     trial = Trial(max_targets=2)
