Known red: engines that end with a long stream in their queues end its answer

A begun answer is broken off at once, with most of its time left, when three first engines in a row end with the request in their queues: each counts as one that the stream may have crashed, although the stream's first run wrote for longer than a request that crashes engines does.

--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -288,6 +288,22 @@
     assert caller.has_complete_answer
 
 
+@pytest.mark.parametrize("parts", [(), ("common", "rare")])
+def test_engines_lost_after_a_stream_has_been_writing_do_not_end_it(parts):
+    """Three engines that ended with the request in their queues broke off an answer.
+
+    Its first run had been writing for long, so that it isn't what crashes engines.
+    """
+    trial = Trial()
+    trial.shared_parts = parts
+    trial.add("first", Run(2, lost=("first",), gap_s=CRASH_ONSET_S + 0.05))
+    for number in range(MAX_LOST_ENGINES):
+        trial.add(f"next-{number}", Terminate())
+    trial.add("last", domain="b")
+    caller = trial.serve()
+    assert caller.has_complete_answer
+
+
 def test_an_engine_found_down_long_after_its_only_event_counts_as_crashed():
     """The time until a loss is noticed is no time in which the stream was writing."""
     trial = Trial(max_targets=9)
