Test a status outside HTTP with an entry process and its platform

With the platform's stand-ins, a booking, six idempotent requests with one sound target, and a stream whose engines all answer with such a status.

--- a/tests/adapter/test_end_to_end.py
+++ b/tests/adapter/test_end_to_end.py
@@ -389,3 +389,26 @@
     }
     assert ends["v1"] == ends["v2"] == ("answered", "kiosk")
     assert ends["v3"] == ("refused", "kiosk")
+
+
+@pytest.mark.parametrize("status", ["000", "099", "199", "600", "999"])
+def test_callers_never_get_a_status_outside_http(entry, fleet, status):
+    """Callers got statuses from 600 to 999, with the target's stamp."""
+    services = list(fleet.services.values())
+    for each in services:
+        each.odd_status = status
+    booking = entry.request("POST", "/book/1", "o1", body=b"x")
+    assert (booking.status, booking.getheader("X-Server-Stamp")) == (502, None)
+    assert len(desk_runs(fleet, "o1")) == 1
+    services[0].odd_status = None
+    for number in range(6):
+        assert entry.request("GET", "/look/1", f"o2-{number}").status == 200
+    for each in fleet.engines.values():
+        each.odd_status = status
+    stream = entry.stream("o3")
+    assert (stream.status, stream.getheader("X-Server-Stamp")) == (502, None)
+    assert not entry.events("crash_suspect")
+    assert not entry.events("failed")
+    for each in fleet.engines.values():
+        each.odd_status = None
+    assert event_ids(entry.stream("o4")) == list(range(1, 21))
--- a/tests/support/engine_standins.py
+++ b/tests/support/engine_standins.py
@@ -9,6 +9,9 @@
 
 from aiohttp import web
 
+ODD_ANSWER_S = 0.2
+"""Seconds for which the connection of an odd answer stays open, so that it is read."""
+
 
 def shared_parts(headers):
     """Return the ids of the parts of a prompt but the last."""
@@ -26,6 +29,16 @@
     return anew
 
 
+async def answer_oddly(request, status, headers):
+    """Write a whole answer with a status that the server's library may not know."""
+    lines = [f"HTTP/1.1 {status} Odd", "Content-Length: 5"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    request.transport.write("\r\n".join([*lines, "", "whole"]).encode())
+    await asyncio.sleep(ODD_ANSWER_S)
+    request.transport.abort()
+    return web.Response()
+
+
 class EngineStandin:
     """One model engine."""
 
@@ -50,6 +63,7 @@
         self.silent = False
         self.full = False
         self.fills_the_fleet = False
+        self.odd_status = None
 
     def entry(self):
         self.beats += 1
@@ -72,7 +86,7 @@
         anew = started_anew(self, under_new_id)
         anew.held, anew.seq, anew.fence, anew.paths = None, 0, -1, {}
         anew.silent = anew.full = False
-        anew.events_before_cut = None
+        anew.events_before_cut = anew.odd_status = None
         if under_new_id:
             anew.orders = []
         return anew
@@ -154,6 +168,9 @@
             return web.Response(status=503, headers={"X-Not-Run": "1"})
         path = self.read_path(headers["X-Hop-Count"])
         self.runs.append((attempt, path, headers))
+        if self.odd_status is not None:
+            stamp = {"X-Attempt-Id": attempt, "X-Server-Stamp": f"stamp.{self.id}"}
+            return await answer_oddly(request, self.odd_status, stamp)
         if self.fills_the_fleet:
             for engine in self.platform.engines.values():
                 engine.full = True
@@ -214,10 +231,11 @@
         self.beats = 0
         self.born = 1
         self.open = 0
+        self.odd_status = None
 
     def started_anew(self, under_new_id):
         anew = started_anew(self, under_new_id)
-        anew.behaviour = "answer"
+        anew.behaviour, anew.odd_status = "answer", None
         return anew
 
     def entry(self):
@@ -238,6 +256,14 @@
         self.platform.store.put("keyed.servers", self.id, self.entry())
 
     async def handle(self, request):
+        if self.odd_status is None:
+            return await self._answer(request)
+        body, attempt = await request.read(), request.headers["X-Attempt-Id"]
+        self.runs.append((attempt, request.method, request.path_qs, body))
+        headers = {"X-Attempt-Id": attempt, "X-Server-Stamp": f"stamp.{self.id}"}
+        return await answer_oddly(request, self.odd_status, headers)
+
+    async def _answer(self, request):
         body = await request.read()
         attempt = request.headers["X-Attempt-Id"]
         if request.headers["X-Expect-Instance"] != self.id:
