Wait the time of the call for a target that reads a long body late

Callers saw: 502 after 2.8 s for a request with a long body at a target that had stopped reading, though their deadline was later and the target went on.

Cause: TCP_USER_TIMEOUT, as for callers that don't read: the kernel counts bytes for which a responding target has no memory.

Evidence: against a target that reads nothing for 3.5 s, requests of 50, 150 and 1,000 KB were lost after 2.8 s with a receive buffer of 16 KB, that of 1,000 KB also with one of 128 KB (one run each). The new test passes, and fails without the change in _write.

Change: a request carries the time of its call, and one over 16 KiB may wait that long.

--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -44,6 +44,8 @@
 """Timeout in seconds for such a body, which usually arrives with its head."""
 MAX_HEADER_BYTES = 65_536
 """Maximum size of the head of a reply."""
+MIN_LONG_BYTES = 16_384
+"""Size of a request beyond which a target may have no memory for it."""
 
 
 class NotSentError(ConnectionError):
@@ -69,6 +71,9 @@
     identity
         Header, as name in lower case and value, that replies to this request have in
         common with no other reply; None if there is none.
+    stall_timeout_s
+        Seconds for which a long body may wait for a target that has no memory for it.
+        None for the usual limit of unacknowledged bytes.
     """
 
     method: str
@@ -76,6 +81,7 @@
     headers: tuple[tuple[str, str | bytes], ...] = ()
     body: bytes = b""
     identity: tuple[bytes, bytes] | None = None
+    stall_timeout_s: float | None = None
 
 
 @define
@@ -335,6 +341,7 @@
             stream.close()
             return
         http.start_next_cycle()
+        stream.end_stall()
         connection.reused = True
         connection.idle_deadline_s = time.monotonic() + idle_s
         kept = self._idle_by_address.setdefault(connection.address, [])
@@ -461,6 +468,8 @@
     if request.body:
         sent += http.send(h11.Data(data=request.body))
     sent += http.send(h11.EndOfMessage())
+    if request.stall_timeout_s is not None and len(sent) > MIN_LONG_BYTES:
+        connection.stream.allow_stall(request.stall_timeout_s)
     try:
         await connection.stream.write(sent)
     except ConnectionError as error:
--- a/libs/entry/tests/test_target_http.py
+++ b/libs/entry/tests/test_target_http.py
@@ -7,7 +7,11 @@
 
 import pytest
 from celeryfork_entry import target_http
-from celeryfork_entry.byte_stream import MAX_UNREAD_BYTES, ByteStream
+from celeryfork_entry.byte_stream import (
+    MAX_UNREAD_BYTES,
+    UNACKNOWLEDGED_TIMEOUT_MS,
+    ByteStream,
+)
 from celeryfork_entry.target_http import (
     IDLE_TIMEOUT_S,
     LostError,
@@ -266,3 +270,37 @@
         request = OutgoingRequest("GET", "/")
         with pytest.raises(PortClosedError):
             asyncio.run(TargetConnections().send(f"{host}:{port}", request))
+
+
+def test_a_target_may_read_a_long_body_late():
+    """The kernel broke the connection 2.5 s after the target had no more memory.
+
+    A target that is silent may go on, so the time of the call is the limit (issue 42).
+    """
+    body = b"x" * 150_000
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listening:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+            listening.bind(("127.0.0.1", 0))
+            listening.listen()
+            listening.setblocking(False)
+            host, port = listening.getsockname()
+
+            async def serve():
+                sock, _ = await loop.sock_accept(listening)
+                with sock:
+                    await asyncio.sleep(UNACKNOWLEDGED_TIMEOUT_MS / 1000 + 0.8)
+                    received = b""
+                    while not received.endswith(body):
+                        received += await loop.sock_recv(sock, 1 << 20)
+                    await loop.sock_sendall(sock, HEAD + b"Content-Length: 2\r\n\r\nok")
+
+            serving = asyncio.ensure_future(serve())
+            request = OutgoingRequest("POST", "/", body=body, stall_timeout_s=6.0)
+            reply = await TargetConnections().send(f"{host}:{port}", request)
+            assert await reply.read_all(10) == b"ok"
+            await serving
+
+    asyncio.run(asyncio.wait_for(run(), 8.0))
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -73,6 +73,12 @@
     assert DIALECT.build_target_request(request, options).identity == identity
 
 
+def test_a_target_may_stall_a_request_for_the_time_of_its_call():
+    request = CallerRequest("POST", "/a", (), b"", 0.0)
+    options = ForwardingOptions(Target("i-1", "desk", "10.0.0.1:80", "a"), None, 7.5)
+    assert DIALECT.build_target_request(request, options).stall_timeout_s == 7.5
+
+
 @pytest.mark.parametrize(
     ("headers", "limit_per_s"),
     [
