Offer no work to a target whose answers say that it leaves

The header was not read, so that an instance with an old list, as one that the store turns away, went on.

Change: the header marks the process that answered, by its id and start, until an entry that was read 5 s later says otherwise; earlier entries may have been written before the answer. A restart under the id is used at once. Answers with status 421 may be those of another engine. An engine that says so without need is offered no work, that is all.

Evidence: without the rule the three tests of calls and streams fail, as does the one of an early entry without its wait.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -20,10 +20,10 @@
 from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.first_engines import FirstEngines
 from celeryfork_entry.metrics import Histograms
-from celeryfork_entry.ports import Dialect, RequestMetadata
+from celeryfork_entry.ports import Dialect, ReplyMetadata, RequestMetadata
 from celeryfork_entry.stream_progress import StreamProgress
 from celeryfork_entry.target_http import TargetConnections
-from celeryfork_entry.targets import TargetTable
+from celeryfork_entry.targets import Target, TargetTable
 
 MAX_WAIT_S = 0.2
 """Maximum seconds of a wait for a reply before the call's time is looked at again."""
@@ -214,6 +214,12 @@
     stop: PlannedStop = field(factory=PlannedStop)
     histograms: Histograms = field(factory=Histograms)
 
+    def record_reply(self, target: Target, metadata: ReplyMetadata) -> None:
+        """Record what a target's reply states about the target."""
+        self.permits.record_reply(target, metadata)
+        if metadata.leaving and self.table.record_leaving(target):
+            self.log.info("engine_leaves", engine=target.id, answered=True)
+
     def acquire_send(self, call: Call) -> bool:
         """Record another send; return False if the retry budget is used up."""
         now_s = time.monotonic()
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -208,14 +208,15 @@
         self._store_follower.on_change = self._peers.announce_changes
         self._peers.list_state = self._store_follower.list_state
         self._peers.on_digest = self._store_follower.receive_digest
-        self._share_engine_reports(permits)
+        self._share_engine_reports(context)
         self._share_crash_evidence()
 
-    def _share_engine_reports(self, permits: EnginePermits) -> None:
-        self._checks.on_reply = permits.record_reply
+    def _share_engine_reports(self, context: CallContext) -> None:
+        permits = context.permits
+        self._checks.on_reply = context.record_reply
         permits.on_old_limit = LimitChecks(
             self._checks, self.connections, self._dialect, lambda: self.configuration,
-            permits.record_reply, self.log, self._spawn,
+            context.record_reply, self.log, self._spawn,
         ).check  # fmt: skip
         self._peers.on_permit = permits.handle_message
         self._peers.limits = lambda: self.table.limits.own_news(time.monotonic())
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -184,7 +184,7 @@
         return [
             each
             for each in self._engines(call.service.name)
-            if not (each.health.excluded or each.health.leaving)
+            if not (each.health.excluded or each.health.is_leaving)
             and each.engine.id not in call.failed_on
         ]
 
@@ -238,7 +238,7 @@
         engines = [
             each.at(now_s)
             for each in self._engines(call.service.name)
-            if not (each.health.excluded or each.health.leaving)
+            if not (each.health.excluded or each.health.is_leaving)
             and each.health.accepts_work(now_s)
             and each.engine.id not in call.avoided
         ]
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -349,7 +349,7 @@
             metadata = context.dialect.read_reply(reply.status, reply.headers)
             if metadata.request_id not in {None, call.metadata.id}:
                 raise LostError("the reply carries the id of another request")
-            context.permits.record_reply(target, metadata)
+            context.record_reply(target, metadata)
             if reply.header(b"content-encoding") is not None:
                 raise LostError(
                     "the reply has a Content-Encoding that was not requested"
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -96,12 +96,15 @@
     limit_per_s
         Requests a second that the target takes from all instances together, infinite if
         it names no limit, None if the reply doesn't tell.
+    leaving
+        True if the target states that it is leaving.
     """
 
     not_run: bool
     request_id: str | None
     at_fault: str | None
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 @frozen
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -453,7 +453,7 @@
         if metadata.request_id not in {None, attempt.call.metadata.id}:
             raise LostError("the reply carries the id of another request")
         if attempt.first is not None:
-            self._context.permits.record_reply(attempt.first, metadata)
+            self._context.record_reply(attempt.first, metadata)
 
     async def _require_running(self, attempt: PathAttempt, reply: Reply) -> None:
         """Raise an error if the end of a reply may be that of an engine of its path.
--- a/libs/entry/src/celeryfork_entry/target_health.py
+++ b/libs/entry/src/celeryfork_entry/target_health.py
@@ -43,7 +43,9 @@
     refused_until_s, refusals
         End of its backoff after a refusal, and the number of consecutive refusals.
     leaving, leaving_until_s
-        True if it reported that it is leaving, and until when that is valid.
+        True if its health check said that it is leaving, and until when that is valid.
+    answered_leaving_s
+        Time of its last answer that said so, 0 for none.
     learnt
         Layers that it reported after its newest entry was read.
     listed_s
@@ -63,11 +65,17 @@
     refusals: int = 0
     leaving: bool = False
     leaving_until_s: float = 0.0
+    answered_leaving_s: float = 0.0
     learnt: ReportedLayers | None = None
     listed_s: float = 0.0
     ended: bool = False
     doubted_until_s: float = 0.0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return True if it has said itself that it is leaving."""
+        return self.leaving or self.answered_leaving_s > 0
+
     @property
     def excluded(self) -> bool:
         """Return True if the target is excluded from selection."""
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -224,6 +224,8 @@
         elif known is not None and target.entry_number > known.entry_number:
             health = self.health(target.id)
             health.leaving = False
+            if self._clock() - health.answered_leaving_s >= LEAVING_TTL_S:
+                health.answered_leaving_s = 0.0
             target = self._merge_renewal(target, health)
         elif known is not None and (learnt := self.health(target.id).learnt):
             target = evolve(target, held=learnt.held)
@@ -318,7 +320,7 @@
 
     def is_leaving(self, target: Target) -> bool:
         """Return True if a target is leaving, as its entry or its own report says."""
-        return target.draining or self.health(target.id).leaving
+        return target.draining or self.health(target.id).is_leaving
 
     def mark_leaving(self, target_id: str, now_s: float) -> None:
         """Record a target's report that it is leaving, valid until its next entry."""
@@ -326,6 +328,34 @@
         health.leaving = True
         health.leaving_until_s = now_s + LEAVING_TTL_S
 
+    def record_leaving(self, target: Target) -> bool:
+        """Record that an answer of a target said that it is leaving.
+
+        That holds for its process, as it says so in all its answers, until an entry
+        that was read ``LEAVING_TTL_S`` later says otherwise; earlier ones may have been
+        written before.
+
+        Parameters
+        ----------
+        target
+            The target as listed when the request was sent.
+
+        Returns
+        -------
+        bool
+            True if it wasn't known to leave.
+        """
+        known = self.by_id.get(target.id)
+        if known is None or known.born_ms != target.born_ms:
+            return False
+        was_leaving, now_s = self.is_leaving(known), self._clock()
+        if known.born_ms is None:
+            # A restart under its id couldn't be told.
+            self.mark_leaving(target.id, now_s)
+        else:
+            self.health(target.id).answered_leaving_s = now_s
+        return not was_leaving
+
     def available(self, service: str) -> list[Target]:
         """Return the listed targets of a service that aren't excluded."""
         return [
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -142,6 +142,8 @@
         Cleared while it is paused: it answers nothing, and its streams stand still.
     limit_per_s
         Limit in its answers: infinite for none, None if they don't tell.
+    leaving
+        True if its answers say that it is leaving.
     arrived_s
         Times at which requests have reached it.
     """
@@ -152,6 +154,7 @@
     runs: int = 0
     arrivals: int = 0
     limit_per_s: float | None = inf
+    leaving: bool = False
     arrived_s: list = field(factory=list)
     crashed: asyncio.Event = field(factory=asyncio.Event)
     awake: asyncio.Event = field(factory=asyncio.Event)
@@ -204,7 +207,6 @@
             self.counters,
         )  # fmt: skip
         self.peers.on_permit = self.permits.handle_message
-        checks.on_reply = self.permits.record_reply
         self.context = CallContext(
             table=self.table,
             connections=self,
@@ -219,6 +221,7 @@
             permits=self.permits,
             domain="a",
         )
+        checks.on_reply = self.context.record_reply
         loads = EngineLoads()
         reachability = SimpleNamespace(
             refused=lambda *_: None, engine_down=lambda _: None
@@ -392,7 +395,8 @@
     def read_reply(self, status, reply_headers):
         at_fault = dict(reply_headers).get("at fault")
         limit_per_s = dict(reply_headers).get("limit")
-        return ReplyMetadata(status == 503, None, at_fault, limit_per_s)
+        leaving = dict(reply_headers).get("leaving", False)
+        return ReplyMetadata(status == 503, None, at_fault, limit_per_s, leaving)
 
     def reply_headers(self, headers):
         return []
@@ -412,7 +416,11 @@
     def __init__(self, status, pieces, engine, end=None, at_fault=None, gap_s=0.0):
         self.awake = ()
         self.status = status
-        self.headers = [("at fault", at_fault), ("limit", engine.limit_per_s)]
+        self.headers = [
+            ("at fault", at_fault),
+            ("limit", engine.limit_per_s),
+            ("leaving", engine.leaving),
+        ]
         self._pieces = deque(pieces)
         self._engine = engine
         self._end = end
--- a/libs/entry/tests/test_plain_calls.py
+++ b/libs/entry/tests/test_plain_calls.py
@@ -37,6 +37,17 @@
     assert trial.engine("desk-1").arrivals == 1
 
 
+def test_a_target_that_answers_that_it_leaves_gets_no_further_calls():
+    """It was chosen until the list showed it, at any age of the list (DRAIN)."""
+    trial = Trial()
+    trial.add("desk-1").leaving = True
+    trial.add("desk-2", domain="b")
+    for _ in range(4):
+        assert serve(trial).status == 200
+    assert trial.engine("desk-1").arrivals == 1
+    assert trial.logged("engine_leaves") == [{"engine": "desk-1", "answered": True}]
+
+
 def test_a_call_that_may_have_run_fails_at_its_deadline():
     trial = Trial()
     trial.add("desk-1", LoseReply())
--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -449,3 +449,15 @@
     callers = fleet.run(run())
     assert [caller.ending for caller in callers] == ["whole"] * 20
     assert 7 < fleet.counted_retries() <= 20
+
+
+@pytest.mark.parametrize("step", [[], [Refuse("first")]], ids=["answers", "refuses"])
+def test_an_engine_that_answers_that_it_leaves_is_offered_no_further_streams(step):
+    """It was offered streams until the list showed it, however old that was (DRAIN)."""
+    trial = Trial()
+    trial.add("first", *step).leaving = True
+    trial.add("second", domain="b")
+    for _ in range(3):
+        assert trial.serve().has_complete_answer
+    assert trial.engine("first").arrivals == 1
+    assert trial.logged("engine_leaves") == [{"engine": "first", "answered": True}]
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -237,6 +237,52 @@
     assert table.not_leaving("desk") == [TARGET]
 
 
+def table_of_leaving_target(target=TARGET):
+    """Return a table, with its clock, whose target has answered that it is leaving."""
+    clock = SimpleNamespace(now_s=100.0)
+    table = TargetTable(clock=lambda: clock.now_s)
+    table.apply([Listed(target)])
+    assert table.record_leaving(target)
+    assert not table.record_leaving(target), "known"
+    return table, clock
+
+
+# The answer was passed on, and requests reached the engine after the bound (DRAIN).
+def test_a_target_that_answers_that_it_leaves_gets_no_work_for_good():
+    table, clock = table_of_leaving_target()
+    clock.now_s += 60.0
+    table.due_for_check(clock.now_s)
+    assert table.not_leaving("desk") == table.available("desk") == []
+
+
+@pytest.mark.parametrize(("after_s", "usable"), [(1.0, False), (LEAVING_TTL_S, True)])
+def test_an_entry_that_was_read_later_ends_what_a_target_has_answered(after_s, usable):
+    """An entry that was written before the answer may be read after it."""
+    table, clock = table_of_leaving_target()
+    clock.now_s += after_s
+    table.apply([Listed(evolve(TARGET, entry_number=4))])
+    assert bool(table.not_leaving("desk")) == usable
+
+
+def test_a_target_that_has_restarted_after_leaving_gets_work_again():
+    table, _ = table_of_leaving_target()
+    table.apply([Listed(evolve(TARGET, born_ms=2000))])
+    assert len(table.not_leaving("desk")) == 1
+
+
+def test_the_answer_of_an_earlier_process_does_not_stop_its_successor():
+    table = TargetTable()
+    table.apply([Listed(evolve(TARGET, born_ms=2000))])
+    assert not table.record_leaving(TARGET)
+    assert len(table.not_leaving("desk")) == 1
+
+
+def test_what_a_target_without_a_start_time_has_answered_expires():
+    table, clock = table_of_leaving_target(evolve(TARGET, born_ms=None))
+    table.due_for_check(clock.now_s + LEAVING_TTL_S)
+    assert len(table.not_leaving("desk")) == 1
+
+
 def reported_layers(first, last, at_s, *, born_ms=1000, own=True):
     return ReportedLayers(LayerRange(first, last), born_ms, at_s, own)
 
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -96,6 +96,23 @@
     assert DIALECT.read_reply(200, headers).limit_per_s == limit_per_s
 
 
+@pytest.mark.parametrize(
+    ("status", "value", "leaving"),
+    [
+        (200, b"1", True),
+        (503, b"1", True),
+        (421, b"1", False),
+        (200, b"0", False),
+        (200, b"\xff", False),
+    ],
+)
+def test_an_engine_says_in_its_answers_that_it_leaves(status, value, leaving):
+    """A reply with status 421 may be that of another engine at the address."""
+    headers = [(b"server-leaving", value)]
+    assert DIALECT.read_reply(status, headers).leaving == leaving
+    assert not DIALECT.read_reply(status, []).leaving
+
+
 def test_a_reply_of_another_engine_tells_no_limit():
     """The address of an engine that has left is used again."""
     headers = [(b"server-limit", b"5.8")]
