--- a/libs/entry/src/celeryfork_entry/list_changes.py
+++ b/libs/entry/src/celeryfork_entry/list_changes.py
@@ -31,7 +31,7 @@
     position
         Position in the store's log up to which it was read, None if unknown.
     from_store
-        True if this instance read it itself, and the store still answers.
+        True if this instance reads it itself, and the store still answers.
     """
 
     revision: int
--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -126,7 +126,7 @@
     list_is_stale
         True if the target list may name engines that have left.
     list_from_store
-        True if the relay read the list itself, and the store still answers it.
+        True if the relay reads the list itself, and the store still answers it.
     counts
         Number of live instances by domain.
     remote_loads
--- a/libs/entry/src/celeryfork_entry/store_follower.py
+++ b/libs/entry/src/celeryfork_entry/store_follower.py
@@ -53,6 +53,8 @@
 MAX_STORE_RETRY_S = 3.0
 """Upper bound of a follower's wait, which doubles with each failure; relays meanwhile
 forward what they read. A change must be in force within 4 s on large sites."""
+FAILURES_OF_TURNED_AWAY = 2
+"""Consecutive failures after which a relay counts as turned away by the store."""
 EXPIRY_GRACE_S = 2.0
 """Seconds after the store's return for which expired entries of the target list are
 kept, so that they may be renewed; also after a restore that no call has noticed."""
@@ -234,9 +236,13 @@
         )
 
     def _reads_store_now(self) -> bool:
-        """Return True if the list was read by this instance, and the store answers."""
-        lost = "targets" in self.unavailable_feeds
-        return not (lost or self._relayed.current_relay) and self.reads_store()
+        """Return True if this instance reads the list, and the store answers it.
+
+        After one failure, such as a reset connection, the next read mostly succeeds.
+        Followers that switch to another relay take its whole list.
+        """
+        failures = self._failures_by_feed.get("targets", 0)
+        return failures < FAILURES_OF_TURNED_AWAY and self.reads_store()
 
     def known(self) -> bytes:
         """Return the configuration and targets as a message to a peer."""
