Don't count engines as crashed by a stream that a run has shown to be sound

Callers lost a begun answer at once, with most of its time left, when three first engines in a row ended with the request in their queues. An engine that goes down within 0.25 s of a run's events counts as one that the stream may have crashed, and three of them end the stream, although an earlier run of it had been writing for longer than a request that crashes engines does.

Runs without an event don't count any more once a run of the stream has been sound. Six of them in a row end the stream, as other failures do; runs that send events and then end their engines count as before, and so do all runs of a stream not yet seen sound.

--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -596,7 +596,8 @@
         # The first engine runs the request; the others only its layers.
         if attempt.is_starting and self._has_ended(first):
             self._guard.record_crash(call, first)
-        if first in down:
+        # A sound stream doesn't crash engines; MAX_FAILURES limits runs without events.
+        if first in down and not (call.was_sound and attempt.prefilling):
             call.first_engines.record_loss(attempt.writing_s)
         if not down:
             call.avoided.add(first)
--- a/libs/entry/tests/test_stream_recovery.py
+++ b/libs/entry/tests/test_stream_recovery.py
@@ -304,6 +304,23 @@
     assert caller.has_complete_answer
 
 
+@pytest.mark.parametrize(
+    ("events", "arrivals", "ended_by"),
+    [(1, 1 + MAX_LOST_ENGINES, "lost_engines"), (0, MAX_FAILURES, "runs")],
+)
+def test_a_stream_that_crashes_its_engines_after_a_long_run_is_ended(
+    events, arrivals, ended_by
+):
+    trial = Trial()
+    trial.add("first", Run(2, lost=("first",), gap_s=CRASH_ONSET_S + 0.05))
+    for number in range(9):
+        trial.add(f"next-{number}", Run(events, lost=(f"next-{number}",)))
+    assert trial.serve().ending == "broken off"
+    [line] = trial.logged("broken_off")
+    assert line["ended_by"] == ended_by
+    assert sum(engine.arrivals for engine in trial.engines.values()) == arrivals
+
+
 def test_an_engine_found_down_long_after_its_only_event_counts_as_crashed():
     """The time until a loss is noticed is no time in which the stream was writing."""
     trial = Trial(max_targets=9)
