Don't limit a sound stream by the crashes of a call as well

Callers would see: a begun answer broken off (ended_by crashes_engines) after three engines that ended with the request in their queues, although an earlier run had shown the stream to be sound.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -99,7 +99,8 @@
     was_sound
         True once a run of the call has written, or ended, without a crash.
     crashes
-        Number of targets that ended as they began to run the call.
+        Number of targets that ended as they began to run the call, before a run of it
+        was sound.
     crash_weight
         What those crashes weigh that count against the request itself.
     crashed_s
--- a/libs/entry/src/celeryfork_entry/crash_guard.py
+++ b/libs/entry/src/celeryfork_entry/crash_guard.py
@@ -185,10 +185,11 @@
         # A sound request may lose as many targets as its retries meet: it takes another
         # call that ends a target to convict it.
         weight = call.crash_weight + (1 if call.probe is None else PROBE_WEIGHT)
-        if not call.was_sound and weight < CONVICTION_WEIGHT:
-            call.crash_weight = weight
-            traits += (_request_trait(call),)
-        call.crashes += 1
+        if not call.was_sound:
+            call.crashes += 1
+            if weight < CONVICTION_WEIGHT:
+                call.crash_weight = weight
+                traits += (_request_trait(call),)
         counted = self.evidence.record_crash(
             traits,
             call.probe or self.next_run(),
