Don't cut a begun answer by an idle timeout that is lowered under it

Callers saw: a connection closed within a begun answer, beside a configuration that lowers idleTimeoutMs, if they paused for longer than the new limit and over 1 s, though the limit at the begin of their request allowed it.

Cause: each write takes the time without an acknowledged byte from the limit in force.

Evidence: the new test, a caller that pauses for 1.4 s as the limit falls from 30 s to 0.01 s, failed before (closed within the answer), and passes.

Change: the longer of the limits at the begin of the request and in force holds, as for its head and body.

--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -104,9 +104,11 @@
     _close_after: bool = False
     _method: bytes = b""
     _header_bytes: int = field(init=False)
+    _begun_under: CallerLimits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the parser."""
+        self._begun_under = self.limits()
         self._make_parser()
 
     def _make_parser(self) -> None:
@@ -208,27 +210,28 @@
         loop = asyncio.get_running_loop()
         idle_since_s = loop.time()
         begun_s: float | None = None
-        begun_under = self.limits()
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
                 self._busy = True
+                if begun_s is None:
+                    self._begun_under = self.limits()
                 self.stream.end_stall()
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
             if self.http.trailing_data[0] and begun_s is None:
-                begun_s, begun_under = loop.time(), self.limits()
+                begun_s, self._begun_under = loop.time(), self.limits()
                 self._busy = True
             try:
                 data = await self._read_by(
-                    partial(self._head_deadline_s, idle_since_s, begun_s, begun_under)
+                    partial(self._head_deadline_s, idle_since_s, begun_s)
                 )
             except TimeoutError:
                 if begun_s is None:
                     return None
                 head_timeout_s = max(
-                    begun_under.header_timeout_s, self.limits().header_timeout_s
+                    self._begun_under.header_timeout_s, self.limits().header_timeout_s
                 )
                 raise BadRequestError(
                     408,
@@ -267,9 +270,7 @@
                 if loop.time() >= deadline_s():
                     raise
 
-    def _head_deadline_s(
-        self, idle_since_s: float, begun_s: float | None, begun_under: CallerLimits
-    ) -> float:
+    def _head_deadline_s(self, idle_since_s: float, begun_s: float | None) -> float:
         """Return the time of the event loop until which the next head may take.
 
         Callers go by the limit in force, or by that at the begin of their request.
@@ -277,7 +278,9 @@
         limits = self.limits()
         if begun_s is None:
             return idle_since_s + limits.idle_timeout_s
-        return begun_s + max(begun_under.header_timeout_s, limits.header_timeout_s)
+        return begun_s + max(
+            self._begun_under.header_timeout_s, limits.header_timeout_s
+        )
 
     async def _body(self, limits: CallerLimits) -> bytes:
         body = bytearray()
@@ -363,7 +366,11 @@
         await self.stream.write(data, self._stall_timeout_s())
 
     def _stall_timeout_s(self) -> float:
-        return max(MIN_STALL_TIMEOUT_S, self.limits().idle_timeout_s)
+        return max(
+            MIN_STALL_TIMEOUT_S,
+            self._begun_under.idle_timeout_s,
+            self.limits().idle_timeout_s,
+        )
 
     def abort(self) -> None:
         """Abort the connection, so that the answer isn't taken for complete."""
