Leave a relay whose list can't be fetched while its digests arrive

Callers would see: an instance with an old target list for as long as a relay sends digests but doesn't answer requests for its list, though another relay of the domain does; it hands requests to engines that have left.

Cause: the choice goes by digests alone. A relay that reads the store with the youngest list was asked again with each digest, in vain.

The four cases of the new test (a relay or a follower, with and without an earlier list of that relay) failed before and pass; the tests of the relayed list, the store's follower and its outages pass.

Change: for 1 s after a fetch that failed, the relay counts as silent. If no other one sends digests, it is asked again with its next digest, as before.

--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -9,6 +9,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Mapping
+from math import inf
 
 from attrs import define, field
 from celeryfork_base.counters import Counters
@@ -34,6 +35,9 @@
 intervals."""
 REMOTE_RELAY_SILENCE_S = 2.2
 """The same for a relay of another domain, which sends once a second."""
+FETCH_RETRY_S = 1.0
+"""Seconds for which a relay whose list couldn't be fetched is followed only if no other
+one sends digests."""
 
 
 @define(eq=False)
@@ -68,6 +72,7 @@
     _fetching: bool = False
     _usable_s: float = field(factory=time.monotonic)
     _digest_by_relay: dict[str, tuple[RelayDigest, float]] = field(factory=dict)
+    _unanswered_s_by_relay: dict[str, float] = field(factory=dict)
     _store_timeout_s: float = field(
         factory=lambda: STALE_S + random.uniform(0.0, STALE_SPREAD_S)
     )
@@ -158,8 +163,13 @@
         return self._near(reading) or reading
 
     def _is_sending(self, address: str, now_s: float) -> bool:
-        """Return True if a relay isn't silent, and its list may be used."""
+        """Return True if a relay isn't silent, and its list may be used.
+
+        Its digests may arrive though its list doesn't.
+        """
         digest, at_s = self._digest_by_relay[address]
+        if now_s - self._unanswered_s_by_relay.get(address, -inf) < FETCH_RETRY_S:
+            return False
         near = self._is_near(digest)
         silence_s = RELAY_SILENCE_S if near else REMOTE_RELAY_SILENCE_S
         return now_s - at_s < silence_s and self._is_usable(digest)
@@ -180,6 +190,11 @@
             if now_s - at_s < STALE_S
         }
         self._digest_by_relay = {each: self._digest_by_relay[each] for each in ages}
+        self._unanswered_s_by_relay = {
+            each: at_s
+            for each, at_s in self._unanswered_s_by_relay.items()
+            if each in ages
+        }
         return ages
 
     async def _fetch_changes(self, address: str) -> None:
@@ -190,6 +205,7 @@
         except (NotSentError, LostError, TimeoutError, ValueError) as error:
             self._counters.add("peers.unanswered")
             self._log.info("peer_unanswered", peer=address, reason=repr(error))
+            self._unanswered_s_by_relay[address] = time.monotonic()
             return
         finally:
             self._fetching = False
@@ -201,6 +217,7 @@
                 **_position_inputs("own_", self._table.position),
             )
             return
+        self._unanswered_s_by_relay.pop(address, None)
         self._apply_changes(changes)
         if address != self.current_relay:
             self._log.info(
--- a/libs/entry/tests/test_relayed_list.py
+++ b/libs/entry/tests/test_relayed_list.py
@@ -83,6 +83,26 @@
     assert follower._table.by_id[TARGET.id].draining
 
 
+@pytest.mark.parametrize("followed", [False, True], ids=["new", "followed"])
+@pytest.mark.parametrize("is_relay", [True, False], ids=["relay", "follower"])
+def test_a_relay_whose_list_cannot_be_fetched_is_left(is_relay, followed):
+    """Its digests were heard, so that its followers kept their list for good."""
+    failing, answering = make_reading(NEAR, "a"), make_reading(NEAR_TOO, "a")
+    failing.age_s = 0.1
+    follower = follow_as_relay(failing, answering)
+    follower.reads_store = lambda: is_relay
+    if followed:
+        receive_digests(follower, failing)
+        assert current_relay(follower) == NEAR
+    failing.requested_paths = ["silent"]
+    added = evolve(TARGET, id="t2")
+    for relay in (failing, answering):
+        relay.table.apply([Listed(added)])
+    receive_digests(follower, failing, answering, failing)
+    assert current_relay(follower) == NEAR_TOO
+    assert added.id in follower._table.by_id
+
+
 def test_a_relay_of_another_domain_is_left_when_one_of_its_own_reads_the_store():
     remote, near = make_reading(), make_reading(NEAR, "a")
     follower = follow_as_relay(remote, near)
