Test that relays of other domains do not keep an instance from the store

No test noticed when either rule was taken out: that only relays of the domain count for the age of the freshest list, and for the time since a list could be used. Each of the two cases fails with one of them taken out.

--- a/libs/entry/tests/test_relayed_list.py
+++ b/libs/entry/tests/test_relayed_list.py
@@ -9,7 +9,11 @@
 from celeryfork_entry.peer_messages import decode, encode_digest
 from celeryfork_entry.peer_protocol import REMOTE_REPORT_PERIOD
 from celeryfork_entry.ports import StoreUnavailableError
-from celeryfork_entry.relayed_list import RELAY_SILENCE_S, STALE_S
+from celeryfork_entry.relayed_list import (
+    RELAY_SILENCE_S,
+    STALE_S,
+    STALE_SPREAD_S,
+)
 from celeryfork_entry.roster import RELAYS_PER_DOMAIN
 from celeryfork_entry.targets import Listed
 from followed_store import (
@@ -103,6 +107,20 @@
     assert added.id in follower._table.by_id
 
 
+@pytest.mark.parametrize("usable", [True, False], ids=["old", "unusable"])
+def test_relays_of_another_domain_do_not_keep_an_instance_from_the_store(usable):
+    """Only relays hear them, and may not be one at the next moment."""
+    near, remote = make_turned_away(), make_reading()
+    follower = follow_as_relay(near, remote)
+    if usable:
+        near.age_s = STALE_S + STALE_SPREAD_S
+    else:
+        follower._table.position = LogPosition(1, 6)
+        follower._relayed._usable_s -= STALE_S + STALE_SPREAD_S
+    receive_digests(follower, near, remote)
+    assert follower.relays_are_stale()
+
+
 def test_a_relay_of_another_domain_is_left_when_one_of_its_own_reads_the_store():
     remote, near = make_reading(), make_reading(NEAR, "a")
     follower = follow_as_relay(remote, near)
