Test that the raised limit of unacknowledged bytes ends with the next request

No test noticed when ByteStream.end_stall was not called, for callers or for targets: a peer that is gone would be found only after idleTimeoutMs, or the time of an earlier call. Each of the three cases fails without its call.

--- a/libs/entry/tests/test_kept_connections.py
+++ b/libs/entry/tests/test_kept_connections.py
@@ -393,3 +393,22 @@
             received += data
 
     run(scenario, within_s=20.0)
+
+
+@pytest.mark.parametrize("pipelined", [False, True])
+def test_a_caller_that_is_gone_is_found_as_soon_while_its_next_request_runs(pipelined):
+    """Its target would work on for as long as an earlier answer was allowed to wait."""
+
+    async def scenario(server, caller):
+        server.limits = evolve(LIMITS, idle_timeout_s=6.0)
+        following = GET.replace(b"/a", b"/stream")
+        await caller.send(GET + following * pipelined)
+        if not pipelined:
+            await caller.receive(b"\r\n\r\n")
+            await caller.send(following)
+        await server.begun.wait()
+        sock = server.connection.stream.transport.get_extra_info("socket")
+        timeout_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert timeout_ms == UNACKNOWLEDGED_TIMEOUT_MS
+
+    run(scenario)
--- a/libs/entry/tests/test_target_http.py
+++ b/libs/entry/tests/test_target_http.py
@@ -304,3 +304,28 @@
             await serving
 
     asyncio.run(asyncio.wait_for(run(), 20.0))
+
+
+def test_a_long_body_does_not_keep_the_next_request_waiting():
+    """A target that is gone would be found only after the time of the earlier call."""
+    answer = HEAD + b"Content-Length: 2\r\n\r\nok"
+    body = b"x" * 50_000
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(body))
+        writer.write(answer)
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        connections = TargetConnections()
+        request = OutgoingRequest("POST", "/", body=body, stall_timeout_s=9.0)
+        reply = await connections.send(f"{host}:{port}", request)
+        assert await reply.read_all(10) == b"ok"
+        [kept] = connections._idle_in_order
+        sock = kept.stream.transport.get_extra_info("socket")
+        server.close()
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+    assert asyncio.run(asyncio.wait_for(run(), 5.0)) == UNACKNOWLEDGED_TIMEOUT_MS
