Read the store if no list of a relay can be fetched while digests arrive

Cause: a digest counted as a list that may be used.

The new test failed before where the relay doesn't answer, and passes; the tests of the relayed list, the store's follower, its outages and the instance pass.

The age that such a follower states for its list still goes by digests.

--- a/libs/entry/src/celeryfork_entry/relayed_list.py
+++ b/libs/entry/src/celeryfork_entry/relayed_list.py
@@ -81,9 +81,18 @@
         """Record a relay's digest and its time of receipt."""
         now_s = time.monotonic()
         self._digest_by_relay[digest.sender.address] = (digest, now_s)
-        if self._is_near(digest) and self._is_usable(digest):
+        answers = self._answers(digest.sender.address, now_s)
+        if answers and self._is_near(digest) and self._is_usable(digest):
             self._usable_s = now_s
 
+    def _answers(self, address: str, now_s: float) -> bool:
+        """Return False if a relay's list couldn't be fetched a moment ago.
+
+        Its digests may arrive though its list doesn't.
+        """
+        unanswered_s = self._unanswered_s_by_relay.get(address, -inf)
+        return now_s - unanswered_s >= FETCH_RETRY_S
+
     def _is_near(self, digest: RelayDigest) -> bool:
         return digest.sender.domain == self.domain
 
@@ -117,7 +126,7 @@
         """Return True if the store must be read.
 
         No relay of the domain has sent a digest recently, or the target lists of all
-        are stale, or older than that in the table.
+        are stale, or older than that in the table, or can't be fetched.
         """
         now_s = time.monotonic()
         ages = self._near(self._ages_by_relay(now_s))
@@ -163,16 +172,12 @@
         return self._near(reading) or reading
 
     def _is_sending(self, address: str, now_s: float) -> bool:
-        """Return True if a relay isn't silent, and its list may be used.
-
-        Its digests may arrive though its list doesn't.
-        """
+        """Return True if a relay isn't silent, and its list may be used."""
         digest, at_s = self._digest_by_relay[address]
-        if now_s - self._unanswered_s_by_relay.get(address, -inf) < FETCH_RETRY_S:
-            return False
         near = self._is_near(digest)
         silence_s = RELAY_SILENCE_S if near else REMOTE_RELAY_SILENCE_S
-        return now_s - at_s < silence_s and self._is_usable(digest)
+        is_silent = now_s - at_s >= silence_s or not self._answers(address, now_s)
+        return not is_silent and self._is_usable(digest)
 
     def _near(self, ages: Mapping[str, float]) -> dict[str, float]:
         """Return the relays of this domain."""
--- a/libs/entry/tests/test_relayed_list.py
+++ b/libs/entry/tests/test_relayed_list.py
@@ -107,6 +107,19 @@
     assert added.id in follower._table.by_id
 
 
+@pytest.mark.parametrize("answers", [True, False])
+def test_the_store_is_read_if_no_list_of_a_relay_can_be_fetched(answers):
+    """A follower whose relays sent digests, but no list, never read the store."""
+    relay = make_reading(NEAR, "a")
+    follower = follow_relays(relay)
+    if not answers:
+        relay.requested_paths = ["silent"]
+    receive_digests(follower, relay)
+    follower._relayed._usable_s -= STALE_S + STALE_SPREAD_S
+    receive_digests(follower, relay)
+    assert follower.relays_are_stale() != answers
+
+
 @pytest.mark.parametrize("usable", [True, False], ids=["old", "unusable"])
 def test_relays_of_another_domain_do_not_keep_an_instance_from_the_store(usable):
     """Only relays hear them, and may not be one at the next moment."""
