Test that the engines of a detour are asked at the end of an unframed reply

No test noticed when an attempt didn't take over the engines of its detour as listed: a whole answer then counts as broken if the spare engine has left the target list.

--- a/libs/entry/tests/test_unframed_replies.py
+++ b/libs/entry/tests/test_unframed_replies.py
@@ -257,7 +257,26 @@
     assert read_reply_of_killed_engine(HEAD + b"\r\npart") == b"part"
 
 
-def serve_long_beside(*ended, unlisted=()):
+async def keep(trial):
+    """Change nothing."""
+
+
+async def reroute(trial):
+    """Lose the later engine of a path; a spare one takes its place."""
+    spare = trial.add("spare", layers=BACK, domain="b").target
+
+    async def find_detour(call, path):
+        first, later = path.parts
+        later = evolve(later, engine_id=spare.id, address=spare.address)
+        return evolve(path, parts=(first, later))
+
+    trial.reroute = find_detour
+    trial.engine("later").gone = True
+    trial.checks.mark_down("later", "gone", ended=True)
+    await asyncio.sleep(0.05)
+
+
+def serve_long_beside(*ended, unlisted=(), change=keep):
     """Serve a stream without a length that ends after it has long written.
 
     Parameters
@@ -267,6 +286,8 @@
         domain sends the rest.
     unlisted
         Ids of engines of its path that leave the target list before.
+    change
+        Changes the path before that.
 
     Returns
     -------
@@ -291,6 +312,7 @@
             await writer.drain()
             await asyncio.sleep(CRASH_ONSET_S / 2 + 0.05)
         trial.table.succeeded("second")
+        await change(trial)
         for engine_id in unlisted:
             trial.table.forget(engine_id)
         for engine_id in ended:
@@ -350,6 +372,13 @@
     assert not trial.logged("path_broke")
 
 
+def test_the_engines_of_a_detour_are_asked_if_they_are_no_longer_listed():
+    """A whole answer counted as broken if the spare engine had left the list."""
+    caller, trial = serve_long_beside(unlisted=("spare",), change=reroute)
+    assert (caller.events, caller.ending) == ([1, 2, 3], "whole")
+    assert not trial.logged("path_broke")
+
+
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Attempt-Id: r1\r\n\r\nwhole"
 
 
