Keep what a target has answered of its leaving when it is listed again

Callers saw nothing: an instance that has passed on an answer with Server-Leaving sent the engine work again (DRAIN) if its entry left the list and came back, as when it lapses in an outage of the store.

Cause: the answer was forgotten with the entry.

Three of the four cases of the new test failed before, and pass; the tests of the target table, the store's follower and outages, limits and leaving checks pass.

Change: it is remembered by the process, and restored unless the entry was renewed since and read LEAVING_TTL_S after the answer, as for an entry that stays.

--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -111,6 +111,9 @@
     in_flight_by_id: dict[str, int] = field(factory=dict)
     _expired: set[str] = field(factory=set)
     _left_by_process: dict[tuple[str, int | None], int] = field(factory=dict)
+    _answered_leaving_s_by_process: dict[tuple[str, int | None], float] = field(
+        factory=dict
+    )
     _restored_s: float = -inf
     list_is_stale: bool = False
     position: LogPosition | None = None
@@ -187,7 +190,12 @@
         if known is not None:
             self.changes.removed(target_id)
             self._record_left(known)
-        self._health_by_id.pop(target_id, None)
+        health = self._health_by_id.pop(target_id, None)
+        if known is not None and health is not None and health.answered_leaving_s > 0:
+            answered = self._answered_leaving_s_by_process
+            answered[known.id, known.born_ms] = health.answered_leaving_s
+            if len(answered) > MAX_LEFT:
+                del answered[next(iter(answered))]
         self.speeds.forget(target_id)
         self.limits.forget(target_id)
         self._expired.discard(target_id)
@@ -200,6 +208,16 @@
         if len(left) > MAX_LEFT:
             del left[next(iter(left))]
 
+    def _restore_answered_leaving(self, target: Target) -> None:
+        """Restore what a process that is listed again has answered of its leaving."""
+        process = (target.id, target.born_ms)
+        answered_s = self._answered_leaving_s_by_process.pop(process, None)
+        if answered_s is None:
+            return
+        is_new = target.entry_number > self._left_by_process.get(process, -1)
+        if not is_new or self._clock() - answered_s < LEAVING_TTL_S:
+            self.health(target.id).answered_leaving_s = answered_s
+
     def _has_returned(self, target: Target) -> bool:
         """Return True if an entry is that of before its target left.
 
@@ -212,22 +230,24 @@
 
     def _apply_entry(self, target: Target) -> None:
         known = self.by_id.get(target.id)
-        if known is not None and known.born_ms != target.born_ms:
+        if known is None:
+            self._restore_answered_leaving(target)
+        elif known.born_ms != target.born_ms:
             if (target.born_ms or 0) < (known.born_ms or 0):
                 return
             self._health_by_id.pop(target.id, None)
             self.speeds.forget(target.id)
             self.limits.forget(target.id)
             self.health(target.id).listed_s = self._clock()
-        elif known is not None and target.entry_number < known.entry_number:
+        elif target.entry_number < known.entry_number:
             return
-        elif known is not None and target.entry_number > known.entry_number:
+        elif target.entry_number > known.entry_number:
             health = self.health(target.id)
             health.leaving = False
             if self._clock() - health.answered_leaving_s >= LEAVING_TTL_S:
                 health.answered_leaving_s = 0.0
             target = self._merge_renewal(target, health)
-        elif known is not None and (learnt := self.health(target.id).learnt):
+        elif learnt := self.health(target.id).learnt:
             target = evolve(target, held=learnt.held)
         if target.draining:
             self._record_left(target)
--- a/libs/entry/tests/test_targets.py
+++ b/libs/entry/tests/test_targets.py
@@ -264,6 +264,20 @@
     assert bool(table.not_leaving("desk")) == usable
 
 
+@pytest.mark.parametrize(
+    ("after_s", "renewals", "usable"),
+    [(1.0, 0, False), (1.0, 1, False), (60.0, 0, False), (LEAVING_TTL_S, 1, True)],
+)
+def test_a_target_that_is_listed_again_is_still_leaving(after_s, renewals, usable):
+    """Its entry lapsed, as in an outage of the store, and came back."""
+    table, clock = table_of_leaving_target()
+    table.apply([Unlisted(TARGET.id)])
+    clock.now_s += after_s
+    number = TARGET.entry_number + renewals
+    table.apply([Listed(evolve(TARGET, entry_number=number))])
+    assert bool(table.not_leaving("desk")) == usable
+
+
 def test_a_target_that_has_restarted_after_leaving_gets_work_again():
     table, _ = table_of_leaving_target()
     table.apply([Listed(evolve(TARGET, born_ms=2000))])
