Make the base class of requests under way abstract in the tests

UnderWay.begin raised NotImplementedError, which reads like unfinished work: each subclass that is used has its own. It is an abstract method now, so that one without it can't be made.

--- a/tests/adapter/test_changes_under_way.py
+++ b/tests/adapter/test_changes_under_way.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import time
+from abc import ABC, abstractmethod
 from itertools import count
 
 import pytest
@@ -102,7 +103,7 @@
 }
 
 
-class UnderWay:
+class UnderWay(ABC):
     """A request on a connection that has had an answer before."""
 
     def __init__(self, entry, fleet, path, method="POST"):
@@ -141,9 +142,9 @@
     def hold(self, events):
         self.fleet.held_after[self.attempt] = events
 
+    @abstractmethod
     def begin(self):
         """Bring the request under way."""
-        raise NotImplementedError
 
     def finish(self):
         """Return the status and the body of the answer."""
