--- a/libs/entry/src/celeryfork_entry/configuration.py
+++ b/libs/entry/src/celeryfork_entry/configuration.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from attrs import frozen
+from celeryfork_admission.service_load import Urgency
 from celeryfork_routing.layers import ModelShape
 
 
@@ -91,10 +92,13 @@
     ----------
     priority
         Priority of its requests; None for that of the route.
+    weight
+        Share of the capacity under a shortage, relative to other organisations.
     """
 
     name: str
     priority: int | None
+    weight: float = 1.0
 
 
 @frozen
@@ -135,3 +139,10 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+
+def urgency(route: Route, organisation: Organisation | None) -> Urgency:
+    """Return the urgency of an organisation's requests on a route."""
+    if organisation is None or organisation.priority is None:
+        return Urgency(route.priority, route.priority)
+    return Urgency(organisation.priority, route.priority)
--- a/libs/entry/src/celeryfork_entry/settings.py
+++ b/libs/entry/src/celeryfork_entry/settings.py
@@ -1,8 +1,21 @@
 """Settings of an entry instance."""
 
+from enum import Enum
+
 from attrs import frozen
 
 
+class Mode(Enum):
+    """When an optional part of an instance takes effect.
+
+    ``AUTO`` leaves it to the configuration, or to what the instance observes.
+    """
+
+    AUTO = "auto"
+    ON = "on"
+    OFF = "off"
+
+
 @frozen
 class EntrySettings:
     """Settings of one instance, read at its start.
@@ -31,6 +44,12 @@
     retry_ratio, retry_slack, retry_window_s
         Retry budget of each service: retries allowed for each request, retries allowed
         in addition over all instances, and the length of the budget's window.
+    admission_mode, balance_mode, ramp_up_mode
+        When admission control, balancing between domains and the slow start of targets
+        take effect.
+    memory_mb, max_fds
+        Memory in MB and number of descriptors that the process may use, None if the
+        settings give none.
     """
 
     name: str
@@ -47,3 +66,8 @@
     usual_instances: int
     seed_addresses: tuple[str, ...] = ()
     power: float = 1.0
+    admission_mode: Mode = Mode.AUTO
+    balance_mode: Mode = Mode.AUTO
+    ramp_up_mode: Mode = Mode.AUTO
+    memory_mb: float | None = None
+    max_fds: int | None = None
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -19,8 +19,16 @@
     settings_faults,
 )
 from celeryfork_adapter.store import _decode_records
-from celeryfork_entry.configuration import AtMostOnce, Idempotent, Stream
+from celeryfork_admission.service_load import Urgency
+from celeryfork_entry.configuration import (
+    AtMostOnce,
+    Idempotent,
+    Organisation,
+    Stream,
+    urgency,
+)
 from celeryfork_entry.ports import StoreUnavailableError
+from celeryfork_entry.settings import Mode
 from celeryfork_routing.layers import LayerRange
 from platform_standins import make_configuration
 
@@ -228,3 +236,68 @@
     assert "Expected str, got 7" in messages[0]
     assert any("$['listen']['ready']" in message for message in messages)
     assert not any("front" in message for message in messages)
+
+
+def test_an_organisations_priority_takes_precedence_over_the_routes():
+    """Guards against kinds of requests that outrank the organisations' order."""
+    configuration = decode_configuration(encode_json(make_configuration(1)))
+    route = configuration.routes_by_host["shop.example"][0]
+    assert urgency(route, Organisation("o", 3)) == Urgency(3, route.priority)
+    assert urgency(route, Organisation("o", None)) == urgency(route, None)
+    assert Urgency(0, 2) < Urgency(1, 0) < Urgency(1, 1)
+
+
+@pytest.mark.parametrize("weight", [0, -1, "2", True, [1], {}])
+def test_configuration_with_an_invalid_weight_names_the_field(weight):
+    """Guards against a weight that would give an organisation no share, or all."""
+    tenants = [
+        {"name": "a", "apiKeys": ["1"], "weight": 2},
+        {"name": "b", "apiKeys": ["2"], "weight": weight},
+    ]
+    encoded = encode_json(make_configuration(1) | {"tenants": tenants})
+    with pytest.raises(UnreadableError, match=r"tenants\[1\]\.weight .* above 0"):
+        decode_configuration(encoded)
+
+
+def test_weight_of_an_organisation_is_decoded():
+    tenants = [
+        {"name": "a", "apiKeys": ["1"], "weight": 2.5},
+        {"name": "b", "apiKeys": ["2"]},
+    ]
+    encoded = encode_json(make_configuration(1) | {"tenants": tenants})
+    known = decode_configuration(encoded).organisation_by_key
+    assert (known["1"].weight, known["2"].weight) == (2.5, 1.0)
+
+
+VALID_SETTINGS = {
+    "nodeName": "front-1",
+    "zone": "west",
+    "ip": "10.1.0.40",
+    "listen": {"front": "10.1.0.40:80", "ready": "10.1.0.40:81"},
+    "portRange": [7340, 7355],
+    "bounds": {"graceS": 8, "retryBudget": 0.2, "retrySlack": 1, "retryWindowS": 10},
+    "platform": {"addr": "10.200.1.7:80"},
+}
+
+
+@pytest.mark.parametrize("part", ["admission", "balance", "ramp_up"])
+def test_modes_of_optional_parts_are_read(part):
+    settings = decode_settings(VALID_SETTINGS | {part: {"mode": "off"}})
+    assert getattr(settings, f"{part}_mode") is Mode.OFF
+    assert getattr(decode_settings(VALID_SETTINGS), f"{part}_mode") is Mode.AUTO
+
+
+@pytest.mark.parametrize("value", ["never", {"mode": "On"}, {"mode": 1}, [], True])
+def test_invalid_mode_is_reported_with_path_and_remedy(value):
+    """Guards against a mistyped mode that silently leaves a part as it was."""
+    (fault,) = settings_faults(VALID_SETTINGS | {"admission": value})
+    assert "$['admission']['mode']" in str(fault)
+    assert "'auto', 'on', 'off'" in str(fault)
+
+
+def test_limits_of_the_process_are_read_if_given():
+    limits = {"memoryMb": 300, "maxFds": 4200}
+    settings = decode_settings(VALID_SETTINGS | {"limits": limits})
+    assert (settings.memory_mb, settings.max_fds) == (300.0, 4200)
+    without = decode_settings(VALID_SETTINGS | {"limits": {"memoryMb": "300"}})
+    assert (without.memory_mb, without.max_fds) == (None, None)
