--- a/libs/entry/src/celeryfork_entry/peer_messages.py
+++ b/libs/entry/src/celeryfork_entry/peer_messages.py
@@ -24,6 +24,14 @@
 from celeryfork_routing.engine_loads import Load
 from orjson import dumps, loads
 
+from celeryfork_entry.demand_messages import (
+    DemandAway,
+    DemandSum,
+    demand_away_fields,
+    demand_fields,
+    parse_demand,
+    parse_demand_away,
+)
 from celeryfork_entry.engine_limits import EngineLimit
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.field_parsers import (
@@ -84,6 +92,9 @@
     crashes
         Evidence of what requests that crash engines have in common, at most
         ``MAX_CRASH_RECORDS``.
+    demand
+        Demand for services: in a report the member's own, in a digest of the lead relay
+        the sum over its domain; None if none is due, or there is none.
     """
 
     sender: Peer
@@ -95,6 +106,7 @@
     speeds: Mapping[str, Speed]
     crashes: Sequence[TraitRecord] = field(default=(), kw_only=True)
     limits: Mapping[str, EngineLimit] = field(factory=dict, kw_only=True)
+    demand: DemandSum | None = field(default=None, kw_only=True)
 
 
 @frozen
@@ -127,6 +139,9 @@
         True if the target list may name engines that have left.
     list_from_store
         True if the relay reads the list itself, and the store still answers it.
+    demand_away
+        Demand for services in other domains, in a digest of the lead relay to
+        followers; None if none is due, or there is none.
     counts
         Number of live instances by domain.
     remote_loads
@@ -141,6 +156,7 @@
     remote_loads: Mapping[str, Mapping[str, Load]]
     list_position: LogPosition | None = None
     list_from_store: bool = True
+    demand_away: DemandAway | None = None
 
 
 class LoanScope(Enum):
@@ -234,6 +250,7 @@
             "away": {
                 domain: _load_rows(rows) for domain, rows in digest.remote_loads.items()
             },
+            **demand_away_fields(digest.demand_away),
         }
     )
 
@@ -277,6 +294,7 @@
             list_position=parse_position(fields),
             # A relay of an earlier release tells only whether its list is stale.
             list_from_store=bool(fields.get("reads", not fields["old"])),
+            demand_away=parse_demand_away(fields),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed datagram of a peer: {error!r}") from error
@@ -328,6 +346,7 @@
         "speeds": {key: _speed_row(speed) for key, speed in message.speeds.items()},
         **({"crashes": crashes} if crashes else {}),
         **({"limits": limits} if limits else {}),
+        **demand_fields(message.demand),
     }
 
 
@@ -355,6 +374,7 @@
         "limits": {
             str(key): parse_limit(row) for key, row in fields.get("limits", {}).items()
         },
+        "demand": parse_demand(fields),
     }
 
 
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -14,12 +14,14 @@
 from itertools import chain, islice
 from typing import cast
 
-from attrs import define, evolve, field
+from attrs import Factory, define, evolve, field
 from celeryfork_admission.crash_evidence import Trait, TraitRecord
 from celeryfork_routing.engine_loads import EngineLoads, Load, subtract_loads
 from logbook import Logger
 
 from celeryfork_entry.crash_exchange import CrashExchange
+from celeryfork_entry.demand_exchange import DemandExchange
+from celeryfork_entry.demand_messages import DemandSum
 from celeryfork_entry.engine_limits import EngineLimit
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.list_changes import ListState
@@ -118,6 +120,8 @@
         of peers.
     on_crashes
         Called with the evidence of a peer.
+    demand
+        Demand for services that is told to peers and heard from them.
     highest_peer_fence, peer_fence_received_s
         Highest fencing token of peers that place layers, and the time of the last such
         message; the start of this instance before the first.
@@ -166,6 +170,9 @@
     _crashes_sent_s: float = 0.0
     _next_resend: int = 0
     _resend_limit: int = MAX_CRASH_RECORDS
+    demand: DemandExchange = field(
+        default=Factory(lambda self: DemandExchange(self.roster), takes_self=True)
+    )
     highest_peer_fence: int = -1
     peer_fence_received_s: float = field(factory=time.monotonic)
 
@@ -255,24 +262,32 @@
     def _handle_report(self, report: MemberReport) -> None:
         if report.sender.domain != self.domain:
             return
+        now_s = time.monotonic()
         self.roster.record_relay_request()
-        self._loads.set_peer_report(
-            report.sender.name, report.loads or {}, time.monotonic()
-        )
+        self._loads.set_peer_report(report.sender.name, report.loads or {}, now_s)
+        self.demand.record_report(report.sender.address, report.demand, now_s)
         self._layers_by_engine.update(report.layers)
         self.on_lendable(report.sender.address, report.lendable)
         self._forward_down(report.down, to_remote=True)
 
     def _handle_digest(self, digest: RelayDigest) -> None:
-        domain = digest.sender.domain
+        domain, now_s = digest.sender.domain, time.monotonic()
+        has_loads = digest.loads is not None
         for each, count in digest.counts.items():
             self.roster.record_count(each, count)
         self.on_digest(digest)
         if domain != self.domain:
             if digest.loads is not None:
                 self._record_domain_load(domain, digest.loads)
+            self.demand.record_remote_digest(
+                domain, digest.demand, now_s, has_loads=has_loads
+            )
             self._forward_down(digest.down, to_remote=False)
             return
+        self.demand.record_domain_digest(
+            digest.demand, digest.demand_away, digest.remote_loads, now_s,
+            has_loads=has_loads,
+        )  # fmt: skip
         if digest.loads is not None and not self.roster.addressed_as_relay:
             # A relay that receives the members' reports counts each of them itself. An
             # instance that is a relay only by its own ranking, since it knows few
@@ -301,15 +316,34 @@
         reported = self.layers() or self.speeds() or self.limits()
         idle = not (own or reported) and self._sent_idle and self.fence() is None
         self._sent_idle = not own
-        if not idle or self._reports % IDLE_REPORT_PERIOD == 0:
-            data = encode_report(self._member_report(()))
-            self._send(data, self.roster.relays(self.domain))
+        now_s = time.monotonic()
+        self.demand.observe_lead(now_s)
+        demand = self.demand.next_report(self._reports, now_s)
+        if not idle or demand or self._reports % IDLE_REPORT_PERIOD == 0:
+            self._send_report(demand)
         if self.roster.addressed_as_relay:
             self._loads.drop_peer_report(_sum_key(self.domain))
         if self.roster.is_relay:
-            self._send_digests(to_remote=self._reports % REMOTE_REPORT_PERIOD == 0)
+            to_remote = self._reports % REMOTE_REPORT_PERIOD == 0
+            self._send_digests(
+                to_remote=to_remote,
+                demand=self.demand.next_digest(
+                    self._reports, now_s, to_remote=to_remote
+                ),
+            )
         self._resend_crashes()
 
+    def _send_report(self, demand: DemandSum | None) -> None:
+        """Send a report to the relays of the domain, the demand only to the lead."""
+        relays = self.roster.relays(self.domain)
+        collectors = self.demand.collectors() if demand else ()
+        report = self._member_report(())
+        if collectors:
+            self._send(encode_report(evolve(report, demand=demand)), collectors)
+        others = [each for each in relays if each not in collectors]
+        if others:
+            self._send(encode_report(report), others)
+
     def announce_changes(self) -> None:
         """Schedule digests after a change of the target list or the configuration."""
         state = (self.list_state().revision, self.version())
@@ -434,11 +468,15 @@
             self._send(encode_digest(digest), peers)
 
     def _send_digests(
-        self, down: Iterable[DownEngine] = (), *, to_remote: bool
+        self,
+        down: Iterable[DownEngine] = (),
+        *,
+        to_remote: bool,
+        demand: DemandSum | None = None,
     ) -> None:
         """Send digests to the domain, and if due to the relays of other domains."""
         now_s = time.monotonic()
-        digest = self._digest(down, now_s)
+        digest = evolve(self._digest(down, now_s), demand=demand)
         self._sent_revision, self._sent_version = digest.revision, digest.version
         relays = {peer.address for peer in self.roster.relays(self.domain)}
         followers = [p for p in self.roster.members() if p.address not in relays]
@@ -449,7 +487,11 @@
                 for domain in others
                 if to_remote and digest.loads is not None
             }
-            self._send(encode_digest(evolve(digest, remote_loads=away)), followers)
+            told = evolve(digest, remote_loads=away)
+            if away:
+                demand_away = self.demand.next_away(demand, now_s)
+                told = evolve(told, demand_away=demand_away)
+            self._send(encode_digest(told), followers)
         if relays:
             without_loads = evolve(digest, loads=None, layers={}, speeds={}, limits={})
             self._send(encode_digest(without_loads), self.roster.relays(self.domain))
