--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -19,6 +19,7 @@
 from celeryfork_entry.configuration import Configuration, Route, Service
 from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.first_engines import FirstEngines
+from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.ports import Dialect, ReplyMetadata, RequestMetadata
 from celeryfork_entry.stream_progress import StreamProgress
@@ -194,6 +195,8 @@
         Borrows retries from the shares of other instances.
     permits
         Keeps the limits that engines name.
+    load_knowledge
+        Knows the capacity of services and the demand for them.
     domain
         Failure domain of this instance.
     stop
@@ -211,6 +214,7 @@
     budget_of: Callable[[str], RetryShare]
     loans: BudgetLoans
     permits: EnginePermits
+    load_knowledge: LoadKnowledge
     domain: str
     stop: PlannedStop = field(factory=PlannedStop)
     histograms: Histograms = field(factory=Histograms)
--- a/libs/entry/src/celeryfork_entry/demand_messages.py
+++ b/libs/entry/src/celeryfork_entry/demand_messages.py
@@ -5,7 +5,6 @@
 
 import time
 from collections.abc import Mapping
-from math import ceil
 from typing import Any
 
 from attrs import field, frozen
@@ -194,7 +193,7 @@
 
 
 def _age_ms(at_s: float) -> int:
-    return max(0, ceil((time.monotonic() - at_s) * 1000))
+    return max(0, round((time.monotonic() - at_s) * 1000))
 
 
 def _at_s(age_ms: Any) -> float:
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -27,6 +27,7 @@
 from celeryfork_entry.leader_candidate import LeaderCandidate
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.limit_checks import LimitChecks
+from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.path_selector import PathSelector
 from celeryfork_entry.peer_protocol import PeerProtocol
@@ -107,6 +108,7 @@
     _placement: PlacementLeader = field(init=False)
     _candidate: LeaderCandidate = field(init=False)
     _peers: PeerProtocol = field(init=False)
+    load_knowledge: LoadKnowledge = field(init=False)
     _dispatcher: Dispatcher = field(init=False)
     _planned_stop: PlannedStop = field(factory=PlannedStop)
     _status_endpoints: StatusEndpoints = field(init=False)
@@ -141,6 +143,7 @@
             self.table, self.roster, self._limit_instance_count, self._peers.send_to,
             self.log, self.counters,
         )  # fmt: skip
+        self.load_knowledge = self._make_load_knowledge()
         context = CallContext(
             table=self.table,
             connections=self.connections,
@@ -155,6 +158,7 @@
             budget_of=self._budget_of,
             loans=loans,
             permits=permits,
+            load_knowledge=self.load_knowledge,
             domain=self.settings.domain,
             stop=self._planned_stop,
             histograms=self._histograms,
@@ -166,6 +170,7 @@
             self.settings.domain, self.table, self._checks, self.log, self._spawn
         )
         selector = PathSelector(context, self.loads)
+        self.load_knowledge.engines = selector.engines_in_use
         detours = Detours(context, selector, self._highest_known_fence)
         guard = CrashGuard(self.crash_evidence, context)
         streams = StreamCalls(
@@ -204,12 +209,22 @@
             ready=lambda: self.ready, stopping=lambda: self.stopping,
             callers=lambda: len(self._callers),
             crash_evidence=self.crash_evidence, log=self.log,
+            load_knowledge=self.load_knowledge,
         )  # fmt: skip
+        self._share_target_list()
+        self._share_engine_reports(context)
+        self._share_crash_evidence()
+
+    def _make_load_knowledge(self) -> LoadKnowledge:
+        exchange = self._peers.demand
+        knowledge = LoadKnowledge(exchange, self.loads, lambda: self.configuration)
+        exchange.is_short = knowledge.is_short
+        return knowledge
+
+    def _share_target_list(self) -> None:
         self._store_follower.on_change = self._peers.announce_changes
         self._peers.list_state = self._store_follower.list_state
         self._peers.on_digest = self._store_follower.receive_digest
-        self._share_engine_reports(context)
-        self._share_crash_evidence()
 
     def _share_engine_reports(self, context: CallContext) -> None:
         permits = context.permits
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -378,6 +378,14 @@
             ]
         return known
 
+    def engines_in_use(self, service: str, now_s: float) -> list[PathEngine]:
+        """Return the engines of a service that aren't excluded or leaving."""
+        return [
+            each.at(now_s)
+            for each in self._engines(service)
+            if not (each.health.excluded or each.health.is_leaving)
+        ]
+
     def is_available(self, engine_id: str) -> bool:
         """Return True if an engine is listed and not excluded."""
         table = self._context.table
--- a/libs/entry/src/celeryfork_entry/status_endpoints.py
+++ b/libs/entry/src/celeryfork_entry/status_endpoints.py
@@ -18,6 +18,7 @@
 from orjson import OPT_NON_STR_KEYS, dumps
 
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
+from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.metrics import Histograms, metrics_text
 from celeryfork_entry.peer_state import CHANGES_PATH, CONFIGURATION_PATH, STATE_PATH
 from celeryfork_entry.placement_leader import PlacementLeader
@@ -59,6 +60,7 @@
     _callers: Callable[[], int]
     _crash_evidence: CrashEvidence
     _log: Logger
+    _load_knowledge: LoadKnowledge
 
     async def answer_peer(
         self, connection: CallerConnection, request: CallerRequest
@@ -129,6 +131,7 @@
         gauges["instances.known"] = float(self._roster.instances())
         gauges["relay"] = float(self._roster.is_relay)
         gauges |= self._crash_gauges()
+        gauges |= self._load_knowledge.gauges(time.monotonic())
         gauges["duty.held"] = float(self._placement.leadership.held)
         configuration = self._store_follower.configuration
         if configuration is not None:
@@ -166,6 +169,12 @@
                 key: asdict(load)
                 for key, load in self._loads.total_loads(now_s).items()
             },
+            "service_loads": {
+                service: asdict(load)
+                for service, load in self._load_knowledge.loads_by_service(
+                    now_s
+                ).items()
+            },
             "crash_evidence": self._crash_evidence.dump(),
         }
 
--- a/libs/entry/tests/support/instance_network.py
+++ b/libs/entry/tests/support/instance_network.py
@@ -16,13 +16,14 @@
 class Network:
     """Delivers datagrams between instances at once, and records those sent by each."""
 
-    def __init__(self, sizes=(8, 8)):
+    def __init__(self, sizes=(8, 8), domains=DOMAINS, clock=time.monotonic):
+        self.clock = clock
         self.by_address = {}
         self.sent_by_name = {}
         self.cut = set()
         peers = [
             Peer(f"{domain}-{n}", domain, f"10.{zone}.0.{n}:7")
-            for zone, (domain, size) in enumerate(zip(DOMAINS, sizes, strict=True))
+            for zone, (domain, size) in enumerate(zip(domains, sizes, strict=True))
             for n in range(1, size + 1)
         ]
         for peer in peers:
@@ -31,7 +32,7 @@
             each.roster.add_listed(peers)
 
     def add(self, peer):
-        instance = PeerProtocol(Roster(peer), EngineLoads(), Logger("test"))
+        instance = PeerProtocol(Roster(peer, self.clock), EngineLoads(), Logger("test"))
         instance.connection_made(Wire(self, instance))
         self.by_address[peer.address] = instance
 
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -29,6 +29,7 @@
 from celeryfork_entry.dispatcher import Dispatcher
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.engine_permits import EnginePermits
+from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.path_selector import PathSelector
 from celeryfork_entry.peer_protocol import REMOTE_REPORT_PERIOD, PeerProtocol
 from celeryfork_entry.plain_calls import PlainCalls
@@ -219,6 +220,9 @@
             budget_of=lambda service: self.share,
             loans=self.loans,
             permits=self.permits,
+            load_knowledge=LoadKnowledge(
+                self.peers.demand, EngineLoads(), lambda: None
+            ),
             domain="a",
         )
         checks.on_reply = self.context.record_reply
--- a/libs/entry/tests/test_peer_messages.py
+++ b/libs/entry/tests/test_peer_messages.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from math import inf, isfinite
-from unittest.mock import patch
 
 import pytest
 from attrs import evolve
@@ -38,29 +37,13 @@
 from hypothesis import strategies as st
 from logbook import Logger
 from orjson import dumps, loads
+from peer_datagrams import DIGEST, NOW_S, REPORT, stopped_clock
 
 OWN = Peer("west-8", "west", "10.1.0.8:7")
 LARGEST = (1 << 63) - 1
 """Largest integer in a datagram: 64 bits, signed."""
-NOW_S = 10_000.0
 ROUNDING_S = 0.0011
 """Tolerance in seconds for rounding up or down to ms."""
-REPORT = {
-    "from": "west-5", "at": "10.1.0.5:7", "domain": "west", "power": 1.0,
-    "fence": 3, "version": 4, "loads": {"i-1": [2, 80]}, "down": [["i-2", 5]],
-    "layers": {"i-1": [0, 4, 1000, 20], "i-2": [None, None, None, 0]},
-    "speeds": {"i-1": [12.0, 1000, 20]},
-    "crashes": [
-        ["llm", "part", "p-1", [["r1", "xaka200", 900, False],
-                                ["r2", None, 20, True]], None, 30],
-        ["llm", "request", "0f", [], 40, None],
-    ],
-}  # fmt: skip
-DIGEST = REPORT | {
-    "revision": 7, "age": 0.25, "old": False, "counts": {"east": 3},
-    "away": {"east": {"i-9": [1, 40]}},
-}  # fmt: skip
-
 names = st.text(min_size=1, max_size=8)
 hosts = st.text("0123456789abcXYZ.:-[]_", min_size=1, max_size=8)
 numbers = st.integers(0, LARGEST)
@@ -74,11 +57,6 @@
 )
 
 
-def stopped_clock():
-    """Stop the clock: messages tell ages, and a busy machine reads them late."""
-    return patch("time.monotonic", lambda: NOW_S)
-
-
 def at_age(age_s):
     return NOW_S - age_s
 
--- a/libs/entry/tests/test_status_endpoints.py
+++ b/libs/entry/tests/test_status_endpoints.py
@@ -13,6 +13,8 @@
     make_trait,
 )
 from celeryfork_base.counters import Counters
+from celeryfork_entry.demand_exchange import DemandExchange
+from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.peer_state import CHANGES_PATH
 from celeryfork_entry.ports import Peer
@@ -43,13 +45,14 @@
         self.evidence = make_crash_evidence(lambda: self.now_s)
         self.lines = []
         leadership = SimpleNamespace(held=False)
+        roster = Roster(Peer("i1", "a", "10.0.0.1:7"))
         self.endpoints = StatusEndpoints(
             SimpleNamespace(configuration=None, list_read_s=0.0, unavailable_feeds=()),
             SimpleNamespace(leadership=leadership),
             TargetTable(),
             SimpleNamespace(opened=0),
             EngineLoads(),
-            Roster(Peer("i1", "a", "10.0.0.1:7")),
+            roster,
             Counters(),
             Histograms(),
             ready=lambda: True,
@@ -57,6 +60,9 @@
             callers=lambda: 0,
             crash_evidence=self.evidence,
             log=SimpleNamespace(info=lambda event, **f: self.lines.append((event, f))),
+            load_knowledge=LoadKnowledge(
+                DemandExchange(roster), EngineLoads(), lambda: None
+            ),
         )
 
     def crash(self, trait=PART, organisation="xaka200", times=1):
