--- a/libs/admission/src/celeryfork_admission/demand.py
+++ b/libs/admission/src/celeryfork_admission/demand.py
@@ -6,7 +6,7 @@
 being reduced by each later read, so that an arrival updates only its own row.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from heapq import nlargest
 from math import exp
 
@@ -269,22 +269,27 @@
     reports = list(reports)
     if not reports:
         raise ValueError("there is no report of a demand to sum")
-    total: dict[Key, DemandRow] = {}
-    for row in _bounded(row for report in reports for row in report.rows):
-        key = (row.urgency, row.organisation)
-        known = total.get(key)
-        total[key] = row if known is None else _sum_rows(known, row)
-    rests = {key[0]: row for key, row in total.items() if key[1] is None}
-    named = sorted(
-        (row for key, row in total.items() if key[1] is not None),
-        key=lambda row: (-row.tokens_per_s, row.urgency, row.organisation),
-    )
-    least = min_share * sum(row.tokens_per_s for row in total.values())
-    kept = [row for row in named[:max_rows] if row.tokens_per_s >= least]
-    _fold(named[len(kept) :], rests)
+    total: dict[Key, list[float]] = {}
+    for row in _bounded([row for report in reports for row in report.rows]):
+        _add(total, (row.urgency, row.organisation), row)
+    named = [(key, sums) for key, sums in total.items() if key[1] is not None]
+    least = min_share * sum(sums[0] for sums in total.values())
+    kept = [
+        (key, sums)
+        for key, sums in nlargest(max_rows, named, key=_size)
+        if sums[0] >= least
+    ]
+    rests = {key[0]: sums for key, sums in total.items() if key[1] is None}
+    _fold(named, {key for key, _ in kept}, rests)
     return ServiceDemand(
         reports[0].service,
-        tuple(kept) + tuple(rests[urgency] for urgency in sorted(rests)),
+        tuple(
+            DemandRow(urgency, organisation, tokens, requests, int(organisations))
+            for (urgency, organisation), (tokens, requests, organisations) in [
+                *kept,
+                *(((urgency, None), rests[urgency]) for urgency in sorted(rests)),
+            ]
+        ),
         sum(report.admitted_tokens_per_s for report in reports),
         sum(report.released_tokens_per_s for report in reports),
     )
@@ -335,19 +340,25 @@
     return item[1].tokens
 
 
-def _sum_rows(row: DemandRow, other: DemandRow) -> DemandRow:
-    return DemandRow(
-        row.urgency,
-        row.organisation,
-        row.tokens_per_s + other.tokens_per_s,
-        row.requests_per_s + other.requests_per_s,
-        max(row.organisations, other.organisations),
-    )
+def _add(total: dict[Key, list[float]], key: Key, row: DemandRow) -> None:
+    """Add a row to sums of tokens/s and requests/s, and the largest organisations."""
+    sums = total.get(key)
+    if sums is None:
+        total[key] = [row.tokens_per_s, row.requests_per_s, row.organisations]
+        return
+    sums[0] += row.tokens_per_s
+    sums[1] += row.requests_per_s
+    sums[2] = max(sums[2], row.organisations)
+
 
+def _size(item: tuple[Key, list[float]]) -> tuple[float, str]:
+    """Return a sort key: by tokens, and then by name, so that instances agree."""
+    (_, organisation), (tokens, _, _) = item
+    return tokens, organisation or ""
 
-def _bounded(rows: Iterable[DemandRow]) -> list[DemandRow]:
+
+def _bounded(rows: list[DemandRow]) -> list[DemandRow]:
     """Return rows of at most ``MAX_URGENCIES`` urgencies."""
-    rows = list(rows)
     urgencies = sorted({row.urgency for row in rows})
     if len(urgencies) <= MAX_URGENCIES:
         return rows
@@ -360,17 +371,21 @@
     ]
 
 
-def _fold(rows: Iterable[DemandRow], rests: dict[Urgency, DemandRow]) -> None:
-    """Add rows of single organisations to the rests of their urgencies."""
-    folded: dict[Urgency, DemandRow] = {}
-    for row in rows:
-        known = folded.get(row.urgency)
-        first = evolve(row, organisation=None)
-        folded[row.urgency] = (
-            first
-            if known is None
-            else evolve(_sum_rows(known, row), organisations=known.organisations + 1)
-        )
-    for urgency, row in folded.items():
-        known = rests.get(urgency)
-        rests[urgency] = row if known is None else _sum_rows(known, row)
+def _fold(
+    named: Iterable[tuple[Key, list[float]]],
+    kept: Container[Key],
+    rests: dict[Urgency, list[float]],
+) -> None:
+    """Add the organisations that aren't kept to the rests of their urgencies."""
+    folded: dict[Urgency, list[float]] = {}
+    for key, (tokens, requests, _) in named:
+        if key not in kept:
+            sums = folded.setdefault(key[0], [0.0, 0.0, 0])
+            sums[0] += tokens
+            sums[1] += requests
+            sums[2] += 1
+    for urgency, (tokens, requests, organisations) in folded.items():
+        sums = rests.setdefault(urgency, [0.0, 0.0, 0])
+        sums[0] += tokens
+        sums[1] += requests
+        sums[2] = max(sums[2], organisations)
--- a/libs/entry/tests/test_instance.py
+++ b/libs/entry/tests/test_instance.py
@@ -11,6 +11,7 @@
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.settings import EntrySettings
 from celeryfork_entry.targets import Listed, Target
+from celeryfork_routing.layers import LayerRange
 from instance_network import receive_report
 from logbook import Logger
 
@@ -103,3 +104,25 @@
     asyncio.run(crash())
     assert second.crash_evidence.judge([deadly], None).verdict is Verdict.SUSPECT
     assert [row["value"] for row in second.crash_evidence.dump()] == ["deadly"]
+
+
+def test_calls_and_peers_share_one_load_knowledge():
+    """Demand recorded on another meter would never be reported."""
+    instance = make_instance()
+    knowledge = instance.load_knowledge
+    assert instance._dispatcher._context.load_knowledge is knowledge
+    assert instance._peers.demand.meter is knowledge.meter
+    assert instance._peers.demand.is_short == knowledge.is_short
+
+
+def test_the_room_is_that_of_engines_that_may_get_requests():
+    """Excluded and draining engines have memory too, but no request reaches it."""
+    instance = make_instance()
+    held = LayerRange(0, 4)
+    for engine_id in ("x", "y"):
+        instance.table.apply(
+            [Listed(Target(engine_id, "llm", "x:1", "west", held=held))]
+        )
+    instance.table.exclude("y", "silent", 100.0)
+    engines = instance.load_knowledge.engines("llm", 100.0)
+    assert [each.id for each in engines] == ["x"]
--- a/libs/entry/tests/test_status_endpoints.py
+++ b/libs/entry/tests/test_status_endpoints.py
@@ -1,10 +1,12 @@
 """Parsing of the revision in a follower's request, and evidence of crashes."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 from urllib.parse import quote
 
 import pytest
+import small_model
 from celeryfork_admission.crash_evidence import (
     FIRST_HOLD_S,
     TraitKind,
@@ -12,16 +14,19 @@
     make_part_trait,
     make_trait,
 )
+from celeryfork_admission.service_load import Urgency
 from celeryfork_base.counters import Counters
 from celeryfork_entry.demand_exchange import DemandExchange
 from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.peer_state import CHANGES_PATH
-from celeryfork_entry.ports import Peer
+from celeryfork_entry.ports import Leadership, Peer
 from celeryfork_entry.roster import Roster
 from celeryfork_entry.status_endpoints import StatusEndpoints, _revision
 from celeryfork_entry.targets import TargetTable
 from celeryfork_routing.engine_loads import EngineLoads
+from celeryfork_routing.layer_paths import PathEngine
+from celeryfork_routing.layers import LayerRange
 from orjson import loads
 
 PART = make_part_trait("llm", "deadly part/1")
@@ -44,8 +49,12 @@
         self.now_s = 1000.0
         self.evidence = make_crash_evidence(lambda: self.now_s)
         self.lines = []
-        leadership = SimpleNamespace(held=False)
+        leadership = Leadership(held=False, fence=0)
+        self.configuration = None
         roster = Roster(Peer("i1", "a", "10.0.0.1:7"))
+        self.knowledge = LoadKnowledge(
+            DemandExchange(roster), EngineLoads(), lambda: self.configuration
+        )
         self.endpoints = StatusEndpoints(
             SimpleNamespace(configuration=None, list_read_s=0.0, unavailable_feeds=()),
             SimpleNamespace(leadership=leadership),
@@ -60,9 +69,7 @@
             callers=lambda: 0,
             crash_evidence=self.evidence,
             log=SimpleNamespace(info=lambda event, **f: self.lines.append((event, f))),
-            load_knowledge=LoadKnowledge(
-                DemandExchange(roster), EngineLoads(), lambda: None
-            ),
+            load_knowledge=self.knowledge,
         )
 
     def crash(self, trait=PART, organisation="xaka200", times=1):
@@ -94,6 +101,35 @@
         }
 
 
+def test_metrics_and_dump_show_the_loads_of_services():
+    """Without them nobody can tell why requests are refused for want of capacity."""
+    status = Status()
+    assert status.endpoints.dump()["service_loads"] == {}
+    services = {
+        "llm": SimpleNamespace(model=small_model.SHAPE),
+        "plain": SimpleNamespace(model=None),
+    }
+    status.configuration = SimpleNamespace(services_by_name=services)
+    now_s = time.monotonic()
+    status.knowledge.meter.record_arrival("llm", Urgency(0, 1), "xaka200", 9.0, now_s)
+    status.knowledge.engines = lambda service, now_s: [
+        PathEngine("e1", "a:1", "a", "card", LayerRange(0, 8))
+    ]
+    lines = status.ask("/metrics")[2].decode().splitlines()
+    values = {name: float(value) for name, value in map(str.split, lines)}
+    total = values["celeryfork_room_total_llm"]
+    assert total == pytest.approx(values["celeryfork_room_free_llm"])
+    assert total > 0
+    assert values["celeryfork_demand_tokens_per_s_llm"] == pytest.approx(9, rel=0.5)
+    assert values["celeryfork_load_knowledge_age_s"] >= 0
+    (load,) = loads(status.ask("/dump")[2])["service_loads"].values()
+    assert load["room"]["total_tokens"] == pytest.approx(total, rel=1e-4)
+    assert load["demand"]["rows"][0]["urgency"] == {
+        "organisation_priority": 0, "route_priority": 1,
+    }  # fmt: skip
+    assert {"age_s", "instances", "complete"} <= load.keys()
+
+
 def test_the_gauges_count_suspected_and_convicted_parts():
     """An operator who sees no part in doubt looks for the cause among the engines."""
     status = Status()
--- a/libs/routing/src/celeryfork_routing/room.py
+++ b/libs/routing/src/celeryfork_routing/room.py
@@ -32,25 +32,39 @@
     the least memory over all engines limits the paths; a layer without an engine leaves
     no room.
     """
-    total, free = [0.0] * shape.layers, [0.0] * shape.layers
+    usable_by_kind: dict[tuple[str, int], float | None] = {}
+    sums_by_range: dict[tuple[int, int], list[float]] = {}
     for engine in engines:
-        accelerator = shape.accelerators_by_name.get(engine.accelerator)
         held = engine.held
-        if accelerator is None or held.count < 1:
+        kind = (engine.accelerator, held.count)
+        if kind not in usable_by_kind:
+            usable_by_kind[kind] = _usable(shape, *kind)
+        usable = usable_by_kind[kind]
+        if usable is None:
             continue
-        usable = room_for_requests(shape, accelerator, held.count)
         used = load_by_engine.get(engine.id, NO_LOAD).token_layers
-        speed = 1.0
+        per_layer = 1.0 / held.count
         if engine.slowness >= SLOW_ENGINE_SLOWNESS:
-            speed = 1.0 / engine.slowness
-        total_of_layer = speed * usable / held.count
-        free_of_layer = speed * max(0.0, usable - used) / held.count
-        for layer in range(max(0, held.first), min(shape.layers, held.last)):
+            per_layer /= engine.slowness
+        sums = sums_by_range.setdefault((held.first, held.last), [0.0, 0.0])
+        sums[0] += per_layer * usable
+        sums[1] += per_layer * max(0.0, usable - used)
+    total, free = [0.0] * shape.layers, [0.0] * shape.layers
+    for (first, last), (total_of_layer, free_of_layer) in sums_by_range.items():
+        for layer in range(max(0, first), min(shape.layers, last)):
             total[layer] += total_of_layer
             free[layer] += free_of_layer
     return Room(min(total, default=0.0), min(free, default=0.0))
 
 
+def _usable(shape: ModelShape, accelerator_name: str, layers: int) -> float | None:
+    """Return an engine's memory for requests in tokens x layers, None if unknown."""
+    accelerator = shape.accelerators_by_name.get(accelerator_name)
+    if accelerator is None or layers < 1:
+        return None
+    return room_for_requests(shape, accelerator, layers)
+
+
 def room_by_domain(
     shape: ModelShape,
     engines: Iterable[PathEngine],
