--- a/libs/entry/src/celeryfork_entry/demand_exchange.py
+++ b/libs/entry/src/celeryfork_entry/demand_exchange.py
@@ -37,7 +37,7 @@
 REPORT_BYTES_PER_TURN = 250
 """Bytes of demand that a member may add to each report (0.25 s) during a shortage. A
 larger demand is added to every second report, or up to every fourth."""
-DIGEST_BYTES_PER_TURN = 500
+DIGEST_BYTES_PER_TURN = 350
 """The same for a digest of the lead relay. With the demand elsewhere, once a second, an
 instance of a large fleet sends and receives under 4 KB/s for all of it."""
 MIN_REPORT_SHARE = 0.02
--- a/libs/entry/src/celeryfork_entry/load_knowledge.py
+++ b/libs/entry/src/celeryfork_entry/load_knowledge.py
@@ -20,9 +20,9 @@
 CACHE_S = 0.05
 """Seconds for which a service's load is kept: a fifth of the interval at which peers
 report, and few enough for the requests that this instance admits meanwhile."""
-CACHE_S_PER_ENGINE = 5e-5
-"""Least seconds for which it is kept for each engine: the room of 10,000 engines takes
-some 30 ms to compute, which 0.5 s keep to a small part of the processor time."""
+CACHE_S_PER_ENGINE = 1e-4
+"""Least seconds for which it is kept for each engine: at 10,000 engines it takes 30 ms
+to compute, and is kept for a second, in which other domains tell their loads once."""
 SHORT_SHARE = 0.15
 """Free part of a service's memory below which it is short of capacity."""
 
