--- a/libs/entry/src/celeryfork_entry/demand_exchange.py
+++ b/libs/entry/src/celeryfork_entry/demand_exchange.py
@@ -48,6 +48,9 @@
 this competes only if some 50 or more organisations do."""
 SETTLING_S = 0.5
 """Seconds after which a new lead relay has the members' reports: two intervals."""
+FIRST_SUM_S = 1.25
+"""Seconds of digests without a demand after which the domain has none: an instance that
+has just started hears digests at once, and the sum in one of four of them."""
 
 
 @frozen
@@ -95,6 +98,8 @@
     _received_s_by_domain: dict[str, float] = field(factory=dict)
     _away_s_by_domain: dict[str, tuple[float, float]] = field(factory=dict)
     _away_received_s: float | None = None
+    _digest_received_s: float | None = None
+    _hearing_since_s: float = 0.0
     _reported: dict[str, tuple[ServiceDemand, float]] = field(factory=dict)
     _sum_by_service: dict[str, KnownDemand | None] = field(factory=dict)
     _lead_since_s: float | None = None
@@ -131,7 +136,11 @@
         has_loads
             True if the digest has the loads of the domain, as that of a lead relay.
         """
-        self._record_domain(self.roster.own.domain, demand, now_s, has_loads=has_loads)
+        own_domain = self.roster.own.domain
+        if not _is_fresh(self._digest_received_s, now_s):
+            self._hearing_since_s = now_s
+        self._digest_received_s = now_s
+        self._record_domain(own_domain, demand, now_s, has_loads=has_loads)
         if away is not None:
             self._away_received_s = now_s
             _record(self._away, DemandSum(now_s, away.demands), now_s)
@@ -158,6 +167,10 @@
     def observe_lead(self, now_s: float) -> None:
         """Note at each report whether this instance is the lead relay of its domain."""
         self._sum_by_service.clear()
+        for domain, received_s in list(self._received_s_by_domain.items()):
+            if not _is_fresh(received_s, now_s):
+                del self._received_s_by_domain[domain]
+                self._by_domain.pop(domain, None)
         if not self.roster.is_lead_relay():
             self._lead_since_s = None
         elif self._lead_since_s is None:
@@ -274,7 +287,8 @@
             received_s = now_s
         own = self.meter.report(service, now_s)
         if heard is None:
-            return KnownDemand((own,), received_s)
+            is_new = now_s - self._hearing_since_s < FIRST_SUM_S
+            return None if is_new else KnownDemand((own,), received_s)
         others = heard.demand
         reported, reported_s = self._reported.get(service, (own, None))
         if _is_fresh(reported_s, now_s):
--- a/libs/entry/src/celeryfork_entry/load_knowledge.py
+++ b/libs/entry/src/celeryfork_entry/load_knowledge.py
@@ -16,6 +16,7 @@
 
 from celeryfork_entry.configuration import Configuration
 from celeryfork_entry.demand_exchange import DemandExchange
+from celeryfork_entry.roster import PEAK_COUNT_WINDOW_S
 
 CACHE_S = 0.05
 """Seconds for which a service's load is kept: a fifth of the interval at which peers
@@ -53,6 +54,7 @@
     _configuration: Callable[[], Configuration | None]
     engines: Callable[[str, float], Sequence[PathEngine]] = lambda service, now_s: ()
     _cached_by_service: dict[str, _Cached] = field(factory=dict)
+    _seen_s_by_domain: dict[str, float] = field(factory=dict)
 
     @property
     def meter(self) -> DemandMeter:
@@ -72,13 +74,11 @@
         cached = self._cached_by_service.get(service)
         if cached is not None and cached.computed_s <= now_s < cached.until_s:
             return _aged(cached, now_s)
-        exchange, roster = self.exchange, self.exchange.roster
-        own_domain, count = roster.own.domain, self._own_count()
+        exchange, count = self.exchange, self._own_count()
         own = exchange.own_domain(service, now_s)
         others, at_s_by_domain = exchange.other_domains(service, now_s)
-        counts = roster.counts()
-        expected = (set(counts) | set(roster.domains())) - {own_domain}
-        missing = expected - at_s_by_domain.keys()
+        counts = exchange.roster.counts()
+        missing = self._expected_domains(now_s) - at_s_by_domain.keys()
         engines = [e for e in self.engines(service, now_s) if e.domain not in missing]
         loads = self._loads.total_loads(now_s)
         if own is None:
@@ -125,6 +125,19 @@
             gauges["load_knowledge.age_s"] = max(each.age_s for each in loads.values())
         return gauges
 
+    def _expected_domains(self, now_s: float) -> set[str]:
+        """Return the other domains that have instances, or had some recently.
+
+        The roster forgets a domain that is cut off within 20 s.
+        """
+        roster, seen_s = self.exchange.roster, self._seen_s_by_domain
+        for domain in {*roster.counts(), *roster.domains()} - {roster.own.domain}:
+            seen_s[domain] = now_s
+        for domain, at_s in list(seen_s.items()):
+            if now_s - at_s > PEAK_COUNT_WINDOW_S:
+                del seen_s[domain]
+        return set(seen_s)
+
     def _own_count(self) -> int:
         """Return the number of live instances of this instance's domain.
 
--- a/libs/entry/src/celeryfork_entry/peer_protocol.py
+++ b/libs/entry/src/celeryfork_entry/peer_protocol.py
@@ -21,7 +21,7 @@
 
 from celeryfork_entry.crash_exchange import CrashExchange
 from celeryfork_entry.demand_exchange import DemandExchange
-from celeryfork_entry.demand_messages import DemandSum
+from celeryfork_entry.demand_messages import DemandAway, DemandSum
 from celeryfork_entry.engine_limits import EngineLimit
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.list_changes import ListState
@@ -325,12 +325,9 @@
             self._loads.drop_peer_report(_sum_key(self.domain))
         if self.roster.is_relay:
             to_remote = self._reports % REMOTE_REPORT_PERIOD == 0
-            self._send_digests(
-                to_remote=to_remote,
-                demand=self.demand.next_digest(
-                    self._reports, now_s, to_remote=to_remote
-                ),
-            )
+            total = self.demand.next_digest(self._reports, now_s, to_remote=to_remote)
+            away = self.demand.next_away(total, now_s) if to_remote else None
+            self._send_digests(to_remote=to_remote, demand=total, demand_away=away)
         self._resend_crashes()
 
     def _send_report(self, demand: DemandSum | None) -> None:
@@ -473,6 +470,7 @@
         *,
         to_remote: bool,
         demand: DemandSum | None = None,
+        demand_away: DemandAway | None = None,
     ) -> None:
         """Send digests to the domain, and if due to the relays of other domains."""
         now_s = time.monotonic()
@@ -487,10 +485,7 @@
                 for domain in others
                 if to_remote and digest.loads is not None
             }
-            told = evolve(digest, remote_loads=away)
-            if away:
-                demand_away = self.demand.next_away(demand, now_s)
-                told = evolve(told, demand_away=demand_away)
+            told = evolve(digest, remote_loads=away, demand_away=demand_away)
             self._send(encode_digest(told), followers)
         if relays:
             without_loads = evolve(digest, loads=None, layers={}, speeds={}, limits={})
--- a/libs/entry/tests/test_load_knowledge.py
+++ b/libs/entry/tests/test_load_knowledge.py
@@ -5,11 +5,11 @@
 import pytest
 import small_model
 from celeryfork_admission.service_load import DemandRow, ServiceDemand, Urgency
-from celeryfork_entry.demand_exchange import SETTLING_S, DemandExchange
+from celeryfork_entry.demand_exchange import FIRST_SUM_S, SETTLING_S, DemandExchange
 from celeryfork_entry.demand_messages import DemandAway, DemandSum
 from celeryfork_entry.load_knowledge import CACHE_S, CACHE_S_PER_ENGINE, LoadKnowledge
 from celeryfork_entry.ports import Peer
-from celeryfork_entry.roster import Roster
+from celeryfork_entry.roster import PEAK_COUNT_WINDOW_S, Roster
 from celeryfork_routing.engine_loads import (
     PEER_REPORT_TTL_S,
     EngineLoads,
@@ -222,6 +222,34 @@
     assert knower.tokens_per_s() == pytest.approx(1_000)
 
 
+def test_a_domain_that_is_cut_off_is_left_out_after_the_roster_forgot_it():
+    """Its engines would count as idle, since nobody here knows their load."""
+    knower = Knower()
+    knower.hear_other(make_demand(500))
+    knower.hear_domain(make_demand(1_000))
+    assert knower.load().complete
+    knower.now_s += 50.0
+    knower.hear_domain(make_demand(1_000), east=0)
+    assert "east" not in knower.roster.counts()
+    assert knower.load().room == fleet_room(small_model.SHAPE, OF_WEST, {})
+    knower.now_s += PEAK_COUNT_WINDOW_S
+    knower.hear_domain(make_demand(1_000), east=0)
+    assert knower.load().complete
+
+
+def test_the_first_digests_without_a_demand_do_not_mean_that_there_is_none():
+    """An instance that starts during a shortage would admit everything at first."""
+    knower = Knower()
+    knower.arrive(100)
+    for _ in range(2):
+        knower.hear_domain(east=0)
+        assert not knower.load().complete
+        assert knower.tokens_per_s() == pytest.approx(300, rel=0.02)
+    knower.now_s += FIRST_SUM_S + 0.1
+    knower.hear_domain(east=0)
+    assert knower.load().complete
+
+
 def test_engines_of_a_domain_without_instances_count():
     """No instance there could report; the users of its engines report their loads."""
     knower = Knower()
