--- a/libs/entry/src/celeryfork_entry/demand_exchange.py
+++ b/libs/entry/src/celeryfork_entry/demand_exchange.py
@@ -233,7 +233,8 @@
         if not demands:
             return None
         period = self._period(services, tuple(demands), DIGEST_BYTES_PER_TURN, now_s)
-        self._next_digest = number + period
+        # With a period of 3 every third digest would follow one to other domains.
+        self._next_digest = number + (USUAL_PERIOD if period == 3 else period)
         return DemandSum(at_s, tuple(demands))
 
     def next_away(self, demand: DemandSum | None, now_s: float) -> DemandAway | None:
