--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from celeryfork_admission.crash_evidence import Trait
 from celeryfork_admission.retry_share import Retry, RetryShare
+from celeryfork_admission.service_load import Urgency
 from celeryfork_base.counters import Counters
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
@@ -68,6 +69,8 @@
     priority
         Priority of the organisation, or of the route if the organisation has none.
         0 is the most urgent.
+    urgency
+        Precedence under a shortage, None where admission control takes no effect.
     sends
         Number of times that the request was sent to a target, failed attempts
         included.
@@ -131,6 +134,7 @@
     version: int
     deadline_s: float
     priority: int = 0
+    urgency: Urgency | None = None
     sends: int = 0
     delivered_sends: int = 0
     counted_for_budget: bool = False
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 from celeryfork_base.errors import RequestRefusedError
 
+from celeryfork_entry.admission_gate import AdmissionGate
 from celeryfork_entry.call import ANSWER_MARGIN_S, Call, CallContext, not_run_error
 from celeryfork_entry.caller_http import (
     BadRequestError,
@@ -35,6 +36,7 @@
     _context: CallContext
     _plain: PlainCalls
     _streams: StreamCalls
+    _gate: AdmissionGate
     _random: random.Random = field(factory=random.Random)
 
     async def handle(
@@ -110,7 +112,11 @@
                 "no_time", "The deadline had passed when the request arrived.", 0.0
             )
         if isinstance(call.route.kind, Stream) and call.service.model is not None:
-            await self._streams.serve(call)
+            self._gate.check(call)
+            try:
+                await self._streams.serve(call)
+            finally:
+                self._gate.release(call)
         else:
             await self._plain.serve(call)
 
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -20,6 +20,7 @@
 from celeryfork_entry.call import Call, CallContext
 from celeryfork_entry.configuration import Service
 from celeryfork_entry.engine_speeds import EngineSpeeds
+from celeryfork_entry.search_order import SearchOrder
 from celeryfork_entry.target_health import TargetHealth
 
 CAPACITY_WAIT_S = 0.25
@@ -83,6 +84,7 @@
     _missing_since_s: float | None = None
     _revision: int = -1
     _waiting: int = 0
+    _order: SearchOrder = field(factory=SearchOrder)
     _engines_by_service: dict[str, Sequence[_EngineView]] = field(factory=dict)
     _idle_ms_by_service: dict[str, float] = field(factory=dict)
 
@@ -110,7 +112,7 @@
                 return None
             with call.waiting("path"):
                 try:
-                    await self._pause()
+                    await self._pause(call, until_s)
                 except asyncio.CancelledError:
                     self.log_no_path(call)
                     raise
@@ -124,11 +126,15 @@
         same = found is not None and set(found.engine_ids) == set(path.engine_ids)
         return None if same else found
 
-    async def _pause(self) -> None:
+    async def _pause(self, call: Call, until_s: float) -> None:
         """Wait before the next search, longer the more calls are waiting."""
         self._waiting += 1
         try:
-            await asyncio.sleep(max(CAPACITY_POLL_S, self._waiting * SEARCH_INTERVAL_S))
+            delay_s = max(CAPACITY_POLL_S, self._waiting * SEARCH_INTERVAL_S)
+            if call.urgency is None:
+                await asyncio.sleep(delay_s)
+            else:
+                await self._order.wait_for_turn(call, delay_s, until_s)
         finally:
             self._waiting -= 1
 
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -16,6 +16,7 @@
 from celeryfork_admission.crash_evidence import make_crash_evidence
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
+from celeryfork_entry.admission_gate import AdmissionGate, UnknownLoads
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.call import Call, CallContext
 from celeryfork_entry.configuration import (
@@ -34,6 +35,7 @@
 from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import EngineReport, Peer, ReplyMetadata, RequestMetadata
 from celeryfork_entry.roster import Roster
+from celeryfork_entry.settings import Mode
 from celeryfork_entry.stream_calls import StreamCalls
 from celeryfork_entry.target_http import LostError, PortClosedError
 from celeryfork_entry.targets import Listed, Target, TargetTable
@@ -173,6 +175,8 @@
     """
 
     shared_parts = ()
+    load_knowledge = UnknownLoads()
+    organisation_by_key = {}
 
     def __init__(self, *, slack=100.0, instances=1, max_targets=2, peer=None):
         self.table = TargetTable()
@@ -289,14 +293,14 @@
             version=1,
             routes_by_host={self.route.host: (self.route,)},
             services_by_name={SERVICE.name: SERVICE},
-            organisation_by_key={},
+            organisation_by_key=self.organisation_by_key,
             needs_key=False,
             limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
         )
         self.context.configuration = lambda: configuration
-        return Dispatcher(
-            self.context, PlainCalls(self.context, self.guard), self.streams
-        )
+        gate = AdmissionGate(self.context, self.load_knowledge, Mode.AUTO, "i1")
+        plain = PlainCalls(self.context, self.guard)
+        return Dispatcher(self.context, plain, self.streams, gate)
 
     def call(self, caller, request_id, left_s, shared_parts=None):
         request = self.request(request_id, left_s, shared_parts)
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -88,6 +88,7 @@
         failed_on=set(),
         first_engines=engines,
         probe=None,
+        urgency=None,
         may_have_run=may_have_run,
         left_s=20.0,
     )
