--- a/libs/admission/src/celeryfork_admission/supply.py
+++ b/libs/admission/src/celeryfork_admission/supply.py
@@ -80,7 +80,9 @@
         self._record_holding(used, demand.released_tokens_per_s, now_s)
         usable = TARGET_USE * room.total_tokens
         free = usable - self._predict_used(load, used, now_s)
-        return max(0.0, usable * self._leak_per_s() + free / FILL_S)
+        # An instance that has just started knows no holding time yet.
+        sustained = usable * self._leak_per_s() or demand.released_tokens_per_s
+        return max(0.0, sustained + free / FILL_S)
 
     def excess(self, load: ServiceLoad, now_s: float) -> float:
         """Return by what factor more was admitted than planned.
--- a/libs/admission/tests/test_shortage.py
+++ b/libs/admission/tests/test_shortage.py
@@ -103,6 +103,13 @@
     assert count_admitted(make_policy(load), requests) == 400
 
 
+def test_an_instance_that_starts_in_a_shortage_serves_the_urgent_at_once():
+    """Without a known holding time, no supply was left on full engines."""
+    policy = make_policy()
+    policy.update(make_load([row(FIRST, "a", 900.0), row(SECOND, "a", 900.0)]), 0.0)
+    assert count_admitted(policy, [request()] * 20) == 20
+
+
 def test_large_requests_are_admitted_as_often_as_small_ones():
     """Alternating sizes resonate with a remainder that they share."""
     policy = make_policy(make_load([row(FIRST, "a", 2_000.0)]))
