Decide admissions by the load that instances tell each other

The gate used a stand-in without information, so that everything was admitted. It reads the load knowledge of the call context now; the stand-ins for tests are gone from the product.

--- a/libs/entry/src/celeryfork_entry/admission_gate.py
+++ b/libs/entry/src/celeryfork_entry/admission_gate.py
@@ -2,11 +2,10 @@
 
 import re
 import time
-from typing import Protocol
 
 from attrs import define, field, frozen
 from celeryfork_admission.returns import ReturnRegistry
-from celeryfork_admission.service_load import ServiceLoad, Urgency
+from celeryfork_admission.service_load import Urgency
 from celeryfork_admission.shortage import (
     Admit,
     ArrivingRequest,
@@ -24,6 +23,7 @@
     Stream,
     urgency,
 )
+from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.path_selector import expected_answer_tokens
 from celeryfork_entry.settings import Mode
 
@@ -34,68 +34,6 @@
 REFUSAL_CODE = "shortage"
 
 
-class LoadMeter(Protocol):
-    """Measures the demand at this instance."""
-
-    def record_arrival(
-        self,
-        service: str,
-        urgency: Urgency,
-        organisation: str | None,
-        tokens: float,
-        now_s: float,
-    ) -> None:
-        """Count an arrived request, whether or not it is admitted."""
-
-    def record_admission(self, service: str, tokens: float, now_s: float) -> None:
-        """Count an admitted request."""
-
-    def record_release(self, service: str, tokens: float, now_s: float) -> None:
-        """Count an admitted request that has ended."""
-
-
-class LoadKnowledge(Protocol):
-    """Free capacity of services and the demand for them, over all known domains."""
-
-    @property
-    def meter(self) -> LoadMeter:
-        """Return the meter of this instance."""
-
-    def service_load(self, service: str, now_s: float) -> ServiceLoad | None:
-        """Return what is known of a service, None for nothing."""
-
-
-class IgnoringMeter:
-    """A meter that records nothing."""
-
-    def record_arrival(
-        self,
-        service: str,
-        urgency: Urgency,
-        organisation: str | None,
-        tokens: float,
-        now_s: float,
-    ) -> None:
-        """Ignore the request."""
-
-    def record_admission(self, service: str, tokens: float, now_s: float) -> None:
-        """Ignore the request."""
-
-    def record_release(self, service: str, tokens: float, now_s: float) -> None:
-        """Ignore the request."""
-
-
-@frozen
-class UnknownLoads:
-    """Load knowledge of an instance that knows nothing, so that all is admitted."""
-
-    meter: LoadMeter = field(factory=IgnoringMeter)
-
-    def service_load(self, service: str, now_s: float) -> ServiceLoad | None:
-        """Return None."""
-        return None
-
-
 @frozen(eq=False)
 class _Sharing:
     """How a configuration divides services under a shortage.
@@ -126,7 +64,6 @@
     """
 
     _context: CallContext
-    _loads: LoadKnowledge
     _mode: Mode
     _instance: str
     _policy_by_service: dict[str, ShortagePolicy] = field(factory=dict)
@@ -135,6 +72,10 @@
     _tokens_by_call: dict[Call, float] = field(factory=dict)
     _labelled: set[str] = field(factory=set)
 
+    @property
+    def _loads(self) -> LoadKnowledge:
+        return self._context.load_knowledge
+
     def check(self, call: Call) -> None:
         """Admit a call, and set its urgency and its priority at engines.
 
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -13,7 +13,7 @@
 from logbook import Logger
 
 from celeryfork_entry.acting_leader import ActingLeader
-from celeryfork_entry.admission_gate import AdmissionGate, UnknownLoads
+from celeryfork_entry.admission_gate import AdmissionGate
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.call import CallContext, PlannedStop
@@ -181,7 +181,7 @@
         self._checks.on_down = streams.engine_down
         self._checks.is_in_use = streams.uses
         self._checks.spawn = self._spawn
-        gate = AdmissionGate(context, UnknownLoads(), own.admission_mode, own.name)
+        gate = AdmissionGate(context, own.admission_mode, own.name)
         self._dispatcher = Dispatcher(
             context, PlainCalls(context, guard), streams, gate
         )
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -16,7 +16,7 @@
 from celeryfork_admission.crash_evidence import make_crash_evidence
 from celeryfork_admission.retry_share import RetryShare
 from celeryfork_base.counters import Counters
-from celeryfork_entry.admission_gate import AdmissionGate, UnknownLoads
+from celeryfork_entry.admission_gate import AdmissionGate
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.call import Call, CallContext
 from celeryfork_entry.configuration import (
@@ -176,7 +176,6 @@
     """
 
     shared_parts = ()
-    load_knowledge = UnknownLoads()
     organisation_by_key = {}
 
     def __init__(self, *, slack=100.0, instances=1, max_targets=2, peer=None):
@@ -302,7 +301,7 @@
             limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
         )
         self.context.configuration = lambda: configuration
-        gate = AdmissionGate(self.context, self.load_knowledge, Mode.AUTO, "i1")
+        gate = AdmissionGate(self.context, Mode.AUTO, "i1")
         plain = PlainCalls(self.context, self.guard)
         return Dispatcher(self.context, plain, self.streams, gate)
 
--- a/libs/entry/tests/test_admission_gate.py
+++ b/libs/entry/tests/test_admission_gate.py
@@ -14,11 +14,7 @@
 )
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
-from celeryfork_entry.admission_gate import (
-    MAX_ORGANISATION_LABELS,
-    AdmissionGate,
-    UnknownLoads,
-)
+from celeryfork_entry.admission_gate import MAX_ORGANISATION_LABELS, AdmissionGate
 from celeryfork_entry.configuration import Organisation
 from celeryfork_entry.search_order import SearchOrder
 from celeryfork_entry.settings import Mode
@@ -50,17 +46,18 @@
         return ServiceLoad(Room(10_000.0, 100.0), demand, 0.5, 60, True)
 
 
-def make_trial(*organisations, loads=None, **route):
+def make_trial(*organisations, short=True, **route):
     trial = Trial()
     trial.route = evolve(trial.route, **route)
     trial.organisation_by_key = {each.name: each for each in organisations}
-    trial.load_knowledge = loads or ShortLoads()
+    if short:
+        trial.context.load_knowledge = ShortLoads()
     trial.dispatcher()
     return trial
 
 
 def make_gate(trial, mode=Mode.AUTO):
-    return AdmissionGate(trial.context, trial.load_knowledge, mode, "i1")
+    return AdmissionGate(trial.context, mode, "i1")
 
 
 def make_call(trial, organisation=None, request_id="r1"):
@@ -86,7 +83,7 @@
     for _ in range(20):
         gate.check(call)
     gate.release(call)
-    assert trial.load_knowledge.calls == [] and trial.lines == []
+    assert trial.context.load_knowledge.calls == [] and trial.lines == []
     assert (call.urgency, call.priority) == (None, before)
     assert trial.counters.counts() == {}
 
@@ -103,11 +100,11 @@
 def test_the_switch(mode, organisations, shared):
     trial = make_trial(*organisations)
     make_gate(trial, mode).check(make_call(trial))
-    assert bool(trial.load_knowledge.calls) == shared
+    assert bool(trial.context.load_knowledge.calls) == shared
 
 
 def test_without_information_everything_is_admitted():
-    trial = make_trial(URGENT, USUAL, loads=UnknownLoads())
+    trial = make_trial(URGENT, USUAL, short=False)
     gate = make_gate(trial)
     for _ in range(50):
         gate.check(make_call(trial, USUAL))
@@ -136,7 +133,7 @@
 
 def test_engines_get_the_rank_of_the_urgency():
     last = Organisation("last", 7)
-    trial = make_trial(URGENT, USUAL, last, loads=UnknownLoads())
+    trial = make_trial(URGENT, USUAL, last, short=False)
     gate = make_gate(trial)
     ranks = []
     for organisation in (URGENT, USUAL, last):
@@ -153,12 +150,12 @@
     call = make_call(trial, URGENT)
     gate.check(call)
     gate.release(call)
-    assert trial.load_knowledge.calls == ["arrival", "admission"]
+    assert trial.context.load_knowledge.calls == ["arrival", "admission"]
     gate.check(call)
     call.progress = SimpleNamespace(started=True)
     gate.release(call)
     gate.release(call)
-    assert trial.load_knowledge.calls[2:] == ["arrival", "admission", "release"]
+    assert trial.context.load_knowledge.calls[2:] == ["arrival", "admission", "release"]
 
 
 def test_a_stream_is_released_at_its_end():
@@ -168,13 +165,13 @@
     request = trial.request("r1", CALL_S)
     trial.run(trial.dispatcher().handle(caller, request))
     assert caller.has_complete_answer
-    assert trial.load_knowledge.calls == ["arrival", "admission", "release"]
+    assert trial.context.load_knowledge.calls == ["arrival", "admission", "release"]
 
 
 def test_labels_of_counters_are_bounded():
     """With 24,000 organisations the metrics would fill the memory."""
     organisations = [Organisation(f"o {n}", n % 2) for n in range(40)]
-    trial = make_trial(*organisations, loads=UnknownLoads())
+    trial = make_trial(*organisations, short=False)
     gate = make_gate(trial)
     for each in organisations:
         gate.check(make_call(trial, each))
@@ -249,7 +246,7 @@
 
 
 def test_an_admitted_stream_that_finds_no_memory_is_refused_as_today():
-    trial = make_trial(URGENT, USUAL, loads=UnknownLoads())
+    trial = make_trial(URGENT, USUAL, short=False)
     trial.add("first", *[Refuse("first")] * 50)
     caller = Caller()
     trial.run(trial.dispatcher().handle(caller, trial.request("r1", CALL_S)))
