--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -23,6 +23,7 @@
 from celeryfork_entry.ports import Dialect, ReplyMetadata, RequestMetadata
 from celeryfork_entry.stream_progress import StreamProgress
 from celeryfork_entry.target_http import TargetConnections
+from celeryfork_entry.target_ramp_up import RampRequest, TargetRampUp
 from celeryfork_entry.targets import Target, TargetTable
 
 MAX_WAIT_S = 0.2
@@ -165,6 +166,16 @@
         stop_s = self.stop.streams_end_s if begun else self.stop.answers_end_s
         return min(self.deadline_s, stop_s) - time.monotonic()
 
+    @property
+    def ramp_request(self) -> RampRequest:
+        """Return the call as far as the ramp-up of targets needs to know it."""
+        return RampRequest(
+            self.service,
+            self.route,
+            float(self.metadata.prompt_tokens),
+            self.may_have_run,
+        )
+
     @contextmanager
     def waiting(self, what: str) -> Iterator[None]:
         """Set :attr:`waiting_for` during a wait.
@@ -198,6 +209,8 @@
         Failure domain of this instance.
     stop
         Planned stop of this instance.
+    ramp_up
+        Ramp-up of targets that have just started, None if it is switched off.
     """
 
     table: TargetTable
@@ -214,6 +227,7 @@
     domain: str
     stop: PlannedStop = field(factory=PlannedStop)
     histograms: Histograms = field(factory=Histograms)
+    ramp_up: TargetRampUp | None = None
 
     def record_reply(self, target: Target, metadata: ReplyMetadata) -> None:
         """Record what a target's reply states about the target."""
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -47,6 +47,7 @@
 from celeryfork_entry.stream_calls import StreamCalls
 from celeryfork_entry.target_health import ReportedLayers
 from celeryfork_entry.target_http import TargetConnections
+from celeryfork_entry.target_ramp_up import TargetRampUp, make_target_ramp_up
 from celeryfork_entry.targets import TargetTable
 
 MAX_PEERS_ASKED = 6
@@ -110,6 +111,7 @@
     _dispatcher: Dispatcher = field(init=False)
     _planned_stop: PlannedStop = field(factory=PlannedStop)
     _status_endpoints: StatusEndpoints = field(init=False)
+    _ramp_up: TargetRampUp | None = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the parts and connect their callbacks."""
@@ -159,6 +161,10 @@
             stop=self._planned_stop,
             histograms=self._histograms,
         )
+        self._ramp_up = context.ramp_up = make_target_ramp_up(
+            self.settings.ramp_up_mode, self.table, self.log, own.name, own.domain,
+            context.instance_count,
+        )  # fmt: skip
         leaving = LeavingChecks(
             self.table, self.connections, self._dialect, self.log, self._spawn
         )
@@ -204,6 +210,7 @@
             ready=lambda: self.ready, stopping=lambda: self.stopping,
             callers=lambda: len(self._callers),
             crash_evidence=self.crash_evidence, log=self.log,
+            ramping=lambda: self._ramp_up.count() if self._ramp_up else 0,
         )  # fmt: skip
         self._store_follower.on_change = self._peers.announce_changes
         self._peers.list_state = self._store_follower.list_state
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -8,6 +8,7 @@
 
 from celeryfork_entry.call import Call
 from celeryfork_entry.first_engines import CRASH_ONSET_S
+from celeryfork_entry.target_ramp_up import RampRun
 from celeryfork_entry.targets import Target
 
 
@@ -94,6 +95,8 @@
         Engines of the path as listed when it was chosen.
     next_search_s
         Monotonic time from which another path is sought again during silence.
+    ramp_run
+        The attempt as seen by the ramp-up, None while no target was ramping.
     """
 
     call: Call
@@ -111,6 +114,7 @@
     first: Target | None = None
     targets_by_id: Mapping[str, Target] = field(factory=dict)
     next_search_s: float = 0.0
+    ramp_run: RampRun | None = None
     _doubted: asyncio.Future[None] | None = None
 
     @property
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -207,6 +207,8 @@
         At first, the engines to avoid for this call are left out, and those that have
         just refused work or are suspected to be down. If there is no path, the latter
         are allowed; a call that may have run tries the engines to avoid before them.
+        Ramping engines with a full window are left out before, unless a stream that
+        has begun needs another path.
         """
         now_s = time.monotonic()
         available = self._usable(call)
@@ -217,6 +219,8 @@
         ]
         if call.may_have_run:
             choices.insert(1, willing)
+        elif not unlimited_only and (held_back := self._held_back(now_s)):
+            choices.insert(0, _excluding(choices[0], held_back))
         for number, engines in enumerate(choices):
             if engines not in choices[:number]:
                 path = self._find_among(call, engines, now_s, unlimited_only)
@@ -224,6 +228,13 @@
                     return path
         return None
 
+    def _held_back(self, now_s: float) -> set[str]:
+        """Return the engines that get no new streams, as they have just started."""
+        ramp_up = self._context.ramp_up
+        if ramp_up is None or not ramp_up.active:
+            return set()
+        return ramp_up.held_back(now_s)
+
     def detour(self, call: Call, path: LayerPath) -> LayerPath | None:
         """Return a running stream's path with its lost engines replaced.
 
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -24,6 +24,7 @@
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
 from celeryfork_entry.target_http import LostError, NotSentError
+from celeryfork_entry.target_ramp_up import RampRun, TargetRampUp
 from celeryfork_entry.targets import Target
 
 MAX_SENDS = 4
@@ -221,6 +222,10 @@
             if untried:
                 unavailable = self._context.permits.unavailable(time.monotonic())
                 usable = [each for each in untried if each.id not in unavailable]
+                ramp_up = self._context.ramp_up
+                if ramp_up is not None and ramp_up.active:
+                    held_back = ramp_up.held_back(time.monotonic())
+                    usable = [e for e in usable if e.id not in held_back] or usable
                 return min(usable, key=self._cost, default=None)
         return None
 
@@ -261,6 +266,9 @@
                 call, target, at_most_once, on_sent=lambda: sent.append(True)
             )
         )
+        ramp_up, ramp_run = self._context.ramp_up, None
+        if ramp_up is not None:
+            ramp_run = ramp_up.begin_plain(call.ramp_request, target)
         may_retry = not at_most_once and call.runs + 1 < call.route.max_targets
         try:
             attempt = await self._wait_for_reply(
@@ -285,6 +293,10 @@
                 attempt = Refused(repr(error))
         finally:
             in_flight[target.id] -= 1
+            if ramp_up is not None and ramp_run is not None:
+                ramp_up.end(ramp_run)
+        if ramp_up is not None and ramp_run is not None:
+            _record_ramp(ramp_up, ramp_run, target, attempt)
         self._log_attempt(call, target, attempt)
         return attempt
 
@@ -423,6 +435,19 @@
         self._context.log_event(call, event, target=target.id, reason=reason)
 
 
+def _record_ramp(
+    ramp_up: TargetRampUp, run: RampRun, target: Target, attempt: AttemptResult
+) -> None:
+    """Record the result of an attempt for the ramp-up of its target."""
+    match attempt:
+        case Answered(status) if status < 500:
+            ramp_up.record_answer(run)
+        case Refused():
+            ramp_up.record_refusal(target.id)
+        case _:
+            ramp_up.record_failure(run, [target.id])
+
+
 def _runs_once(kind: Kind) -> bool:
     match kind:
         case AtMostOnce() | Stream(resumable=False):
--- a/libs/entry/src/celeryfork_entry/status_endpoints.py
+++ b/libs/entry/src/celeryfork_entry/status_endpoints.py
@@ -44,6 +44,8 @@
         begun.
     callers
         Returns the number of open connections of callers.
+    ramping
+        Returns the number of ramping targets.
     """
 
     _store_follower: StoreFollower
@@ -59,6 +61,7 @@
     _callers: Callable[[], int]
     _crash_evidence: CrashEvidence
     _log: Logger
+    _ramping: Callable[[], int] = lambda: 0
 
     async def answer_peer(
         self, connection: CallerConnection, request: CallerRequest
@@ -127,6 +130,7 @@
         gauges["callers.connections"] = float(self._callers())
         gauges["targets.connections_opened"] = float(self._connections.opened)
         gauges["instances.known"] = float(self._roster.instances())
+        gauges["ramp_up.targets"] = float(self._ramping())
         gauges["relay"] = float(self._roster.is_relay)
         gauges |= self._crash_gauges()
         gauges["duty.held"] = float(self._placement.leadership.held)
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -300,6 +300,8 @@
         attempt = PathAttempt(call, path, tokens, targets_by_id=self._listed(path))
         call.progress = progress
         self._attempts.add(attempt)
+        if self._context.ramp_up is not None:
+            attempt.ramp_run = self._context.ramp_up.begin_path(call.ramp_request, path)
         self._context.log_event(
             call,
             "path_chosen",
@@ -331,6 +333,8 @@
                     task.cancel()
             self._kept.discard(attempt)
             self._attempts.remove(attempt)
+            if self._context.ramp_up is not None and attempt.ramp_run is not None:
+                self._context.ramp_up.end(attempt.ramp_run)
 
     async def _give_up(self, attempt: PathAttempt, reason: str) -> PathBroke:
         """Return the outcome of an attempt that is given up during its run."""
@@ -499,6 +503,8 @@
         self._attempts.end_prefill(attempt)
         was_starting = attempt.is_starting
         attempt.record_events(now_s)
+        if self._context.ramp_up is not None and attempt.ramp_run is not None:
+            self._context.ramp_up.record_answer(attempt.ramp_run)
         if was_starting and not attempt.is_starting:
             self._guard.record_sound(attempt.call)
         gaps.record_event(now_s)
@@ -575,6 +581,8 @@
         call.avoided.add(part.engine_id)
         if self._context.table.refused(part.engine_id, time.monotonic()):
             self._leaving.check(part.engine_id, call.service.health_path)
+        if self._context.ramp_up is not None:
+            self._context.ramp_up.record_refusal(part.engine_id)
         self._reachability.refused(part.engine_id, path.parts[0].domain, lacks_layers)
 
     def _unavailable_engines(self, path: LayerPath) -> list[str]:
@@ -591,6 +599,8 @@
     def _path_broke(self, attempt: PathAttempt, reason: str) -> PathBroke:
         call, path = attempt.call, attempt.path
         down = self._unavailable_engines(path)
+        if self._context.ramp_up is not None and attempt.ramp_run is not None:
+            self._context.ramp_up.record_failure(attempt.ramp_run, down)
         self._record_failed_run(call, path)
         first = path.parts[0].engine_id
         # The first engine runs the request; the others only its layers.
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Mapping
+from enum import Enum
 from math import inf
 
 from attrs import define, evolve, field, frozen
@@ -74,6 +75,14 @@
     slots: int = 0
 
 
+class StartCause(Enum):
+    """Why a target's ramp-up begins."""
+
+    STARTED = "started"
+    LAYERS = "layers"
+    RECOVERED = "recovered"
+
+
 @frozen
 class Listed:
     """An entry of the target list was added or renewed."""
@@ -104,6 +113,9 @@
         by the peer that it comes from; None if unknown.
     in_flight_by_id
         Number of plain calls of this instance in progress, by target.
+    on_start
+        Called with a target that can take requests and is new, has other layers, or
+        answers again after it was excluded.
     """
 
     by_id: dict[str, Target] = field(factory=dict)
@@ -121,6 +133,7 @@
     changes: ListChanges = field(factory=ListChanges)
     speeds: EngineSpeeds = field(factory=EngineSpeeds)
     limits: EngineLimits = field(factory=EngineLimits)
+    on_start: Callable[[Target, StartCause], None] = lambda target, cause: None
 
     def is_newer_than(self, position: LogPosition | None) -> bool:
         """Return True if the list was read later than one of a peer.
@@ -262,6 +275,16 @@
         self.by_id[target.id] = target
         if known is None or known != evolve(target, entry_number=known.entry_number):
             self.changes.changed(target.id)
+            is_new = known is None or known.born_ms != target.born_ms
+            if is_new or (known and known.held != target.held):
+                cause = StartCause.STARTED if is_new else StartCause.LAYERS
+                self._report_start(target, cause)
+
+    def _report_start(self, target: Target, cause: StartCause) -> None:
+        """Report that a target begins to take requests; engines need layers for it."""
+        takes_requests = target.accelerator is None or target.held is not None
+        if takes_requests and not target.draining:
+            self.on_start(target, cause)
 
     def _merge_renewal(self, target: Target, health: TargetHealth) -> Target:
         """Return a target as in its new entry, or with its reported layers if newer."""
@@ -402,8 +425,11 @@
         """Record that the target has answered."""
         health = self.health(target_id)
         health.failed_share *= 1 - FAILURE_WEIGHT
+        has_recovered = health.excluded and target_id in self.by_id
         health.hold_s = health.doubted_until_s = 0.0
         health.ended = False
+        if has_recovered:
+            self._report_start(self.by_id[target_id], StartCause.RECOVERED)
 
     def failed(self, target_id: str) -> None:
         """Record that the target answered with an error, or too late."""
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -68,7 +68,11 @@
         Logger("test"), Counters(),
     )  # fmt: skip
     context = SimpleNamespace(
-        table=table, domain="a", instance_count=lambda: 7, permits=permits
+        table=table,
+        domain="a",
+        instance_count=lambda: 7,
+        permits=permits,
+        ramp_up=None,
     )
     return PathSelector(context, EngineLoads())
 
--- a/libs/entry/tests/test_stream_calls.py
+++ b/libs/entry/tests/test_stream_calls.py
@@ -40,7 +40,7 @@
     dialect = SimpleNamespace(
         read_reply=lambda *_: SimpleNamespace(not_run=True, at_fault="10.0.0.2:1")
     )
-    context = SimpleNamespace(table=table, domain="a", dialect=dialect)
+    context = SimpleNamespace(table=table, domain="a", dialect=dialect, ramp_up=None)
     streams = StreamCalls(
         context, None, None, EngineLoads(), reachability, None, None, GUARD
     )
--- a/libs/routing/src/celeryfork_routing/ramp_up.py
+++ b/libs/routing/src/celeryfork_routing/ramp_up.py
@@ -133,6 +133,10 @@
     _ramp_by_id: dict[str, _Ramp] = field(factory=dict)
     _start_by_id: dict[str, tuple[float, float]] = field(factory=dict)
 
+    def __len__(self) -> int:
+        """Return the number of ramping targets."""
+        return len(self._ramp_by_id)
+
     @property
     def target_ids(self) -> frozenset[str]:
         """Return the ids of the ramping targets."""
@@ -146,6 +150,11 @@
         """Return the quick answers in a row of a ramping target."""
         return self._ramp_by_id[target_id].quick_in_row
 
+    @staticmethod
+    def is_quick(first_event_ms: float, expected_ms: float) -> bool:
+        """Return True if an answer was about as quick as expected."""
+        return first_event_ms <= QUICK_FACTOR * expected_ms
+
     def began(
         self, target_id: str, now_s: float, sharers: int, start: object = ""
     ) -> float:
@@ -206,10 +215,9 @@
         ramp = self._ramp_by_id.get(target_id)
         if ramp is None:
             return None
-        quick_ms = QUICK_FACTOR * expected_ms
-        if first_event_ms > quick_ms:
+        if not self.is_quick(first_event_ms, expected_ms):
             ramp.quick_in_row, ramp.slow_turn = 0, ramp.turn(now_s)
-            if first_event_ms > max(OBJECTIVE_MS, quick_ms):
+            if first_event_ms > OBJECTIVE_MS:
                 ramp.halve(now_s)
             return None
         ramp.quick_in_row += 1
