--- a/libs/routing/src/celeryfork_routing/ramp_up.py
+++ b/libs/routing/src/celeryfork_routing/ramp_up.py
@@ -19,9 +19,14 @@
 
 FIRST_WINDOW = 8.0
 """Requests in flight that all instances of a target's domain together begin with."""
-TURN_S = 0.5
-"""Seconds of an instance's turn: the usual latency goal, by which a target that meets
-it has answered the requests of the turn before."""
+TURN_S = 0.45
+"""Seconds of an instance's turn, and shortest time between two halvings of a window.
+
+By its end, a target that meets the usual latency goal of 0.5 s has answered most
+requests of the turn. With 0.5 s, a healthy target was at 0.78 of its full share after
+2 s in the worst of 10 simulated starts, with 0.45 s at 0.95. With 0.4 s, a target that
+answers 26 requests within 0.5 s took 0.51 s in one of them.
+"""
 OBJECTIVE_MS = 500.0
 """Usual latency goal in ms. A slower answer is one too many in flight."""
 QUICK_FACTOR = 1.5
--- a/libs/routing/tests/test_ramp_up.py
+++ b/libs/routing/tests/test_ramp_up.py
@@ -18,7 +18,7 @@
 )
 from ramp_fleet import SERVICE_S, RampFleet, SimulatedTarget, longest_s, rate
 
-SEEDS = range(5)
+SEEDS = range(10)
 START_S = 1.0
 FULL_S = START_S + 2.0
 """A healthy target is at its full share from here on."""
@@ -43,7 +43,7 @@
 
 def assert_full_share(old, new, fleet):
     """Check that new targets get as much as the others within 2 s, without a rush."""
-    assert rate(new, FULL_S, FULL_S + 1) >= 0.8 * rate(old, FULL_S, FULL_S + 1)
+    assert rate(new, FULL_S, FULL_S + 1) >= 0.9 * rate(old, FULL_S, FULL_S + 1)
     assert longest_s(new) < OBJECTIVE_S / 2
     assert longest_s(old, FULL_S) < OBJECTIVE_S / 2
     assert not fleet.fallbacks
