--- a/libs/cmdline/src/celeryfork_cmdline/main.py
+++ b/libs/cmdline/src/celeryfork_cmdline/main.py
@@ -8,6 +8,7 @@
 
 from celeryfork_cmdline.bench import bench
 from celeryfork_cmdline.check import check
+from celeryfork_cmdline.check_config import check_config
 from celeryfork_cmdline.config import config_app
 from celeryfork_cmdline.demo import demo
 from celeryfork_cmdline.explain import explain
@@ -23,7 +24,7 @@
 EXIT_FAULT = 1
 EXIT_INPUT_FAULT = 2
 COMMANDS = (
-    *(serve, check, schema, dump, targets, explain),
+    *(serve, check, check_config, schema, dump, targets, explain),
     *(demo, load, bench, soak, standin, version),
 )
 
