--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -407,7 +407,10 @@
         call = attempt.call
         self._record_reply(attempt, reply)
         if reply.status != 200:
-            return await self._handle_refusal(call, attempt.path, reply)
+            outcome = await self._handle_refusal(call, attempt.path, reply)
+            if not isinstance(outcome, PathRefused):
+                self._record_ramp_failure(attempt, [attempt.path.parts[0].engine_id])
+            return outcome
         continued = progress.started
         content_type = media_type(reply.header(b"content-type"))
         if continued and content_type != progress.content_type:
@@ -599,8 +602,7 @@
     def _path_broke(self, attempt: PathAttempt, reason: str) -> PathBroke:
         call, path = attempt.call, attempt.path
         down = self._unavailable_engines(path)
-        if self._context.ramp_up is not None and attempt.ramp_run is not None:
-            self._context.ramp_up.record_failure(attempt.ramp_run, down)
+        self._record_ramp_failure(attempt, down)
         self._record_failed_run(call, path)
         first = path.parts[0].engine_id
         # The first engine runs the request; the others only its layers.
@@ -614,6 +616,10 @@
         reason = f"{reason}; down: {','.join(down) or 'none'}"
         return PathBroke(reason, begun=not attempt.prefilling)
 
+    def _record_ramp_failure(self, attempt: PathAttempt, at_fault: list[str]) -> None:
+        if self._context.ramp_up is not None and attempt.ramp_run is not None:
+            self._context.ramp_up.record_failure(attempt.ramp_run, at_fault)
+
     def _record_failed_run(self, call: Call, path: LayerPath) -> None:
         """Count a failure of a path that may have run the call."""
         self._record_run(call, path)
--- a/libs/entry/tests/test_instance.py
+++ b/libs/entry/tests/test_instance.py
@@ -1,4 +1,4 @@
-"""Reloading of settings, checks of slow engines, and wiring of crash evidence."""
+"""Reloading of settings, checks of slow engines, and wiring of the parts."""
 
 import asyncio
 from types import SimpleNamespace
@@ -9,7 +9,7 @@
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.instance import Instance
 from celeryfork_entry.ports import Peer
-from celeryfork_entry.settings import EntrySettings
+from celeryfork_entry.settings import EntrySettings, Mode
 from celeryfork_entry.targets import Listed, Target
 from instance_network import receive_report
 from logbook import Logger
@@ -22,9 +22,9 @@
 )  # fmt: skip
 
 
-def make_instance():
+def make_instance(settings=SETTINGS):
     nothing = SimpleNamespace()
-    return Instance(SETTINGS, nothing, nothing, nothing, nothing, Logger("test"))
+    return Instance(settings, nothing, nothing, nothing, nothing, Logger("test"))
 
 
 def remaining_retries(instance, now_s):
@@ -103,3 +103,14 @@
     asyncio.run(crash())
     assert second.crash_evidence.judge([deadly], None).verdict is Verdict.SUSPECT
     assert [row["value"] for row in second.crash_evidence.dump()] == ["deadly"]
+
+
+@pytest.mark.parametrize(("mode", "ramping"), [(Mode.AUTO, 1), (Mode.OFF, 0)])
+def test_a_target_that_recovers_is_ramped_unless_that_is_switched_off(mode, ramping):
+    """The switch of the settings file reaches the table and the gauge."""
+    instance = make_instance(evolve(SETTINGS, ramp_up_mode=mode))
+    instance.table.apply([Listed(Target("x", "desk", "x:1", "west"))])
+    instance.table.exclude("x", "refused", 0.0)
+    instance.table.succeeded("x")
+    metrics = instance._status_endpoints._metrics().decode()
+    assert f"celeryfork_ramp_up_targets {ramping}" in metrics.splitlines()
--- a/libs/entry/tests/test_target_ramp_up.py
+++ b/libs/entry/tests/test_target_ramp_up.py
@@ -22,7 +22,16 @@
 from celeryfork_routing.first_event import predicted_first_event_ms
 from celeryfork_routing.layers import LayerRange
 from celeryfork_routing.ramp_up import RampUp
-from stream_trial import LAYERS, SERVICE, SHAPE, Caller, Refuse, ReplyWithError, Trial
+from stream_trial import (
+    LAYERS,
+    SERVICE,
+    SHAPE,
+    Caller,
+    LoseReply,
+    Refuse,
+    ReplyWithError,
+    Trial,
+)
 
 PLAIN = evolve(SERVICE, name="desk", model=None)
 ROUTE = SimpleNamespace(name="advice")
@@ -302,6 +311,20 @@
     assert not any(trial.context.ramp_up._in_flight_by_id.values())
 
 
+@pytest.mark.parametrize("failure", [ReplyWithError(), LoseReply()])
+def test_a_failed_stream_halves_the_window(failure):
+    trial = Trial()
+    trial.add("e1", failure)
+    trial.add("e2")
+    hold_back(trial, "e1")
+    trial.table.exclude("e2", "silent", 1e9)
+    known = trial.context.ramp_up._ramp_up
+    before = known._ramp_by_id["e1"].share
+    trial.serve()
+    assert known._ramp_by_id["e1"].share < before
+    assert not any(trial.context.ramp_up._in_flight_by_id.values())
+
+
 def test_a_failed_plain_call_halves_the_window():
     trial = Trial()
     trial.add("desk-1", ReplyWithError())
