--- a/libs/entry/src/celeryfork_entry/status_endpoints.py
+++ b/libs/entry/src/celeryfork_entry/status_endpoints.py
@@ -45,6 +45,8 @@
         begun.
     callers
         Returns the number of open connections of callers.
+    ramping
+        Returns the number of ramping targets.
     """
 
     _store_follower: StoreFollower
@@ -61,6 +63,7 @@
     _crash_evidence: CrashEvidence
     _log: Logger
     _load_knowledge: LoadKnowledge
+    _ramping: Callable[[], int] = lambda: 0
 
     async def answer_peer(
         self, connection: CallerConnection, request: CallerRequest
@@ -129,6 +132,7 @@
         gauges["callers.connections"] = float(self._callers())
         gauges["targets.connections_opened"] = float(self._connections.opened)
         gauges["instances.known"] = float(self._roster.instances())
+        gauges["ramp_up.targets"] = float(self._ramping())
         gauges["relay"] = float(self._roster.is_relay)
         gauges |= self._crash_gauges()
         gauges |= self._load_knowledge.gauges(time.monotonic())
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -300,6 +300,8 @@
         attempt = PathAttempt(call, path, tokens, targets_by_id=self._listed(path))
         call.progress = progress
         self._attempts.add(attempt)
+        if self._context.ramp_up is not None:
+            attempt.ramp_run = self._context.ramp_up.begin_path(call.ramp_request, path)
         self._context.log_event(
             call,
             "path_chosen",
@@ -331,6 +333,8 @@
                     task.cancel()
             self._kept.discard(attempt)
             self._attempts.remove(attempt)
+            if self._context.ramp_up is not None and attempt.ramp_run is not None:
+                self._context.ramp_up.end(attempt.ramp_run)
 
     async def _give_up(self, attempt: PathAttempt, reason: str) -> PathBroke:
         """Return the outcome of an attempt that is given up during its run."""
@@ -403,7 +407,10 @@
         call = attempt.call
         self._record_reply(attempt, reply)
         if reply.status != 200:
-            return await self._handle_refusal(call, attempt.path, reply)
+            outcome = await self._handle_refusal(call, attempt.path, reply)
+            if not isinstance(outcome, PathRefused):
+                self._record_ramp_failure(attempt, [attempt.path.parts[0].engine_id])
+            return outcome
         continued = progress.started
         content_type = media_type(reply.header(b"content-type"))
         if continued and content_type != progress.content_type:
@@ -499,6 +506,8 @@
         self._attempts.end_prefill(attempt)
         was_starting = attempt.is_starting
         attempt.record_events(now_s)
+        if self._context.ramp_up is not None and attempt.ramp_run is not None:
+            self._context.ramp_up.record_answer(attempt.ramp_run)
         if was_starting and not attempt.is_starting:
             self._guard.record_sound(attempt.call)
         gaps.record_event(now_s)
@@ -575,6 +584,8 @@
         call.avoided.add(part.engine_id)
         if self._context.table.refused(part.engine_id, time.monotonic()):
             self._leaving.check(part.engine_id, call.service.health_path)
+        if self._context.ramp_up is not None:
+            self._context.ramp_up.record_refusal(part.engine_id)
         self._reachability.refused(part.engine_id, path.parts[0].domain, lacks_layers)
 
     def _unavailable_engines(self, path: LayerPath) -> list[str]:
@@ -591,6 +602,7 @@
     def _path_broke(self, attempt: PathAttempt, reason: str) -> PathBroke:
         call, path = attempt.call, attempt.path
         down = self._unavailable_engines(path)
+        self._record_ramp_failure(attempt, down)
         self._record_failed_run(call, path)
         first = path.parts[0].engine_id
         # The first engine runs the request; the others only its layers.
@@ -604,6 +616,10 @@
         reason = f"{reason}; down: {','.join(down) or 'none'}"
         return PathBroke(reason, begun=not attempt.prefilling)
 
+    def _record_ramp_failure(self, attempt: PathAttempt, at_fault: list[str]) -> None:
+        if self._context.ramp_up is not None and attempt.ramp_run is not None:
+            self._context.ramp_up.record_failure(attempt.ramp_run, at_fault)
+
     def _record_failed_run(self, call: Call, path: LayerPath) -> None:
         """Count a failure of a path that may have run the call."""
         self._record_run(call, path)
