--- a/libs/entry/src/celeryfork_entry/domain_balance.py
+++ b/libs/entry/src/celeryfork_entry/domain_balance.py
@@ -4,6 +4,7 @@
 and tells when it applies.
 """
 
+import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from math import inf
 
@@ -13,6 +14,7 @@
     DomainShares,
     UnevenDemand,
     relative_cost,
+    surplus_tokens,
 )
 from celeryfork_routing.engine_loads import (
     DOMAIN_PREFIX,
@@ -31,6 +33,9 @@
 UPDATE_INTERVAL_S = 0.1
 """Seconds between two updates of a service's shares: each searches a path in each
 domain. Loads are reported every 0.25 s."""
+MAX_LOAD = 0.02
+"""Maximum part of a processor that updates of a service take; they are less frequent
+where one takes over 2 ms, as with hundreds of engines."""
 LOGGED_CHANGE = 0.10
 """Change of a share that is logged."""
 
@@ -43,13 +48,15 @@
     ----------
     logged
         Last logged share by domain.
+    update_s
+        Monotonic time from which the shares are updated again.
     picks
         True if the shares decide on the domain.
     """
 
     shares: DomainShares
     demand: UnevenDemand = field(factory=UnevenDemand)
-    updated_s: float = -inf
+    update_s: float = -inf
     picks: bool = False
     logged: dict[str, float] = field(factory=dict)
 
@@ -100,9 +107,11 @@
             phase = xxh3_64_intdigest(f"{self._instance} {service}".encode()) / 2**64
             balance = _ServiceBalance(DomainShares(phase))
             self._by_service[service] = balance
-        if now_s - balance.updated_s >= UPDATE_INTERVAL_S:
-            balance.updated_s = now_s
+        if now_s >= balance.update_s:
+            begun_s = time.thread_time()
             self._update(service, balance, shape, engines(), now_s)
+            took_s = time.thread_time() - begun_s
+            balance.update_s = now_s + max(UPDATE_INTERVAL_S, took_s / MAX_LOAD)
         return balance.shares.pick() if balance.picks else None
 
     def _update(
@@ -130,7 +139,8 @@
         }
         uneven = balance.demand.update(loads)
         balanced = len(loads) > 1 and (uneven or self._mode is Mode.ON)
-        if balanced or balance.shares.by_domain:
+        sends = balanced and surplus_tokens(self._context.domain, loads) > 0
+        if sends or balance.shares.by_domain:
             loads = self._with_times(shape, engines, seen.load_by_engine, loads)
         balance.shares.update(self._context.domain, loads, now_s, balanced=balanced)
         balance.picks = balanced or bool(balance.shares.by_domain)
@@ -151,20 +161,19 @@
         ages = self._loads.report_ages(now_s)
         own_key = domain_report_key(own_domain)
         near = {name for name in ages if name == own_key or not _is_domain_report(name)}
-        own = self._loads.own_loads()
-        used = _tokens(own, ids) * (1 if near else sharers)
-        used += _tokens(self._loads.loads_reported_by(near, now_s), ids)
+        used = self._loads.own_token_layers(ids) * (1 if near else sharers)
+        used += sum(self._loads.reported_token_layers(each, ids) for each in near)
         used_by_domain = {own_domain: used / shape.layers}
         age_s = {own_domain: max((ages[name] for name in near), default=0.0)}
         for domain in domains - {own_domain}:
             key = domain_report_key(domain)
             if key in ages:
-                reported = self._loads.loads_reported_by({key}, now_s)
-                used_by_domain[domain] = _tokens(reported, ids) / shape.layers
+                reported = self._loads.reported_token_layers(key, ids)
+                used_by_domain[domain] = reported / shape.layers
                 age_s[domain] = ages[key]
         total = self._loads.total_loads(now_s, instances, sharers)
         if not near:
-            for engine_id, load in own.items():
+            for engine_id, load in self._loads.own_loads().items():
                 total[engine_id] = Load(
                     total[engine_id].requests + load.requests * (sharers - 1),
                     total[engine_id].token_layers + load.token_layers * (sharers - 1),
@@ -234,15 +243,6 @@
     return name.startswith(DOMAIN_PREFIX)
 
 
-def _tokens(load_by_engine: Mapping[str, Load], engine_ids: set[str]) -> float:
-    """Return the tokens x layers that requests hold on some engines."""
-    return sum(
-        load.token_layers
-        for engine_id, load in load_by_engine.items()
-        if engine_id in engine_ids
-    )
-
-
 def _mean_request_ms(
     shape: ModelShape,
     engines: Sequence[PathEngine],
--- a/libs/routing/src/celeryfork_routing/domain_shares.py
+++ b/libs/routing/src/celeryfork_routing/domain_shares.py
@@ -200,6 +200,20 @@
         return picked
 
 
+def _mean_utilisation(load_by_domain: Mapping[str, DomainLoad]) -> float:
+    capacity = sum(load.capacity for load in load_by_domain.values())
+    used = sum(load.used_tokens for load in load_by_domain.values())
+    return used / capacity if capacity else 0.0
+
+
+def surplus_tokens(own_domain: str, load_by_domain: Mapping[str, DomainLoad]) -> float:
+    """Return the own domain's demand over the mean utilisation, 0 if it has none."""
+    own, level = load_by_domain.get(own_domain), _mean_utilisation(load_by_domain)
+    if own is None or not level:
+        return 0.0
+    return max(0.0, own.used_tokens - level * own.capacity)
+
+
 def target_shares(
     own_domain: str, load_by_domain: Mapping[str, DomainLoad]
 ) -> dict[str, float]:
@@ -209,22 +223,16 @@
     proportion to their room. Less is sent where a request would take longer there than
     in the own domain.
     """
-    own = load_by_domain.get(own_domain)
-    if own is None or own.used_tokens <= 0:
-        return {}
-    capacity = sum(load.capacity for load in load_by_domain.values())
-    if not capacity:
+    surplus = surplus_tokens(own_domain, load_by_domain)
+    if surplus <= 0:
         return {}
-    level = sum(load.used_tokens for load in load_by_domain.values()) / capacity
-    surplus = own.used_tokens - level * own.capacity
+    own, level = load_by_domain[own_domain], _mean_utilisation(load_by_domain)
     room_by_domain = {
         domain: level * load.capacity - load.used_tokens
         for domain, load in load_by_domain.items()
         if level * load.capacity > load.used_tokens
     }
     room = sum(room_by_domain.values())
-    if surplus <= 0 or not room:
-        return {}
     shares = {}
     for domain, room_there in sorted(room_by_domain.items()):
         part = _part_until_equal(own, surplus, load_by_domain[domain], room_there)
--- a/libs/routing/src/celeryfork_routing/engine_loads.py
+++ b/libs/routing/src/celeryfork_routing/engine_loads.py
@@ -173,6 +173,15 @@
             for peer, report in self._reports_by_peer.items()
         }
 
+    def reported_token_layers(self, peer: str, engine_ids: Container[str]) -> float:
+        """Return the tokens x layers that a peer's last report names for engines."""
+        report = self._reports_by_peer.get(peer)
+        return _token_layers(report.load_by_engine, engine_ids) if report else 0.0
+
+    def own_token_layers(self, engine_ids: Container[str]) -> float:
+        """Return the tokens x layers of this instance's requests on some engines."""
+        return _token_layers(self.own_loads(), engine_ids)
+
     def total_loads(
         self, now_s: float, link_sharers: int = 1, engine_sharers: int = 1
     ) -> dict[str, Load]:
@@ -215,6 +224,16 @@
                     del self._sum_by_engine[engine_id]
 
 
+def _token_layers(
+    load_by_engine: Mapping[str, Load], engine_ids: Container[str]
+) -> float:
+    return sum(
+        load.token_layers
+        for engine_id, load in load_by_engine.items()
+        if engine_id in engine_ids
+    )
+
+
 def _add(ledger: dict[str, list[float]], key: str, token_layers: float) -> None:
     entry = ledger.setdefault(key, [0, 0.0])
     entry[0] += 1
