--- a/libs/entry/tests/test_peer_protocol.py
+++ b/libs/entry/tests/test_peer_protocol.py
@@ -293,3 +293,20 @@
     begin_work(network["west-1"], "i-1")
     network.report(2 * REMOTE_REPORT_PERIOD)
     assert total_load(network["west-9"], "i-1") == Load(1, 40)
+
+
+def test_a_domain_without_a_report_is_left_out_of_digests():
+    """Followers took the empty sum of a silent domain for that of an idle one."""
+
+    def forwarded():
+        network.sent_by_name.clear()
+        relay._send_digests(to_remote=True)
+        sent = [loads(data) for _, data in network.sent_by_name["west-1"]]
+        return {domain for fields in sent for domain in fields["away"]}
+
+    network = Network()
+    relay = network["west-1"]
+    assert relay.roster.domains() == ["east"]
+    assert forwarded() == set()
+    network.report(2 * REMOTE_REPORT_PERIOD)
+    assert forwarded() == {"east"}
