Leave domains without a path of their own out of the test for uneven loads

Deployments in which several domains hold one copy of the model together would have been balanced. A domain that lost all its engines is still taken into account where balancing applies.

--- a/libs/entry/src/celeryfork_entry/domain_balance.py
+++ b/libs/entry/src/celeryfork_entry/domain_balance.py
@@ -24,7 +24,7 @@
 )
 from celeryfork_routing.layer_paths import PathEngine, PathRequest, find_path
 from celeryfork_routing.layers import ModelShape
-from celeryfork_routing.room import room_by_domain
+from celeryfork_routing.room import Room, room_by_domain
 from xxhash import xxh3_64_intdigest
 
 from celeryfork_entry.call import CallContext
@@ -139,18 +139,14 @@
         if len({each.domain for each in engines}) < 2 and not balance.picks:
             return
         seen = self._observe(shape, engines, now_s)
-        loads = {
-            domain: DomainLoad(
-                room.total_tokens,
-                room.free_tokens,
-                seen.used_by_domain[domain],
-                0.0 if room.total_tokens else inf,
+        rooms = room_by_domain(shape, engines, seen.load_by_engine)
+        loads = {}
+        for domain, used_tokens in seen.used_by_domain.items():
+            room = rooms.get(domain, Room(0.0, 0.0))
+            busy_ms = 0.0 if room.total_tokens else inf
+            loads[domain] = DomainLoad(
+                room.total_tokens, room.free_tokens, used_tokens, busy_ms
             )
-            for domain, room in room_by_domain(
-                shape, engines, seen.load_by_engine
-            ).items()
-            if domain in seen.used_by_domain
-        }
         uneven = balance.demand.update(loads)
         balanced = len(loads) > 1 and (uneven or self._mode is Mode.ON)
         sends = balanced and surplus_tokens(self._context.domain, loads) > 0
--- a/libs/entry/tests/test_domain_balance.py
+++ b/libs/entry/tests/test_domain_balance.py
@@ -107,6 +107,29 @@
     assert "b" not in fleet.picks(2, a=0.9, b=0.1, c=0.1)
 
 
+def test_domains_that_share_one_copy_of_the_model_are_not_uneven():
+    """Guards against balancing in deployments without a whole copy in each domain."""
+    fleet = Fleet()
+    fleet.engines = [each for each in fleet.engines if each.id not in {"b4", "c0"}]
+    assert set(fleet.picks(5, a=0.9, b=0.1, c=0.1)) == {None}
+    fleet.engines = [each for each in fleet.engines if each.domain != "a"]
+    assert set(fleet.picks(5, a=0.9, b=0.1, c=0.1)) == {None}
+
+
+def test_a_domain_that_lost_its_engines_sends_all_by_the_others_room():
+    fleet = Fleet(Mode.ON)
+    fleet.engines = [each for each in fleet.engines if each.domain != "a"]
+    busy = {"b0": Load(9, 0.2 * ROOM), "c0": Load(9, 0.2 * ROOM)}
+    picked = []
+    for _ in range(200):
+        fleet.report(b=0.1, c=0.1)
+        fleet.loads.set_peer_report(domain_report_key("a"), busy, fleet.now_s)
+        picked.append(fleet.pick())
+        fleet.now_s += 0.05
+    assert picked[100:].count("a") <= 5
+    assert picked[100:].count("b") == pytest.approx(50, abs=5)
+
+
 def test_without_the_own_domains_sum_own_loads_count_for_all_its_instances():
     """A follower that hears no relay would take its busy domain for idle."""
     fleet = Fleet(instances=9)
--- a/libs/routing/src/celeryfork_routing/domain_shares.py
+++ b/libs/routing/src/celeryfork_routing/domain_shares.py
@@ -95,12 +95,12 @@
     uneven: bool = False
 
     def update(self, load_by_domain: Mapping[str, DomainLoad]) -> bool:
-        """Return True if the utilisation of the domains differs enough to balance."""
-        used = [
-            load.utilisation
-            for load in load_by_domain.values()
-            if load.capacity or load.used_tokens
-        ]
+        """Return True if the utilisation of the domains differs enough to balance.
+
+        Domains without a path of their own don't count: in some deployments several
+        domains hold one copy of the model together.
+        """
+        used = [load.utilisation for load in load_by_domain.values() if load.capacity]
         if len(used) < 2:
             self.uneven = False
             return False
