--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -23,6 +23,7 @@
 from celeryfork_entry.decision_log import error_location
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.dispatcher import Dispatcher
+from celeryfork_entry.domain_balance import DomainBalance
 from celeryfork_entry.engine_checks import EngineChecks
 from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.leader_candidate import LeaderCandidate
@@ -176,7 +177,8 @@
         reachability = ReachabilityChecks(
             self.settings.domain, self.table, self._checks, self.log, self._spawn
         )
-        selector = PathSelector(context, self.loads)
+        balance = DomainBalance(own.balance_mode, own.name, context, self.loads)
+        selector = PathSelector(context, self.loads, balance)
         self.load_knowledge.engines = selector.engines_in_use
         detours = Detours(context, selector, self._highest_known_fence)
         guard = CrashGuard(self.crash_evidence, context)
@@ -187,9 +189,11 @@
         self._checks.on_down = streams.engine_down
         self._checks.is_in_use = streams.uses
         self._checks.spawn = self._spawn
-        gate = AdmissionGate(context, own.admission_mode, own.name)
         self._dispatcher = Dispatcher(
-            context, PlainCalls(context, guard), streams, gate
+            context,
+            PlainCalls(context, guard),
+            streams,
+            AdmissionGate(context, own.admission_mode, own.name),
         )
         self._placement = PlacementLeader(
             self.table, self.connections, self._dialect, self._checks, self.log,
