--- a/libs/admission/src/celeryfork_admission/demand_forecast.py
+++ b/libs/admission/src/celeryfork_admission/demand_forecast.py
@@ -122,6 +122,8 @@
 
 
 def _scaled(row: DemandRow, growth: float) -> DemandRow:
+    if growth == 1.0:
+        return row
     return evolve(
         row,
         tokens_per_s=row.tokens_per_s * growth,
--- a/libs/admission/src/celeryfork_admission/service_load.py
+++ b/libs/admission/src/celeryfork_admission/service_load.py
@@ -4,7 +4,7 @@
 from celeryfork_routing.room import Room
 
 
-@frozen(order=True)
+@frozen(order=True, cache_hash=True)
 class Urgency:
     """Precedence of a request under a shortage; the lowest is the most urgent.
 
--- a/libs/admission/src/celeryfork_admission/shortage.py
+++ b/libs/admission/src/celeryfork_admission/shortage.py
@@ -6,7 +6,9 @@
 """
 
 import random
+from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Iterable
+from itertools import accumulate
 from math import inf, log2
 
 from attrs import define, evolve, field, frozen
@@ -108,17 +110,57 @@
     divided by weighted max-min fairness; those after it get nothing.
     """
     fractions: Fractions = {}
-    for urgency in sorted({row.urgency for row in demand.rows}):
-        rows = [row for row in demand.rows if row.urgency == urgency]
+    rows_by_urgency: dict[Urgency, list[DemandRow]] = {}
+    for row in demand.rows:
+        rows_by_urgency.setdefault(row.urgency, []).append(row)
+    for urgency in sorted(rows_by_urgency, key=_order):
+        rows = rows_by_urgency[urgency]
         wanted = sum(row.tokens_per_s for row in rows)
         if wanted <= supply:
             fractions.update(((urgency, row.organisation), 1.0) for row in rows)
+        elif supply <= 0:
+            fractions.update(((urgency, row.organisation), 0.0) for row in rows)
         else:
             fractions.update(_fair_fractions(rows, supply, weight_of))
         supply = max(0.0, supply - wanted)
     return fractions
 
 
+def _order(urgency: Urgency) -> tuple[int, int]:
+    """Return the key of an urgency, as tuples are compared much faster."""
+    return urgency.organisation_priority, urgency.route_priority
+
+
+@frozen
+class _UrgencySums:
+    """Sums of a quantity over the more urgent requests.
+
+    Parameters
+    ----------
+    orders
+        Keys of the urgencies in order.
+    sums
+        Sums over the first urgencies, from none to all of them.
+    """
+
+    orders: list[tuple[int, int]]
+    sums: list[float]
+
+    def before(self, urgency: Urgency) -> float:
+        """Return the sum over the urgencies before one."""
+        return self.sums[bisect_left(self.orders, _order(urgency))]
+
+    def up_to(self, urgency: Urgency) -> float:
+        """Return the sum over an urgency and those before it."""
+        return self.sums[bisect_right(self.orders, _order(urgency))]
+
+
+def _make_sums(amounts: dict[Urgency, float]) -> _UrgencySums:
+    ordered = sorted(amounts, key=_order)
+    sums = accumulate((amounts[each] for each in ordered), initial=0.0)
+    return _UrgencySums([_order(each) for each in ordered], list(sums))
+
+
 def _fair_fractions(
     rows: Iterable[DemandRow], supply: float, weight_of: Callable[[str], float]
 ) -> Fractions:
@@ -159,6 +201,7 @@
     supply: float
     fractions: Fractions
     demand_by_urgency: dict[Urgency, float]
+    demand_sums: _UrgencySums
     admitted_by_urgency: dict[Urgency, float]
     cutoff: Urgency | None
     cutoff_fraction: float
@@ -170,10 +213,11 @@
 
     def fraction(self, row: RowKey) -> float:
         """Return the fraction of the requests of a row, also if it isn't known."""
-        if self.cutoff is None or row[0] < self.cutoff:
+        if self.cutoff is None:
             return 1.0
-        if row[0] > self.cutoff:
-            return 0.0
+        order, cutoff = _order(row[0]), _order(self.cutoff)
+        if order != cutoff:
+            return 1.0 if order < cutoff else 0.0
         return self.fractions.get(row, self.cutoff_fraction)
 
 
@@ -202,9 +246,19 @@
         share = row.tokens_per_s * fraction
         admitted[row.urgency] = admitted.get(row.urgency, 0.0) + share
     short = [each for each in demand if admitted[each] < demand[each] * (1 - 1e-9)]
-    cutoff = min(short, default=None)
+    cutoff = min(short, key=_order, default=None)
     share = admitted[cutoff] / demand[cutoff] if cutoff is not None else 1.0
-    return _Plan(now_s, load, supply, fractions, demand, admitted, cutoff, share)
+    return _Plan(
+        now_s,
+        load,
+        supply,
+        fractions,
+        demand,
+        _make_sums(demand),
+        admitted,
+        cutoff,
+        share,
+    )
 
 
 @define(eq=False)
@@ -233,6 +287,7 @@
     _plan: _Plan | None = None
     _remainder_by_key: dict[tuple[Urgency, str | int, int], float] = field(factory=dict)
     _refused_by_urgency: dict[Urgency, float] = field(factory=dict)
+    _refused_sums: _UrgencySums = field(factory=lambda: _make_sums({}))
     _returning_share: float = 0.0
 
     def update(self, load: ServiceLoad, now_s: float) -> None:
@@ -291,18 +346,16 @@
             refused -= plan.admitted_by_urgency.get(urgency, 0.0)
             last = self._refused_by_urgency.get(urgency, 0.0)
             self._refused_by_urgency[urgency] = last * kept + refused * step_s
+        self._refused_sums = _make_sums(self._refused_by_urgency)
 
     def _refuse(self, plan: _Plan, request: ArrivingRequest, fraction: float) -> Refuse:
         own = request.urgency
-        more_urgent = sum(
-            tokens for each, tokens in plan.demand_by_urgency.items() if each < own
-        )
         load = plan.load
         inputs = Inputs(
             fraction=fraction,
             supply=plan.supply,
             demand=plan.demand_by_urgency.get(own, 0.0),
-            demand_more_urgent=more_urgent,
+            demand_more_urgent=plan.demand_sums.before(own),
             free_tokens=load.room.free_tokens,
             total_tokens=load.room.total_tokens,
             age_s=load.age_s,
@@ -316,12 +369,8 @@
         least_s = MIN_RETRY_AFTER_S
         wait_s = least_s
         if request.left_s > least_s + request.objective_s:
-            refused = sum(
-                tokens
-                for each, tokens in self._refused_by_urgency.items()
-                if each <= request.urgency
-            )
-            demand = sum(plan.demand_by_urgency.values())
+            refused = self._refused_sums.up_to(request.urgency)
+            demand = plan.demand_sums.sums[-1]
             new = demand * (1 - self._returning_share)
             spare = max(plan.supply - new, plan.supply * MIN_SPARE_SHARE)
             wait_s = refused / spare if spare > 0 else inf
