--- a/libs/admission/src/celeryfork_admission/demand_forecast.py
+++ b/libs/admission/src/celeryfork_admission/demand_forecast.py
@@ -13,6 +13,8 @@
 from celeryfork_admission.service_load import DemandRow, ServiceLoad, Urgency
 
 RowKey = tuple[Urgency, str | None]
+Rates = dict[RowKey, float]
+"""Requests per second by row."""
 
 KNOWN_WINDOW_S = 1.0
 """Time constant of the rates in the shared information."""
@@ -46,10 +48,10 @@
         Times and values of ``known_by_row``.
     """
 
-    _known_by_row: Counter[RowKey] = field(factory=Counter)
-    _now_by_row: Counter[RowKey] = field(factory=Counter)
+    _known_by_row: Rates = field(factory=dict)
+    _now_by_row: Rates = field(factory=dict)
     _arrived_by_row: Counter[RowKey] = field(factory=Counter)
-    _history: deque[tuple[float, Counter[RowKey]]] = field(factory=deque)
+    _history: deque[tuple[float, Rates]] = field(factory=deque)
     _updated_s: float | None = None
 
     def record_arrival(self, row: RowKey) -> None:
@@ -63,17 +65,18 @@
         then = self._rates_at(now_s - load.age_s)
         if then is None:
             return rows
-        now = self._now_by_row
         keys = [(row.urgency, row.organisation) for row in rows]
-        small = [key for key in keys if max(now[key], then[key]) < LARGE_RATE_PER_S]
-        growth_by_key = dict.fromkeys(
-            small,
-            _growth(sum(now[key] for key in small), sum(then[key] for key in small)),
-        )
-        return tuple(
-            _scaled(row, growth_by_key.get(key) or _growth(now[key], then[key]))
-            for row, key in zip(rows, keys, strict=True)
-        )
+        now = [self._now_by_row.get(key, 0.0) for key in keys]
+        earlier = [then.get(key, 0.0) for key in keys]
+        pairs = list(zip(now, earlier, strict=True))
+        small = [pair for pair in pairs if max(pair) < LARGE_RATE_PER_S]
+        pooled = _growth(sum(pair[0] for pair in small), sum(pair[1] for pair in small))
+        growths = [
+            pooled if max(pair) < LARGE_RATE_PER_S else _growth(*pair) for pair in pairs
+        ]
+        if all(growth == 1.0 for growth in growths):
+            return rows
+        return tuple(map(_scaled, rows, growths))
 
     def _update(self, now_s: float) -> None:
         if self._updated_s is not None and now_s > self._updated_s:
@@ -91,24 +94,27 @@
         self._updated_s = now_s
         self._arrived_by_row = Counter()
 
-    def _rates_at(self, at_s: float) -> Counter[RowKey] | None:
+    def _rates_at(self, at_s: float) -> Rates | None:
         """Return the rates at a time, None if this instance didn't observe it."""
         if not self._history or self._history[0][0] > at_s + KNOWN_WINDOW_S / 2:
             return None
-        return min(self._history, key=lambda each: abs(each[0] - at_s))[1]
+        for sampled_s, rates in reversed(self._history):
+            if sampled_s <= at_s:
+                return rates
+        return self._history[0][1]
 
 
 def _averaged(
-    rates: Counter[RowKey], arrived: Counter[RowKey], step_s: float, window_s: float
-) -> Counter[RowKey]:
+    rates: Rates, arrived: Counter[RowKey], step_s: float, window_s: float
+) -> Rates:
     kept = exp(-step_s / window_s)
     gained = (1 - kept) / step_s
-    averaged = {
-        key: rates[key] * kept + arrived[key] * gained
-        for key in rates.keys() | arrived.keys()
-        if rates[key] + arrived[key] > MIN_RATE_PER_S
-    }
-    return Counter(averaged)
+    averaged: Rates = {}
+    for key in rates.keys() | arrived.keys():
+        rate = rates.get(key, 0.0) * kept + arrived.get(key, 0.0) * gained
+        if rate > MIN_RATE_PER_S:
+            averaged[key] = rate
+    return averaged
 
 
 def _growth(now: float, then: float) -> float:
--- a/libs/admission/src/celeryfork_admission/shortage.py
+++ b/libs/admission/src/celeryfork_admission/shortage.py
@@ -296,7 +296,8 @@
         if last is not None and now_s - last.at_s < UPDATE_INTERVAL_S:
             return
         rows = self._forecast.extrapolate(load, now_s)
-        load = evolve(load, demand=evolve(load.demand, rows=rows))
+        if rows is not load.demand.rows:
+            load = evolve(load, demand=evolve(load.demand, rows=rows))
         supply = self._supply.estimate(load, now_s)
         excess = self._supply.excess(load, now_s)
         plan = self._plan = _make_plan(load, supply / excess, self._weight_of, now_s)
--- a/libs/entry/src/celeryfork_entry/admission_gate.py
+++ b/libs/entry/src/celeryfork_entry/admission_gate.py
@@ -245,9 +245,8 @@
         return self._sharing
 
     def _count(self, what: str, urgency: Urgency, organisation: str | None) -> None:
-        add = self._context.counters.add
         kind = f"{urgency.organisation_priority}_{urgency.route_priority}"
-        add(f"admission.{what}.urgency.{kind}")
+        self._context.counters.add(f"admission.{what}.urgency.{kind}")
         if organisation is None:
             return
         if len(self._labelled) < MAX_ORGANISATION_LABELS:
@@ -255,7 +254,7 @@
         label = "other"
         if organisation in self._labelled:
             label = re.sub(r"[^A-Za-z0-9_]", "_", organisation)
-        add(f"admission.{what}.organisation.{label}")
+        self._context.counters.add(f"admission.{what}.organisation.{label}")
 
 
 def _make_sharing(configuration: Configuration | None, mode: Mode) -> _Sharing:
