--- a/libs/cmdline/src/celeryfork_cmdline/explain.py
+++ b/libs/cmdline/src/celeryfork_cmdline/explain.py
@@ -18,7 +18,7 @@
 TROUBLE = frozenset(
     {
         "path_broke", "path_refused", "no_path", "reply_lost", "target_refused",
-        "engine_failed", "repeat_refused", "rejected",
+        "engine_failed", "repeat_refused", "rejected", "admission_refused",
     }
 )  # fmt: skip
 """Events of a request after which it takes another way, or ends."""
@@ -31,11 +31,13 @@
     }
 )  # fmt: skip
 """Events that tell what an instance learnt of engines and targets."""
-UNNAMED = frozenset({"no_path", "repeat_refused"})
+UNNAMED = frozenset({"no_path", "repeat_refused", "admission_refused"})
 """Trouble that names no engine: any that was lost or ordered before may be it."""
 TOLD_IN_BRIEF = (
     "status", "code", "reason", "target", "missing_layer", "engines", "down",
     "refusing", "ended_by", "left_ms", "sends", "repeats", "repeats_allowed", "last",
+    "urgency", "fraction", "supply", "demand", "demand_more_urgent", "room_free",
+    "knowledge_age_ms", "complete",
 )  # fmt: skip
 """Fields of a line that say why it was written."""
 
