Bound what callers make an instance hold: memory, descriptors and parsing

Requests reserve what their head and body take up before they are read, and wait unread for it. Callers that stall meanwhile are refused with 503 or closed, idle connections make room for new ones, and bodies that no answer needs aren't read. Heads with many fields are parsed in turn.

--- a/libs/entry/src/celeryfork_entry/byte_stream.py
+++ b/libs/entry/src/celeryfork_entry/byte_stream.py
@@ -83,6 +83,11 @@
         self._closed.set()
         self._notify_closed()
 
+    @property
+    def is_full(self) -> bool:
+        """Return True while the peer accepts fewer bytes than were written."""
+        return self._full
+
     def pause_writing(self) -> None:
         """Block writers until the send buffer has drained."""
         self._full = True
@@ -144,11 +149,14 @@
             await asyncio.sleep(0)
         data = bytes(self._received[:MAX_READ_BYTES])
         del self._received[:MAX_READ_BYTES]
-        if self._received:
-            return data
+        if not self._received:
+            self._drained()
+        return data
+
+    def _drained(self) -> None:
+        """Read on, as no byte is unread."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
-        return data
 
     async def write(self, data: bytes, stall_timeout_s: float | None = None) -> None:
         """Send ``data``, waiting while the send buffer is full.
--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -9,9 +9,11 @@
 from functools import partial
 
 import h11
-from attrs import define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from celeryfork_entry.byte_stream import ByteStream
+from celeryfork_entry.caller_guard import ConnectionGuard, ShedError, make_lone_guard
+from celeryfork_entry.caller_memory import ENTITLED_BYTES, Phase
 from celeryfork_entry.configuration import CallerLimits
 from celeryfork_entry.loop_turns import LoopTurns
 from celeryfork_entry.raw_headers import raw_headers
@@ -26,6 +28,10 @@
 """Bytes beyond the limit of the head that are still parsed, so that the refusal can
 give the reason."""
 
+WRITE_BYTES = 1 << 16
+"""Bytes of a body that are written at once; the transport copies what the kernel
+doesn't take."""
+
 Headers = Sequence[tuple[str, str | bytes]]
 """Header names and values; values of type ``bytes`` are sent unchanged."""
 
@@ -70,6 +76,8 @@
         Path and query, unchanged.
     arrived_s
         Monotonic time at which its head was complete, in seconds.
+    body_read
+        False if the body wasn't read, as the answer doesn't need it.
     """
 
     method: str
@@ -77,6 +85,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     arrived_s: float
+    body_read: bool = True
 
 
 @define(eq=False)
@@ -91,6 +100,10 @@
         Answers one request through :meth:`answer` or :meth:`begin_stream`.
     is_stopping
         Returns True while the instance is stopping.
+    needs_body
+        Returns True if the body of the request with this head is needed.
+    guard
+        Counts what the connection holds.
     close_after
         True if the connection closes after the current answer.
     """
@@ -99,6 +112,10 @@
     limits: Callable[[], CallerLimits]
     handle: Callable[["CallerConnection", CallerRequest], Awaitable[None]]
     is_stopping: Callable[[], bool]
+    needs_body: Callable[[CallerRequest], bool] = lambda _: True
+    guard: ConnectionGuard = Factory(
+        lambda self: make_lone_guard(self.stream), takes_self=True
+    )
     http: h11.Connection = field(init=False)
     _busy: bool = False
     _close_after: bool = False
@@ -132,20 +149,30 @@
             self.stream.abort()
         finally:
             self.stream.close()
+            self.guard.end()
 
     async def _serve_one(self) -> bool:
         try:
-            request = await self._next_request()
-        except BadRequestError as error:
-            self._busy = True
-            await self._refuse(error)
-            return False
+            request: (
+                CallerRequest | BadRequestError | ShedError | None
+            ) = await self._next_request()
+        except (BadRequestError, ShedError) as error:
+            # Its frames would keep what was received of the body.
+            request = error.with_traceback(None)
+            error.__cause__ = error.__context__ = None
         if request is None:
             return False
+        if isinstance(request, Exception):
+            self._busy = True
+            self.guard.end_request()
+            await self._refuse(request)
+            return False
+        self.guard.begin(Phase.WAITING)
         try:
             await self._handle_until_closed(request)
         finally:
             self._busy = False
+            self.guard.end_request()
         if {self.http.our_state, self.http.their_state} != {h11.DONE}:
             return False
         if self._close_after and not self._has_unread_bytes:
@@ -185,22 +212,43 @@
             raise BadRequestError(
                 431, f"Headers exceed {limits.header_bytes} bytes: send fewer."
             )
-        _check_framing(first, limits.body_bytes)
-        if self.http.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            await self._write(self.http.send(interim))
-        body = await self._body(limits)
+        length = _body_length(first, limits.body_bytes)
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in first.headers
         )
-        return CallerRequest(
+        head = CallerRequest(
             first.method.decode("ascii"),
             first.target.decode("latin-1"),
             headers,
-            body,
+            b"",
             arrived_s,
         )
+        del first
+        if length != 0 and not self.needs_body(head):
+            if not await self._skip_received_body():
+                self._close_after = True
+            return evolve(head, body_read=False)
+        if length:
+            await self.guard.reserve_body(length)
+        if self.http.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self.http.send(interim))
+        return evolve(head, body=await self._body(limits, length))
+
+    async def _skip_received_body(self) -> bool:
+        """Discard what has been received of a body; return True if that is all."""
+        turns = LoopTurns()
+        while True:
+            await turns.step()
+            event = self._parse()
+            if isinstance(event, h11.EndOfMessage):
+                return True
+            if isinstance(event, h11.Data):
+                continue
+            if not self.stream.unread:
+                return False
+            self.http.receive_data(await self.stream.read())
 
     async def _next_event(self) -> h11.Request | None:
         """Return the head of the next request, None if the connection is to be closed.
@@ -211,7 +259,9 @@
         idle_since_s = loop.time()
         begun_s: float | None = None
         while True:
-            event = self._parse()
+            unparsed = self.http.trailing_data[0]
+            self.guard.record_parser(len(unparsed))
+            event = await self._parse_head(unparsed)
             if isinstance(event, h11.Request):
                 self._busy = True
                 if begun_s is None:
@@ -220,7 +270,7 @@
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
-            if self.http.trailing_data[0] and begun_s is None:
+            if unparsed and begun_s is None:
                 begun_s, self._begun_under = loop.time(), self.limits()
                 self._busy = True
             try:
@@ -242,6 +292,17 @@
                 self._make_parser()
             self.http.receive_data(data)
 
+    async def _parse_head(self, unparsed: bytes) -> object:
+        """Parse a head once it is complete and there is memory and time for it."""
+        ends = [unparsed.find(end) for end in (b"\n\r\n", b"\n\n")]
+        size = min((end for end in ends if end >= 0), default=None)
+        if size is None:
+            return self._parse()
+        fields = unparsed.count(b"\n", 0, size)
+        await self.guard.reserve_head(fields, size)
+        async with self.guard.parsing(fields):
+            return self._parse()
+
     async def _read_by(self, deadline_s: Callable[[], float]) -> bytes:
         """Return the next bytes.
 
@@ -282,18 +343,24 @@
             self._begun_under.header_timeout_s, limits.header_timeout_s
         )
 
-    async def _body(self, limits: CallerLimits) -> bytes:
+    async def _body(self, limits: CallerLimits, length: int | None) -> bytes:
+        """Return the body; its length is None if it comes in chunks."""
         body = bytearray()
+        reserved = ENTITLED_BYTES if length is None else length
         turns = LoopTurns()
         while True:
             await turns.step()
             event = self._parse()
             if isinstance(event, h11.EndOfMessage):
+                self.guard.record_parser(len(self.http.trailing_data[0]))
                 return bytes(body)
             if isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > limits.body_bytes:
                     raise _too_large(limits.body_bytes)
+                if len(body) > reserved:
+                    reserved = limits.body_bytes
+                    await self.guard.reserve_body(reserved)
                 continue
             since_s = asyncio.get_running_loop().time()
             try:
@@ -327,10 +394,16 @@
         """Return True if no byte of an answer to the current request was sent."""
         return self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
 
-    async def _refuse(self, error: BadRequestError) -> None:
-        if self.can_answer:
-            self._close_after = True
-            await self.answer(error.status, (), f"{error.message}\n".encode())
+    async def _refuse(self, error: BadRequestError | ShedError) -> None:
+        if not self.can_answer:
+            return
+        self._close_after = True
+        status, headers = 503, []
+        if isinstance(error, BadRequestError):
+            status = error.status
+        else:
+            headers.append(("Retry-After", f"{error.retry_after_s:g}"))
+        await self.answer(status, headers, f"{error.message}\n".encode())
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
@@ -342,11 +415,16 @@
             framing = []
         head = self._head(status, [*headers, *framing])
         sent = self.http.send(head)
-        if body and self._method != b"HEAD":
-            sent += self.http.send(h11.Data(data=body))
-        sent += self.http.send(h11.EndOfMessage())
         self.stream.allow_stall(self._stall_timeout_s())
-        await self._write(sent)
+        length = 0 if self._method == b"HEAD" else len(body)
+        self.guard.begin(Phase.READING)
+        for start in range(0, length, WRITE_BYTES):
+            end = start + WRITE_BYTES
+            sent += self.http.send(h11.Data(data=body[start:end]))
+            if end < length:
+                await self._write(sent, length - end)
+                sent = b""
+        await self._write(sent + self.http.send(h11.EndOfMessage()))
 
     async def begin_stream(self, status: int, headers: Headers, first: bytes) -> None:
         """Send the head and the first bytes of a streamed answer."""
@@ -362,8 +440,16 @@
         """Mark a streamed answer as complete."""
         await self._write(self.http.send(h11.EndOfMessage()))
 
-    async def _write(self, data: bytes) -> None:
-        await self.stream.write(data, self._stall_timeout_s())
+    async def _write(self, data: bytes, rest: int = 0) -> None:
+        """Send bytes of an answer of which ``rest`` bytes come later."""
+        self.guard.begin(Phase.READING)
+        self.guard.record_unsent(len(data) + rest)
+        try:
+            await self.stream.write(data, self._stall_timeout_s())
+        finally:
+            self.guard.record_unsent(rest)
+        if not rest:
+            self.guard.begin(Phase.WAITING)
 
     def _stall_timeout_s(self) -> float:
         return max(
@@ -411,7 +497,14 @@
                     pass
 
 
-def _check_framing(request: h11.Request, max_bytes: int) -> None:
+def _body_length(request: h11.Request, max_bytes: int) -> int | None:
+    """Return the length of a request's body, None if it comes in chunks.
+
+    Raises
+    ------
+    BadRequestError
+        The framing is ambiguous, or the body exceeds ``max_bytes``.
+    """
     names = [name for name, _ in request.headers]
     lengths = [value for name, value in request.headers if name == b"content-length"]
     if lengths and b"transfer-encoding" in names:
@@ -422,6 +515,9 @@
         raise BadRequestError(400, "More than one Host header: send one.")
     if lengths and int(lengths[0]) > max_bytes:
         raise _too_large(max_bytes)
+    if b"transfer-encoding" in names:
+        return None
+    return int(lengths[0]) if lengths else 0
 
 
 def _too_large(max_bytes: int) -> BadRequestError:
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -60,6 +60,19 @@
             # Otherwise the caller would get neither an answer nor a refusal.
             await self._fail(connection, call, metadata, error)
 
+    def needs_body(self, head: CallerRequest) -> bool:
+        """Return True if a request with this head may be sent to a target."""
+        configuration = self._context.configuration()
+        if configuration is None:
+            return False
+        try:
+            metadata = self._context.dialect.read_request(head)
+            route = _route(configuration, metadata)
+            _organisation(configuration, route, metadata)
+        except BadRequestError:
+            return False
+        return True
+
     def _admit(
         self,
         connection: CallerConnection,
@@ -73,12 +86,13 @@
                 "This instance has no configuration yet.",
                 UNCONFIGURED_RETRY_AFTER_S,
             )
-        route = configuration.route(metadata.host, metadata.path)
-        if route is None:
-            raise BadRequestError(
-                404, "No route matches this host and path: check both."
-            )
+        route = _route(configuration, metadata)
         organisation = _organisation(configuration, route, metadata)
+        if not request.body_read:
+            # The configuration has changed since the head was read.
+            raise not_run_error(
+                "body_not_read", "The body was not read: send it again.", 0.0
+            )
         left_s = route.timeout_s
         if metadata.left_s is not None:
             left_s = min(left_s, metadata.left_s)
@@ -198,6 +212,13 @@
     return route.priority
 
 
+def _route(configuration: Configuration, metadata: RequestMetadata) -> Route:
+    route = configuration.route(metadata.host, metadata.path)
+    if route is None:
+        raise BadRequestError(404, "No route matches this host and path: check both.")
+    return route
+
+
 def _organisation(
     configuration: Configuration, route: Route, metadata: RequestMetadata
 ) -> Organisation | None:
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -14,9 +14,14 @@
 
 from celeryfork_entry.acting_leader import ActingLeader
 from celeryfork_entry.budget_loans import BudgetLoans
-from celeryfork_entry.byte_stream import ByteStream
 from celeryfork_entry.call import CallContext, PlannedStop
+from celeryfork_entry.caller_guard import (
+    CallerGuard,
+    ConnectionGuard,
+    make_caller_guard,
+)
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
+from celeryfork_entry.caller_stream import CallerStream, RefusedConnection
 from celeryfork_entry.configuration import CallerLimits, Configuration
 from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.decision_log import error_location
@@ -66,6 +71,9 @@
 )
 """Limits before the first configuration, while all requests are refused."""
 ACCEPT_BACKLOG = 1024
+MAX_ACCEPTED = 16
+"""Connections that the event loop accepts at once, before it can close others for
+them; it takes the number from the backlog that a server is created with."""
 
 
 class ListenError(CeleryforkError):
@@ -94,6 +102,7 @@
     connections: TargetConnections = field(factory=TargetConnections)
     loads: EngineLoads = field(factory=EngineLoads)
     crash_evidence: CrashEvidence = field(factory=make_crash_evidence)
+    _guard: CallerGuard = field(init=False)
     _callers: set[CallerConnection] = field(factory=set)
     _budget_by_service: dict[str, RetryShare] = field(factory=dict)
     _tasks: set[asyncio.Future[object]] = field(factory=set)
@@ -114,6 +123,9 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts and connect their callbacks."""
         own = self.settings
+        self._guard = make_caller_guard(
+            own.memory_mb, own.max_fds, self.log, self.counters
+        )
         self.roster = Roster(Peer(own.name, own.domain, own.peer_address, own.power))
         self._store_follower = StoreFollower(
             self._configurations, self._targets, self.table, self.connections,
@@ -203,6 +215,7 @@
             self.loads, self.roster, self.counters, self._histograms,
             ready=lambda: self.ready, stopping=lambda: self.stopping,
             callers=lambda: len(self._callers),
+            caller_memory=lambda: self._guard.memory.held,
             crash_evidence=self.crash_evidence, log=self.log,
         )  # fmt: skip
         self._store_follower.on_change = self._peers.announce_changes
@@ -310,6 +323,7 @@
             self._candidate.announce_and_read_instances,
             self._candidate.renew_while_eligible,
             self._run_housekeeping,
+            self._guard.run,
         ):
             self._spawn(loop())
         self._spawn(self._placement.run())
@@ -324,21 +338,32 @@
             self.log.info("metrics_not_served", reason=str(error))
 
     async def _listen(
-        self, address: str, serve: Callable[[ByteStream], Awaitable[None]]
+        self,
+        address: str,
+        serve: Callable[[CallerStream, ConnectionGuard], Awaitable[None]],
     ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
-
-        def make() -> ByteStream:
-            stream = ByteStream()
-            asyncio.get_running_loop().call_soon(lambda: self._spawn(serve(stream)))
+        loop = asyncio.get_running_loop()
+        peer = address == self.settings.peer_address
+
+        def make() -> asyncio.BaseProtocol:
+            if not self._guard.admits_connection(loop.time(), peer=peer):
+                return RefusedConnection()
+            stream = CallerStream(self._guard.buffer)
+            guard = self._guard.open(stream)
+            loop.call_soon(lambda: self._spawn(serve(stream, guard)))
             return stream
 
         try:
-            return await asyncio.get_running_loop().create_server(
-                make, host, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True
+            server = await loop.create_server(
+                make, host, int(port), backlog=MAX_ACCEPTED, reuse_address=True
             )
         except OSError as error:
             raise ListenError(address, error) from error
+        for listening in server.sockets:
+            with listening.dup() as duplicate:
+                duplicate.listen(ACCEPT_BACKLOG)
+        return server
 
     def _spawn(self, work: Awaitable[object]) -> None:
         task = asyncio.ensure_future(work)
@@ -352,30 +377,33 @@
             where = error_location(error)
             self.log.info("task_failed", error=repr(error), where=where)
 
-    async def _serve_caller(self, stream: ByteStream) -> None:
+    async def _serve_caller(self, stream: CallerStream, guard: ConnectionGuard) -> None:
         connection = CallerConnection(
-            stream, self._limits, self._dispatcher.handle, lambda: self.stopping
-        )
+            stream, self._limits, self._dispatcher.handle, lambda: self.stopping,
+            self._dispatcher.needs_body, guard,
+        )  # fmt: skip
         self._callers.add(connection)
         try:
             await connection.serve()
         finally:
             self._callers.discard(connection)
 
-    async def _serve_status(self, stream: ByteStream) -> None:
-        await self._serve_requests(stream, self._status_endpoints.answer)
+    async def _serve_status(self, stream: CallerStream, guard: ConnectionGuard) -> None:
+        await self._serve_requests(stream, guard, self._status_endpoints.answer)
 
-    async def _serve_peer(self, stream: ByteStream) -> None:
-        await self._serve_requests(stream, self._status_endpoints.answer_peer)
+    async def _serve_peer(self, stream: CallerStream, guard: ConnectionGuard) -> None:
+        await self._serve_requests(stream, guard, self._status_endpoints.answer_peer)
 
     async def _serve_requests(
         self,
-        stream: ByteStream,
+        stream: CallerStream,
+        guard: ConnectionGuard,
         answer: Callable[[CallerConnection, CallerRequest], Awaitable[None]],
     ) -> None:
         await CallerConnection(
-            stream, lambda: DEFAULT_LIMITS, answer, lambda: self.stopping
-        ).serve()
+            stream, lambda: DEFAULT_LIMITS, answer, lambda: self.stopping,
+            lambda _: False, guard,
+        ).serve()  # fmt: skip
 
     def apply(self, settings: EntrySettings) -> None:
         """Apply changed settings; listening addresses change only at a restart."""
--- a/libs/entry/src/celeryfork_entry/status_endpoints.py
+++ b/libs/entry/src/celeryfork_entry/status_endpoints.py
@@ -44,6 +44,8 @@
         begun.
     callers
         Returns the number of open connections of callers.
+    caller_memory
+        Returns the number of bytes that all callers make the instance hold.
     """
 
     _store_follower: StoreFollower
@@ -57,6 +59,7 @@
     _ready: Callable[[], bool]
     _stopping: Callable[[], bool]
     _callers: Callable[[], int]
+    _caller_memory: Callable[[], int]
     _crash_evidence: CrashEvidence
     _log: Logger
 
@@ -125,6 +128,7 @@
             for service, count in self._table.counts_by_service().items()
         }
         gauges["callers.connections"] = float(self._callers())
+        gauges["callers.memory_bytes"] = float(self._caller_memory())
         gauges["targets.connections_opened"] = float(self._connections.opened)
         gauges["instances.known"] = float(self._roster.instances())
         gauges["relay"] = float(self._roster.is_relay)
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -280,6 +280,7 @@
             method="POST",
             target="/",
             body=request_id.encode(),
+            body_read=True,
             metadata=metadata,
         )
 
--- a/libs/entry/tests/test_status_endpoints.py
+++ b/libs/entry/tests/test_status_endpoints.py
@@ -55,6 +55,7 @@
             ready=lambda: True,
             stopping=lambda: False,
             callers=lambda: 0,
+            caller_memory=lambda: 0,
             crash_evidence=self.evidence,
             log=SimpleNamespace(info=lambda event, **f: self.lines.append((event, f))),
         )
