--- a/libs/entry/src/celeryfork_entry/caller_guard.py
+++ b/libs/entry/src/celeryfork_entry/caller_guard.py
@@ -9,7 +9,7 @@
 import sys
 import time
 from collections import Counter, deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from math import inf
 from typing import cast
@@ -51,6 +51,11 @@
 """A body that is being received takes up to an eighth more than its length."""
 LOG_INTERVAL_S = 1.0
 """Seconds between two log lines on load shedding."""
+OWN_DESCRIPTORS = 40
+"""Descriptors of the process itself: its files and listening sockets, and connections
+to the store, to peers and for checks of engines."""
+MIN_SERVED = 8
+"""Requests that are served at once, however many callers are connected."""
 MIN_RESERVED_DESCRIPTORS = 64
 RESERVED_DESCRIPTORS_SHARE = 8
 """One descriptor of so many is reserved for engines, the store and peers."""
@@ -89,6 +94,8 @@
         Number of connections of callers, infinite if unknown.
     reserved_descriptors
         Number of descriptors beyond it, of which peers may use half.
+    close_idle_targets
+        Closes the connections to targets that no request uses.
     """
 
     memory: CallerMemory
@@ -100,6 +107,9 @@
     _guard_by_holding: dict[Holding, "ConnectionGuard"] = field(factory=dict)
     _small: deque[_Waiter] = field(factory=deque)
     _large: deque[_Waiter] = field(factory=deque)
+    close_idle_targets: Callable[[], object] = lambda: None
+    _served: int = 0
+    _served_waiters: deque[asyncio.Future[None]] = field(factory=deque)
     _lane: asyncio.Lock = field(factory=asyncio.Lock)
     _shed: Counter[str] = field(factory=Counter)
     _active: bool = False
@@ -109,12 +119,15 @@
     def admits_connection(self, now_s: float, *, peer: bool) -> bool:
         """Return True if there is a descriptor for a new connection.
 
-        An idle or slow connection is closed for it if need be.
+        An idle or slow connection is closed for it if need be, and idle connections to
+        targets are.
         """
+        if len(self.memory.holdings) + self._served > self.max_connections / 2:
+            self.close_idle_targets()
         spare = self.reserved_descriptors // 2 if peer else 0
         most = self.max_connections + spare
         holdings = self.memory.holdings
-        if len(holdings) < most or sum(not each.chosen for each in holdings) < most:
+        if len(holdings) < most or sum(not each.closed for each in holdings) < most:
             return True
         holding = self.memory.choose_descriptor(now_s)
         if holding is None:
@@ -165,6 +178,45 @@
         if not waiter.granted.done():
             raise self.refusal("memory")
 
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[None]:
+        """Wait until there is a descriptor for a request's target.
+
+        Raises
+        ------
+        ShedError
+            There is none within ``MAX_WAIT_S``.
+        """
+        if self._served >= self._max_served or self._served_waiters:
+            granted = asyncio.get_running_loop().create_future()
+            self._served_waiters.append(granted)
+            try:
+                await asyncio.wait({granted}, timeout=MAX_WAIT_S)
+            finally:
+                if granted.done():
+                    self._served -= 1
+                else:
+                    self._served_waiters.remove(granted)
+            if not granted.done():
+                raise self.refusal("descriptors")
+        self._served += 1
+        try:
+            yield
+        finally:
+            self._served -= 1
+            self._grant_served()
+
+    @property
+    def _max_served(self) -> float:
+        """Return the number of requests that there are descriptors for."""
+        free = self.max_connections + self.reserved_descriptors - OWN_DESCRIPTORS
+        return max(MIN_SERVED, free - len(self.memory.holdings))
+
+    def _grant_served(self) -> None:
+        while self._served_waiters and self._served < self._max_served:
+            self._served += 1
+            self._served_waiters.popleft().set_result(None)
+
     def refusal(self, reason: str) -> ShedError:
         """Count a refusal, and return it."""
         self._count("refused", reason)
@@ -205,6 +257,7 @@
             now_s = asyncio.get_running_loop().time()
             self.shed(now_s)
             self._grant()
+            self._grant_served()
             for guard in list(self._guard_by_holding.values()):
                 if guard.stream.paused:
                     guard.stream.read_as_allowed()
@@ -314,6 +367,7 @@
         """Record the number of bytes of an answer that haven't been sent."""
         if count < self._unsent and self.holding.phase is Phase.READING:
             self.holding.record_moved(self._unsent - count, self._now_s())
+        self.guard.memory.unread += count - self._unsent
         self._unsent = count
         self._update()
 
@@ -347,6 +401,7 @@
 
     def end(self) -> None:
         """Release all that the connection holds."""
+        self.record_unsent(0)
         self.guard.end(self.holding)
 
     def parsing(self, fields: int) -> AbstractAsyncContextManager[None]:
@@ -357,8 +412,10 @@
         """Close the connection at once."""
         self.holding.chosen = True
         if self.holding.phase is Phase.IDLE:
+            self.holding.closed = not self.stream.unsent
             self.stream.close()
         else:
+            self.holding.closed = True
             self.stream.abort()
 
     def _update(self) -> None:
--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -170,6 +170,8 @@
         self.guard.begin(Phase.WAITING)
         try:
             await self._handle_until_closed(request)
+        except ShedError as error:
+            await self._refuse(error)
         finally:
             self._busy = False
             self.guard.end_request()
--- a/libs/entry/src/celeryfork_entry/caller_memory.py
+++ b/libs/entry/src/celeryfork_entry/caller_memory.py
@@ -72,6 +72,8 @@
         Bytes received and not yet parsed, and bytes of answers not yet sent.
     chosen
         True once it is to end.
+    closed
+        True once its descriptor is free as soon as the event loop goes on.
     """
 
     since_s: float
@@ -79,6 +81,7 @@
     reserved: int = 0
     loose: int = 0
     chosen: bool = False
+    closed: bool = False
     _moved: int = 0
     _window_s: float = 0.0
     _recent: int = 0
@@ -137,11 +140,15 @@
     ----------
     bound
         Bytes that all connections together may hold.
+    held, large, unread
+        Bytes that they hold, of these those reserved for large requests, and those of
+        answers that callers haven't read.
     """
 
     bound: int
     held: int = 0
     large: int = 0
+    unread: int = 0
     holdings: set[Holding] = field(factory=set)
 
     def open(self, now_s: float) -> Holding:
@@ -193,6 +200,11 @@
         """Release what is reserved for a connection's request."""
         self.reserve(holding, 0)
 
+    @property
+    def answer_bound(self) -> float:
+        """Return the bound of the bytes of answers that callers haven't read."""
+        return self.bound * ANSWER_SHARE
+
     @property
     def is_short(self) -> bool:
         """Return True if connections are read in small pieces only."""
@@ -226,7 +238,7 @@
             for each in self.holdings
             if each.phase is Phase.READING and not each.chosen and not each.is_entitled
         ]
-        excess = sum(each.loose for each in reading) - self.bound * ANSWER_SHARE
+        excess = sum(each.loose for each in reading) - self.answer_bound
         return _choose(reading, now_s, excess)
 
     def choose_descriptor(self, now_s: float) -> Holding | None:
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -1,6 +1,7 @@
 """An entry instance: composition of its parts, listening, and the planned stop."""
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -71,7 +72,7 @@
 )
 """Limits before the first configuration, while all requests are refused."""
 ACCEPT_BACKLOG = 1024
-MAX_ACCEPTED = 16
+MAX_ACCEPTED = 4
 """Connections that the event loop accepts at once, before it can close others for
 them; it takes the number from the backlog that a server is created with."""
 
@@ -123,9 +124,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts and connect their callbacks."""
         own = self.settings
-        self._guard = make_caller_guard(
-            own.memory_mb, own.max_fds, self.log, self.counters
-        )
+        self._guard = self._make_guard()
         self.roster = Roster(Peer(own.name, own.domain, own.peer_address, own.power))
         self._store_follower = StoreFollower(
             self._configurations, self._targets, self.table, self.connections,
@@ -224,6 +223,15 @@
         self._share_engine_reports(context)
         self._share_crash_evidence()
 
+    def _make_guard(self) -> CallerGuard:
+        """Return the guard of callers' connections, and let it bound replies too."""
+        own = self.settings
+        guard = make_caller_guard(own.memory_mb, own.max_fds, self.log, self.counters)
+        guard.close_idle_targets = lambda: self.connections.close_idle(math.inf)
+        self.connections.buffers.unread = lambda: guard.memory.unread
+        self.connections.buffers.bound = guard.memory.answer_bound
+        return guard
+
     def _share_engine_reports(self, context: CallContext) -> None:
         permits = context.permits
         self._checks.on_reply = context.record_reply
@@ -379,7 +387,7 @@
 
     async def _serve_caller(self, stream: CallerStream, guard: ConnectionGuard) -> None:
         connection = CallerConnection(
-            stream, self._limits, self._dispatcher.handle, lambda: self.stopping,
+            stream, self._limits, self._handle, lambda: self.stopping,
             self._dispatcher.needs_body, guard,
         )  # fmt: skip
         self._callers.add(connection)
@@ -388,6 +396,12 @@
         finally:
             self._callers.discard(connection)
 
+    async def _handle(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        async with self._guard.serving():
+            await self._dispatcher.handle(connection, request)
+
     async def _serve_status(self, stream: CallerStream, guard: ConnectionGuard) -> None:
         await self._serve_requests(stream, guard, self._status_endpoints.answer)
 
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from math import inf
 
 import h11
 from attrs import define, field, frozen
@@ -35,6 +36,10 @@
 LAST_STATUS = 599
 MAX_FAILED_REQUESTS = 16
 """Maximum number of failed requests of a connection that is kept."""
+MIN_LONG_BODY_BYTES = 1 << 16
+"""Length from which a body is only read on while there is memory for it."""
+TURN_INTERVAL_S = 0.02
+"""Seconds between two checks whether there is."""
 MAX_BUFFERED_BYTES = 48 << 20
 """Maximum size of all bodies that are being read, a sixth of the memory of a small
 machine. Beyond it, the bodies that are longer than the others fail."""
@@ -152,7 +157,7 @@
         body, buffers = bytearray(), self._pool.buffers
         buffers.bodies += 1
         try:
-            while piece := await self.read():
+            while piece := await self._read_in_turn(len(body)):
                 body += piece
                 buffers.bytes += len(piece)
                 if len(body) > max_bytes:
@@ -163,6 +168,11 @@
         finally:
             buffers.bodies -= 1
             buffers.bytes -= len(body)
+            buffers.end(id(self))
+
+    async def _read_in_turn(self, length: int) -> bytes:
+        await self._pool.buffers.wait_for_turn(id(self), length)
+        return await self.read()
 
     async def skip_body(self) -> None:
         """Read a body that isn't needed, so that its connection can be used again.
@@ -237,10 +247,36 @@
 
 @define
 class BodyBuffers:
-    """Number and total size of the bodies that are being read."""
+    """Number and total size of the bodies that are being read.
+
+    Parameters
+    ----------
+    unread
+        Returns the number of bytes of answers that callers haven't read.
+    bound
+        Bytes of both above which long bodies aren't read on, except for the one that
+        began first: all others are read after it.
+    """
 
     bodies: int = 0
     bytes: int = 0
+    unread: Callable[[], int] = lambda: 0
+    bound: float = inf
+    _long: dict[object, None] = field(factory=dict)
+
+    async def wait_for_turn(self, reader: object, length: int) -> None:
+        """Wait while a body that has this length by now isn't read on."""
+        if length < MIN_LONG_BODY_BYTES:
+            return
+        self._long[reader] = None
+        while (
+            self.bytes + self.unread() > self.bound and next(iter(self._long)) != reader
+        ):
+            await asyncio.sleep(TURN_INTERVAL_S)
+
+    def end(self, reader: object) -> None:
+        """Give up the turn of a body that isn't read any more."""
+        self._long.pop(reader, None)
 
     def excludes(self, length: int) -> bool:
         """Return True if there is no room for a body that has this length by now.
