--- a/libs/entry/src/celeryfork_entry/caller_guard.py
+++ b/libs/entry/src/celeryfork_entry/caller_guard.py
@@ -9,10 +9,10 @@
 import sys
 import time
 from collections import Counter, deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from math import inf
-from typing import cast
+from typing import Protocol, cast
 
 from attrs import define, field
 from celeryfork_base.counters import Counters
@@ -76,6 +76,27 @@
         self.retry_after_s = RETRY_AFTER_S
 
 
+class IdleTargets(Protocol):
+    """Connections to targets that no request uses."""
+
+    def idle_connections(self) -> int:
+        """Return their number."""
+
+    def close_idle(self, now_s: float) -> None:
+        """Close those that have expired at this time."""
+
+
+class NoIdleTargets:
+    """Stands for the connections of an instance without targets."""
+
+    def idle_connections(self) -> int:
+        """Return 0."""
+        return 0
+
+    def close_idle(self, now_s: float) -> None:
+        """Do nothing."""
+
+
 @define(eq=False)
 class _Waiter:
     holding: Holding
@@ -94,8 +115,8 @@
         Number of connections of callers, infinite if unknown.
     reserved_descriptors
         Number of descriptors beyond it, of which peers may use half.
-    close_idle_targets
-        Closes the connections to targets that no request uses.
+    targets
+        The connections to targets that no request uses.
     """
 
     memory: CallerMemory
@@ -107,7 +128,7 @@
     _guard_by_holding: dict[Holding, "ConnectionGuard"] = field(factory=dict)
     _small: deque[_Waiter] = field(factory=deque)
     _large: deque[_Waiter] = field(factory=deque)
-    close_idle_targets: Callable[[], object] = lambda: None
+    targets: IdleTargets = field(factory=NoIdleTargets)
     _served: int = 0
     _served_waiters: deque[asyncio.Future[None]] = field(factory=deque)
     _lane: asyncio.Lock = field(factory=asyncio.Lock)
@@ -122,8 +143,7 @@
         An idle or slow connection is closed for it if need be, and idle connections to
         targets are.
         """
-        if len(self.memory.holdings) + self._served > self.max_connections / 2:
-            self.close_idle_targets()
+        self._close_idle_targets()
         spare = self.reserved_descriptors // 2 if peer else 0
         most = self.max_connections + spare
         holdings = self.memory.holdings
@@ -187,6 +207,7 @@
         ShedError
             There is none within ``MAX_WAIT_S``.
         """
+        self._close_idle_targets()
         if self._served >= self._max_served or self._served_waiters:
             granted = asyncio.get_running_loop().create_future()
             self._served_waiters.append(granted)
@@ -206,6 +227,11 @@
             self._served -= 1
             self._grant_served()
 
+    def _close_idle_targets(self) -> None:
+        """Close the idle connections to targets if their descriptors are needed."""
+        if self._served + self.targets.idle_connections() >= self._max_served:
+            self.targets.close_idle(inf)
+
     @property
     def _max_served(self) -> float:
         """Return the number of requests that there are descriptors for."""
@@ -432,6 +458,8 @@
 ) -> CallerGuard:
     """Return the guard of an instance with these limits, None where unknown."""
     descriptors = max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = sys.maxsize
     reserved = max(MIN_RESERVED_DESCRIPTORS, descriptors // RESERVED_DESCRIPTORS_SHARE)
     return CallerGuard(
         make_caller_memory(memory_mb),
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -1,7 +1,6 @@
 """An entry instance: composition of its parts, listening, and the planned stop."""
 
 import asyncio
-import math
 import time
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -227,7 +226,7 @@
         """Return the guard of callers' connections, and let it bound replies too."""
         own = self.settings
         guard = make_caller_guard(own.memory_mb, own.max_fds, self.log, self.counters)
-        guard.close_idle_targets = lambda: self.connections.close_idle(math.inf)
+        guard.targets = self.connections
         self.connections.buffers.unread = lambda: guard.memory.unread
         self.connections.buffers.bound = guard.memory.answer_bound
         return guard
--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -401,6 +401,10 @@
             del self._idle_by_address[connection.address]
         del self._idle_in_order[connection]
 
+    def idle_connections(self) -> int:
+        """Return the number of connections that no request uses."""
+        return len(self._idle_in_order)
+
     def close_idle(self, now_s: float) -> None:
         """Close idle connections that have expired or that the peer has closed."""
         for connection in list(self._idle_in_order):
