Apply balancing and ramp-up by default only where the configuration asks for it

Admission control applied only to services with more than one urgency or with weights; balancing and ramp-up applied to all deployments. Both follow the same rule now (capacity_sharing.py), so that configurations with one urgency and no weights are served as before. Modes on and off are unchanged. The test of the ramp-up's switch covers the four cases of mode and configuration.

--- a/libs/entry/src/celeryfork_entry/admission_gate.py
+++ b/libs/entry/src/celeryfork_entry/admission_gate.py
@@ -3,7 +3,7 @@
 import re
 import time
 
-from attrs import define, field, frozen
+from attrs import define, field
 from celeryfork_admission.returns import ReturnRegistry
 from celeryfork_admission.service_load import Urgency
 from celeryfork_admission.shortage import (
@@ -16,13 +16,8 @@
 from xxhash import xxh3_64
 
 from celeryfork_entry.call import Call, CallContext, not_run_error
-from celeryfork_entry.configuration import (
-    Configuration,
-    Organisation,
-    Route,
-    Stream,
-    urgency,
-)
+from celeryfork_entry.capacity_sharing import CapacitySharing
+from celeryfork_entry.configuration import urgency
 from celeryfork_entry.load_knowledge import LoadKnowledge
 from celeryfork_entry.path_selector import expected_answer_tokens
 from celeryfork_entry.settings import Mode
@@ -34,21 +29,6 @@
 REFUSAL_CODE = "shortage"
 
 
-@frozen(eq=False)
-class _Sharing:
-    """How a configuration divides services under a shortage.
-
-    Parameters
-    ----------
-    rank_by_urgency_by_service
-        Ranks of the urgencies of each service that is shared by urgency.
-    """
-
-    configuration: Configuration | None
-    organisation_by_name: dict[str, Organisation]
-    rank_by_urgency_by_service: dict[str, dict[Urgency, int]]
-
-
 @define(eq=False)
 class AdmissionGate:
     """Decides on each stream of a service that is shared by urgency.
@@ -64,11 +44,11 @@
     """
 
     _context: CallContext
+    _sharing: CapacitySharing
     _mode: Mode
     _instance: str
     _policy_by_service: dict[str, ShortagePolicy] = field(factory=dict)
     _returns: ReturnRegistry = field(factory=ReturnRegistry)
-    _sharing: _Sharing = field(factory=lambda: _Sharing(None, {}, {}))
     _tokens_by_call: dict[Call, float] = field(factory=dict)
     _labelled: set[str] = field(factory=set)
 
@@ -86,10 +66,13 @@
         """
         if self._mode is Mode.OFF:
             return
-        sharing = self._current_sharing()
-        rank_by_urgency = sharing.rank_by_urgency_by_service.get(call.service.name)
+        sharing = self._sharing.current()
+        service = call.service.name
+        rank_by_urgency = sharing.rank_by_urgency_by_service.get(service)
         if rank_by_urgency is None:
             return
+        if self._mode is Mode.AUTO and service not in sharing.services:
+            return
         organisation = sharing.organisation_by_name.get(call.organisation or "")
         call.urgency = urgency(call.route, organisation)
         call.priority = min(MAX_RANK, rank_by_urgency.get(call.urgency, MAX_RANK))
@@ -176,15 +159,9 @@
         return policy
 
     def _weight_of(self, organisation: str) -> float:
-        known = self._sharing.organisation_by_name.get(organisation)
+        known = self._sharing.current().organisation_by_name.get(organisation)
         return known.weight if known is not None else 1.0
 
-    def _current_sharing(self) -> _Sharing:
-        configuration = self._context.configuration()
-        if configuration is not self._sharing.configuration:
-            self._sharing = _make_sharing(configuration, self._mode)
-        return self._sharing
-
     def _count(self, what: str, urgency: Urgency, organisation: str | None) -> None:
         kind = f"{urgency.organisation_priority}_{urgency.route_priority}"
         self._context.counters.add(f"admission.{what}.urgency.{kind}")
@@ -198,38 +175,6 @@
         self._context.counters.add(f"admission.{what}.organisation.{label}")
 
 
-def _make_sharing(configuration: Configuration | None, mode: Mode) -> _Sharing:
-    if configuration is None:
-        return _Sharing(None, {}, {})
-    organisations = configuration.organisation_by_key.values()
-    by_name = {each.name: each for each in organisations}
-    weighted = any(each.weight != 1.0 for each in by_name.values())
-    priorities = {each.priority for each in by_name.values()}
-    urgencies_by_service: dict[str, set[Urgency]] = {}
-    for routes in configuration.routes_by_host.values():
-        for route in routes:
-            if isinstance(route.kind, Stream):
-                found = _urgencies(route, priorities, needs_key=configuration.needs_key)
-                for service, _ in route.weight_by_service:
-                    urgencies_by_service.setdefault(service, set()).update(found)
-    ranks: dict[str, dict[Urgency, int]] = {}
-    for service, urgencies in urgencies_by_service.items():
-        if mode is Mode.ON or weighted or len(urgencies) > 1:
-            ordered = enumerate(sorted(urgencies))
-            ranks[service] = {each: rank for rank, each in ordered}
-    return _Sharing(configuration, by_name, ranks)
-
-
-def _urgencies(
-    route: Route, priorities: set[int | None], *, needs_key: bool
-) -> set[Urgency]:
-    """Return the urgencies of the requests that may come on a route."""
-    found = {urgency(route, Organisation("", each)) for each in priorities}
-    if route.open or not needs_key:
-        found.add(urgency(route, None))
-    return found
-
-
 def _fingerprint(call: Call) -> int:
     """Return what a request shares with its retries only, a hash of 64 bits."""
     digest = xxh3_64((call.organisation or "").encode("utf-8", "surrogatepass"))
--- a/libs/entry/src/celeryfork_entry/domain_balance.py
+++ b/libs/entry/src/celeryfork_entry/domain_balance.py
@@ -91,12 +91,19 @@
 
 @define(eq=False)
 class DomainBalance:
-    """Balances the streams of this instance between domains, by service."""
+    """Balances the streams of this instance between domains, by service.
+
+    Parameters
+    ----------
+    applies
+        Returns True if the configuration asks for balancing in the mode ``AUTO``.
+    """
 
     _mode: Mode
     _instance: str
     _context: CallContext
     _loads: EngineLoads
+    _applies: Callable[[], bool] = lambda: True
     _by_service: dict[str, _ServiceBalance] = field(factory=dict)
 
     def pick(
@@ -113,7 +120,7 @@
         engines
             Returns the usable engines of the service in all domains.
         """
-        if self._mode is Mode.OFF:
+        if self._mode is Mode.OFF or (self._mode is Mode.AUTO and not self._applies()):
             return None
         balance = self._by_service.get(service)
         if balance is None:
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -23,6 +23,7 @@
 )
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
 from celeryfork_entry.caller_stream import CallerStream, RefusedConnection
+from celeryfork_entry.capacity_sharing import CapacitySharing
 from celeryfork_entry.configuration import CallerLimits, Configuration
 from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.decision_log import error_location
@@ -171,9 +172,10 @@
             stop=self._planned_stop,
             histograms=self._histograms,
         )
+        sharing = CapacitySharing(context.configuration)
         self._ramp_up = context.ramp_up = make_target_ramp_up(
             self.settings.ramp_up_mode, self.table, self.log, own.name, own.domain,
-            context.instance_count,
+            context.instance_count, sharing.is_configured,
         )  # fmt: skip
         leaving = LeavingChecks(
             self.table, self.connections, self._dialect, self.log, self._spawn
@@ -181,7 +183,9 @@
         reachability = ReachabilityChecks(
             self.settings.domain, self.table, self._checks, self.log, self._spawn
         )
-        balance = DomainBalance(own.balance_mode, own.name, context, self.loads)
+        balance = DomainBalance(
+            own.balance_mode, own.name, context, self.loads, sharing.is_configured
+        )
         selector = PathSelector(context, self.loads, balance)
         self.load_knowledge.engines = selector.engines_in_use
         detours = Detours(context, selector, self._highest_known_fence)
@@ -197,7 +201,7 @@
             context,
             PlainCalls(context, guard),
             streams,
-            AdmissionGate(context, own.admission_mode, own.name),
+            AdmissionGate(context, sharing, own.admission_mode, own.name),
         )
         self._placement = PlacementLeader(
             self.table, self.connections, self._dialect, self._checks, self.log,
--- a/libs/entry/src/celeryfork_entry/target_ramp_up.py
+++ b/libs/entry/src/celeryfork_entry/target_ramp_up.py
@@ -86,6 +86,8 @@
         ``ON`` or ``AUTO``; with ``OFF`` no object of this class is made.
     instance_count
         Returns the number of live instances, at least the usual one.
+    applies
+        Returns True if the configuration asks for ramp-ups in the mode ``AUTO``.
     first_listed_s
         Time at which the first target was listed, None before.
     """
@@ -96,6 +98,7 @@
     _domain: str
     _instance_count: Callable[[], int]
     _ramp_up: RampUp
+    _applies: Callable[[], bool] = field(default=lambda: True, kw_only=True)
     _clock: Callable[[], float] = time.monotonic
     _first_listed_s: float | None = None
     _in_flight_by_id: dict[str, int] = field(factory=dict)
@@ -122,6 +125,8 @@
         is_of_first_list = now_s - self._first_listed_s <= grace_s
         if is_of_first_list and cause is not StartCause.RECOVERED:
             return
+        if self._mode is Mode.AUTO and not self._applies():
+            return
         if not self.active:
             self._samples_by_key.clear()
         sharers = self._sharers(target, now_s)
@@ -306,6 +311,7 @@
     instance: str,
     domain: str,
     instance_count: Callable[[], int],
+    applies: Callable[[], bool] = lambda: True,
 ) -> TargetRampUp | None:
     """Return the ramp-up of an instance's targets, None if the mode is ``OFF``."""
     match mode:
@@ -313,7 +319,13 @@
             return None
         case Mode.AUTO | Mode.ON:
             ramp_up = TargetRampUp(
-                table, log, mode, domain, instance_count, RampUp(instance)
+                table,
+                log,
+                mode,
+                domain,
+                instance_count,
+                RampUp(instance),
+                applies=applies,
             )
             table.on_start = ramp_up.target_started
             return ramp_up
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -19,6 +19,7 @@
 from celeryfork_entry.admission_gate import AdmissionGate
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.call import Call, CallContext
+from celeryfork_entry.capacity_sharing import CapacitySharing
 from celeryfork_entry.configuration import (
     CallerLimits,
     Configuration,
@@ -302,7 +303,9 @@
             limits=CallerLimits(1_000, 1_000, 1.0, 1.0),
         )
         self.context.configuration = lambda: configuration
-        gate = AdmissionGate(self.context, Mode.AUTO, "i1")
+        gate = AdmissionGate(
+            self.context, CapacitySharing(self.context.configuration), Mode.AUTO, "i1"
+        )
         plain = PlainCalls(self.context, self.guard)
         return Dispatcher(self.context, plain, self.streams, gate)
 
--- a/libs/entry/tests/test_admission_gate.py
+++ b/libs/entry/tests/test_admission_gate.py
@@ -15,6 +15,7 @@
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_base.outcomes import Outcome
 from celeryfork_entry.admission_gate import MAX_ORGANISATION_LABELS, AdmissionGate
+from celeryfork_entry.capacity_sharing import CapacitySharing
 from celeryfork_entry.configuration import Organisation
 from celeryfork_entry.search_order import SearchOrder
 from celeryfork_entry.settings import Mode
@@ -57,7 +58,9 @@
 
 
 def make_gate(trial, mode=Mode.AUTO):
-    return AdmissionGate(trial.context, mode, "i1")
+    return AdmissionGate(
+        trial.context, CapacitySharing(trial.context.configuration), mode, "i1"
+    )
 
 
 def make_call(trial, organisation=None, request_id="r1"):
--- a/libs/entry/tests/test_domain_balance.py
+++ b/libs/entry/tests/test_domain_balance.py
@@ -31,7 +31,7 @@
 class Fleet:
     """An instance of domain a with the reports of two or three domains."""
 
-    def __init__(self, mode=Mode.AUTO, domains="abc", instances=6):
+    def __init__(self, mode=Mode.AUTO, domains="abc", instances=6, applies=True):
         self.engines = [
             PathEngine(f"{domain}{held.first}", "", domain, "card", held)
             for domain in domains
@@ -43,7 +43,7 @@
             domain="a", instance_count=lambda: instances, counters=self.counters,
             log=SimpleNamespace(info=lambda event, **f: self.lines.append((event, f))),
         )  # fmt: skip
-        self.balance = DomainBalance(mode, "a-1", context, self.loads)
+        self.balance = DomainBalance(mode, "a-1", context, self.loads, lambda: applies)
 
     def report(self, **fill_by_domain):
         """Report requests of each domain that fill its own engines to some part."""
@@ -66,6 +66,15 @@
         return picked
 
 
+@pytest.mark.parametrize(("mode", "balanced"), [(Mode.AUTO, False), (Mode.ON, True)])
+def test_a_configuration_with_one_urgency_is_balanced_only_if_switched_on(
+    mode, balanced
+):
+    """Deployments whose configuration doesn't ask for it are served as before."""
+    picked = Fleet(mode, applies=False).picks(2, a=0.9, b=0.1, c=0.1)
+    assert (set(picked) != {None}) == balanced
+
+
 @pytest.mark.parametrize(
     ("mode", "a", "expected"),
     [
--- a/libs/entry/tests/test_instance.py
+++ b/libs/entry/tests/test_instance.py
@@ -6,6 +6,13 @@
 import pytest
 from attrs import evolve
 from celeryfork_admission.crash_evidence import Verdict, make_part_trait
+from celeryfork_entry.configuration import (
+    CallerLimits,
+    Configuration,
+    Organisation,
+    Route,
+    Stream,
+)
 from celeryfork_entry.engine_speeds import Speed
 from celeryfork_entry.instance import Instance
 from celeryfork_entry.ports import Peer
@@ -128,10 +135,31 @@
     assert [each.id for each in engines] == ["x"]
 
 
-@pytest.mark.parametrize(("mode", "ramping"), [(Mode.AUTO, 1), (Mode.OFF, 0)])
-def test_a_target_that_recovers_is_ramped_unless_that_is_switched_off(mode, ramping):
-    """The switch of the settings file reaches the table and the gauge."""
+def make_configuration(*priorities):
+    """Return a configuration with a stream and an organisation of each priority."""
+    route = Route(
+        "r", "h", "/", Stream(True, 0.2), 10.0, 0.5, 1, (("llm", 1.0),), 2, False
+    )
+    organisations = {str(each): Organisation(str(each), each) for each in priorities}
+    limits = CallerLimits(1_000, 1_000, 1.0, 1.0)
+    return Configuration(1, {"h": (route,)}, {}, organisations, True, limits)
+
+
+@pytest.mark.parametrize(
+    ("mode", "priorities", "ramping"),
+    [
+        (Mode.AUTO, (0, 1), 1),
+        (Mode.AUTO, (1,), 0),
+        (Mode.ON, (1,), 1),
+        (Mode.OFF, (0, 1), 0),
+    ],
+)
+def test_a_recovered_target_is_ramped_as_settings_and_configuration_say(
+    mode, priorities, ramping
+):
+    """Deployments with one urgency are served as before; the switch is heeded."""
     instance = make_instance(evolve(SETTINGS, ramp_up_mode=mode))
+    instance._store_follower.configuration = make_configuration(*priorities)
     instance.table.apply([Listed(Target("x", "desk", "x:1", "west"))])
     instance.table.exclude("x", "refused", 0.0)
     instance.table.succeeded("x")
