Don't ramp targets that were there before an instance's first request

A fleet loads its layers after the first list of targets and before callers come. The grace of 5 s now counts from the first request.

--- a/libs/entry/src/celeryfork_entry/target_ramp_up.py
+++ b/libs/entry/src/celeryfork_entry/target_ramp_up.py
@@ -20,10 +20,10 @@
 from celeryfork_entry.settings import Mode
 from celeryfork_entry.targets import StartCause, Target, TargetTable
 
-FIRST_LIST_S = 5.0
-"""Seconds after an instance's first list of targets within which further ones count as
-part of it. An instance hears of all domains within this time."""
-ALWAYS_FIRST_LIST_S = 0.8
+FIRST_TARGETS_S = 5.0
+"""Seconds after an instance's first request within which targets that are listed or get
+layers count as present from the start. An instance hears of all domains meanwhile."""
+ALWAYS_FIRST_TARGETS_S = 0.8
 """The same for the mode ``on``: the usual age of an entry when it appears."""
 REFRESH_S = 0.05
 """Seconds after which all windows are looked at again; turns take ten times as long."""
@@ -88,8 +88,9 @@
         Returns the number of live instances, at least the usual one.
     applies
         Returns True if the configuration asks for ramp-ups in the mode ``AUTO``.
-    first_listed_s
-        Time at which the first target was listed, None before.
+    first_request_s
+        Time of the first request, None before. A fleet that starts as a whole has its
+        targets listed, and their layers loaded, before callers come.
     """
 
     _table: TargetTable
@@ -100,7 +101,7 @@
     _ramp_up: RampUp
     _applies: Callable[[], bool] = field(default=lambda: True, kw_only=True)
     _clock: Callable[[], float] = time.monotonic
-    _first_listed_s: float | None = None
+    _first_request_s: float | None = None
     _in_flight_by_id: dict[str, int] = field(factory=dict)
     _samples_by_key: dict[tuple[str, str, bool], deque[float]] = field(factory=dict)
     _domain_counts: dict[str, tuple[float, int]] = field(factory=dict)
@@ -118,12 +119,14 @@
 
     def target_started(self, target: Target, cause: StartCause) -> None:
         """Begin the ramp of a target that has started, if the mode asks for it."""
+        if self._first_request_s is None:
+            return
         now_s = self._clock()
-        if self._first_listed_s is None:
-            self._first_listed_s = now_s
-        grace_s = FIRST_LIST_S if self._mode is Mode.AUTO else ALWAYS_FIRST_LIST_S
-        is_of_first_list = now_s - self._first_listed_s <= grace_s
-        if is_of_first_list and cause is not StartCause.RECOVERED:
+        grace_s = FIRST_TARGETS_S
+        if self._mode is Mode.ON:
+            grace_s = ALWAYS_FIRST_TARGETS_S
+        is_of_start = now_s - self._first_request_s <= grace_s
+        if is_of_start and cause is not StartCause.RECOVERED:
             return
         if self._mode is Mode.AUTO and not self._applies():
             return
@@ -182,6 +185,7 @@
         Its end must be recorded with :meth:`end`.
         """
         shape = request.service.model
+        self.record_request()
         if not self.active or shape is None:
             return None
         by_id = self._table.by_id
@@ -195,8 +199,14 @@
 
     def begin_plain(self, request: RampRequest, target: Target) -> RampRun | None:
         """Record that a call is sent to a plain target, as :meth:`begin_path` does."""
+        self.record_request()
         return self._begin(request, (target.id,), None) if self.active else None
 
+    def record_request(self) -> None:
+        """Record that this instance serves requests."""
+        if self._first_request_s is None:
+            self._first_request_s = self._clock()
+
     def _begin(
         self,
         request: RampRequest,
--- a/libs/entry/tests/ramp_up_cost.py
+++ b/libs/entry/tests/ramp_up_cost.py
@@ -69,7 +69,7 @@
     ramp_up = make_target_ramp_up(
         Mode.AUTO, trial.table, trial.context.log, "i1", "a", lambda: 690
     )
-    ramp_up._first_listed_s = 0.0
+    ramp_up._first_request_s = 0.0
     begun_s = time.process_time()
     for n in range(MANY_RAMPING):
         trial.table.apply([Listed(Target(f"e{n}", "desk", f"10.0.0.1:{n}", "a"))])
--- a/libs/entry/tests/test_instance.py
+++ b/libs/entry/tests/test_instance.py
@@ -160,6 +160,8 @@
     """Deployments with one urgency are served as before; the switch is heeded."""
     instance = make_instance(evolve(SETTINGS, ramp_up_mode=mode))
     instance._store_follower.configuration = make_configuration(*priorities)
+    if instance._ramp_up is not None:
+        instance._ramp_up.record_request()
     instance.table.apply([Listed(Target("x", "desk", "x:1", "west"))])
     instance.table.exclude("x", "refused", 0.0)
     instance.table.succeeded("x")
--- a/libs/entry/tests/test_target_ramp_up.py
+++ b/libs/entry/tests/test_target_ramp_up.py
@@ -11,7 +11,7 @@
 from celeryfork_entry.settings import Mode
 from celeryfork_entry.target_health import ReportedLayers
 from celeryfork_entry.target_ramp_up import (
-    FIRST_LIST_S,
+    FIRST_TARGETS_S,
     MIN_SAMPLES,
     RampRequest,
     TargetRampUp,
@@ -56,6 +56,7 @@
     table: TargetTable = field(init=False)
     ramp_up: TargetRampUp = field(init=False)
     lines: list = field(factory=list)
+    serves: bool = True
 
     def __attrs_post_init__(self):
         self.table = TargetTable(clock=lambda: self.now_s)
@@ -66,6 +67,8 @@
         )  # fmt: skip
         self.table.on_start = self.ramp_up.target_started
         self.list(engine("old"))
+        if self.serves:
+            self.ramp_up.record_request()
 
     def list(self, *targets, after_s=0.0):
         self.now_s += after_s
@@ -95,13 +98,22 @@
 def test_targets_of_the_first_list_are_not_ramped():
     """All of them would be held back by an instance that has just started."""
     trial = Fixture()
-    trial.list(engine("e1"), after_s=FIRST_LIST_S - 1)
+    trial.list(engine("e1"), after_s=FIRST_TARGETS_S - 1)
     assert not trial.ramp_up.active
     trial.list(engine("e2"), after_s=2.0)
     assert trial.ramping() == {"e2"}
     assert trial.lines == ["ramp_up_began"]
 
 
+def test_a_fleet_that_loads_its_layers_before_the_first_request_is_not_ramped():
+    """All engines were held back as the callers of a new deployment arrived."""
+    trial = Fixture(serves=False)
+    trial.list(engine("e1", held=None), after_s=FIRST_TARGETS_S + 1)
+    trial.list(engine("e1"), after_s=5.0)
+    trial.ramp_up.record_request()
+    assert not trial.ramp_up.active
+
+
 def test_the_mode_on_ramps_targets_listed_soon_after_the_first():
     trial = Fixture(mode=Mode.ON)
     trial.list(engine("e1"), after_s=0.5)
@@ -226,7 +238,7 @@
         Mode.AUTO, trial.table, trial.context.log, "i1", "a", lambda: 10**9
     )
     ramp_up = trial.context.ramp_up
-    ramp_up._first_listed_s = 0.0
+    ramp_up._first_request_s = 0.0
     for each in target_ids:
         trial.table.exclude(each, "silent", 0.0)
         trial.table.succeeded(each)
