--- a/libs/entry/src/celeryfork_entry/target_http.py
+++ b/libs/entry/src/celeryfork_entry/target_http.py
@@ -157,23 +157,21 @@
         body, buffers = bytearray(), self._pool.buffers
         buffers.bodies += 1
         try:
-            while piece := await self._read_in_turn(len(body)):
+            while piece := await self.read():
                 body += piece
                 buffers.bytes += len(piece)
                 if len(body) > max_bytes:
                     raise LostError(f"a reply is longer than {max_bytes} bytes")
                 if buffers.excludes(len(body)):
                     raise LostError("the memory for bodies of replies is used up")
+                while buffers.must_wait(id(self), len(body)):
+                    await asyncio.sleep(TURN_INTERVAL_S)
             return bytes(body)
         finally:
             buffers.bodies -= 1
             buffers.bytes -= len(body)
             buffers.end(id(self))
 
-    async def _read_in_turn(self, length: int) -> bytes:
-        await self._pool.buffers.wait_for_turn(id(self), length)
-        return await self.read()
-
     async def skip_body(self) -> None:
         """Read a body that isn't needed, so that its connection can be used again.
 
@@ -264,15 +262,14 @@
     bound: float = inf
     _long: dict[object, None] = field(factory=dict)
 
-    async def wait_for_turn(self, reader: object, length: int) -> None:
-        """Wait while a body that has this length by now isn't read on."""
+    def must_wait(self, reader: object, length: int) -> bool:
+        """Return True while a body that has this length by now isn't read on."""
         if length < MIN_LONG_BODY_BYTES:
-            return
+            return False
         self._long[reader] = None
-        while (
-            self.bytes + self.unread() > self.bound and next(iter(self._long)) != reader
-        ):
-            await asyncio.sleep(TURN_INTERVAL_S)
+        if self.bytes + self.unread() <= self.bound:
+            return False
+        return next(iter(self._long)) != reader
 
     def end(self, reader: object) -> None:
         """Give up the turn of a body that isn't read any more."""
