Name the parsing turn, the released share of memory and a single connection's guard plainly

Only names changed: the lock under which heads with many fields are parsed, the share of the memory in use that is released per second, and the guard of a connection that stands for itself.

--- a/libs/admission/src/celeryfork_admission/supply.py
+++ b/libs/admission/src/celeryfork_admission/supply.py
@@ -81,7 +81,9 @@
         usable = TARGET_USE * room.total_tokens
         free = usable - self._predict_used(load, used, now_s)
         # An instance that has just started knows no holding time yet.
-        sustained = usable * self._leak_per_s() or demand.released_tokens_per_s
+        sustained = (
+            usable * self._released_share_per_s() or demand.released_tokens_per_s
+        )
         return max(0.0, sustained + free / FILL_S)
 
     def excess(self, load: ServiceLoad, now_s: float) -> float:
@@ -126,7 +128,7 @@
         self._updated_s, self._last_used = now_s, used
         self._last_released = released
 
-    def _leak_per_s(self) -> float:
+    def _released_share_per_s(self) -> float:
         """Return the share of the memory in use that is released per second."""
         if self._used_s <= 0 or self._served <= 0:
             return 0.0
@@ -134,16 +136,16 @@
 
     def _predict_used(self, load: ServiceLoad, used: float, now_s: float) -> float:
         """Return the memory in use now, by the admissions since ``load`` was true."""
-        leak_per_s = self._leak_per_s()
-        if not leak_per_s:
+        released_share_per_s = self._released_share_per_s()
+        if not released_share_per_s:
             return used
         at_s = now_s - min(load.age_s, MAX_HISTORY_S)
         rate = load.demand.admitted_tokens_per_s
         for each in [*self._history, _PlannedRate(now_s, 0.0, None)]:
             step_s = each.at_s - at_s
             if step_s > 0:
-                kept = exp(-leak_per_s * step_s)
-                used = used * kept + rate * (1 - kept) / leak_per_s
+                kept = exp(-released_share_per_s * step_s)
+                used = used * kept + rate * (1 - kept) / released_share_per_s
                 at_s = each.at_s
             rate = each.expected
         return used
--- a/libs/entry/src/celeryfork_entry/caller_guard.py
+++ b/libs/entry/src/celeryfork_entry/caller_guard.py
@@ -133,7 +133,7 @@
     targets: IdleTargets = field(factory=NoIdleTargets)
     _served: int = 0
     _served_waiters: deque[asyncio.Future[None]] = field(factory=deque)
-    _lane: asyncio.Lock = field(factory=asyncio.Lock)
+    _parse_turn: asyncio.Lock = field(factory=asyncio.Lock)
     _shed: Counter[str] = field(factory=Counter)
     _active: bool = False
     _shedding: bool = False
@@ -270,7 +270,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(MAX_WAIT_S):
-                await self._lane.acquire()
+                await self._parse_turn.acquire()
         except TimeoutError:
             raise self.refusal("time") from None
         begun_s = loop.time()
@@ -278,7 +278,7 @@
             yield
         finally:
             rest_s = (loop.time() - begun_s) * PARSE_REST
-            loop.call_later(rest_s, self._lane.release)
+            loop.call_later(rest_s, self._parse_turn.release)
 
     async def run(self) -> None:
         """Check again and again whether connections have to go."""
@@ -474,7 +474,7 @@
     )
 
 
-def make_lone_guard(stream: ByteStream) -> ConnectionGuard:
+def make_single_connection_guard(stream: ByteStream) -> ConnectionGuard:
     """Return the guard of a connection that shares no limit with others."""
     guard = CallerGuard(
         CallerMemory(sys.maxsize),
--- a/libs/entry/src/celeryfork_entry/caller_http.py
+++ b/libs/entry/src/celeryfork_entry/caller_http.py
@@ -12,7 +12,11 @@
 from attrs import Factory, define, evolve, field, frozen
 
 from celeryfork_entry.byte_stream import ByteStream
-from celeryfork_entry.caller_guard import ConnectionGuard, ShedError, make_lone_guard
+from celeryfork_entry.caller_guard import (
+    ConnectionGuard,
+    ShedError,
+    make_single_connection_guard,
+)
 from celeryfork_entry.caller_memory import ENTITLED_BYTES, Phase
 from celeryfork_entry.configuration import CallerLimits
 from celeryfork_entry.loop_turns import LoopTurns
@@ -114,7 +118,7 @@
     is_stopping: Callable[[], bool]
     needs_body: Callable[[CallerRequest], bool] = lambda _: True
     guard: ConnectionGuard = Factory(
-        lambda self: make_lone_guard(self.stream), takes_self=True
+        lambda self: make_single_connection_guard(self.stream), takes_self=True
     )
     http: h11.Connection = field(init=False)
     _busy: bool = False
