Apply load management by default only where routes of one service compete

Admission control, balancing and ramp-up also applied where only organisations differ in priority. The default now asks for such routes, or for weights; priorities of organisations alone are left to the engines, as before. Mode on applies as before.

--- a/libs/entry/src/celeryfork_entry/capacity_sharing.py
+++ b/libs/entry/src/celeryfork_entry/capacity_sharing.py
@@ -1,7 +1,7 @@
 """Services whose capacity a configuration shares by urgency or weight.
 
 Only for these do admission control, balancing and ramp-up apply by default, so that
-configurations without urgencies or weights are served as before.
+configurations without competing routes or weights are served as before.
 """
 
 from collections.abc import Callable, Mapping
@@ -27,8 +27,9 @@
     rank_by_urgency_by_service
         Ranks of the urgencies of each service that has streams, the most urgent first.
     services
-        Services with more than one urgency, or all with streams if an organisation has
-        a weight other than 1.
+        Services whose streams have routes of more than one priority, or all with
+        streams if an organisation has a weight other than 1. Priorities of
+        organisations alone are left to the engines.
     """
 
     configuration: Configuration | None = None
@@ -82,7 +83,7 @@
         frozenset(
             service
             for service, urgencies in urgencies_by_service.items()
-            if weighted or len(urgencies) > 1
+            if weighted or len({each.route_priority for each in urgencies}) > 1
         ),
     )
 
