--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -370,14 +370,14 @@
     )
 
 
-def target_entry(address, beats, born, state="ready", zone="mv-a", **more):
+def target_entry(address, beats, born, state="ready", zone="mv-a", slots=6, **more):
     """Return what a target writes to the store."""
     return {
         "service": "bestall-app",
         "addr": address,
         "zone": zone,
         "version": "v1",
-        "slots": 6,
+        "slots": slots,
         "state": state,
         "coldLeftMs": 0,
         "seq": beats,
