--- a/review/support-2/engines.py
+++ b/review/support-2/engines.py
@@ -52,6 +52,7 @@
     """One engine. A prompt with the deadly part ends it as its answer begins."""
 
     down_s = 2.0
+    first_event_s = 0.15
     event_gap_s = 0.02
 
     def __init__(self, own_id, store, record, deadly_part, engines):
@@ -153,7 +154,7 @@
             return
         self.runs.append((time.monotonic(), attempt))
         self._record.add("runs", id=self.id, attempt=attempt)
-        await asyncio.sleep(self.event_gap_s)
+        await asyncio.sleep(self.first_event_s)
         if self._deadly_part in shared_parts(headers.get("x-prompt-prefix", "")):
             if self._server.is_serving():
                 asyncio.ensure_future(self.crash())
