--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,15 +1,17 @@
-"""Clients' connections are reset in the middle of streams, which the clients resume.
+"""A machine is killed, and its clients resume their streams at the other machines.
 
-The route's service has no `engine` in the configuration. Does a resumed stream go on
-after the last event that the client has?
+The route's streams are split between a service with engines and one without. Does a
+resumed stream go on after the last event that its client has?
 """
 
 import asyncio
+import signal
 import sys
 import tempfile
 import time
 from pathlib import Path
 
+from engines import SERVICE, Engine
 from fleet import (
     BEAT_S,
     BROKEN,
@@ -27,15 +29,18 @@
 from http_lite import encode_reply, exchange, read_request
 
 HERE = Path(__file__).resolve().parent
-STREAMS = 40
-EVENTS = 20
+MACHINES = 7
+"""One of them is killed (node_kill, share 0.143)."""
+ENGINES = 16
+PLACED_S = 6.0
+"""Seconds from the start until all engines hold their layers."""
+STREAMS = 120
+EVENTS = 40
 MOST_TURNS = 3
 EVENT_GAP_S = 0.01
-STREAM_GAP_S = 0.05
-RESET_EVERY = 2
-"""One connection in so many is reset (reset_conns, x 0.5)."""
-RESET_AFTER_BYTES = 500
-"""Bytes of an answer after which its connection is reset."""
+STREAM_GAP_S = 0.004
+KILLED_AFTER_S = 0.3
+"""Seconds from the last stream's begin to the kill."""
 ROUTE = {
     "name": "summary",
     "host": "farm.example",
@@ -44,21 +49,25 @@
     "timeoutMs": 20000,
     "sloMs": 500,
     "priority": 1,
-    "service": "bestall-app",
+    "split": [
+        {"service": SERVICE["name"], "weight": 90},
+        {"service": "bestall-app", "weight": 10},
+    ],
     "maxAttempts": 2,
     "public": False,
     "resumable": True,
     "gapAimMs": 200,
 }
+PLAIN_SERVICE = {"name": "bestall-app", "healthPath": "/healthz", "maxConns": 52}
 
 
 def event(attempt, number):
     """Return one event of a stream."""
-    return f"id: {number}\ndata: {attempt}-{number} of the summary\n\n".encode()
+    return f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
 
 
 class Target:
-    """A target that streams answers without a length, and resumes them."""
+    """A target of the plain service, which streams answers and resumes them."""
 
     def __init__(self, own_id, store, record):
         self.id, self._store, self._record = own_id, store, record
@@ -116,54 +125,6 @@
             await asyncio.sleep(EVENT_GAP_S)
 
 
-class ClientLink:
-    """The network between the clients and the machine, which may reset connections."""
-
-    def __init__(self, to, record):
-        self._to, self._record = to, record
-        self._connections = 0
-
-    async def start(self):
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def _serve(self, reader, writer):
-        self._connections += 1
-        number = self._connections
-        left = 1 << 30
-        if with_trouble() and number <= STREAMS and number % RESET_EVERY == 0:
-            left = RESET_AFTER_BYTES
-        host, _, port = self._to.rpartition(":")
-        far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        passing = asyncio.ensure_future(self._pass(reader, far_writer))
-        try:
-            while left > 0 and (data := await far_reader.read(left)):
-                left -= len(data)
-                writer.write(data)
-                await writer.drain()
-            if left == 0:
-                self._record.add("connection reset", connection=number)
-        except (ConnectionError, asyncio.CancelledError):
-            pass  # One side closed the connection, or the case ends.
-        finally:
-            passing.cancel()
-            far_writer.transport.abort()
-            writer.close()
-
-    @staticmethod
-    async def _pass(reader, writer):
-        try:
-            while data := await reader.read(65_536):
-                writer.write(data)
-                await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
-            pass  # One side closed the connection, or the case ends.
-        finally:
-            writer.close()
-
-
 def whole_events(data):
     """Return the events that a client has, without one that was cut."""
     return data.decode().split("\n\n")[:-1]
@@ -175,66 +136,90 @@
 
 
 class Callers:
-    """Clients that resume a stream whose connection broke."""
+    """Clients that resume a stream whose connection broke, at another machine."""
 
-    def __init__(self, link, record):
-        self._link, self._record = link, record
+    def __init__(self, entries, record):
+        self._entries, self._record = entries, record
+        self._next = 0
         self.wrong, self.right, self.resumed = [], [], 0
 
     async def ask(self, name):
         """Ask for one stream, at most three times, and judge its events."""
-        events, reply = [], None
+        numbers, reply, entry = [], None, self._entries[0]
         for turn in range(1, MOST_TURNS + 1):
             attempt = f"{name}.{turn}"
-            headers = list(caller_headers(attempt, deadline_ms=20000))
-            if events:
-                headers.append(("Last-Event-Id", str(number_of(events[-1]))))
+            headers = [
+                *caller_headers(attempt, deadline_ms=20000),
+                ("X-Model", "m"),
+                ("X-Token-Count", f"100,{2 * EVENTS}"),
+            ]
+            if numbers:
+                headers.append(("Last-Event-Id", str(numbers[-1])))
                 self.resumed += 1
-            self._record.add("sent", attempt=attempt, has=len(events))
+            self._record.add("sent", attempt=attempt, has=numbers[-1:] or 0)
+            body = f"prompt {name}".encode()
             reply = await exchange(
-                self._link.address, "POST", "/summary/1", headers, b"menu"
+                entry.front, "POST", f"/summary/{name}", headers, body
             )
-            got = whole_events(reply.body)
-            events += got
+            got = [number_of(each) for each in whole_events(reply.body)]
+            numbers += got if reply.status == 200 else []
             self._record.add(
                 "answered",
                 attempt=attempt,
                 status=reply.status,
                 complete=reply.whole,
-                events=f"{number_of(got[0])}-{number_of(got[-1])}" if got else None,
+                stamp=reply.headers.get("x-server-stamp"),
+                events=f"{got[0]}-{got[-1]}" if got else None,
             )
-            if reply.whole:
+            if reply.whole and reply.status == 200:
                 break
-        numbers = [number_of(each) for each in events]
+            self._next += 1
+            entry = self._entries[1 + self._next % (len(self._entries) - 1)]
         if reply.status == 200 and reply.whole:
             good = numbers == list(range(1, EVENTS + 1))
             (self.right if good else self.wrong).append(name)
 
 
+async def send_all(entries, record):
+    """Begin the streams at one machine, kill it, and return what its clients got."""
+    callers = Callers(entries, record)
+    asked = []
+    for number in range(1, STREAMS + 1):
+        asked.append(asyncio.ensure_future(callers.ask(f"stream-{number}")))
+        await asyncio.sleep(STREAM_GAP_S)
+    await asyncio.sleep(KILLED_AFTER_S)
+    if with_trouble():
+        record.add("machine killed", under_way=sum(not each.done() for each in asked))
+        entries[0].signal(signal.SIGKILL)
+    await asyncio.gather(*asked)
+    return callers
+
+
 async def play(directory):
     """Ask for streams, and return whether a resumed one repeated events."""
     record = Record(HERE)
     store = Store(record)
     await store.start()
-    store.put("keyed.op", "config", configuration(3, routes=[ROUTE]))
+    services = [SERVICE, PLAIN_SERVICE]
+    store.put("keyed.op", "config", configuration(3, routes=[ROUTE], services=services))
     targets = [Target(f"app-{number}", store, record) for number in (1, 2, 3)]
-    entry = Entry(store, directory)
-    link = ClientLink(entry.front, record)
-    callers = Callers(link, record)
-    tasks = []
+    engines = []
+    for number in range(ENGINES):
+        engines.append(Engine(f"e-{number}", store, record, None, engines))
+    entries = [
+        Entry(store, directory, number=number) for number in range(1, MACHINES + 1)
+    ]
+    beats = []
     try:
-        for target in targets:
-            await target.start()
-            tasks.append(asyncio.ensure_future(target.beat_on()))
-        entry.start()
-        await entry.wait_ready()
-        await link.start()
-        await asyncio.sleep(1.5)
-        asked = []
-        for number in range(1, STREAMS + 1):
-            asked.append(asyncio.ensure_future(callers.ask(f"stream-{number}")))
-            await asyncio.sleep(STREAM_GAP_S)
-        await asyncio.gather(*asked)
+        for each in [*targets, *engines]:
+            await each.start()
+            beats.append(asyncio.ensure_future(each.beat_on()))
+        for entry in entries:
+            entry.start()
+        for entry in entries:
+            await entry.wait_ready()
+        await asyncio.sleep(PLACED_S)
+        callers = await send_all(entries, record)
         record.add(
             "verdict",
             asked=STREAMS,
@@ -244,12 +229,13 @@
         )
         if len(callers.right) + len(callers.wrong) < STREAMS / 2:
             raise CannotRunError("most streams aren't served")
-        await asyncio.sleep(0.2)
         return BROKEN if callers.wrong else HELD
     finally:
-        for task in tasks:
-            task.cancel()
-        entry.end()
+        for beat in beats:
+            beat.cancel()
+        for entry in entries:
+            if entry.process is not None:
+                entry.end()
 
 
 def main():
