--- a/review/9/case.py
+++ b/review/9/case.py
@@ -27,12 +27,14 @@
 from http_lite import encode_reply, exchange, read_request
 
 HERE = Path(__file__).resolve().parent
-STREAMS = 120
+STREAMS = 180
 EVENTS = 20
 EVENT_GAP_S = 0.01
-STREAM_GAP_S = 0.05
+STREAM_GAP_S = 0.027
+"""Interval of the requests, all of which come within 5 s."""
 BROKEN_OFF_EVERY = 20
-"""One stream in so many is broken off (garble, x 0.05)."""
+SPOILING = "app-1"
+"""One target of three breaks off one stream in 20 (garble, share 0.5, x 0.05)."""
 BROKEN_OFF_AFTER = 12
 """Events before the one that is broken off."""
 ROUTE = {
@@ -97,7 +99,8 @@
         attempt = request.headers["x-attempt-id"]
         first = int(request.headers.get("last-event-id", "0")) + 1
         self.streams += 1
-        breaks_off = with_trouble() and self.streams % BROKEN_OFF_EVERY == 0
+        spoiling = with_trouble() and self.id == SPOILING
+        breaks_off = spoiling and self.streams % BROKEN_OFF_EVERY == 0
         self._record.add("runs", id=self.id, attempt=attempt, first_event=first)
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
