Forward a caller's Last-Event-Id to services without a model

Cause: the adapter drops the caller's header and sets its own from ForwardingOptions.after_event, which only StreamCalls sets. Requests to services without a model are plain calls, so that their targets never got the number.

The header is now forwarded as it came, unless the instance knows the event after which the answer goes on. Two more faults of the same cause: calls that aren't streams lost the header as well and were rejected for a value that is no number, and a stream that may not be resumed left out the events up to the named one, though its new run is another answer.

--- a/libs/entry/src/celeryfork_entry/configuration.py
+++ b/libs/entry/src/celeryfork_entry/configuration.py
@@ -36,6 +36,11 @@
 Kind = Stream | Idempotent | AtMostOnce
 
 
+def is_resumable(kind: Kind) -> bool:
+    """Return True if another target may continue an answer after a given event."""
+    return isinstance(kind, Stream) and kind.resumable
+
+
 @frozen
 class Route:
     """Requests of one host below one path.
--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -19,7 +19,13 @@
     CallerGoneError,
     CallerRequest,
 )
-from celeryfork_entry.configuration import Configuration, Organisation, Route, Stream
+from celeryfork_entry.configuration import (
+    Configuration,
+    Organisation,
+    Route,
+    Stream,
+    is_resumable,
+)
 from celeryfork_entry.decision_log import error_location
 from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import RequestMetadata
@@ -90,6 +96,10 @@
             )
         route = _route(configuration, metadata)
         organisation = _organisation(configuration, route, metadata)
+        if metadata.has_unknown_last_event and is_resumable(route.kind):
+            raise BadRequestError(
+                400, "Last-Event-Id is not the number of an event: send that number."
+            )
         if not request.body_read:
             # The configuration has changed since the head was read.
             raise not_run_error(
--- a/libs/entry/src/celeryfork_entry/ports.py
+++ b/libs/entry/src/celeryfork_entry/ports.py
@@ -36,6 +36,8 @@
     last_event
         Number of the last event that the caller has from an earlier attempt, None if it
         has none.
+    has_unknown_last_event
+        True if the caller names a last event whose number can't be read.
     host, path
         Requested host without its port, and path without the query.
     shared_parts
@@ -53,6 +55,7 @@
     expected_answer_tokens: float
     last_event: int | None
     shared_parts: tuple[str, ...] = ()
+    has_unknown_last_event: bool = False
 
 
 @frozen
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -11,7 +11,7 @@
 
 from celeryfork_entry.attempt_registry import AttemptRegistry
 from celeryfork_entry.call import Call, CallContext
-from celeryfork_entry.configuration import Stream
+from celeryfork_entry.configuration import is_resumable
 from celeryfork_entry.crash_guard import REFUSAL_CODE, CrashGuard
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.engine_checks import EngineChecks
@@ -191,7 +191,7 @@
         """Return True if no limit of the call forbids another attempt."""
         call = attempt.call
         return (
-            _is_resumable(call)
+            is_resumable(call.route.kind)
             and call.failures + 1 < MAX_FAILURES
             and call.first_engines.lost + 1 < self._guard.max_lost_engines(call)
         )
@@ -211,7 +211,9 @@
 
     async def _serve(self, call: Call) -> None:
         self._endings.record_arrival()
-        progress = StreamProgress(call.metadata.last_event)
+        resumable = is_resumable(call.route.kind)
+        # Another run can't go on after an event of an earlier one otherwise.
+        progress = StreamProgress(call.metadata.last_event if resumable else None)
         call.first_engines.max_engines = call.route.max_targets
         last: Outcome = PathRefused("no path")
         refusals = 0
@@ -223,7 +225,7 @@
                 break
             last = await self._attempt(call, path, progress)
             if not self._should_retry(call, last, path, progress):
-                ended_by = "first_engines" if _is_resumable(call) else "kind"
+                ended_by = "first_engines" if resumable else "kind"
                 break
             if not isinstance(last, PathRefused):
                 refusals = 0
@@ -562,7 +564,7 @@
             reason = f"status {reply.status} at {metadata.at_fault}"
             return PathRefused(reason, answered=True)
         wait_s = call.left_s
-        if _is_resumable(call):
+        if is_resumable(call.route.kind):
             wait_s = min(wait_s, ERROR_BODY_TIMEOUT_S)
         async with asyncio.timeout(wait_s):
             body = await reply.read_all(MAX_ERROR_BYTES)
@@ -646,12 +648,14 @@
             case PathRefused(reason):
                 again, event = True, "path_refused"
             case PathBroke(reason, begun):
-                again, event = _is_resumable(call), "path_broke"
+                again, event = is_resumable(call.route.kind), "path_broke"
                 inputs["begun"] = begun
                 inputs["parts"] = call.metadata.shared_parts
             case EngineFailed(status):
                 # The error reply can be forwarded unless the caller has events already.
-                again = _is_resumable(call) and (progress.started or elsewhere)
+                again = is_resumable(call.route.kind) and (
+                    progress.started or elsewhere
+                )
                 event, reason = "engine_failed", f"status {status}"
         self._context.counters.add(f"streams.{event}")
         self._context.log_event(
@@ -660,12 +664,6 @@
         return again
 
 
-def _is_resumable(call: Call) -> bool:
-    """Return True if another engine may continue the stream."""
-    kind = call.route.kind
-    return isinstance(kind, Stream) and kind.resumable
-
-
 async def _batches(splitter: EventSplitter, data: bytes) -> AsyncIterator[list[Event]]:
     """Yield the events that ``data`` completes, and let other tasks run in between."""
     while events := splitter.feed(data):
--- a/libs/entry/tests/support/stream_trial.py
+++ b/libs/entry/tests/support/stream_trial.py
@@ -174,9 +174,12 @@
     ----------
     shared_parts
         Ids of the parts that the prompts of its requests share.
+    last_event
+        Number of the last event that its callers have, None for none.
     """
 
     shared_parts = ()
+    last_event = None
     organisation_by_key = {}
 
     def __init__(self, *, slack=100.0, instances=1, max_targets=2, peer=None):
@@ -280,7 +283,7 @@
     def request(self, request_id, left_s, shared_parts=None):
         """Return a caller's request that :meth:`read_request` reads."""
         metadata = RequestMetadata(
-            request_id, "a.example", "/", None, left_s, 100, 40, 40.0, None,
+            request_id, "a.example", "/", None, left_s, 100, 40, 40.0, self.last_event,
             self.shared_parts if shared_parts is None else shared_parts,
         )  # fmt: skip
         return SimpleNamespace(
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -117,3 +117,32 @@
     """The address of an engine that has left is used again."""
     headers = [(b"server-limit", b"5.8")]
     assert DIALECT.read_reply(421, headers).limit_per_s is None
+
+
+def last_event_sent(value, after_event):
+    """Return the last event that a target is told of a caller's request."""
+    request = CallerRequest("POST", "/a", (("last-event-id", value),), b"", 0.0)
+    target = Target("i-1", "desk", "10.0.0.1:80", "a")
+    options = ForwardingOptions(target, None, 1.0, after_event=after_event)
+    headers = DIALECT.build_target_request(request, options).headers
+    return [value for name, value in headers if name == "last-event-id"]
+
+
+def test_the_last_event_of_a_caller_is_forwarded_unless_the_entry_knows_a_later_one():
+    """Targets of services without a model never got it (review, case 8)."""
+    assert last_event_sent("5", None) == [b"5"]
+    assert last_event_sent("5", 12) == ["12"]
+
+
+@pytest.mark.parametrize("value", ["", "x", "-1", "1.5", "\xb2", "9" * 5_000])
+def test_a_last_event_without_a_number_is_left_to_the_route(value):
+    """It was rejected on all routes, also where it means nothing to the entry."""
+    request = CallerRequest("POST", "/a", (("last-event-id", value),), b"", 0.0)
+    metadata = DIALECT.read_request(request)
+    assert metadata.last_event is None and metadata.has_unknown_last_event
+
+
+def test_the_number_of_the_last_event_is_read():
+    request = CallerRequest("POST", "/a", (("last-event-id", "012"),), b"", 0.0)
+    metadata = DIALECT.read_request(request)
+    assert metadata.last_event == 12 and not metadata.has_unknown_last_event
--- a/tests/adapter/test_end_to_end.py
+++ b/tests/adapter/test_end_to_end.py
@@ -412,3 +412,23 @@
     for each in fleet.engines.values():
         each.odd_status = None
     assert event_ids(entry.stream("o4")) == list(range(1, 21))
+
+
+@pytest.mark.parametrize("path", ["/live/x", "/split/x"])
+def test_a_resumed_stream_goes_on_after_its_callers_last_event(entry, path):
+    """Callers got events twice from services without a model (review, case 8)."""
+    for number in range(6):
+        response = entry.stream(f"l{number}", path=path, Last_Event_Id="12")
+        assert response.status == 200
+        assert event_ids(response) == list(range(13, 21))
+
+
+def test_a_last_event_that_is_no_number_is_rejected_only_where_streams_are_resumed(
+    entry, fleet
+):
+    """A call on another route was rejected for a header that it doesn't use."""
+    assert entry.request("GET", "/look/1", "m1", Last_Event_Id="a-7").status == 200
+    (ran,) = [each for each in fleet.services.values() if each.runs]
+    assert ran.headers["Last-Event-Id"] == "a-7"
+    assert entry.stream("m2", path="/live/x", Last_Event_Id="a-7").status == 400
+    assert entry.stream("m3", Last_Event_Id="a-7").status == 400
--- a/tests/support/engine_standins.py
+++ b/tests/support/engine_standins.py
@@ -11,6 +11,10 @@
 
 ODD_ANSWER_S = 0.2
 """Seconds for which the connection of an odd answer stays open, so that it is read."""
+STREAM_PATHS = ("/live/", "/split/")
+"""Begins of the paths for which a plain service answers with a stream."""
+EVENTS_BEFORE_LOSS = 3
+"""Events of a stream that a plain service sends before it loses the rest."""
 
 
 def shared_parts(headers):
@@ -227,6 +231,7 @@
         self.zone = zone
         self.runs = []
         self.behaviour = "answer"
+        self.event_gap_s = 0.01
         self.state = "ready"
         self.beats = 0
         self.born = 1
@@ -277,12 +282,19 @@
         if not runs:
             return web.Response(status=503, headers={"X-Not-Run": "1"})
         self.runs.append((attempt, request.method, request.path_qs, body))
-        self.headers = dict(request.headers)
+        self.headers = request.headers
         if deadly:
             await self.platform.crash(self)
         await self.platform.while_held(attempt)
+        return await self._run(request, headers)
+
+    async def _run(self, request, headers):
+        attempt, streamed = (
+            headers["X-Attempt-Id"],
+            request.path.startswith(STREAM_PATHS),
+        )
         match self.behaviour:
-            case "lose":
+            case "lose" if not streamed:
                 request.transport.abort()
             case "fail":
                 return web.Response(status=500, headers=headers, text="failed")
@@ -296,5 +308,25 @@
                     self.open -= 1
             case "busy":
                 return web.Response(status=503, headers=headers)
+        if streamed:
+            return await self._stream(request, attempt, headers)
         text = f"done {attempt}".ljust(self.platform.answer_bytes.get(attempt, 0))
         return web.Response(headers=headers, text=text)
+
+    async def _stream(self, request, attempt, headers):
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        count = int(request.headers["X-Token-Count"].split(",")[1]) // 2
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        for number in range(first, count + 1):
+            await asyncio.sleep(self.event_gap_s)
+            await self.platform.while_held(attempt, number - 1)
+            if self.behaviour == "lose" and number - first == EVENTS_BEFORE_LOSS:
+                await response.write(b"id: 9")
+                request.transport.abort()
+                return response
+            data = f"id: {number}\ndata: {attempt}-{number}\n\n"
+            await response.write(data.encode())
+        await response.write_eof()
+        return response
--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -164,10 +164,10 @@
         connection.request(method, path, body=body, headers=sent)
         return connection.getresponse()
 
-    def stream(self, attempt, events=20, **headers):
+    def stream(self, attempt, events=20, path="/advice/x", **headers):
         return self.request(
             "POST",
-            "/advice/x",
+            path,
             attempt,
             body=b"prompt",
             X_Model="m",
--- a/tests/support/platform_standins.py
+++ b/tests/support/platform_standins.py
@@ -264,6 +264,41 @@
                 "maxAttempts": 2,
                 "public": True,
             },
+            route
+            | {
+                "name": "r-live",
+                "pathPrefix": "/live/",
+                "kind": "stream",
+                "timeoutMs": 10000,
+                "service": "desk",
+                "maxAttempts": 3,
+                "resumable": True,
+                "gapAimMs": 200,
+            },
+            route
+            | {
+                "name": "r-once",
+                "pathPrefix": "/live/once/",
+                "kind": "stream",
+                "timeoutMs": 10000,
+                "service": "desk",
+                "maxAttempts": 3,
+                "gapAimMs": 200,
+            },
+            route
+            | {
+                "name": "r-split",
+                "pathPrefix": "/split/",
+                "kind": "stream",
+                "timeoutMs": 10000,
+                "split": [
+                    {"service": "llm", "weight": 50},
+                    {"service": "desk", "weight": 50},
+                ],
+                "maxAttempts": 3,
+                "resumable": True,
+                "gapAimMs": 200,
+            },
         ],
         "services": [
             {
