Separate what all streams share from paths of engines

No change of behaviour.

- stream_retries: the loop over runs, its limits and the retry budget
- stream_replies: events from a reply to the caller
- stream_runs: times of one run
- target_selector, target_waits: choice of single targets, and leaving a silent one, from plain_calls

TargetTable.may_still_run was a method of the path selector. The planted fault "a resumed stream from its begin" patches the same step at its new place. All tests of libs/entry, the trials of broken streams and of the promises pass.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -24,7 +24,7 @@
 from celeryfork_entry.metrics import Histograms
 from celeryfork_entry.ports import Dialect, ReplyMetadata, RequestMetadata
 from celeryfork_entry.stream_progress import StreamProgress
-from celeryfork_entry.target_http import TargetConnections
+from celeryfork_entry.target_http import LostError, Reply, TargetConnections
 from celeryfork_entry.target_ramp_up import RampRequest, TargetRampUp
 from celeryfork_entry.targets import Target, TargetTable
 
@@ -345,6 +345,24 @@
         )
 
 
+def read_reply_metadata(
+    context: CallContext, call: Call, target: Target | None, reply: Reply
+) -> ReplyMetadata:
+    """Return a reply's metadata, and record what it states about its target.
+
+    Raises
+    ------
+    LostError
+        The reply belongs to another request.
+    """
+    metadata = context.dialect.read_reply(reply.status, reply.headers)
+    if metadata.request_id not in {None, call.metadata.id}:
+        raise LostError("the reply carries the id of another request")
+    if target is not None:
+        context.record_reply(target, metadata)
+    return metadata
+
+
 def not_run_error(code: str, message: str, retry_after_s: float) -> RequestRefusedError:
     """Return the error for a request that no target has run."""
     return RequestRefusedError(
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -7,8 +7,7 @@
 from celeryfork_routing.engine_loads import LayerPath
 
 from celeryfork_entry.call import Call
-from celeryfork_entry.first_engines import CRASH_ONSET_S
-from celeryfork_entry.target_ramp_up import RampRun
+from celeryfork_entry.stream_runs import StreamRun
 from celeryfork_entry.targets import Target
 
 
@@ -62,7 +61,7 @@
 
 
 @define(eq=False)
-class PathAttempt:
+class PathAttempt(StreamRun):
     """A run of a stream over one path, which other tasks can reroute or interrupt.
 
     Parameters
@@ -79,12 +78,6 @@
     prefilling
         True until the first event: the prompt may still have to cross links between
         engines.
-    sent
-        True if a byte of the request may have reached the first engine.
-    first_event_s
-        Monotonic time of the first event of this attempt, None before it.
-    last_event_s
-        Monotonic time of its last event, None before the first one.
     loan
         Task that asks other instances for a retry.
     doubt
@@ -95,8 +88,6 @@
         Engines of the path as listed when it was chosen.
     next_search_s
         Monotonic time from which another path is sought again during silence.
-    ramp_run
-        The attempt as seen by the ramp-up, None while no target was ramping.
     """
 
     call: Call
@@ -106,15 +97,11 @@
     interrupted: str = ""
     detour: asyncio.Task[None] | None = None
     prefilling: bool = True
-    sent: bool = False
-    first_event_s: float | None = None
-    last_event_s: float | None = None
     loan: asyncio.Task[bool] | None = None
     doubt: str = ""
     first: Target | None = None
     targets_by_id: Mapping[str, Target] = field(factory=dict)
     next_search_s: float = 0.0
-    ramp_run: RampRun | None = None
     _doubted: asyncio.Future[None] | None = None
 
     @property
@@ -130,29 +117,11 @@
         if self._doubted is not None and not self._doubted.done():
             self._doubted.set_result(None)
 
-    def mark_sent(self) -> None:
-        """Record that sending of the request has started."""
-        self.sent = True
-
     def record_events(self, now_s: float) -> None:
         """Record that events arrived."""
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-        self.last_event_s = now_s
+        super().record_events(now_s)
         self.doubt = ""
 
-    @property
-    def writing_s(self) -> float:
-        """Return the seconds from the first to the last event, 0 before the first."""
-        if self.first_event_s is None or self.last_event_s is None:
-            return 0.0
-        return self.last_event_s - self.first_event_s
-
-    @property
-    def is_starting(self) -> bool:
-        """Return True if the attempt may still be what crashes its engines."""
-        return self.writing_s <= CRASH_ONSET_S
-
     def interrupt(self, reason: str) -> None:
         """Cancel the attempt, so that the stream is continued over another path."""
         if self.task is not None and not self.task.done():
--- a/libs/entry/src/celeryfork_entry/path_selector.py
+++ b/libs/entry/src/celeryfork_entry/path_selector.py
@@ -22,15 +22,9 @@
 from celeryfork_entry.domain_balance import DomainBalance
 from celeryfork_entry.engine_speeds import EngineSpeeds
 from celeryfork_entry.search_order import SearchOrder
+from celeryfork_entry.stream_limits import CAPACITY_WAIT_S
 from celeryfork_entry.target_health import TargetHealth
 
-CAPACITY_WAIT_S = 0.25
-"""Seconds that a request waits for free capacity before it is refused: half of the
-usual latency goal."""
-ENDED_AFTER_S = 2.0
-"""Seconds of exclusion after which an engine that doesn't respond counts as terminated.
-An instance that excluded it in error, as its own link or processor was
-overloaded, corrects this earlier."""
 CAPACITY_POLL_S = 0.02
 """Minimum seconds between two searches of a waiting request."""
 SEARCH_INTERVAL_S = 0.005
@@ -200,7 +194,7 @@
         self, call: Call, known: Iterable[_EngineView], unavailable: Container[str]
     ) -> frozenset[str]:
         """Return the ids of engines that may be first in a path of a call."""
-        allowed = call.first_engines.allowed(self.may_still_run)
+        allowed = call.first_engines.allowed(self._context.table.may_still_run)
         return frozenset(
             each.engine.id
             for each in known
@@ -283,7 +277,7 @@
             permits.limited() if unlimited_only else permits.unavailable(now_s)
         )
         if not unavailable:
-            return call.first_engines.allowed(self.may_still_run)
+            return call.first_engines.allowed(self._context.table.may_still_run)
         return self._usable_first(call, known, unavailable)
 
     def _find_among(
@@ -426,17 +420,6 @@
         table = self._context.table
         return engine_id in table.by_id and not table.health(engine_id).excluded
 
-    def may_still_run(self, engine_id: str, born_ms: int | None) -> bool:
-        """Return True if the engine started at ``born_ms`` may still run streams."""
-        target = self._context.table.by_id.get(engine_id)
-        if target is None or target.born_ms != born_ms:
-            return False
-        health = self._context.table.health(engine_id)
-        excluded_for_s = time.monotonic() - health.marked_s
-        return not health.excluded or (
-            excluded_for_s < ENDED_AFTER_S and not health.ended
-        )
-
     def log_no_path(self, call: Call) -> None:
         """Log the state of the engines after no path was found for a call."""
         table, now_s = self._context.table, time.monotonic()
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import random
 import time
 from collections.abc import Callable
 from math import inf
@@ -13,11 +12,11 @@
 from attrs import define, field, frozen
 
 from celeryfork_entry.call import (
-    MAX_WAIT_S,
     Call,
     CallContext,
     not_run_error,
     outcome_unknown_error,
+    read_reply_metadata,
 )
 from celeryfork_entry.configuration import AtMostOnce, Kind, Stream
 from celeryfork_entry.crash_guard import CrashGuard
@@ -25,6 +24,8 @@
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
 from celeryfork_entry.target_http import LostError, NotSentError
 from celeryfork_entry.target_ramp_up import RampRun, TargetRampUp
+from celeryfork_entry.target_selector import TargetSelector
+from celeryfork_entry.target_waits import wait_or_leave
 from celeryfork_entry.targets import Target
 
 MAX_SENDS = 4
@@ -37,18 +38,8 @@
 """Timeout in seconds for a target's reply to an idempotent call if there is another
 target and a retry left. Otherwise the reply is awaited: a target that is silent may go
 on after a pause."""
-LEAVE_RETRY_S = 0.05
-"""Seconds between two attempts to leave a silent target."""
-PERMIT_WAIT_S = 0.25
-"""Seconds from its arrival for which a call that hasn't run waits for a permit."""
-MIN_PERMIT_WAIT_S = 0.005
-"""Minimum seconds of such a wait."""
 MAX_REPLY_BYTES = 16 << 20
 """Maximum size of a reply that is buffered for a caller."""
-OTHER_DOMAIN_PENALTY = 2.0
-"""Requests in flight added to the load of a target in another failure domain."""
-FAILING_PENALTY = 8.0
-"""Requests in flight added to the load of a target whose replies all fail."""
 BUSY_RETRY_AFTER_S = 0.25
 """Retry-After in seconds if the targets tried refused the call, as full ones do."""
 NO_TARGETS_RETRY_AFTER_S = 1.0
@@ -156,7 +147,11 @@
 
     _context: CallContext
     _guard: CrashGuard
-    _random: random.Random = field(factory=random.Random)
+    _targets: TargetSelector = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create what chooses the targets."""
+        self._targets = TargetSelector(self._context)
 
     async def serve(self, call: Call) -> None:
         """Answer a call with the reply of a target.
@@ -208,59 +203,17 @@
             Monotonic time until which a call that may have run may wait.
         """
         while True:
-            target = self._choose(call)
+            target = self._targets.choose(call)
             if target is None:
-                if not await self._wait_for_permit(call, until_s):
+                if not await self._targets.wait_for_permit(call, until_s):
                     return None
             elif await self._context.permits.acquire(target.id):
                 return target
 
-    def _choose(self, call: Call) -> Target | None:
-        table, service = self._context.table, call.service.name
-        for targets in (table.available(service), table.not_leaving(service)):
-            untried = [each for each in targets if each.id not in call.avoided]
-            if untried:
-                unavailable = self._context.permits.unavailable(time.monotonic())
-                usable = [each for each in untried if each.id not in unavailable]
-                ramp_up = self._context.ramp_up
-                if ramp_up is not None and ramp_up.active:
-                    held_back = ramp_up.held_back(time.monotonic())
-                    usable = [e for e in usable if e.id not in held_back] or usable
-                return min(usable, key=self._cost, default=None)
-        return None
-
-    async def _wait_for_permit(self, call: Call, until_s: float | None) -> bool:
-        """Wait for a permit for a target; return False if that takes too long."""
-        next_s = self._next_permit_s(call)
-        if until_s is None:
-            until_s = call.request.arrived_s + PERMIT_WAIT_S
-        if next_s > min(until_s, time.monotonic() + call.left_s):
-            return False
-        with call.waiting("permit"):
-            await asyncio.sleep(max(MIN_PERMIT_WAIT_S, next_s - time.monotonic()))
-        return True
-
-    def _next_permit_s(self, call: Call) -> float:
-        """Return the time of the next permit for an untried target, inf for none."""
-        targets = self._context.table.not_leaving(call.service.name)
-        untried = {each.id for each in targets} - call.avoided
-        return self._context.permits.next_permit_s(untried)
-
-    def _cost(self, target: Target) -> float:
-        in_flight = self._context.table.in_flight_by_id.get(target.id, 0)
-        domain_penalty = (
-            0.0 if target.domain == self._context.domain else OTHER_DOMAIN_PENALTY
-        )
-        failed_share = self._context.table.health(target.id).failed_share
-        failure_penalty = FAILING_PENALTY * failed_share
-        return in_flight + domain_penalty + failure_penalty + self._random.random()
-
     async def _attempt(
         self, call: Call, target: Target, at_most_once: bool
     ) -> AttemptResult:
         sent: list[bool] = []
-        in_flight = self._context.table.in_flight_by_id
-        in_flight[target.id] = in_flight.get(target.id, 0) + 1
         exchange = asyncio.ensure_future(
             self._exchange(
                 call, target, at_most_once, on_sent=lambda: sent.append(True)
@@ -271,11 +224,13 @@
             ramp_run = ramp_up.begin_plain(call.ramp_request, target)
         may_retry = not at_most_once and call.runs + 1 < call.route.max_targets
         try:
-            attempt = await self._wait_for_reply(
-                exchange,
-                call,
-                lambda: may_retry and self._reserve_other(call, target, bool(sent)),
-            )
+            with self._targets.sending_to(target):
+                attempt = await wait_or_leave(
+                    exchange,
+                    call,
+                    time.monotonic() + FIRST_REPLY_TIMEOUT_S,
+                    lambda: may_retry and self._reserve_other(call, target, bool(sent)),
+                )
         except NotSentError as error:
             attempt = Refused(str(error))
             self._context.release_send(call)
@@ -292,7 +247,6 @@
                 self._context.release_send(call)
                 attempt = Refused(repr(error))
         finally:
-            in_flight[target.id] -= 1
             if ramp_up is not None and ramp_run is not None:
                 ramp_up.end(ramp_run)
         if ramp_up is not None and ramp_run is not None:
@@ -300,45 +254,9 @@
         self._log_attempt(call, target, attempt)
         return attempt
 
-    @staticmethod
-    async def _wait_for_reply(
-        exchange: asyncio.Future[AttemptResult],
-        call: Call,
-        reserve_other: Callable[[], bool],
-    ) -> AttemptResult:
-        """Wait for the end of an exchange.
-
-        Parameters
-        ----------
-        reserve_other
-            Reserves a retry at another target, and returns True if there is one.
-
-        Raises
-        ------
-        TimeoutError
-            The time of the call is up, or another target is to be tried.
-        """
-        leave_s = time.monotonic() + FIRST_REPLY_TIMEOUT_S
-        try:
-            while True:
-                wait_s = min(call.left_s, leave_s - time.monotonic(), MAX_WAIT_S)
-                await asyncio.wait({exchange}, timeout=max(0.0, wait_s))
-                if exchange.done():
-                    return exchange.result()
-                if call.left_s <= 0:
-                    raise TimeoutError("the time of the call is up")
-                if time.monotonic() >= leave_s:
-                    if reserve_other():
-                        raise TimeoutError("no reply yet, and there is another target")
-                    leave_s = time.monotonic() + LEAVE_RETRY_S
-        finally:
-            exchange.cancel()
-
     def _reserve_other(self, call: Call, target: Target, sent: bool) -> bool:
         """Reserve a retry at another target; return False if there is none."""
-        available = self._context.table.available(call.service.name)
-        others = {each.id for each in available} - call.avoided - {target.id}
-        others -= self._context.permits.limited()
+        others = self._targets.others(call, target)
         return bool(others) and (not sent or self._context.reserve_retry(call))
 
     async def _exchange(
@@ -358,10 +276,7 @@
             target.address, request, fresh=at_most_once, on_sent=on_sent
         )
         try:
-            metadata = context.dialect.read_reply(reply.status, reply.headers)
-            if metadata.request_id not in {None, call.metadata.id}:
-                raise LostError("the reply carries the id of another request")
-            context.record_reply(target, metadata)
+            metadata = read_reply_metadata(context, call, target, reply)
             if reply.header(b"content-encoding") is not None:
                 raise LostError(
                     "the reply has a Content-Encoding that was not requested"
@@ -410,7 +325,7 @@
                 self._context.log_end(call, "answered", status=status)
             case Refused(reason) if not call.may_have_run:
                 after_s = BUSY_RETRY_AFTER_S if call.sends else NO_TARGETS_RETRY_AFTER_S
-                if (next_s := self._next_permit_s(call)) < inf:
+                if (next_s := self._targets.next_permit_s(call)) < inf:
                     after_s = max(BUSY_RETRY_AFTER_S, next_s - time.monotonic())
                 raise not_run_error(
                     "targets_refuse",
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
 from functools import partial
 from typing import TypeVar
 
@@ -10,17 +9,11 @@
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath
 
 from celeryfork_entry.attempt_registry import AttemptRegistry
-from celeryfork_entry.call import Call, CallContext
+from celeryfork_entry.call import Call, CallContext, read_reply_metadata
 from celeryfork_entry.configuration import is_resumable
-from celeryfork_entry.crash_guard import REFUSAL_CODE, CrashGuard
+from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.engine_checks import EngineChecks
-from celeryfork_entry.events import (
-    MAX_EVENTS_PER_FEED,
-    Event,
-    EventSplitter,
-    media_type,
-)
 from celeryfork_entry.leaving_checks import LeavingChecks
 from celeryfork_entry.path_attempts import (
     EngineFailed,
@@ -31,7 +24,6 @@
     PathRefused,
 )
 from celeryfork_entry.path_selector import (
-    CAPACITY_WAIT_S,
     SEARCH_INTERVAL_S,
     PathSelector,
     expected_answer_tokens,
@@ -39,16 +31,13 @@
 from celeryfork_entry.plain_calls import NOT_RUN_STATUSES
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.reachability_checks import ReachabilityChecks
-from celeryfork_entry.refusal_backoff import refusal_backoff_s
-from celeryfork_entry.stream_endings import StreamEndings
 from celeryfork_entry.stream_limits import (
     MAX_FAILURES,
-    exhausted_limit,
-    stream_retry_deadline_s,
 )
 from celeryfork_entry.stream_progress import EventGaps, StreamProgress
+from celeryfork_entry.stream_replies import EventRelay, read_error_body
+from celeryfork_entry.stream_retries import StreamRetries
 from celeryfork_entry.stream_waits import (
-    SILENCE_LIMIT_S,
     PathLeftError,
     wait_with_checks,
 )
@@ -62,8 +51,6 @@
 
 FIRST_EVENT_CHECK_DELAY_S = 0.2
 """Seconds without a first event after which the engines of the path are checked."""
-ERROR_BODY_TIMEOUT_S = SILENCE_LIMIT_S
-"""Timeout in seconds for the body of an error reply if another engine may be tried."""
 MAX_ERROR_BYTES = 1 << 20
 """Maximum size of the body of an error reply."""
 LOAN_WAIT_S = 1.0
@@ -101,13 +88,13 @@
     _detours: Detours
     _guard: CrashGuard
     _attempts: AttemptRegistry = field(init=False)
-    _endings: StreamEndings = field(init=False)
+    _retries: StreamRetries = field(init=False)
     _kept: set[PathAttempt] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        """Create the registry of attempts, and what ends the calls."""
+        """Create the registry of attempts, and what retries the streams."""
         self._attempts = AttemptRegistry(self._loads)
-        self._endings = StreamEndings(self._context, self._guard)
+        self._retries = StreamRetries(self._context, self._guard)
 
     def uses(self, engine_id: str) -> bool:
         """Return True if any stream currently runs over an engine."""
@@ -204,103 +191,42 @@
         RequestRefusedError
             The call was refused, or failed before its first event.
         """
-        try:
-            await self._serve(call)
-        finally:
-            self._guard.end_probe(call)
-
-    async def _serve(self, call: Call) -> None:
-        self._endings.record_arrival()
-        resumable = is_resumable(call.route.kind)
-        # Another run can't go on after an event of an earlier one otherwise.
-        progress = StreamProgress(call.metadata.last_event if resumable else None)
-        call.first_engines.max_engines = call.route.max_targets
-        last: Outcome = PathRefused("no path")
-        refusals = 0
-        until_s: float | None = None
-        while (ended_by := self._exhausted_limit(call)) is None:
-            path = await self._acquire_path(call, until_s)
-            if isinstance(path, str):
-                ended_by = path
-                break
-            last = await self._attempt(call, path, progress)
-            if not self._should_retry(call, last, path, progress):
-                ended_by = "first_engines" if resumable else "kind"
-                break
-            if not isinstance(last, PathRefused):
-                refusals = 0
-                until_s = stream_retry_deadline_s(call, started=progress.started)
-                await self._back_off(call)
-            elif until_s is not None:
-                left_s = until_s - time.monotonic()
-                if left_s <= 0:
-                    ended_by = "refusals"
-                    break
-                if last.answered:
-                    refusals += 1
-                    await asyncio.sleep(min(left_s, refusal_backoff_s(refusals)))
-        self._context.release_reserved_send(call)
-        permit_s = self._selector.first_permit_s(call)
-        await self._endings.finish(call, last, progress, ended_by, permit_s)
-
-    def _exhausted_limit(self, call: Call) -> str | None:
-        return exhausted_limit(call, self._guard.max_lost_engines(call))
-
-    async def _back_off(self, call: Call) -> None:
-        """Wait before the next attempt if several runs in a row sent no event.
-
-        Runs that fail at once would reach the limit of failures within milliseconds.
-        """
-        if self._exhausted_limit(call) is None:
-            await asyncio.sleep(min(call.left_s, refusal_backoff_s(call.failures)))
-
-    async def _acquire_path(self, call: Call, until_s: float | None) -> LayerPath | str:
-        """Return a path and acquire a send, or return the reason for the call's end."""
-        permits, path_until_s = self._context.permits, until_s
-        while True:
-            found = call.reserved_path or await self._find_path(call, path_until_s)
-            call.reserved_path = None
-            if isinstance(found, str):
-                return found
-            first = found.parts[0].engine_id
-            if not await permits.acquire(first):
-                # Another engine may be first, or this one after a wait.
-                if path_until_s is None:
-                    path_until_s = time.monotonic() + min(CAPACITY_WAIT_S, call.left_s)
-                elif time.monotonic() >= path_until_s:
-                    return "no_permit"
-                continue
-            if self._context.acquire_next_send(call):
-                return found
-            permits.release(first)
-            # The path may become unavailable during the wait.
-            if not await self._context.wait_for_retry_budget(call, until_s):
-                return "retry_budget"
-            if (ended_by := self._exhausted_limit(call)) is not None:
-                return ended_by
-
-    async def _find_path(self, call: Call, until_s: float | None) -> LayerPath | str:
-        """Return a path over which a call may be sent, else the reason for its end."""
-        while True:
-            if not await self._guard.wait_until_allowed(call, until_s):
-                return REFUSAL_CODE
-            path = await self._selector.choose(call, until_s)
-            if path is None:
-                self._selector.log_no_path(call)
-                return "no_path"
-            if self._guard.is_allowed(call):
-                return path
-            # A crash was reported during the wait.
-
-    async def _attempt(
-        self, call: Call, path: LayerPath, progress: StreamProgress
+        await self._retries.serve(call, self)
+
+    def take_reserved(self, call: Call) -> LayerPath | None:
+        """Return the path that was reserved for the next run, None for none."""
+        path, call.reserved_path = call.reserved_path, None
+        return path
+
+    async def choose(self, call: Call, until_s: float | None) -> LayerPath | None:
+        """Return a path for the next run, None if there is none."""
+        path = await self._selector.choose(call, until_s)
+        if path is None:
+            self._selector.log_no_path(call)
+        return path
+
+    def first_target_id(self, place: LayerPath) -> str:
+        """Return the id of the first engine of a path."""
+        return place.parts[0].engine_id
+
+    def describe(self, place: LayerPath) -> dict[str, object]:
+        """Return a path as a field of a log line."""
+        return {"path": place.describe()}
+
+    def first_permit_s(self, call: Call) -> float:
+        """Return the time at which a limited engine may be first in a path again."""
+        return self._selector.first_permit_s(call)
+
+    async def run(
+        self, call: Call, place: LayerPath, progress: StreamProgress
     ) -> Outcome:
+        """Run a stream over a path, and forward its events to the caller."""
+        path = place
         tokens = (
             call.metadata.prompt_tokens
             + expected_answer_tokens(call) * ANSWER_RESERVE_FACTOR
         )
         attempt = PathAttempt(call, path, tokens, targets_by_id=self._listed(path))
-        call.progress = progress
         self._attempts.add(attempt)
         if self._context.ramp_up is not None:
             attempt.ramp_run = self._context.ramp_up.begin_path(call.ramp_request, path)
@@ -407,18 +333,15 @@
         self, attempt: PathAttempt, reply: Reply, progress: StreamProgress
     ) -> Outcome:
         call = attempt.call
-        self._record_reply(attempt, reply)
+        read_reply_metadata(self._context, call, attempt.first, reply)
         if reply.status != 200:
             outcome = await self._handle_refusal(call, attempt.path, reply)
             if not isinstance(outcome, PathRefused):
                 self._record_ramp_failure(attempt, [attempt.path.parts[0].engine_id])
             return outcome
-        continued = progress.started
-        content_type = media_type(reply.header(b"content-type"))
-        if continued and content_type != progress.content_type:
-            raise LostError(f"the reply that continues a stream is {content_type!r}")
-        progress.content_type = content_type
-        splitter = EventSplitter()
+        relay = EventRelay(
+            self._context, call, reply, progress, attempt.path.engine_ids
+        )
         gaps = EventGaps()
         replied_s, fruitless = time.monotonic(), False
         while True:
@@ -436,34 +359,16 @@
             )
             if not data:
                 break
-            async for events in _batches(splitter, data):
-                # Events before a wrong one are forwarded, as the next engine continues
-                # after the last event that the caller has.
-                following, fault = progress.next_events(events, continued=continued)
-                self._record_events(attempt, gaps, following)
-                await self._forward_events(attempt, reply, following, progress)
-                if fault is not None:
-                    raise LostError(fault)
+            await relay.forward(data, partial(self._record_events, attempt, gaps))
             fruitless = attempt.last_event_s == last_event_s
-        if splitter.incomplete or not progress.started:
-            raise LostError(
-                "the stream ended before its first event or within an event"
-            )
+        relay.require_complete()
         await self._require_running(attempt, reply)
-        progress.complete = True
         if attempt.is_starting:
             self._guard.record_sound(call)
-        await call.connection.end_stream()
+        await relay.end()
         self._context.table.succeeded(attempt.path.parts[0].engine_id)
         return Finished()
 
-    def _record_reply(self, attempt: PathAttempt, reply: Reply) -> None:
-        metadata = self._context.dialect.read_reply(reply.status, reply.headers)
-        if metadata.request_id not in {None, attempt.call.metadata.id}:
-            raise LostError("the reply carries the id of another request")
-        if attempt.first is not None:
-            self._context.record_reply(attempt.first, metadata)
-
     async def _require_running(self, attempt: PathAttempt, reply: Reply) -> None:
         """Raise an error if the end of a reply may be that of an engine of its path.
 
@@ -494,15 +399,8 @@
         by_id = self._context.table.by_id
         return {each: by_id[each] for each in path.engine_ids if each in by_id}
 
-    def _record_events(
-        self, attempt: PathAttempt, gaps: EventGaps, events: list[Event]
-    ) -> None:
-        """Record events for the caller as progress, and what that tells of the engines.
-
-        Comments and events that the caller has are no progress.
-        """
-        if not any(event.has_content for event in events):
-            return
+    def _record_events(self, attempt: PathAttempt, gaps: EventGaps) -> None:
+        """Record that events have arrived, and what that tells of the engines."""
         now_s = time.monotonic()
         self._kept.discard(attempt)
         self._attempts.end_prefill(attempt)
@@ -515,43 +413,6 @@
         gaps.record_event(now_s)
         self._checks.record_progress(attempt.path.engine_ids, now_s, slow=gaps.is_slow)
 
-    async def _forward_events(
-        self,
-        attempt: PathAttempt,
-        reply: Reply,
-        events: list[Event],
-        progress: StreamProgress,
-    ) -> None:
-        """Forward events that the caller doesn't have yet, each once and in order."""
-        call, fresh = attempt.call, []
-        for event in events:
-            if event.number is not None and progress.last_event is not None:
-                if event.number <= progress.last_event:
-                    continue
-                if event.number != progress.last_event + 1:
-                    raise LostError(
-                        f"event {event.number} follows event {progress.last_event}"
-                    )
-            if event.number is not None:
-                progress.last_event = event.number
-            fresh.append(event.data)
-        if not fresh:
-            return
-        data = b"".join(fresh)
-        call.failures = 0
-        progress.record_forwarded(time.monotonic())
-        if progress.started:
-            await call.connection.send_chunk(data)
-            return
-        progress.started = True
-        self._context.log_event(call, "first_event", sends=call.sends)
-        self._context.table.accepted(attempt.path.engine_ids)
-        self._context.histograms.record(
-            "streams.first_event", time.monotonic() - call.request.arrived_s
-        )
-        headers = self._context.dialect.reply_headers(reply.headers)
-        await call.connection.begin_stream(reply.status, headers, data)
-
     async def _handle_refusal(
         self, call: Call, path: LayerPath, reply: Reply
     ) -> Outcome:
@@ -563,11 +424,7 @@
             )
             reason = f"status {reply.status} at {metadata.at_fault}"
             return PathRefused(reason, answered=True)
-        wait_s = call.left_s
-        if is_resumable(call.route.kind):
-            wait_s = min(wait_s, ERROR_BODY_TIMEOUT_S)
-        async with asyncio.timeout(wait_s):
-            body = await reply.read_all(MAX_ERROR_BYTES)
+        body = await read_error_body(call, reply, MAX_ERROR_BYTES)
         self._record_failed_run(call, path)
         call.avoided.add(path.parts[0].engine_id)
         if reply.status in NOT_RUN_STATUSES:
@@ -636,43 +493,6 @@
         call.first_engines.record_run(engine_id, born_ms)
         return engine_id
 
-    def _should_retry(
-        self, call: Call, outcome: Outcome, path: LayerPath, progress: StreamProgress
-    ) -> bool:
-        allowed = call.first_engines.allowed(self._selector.may_still_run)
-        elsewhere = allowed is None or bool(allowed - call.avoided)
-        inputs: dict[str, object] = {}
-        match outcome:
-            case Finished():
-                return False
-            case PathRefused(reason):
-                again, event = True, "path_refused"
-            case PathBroke(reason, begun):
-                again, event = is_resumable(call.route.kind), "path_broke"
-                inputs["begun"] = begun
-                inputs["parts"] = call.metadata.shared_parts
-            case EngineFailed(status):
-                # The error reply can be forwarded unless the caller has events already.
-                again = is_resumable(call.route.kind) and (
-                    progress.started or elsewhere
-                )
-                event, reason = "engine_failed", f"status {status}"
-        self._context.counters.add(f"streams.{event}")
-        self._context.log_event(
-            call, event, path=path.describe(), reason=reason, again=again, **inputs
-        )
-        return again
-
-
-async def _batches(splitter: EventSplitter, data: bytes) -> AsyncIterator[list[Event]]:
-    """Yield the events that ``data`` completes, and let other tasks run in between."""
-    while events := splitter.feed(data):
-        yield events
-        if len(events) < MAX_EVENTS_PER_FEED:
-            return
-        data = b""
-        await asyncio.sleep(0)
-
 
 def _has_result(task: asyncio.Future[Result]) -> bool:
     return task.done() and not task.cancelled() and task.exception() is None
--- a/libs/entry/src/celeryfork_entry/stream_limits.py
+++ b/libs/entry/src/celeryfork_entry/stream_limits.py
@@ -10,6 +10,9 @@
 from celeryfork_entry.call import Call
 from celeryfork_entry.configuration import Stream
 
+CAPACITY_WAIT_S = 0.25
+"""Seconds that a request waits for free capacity before it is refused: half of the
+usual latency goal."""
 MAX_SENDS = 6
 """Maximum number of paths tried for a request that none of them has run."""
 MAX_FAILURES = 6
--- a/libs/entry/src/celeryfork_entry/stream_progress.py
+++ b/libs/entry/src/celeryfork_entry/stream_progress.py
@@ -93,8 +93,11 @@
             following.append(event)
         return following, None
 
-    def record_forwarded(self, now_s: float) -> None:
+    def record_forwarded(self, now_s: float, events: Iterable[Event] = ()) -> None:
         """Record that events were forwarded to the caller."""
+        for event in events:
+            if event.number is not None:
+                self.last_event = event.number
         if self.started:
             pause_s = now_s - self.last_event_s
             self.max_event_gap_s = max(self.max_event_gap_s, pause_s)
--- a/libs/entry/src/celeryfork_entry/targets.py
+++ b/libs/entry/src/celeryfork_entry/targets.py
@@ -41,6 +41,10 @@
 RESTORED_ENTRY_TTL_S = 5.0
 """Seconds after a restore of the store for which an entry of a target that had left is
 not trusted; the entry of a dead one lapses sooner."""
+ENDED_AFTER_S = 2.0
+"""Seconds of exclusion after which a target that doesn't respond counts as terminated.
+An instance that excluded it in error, as its own link or processor was
+overloaded, corrects this earlier."""
 MAX_LEFT = 2_000
 """Maximum number of targets that have left that are remembered."""
 MAX_BACKOFF_DOUBLINGS = 4
@@ -407,6 +411,17 @@
             if not self.health(target.id).excluded
         ]
 
+    def may_still_run(self, target_id: str, born_ms: int | None) -> bool:
+        """Return True if the target started at ``born_ms`` may still run requests."""
+        target = self.by_id.get(target_id)
+        if target is None or target.born_ms != born_ms:
+            return False
+        health = self.health(target_id)
+        excluded_for_s = self._clock() - health.marked_s
+        return not health.excluded or (
+            excluded_for_s < ENDED_AFTER_S and not health.ended
+        )
+
     def health(self, target_id: str) -> TargetHealth:
         """Return the health of a target, creating it if absent."""
         health = self._health_by_id.get(target_id)
--- a/libs/entry/tests/test_path_selector.py
+++ b/libs/entry/tests/test_path_selector.py
@@ -15,13 +15,12 @@
 from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.first_engines import FirstEngines
 from celeryfork_entry.path_selector import (
-    ENDED_AFTER_S,
     MAX_UNREPORTED_REQUESTS,
     PathSelector,
 )
 from celeryfork_entry.ports import Peer
 from celeryfork_entry.roster import Roster
-from celeryfork_entry.targets import Listed, Target, TargetTable
+from celeryfork_entry.targets import ENDED_AFTER_S, Listed, Target, TargetTable
 from celeryfork_routing.engine_loads import EngineLoads, LayerPath, Part
 from celeryfork_routing.layer_paths import PathRequest, find_path
 from celeryfork_routing.layers import (
--- a/tests/support/planted_faults.py
+++ b/tests/support/planted_faults.py
@@ -42,13 +42,12 @@
     "a resumed stream from its begin": (
         "own_whole_answer",
         """
-from celeryfork_entry.stream_calls import StreamCalls
-forward_events = StreamCalls._forward_events
-async def forget(self, attempt, reply, events, progress):
-    progress.last_event = None
-    await forward_events(self, attempt, reply, events, progress)
-    progress.last_event = None
-StreamCalls._forward_events = forget
+from celeryfork_entry.stream_replies import EventRelay
+forward_events = EventRelay._forward
+async def forget(self, events):
+    await forward_events(self, events)
+    self._progress.last_event = None
+EventRelay._forward = forget
 """,
     ),
     "a promise that no target made": (
