Answer a stream that is resumed after its last event

A caller whose connection broke between the last event and the end of the answer resumes it with the number of that event. Its targets have nothing more to send; each of their empty answers counted as broken before the first event, so that six engines ran the stream and the caller got 502.

An empty answer is now complete if the caller has events.

Before: test_a_stream_that_is_resumed_after_its_last_event_ends_at_once fails with 502. After: it passes, as does the test that an answer without events is run again for a caller that has none.

--- a/libs/entry/src/celeryfork_entry/stream_replies.py
+++ b/libs/entry/src/celeryfork_entry/stream_replies.py
@@ -114,11 +114,14 @@
         """
         if self._splitter.incomplete:
             raise LostError("the stream ended within an event")
-        if not self._progress.started:
+        if not self._progress.started and self._progress.last_event is None:
             raise LostError("the stream ended before its first event")
 
     async def end(self) -> None:
         """Tell the caller that the answer is complete."""
+        if not self._progress.started:
+            # The caller had all events before it resumed the stream.
+            await self._begin(b"")
         self._progress.complete = True
         await self._call.connection.end_stream()
 
--- a/libs/entry/tests/test_resumed_streams.py
+++ b/libs/entry/tests/test_resumed_streams.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve
 from celeryfork_entry.configuration import Stream
-from stream_trial import ANSWER_EVENTS, Caller, Trial
+from stream_trial import ANSWER_EVENTS, Caller, Run, Trial
 
 
 def serve_after(last_event, resumable=True):
@@ -22,3 +22,24 @@
     """A new run is another answer: its events don't follow those of the first one."""
     caller = serve_after(5, resumable=False)
     assert caller.has_complete_answer
+
+
+def test_a_stream_that_is_resumed_after_its_last_event_ends_at_once():
+    """Six engines ran it, and its caller got 502 though it had the whole answer.
+
+    The connection of such a caller broke between the last event and the end.
+    """
+    trial = Trial()
+    trial.last_event = ANSWER_EVENTS
+    first = trial.add("first")
+    caller = trial.serve(Caller())
+    assert (caller.status, caller.events, caller.ending) == (200, [], "whole")
+    assert first.runs == 1
+
+
+def test_a_stream_that_ends_before_its_first_event_is_run_again():
+    """A caller that has no event can't have the whole answer."""
+    trial = Trial()
+    trial.add("first", Run(0))
+    trial.add("second", domain="b")
+    assert trial.serve(Caller()).has_complete_answer
