Don't continue a stream after an event without a number

A stream whose events have no ids, or whose last event has none, was run again after a break: no engine can be told where to go on, so that its caller got parts twice (ORDER).

Such a stream is now broken off, and its silent path is kept.

Before: test_a_stream_whose_events_have_no_numbers_is_not_continued fails, as the second engine's whole answer follows the first one's events. After: it passes.

--- a/libs/entry/src/celeryfork_entry/call.py
+++ b/libs/entry/src/celeryfork_entry/call.py
@@ -17,7 +17,12 @@
 
 from celeryfork_entry.budget_loans import BudgetLoans
 from celeryfork_entry.caller_http import CallerConnection, CallerRequest
-from celeryfork_entry.configuration import Configuration, Route, Service
+from celeryfork_entry.configuration import (
+    Configuration,
+    Route,
+    Service,
+    is_resumable,
+)
 from celeryfork_entry.engine_permits import EnginePermits
 from celeryfork_entry.first_engines import FirstEngines
 from celeryfork_entry.load_knowledge import LoadKnowledge
@@ -171,6 +176,12 @@
         stop_s = self.stop.streams_end_s if begun else self.stop.answers_end_s
         return min(self.deadline_s, stop_s) - time.monotonic()
 
+    @property
+    def may_be_resumed(self) -> bool:
+        """Return True if another run may go on after what the caller has."""
+        continues = self.progress is None or self.progress.can_be_continued
+        return is_resumable(self.route.kind) and continues
+
     @property
     def ramp_request(self) -> RampRequest:
         """Return the call as far as the ramp-up of targets needs to know it."""
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -10,7 +10,6 @@
 
 from celeryfork_entry.attempt_registry import AttemptRegistry
 from celeryfork_entry.call import Call, CallContext, read_reply_metadata
-from celeryfork_entry.configuration import is_resumable
 from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.detours import Detours
 from celeryfork_entry.engine_checks import EngineChecks
@@ -178,7 +177,7 @@
         """Return True if no limit of the call forbids another attempt."""
         call = attempt.call
         return (
-            is_resumable(call.route.kind)
+            call.may_be_resumed
             and call.failures + 1 < MAX_FAILURES
             and call.first_engines.lost + 1 < self._guard.max_lost_engines(call)
         )
--- a/libs/entry/src/celeryfork_entry/stream_progress.py
+++ b/libs/entry/src/celeryfork_entry/stream_progress.py
@@ -44,6 +44,9 @@
     content_type
         Media type of the reply that began the stream; those that continue it have the
         same.
+    can_be_continued
+        False once an event without a number was forwarded: no target can be told to go
+        on after it.
     """
 
     last_event: int | None
@@ -52,6 +55,7 @@
     last_event_s: float = 0.0
     max_event_gap_s: float = 0.0
     content_type: str | None = None
+    can_be_continued: bool = True
 
     def next_events(
         self, events: Iterable[Event], *, continued: bool
@@ -98,6 +102,8 @@
         for event in events:
             if event.number is not None:
                 self.last_event = event.number
+            elif event.has_content:
+                self.can_be_continued = False
         if self.started:
             pause_s = now_s - self.last_event_s
             self.max_event_gap_s = max(self.max_event_gap_s, pause_s)
--- a/libs/entry/src/celeryfork_entry/stream_retries.py
+++ b/libs/entry/src/celeryfork_entry/stream_retries.py
@@ -103,7 +103,7 @@
             call.progress = progress
             last = await runner.run(call, place, progress)
             if not self._should_retry(call, last, runner.describe(place), progress):
-                ended_by = "first_engines" if resumable else "kind"
+                ended_by = "first_engines" if call.may_be_resumed else "kind"
                 break
             if not isinstance(last, PathRefused):
                 refusals = 0
@@ -182,7 +182,7 @@
         place: dict[str, object],
         progress: StreamProgress,
     ) -> bool:
-        resumable = is_resumable(call.route.kind)
+        resumable = call.may_be_resumed
         inputs: dict[str, object] = {}
         match outcome:
             case Finished():
--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -296,3 +296,14 @@
     first = SocketEngine(head() + chunks(events(1, LAST), end=False))
     second = SocketEngine(head() + CHUNKS_END)
     assert stream_over(first, second) == (events(1, LAST), True)
+
+
+@pytest.mark.parametrize(
+    "begin", [b"data: part 1\n\n", events(1, 2) + b"data: part 3\n\n"]
+)
+def test_a_stream_whose_events_have_no_numbers_is_not_continued(begin):
+    """Its caller got the same part twice: no engine can be told where to go on."""
+    first = SocketEngine(head() + chunks(begin, end=False))
+    second = SocketEngine()
+    assert stream_over(first, second) == (begin, False)
+    assert not second.requests
