Serve streams of services without a model as streams

Cause: the dispatcher asked whether the service has a model where it meant whether the route is a stream. Such a stream was a plain call, whose answer is one body: its events weren't looked at, and an orderly end of the connection is the end of a body without a length. For the same reason its events were held until the whole answer had come, the 0.3 s for the reply of a plain call sent a sound resumable stream to three targets, and a stream that broke off was refused with 502 whatever had come of it.

TargetStreams serves these streams with the parts that those over engines use (stream_retries, stream_replies): events are forwarded as they arrive, an end inside an event is a break, and a resumable stream goes on at another target. Why it works: a reply is complete only if its last event is, so that nothing else can end an answer. The check of Content-Encoding moves with it and now holds for engines too.

A stream is no longer run once for each of its route's targets only: like one over engines, it may go back to a target that has run it, within six failures since its last event.

--- a/libs/entry/src/celeryfork_entry/dispatcher.py
+++ b/libs/entry/src/celeryfork_entry/dispatcher.py
@@ -1,7 +1,7 @@
 """Authorises and routes callers' requests.
 
-:class:`StreamCalls` serves streams over the engines of a model, :class:`PlainCalls` all
-other requests.
+:class:`StreamCalls` serves streams over the engines of a model, :class:`TargetStreams`
+those of services without a model, :class:`PlainCalls` all other requests.
 """
 
 import random
@@ -30,6 +30,7 @@
 from celeryfork_entry.plain_calls import PlainCalls
 from celeryfork_entry.ports import RequestMetadata
 from celeryfork_entry.stream_calls import StreamCalls
+from celeryfork_entry.target_streams import TargetStreams
 
 UNCONFIGURED_RETRY_AFTER_S = 0.5
 """Retry-After in seconds while the instance has no configuration yet."""
@@ -42,6 +43,7 @@
     _context: CallContext
     _plain: PlainCalls
     _streams: StreamCalls
+    _target_streams: TargetStreams
     _gate: AdmissionGate
     _random: random.Random = field(factory=random.Random)
 
@@ -135,14 +137,16 @@
             raise not_run_error(
                 "no_time", "The deadline had passed when the request arrived.", 0.0
             )
-        if isinstance(call.route.kind, Stream) and call.service.model is not None:
+        if not isinstance(call.route.kind, Stream):
+            await self._plain.serve(call)
+        elif call.service.model is None:
+            await self._target_streams.serve(call)
+        else:
             self._gate.check(call)
             try:
                 await self._streams.serve(call)
             finally:
                 self._gate.release(call)
-        else:
-            await self._plain.serve(call)
 
     async def _refuse(
         self,
--- a/libs/entry/src/celeryfork_entry/instance.py
+++ b/libs/entry/src/celeryfork_entry/instance.py
@@ -57,6 +57,7 @@
 from celeryfork_entry.target_health import ReportedLayers
 from celeryfork_entry.target_http import TargetConnections
 from celeryfork_entry.target_ramp_up import TargetRampUp, make_target_ramp_up
+from celeryfork_entry.target_streams import TargetStreams
 from celeryfork_entry.targets import TargetTable
 
 MAX_PEERS_ASKED = 6
@@ -201,6 +202,7 @@
             context,
             PlainCalls(context, guard),
             streams,
+            TargetStreams(context, guard),
             AdmissionGate(context, sharing, own.admission_mode, own.name),
         )
         self._placement = PlacementLeader(
--- a/libs/entry/src/celeryfork_entry/path_attempts.py
+++ b/libs/entry/src/celeryfork_entry/path_attempts.py
@@ -50,11 +50,17 @@
 
     It is forwarded to the caller unless that has events already, or another engine may
     be tried.
+
+    Parameters
+    ----------
+    may_retry
+        False if another target would answer the same.
     """
 
     status: int
     headers: list[tuple[str, bytes]]
     body: bytes
+    may_retry: bool = True
 
 
 Outcome = Finished | PathRefused | PathBroke | EngineFailed
--- a/libs/entry/src/celeryfork_entry/plain_calls.py
+++ b/libs/entry/src/celeryfork_entry/plain_calls.py
@@ -1,4 +1,4 @@
-"""Calls to plain services, each answered by the complete reply of one target.
+"""Calls that aren't streams, each answered by the complete reply of one target.
 
 A call that must run at most once is sent to one target over a new connection. It is
 sent to another target only if the first one certainly has not run it.
@@ -18,7 +18,7 @@
     outcome_unknown_error,
     read_reply_metadata,
 )
-from celeryfork_entry.configuration import AtMostOnce, Kind, Stream
+from celeryfork_entry.configuration import AtMostOnce
 from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.refusal_backoff import refusal_backoff_s
@@ -167,7 +167,7 @@
             self._guard.end_probe(call)
 
     async def _serve(self, call: Call) -> None:
-        at_most_once = _runs_once(call.route.kind)
+        at_most_once = isinstance(call.route.kind, AtMostOnce)
         history = _AttemptHistory()
         last: AttemptResult = Refused("no target")
         while call.left_s > 0 and (call.may_have_run or call.sends < MAX_SENDS):
@@ -361,11 +361,3 @@
             ramp_up.record_refusal(target.id)
         case _:
             ramp_up.record_failure(run, [target.id])
-
-
-def _runs_once(kind: Kind) -> bool:
-    match kind:
-        case AtMostOnce() | Stream(resumable=False):
-            return True
-        case _:
-            return False
--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -46,6 +46,7 @@
     PortClosedError,
     Reply,
 )
+from celeryfork_entry.target_waits import has_result
 from celeryfork_entry.targets import Target
 
 FIRST_EVENT_CHECK_DELAY_S = 0.2
@@ -307,7 +308,7 @@
             finally:
                 # The reply may have arrived in the iteration of the event loop in which
                 # the attempt was cancelled.
-                if _has_result(sending):
+                if has_result(sending):
                     sending.result().drop()
         except NotSentError as error:
             context.release_send(call)
@@ -491,7 +492,3 @@
         born_ms = first.born_ms if first else None
         call.first_engines.record_run(engine_id, born_ms)
         return engine_id
-
-
-def _has_result(task: asyncio.Future[Result]) -> bool:
-    return task.done() and not task.cancelled() and task.exception() is None
--- a/libs/entry/src/celeryfork_entry/stream_replies.py
+++ b/libs/entry/src/celeryfork_entry/stream_replies.py
@@ -41,13 +41,15 @@
     _splitter: EventSplitter = field(factory=EventSplitter)
 
     def __attrs_post_init__(self) -> None:
-        """Check that the reply can follow those before it.
+        """Check that the reply can be forwarded, and can follow those before it.
 
         Raises
         ------
         LostError
-            It is of another media type.
+            It is encoded, or of another media type.
         """
+        if self._reply.header(b"content-encoding") is not None:
+            raise LostError("the reply has a Content-Encoding that was not requested")
         progress = self._progress
         self._continued = progress.started
         content_type = media_type(self._reply.header(b"content-type"))
--- a/libs/entry/src/celeryfork_entry/stream_retries.py
+++ b/libs/entry/src/celeryfork_entry/stream_retries.py
@@ -195,8 +195,8 @@
                 inputs["parts"] = call.metadata.shared_parts
             case EngineFailed(status):
                 # The error reply can be forwarded unless the caller has events already.
-                elsewhere = self._may_run_elsewhere(call)
-                again = resumable and (progress.started or elsewhere)
+                may_retry = outcome.may_retry and self._may_run_elsewhere(call)
+                again = resumable and (progress.started or may_retry)
                 event, reason = "engine_failed", f"status {status}"
         self._context.counters.add(f"streams.{event}")
         self._context.log_event(
--- a/libs/entry/src/celeryfork_entry/target_selector.py
+++ b/libs/entry/src/celeryfork_entry/target_selector.py
@@ -49,10 +49,17 @@
                 return target
         return None
 
-    def others(self, call: Call, target: Target) -> set[str]:
-        """Return the ids of available targets that may be tried after ``target``."""
+    def others(self, call: Call, target: Target, *, again: bool = False) -> set[str]:
+        """Return the ids of available targets that may be tried after ``target``.
+
+        Parameters
+        ----------
+        again
+            True to include those that the call avoids, as :meth:`choose_again`.
+        """
         available, _ = self._listed(call)
-        others = {each.id for each in available} - call.avoided - {target.id}
+        left_out = call.failed_on if again else call.avoided
+        others = {each.id for each in available} - left_out - {target.id}
         return others - self._context.permits.limited()
 
     def _listed(self, call: Call) -> tuple[list[Target], list[Target]]:
--- a/libs/entry/src/celeryfork_entry/target_streams.py
+++ b/libs/entry/src/celeryfork_entry/target_streams.py
@@ -10,7 +10,7 @@
 
 from attrs import define, field
 
-from celeryfork_entry.call import Call, CallContext
+from celeryfork_entry.call import Call, CallContext, read_reply_metadata
 from celeryfork_entry.configuration import is_resumable
 from celeryfork_entry.crash_guard import CrashGuard
 from celeryfork_entry.path_attempts import (
@@ -35,7 +35,7 @@
     Reply,
 )
 from celeryfork_entry.target_selector import TargetSelector
-from celeryfork_entry.target_waits import wait_or_leave
+from celeryfork_entry.target_waits import has_result, wait_or_leave
 from celeryfork_entry.targets import Target
 
 TARGET_POLL_S = 0.02
@@ -68,12 +68,13 @@
     """
 
     _context: CallContext
-    _targets: TargetSelector
     _guard: CrashGuard
+    _targets: TargetSelector = field(init=False)
     _retries: StreamRetries = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create what retries the streams."""
+        """Create what chooses the targets, and what retries the streams."""
+        self._targets = TargetSelector(self._context)
         self._retries = StreamRetries(self._context, self._guard)
 
     async def serve(self, call: Call) -> None:
@@ -143,9 +144,12 @@
         self._context.log_event(
             call, "path_chosen", target=place.id, after=progress.last_event
         )
-        with self._targets.sending_to(place), self._ramping(run):
-            with call.waiting("target"):
-                return await self._outcome(run, progress)
+        with (
+            self._targets.sending_to(place),
+            self._ramping(run),
+            call.waiting("target"),
+        ):
+            return await self._outcome(run, progress)
 
     @contextmanager
     def _ramping(self, run: TargetRun) -> Iterator[None]:
@@ -233,9 +237,12 @@
             False if there is no other target, or no limit allows one. The silent target
             is kept then: it may go on after a pause.
         """
-        call, others = run.call, self._targets.others(run.call, run.target)
-        if others and not run.sent:
-            return True
+        call, target = run.call, run.target
+        if not run.sent:
+            return bool(self._targets.others(call, target))
+        # Counts towards the limit of targets from now on.
+        call.first_engines.record_run(target.id, target.born_ms)
+        others = self._targets.others(call, target, again=True)
         if others and self._may_repeat(run) and self._context.reserve_retry(call):
             return True
         if not run.kept:
@@ -244,7 +251,7 @@
             self._context.log_event(
                 call,
                 "silent_path_kept",
-                target=run.target.id,
+                target=target.id,
                 reason="no event",
                 other_path=bool(others),
                 **self._context.retry_budget_usage(call),
@@ -254,7 +261,7 @@
     def _may_repeat(self, run: TargetRun) -> bool:
         """Return True if no limit of the call forbids another run."""
         return (
-            is_resumable(run.call.route.kind)
+            run.call.may_be_resumed
             and run.call.failures + 1 < MAX_FAILURES
             and self._guard.is_allowed(run.call)
         )
@@ -263,7 +270,7 @@
         self, run: TargetRun, reply: Reply, progress: StreamProgress
     ) -> Outcome:
         context, call, target = self._context, run.call, run.target
-        metadata = context.read_reply(call, target, reply)
+        metadata = read_reply_metadata(context, call, target, reply)
         if metadata.not_run:
             await reply.skip_body()
             call.avoided.add(target.id)
--- a/libs/entry/src/celeryfork_entry/target_waits.py
+++ b/libs/entry/src/celeryfork_entry/target_waits.py
@@ -13,6 +13,11 @@
 Result = TypeVar("Result")
 
 
+def has_result(task: asyncio.Future[Result]) -> bool:
+    """Return True if a task has ended with a result."""
+    return task.done() and not task.cancelled() and task.exception() is None
+
+
 async def wait_or_leave(
     task: asyncio.Future[Result],
     call: Call,
--- a/libs/entry/tests/test_faulty_engines.py
+++ b/libs/entry/tests/test_faulty_engines.py
@@ -12,6 +12,8 @@
 from celeryfork_entry.targets import Listed
 from stream_trial import ANSWER_EVENTS, Caller, Engine, Trial
 
+pytestmark = pytest.mark.usefixtures("each_service")
+
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 UNFRAMED = HEAD + b"\r\n"
--- a/libs/entry/tests/test_planned_stop.py
+++ b/libs/entry/tests/test_planned_stop.py
@@ -9,6 +9,8 @@
 from celeryfork_entry.instance import LAST_ANSWERS_S
 from stream_trial import ANSWER_EVENTS, Caller, Run, Trial
 
+pytestmark = pytest.mark.usefixtures("each_service")
+
 KINDS = [AtMostOnce(), Idempotent(), Stream(True, 0.2), Stream(False, 0.2)]
 LEFT_S = 20.0
 LATE_S = 0.5
--- a/libs/entry/tests/test_reply_statuses.py
+++ b/libs/entry/tests/test_reply_statuses.py
@@ -31,6 +31,8 @@
 from celeryfork_routing.layers import LayerRange
 from stream_trial import ANSWER_EVENTS, Caller, Engine, Trial
 
+pytestmark = pytest.mark.usefixtures("each_service")
+
 OUTSIDE = ["000", "001", "020", "099", "600", "999"]
 """Statuses of three digits that HTTP doesn't have."""
 MALFORMED = ["", "20", "2000", "-01", "+200", "2x0", "2 00"]
--- a/libs/entry/tests/test_resumed_streams.py
+++ b/libs/entry/tests/test_resumed_streams.py
@@ -1,9 +1,12 @@
 """Streams of which the caller has the first events from an earlier attempt."""
 
+import pytest
 from attrs import evolve
 from celeryfork_entry.configuration import Stream
 from stream_trial import ANSWER_EVENTS, Caller, Run, Trial
 
+pytestmark = pytest.mark.usefixtures("each_service")
+
 
 def serve_after(last_event, resumable=True):
     """Serve a stream whose caller names the last event that it has."""
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -4,9 +4,12 @@
 from contextlib import ExitStack
 
 import pytest
+from each_service import each_service
 from platform_standins import Platform
 from running_fleet import make_fleet, running_entry
 
+__all__ = ["each_service"]
+
 
 @pytest.fixture
 def collected_garbage():
--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -21,6 +21,7 @@
 from logbook import Logger
 from stream_trial import Trial
 
+pytestmark = pytest.mark.usefixtures("each_service")
 LAST = 6
 """Number of the last event of each answer."""
 LIMITS = CallerLimits(65_536, 1 << 20, 5.0, 15.0)
@@ -121,11 +122,11 @@
         return server
 
     async def answer(self, connection, request):
-        """Serve a stream, as the dispatcher does."""
+        """Serve a stream of the trial's service."""
         call = self.call(connection, "r1", 20.0)
         call.request = request
         try:
-            await self.streams.serve(call)
+            await self.serve_call(call)
         except RequestRefusedError as error:
             await connection.answer(error.status, (), b"refused")
 
--- a/tests/adapter/test_end_to_end.py
+++ b/tests/adapter/test_end_to_end.py
@@ -423,6 +423,57 @@
         assert event_ids(response) == list(range(13, 21))
 
 
+def desk_runs_of(platform, attempt):
+    return {s.id for s in platform.services.values() for r in s.runs if r[0] == attempt}
+
+
+def test_streams_of_a_plain_service_that_break_off_are_continued_or_cut(entry, fleet):
+    """They were given out whole with part of an event at the end (review, case 9).
+
+    Each run breaks off inside its fourth event.
+    """
+    for service in fleet.services.values():
+        service.behaviour = "lose"
+    resumed = entry.stream("p0", events=20, path="/live/x")
+    assert event_ids(resumed) == list(range(1, 21))
+    cut = entry.stream("p1", events=20, path="/live/once/x")
+    lines = [cut.readline() for _ in range(9)]
+    assert lines[-3:] == [b"id: 3\n", b"data: p1-3\n", b"\n"]
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        cut.read()
+
+
+def test_a_stream_of_a_plain_service_is_continued_at_another_target(entry, fleet):
+    """Its caller got 502 after a part of the answer had arrived."""
+    west, east = (fleet.services[f"{zone}-desk"] for zone in ("west", "east"))
+    for target in (west, east):
+        target.event_gap_s = 0.05
+    response = entry.stream("p2", events=20, path="/live/x")
+    first_lines = [response.readline() for _ in range(6)]
+    (ran,) = desk_runs_of(fleet, "p2")
+    fleet.kill(ran)
+    ids = [int(line[4:]) for line in first_lines if line[:4] == b"id: "]
+    assert ids + event_ids(response) == list(range(1, 21))
+    assert response.getheader("X-Server-Stamp") == f"stamp.{ran}"
+    assert len(desk_runs_of(fleet, "p2")) == 2
+
+
+def test_a_stream_that_is_resumed_after_its_last_event_is_complete(entry):
+    for path in ("/advice/x", "/live/x"):
+        response = entry.stream(f"p3{path}", path=path, Last_Event_Id="20")
+        assert (response.status, event_ids(response)) == (200, [])
+
+
+def test_a_planned_stop_completes_streams_of_plain_services(entry, fleet):
+    for service in fleet.services.values():
+        service.event_gap_s = 0.05
+    response = entry.stream("p4", events=60, path="/live/x")
+    response.readline()
+    entry.terminate()
+    assert event_ids(response)[-1] == 60
+    assert entry.wait() == 0
+
+
 def test_a_last_event_that_is_no_number_is_rejected_only_where_streams_are_resumed(
     entry, fleet
 ):
