--- a/libs/entry/tests/test_target_streams.py
+++ b/libs/entry/tests/test_target_streams.py
@@ -1,6 +1,7 @@
-"""Streams of services without a model, which a single target runs at a time.
+"""Promises of streams, for services without a model and for those with one.
 
-What goes for streams with a model too is tested with both, by ``each_service``.
+Without a model, a single target runs a stream at a time; with one, each engine of these
+trials holds all layers.
 """
 
 import asyncio
@@ -29,16 +30,16 @@
     Trial,
 )
 
+pytestmark = pytest.mark.usefixtures("each_service")
+without_model = pytest.mark.parametrize(
+    "each_service", [PLAIN_SERVICE], ids=["plain"], indirect=True
+)
+"""Marks tests of what differs from streams over engines."""
 GAP_S = 0.05
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: r1\r\n\r\n"
 ONCE = Stream(False, 0.2)
 
 
-@pytest.fixture(autouse=True)
-def plain_service(monkeypatch):
-    monkeypatch.setattr(Trial, "service", PLAIN_SERVICE)
-
-
 def handle(trial, left_s=20.0):
     """Let the dispatcher handle a request; return its caller."""
     caller = Caller()
@@ -69,6 +70,7 @@
     assert arrivals(trial) == 1
 
 
+@without_model
 def test_a_stream_that_breaks_off_is_continued_at_another_target():
     """Its caller got 502, though both targets could resume it."""
     trial = Trial()
@@ -104,6 +106,7 @@
     assert arrivals(trial) == 1
 
 
+@without_model
 def test_a_stream_that_may_not_be_resumed_uses_a_new_connection():
     """A kept one may be closed while the request is sent, which may have run then."""
     used = []
@@ -138,6 +141,25 @@
     assert trial.table.health("desk-1").ended
 
 
+def test_a_target_restarted_under_its_id_does_not_count():
+    """The new process has not run the stream; other targets may."""
+    trial = Trial(max_targets=1)
+    desk = trial.add("desk-1", Run(3), *[Refuse("desk-1")] * 9)
+
+    async def serve():
+        caller = Caller()
+        serving = asyncio.ensure_future(trial.serve_one(caller))
+        while len(caller.events) < 3:
+            await asyncio.sleep(0.01)
+        desk.target = evolve(desk.target, born_ms=2)
+        trial.table.apply([Listed(desk.target)])
+        trial.add("desk-2", domain="b")
+        await serving
+        return caller
+
+    assert trial.run(serve()).has_complete_answer
+
+
 def test_a_stream_that_ends_its_targets_is_given_up():
     """It would have ended the whole service, as one that crashes engines would."""
     trial = Trial(max_targets=9)
@@ -158,6 +180,7 @@
     assert arrivals(trial) == 3
 
 
+@without_model
 def test_a_stream_without_targets_is_refused_at_once():
     begun_s = time.monotonic()
     assert handle(Trial()).status == 503
@@ -213,6 +236,7 @@
     assert caller.has_complete_answer
 
 
+@without_model
 @pytest.mark.parametrize(
     ("options", "others"),
     [({"slack": 0.0}, 1), ({"max_targets": 1}, 1), ({}, 0)],
@@ -253,6 +277,7 @@
     assert time.monotonic() - begun_s < 0.8
 
 
+@without_model
 def test_the_log_of_a_caller_that_left_names_the_target():
     trial = Trial()
     trial.add("desk", Run(3, after_s=9.0))
@@ -342,6 +367,7 @@
     assert (caller.events, caller.ending) == ([1, 2, 3], "broken off")
 
 
+@without_model
 def test_a_stream_without_a_length_that_ends_with_its_target_is_continued():
     """The kernel closes the connections of a killed process like a whole reply's."""
     target = SocketTarget(HEAD + encode_events(1, 3), ends=True)
