Count an answer below 500 to a stream as no failure of its target

Parameters of the runner's protocol are positional, so that each runner names its own kind of place.

Before: a ramping target that answers 404 has its window halved (read, no test of its own). After: test_an_answer_below_500_is_forwarded_at_once and the tests of streams and of the ramp-up pass.

--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -205,23 +205,22 @@
             self._selector.log_no_path(call)
         return path
 
-    def first_target_id(self, place: LayerPath) -> str:
+    def first_target_id(self, path: LayerPath) -> str:
         """Return the id of the first engine of a path."""
-        return place.parts[0].engine_id
+        return path.parts[0].engine_id
 
-    def describe(self, place: LayerPath) -> dict[str, object]:
+    def describe(self, path: LayerPath) -> dict[str, object]:
         """Return a path as a field of a log line."""
-        return {"path": place.describe()}
+        return {"path": path.describe()}
 
     def first_permit_s(self, call: Call) -> float:
         """Return the time at which a limited engine may be first in a path again."""
         return self._selector.first_permit_s(call)
 
     async def run(
-        self, call: Call, place: LayerPath, progress: StreamProgress
+        self, call: Call, path: LayerPath, progress: StreamProgress
     ) -> Outcome:
         """Run a stream over a path, and forward its events to the caller."""
-        path = place
         tokens = (
             call.metadata.prompt_tokens
             + expected_answer_tokens(call) * ANSWER_RESERVE_FACTOR
--- a/libs/entry/src/celeryfork_entry/stream_retries.py
+++ b/libs/entry/src/celeryfork_entry/stream_retries.py
@@ -48,13 +48,15 @@
             call that has not run.
         """
 
-    def first_target_id(self, place: Place) -> str:
+    def first_target_id(self, place: Place, /) -> str:
         """Return the id of the target that the request is sent to."""
 
-    def describe(self, place: Place) -> dict[str, object]:
+    def describe(self, place: Place, /) -> dict[str, object]:
         """Return a place as fields of a log line."""
 
-    async def run(self, call: Call, place: Place, progress: StreamProgress) -> Outcome:
+    async def run(
+        self, call: Call, place: Place, progress: StreamProgress, /
+    ) -> Outcome:
         """Run a stream at a place, and forward its events to the caller."""
 
     def first_permit_s(self, call: Call) -> float:
--- a/libs/entry/src/celeryfork_entry/target_streams.py
+++ b/libs/entry/src/celeryfork_entry/target_streams.py
@@ -91,13 +91,13 @@
         """Return None, as only the send of the next run is reserved."""
         return None
 
-    def first_target_id(self, place: Target) -> str:
+    def first_target_id(self, target: Target) -> str:
         """Return the id of a target."""
-        return place.id
+        return target.id
 
-    def describe(self, place: Target) -> dict[str, object]:
-        """Return a target as fields of a log line."""
-        return {"target": place.id}
+    def describe(self, target: Target) -> dict[str, object]:
+        """Return a target as a field of a log line."""
+        return {"target": target.id}
 
     def first_permit_s(self, call: Call) -> float:
         """Return the monotonic time of the next permit, 0 if none is needed."""
@@ -138,14 +138,16 @@
             without_permit=len(self._context.permits.unavailable(time.monotonic())),
         )
 
-    async def run(self, call: Call, place: Target, progress: StreamProgress) -> Outcome:
+    async def run(
+        self, call: Call, target: Target, progress: StreamProgress
+    ) -> Outcome:
         """Run a stream at a target, and forward its events to the caller."""
-        run = TargetRun(call, place)
+        run = TargetRun(call, target)
         self._context.log_event(
-            call, "path_chosen", target=place.id, after=progress.last_event
+            call, "path_chosen", target=target.id, after=progress.last_event
         )
         with (
-            self._targets.sending_to(place),
+            self._targets.sending_to(target),
             self._ramping(run),
             call.waiting("target"),
         ):
@@ -329,20 +331,21 @@
             raise LostError(
                 f"status {reply.status} without the header that the request was not run"
             )
-        self._record_failed_run(run)
-        is_failure = reply.status >= 500
-        if is_failure:
-            context.table.failed(target.id)
-        else:
-            context.table.succeeded(target.id)
+        self._guard.record_sound(call)
         call.failed_on.add(target.id)
         headers = context.dialect.reply_headers(reply.headers)
-        return EngineFailed(reply.status, headers, body, may_retry=is_failure)
+        if reply.status >= 500:
+            self._record_failed_run(run)
+            return EngineFailed(reply.status, headers, body)
+        self._record_run(run)
+        context.table.succeeded(target.id)
+        if context.ramp_up is not None and run.ramp_run is not None:
+            context.ramp_up.record_answer(run.ramp_run)
+        return EngineFailed(reply.status, headers, body, may_retry=False)
 
     async def _broke(self, run: TargetRun, error: Exception) -> PathBroke:
         """Return the outcome of a run that broke off, or whose target is left."""
         call, target = run.call, run.target
-        self._context.table.failed(target.id)
         self._record_failed_run(run)
         # A silent target may go on after a pause.
         ended = not isinstance(error, TimeoutError) and await self._guard.has_ended(
@@ -358,12 +361,17 @@
         reason = f"{error!r}; down: {target.id if ended else 'none'}"
         return PathBroke(reason, begun=run.begun)
 
+    def _record_run(self, run: TargetRun) -> None:
+        """Record that a target has run the call, or may have."""
+        run.call.first_engines.record_run(run.target.id, run.target.born_ms)
+        run.call.may_have_run = True
+        run.call.avoided.add(run.target.id)
+
     def _record_failed_run(self, run: TargetRun) -> None:
-        call, target = run.call, run.target
-        call.first_engines.record_run(target.id, target.born_ms)
-        call.may_have_run = True
-        call.failures += 1
-        call.avoided.add(target.id)
+        """Count a failure of a target that may have run the call."""
+        self._record_run(run)
+        run.call.failures += 1
+        self._context.table.failed(run.target.id)
         ramp_up = self._context.ramp_up
         if ramp_up is not None and run.ramp_run is not None:
-            ramp_up.record_failure(run.ramp_run, [target.id])
+            ramp_up.record_failure(run.ramp_run, [run.target.id])
--- a/libs/entry/tests/test_target_streams.py
+++ b/libs/entry/tests/test_target_streams.py
@@ -204,6 +204,14 @@
     assert handle(trial).has_complete_answer
 
 
+@without_model
+def test_an_answer_below_500_is_forwarded_at_once():
+    """Another target would answer the same: the failure is in the request."""
+    missing = b"HTTP/1.1 404 X\r\nX-Attempt-Id: r1\r\nContent-Length: 2\r\n\r\nno"
+    caller = serve_at(SocketTarget(missing))
+    assert (caller.status, caller.ending) == (404, "whole")
+
+
 def test_a_target_that_answers_that_it_leaves_gets_no_further_streams():
     trial = Trial()
     trial.add("desk-1").leaving = True
