Tell callers of refused target streams to come back as for plain calls

Since streams of services without a model are served as streams, a refusal told their callers to come back after up to 6.5 s, by the share of streams refused in the last 3 s: on a service that few streams go to, one refusal is a share of 1. Before, it was 0.25 s, and 1 s without targets, which it is again.

Before: test_a_refused_caller_is_told_to_come_back_as_for_a_plain_call fails in both cases. After: it passes, as do the other tests of streams.

--- a/libs/entry/src/celeryfork_entry/stream_calls.py
+++ b/libs/entry/src/celeryfork_entry/stream_calls.py
@@ -217,6 +217,10 @@
         """Return the time at which a limited engine may be first in a path again."""
         return self._selector.first_permit_s(call)
 
+    def retry_after_s(self, call: Call) -> float | None:
+        """Return None: memory is freed as other streams end."""
+        return None
+
     async def run(
         self, call: Call, path: LayerPath, progress: StreamProgress
     ) -> Outcome:
--- a/libs/entry/src/celeryfork_entry/stream_endings.py
+++ b/libs/entry/src/celeryfork_entry/stream_endings.py
@@ -41,6 +41,7 @@
         progress: StreamProgress,
         ended_by: str,
         permit_s: float = 0.0,
+        retry_after_s: float | None = None,
     ) -> None:
         """Answer or break off a call after its last attempt, and log its end.
 
@@ -51,6 +52,9 @@
         permit_s
             Monotonic time at which a limited engine may be first in a path again, 0 if
             one may be first now.
+        retry_after_s
+            Seconds after which the caller of a refused stream should come back, None to
+            compute them from the share of refusals.
 
         Raises
         ------
@@ -92,7 +96,9 @@
                 pass
         if not call.may_have_run and isinstance(outcome, PathRefused):
             now_s = time.monotonic()
-            after_s = self._retry_after.record_refusal(now_s)
+            after_s = retry_after_s
+            if after_s is None:
+                after_s = self._retry_after.record_refusal(now_s)
             after_s = max(after_s, round(permit_s - now_s, 2))
             raise not_run_error(
                 "no_path", f"No path accepted the request: {reason}.", after_s
--- a/libs/entry/src/celeryfork_entry/stream_retries.py
+++ b/libs/entry/src/celeryfork_entry/stream_retries.py
@@ -62,6 +62,15 @@
     def first_permit_s(self, call: Call) -> float:
         """Return the monotonic time of the next permit, 0 if none is needed."""
 
+    def retry_after_s(self, call: Call) -> float | None:
+        """Return the seconds after which a refused caller should come back.
+
+        Returns
+        -------
+        float or None
+            None if they follow from the share of streams refused recently.
+        """
+
 
 @define(eq=False)
 class StreamRetries:
@@ -121,7 +130,8 @@
                     await asyncio.sleep(min(left_s, refusal_backoff_s(refusals)))
         self._context.release_reserved_send(call)
         permit_s = runner.first_permit_s(call)
-        await self._endings.finish(call, last, progress, ended_by, permit_s)
+        after_s = runner.retry_after_s(call)
+        await self._endings.finish(call, last, progress, ended_by, permit_s, after_s)
 
     def _exhausted_limit(self, call: Call) -> str | None:
         return exhausted_limit(call, self._guard.max_lost_engines(call))
--- a/libs/entry/src/celeryfork_entry/target_streams.py
+++ b/libs/entry/src/celeryfork_entry/target_streams.py
@@ -20,7 +20,12 @@
     PathBroke,
     PathRefused,
 )
-from celeryfork_entry.plain_calls import MAX_REPLY_BYTES, NOT_RUN_STATUSES
+from celeryfork_entry.plain_calls import (
+    BUSY_RETRY_AFTER_S,
+    MAX_REPLY_BYTES,
+    NO_TARGETS_RETRY_AFTER_S,
+    NOT_RUN_STATUSES,
+)
 from celeryfork_entry.ports import ForwardingOptions
 from celeryfork_entry.stream_limits import MAX_FAILURES
 from celeryfork_entry.stream_progress import StreamProgress
@@ -104,6 +109,10 @@
         next_s = self._targets.next_permit_s(call)
         return 0.0 if next_s == inf else next_s
 
+    def retry_after_s(self, call: Call) -> float | None:
+        """Return the seconds after which a refused caller should come back."""
+        return BUSY_RETRY_AFTER_S if call.sends else NO_TARGETS_RETRY_AFTER_S
+
     async def choose(self, call: Call, until_s: float | None) -> Target | None:
         """Return a target for the next run, None if there is none.
 
--- a/libs/entry/tests/test_target_streams.py
+++ b/libs/entry/tests/test_target_streams.py
@@ -13,6 +13,10 @@
 from celeryfork_base.errors import RequestRefusedError
 from celeryfork_entry.configuration import Stream
 from celeryfork_entry.first_engines import MAX_LOST_ENGINES
+from celeryfork_entry.plain_calls import (
+    BUSY_RETRY_AFTER_S,
+    NO_TARGETS_RETRY_AFTER_S,
+)
 from celeryfork_entry.stream_waits import SILENCE_LIMIT_S
 from celeryfork_entry.target_http import OutgoingRequest, TargetConnections
 from celeryfork_entry.targets import Listed
@@ -187,6 +191,20 @@
     assert time.monotonic() - begun_s < 0.2
 
 
+@without_model
+@pytest.mark.parametrize(
+    ("targets", "after_s"), [(2, BUSY_RETRY_AFTER_S), (0, NO_TARGETS_RETRY_AFTER_S)]
+)
+def test_a_refused_caller_is_told_to_come_back_as_for_a_plain_call(targets, after_s):
+    """The share of refusals is no measure for a service that few streams go to."""
+    trial = Trial()
+    for number in range(targets):
+        trial.add(f"desk-{number}", Refuse(f"desk-{number}"))
+    handle(trial)
+    [line] = trial.logged("refused")
+    assert line["retry_after_s"] == after_s
+
+
 def test_a_stream_whose_targets_refuse_to_continue_it_waits_for_them():
     """The caller has a part of it: it can't be refused any more."""
     trial = Trial()
