--- a/tests/support/engine_standins.py
+++ b/tests/support/engine_standins.py
@@ -12,7 +12,7 @@
 ODD_ANSWER_S = 0.2
 """Seconds for which the connection of an odd answer stays open, so that it is read."""
 STREAM_PATHS = ("/live/", "/split/")
-"""Begins of the paths for which a plain service answers with a stream."""
+"""Path prefixes for which a plain service answers with a stream."""
 EVENTS_BEFORE_LOSS = 3
 """Events of a stream that a plain service sends before it loses the rest."""
 
