--- a/libs/entry/tests/test_resumed_streams.py
+++ b/libs/entry/tests/test_resumed_streams.py
@@ -46,3 +46,19 @@
     trial.add("first", Run(0))
     trial.add("second", domain="b")
     assert trial.serve(Caller()).has_complete_answer
+
+
+def test_events_that_the_caller_has_are_left_out_if_a_target_begins_anew():
+    """A target that ignores the last event would give its caller events twice."""
+    trial = Trial()
+    trial.last_event = 5
+    trial.add("first")
+    build = trial.build_target_request
+
+    def forget(request, options):
+        built = build(request, options)
+        built.after_event = None
+        return built
+
+    trial.build_target_request = forget
+    assert trial.serve(Caller()).events == list(range(6, ANSWER_EVENTS + 1))
